--- /dev/null
+++ b/src/bench/stand_in_engine.ts
@@ -0,0 +1,334 @@
+/**
+ * A stand-in for a model engine over real HTTP. It batches continuously: each
+ * step gives every running sequence one token, takes longer with more
+ * sequences, and is delayed by prompts that are read in. It knows no
+ * priorities, admits requests as they arrive and resumes and cancels streams.
+ */
+import type { Clock, Timer } from "../sys/clock.ts";
+import {
+  type HttpListener,
+  type IncomingMessage,
+  listenHttp,
+  readBody,
+  type ServerResponse,
+} from "../sys/http.ts";
+import { getPlacementHash } from "../sys/random.ts";
+import { Announcer } from "./announcer.ts";
+
+/** How a stand-in engine behaves. */
+export interface StandInEngineOptions {
+  readonly name: string;
+  readonly deployment: string;
+  readonly dataCentre: string;
+  readonly models: readonly string[];
+  readonly entries: readonly string[];
+  readonly clock: Clock;
+  readonly host?: string;
+  /** Milliseconds of a step without sequences. */
+  readonly baseStepMs?: number;
+  /** Milliseconds that each sequence adds to a step. */
+  readonly sequenceStepMs?: number;
+  /** Milliseconds for each prompt token that is not in the cache. */
+  readonly prefillTokenMs?: number;
+  readonly maxSequences?: number;
+  readonly cachedPrefixes?: number;
+  readonly announceMs?: number;
+  readonly leaseMs?: number;
+  /** Age of the load in a report, in milliseconds. */
+  readonly reportLagMs?: number;
+  /** A prompt that contains this ends the server. */
+  readonly crashMark?: string;
+  readonly checksFencing?: boolean;
+  readonly port?: number;
+  readonly incarnation?: number;
+}
+
+interface Sequence {
+  readonly res: ServerResponse;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly isStreamed: boolean;
+  next: number;
+  text: string;
+}
+
+interface Body {
+  prompt?: unknown;
+  messages?: unknown;
+  max_tokens?: number;
+  stream?: boolean;
+  resume_text?: string;
+  resume_tokens?: number;
+}
+
+const DEFAULTS = {
+  baseStepMs: 8,
+  sequenceStepMs: 0.25,
+  prefillTokenMs: 0.05,
+  maxSequences: 48,
+  cachedPrefixes: 64,
+  announceMs: 500,
+  leaseMs: 2_000,
+  reportLagMs: 300,
+};
+
+const CHARACTERS_PER_TOKEN = 4;
+const PREFIX_CHARACTERS = 256;
+const DEFAULT_MAX_TOKENS = 16;
+const MAX_BODY_BYTES = 16 << 20;
+
+/** The token that every engine gives for a prompt at a place. */
+export function getToken(prompt: string, index: number): string {
+  const word = getPlacementHash(`${prompt}\u0000${index}`).toString(36);
+  return `${word} `;
+}
+
+/** The whole text that an engine gives for a prompt. */
+export function getCompletion(prompt: string, tokens: number): string {
+  return Array.from({ length: tokens }, (_, index) => getToken(prompt, index))
+    .join("");
+}
+
+/** A running stand-in engine. */
+export class StandInEngine {
+  readonly #options: StandInEngineOptions & typeof DEFAULTS;
+  readonly #running = new Set<Sequence>();
+  readonly #waiting: Sequence[] = [];
+  readonly #prefixes = new Map<string, true>();
+  readonly #loads: { atMs: number; running: number; waiting: number }[] = [];
+  readonly #announcer: Announcer;
+  #listener: HttpListener | undefined;
+  #timer: Timer | undefined;
+  #fencingNumber = 0;
+  #isFrozen = false;
+  #stepMs = 0;
+  address = "";
+  /** Tokens given, by all sequences. */
+  tokenCount = 0;
+  requestCount = 0;
+  readonly ordersTaken: string[] = [];
+  /** Called when a marked prompt ended the server. */
+  onCrash: () => void = () => {};
+
+  constructor(options: StandInEngineOptions) {
+    this.#options = { ...DEFAULTS, ...options };
+    const { clock, announceMs, entries, incarnation } = this.#options;
+    const started = incarnation ?? Math.floor(clock.getWallMs());
+    this.#announcer = new Announcer({
+      entries,
+      clock,
+      intervalMs: announceMs,
+      fields: () => ({
+        ...this.#getReport(),
+        name: options.name,
+        incarnation: BigInt(started),
+        address: this.address,
+        deployment: options.deployment,
+        dataCentre: options.dataCentre,
+        host: options.host ?? `host-of-${options.name}`,
+        models: [...options.models],
+        leaseMs: this.#options.leaseMs,
+        sequenceLimit: this.#options.maxSequences,
+      }),
+    });
+  }
+
+  get name(): string {
+    return this.#options.name;
+  }
+
+  /** Sequences that run or wait. */
+  get load(): number {
+    return this.#running.size + this.#waiting.length;
+  }
+
+  async start(): Promise<void> {
+    this.#listener = await listenHttp(
+      `127.0.0.1:${this.#options.port ?? 0}`,
+      (req, res) => {
+        this.#serve(req, res).catch(() => res.destroy());
+      },
+    );
+    this.address = this.#listener.address;
+    await this.#announcer.start();
+  }
+
+  /** Leaves the fleet and stops when the running sequences have ended. */
+  async leave(): Promise<void> {
+    await this.#announcer.leave();
+    await this.#listener?.drain();
+    this.crash();
+  }
+
+  announceLeaving(): Promise<void> {
+    return this.#announcer.leave();
+  }
+
+  /** Ends at once. */
+  crash(): void {
+    this.#announcer.stop();
+    this.#timer?.cancel();
+    this.#listener?.close();
+    this.#running.clear();
+    this.#waiting.length = 0;
+  }
+
+  /** Stops giving tokens and announcing, with connections left open. */
+  freeze(): void {
+    this.#isFrozen = true;
+    this.#announcer.stop();
+    this.#timer?.cancel();
+  }
+
+  #getReport() {
+    const { clock, reportLagMs } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const old = this.#loads.findLast((row) => row.atMs <= nowMs - reportLagMs);
+    this.#loads.push({
+      atMs: nowMs,
+      running: this.#running.size,
+      waiting: this.#waiting.length,
+    });
+    if (this.#loads.length > 64) this.#loads.shift();
+    return {
+      running: old?.running ?? 0,
+      waiting: old?.waiting ?? 0,
+      tokenGapMs: Math.round(this.#stepMs),
+    };
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const path = req.url ?? "/";
+    if (path === "/health") {
+      res.end("ok");
+      return;
+    }
+    const bytes = await readBody(req, MAX_BODY_BYTES);
+    const body = JSON.parse(bytes.toString()) as Body;
+    if (path === "/admin/orders") {
+      this.#takeOrder(body as never, res);
+      return;
+    }
+    this.#takeRequest(body, res);
+  }
+
+  #takeOrder(
+    order: { fencing_number: number; action: string; subject: string },
+    res: ServerResponse,
+  ): void {
+    const isOld = order.fencing_number < this.#fencingNumber;
+    if (isOld && this.#options.checksFencing === true) {
+      res.writeHead(409);
+      res.end();
+      return;
+    }
+    this.#fencingNumber = Math.max(this.#fencingNumber, order.fencing_number);
+    this.ordersTaken.push(`${order.action} ${order.subject}`);
+    res.end("{}");
+  }
+
+  #takeRequest(body: Body, res: ServerResponse): void {
+    const prompt = JSON.stringify(body.prompt ?? body.messages ?? "");
+    this.requestCount += 1;
+    const mark = this.#options.crashMark;
+    if (mark !== undefined && prompt.includes(mark)) {
+      this.crash();
+      this.onCrash();
+      return;
+    }
+    const sequence: Sequence = {
+      res,
+      prompt,
+      promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+      maxTokens: body.max_tokens ?? DEFAULT_MAX_TOKENS,
+      isStreamed: body.stream === true,
+      next: body.resume_tokens ?? 0,
+      text: body.resume_text ?? "",
+    };
+    res.on("close", () => this.#remove(sequence));
+    this.#waiting.push(sequence);
+    this.#arm(0);
+  }
+
+  #remove(sequence: Sequence): void {
+    this.#running.delete(sequence);
+    const place = this.#waiting.indexOf(sequence);
+    if (place >= 0) this.#waiting.splice(place, 1);
+  }
+
+  #arm(ms: number): void {
+    if (this.#timer !== undefined || this.#isFrozen) return;
+    const { clock } = this.#options;
+    const dueMs = clock.getMonotonicMs() + ms;
+    this.#timer = clock.startTimer(ms, () => {
+      this.#timer = undefined;
+      this.#step(clock.getMonotonicMs() - dueMs);
+    });
+  }
+
+  /** Admits what waits, gives each sequence a token and plans the next step. */
+  #step(lateMs: number): void {
+    const { baseStepMs, sequenceStepMs, prefillTokenMs } = this.#options;
+    [...this.#running].forEach((sequence) => this.#giveToken(sequence));
+    const room = this.#options.maxSequences - this.#running.size;
+    const admitted = this.#waiting.splice(0, room);
+    admitted.forEach((sequence) => this.#running.add(sequence));
+    const prefillTokens = admitted.reduce(
+      (sum, sequence) => sum + this.#getUncached(sequence),
+      0,
+    );
+    if (this.#running.size === 0) {
+      this.#stepMs = 0;
+      return;
+    }
+    this.#stepMs = baseStepMs + sequenceStepMs * this.#running.size +
+      prefillTokenMs * prefillTokens;
+    this.#arm(Math.max(0, this.#stepMs - lateMs));
+  }
+
+  #getUncached(sequence: Sequence): number {
+    const prefix = sequence.prompt.slice(0, PREFIX_CHARACTERS);
+    const isCached = this.#prefixes.delete(prefix);
+    this.#prefixes.set(prefix, true);
+    if (this.#prefixes.size > this.#options.cachedPrefixes) {
+      const oldest = this.#prefixes.keys().next().value;
+      if (oldest !== undefined) this.#prefixes.delete(oldest);
+    }
+    const cached = isCached
+      ? Math.ceil(prefix.length / CHARACTERS_PER_TOKEN)
+      : 0;
+    return Math.max(0, sequence.promptTokens + sequence.next - cached);
+  }
+
+  #giveToken(sequence: Sequence): void {
+    const token = getToken(sequence.prompt, sequence.next);
+    sequence.next += 1;
+    sequence.text += token;
+    this.tokenCount += 1;
+    const isLast = sequence.next >= sequence.maxTokens;
+    if (sequence.isStreamed) this.#stream(sequence, token, isLast);
+    else if (isLast) this.#answer(sequence);
+    if (isLast) this.#running.delete(sequence);
+  }
+
+  #stream(sequence: Sequence, token: string, isLast: boolean): void {
+    const { res } = sequence;
+    if (!res.headersSent) {
+      res.writeHead(200, { "content-type": "text/event-stream" });
+    }
+    const choice = {
+      index: 0,
+      text: token,
+      finish_reason: isLast ? "length" : null,
+    };
+    res.write(`data: ${JSON.stringify({ choices: [choice] })}\n\n`);
+    if (isLast) res.end("data: [DONE]\n\n");
+  }
+
+  #answer(sequence: Sequence): void {
+    const choice = { index: 0, text: sequence.text, finish_reason: "length" };
+    sequence.res.setHeader("content-type", "application/json");
+    sequence.res.end(JSON.stringify({ choices: [choice] }));
+  }
+}
--- /dev/null
+++ b/src/daemons/daemon.ts
@@ -0,0 +1,138 @@
+/**
+ * What both daemons do around their host: read settings, log, answer signals
+ * and end with the exit code of the message table.
+ */
+import { readFileSync } from "node:fs";
+import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
+import { Command } from "commander";
+import { MessageCode } from "../schema/mod.ts";
+import { createProcessContext, type ProcessContext } from "../services/mod.ts";
+import {
+  asServingError,
+  formatCode,
+  getReason,
+  ServingError,
+} from "../sys/errors.ts";
+import { createLog } from "../sys/log.ts";
+import { Metrics } from "../sys/metrics.ts";
+import { parseSettings } from "../sys/settings.ts";
+
+/** Reads a settings file; each fault becomes a line of the error. */
+export function readSettings<S extends DescMessage>(
+  schema: S,
+  path: string,
+): MessageShape<S> {
+  let text: string;
+  try {
+    text = readFileSync(path, "utf8");
+  } catch (error) {
+    throw new ServingError(MessageCode.SETTINGS_FILE_MISSING, {
+      parameters: { path, reason: getReason(error) },
+    });
+  }
+  const result = parseSettings(schema, text);
+  if (result.ok) return result.settings;
+  throw new SettingsError(path, result.faults.map((fault) => fault.text));
+}
+
+/** All faults of a settings file. */
+export class SettingsError extends ServingError {
+  readonly faults: readonly string[];
+
+  constructor(path: string, faults: readonly string[]) {
+    super(MessageCode.SETTINGS_SYNTAX);
+    this.faults = faults;
+    this.message = faults.map((fault) => `${path}: ${fault}`).join("\n");
+  }
+}
+
+/** The line that a person sees of an error. */
+export function formatFailure(thrown: unknown): string {
+  const error = asServingError(thrown);
+  if (error instanceof SettingsError) return error.message;
+  return `${formatCode(error.code)} ${error.message}`;
+}
+
+/** A host as the daemon sees it. */
+export interface DaemonHost {
+  /** Opens ports and starts; resolves with the fields of the ready line. */
+  start(): Promise<Record<string, string>>;
+  /** Stops without cutting off a request. */
+  stop(): Promise<void>;
+  /** Called by the host when it can't go on. */
+  onFailure?: (error: unknown) => void;
+}
+
+/** Settings that both daemons have. */
+interface CommonSettings {
+  readonly id: string;
+  readonly log?: { readonly level?: string };
+  readonly metrics?: { readonly host?: string; readonly port?: number };
+}
+
+/** Runs a daemon from its command line until a signal ends it. */
+export async function runDaemon<S extends DescMessage>(options: {
+  name: string;
+  description: string;
+  schema: S;
+  createHost: (
+    settings: MessageShape<S>,
+    context: ProcessContext,
+  ) => DaemonHost;
+}): Promise<void> {
+  const program = new Command(options.name)
+    .description(options.description)
+    .argument("<settings>", "path of the TOML settings file")
+    .addHelpText(
+      "after",
+      "\nExit codes: 0 stopped, 1 internal error, 2 usage, 3 settings, " +
+        "4 port or folder, 5 damaged or lost state.",
+    );
+  program.exitOverride((error) => {
+    process.exit(error.exitCode === 0 ? 0 : 2);
+  });
+  program.parse();
+  try {
+    const settings = readSettings(options.schema, program.args[0] ?? "");
+    await serve(options, settings);
+  } catch (error) {
+    process.stderr.write(`${formatFailure(error)}\n`);
+    process.exit(asServingError(error).exitCode);
+  }
+}
+
+async function serve<S extends DescMessage>(
+  options: {
+    name: string;
+    createHost: (
+      settings: MessageShape<S>,
+      context: ProcessContext,
+    ) => DaemonHost;
+  },
+  settings: MessageShape<S>,
+): Promise<void> {
+  const common = settings as unknown as CommonSettings;
+  const log = createLog({
+    level: common.log?.level ?? "info",
+    process: common.id,
+  });
+  const metrics = new Metrics({ ...common.metrics, prefix: options.name });
+  const context = createProcessContext({ name: options.name, log, metrics });
+  const host = options.createHost(settings, context);
+  host.onFailure = (error) => {
+    log.error("failed", { reason: formatFailure(error) });
+    process.exit(asServingError(error).exitCode);
+  };
+  process.on("uncaughtException", (error) => {
+    log.error("uncaught", { reason: getReason(error) });
+    process.exit(1);
+  });
+  const stop = (signal: string) => {
+    log.info("signal", { signal });
+    host.stop().then(() => process.exit(0), () => process.exit(1));
+  };
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+  const fields = await host.start();
+  log.info("ready", fields);
+}
--- /dev/null
+++ b/src/membership/subsets.ts
@@ -0,0 +1,48 @@
+/**
+ * Which entries use a backend server. Each server is used by a bounded number
+ * of entries, so that the announcements an entry takes part in stay the same
+ * however large the fleet is.
+ */
+import type { EntryRegistration } from "../schema/mod.ts";
+import { selectByRendezvous } from "../sys/random.ts";
+
+/** Entries of the server's data centre that use it. */
+const LOCAL_USERS = 8;
+
+/** Entries of each other data centre that use it for overflow. */
+const REMOTE_USERS = 2;
+
+const byId = (entry: EntryRegistration) => entry.id;
+
+/** Entries that use a server, those of its data centre first. */
+export function selectUsers(
+  server: { name: string; dataCentre: string },
+  entries: readonly EntryRegistration[],
+): EntryRegistration[] {
+  const dataCentres = [...new Set(entries.map((entry) => entry.dataCentre))];
+  const ordered = dataCentres.sort((a, b) =>
+    Number(b === server.dataCentre) - Number(a === server.dataCentre) ||
+    (a < b ? -1 : 1)
+  );
+  return ordered.flatMap((dataCentre) =>
+    selectByRendezvous(
+      server.name,
+      entries.filter((entry) => entry.dataCentre === dataCentre),
+      {
+        count: dataCentre === server.dataCentre ? LOCAL_USERS : REMOTE_USERS,
+        getName: byId,
+      },
+    )
+  );
+}
+
+/**
+ * The one entry that runs batch items and suspects on a server: the first of
+ * its users, so that two entries never fill the same idle capacity.
+ */
+export function tryGetOwner(
+  server: { name: string; dataCentre: string },
+  entries: readonly EntryRegistration[],
+): EntryRegistration | undefined {
+  return selectUsers(server, entries)[0];
+}
--- /dev/null
+++ b/src/membership/suspicions.ts
@@ -0,0 +1,78 @@
+/**
+ * Requests that were in flight when a backend server died. Deaths are kept as
+ * a set of servers for each request's fingerprint, so that news from several
+ * entries merges in any order.
+ */
+import { create } from "@bufbuild/protobuf";
+import { type Suspicion, SuspicionSchema } from "../schema/mod.ts";
+
+/** Deaths after which a request is refused. */
+export const MAX_DEATHS = 2;
+
+/** Time for which a suspicion is kept, in milliseconds. */
+const KEEP_MS = 24 * 3_600_000;
+
+interface Row {
+  readonly servers: Set<string>;
+  updatedMs: number;
+}
+
+/** Deaths by fingerprint. */
+export class Suspicions {
+  readonly #rows = new Map<string, Row>();
+
+  /** Different servers that died under the request. */
+  getDeaths(fingerprint: string): number {
+    return this.#rows.get(fingerprint)?.servers.size ?? 0;
+  }
+
+  isRefused(fingerprint: string): boolean {
+    return this.getDeaths(fingerprint) >= MAX_DEATHS;
+  }
+
+  isSuspect(fingerprint: string): boolean {
+    return this.#rows.has(fingerprint);
+  }
+
+  /** Records a death; returns the news to spread. */
+  record(fingerprint: string, server: string, nowMs: number): Suspicion {
+    const row = this.#rows.get(fingerprint) ??
+      { servers: new Set<string>(), updatedMs: nowMs };
+    row.servers.add(server);
+    row.updatedMs = nowMs;
+    this.#rows.set(fingerprint, row);
+    return create(SuspicionSchema, { fingerprint, servers: [...row.servers] });
+  }
+
+  /** A suspect finished; it is one no more. Returns the news to spread. */
+  tryClear(fingerprint: string): Suspicion | undefined {
+    if (this.isRefused(fingerprint)) return undefined;
+    if (!this.#rows.delete(fingerprint)) return undefined;
+    return create(SuspicionSchema, { fingerprint, cleared: true });
+  }
+
+  /** Merges news of another entry. */
+  merge(news: Suspicion, nowMs: number): void {
+    if (news.cleared) {
+      if (!this.isRefused(news.fingerprint)) {
+        this.#rows.delete(news.fingerprint);
+      }
+      return;
+    }
+    news.servers.forEach((server) =>
+      this.record(news.fingerprint, server, nowMs)
+    );
+  }
+
+  /** All suspicions, for an entry that starts. */
+  getAll(): Suspicion[] {
+    return [...this.#rows].map(([fingerprint, row]) =>
+      create(SuspicionSchema, { fingerprint, servers: [...row.servers] })
+    );
+  }
+
+  sweep(nowMs: number): void {
+    [...this.#rows].filter(([, row]) => nowMs - row.updatedMs > KEEP_MS)
+      .forEach(([fingerprint]) => this.#rows.delete(fingerprint));
+  }
+}
--- /dev/null
+++ b/src/relay/engine_stream.ts
@@ -0,0 +1,188 @@
+/**
+ * One attempt of a completion on a model engine. Events pass on whole and in
+ * order; an event that is cut short by a broken connection is dropped, so that
+ * a resumed stream delivers each token once.
+ */
+import { createParser } from "eventsource-parser";
+import { Verdict } from "../schema/mod.ts";
+import { getReason } from "../sys/errors.ts";
+import {
+  type HttpAnswer,
+  HttpSendError,
+  readBody,
+  sendHttp,
+  watchIdle,
+} from "../sys/http.ts";
+
+/** Body of a completion as callers and engines write it. */
+export interface CompletionBody {
+  readonly model: string;
+  readonly prompt?: unknown;
+  readonly messages?: unknown;
+  readonly max_tokens?: number;
+  readonly stream?: boolean;
+  readonly [field: string]: unknown;
+}
+
+/** What has been produced so far. */
+export interface Progress {
+  readonly text: string;
+  readonly tokens: number;
+}
+
+/** Takes the events of a stream. */
+export interface EventSink {
+  /** Takes one event; false asks for a pause. */
+  onEvent(data: string, token: string): boolean;
+  /** Resolves when there is room again. */
+  whenReady(): Promise<void>;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: "done" }
+  /** The engine answered with an error; it did not start. */
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly body: Buffer;
+    readonly contentType: string;
+  }
+  /** The connection broke or stalled. */
+  | {
+    readonly kind: "broken";
+    readonly reason: string;
+    readonly verdict: Verdict;
+    readonly isConnectionLost: boolean;
+  }
+  | { readonly kind: "aborted" };
+
+/** One attempt. */
+export interface EngineAttempt {
+  readonly address: string;
+  readonly path: string;
+  readonly body: CompletionBody;
+  readonly progress: Progress;
+  readonly requestId: string;
+  readonly isFresh: boolean;
+  /** Longest wait for the head and between events, in milliseconds. */
+  readonly stallMs: number;
+  readonly signal: AbortSignal;
+}
+
+const DONE_DATA = "[DONE]";
+
+/** Largest answer that is not a stream, in bytes. */
+const MAX_ANSWER_BYTES = 16 << 20;
+
+/** The text that an event of a completion adds. */
+export function getEventToken(data: string): string {
+  try {
+    const choice = JSON.parse(data).choices?.[0];
+    return choice?.text ?? choice?.delta?.content ?? "";
+  } catch {
+    return "";
+  }
+}
+
+function encodeBody(attempt: EngineAttempt): string {
+  const { body, progress } = attempt;
+  const resume = progress.tokens === 0
+    ? {}
+    : { resume_text: progress.text, resume_tokens: progress.tokens };
+  return JSON.stringify({ ...body, stream: true, ...resume });
+}
+
+/** Runs one attempt and passes its events to `sink`. */
+export async function runEngineAttempt(
+  attempt: EngineAttempt,
+  sink: EventSink,
+): Promise<AttemptEnd> {
+  try {
+    const answer = await sendHttp({
+      address: attempt.address,
+      method: "POST",
+      path: attempt.path,
+      headers: {
+        "content-type": "application/json",
+        "x-request-id": attempt.requestId,
+      },
+      body: encodeBody(attempt),
+      isFresh: attempt.isFresh,
+      headTimeoutMs: attempt.stallMs,
+      signal: attempt.signal,
+    });
+    if (answer.status !== 200) {
+      return {
+        kind: "answered",
+        status: answer.status,
+        body: await readBody(answer.body, MAX_ANSWER_BYTES),
+        contentType: answer.headers["content-type"] ?? "",
+      };
+    }
+    return await pumpEvents(answer, attempt, sink);
+  } catch (error) {
+    if (attempt.signal.aborted) return { kind: "aborted" };
+    const sent = error instanceof HttpSendError ? error : undefined;
+    return {
+      kind: "broken",
+      reason: getReason(error),
+      verdict: sent?.verdict ?? Verdict.MAY_HAVE_RUN,
+      isConnectionLost: sent?.isBroken ?? true,
+    };
+  }
+}
+
+function pumpEvents(
+  answer: HttpAnswer,
+  attempt: EngineAttempt,
+  sink: EventSink,
+): Promise<AttemptEnd> {
+  const { body } = answer;
+  return new Promise((resolve) => {
+    let isDone = false;
+    let isStalled = false;
+    let isPaused = false;
+    watchIdle(body, attempt.stallMs, () => {
+      // A caller that reads slowly is no fault of the engine.
+      if (isPaused) return;
+      isStalled = true;
+      body.destroy();
+    });
+    const finish = () => {
+      if (isDone) resolve({ kind: "done" });
+      else if (attempt.signal.aborted) resolve({ kind: "aborted" });
+      else {
+        resolve({
+          kind: "broken",
+          reason: isStalled ? "the stream stalled" : "the stream broke off",
+          verdict: Verdict.MAY_HAVE_RUN,
+          isConnectionLost: !isStalled,
+        });
+      }
+    };
+    const pause = () => {
+      if (isPaused) return;
+      isPaused = true;
+      body.pause();
+      sink.whenReady().then(() => {
+        isPaused = false;
+        body.resume();
+      });
+    };
+    const parser = createParser({
+      onEvent: ({ data }) => {
+        if (data === DONE_DATA) isDone = true;
+        const token = isDone ? "" : getEventToken(data);
+        if (!sink.onEvent(data, token)) pause();
+      },
+    });
+    const decoder = new TextDecoder();
+    body.on("data", (chunk: Buffer) => {
+      parser.feed(decoder.decode(chunk, { stream: true }));
+    });
+    body.on("end", finish);
+    body.on("error", () => {});
+    body.on("close", finish);
+  });
+}
--- /dev/null
+++ b/src/services/backend_pool.ts
@@ -0,0 +1,502 @@
+/**
+ * Places requests on backend servers: asks the policy, keeps the entry's own
+ * load, lets online requests wait in turn and makes batch give way to them.
+ */
+import {
+  adaptTarget,
+  chooseServer,
+  FairQueue,
+  getBatchRoom,
+  type ServerStanding,
+} from "../policy/mod.ts";
+import {
+  type BackendServer,
+  type FleetView,
+  tryGetOwner,
+} from "../membership/mod.ts";
+import { Emphasis, MessageCode, Verdict } from "../schema/mod.ts";
+import type { Clock, Timer } from "../sys/clock.ts";
+import { ServingError } from "../sys/errors.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
+
+/** What has to be placed. */
+export interface PlacementRequest {
+  readonly deployment: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly affinity: string;
+  readonly caller: string;
+  /** Monotonic milliseconds. */
+  readonly deadlineMs: number;
+  readonly excluded: ReadonlySet<string>;
+  /** Was in flight when a server died: runs beside no other suspect. */
+  readonly isSuspect: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** How the use of a server ended. */
+export interface PlacementEnd {
+  /** The server failed, as opposed to the request. */
+  readonly isFailure: boolean;
+  readonly gapSumMs?: number;
+  readonly gapCount?: number;
+}
+
+/** A sequence on a server. */
+export interface Placement {
+  readonly server: BackendServer;
+  /** Incarnation of the server when the placement began. */
+  readonly incarnation: bigint;
+  readonly isBatch: boolean;
+  /** Aborted when the placement has to end. */
+  readonly signal: AbortSignal;
+  readonly gaveWay: boolean;
+  release(end: PlacementEnd): void;
+}
+
+class ActivePlacement implements Placement {
+  readonly #abort = new AbortController();
+  readonly #onRelease: (placement: ActivePlacement, end: PlacementEnd) => void;
+  readonly server: BackendServer;
+  readonly incarnation: bigint;
+  readonly isBatch: boolean;
+  readonly isSuspect: boolean;
+  readonly isProbe: boolean;
+  #released = false;
+  gaveWay = false;
+
+  constructor(options: {
+    server: BackendServer;
+    isBatch: boolean;
+    isSuspect: boolean;
+    isProbe: boolean;
+    onRelease: (placement: ActivePlacement, end: PlacementEnd) => void;
+  }) {
+    this.server = options.server;
+    this.incarnation = options.server.announcement.incarnation;
+    this.isBatch = options.isBatch;
+    this.isSuspect = options.isSuspect;
+    this.isProbe = options.isProbe;
+    this.#onRelease = options.onRelease;
+  }
+
+  get signal(): AbortSignal {
+    return this.#abort.signal;
+  }
+
+  end(gaveWay: boolean): void {
+    this.gaveWay ||= gaveWay;
+    this.#abort.abort();
+  }
+
+  release(end: PlacementEnd): void {
+    if (this.#released) return;
+    this.#released = true;
+    this.#onRelease(this, end);
+  }
+}
+
+interface Waiter {
+  readonly req: PlacementRequest;
+  readonly resolve: (placement: Placement) => void;
+  readonly reject: (error: ServingError) => void;
+}
+
+/** How a {@linkcode BackendPool} is made. */
+export interface BackendPoolOptions {
+  readonly entryId: string;
+  readonly dataCentre: string;
+  readonly view: FleetView;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** Asks the batch owner of a server to make room. */
+  readonly onYield: (owner: string, server: string, count: number) => void;
+}
+
+const TICK_MS = 100;
+
+/** Sequences of a server that says nothing of its limit. */
+const DEFAULT_SEQUENCE_LIMIT = 64;
+
+/** Requests beside each other on a plain service. */
+const SERVICE_SEQUENCE_LIMIT = 1024;
+
+const LEAST_TARGET = 2;
+const PEAK_DECAY_PER_TICK = 0.03;
+const RATE_DECAY = 0.9;
+
+/** Waiting requests for which no estimate refuses any. */
+const FREE_QUEUE_LENGTH = 8;
+
+/** Places requests of one entry. */
+export class BackendPool {
+  readonly #options: BackendPoolOptions;
+  readonly #active = new Map<string, Set<ActivePlacement>>();
+  readonly #queues = new Map<string, FairQueue<Waiter>>();
+  /** Smoothed online completions per tick, by deployment. */
+  readonly #rates = new Map<string, number>();
+  readonly #ended = new Map<string, number>();
+  readonly #timer: Timer;
+  #ticks = 0;
+
+  constructor(options: BackendPoolOptions) {
+    this.#options = options;
+    this.#timer = options.clock.startInterval(TICK_MS, () => this.#tick());
+  }
+
+  /** Sequences of all kinds that this entry runs. */
+  get activeCount(): number {
+    return [...this.#active.values()].reduce((sum, set) => sum + set.size, 0);
+  }
+
+  get waitingCount(): number {
+    return [...this.#queues.values()].reduce((sum, q) => sum + q.length, 0);
+  }
+
+  /**
+   * Places an online request, waiting in turn for room until its deadline. A
+   * request that can't be met is refused at once as not run.
+   */
+  place(req: PlacementRequest): Promise<Placement> {
+    const queue = this.#getQueue(req.deployment);
+    if (queue.length === 0) {
+      const placed = this.#tryPlaceOnline(req);
+      if (placed === "none") return Promise.reject(this.#createNoServer(req));
+      if (placed !== undefined) return Promise.resolve(placed);
+    }
+    const refusal = this.#tryRefuse(req, queue.length);
+    if (refusal !== undefined) return Promise.reject(refusal);
+    return new Promise((resolve, reject) => {
+      const waiter: Waiter = { req, resolve, reject };
+      queue.push(req.caller, waiter);
+      req.signal.addEventListener("abort", () => {
+        if (queue.remove(req.caller, waiter)) {
+          reject(new ServingError(MessageCode.CALLER_LEFT));
+        }
+      }, { once: true });
+    });
+  }
+
+  /** Batch sequences that may be added in a deployment now. */
+  getBatchRoom(deployment: string): number {
+    return this.#getOwned(deployment).reduce(
+      (sum, server) => sum + Math.max(0, this.#getRoom(server)),
+      0,
+    );
+  }
+
+  /** Places a batch item where most room is; undefined when there is none. */
+  tryPlaceBatch(
+    req: Pick<
+      PlacementRequest,
+      "deployment" | "model" | "excluded" | "isSuspect"
+    >,
+  ): Placement | undefined {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const server = this.#getOwned(req.deployment)
+      .filter((one) => !req.excluded.has(one.name))
+      .filter((one) => nowMs >= one.setAsideUntilMs && !one.isProbed)
+      .filter((one) => isLoaded(one, req.model))
+      .filter((one) => !req.isSuspect || !this.#hasSuspect(one))
+      .map((one) => ({ one, room: this.#getRoom(one) }))
+      .filter(({ room }) => room > 0)
+      .sort((a, b) => b.room - a.room)[0]?.one;
+    return server === undefined
+      ? undefined
+      : this.#start(server, { isBatch: true, isSuspect: req.isSuspect });
+  }
+
+  /** Ends the youngest batch sequences on a server. */
+  yieldBatch(server: string, count: number): number {
+    const batch = [...this.#active.get(server) ?? []]
+      .filter((placement) => placement.isBatch && !placement.gaveWay);
+    const leaving = batch.slice(Math.max(0, batch.length - count));
+    leaving.forEach((placement) => placement.end(true));
+    this.#options.metrics.count(MetricName.batchGaveWay, leaving.length);
+    return leaving.length;
+  }
+
+  /** Ends everything on a server that is gone. */
+  abandonServer(server: string): void {
+    [...this.#active.get(server) ?? []].forEach((one) => one.end(false));
+  }
+
+  /** Own batch sequences on servers that this entry owns. */
+  getBatchLoads(): { backendServer: string; sequences: number }[] {
+    return this.#options.view.backends.getAll()
+      .filter((server) => server.own.batch > 0)
+      .map((server) => ({
+        backendServer: server.name,
+        sequences: server.own.batch,
+      }));
+  }
+
+  /** Something may have made room. */
+  wake(): void {
+    [...this.#queues.keys()].forEach((deployment) => this.#serve(deployment));
+  }
+
+  /** Refuses all that wait; what runs goes on. */
+  close(): void {
+    this.#timer.cancel();
+    this.#queues.forEach((queue) =>
+      queue.getAll().forEach((waiter) =>
+        waiter.reject(new ServingError(MessageCode.HOST_STOPPING))
+      )
+    );
+  }
+
+  #getQueue(deployment: string): FairQueue<Waiter> {
+    const known = this.#queues.get(deployment);
+    if (known !== undefined) return known;
+    const queue = new FairQueue<Waiter>();
+    this.#queues.set(deployment, queue);
+    return queue;
+  }
+
+  #getServing(deployment: string): BackendServer[] {
+    const { view, clock } = this.#options;
+    return view.backends.getServing(deployment, clock.getMonotonicMs())
+      .filter((server) =>
+        !view.isDrained(server.name, server.announcement.host)
+      );
+  }
+
+  #isOwner(server: BackendServer): boolean {
+    const { view, entryId } = this.#options;
+    const owner = tryGetOwner(
+      { name: server.name, dataCentre: server.announcement.dataCentre },
+      view.entries,
+    );
+    return owner === undefined || owner.id === entryId;
+  }
+
+  #getOwned(deployment: string): BackendServer[] {
+    return this.#getServing(deployment).filter((one) => this.#isOwner(one));
+  }
+
+  #getRoom(server: BackendServer): number {
+    const { view } = this.#options;
+    const { deployment } = server.announcement;
+    const rule = view.tryGetRule(deployment);
+    if (rule?.batchPaused === true) return 0;
+    return getBatchRoom({
+      online: server.own.online + server.others,
+      onlinePeak: server.onlinePeak,
+      ownBatch: server.own.batch,
+      sequenceTarget: server.sequenceTarget,
+    }, {
+      emphasis: view.tryGetDeployment(deployment)?.emphasis ??
+        Emphasis.EMPHASIS_UNSPECIFIED,
+      reserve: rule?.batchReserve ?? 0,
+    });
+  }
+
+  #getStanding(server: BackendServer): ServerStanding {
+    const { own, announcement } = server;
+    return {
+      name: server.name,
+      dataCentre: announcement.dataCentre,
+      models: announcement.models,
+      adapters: announcement.adapters,
+      sequences: own.online + own.batch + server.others,
+      batch: own.batch + Math.min(server.others, server.othersBatch),
+      sequenceTarget: server.sequenceTarget,
+      sequenceLimit: getSequenceLimit(server),
+      setAsideUntilMs: server.setAsideUntilMs,
+      isProbed: server.isProbed,
+      knownSinceMs: server.knownSinceMs,
+    };
+  }
+
+  #hasSuspect(server: BackendServer): boolean {
+    return [...this.#active.get(server.name) ?? []].some((one) =>
+      one.isSuspect
+    );
+  }
+
+  /** Suspects run one at a time on servers that this entry owns. */
+  #getCandidates(req: PlacementRequest): BackendServer[] {
+    const serving = this.#getServing(req.deployment);
+    if (!req.isSuspect) return serving;
+    const owned = serving.filter((one) => this.#isOwner(one));
+    return (owned.length > 0 ? owned : serving)
+      .filter((one) => !this.#hasSuspect(one));
+  }
+
+  #tryPlaceOnline(req: PlacementRequest): Placement | "none" | undefined {
+    const { clock, dataCentre, entryId, view, onYield } = this.#options;
+    const candidates = this.#getCandidates(req);
+    const decision = chooseServer(
+      candidates.map((server) => this.#getStanding(server)),
+      { ...req, dataCentre },
+      clock.getMonotonicMs(),
+    );
+    if (decision.kind === "none" && req.isSuspect) return undefined;
+    if (decision.kind !== "server") {
+      return decision.kind === "none" ? "none" : undefined;
+    }
+    const server = view.backends.tryGet(decision.name);
+    if (server === undefined) return undefined;
+    const own = this.yieldBatch(server.name, decision.giveWay);
+    const rest = Math.min(decision.giveWay - own, server.othersBatch);
+    const owner = tryGetOwner(
+      { name: server.name, dataCentre: server.announcement.dataCentre },
+      view.entries,
+    );
+    if (rest > 0 && owner !== undefined && owner.id !== entryId) {
+      server.othersBatch -= rest;
+      onYield(owner.id, server.name, rest);
+    }
+    return this.#start(server, { isBatch: false, isSuspect: req.isSuspect });
+  }
+
+  #start(
+    server: BackendServer,
+    kind: { isBatch: boolean; isSuspect: boolean },
+  ): Placement {
+    const isProbe = server.failures > 0;
+    if (isProbe) server.isProbed = true;
+    if (kind.isBatch) server.own.batch += 1;
+    else server.own.online += 1;
+    const placement = new ActivePlacement({
+      server,
+      ...kind,
+      isProbe,
+      onRelease: (ended, end) => this.#release(ended, end),
+    });
+    const active = this.#active.get(server.name) ?? new Set();
+    active.add(placement);
+    this.#active.set(server.name, active);
+    return placement;
+  }
+
+  #release(placement: ActivePlacement, end: PlacementEnd): void {
+    const { server } = placement;
+    const { backends } = this.#options.view;
+    const { deployment } = server.announcement;
+    this.#active.get(server.name)?.delete(placement);
+    if (placement.isBatch) server.own.batch -= 1;
+    else {
+      server.own.online -= 1;
+      this.#ended.set(deployment, (this.#ended.get(deployment) ?? 0) + 1);
+    }
+    server.gapSumMs += end.gapSumMs ?? 0;
+    server.gapCount += end.gapCount ?? 0;
+    const isCurrent = server.announcement.incarnation === placement.incarnation;
+    if (end.isFailure && isCurrent) {
+      backends.noteFailure(server.name, this.#options.clock.getMonotonicMs());
+    } else if (!end.isFailure) backends.noteSuccess(server.name);
+    else if (placement.isProbe) server.isProbed = false;
+    this.#serve(deployment);
+  }
+
+  #serve(deployment: string): void {
+    const queue = this.#getQueue(deployment);
+    let waiter = queue.tryPeek();
+    while (waiter !== undefined) {
+      const placed = this.#tryPlaceOnline(waiter.req);
+      if (placed === undefined) return;
+      queue.tryShift();
+      if (placed === "none") waiter.reject(this.#createNoServer(waiter.req));
+      else waiter.resolve(placed);
+      waiter = queue.tryPeek();
+    }
+  }
+
+  #tryRefuse(req: PlacementRequest, length: number): ServingError | undefined {
+    const leftMs = req.deadlineMs - this.#options.clock.getMonotonicMs();
+    if (leftMs <= 0) return new ServingError(MessageCode.DEADLINE_PASSED);
+    const rate = this.#rates.get(req.deployment) ?? 0;
+    if (length < FREE_QUEUE_LENGTH) return undefined;
+    const waitMs = rate > 0 ? (length + 1) / rate * TICK_MS : Infinity;
+    if (waitMs <= leftMs) return undefined;
+    this.#options.metrics.count(MetricName.refusals);
+    return new ServingError(MessageCode.OVERLOADED, {
+      verdict: Verdict.NOT_RUN,
+      parameters: { reason: `${length} requests wait already` },
+      retryAfterS: 1,
+    });
+  }
+
+  #createNoServer(req: PlacementRequest): ServingError {
+    return new ServingError(MessageCode.NO_BACKEND_SERVER, {
+      verdict: Verdict.NOT_RUN,
+      parameters: { workload: req.deployment },
+      retryAfterS: 1,
+    });
+  }
+
+  #tick(): void {
+    const { view, clock } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    this.#ticks += 1;
+    this.#refuseLate(nowMs);
+    this.#updateRates();
+    view.backends.getAll().forEach((server) => this.#adapt(server));
+    if (this.#ticks % 10 === 0) {
+      view.backends.sweep(nowMs)
+        .forEach((server) => this.abandonServer(server.name));
+    }
+    this.wake();
+  }
+
+  #refuseLate(nowMs: number): void {
+    this.#queues.forEach((queue) =>
+      queue.getAll().filter((waiter) => nowMs >= waiter.req.deadlineMs)
+        .filter((waiter) => queue.remove(waiter.req.caller, waiter))
+        .forEach((waiter) =>
+          waiter.reject(new ServingError(MessageCode.DEADLINE_PASSED))
+        )
+    );
+  }
+
+  #updateRates(): void {
+    this.#queues.forEach((_, deployment) => {
+      const ended = this.#ended.get(deployment) ?? 0;
+      const rate = this.#rates.get(deployment) ?? ended;
+      this.#rates.set(
+        deployment,
+        rate * RATE_DECAY + ended * (1 - RATE_DECAY),
+      );
+    });
+    this.#ended.clear();
+  }
+
+  #adapt(server: BackendServer): void {
+    const deployment = this.#options.view.tryGetDeployment(
+      server.announcement.deployment,
+    );
+    const online = server.own.online + server.others - server.othersBatch;
+    server.onlinePeak = Math.max(
+      online,
+      server.onlinePeak - (server.onlinePeak - online) * PEAK_DECAY_PER_TICK,
+    );
+    const seenMs = server.gapCount > 0
+      ? server.gapSumMs / server.gapCount
+      : server.announcement.tokenGapMs;
+    server.gapSumMs = 0;
+    server.gapCount = 0;
+    server.sequenceTarget = adaptTarget(server.sequenceTarget, {
+      gapMs: seenMs,
+      sequences: server.own.online + server.own.batch + server.others,
+    }, {
+      gapTargetMs: deployment?.tokenGapTargetMs ?? 0,
+      least: LEAST_TARGET,
+      most: deployment?.sequenceLimit || getSequenceLimit(server),
+    });
+    const room = this.#getRoom(server);
+    if (room < 0 && server.own.batch > 0) this.yieldBatch(server.name, -room);
+  }
+}
+
+function getSequenceLimit(server: BackendServer): number {
+  const { sequenceLimit, models } = server.announcement;
+  if (sequenceLimit > 0) return sequenceLimit;
+  return models.length > 0 ? DEFAULT_SEQUENCE_LIMIT : SERVICE_SEQUENCE_LIMIT;
+}
+
+function isLoaded(server: BackendServer, model: string): boolean {
+  const { models } = server.announcement;
+  return model === "" || models.length === 0 || models.includes(model);
+}
--- /dev/null
+++ b/src/services/completion_service.ts
@@ -0,0 +1,341 @@
+/** Completions for callers: streamed or whole, with or without a key. */
+import { create } from "@bufbuild/protobuf";
+import type { FleetView } from "../membership/mod.ts";
+import type { CompletionBody, Progress } from "../relay/mod.ts";
+import {
+  MessageCode,
+  type Outcome,
+  OutcomeSchema,
+  Verdict,
+  type Workload,
+} from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { asServingError, getReason, ServingError } from "../sys/errors.ts";
+import { readBody, type ServerResponse } from "../sys/http.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
+import { getDigest, getDigestHex } from "../sys/random.ts";
+import { sendJson } from "./answers.ts";
+import { type CallerRequest, getDeadlineMs } from "./caller_request.ts";
+import type {
+  CompletionSink,
+  EngineOutcome,
+  EngineRun,
+  EngineRunner,
+} from "./engine_runner.ts";
+import type { KeyedStore } from "./keyed_store.ts";
+
+/** Paths of completions. */
+export const COMPLETION_PATHS: readonly string[] = [
+  "/v1/completions",
+  "/v1/chat/completions",
+];
+
+/** Characters of a prompt that keep requests on one server. */
+const AFFINITY_CHARACTERS = 256;
+
+/** Largest answer that is kept under a key, in bytes. */
+const MAX_KEPT_BYTES = 16 << 20;
+
+const EVENT_STREAM = "text/event-stream";
+
+/** Collects a completion and, when it streams, passes it on. */
+class AnswerSink implements CompletionSink {
+  readonly #res: ServerResponse | undefined;
+  readonly #onFirst: () => void;
+  readonly #kept: string[] = [];
+  readonly #isKept: boolean;
+  #text = "";
+  #tokens = 0;
+  #lastEvent = "";
+
+  constructor(options: {
+    /** Undefined for an answer that is sent whole. */
+    res: ServerResponse | undefined;
+    isKept: boolean;
+    onFirst: () => void;
+  }) {
+    this.#res = options.res;
+    this.#isKept = options.isKept;
+    this.#onFirst = options.onFirst;
+  }
+
+  get progress(): Progress {
+    return { text: this.#text, tokens: this.#tokens };
+  }
+
+  /** The newest event that was not the end mark. */
+  get lastEvent(): string {
+    return this.#lastEvent;
+  }
+
+  /** All events as they were sent. */
+  getKept(): string {
+    return this.#kept.join("");
+  }
+
+  onEvent(data: string, token: string): boolean {
+    if (this.#tokens === 0) this.#onFirst();
+    if (token !== "") {
+      this.#text += token;
+      this.#tokens += 1;
+    }
+    if (data !== "[DONE]") this.#lastEvent = data;
+    const event = `data: ${data}\n\n`;
+    if (this.#isKept) this.#kept.push(event);
+    if (this.#res === undefined || this.#res.destroyed) return true;
+    if (!this.#res.headersSent) startStream(this.#res);
+    return this.#res.write(event);
+  }
+
+  whenReady(): Promise<void> {
+    const res = this.#res;
+    if (res === undefined || res.destroyed) return Promise.resolve();
+    return new Promise((resolve) => {
+      res.once("drain", resolve);
+      res.once("close", resolve);
+    });
+  }
+}
+
+function startStream(res: ServerResponse): void {
+  res.writeHead(200, {
+    "content-type": EVENT_STREAM,
+    "cache-control": "no-store",
+  });
+}
+
+/** Parses a completion's body. */
+export function parseCompletion(bytes: Uint8Array): CompletionBody {
+  let value: unknown;
+  try {
+    value = JSON.parse(new TextDecoder().decode(bytes));
+  } catch (error) {
+    throw createMalformed(getReason(error));
+  }
+  if (typeof value !== "object" || value === null || Array.isArray(value)) {
+    throw createMalformed("it must be a JSON object");
+  }
+  const body = value as Record<string, unknown>;
+  if (typeof body.model !== "string") {
+    throw createMalformed("model must be a string");
+  }
+  if (body.prompt === undefined && body.messages === undefined) {
+    throw createMalformed("prompt or messages is missing");
+  }
+  return body as CompletionBody;
+}
+
+function createMalformed(reason: string): ServingError {
+  return new ServingError(MessageCode.BODY_MALFORMED, {
+    verdict: Verdict.NOT_RUN,
+    parameters: { reason },
+  });
+}
+
+/** Stable text of a prompt; the same under any key and sampling. */
+export function getPromptText(body: CompletionBody): string {
+  return JSON.stringify(body.prompt ?? body.messages);
+}
+
+/** What the engine is asked, so that a resent request is known again. */
+export function getFingerprint(workload: string, body: CompletionBody): string {
+  return getDigestHex(workload, body.model, getPromptText(body));
+}
+
+/** Serves completions. */
+export class CompletionService {
+  readonly #view: FleetView;
+  readonly #runner: EngineRunner;
+  readonly #keys: KeyedStore;
+  readonly #clock: Clock;
+  readonly #metrics: Metrics;
+  readonly #bodyBytes: number;
+
+  constructor(options: {
+    view: FleetView;
+    runner: EngineRunner;
+    keys: KeyedStore;
+    clock: Clock;
+    metrics: Metrics;
+    bodyBytes: number;
+  }) {
+    this.#view = options.view;
+    this.#runner = options.runner;
+    this.#keys = options.keys;
+    this.#clock = options.clock;
+    this.#metrics = options.metrics;
+    this.#bodyBytes = options.bodyBytes;
+  }
+
+  /** Serves one request; errors are thrown as ServingError. */
+  async serve(call: CallerRequest): Promise<void> {
+    const bytes = await readBody(call.req, this.#bodyBytes);
+    const body = parseCompletion(bytes);
+    const workload = this.#view.tryFindWorkload({ model: body.model });
+    if (workload === undefined) {
+      throw new ServingError(MessageCode.UNKNOWN_MODEL, {
+        parameters: { model: body.model },
+      });
+    }
+    const run = this.#createRun(call, body, workload);
+    if (call.key === "") {
+      await this.#runOnce(call, run, { isKept: false });
+      return;
+    }
+    await this.#serveKeyed(call, run, { workload, digest: getDigest(bytes) });
+  }
+
+  #createRun(
+    call: CallerRequest,
+    body: CompletionBody,
+    workload: Workload,
+  ): EngineRun {
+    return {
+      requestId: call.id,
+      path: (call.req.url ?? "").split("?")[0] ?? "",
+      body: { ...body, model: workload.model },
+      deployment: workload.deployment,
+      adapter: typeof body.adapter === "string" ? body.adapter : "",
+      caller: call.caller,
+      fingerprint: getFingerprint(workload.name, body),
+      affinity: getPromptText(body).slice(0, AFFINITY_CHARACTERS),
+      isNonIdempotent: workload.nonIdempotent || call.isMarkedNonIdempotent,
+      deadlineMs: getDeadlineMs(call, workload),
+      signal: call.signal,
+    };
+  }
+
+  async #serveKeyed(
+    call: CallerRequest,
+    run: EngineRun,
+    options: { workload: Workload; digest: Uint8Array },
+  ): Promise<void> {
+    const deployment = this.#view.tryGetDeployment(run.deployment);
+    const start = await this.#keys.begin({
+      caller: call.caller,
+      operator: deployment?.operator ?? "",
+      key: call.key,
+      digest: options.digest,
+      isNonIdempotent: run.isNonIdempotent,
+      deadlineMs: run.deadlineMs,
+      signal: call.signal,
+    });
+    if (start.kind === "known") {
+      sendOutcome(call.res, start.outcome);
+      return;
+    }
+    // A non-idempotent request goes on without its caller: the outcome is
+    // there when the caller asks again.
+    const signal = run.isNonIdempotent
+      ? AbortSignal.timeout(Math.ceil(run.deadlineMs - call.startMs))
+      : run.signal;
+    try {
+      await this.#runOnce(call, { ...run, signal }, {
+        isKept: true,
+        finish: start.finish,
+      });
+    } catch (error) {
+      const failure = asServingError(error);
+      const isOver = run.isNonIdempotent && failure.verdict !== Verdict.NOT_RUN;
+      await start.finish(isOver ? createFailure(failure) : undefined);
+      throw error;
+    }
+  }
+
+  async #runOnce(
+    call: CallerRequest,
+    run: EngineRun,
+    options: {
+      isKept: boolean;
+      finish?: (outcome: Outcome) => Promise<void>;
+    },
+  ): Promise<void> {
+    const isStreamed = run.body.stream === true;
+    const sink = new AnswerSink({
+      res: isStreamed ? call.res : undefined,
+      isKept: options.isKept && isStreamed,
+      onFirst: () =>
+        this.#metrics.time(
+          MetricName.firstTokenMs,
+          this.#clock.getMonotonicMs() - call.startMs,
+        ),
+    });
+    const ended = await this.#runner.run(run, sink);
+    const outcome = createOutcome(ended, sink, isStreamed);
+    await options.finish?.(
+      outcome.body.length <= MAX_KEPT_BYTES
+        ? outcome
+        : create(OutcomeSchema, { ...outcome, body: new Uint8Array() }),
+    );
+    if (isStreamed && call.res.headersSent) call.res.end();
+    else sendOutcome(call.res, outcome);
+  }
+}
+
+function createOutcome(
+  ended: EngineOutcome,
+  sink: AnswerSink,
+  isStreamed: boolean,
+): Outcome {
+  if (ended.kind === "answered") {
+    return create(OutcomeSchema, {
+      verdict: Verdict.RAN,
+      status: ended.status,
+      body: ended.body,
+      contentType: ended.contentType,
+    });
+  }
+  const text = isStreamed
+    ? sink.getKept()
+    : `${JSON.stringify(createWholeAnswer(sink))}\n`;
+  return create(OutcomeSchema, {
+    verdict: Verdict.RAN,
+    status: 200,
+    body: new TextEncoder().encode(text),
+    contentType: isStreamed ? EVENT_STREAM : "application/json",
+  });
+}
+
+/** A whole answer in the shape of the stream's last event. */
+export function createWholeAnswer(
+  sink: { readonly lastEvent: string; readonly progress: Progress },
+): Record<string, unknown> {
+  const { text, tokens } = sink.progress;
+  const last = sink.lastEvent === "" ? {} : JSON.parse(sink.lastEvent);
+  const isChat = last.choices?.[0]?.delta !== undefined;
+  const reason = last.choices?.[0]?.finish_reason ?? "stop";
+  const content = isChat
+    ? { message: { role: "assistant", content: text } }
+    : { text };
+  return {
+    ...last,
+    choices: [{ index: 0, ...content, finish_reason: reason }],
+    usage: { completion_tokens: tokens },
+  };
+}
+
+/** Sends a recorded outcome as the answer of a request. */
+export function sendOutcome(res: ServerResponse, outcome: Outcome): void {
+  if (outcome.code !== 0) {
+    const error = new ServingError(outcome.code, { verdict: outcome.verdict });
+    error.message = outcome.detail;
+    throw error;
+  }
+  if (res.destroyed) return;
+  if (outcome.body.length === 0) {
+    sendJson(res, outcome.status, {});
+    return;
+  }
+  res.writeHead(outcome.status, { "content-type": outcome.contentType });
+  res.end(outcome.body);
+}
+
+/** A failure as the recorded outcome of a request. */
+export function createFailure(error: ServingError): Outcome {
+  return create(OutcomeSchema, {
+    verdict: error.verdict,
+    status: error.httpStatus,
+    code: error.code,
+    detail: error.message,
+  });
+}
--- /dev/null
+++ b/src/services/entry_host.ts
@@ -0,0 +1,537 @@
+/**
+ * An entry host: takes callers' requests and backend servers' announcements,
+ * routes, and runs batch items. It needs no disk.
+ */
+import { create, fromJson, type JsonValue } from "@bufbuild/protobuf";
+import { AnnouncementEffect, FleetView } from "../membership/mod.ts";
+import { RetryBudget } from "../policy/mod.ts";
+import {
+  type Announcement,
+  AnnouncementSchema,
+  Entries,
+  type EntrySettings,
+  EntryViewSchema,
+  MessageCode,
+  type SpreadBatch,
+} from "../schema/mod.ts";
+import type { Timer } from "../sys/clock.ts";
+import { asServingError, getReason, ServingError } from "../sys/errors.ts";
+import { DiskFolder, type Folder } from "../sys/files.ts";
+import {
+  type HttpListener,
+  type IncomingMessage,
+  listenHttp,
+  readBody,
+  type ServerResponse,
+} from "../sys/http.ts";
+import { MetricName } from "../sys/metrics.ts";
+import {
+  createCredentials,
+  RpcClient,
+  type RpcCredentials,
+  RpcServer,
+} from "../sys/rpc.ts";
+import { createRawHeaderProblem, sendJson, sendProblem } from "./answers.ts";
+import { BackendPool } from "./backend_pool.ts";
+import { BatchRunner } from "./batch_runner.ts";
+import { type CallerRequest, createCallerRequest } from "./caller_request.ts";
+import { COMPLETION_PATHS, CompletionService } from "./completion_service.ts";
+import { DeathWatch } from "./death_watch.ts";
+import { EngineRunner } from "./engine_runner.ts";
+import { Registrar } from "./entry_registration.ts";
+import { ItemSessions } from "./item_sessions.ts";
+import { JOBS_PATH, JobService } from "./job_service.ts";
+import { KeyedStore } from "./keyed_store.ts";
+import { addOperatorService } from "./operator_service.ts";
+import { PlainService } from "./plain_service.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { Spreader } from "./spreader.ts";
+import { StateClient } from "./state_client.ts";
+import { ViewFollower } from "./view_follower.ts";
+
+/** Path that backend servers announce themselves at. */
+export const ANNOUNCE_PATH = "/v1/backend-servers/announce";
+
+const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
+const BATCH_LOAD_MS = 500;
+const COUNT_TIMEOUT_MS = 2_000;
+
+/** A running entry. */
+export class EntryHost {
+  readonly #settings: EntrySettings;
+  readonly #context: ProcessContext;
+  readonly #credentials: RpcCredentials;
+  readonly #incarnation: string;
+  readonly view = new FleetView();
+  readonly state: StateClient;
+  readonly pool: BackendPool;
+  readonly #spreader: Spreader;
+  readonly #sessions: ItemSessions;
+  readonly #runner: EngineRunner;
+  readonly #keys: KeyedStore;
+  readonly #plain: PlainService;
+  readonly #completions: CompletionService;
+  readonly #jobs: JobService;
+  readonly batch: BatchRunner;
+  readonly #rpc: RpcServer;
+  readonly #callers = new Map<string, number>();
+  #follower: ViewFollower | undefined;
+  #registrar: Registrar | undefined;
+  #listener: HttpListener | undefined;
+  #timer: Timer | undefined;
+  #open = 0;
+  #stopping = false;
+  address = "";
+  peerAddress = "";
+
+  constructor(settings: EntrySettings, context: ProcessContext) {
+    this.#settings = settings;
+    this.#context = context;
+    const { clock, random, metrics, log } = context;
+    this.#incarnation = random.createId();
+    this.#credentials = createCredentials(settings.tls);
+    this.#rpc = new RpcServer(this.#credentials);
+    const { view } = this;
+    const groupCount = settings.itemGroups ?? 1;
+    const bodyBytes = settings.limits?.bodyBytes ?? 0;
+    this.state = new StateClient({
+      addresses: settings.state.map((peer) => peer.address),
+      credentials: this.#credentials,
+      clock,
+    });
+    this.#spreader = new Spreader({
+      entryId: settings.id,
+      view,
+      credentials: this.#credentials,
+      clock,
+      metrics,
+    });
+    this.pool = new BackendPool({
+      entryId: settings.id,
+      dataCentre: settings.dataCentre,
+      view,
+      clock,
+      metrics,
+      onYield: (owner, server, count) =>
+        this.#spreader.sendYield(owner, server, count),
+    });
+    const deaths = new DeathWatch({
+      view,
+      clock,
+      onNews: (news) => this.#spreader.spreadSuspicion(news),
+    });
+    const budget = new RetryBudget();
+    const { pool, state } = this;
+    this.#runner = new EngineRunner({
+      view,
+      pool,
+      deaths,
+      budget,
+      clock,
+      metrics,
+    });
+    this.#sessions = new ItemSessions({
+      entryId: settings.id,
+      incarnation: this.#incarnation,
+      groupCount,
+      renewIntervalMs: settings.renewIntervalMs ?? 0,
+      state,
+      clock,
+      log,
+      getJobIds: (group) => this.batch.getJobIds(group),
+      onRenewed: (group, reply) => this.batch.noteRenewed(group, reply),
+      onEnded: (group, epoch) => this.batch.noteEnded(group, epoch),
+    });
+    const sessions = this.#sessions;
+    const keys = new KeyedStore({ state, sessions, groupCount, clock, random });
+    this.#keys = keys;
+    this.#plain = new PlainService({
+      view,
+      pool,
+      keys,
+      deaths,
+      budget,
+      clock,
+      bodyBytes,
+    });
+    this.#completions = new CompletionService({
+      view,
+      runner: this.#runner,
+      keys,
+      clock,
+      metrics,
+      bodyBytes,
+    });
+    this.#jobs = new JobService({
+      view,
+      state,
+      groupCount,
+      clock,
+      random,
+      limits: {
+        lineBytes: settings.limits?.lineBytes ?? 0,
+        jobItems: settings.limits?.jobItems ?? 0,
+        jobBytes: settings.limits?.jobBytes ?? 0,
+      },
+    });
+    this.batch = new BatchRunner({
+      view,
+      pool,
+      runner: this.#runner,
+      plain: this.#plain,
+      state,
+      sessions,
+      groupCount,
+      clock,
+      log,
+      metrics,
+    });
+  }
+
+  /** Whether the balancer may send callers here. */
+  get isReady(): boolean {
+    const isInformed = this.view.entriesVersion > 0 ||
+      this.view.configuration.version > 0n;
+    return !this.#stopping && isInformed;
+  }
+
+  /** Opens the ports and starts all parts. */
+  async start(): Promise<void> {
+    const { clock, log } = this.#context;
+    this.#addServices();
+    this.peerAddress = await this.#rpc.listen(this.#settings.peerListen ?? "");
+    const headerBytes = this.#settings.limits?.headerBytes ?? 0;
+    this.#listener = await listenHttp(
+      this.#settings.listen ?? "",
+      (req, res) => this.#serve(req, res),
+      { headerBytes, onHeadersTooLarge: createRawHeaderProblem(headerBytes) },
+    );
+    this.address = this.#listener.address;
+    this.#follower = new ViewFollower({
+      entryId: this.#settings.id,
+      view: this.view,
+      state: this.state,
+      neighbours: this.#settings.entries,
+      cache: await this.#tryOpenCache(),
+      credentials: this.#credentials,
+      clock,
+      log,
+      onChanged: () => this.pool.wake(),
+    });
+    await this.#follower.start();
+    this.#registrar = new Registrar({
+      entry: {
+        id: this.#settings.id,
+        incarnation: this.#incarnation,
+        address: this.peerAddress,
+        dataCentre: this.#settings.dataCentre,
+      },
+      state: this.state,
+      clock,
+    });
+    this.#registrar.start();
+    this.#sessions.start();
+    this.batch.start();
+    this.#timer = clock.startInterval(
+      BATCH_LOAD_MS,
+      () => this.#spreader.spreadBatchLoads(this.pool.getBatchLoads()),
+    );
+  }
+
+  /** Stops without cutting off a request, within the time that is set. */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    const { clock, log } = this.#context;
+    const limitMs = this.#settings.stopTimeoutMs ?? 0;
+    log.info("stopping", { open: this.#open, held: this.batch.heldCount });
+    const drained = this.#listener?.drain() ?? Promise.resolve();
+    await Promise.race([
+      Promise.all([drained, this.batch.stop(limitMs)]),
+      clock.delay(limitMs),
+    ]);
+    log.info("stopped", { open: this.#open, held: this.batch.heldCount });
+    await this.#sessions.close();
+    await this.#registrar?.close();
+    this.halt();
+  }
+
+  /** Ends at once, as a crash would. */
+  halt(): void {
+    this.#stopping = true;
+    this.#timer?.cancel();
+    this.batch.halt();
+    this.#sessions.halt();
+    this.#registrar?.halt();
+    this.#follower?.close();
+    this.#spreader.close();
+    this.pool.close();
+    this.#listener?.close();
+    this.#rpc.close();
+    this.state.close();
+  }
+
+  getDump(): Record<string, unknown> {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    const { configuration, entries, backends, suspicions } = this.view;
+    return {
+      process: "entry",
+      id: this.#settings.id,
+      dataCentre: this.#settings.dataCentre,
+      ready: this.isReady,
+      configurationVersion: Number(configuration.version),
+      lastOrder: configuration.lastOrderId,
+      entries: entries.map((entry) => entry.id),
+      open: this.#open,
+      active: this.pool.activeCount,
+      waiting: this.pool.waitingCount,
+      held: this.batch.heldCount,
+      backendServers: backends.getAll().map((server) => ({
+        name: server.name,
+        deployment: server.announcement.deployment,
+        dataCentre: server.announcement.dataCentre,
+        leaving: server.announcement.leaving,
+        leaseLeftMs: Math.round(server.leaseEndMs - nowMs),
+        own: server.own,
+        others: server.others,
+        sequenceTarget: server.sequenceTarget,
+        failures: server.failures,
+      })),
+      suspicions: suspicions.getAll().map((one) => ({
+        fingerprint: one.fingerprint,
+        servers: one.servers,
+      })),
+      metrics: this.#context.metrics.getSums(),
+    };
+  }
+
+  #addServices(): void {
+    this.#rpc.addService(Entries, {
+      spread: (batch) => {
+        this.#acceptSpread(batch);
+        return Promise.resolve({});
+      },
+      getView: (req) => {
+        const { configuration, entries, entriesVersion } = this.view;
+        return Promise.resolve(create(EntryViewSchema, {
+          configuration: configuration.version > req.version
+            ? configuration
+            : undefined,
+          entries: [...entries],
+          entriesVersion: BigInt(entriesVersion),
+          announcements: this.view.backends.getAll()
+            .map((server) => server.announcement),
+          suspicions: this.view.suspicions.getAll(),
+        }));
+      },
+      countOpen: () =>
+        Promise.resolve({
+          streams: BigInt(this.#open),
+          claims: BigInt(this.batch.heldCount),
+        }),
+    });
+    addOperatorService({
+      server: this.#rpc,
+      state: this.state,
+      groupCount: this.#settings.itemGroups ?? 1,
+      isSecure: this.#credentials.isSecure,
+      getDump: () => this.getDump(),
+      countEntries: () => this.#countEntries(),
+    });
+  }
+
+  async #countEntries() {
+    const counts = await Promise.all(
+      this.view.entries.map(async (entry) => {
+        const client = new RpcClient(entry.address, this.#credentials);
+        try {
+          return await client.call(Entries.method.countOpen, {}, {
+            timeoutMs: COUNT_TIMEOUT_MS,
+          });
+        } catch {
+          return entry.id;
+        } finally {
+          client.close();
+        }
+      }),
+    );
+    const known = counts.filter((count) => typeof count !== "string");
+    return {
+      streams: known.reduce((sum, count) => sum + Number(count.streams), 0),
+      claims: known.reduce((sum, count) => sum + Number(count.claims), 0),
+      unreachable: counts.filter((count) => typeof count === "string"),
+    };
+  }
+
+  async #tryOpenCache(): Promise<Folder | undefined> {
+    const path = this.#settings.cacheFolder ?? "";
+    if (path === "") return undefined;
+    try {
+      return await DiskFolder.open(path);
+    } catch (error) {
+      throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
+        parameters: { path, reason: getReason(error) },
+      });
+    }
+  }
+
+  #acceptSpread(batch: SpreadBatch): void {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    batch.announcements.forEach((one) => this.#acceptAnnouncement(one));
+    batch.suspicions.forEach((one) => this.view.suspicions.merge(one, nowMs));
+    batch.yields.forEach((one) =>
+      this.pool.yieldBatch(one.backendServer, one.sequences)
+    );
+    batch.batchLoads.forEach((load) => {
+      const server = this.view.backends.tryGet(load.backendServer);
+      if (server !== undefined) server.othersBatch = load.sequences;
+    });
+  }
+
+  #acceptAnnouncement(announcement: Announcement): AnnouncementEffect {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    const effect = this.view.backends.accept(announcement, nowMs);
+    if (
+      effect !== AnnouncementEffect.old &&
+      effect !== AnnouncementEffect.refreshed
+    ) {
+      this.#context.log.info(`backend_server_${effect}`, {
+        server: announcement.name,
+        deployment: announcement.deployment,
+      });
+      this.pool.wake();
+    }
+    if (effect === AnnouncementEffect.restarted) {
+      this.pool.abandonServer(announcement.name);
+    }
+    return effect;
+  }
+
+  #serve(req: IncomingMessage, res: ServerResponse): void {
+    const path = (req.url ?? "/").split("?")[0] ?? "/";
+    res.on("error", () => {});
+    if (path === "/healthz") {
+      sendJson(res, 200, { status: "alive" });
+      return;
+    }
+    if (path === "/readyz") {
+      sendJson(res, this.isReady ? 200 : 503, { ready: this.isReady });
+      return;
+    }
+    if (this.#stopping) res.setHeader("connection", "close");
+    const work = path === ANNOUNCE_PATH
+      ? this.#serveAnnouncement(req, res)
+      : this.#serveCaller(req, res, path);
+    work.catch((error) => this.#sendError(res, error));
+  }
+
+  #sendError(res: ServerResponse, thrown: unknown): void {
+    const { metrics, log } = this.#context;
+    const error = asServingError(thrown);
+    metrics.count(MetricName.requestErrors);
+    if (error.code === MessageCode.INTERNAL) {
+      log.error("request_failed", { reason: error.message });
+    }
+    if (error.code !== MessageCode.CALLER_LEFT) sendProblem(res, error);
+    else if (!res.writableEnded) res.destroy();
+  }
+
+  async #serveAnnouncement(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const bytes = await readBody(req, MAX_ANNOUNCEMENT_BYTES);
+    const announcement = parseAnnouncement(bytes);
+    const effect = this.#acceptAnnouncement(announcement);
+    if (effect !== AnnouncementEffect.old) {
+      this.#spreader.spreadAnnouncement(announcement);
+    }
+    sendJson(res, 200, { effect });
+  }
+
+  async #serveCaller(
+    req: IncomingMessage,
+    res: ServerResponse,
+    path: string,
+  ): Promise<void> {
+    const { clock, metrics } = this.#context;
+    const call = createCallerRequest(req, res, this.#context);
+    this.#admit(call);
+    res.on("close", () => this.#leave(call));
+    metrics.count(MetricName.requests);
+    if (path === JOBS_PATH || path.startsWith(`${JOBS_PATH}/`)) {
+      await this.#jobs.serve(call);
+    } else if (COMPLETION_PATHS.includes(path)) {
+      this.#requireAccepting();
+      requirePost(call, path);
+      await this.#completions.serve(call);
+    } else {
+      this.#requireAccepting();
+      const workload = this.view.tryFindWorkload({ path: req.url ?? "/" });
+      if (workload === undefined) {
+        throw new ServingError(MessageCode.UNKNOWN_ROUTE, {
+          parameters: { path },
+        });
+      }
+      await this.#plain.serve(call, workload);
+    }
+    metrics.time(
+      MetricName.requestMs,
+      clock.getMonotonicMs() - call.startMs,
+    );
+  }
+
+  #requireAccepting(): void {
+    if (this.view.isDissolving()) {
+      throw new ServingError(MessageCode.DISSOLVING);
+    }
+  }
+
+  #admit(call: CallerRequest): void {
+    const open = this.#callers.get(call.caller) ?? 0;
+    const limit = this.#settings.limits?.callerStreams ?? 0;
+    if (open >= limit) {
+      throw new ServingError(MessageCode.TOO_MANY_STREAMS, {
+        parameters: { caller: call.caller, limit },
+        retryAfterS: 1,
+      });
+    }
+    this.#callers.set(call.caller, open + 1);
+    this.#open += 1;
+  }
+
+  #leave(call: CallerRequest): void {
+    const open = this.#callers.get(call.caller) ?? 1;
+    if (open <= 1) this.#callers.delete(call.caller);
+    else this.#callers.set(call.caller, open - 1);
+    this.#open -= 1;
+  }
+}
+
+function requirePost(call: CallerRequest, path: string): void {
+  if (call.req.method === "POST") return;
+  throw new ServingError(MessageCode.METHOD_REFUSED, {
+    parameters: { path, method: call.req.method ?? "" },
+  });
+}
+
+function parseAnnouncement(bytes: Uint8Array): Announcement {
+  try {
+    const value = JSON.parse(new TextDecoder().decode(bytes)) as JsonValue;
+    const announcement = fromJson(AnnouncementSchema, value, {
+      ignoreUnknownFields: true,
+    });
+    if (announcement.name !== "" && announcement.address !== "") {
+      return announcement;
+    }
+  } catch (error) {
+    throw createMalformed(getReason(error));
+  }
+  throw createMalformed("name and address are required");
+}
+
+function createMalformed(reason: string): ServingError {
+  return new ServingError(MessageCode.BODY_MALFORMED, {
+    parameters: { reason },
+  });
+}
--- /dev/null
+++ b/src/services/entry_registration.ts
@@ -0,0 +1,70 @@
+/** Keeps an entry registered among the entries of the fleet. */
+import type { EntryRegistration } from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { pause, settle, spawnRoutine, type Steps } from "../sys/routines.ts";
+import { encodeControlCommand } from "./commands.ts";
+import { CONTROL_GROUP } from "./groups.ts";
+import type { StateClient } from "./state_client.ts";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { EntryRegistrationSchema } from "../schema/mod.ts";
+
+const RENEW_MS = 1_000;
+const CALL_TIMEOUT_MS = 2_000;
+
+/** Registers one entry and renews its place. */
+export class Registrar {
+  readonly #entry: MessageInitShape<typeof EntryRegistrationSchema>;
+  readonly #state: StateClient;
+  readonly #clock: Clock;
+  #closed = false;
+
+  constructor(options: {
+    entry: Omit<EntryRegistration, "$typeName">;
+    state: StateClient;
+    clock: Clock;
+  }) {
+    this.#entry = options.entry;
+    this.#state = options.state;
+    this.#clock = options.clock;
+  }
+
+  start(): void {
+    spawnRoutine(() => this.#keepAlways(), () => {});
+  }
+
+  /** Takes the entry out of the fleet. */
+  async close(): Promise<void> {
+    this.#closed = true;
+    const command = encodeControlCommand({
+      case: "removeEntry",
+      value: this.#entry.id ?? "",
+    });
+    await this.#state.propose(CONTROL_GROUP, command, CALL_TIMEOUT_MS)
+      .catch(() => {});
+  }
+
+  /** Stops renewing; the entry leaves the fleet when its lease ends. */
+  halt(): void {
+    this.#closed = true;
+  }
+
+  *#keepAlways(): Steps<void> {
+    yield* settle(this.#register());
+    while (!this.#closed) {
+      yield* pause(this.#clock, RENEW_MS);
+      const isKnown = yield* settle(
+        this.#state.renewEntry(this.#entry.id ?? "", CALL_TIMEOUT_MS),
+      );
+      const isLost = isKnown.ok && !isKnown.value && !this.#closed;
+      if (isLost) yield* settle(this.#register());
+    }
+  }
+
+  #register(): Promise<unknown> {
+    const command = encodeControlCommand({
+      case: "registerEntry",
+      value: this.#entry,
+    });
+    return this.#state.propose(CONTROL_GROUP, command);
+  }
+}
--- /dev/null
+++ b/src/services/item_sessions.ts
@@ -0,0 +1,139 @@
+/**
+ * The entry's sessions in the item groups. A session is opened when it is
+ * first needed and renewed as long as the process lives; one that ended is
+ * replaced by a new one under a higher epoch.
+ */
+import { MessageCode, type RenewReply } from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { ServingError } from "../sys/errors.ts";
+import { pause, settle, spawnRoutine, type Steps } from "../sys/routines.ts";
+import type { Log } from "../sys/log.ts";
+import { getItemGroups } from "./groups.ts";
+import type { StateClient } from "./state_client.ts";
+
+/** How {@linkcode ItemSessions} are made. */
+export interface ItemSessionsOptions {
+  readonly entryId: string;
+  readonly incarnation: string;
+  readonly groupCount: number;
+  readonly renewIntervalMs: number;
+  readonly state: StateClient;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Jobs of which this entry holds items. */
+  readonly getJobIds: (group: number) => string[];
+  readonly onRenewed: (group: number, reply: RenewReply) => void;
+  /** The session's work belongs to others now. */
+  readonly onEnded: (group: number, epoch: bigint) => void;
+}
+
+const RENEW_TIMEOUT_MS = 1_000;
+
+/** Sessions by group. */
+export class ItemSessions {
+  readonly #options: ItemSessionsOptions;
+  readonly #epochs = new Map<number, bigint>();
+  readonly #opening = new Map<number, Promise<bigint>>();
+  #starts = 0;
+  #closed = false;
+
+  constructor(options: ItemSessionsOptions) {
+    this.#options = options;
+  }
+
+  /** Starts renewing in all groups. */
+  start(): void {
+    getItemGroups(this.#options.groupCount).forEach((group) =>
+      spawnRoutine(
+        () => this.#renewAlways(group),
+        (error) =>
+          this.#options.log.error("renewal_failed", {
+            group,
+            reason: String(error),
+          }),
+      )
+    );
+  }
+
+  /** The epoch of the open session, which is opened when there is none. */
+  getEpoch(group: number): Promise<bigint> {
+    const known = this.#epochs.get(group);
+    if (known !== undefined) return Promise.resolve(known);
+    const opening = this.#opening.get(group) ?? this.#open(group);
+    this.#opening.set(group, opening);
+    return opening;
+  }
+
+  tryGetEpoch(group: number): bigint | undefined {
+    return this.#epochs.get(group);
+  }
+
+  /** The state refused the epoch; the session is over. */
+  noteEnded(group: number, epoch: bigint): void {
+    if (this.#epochs.get(group) !== epoch) return;
+    this.#epochs.delete(group);
+    this.#options.log.warn("session_ended", { group, epoch: Number(epoch) });
+    this.#options.onEnded(group, epoch);
+  }
+
+  /** Ends all sessions, so that others take over at once. */
+  async close(): Promise<void> {
+    this.#closed = true;
+    const ending = [...this.#epochs].map(([group, epoch]) =>
+      this.#options.state.runItemCommand(group, {
+        case: "endSession",
+        value: { epoch },
+      }, RENEW_TIMEOUT_MS)
+    );
+    await Promise.allSettled(ending);
+  }
+
+  /** Stops renewing; the sessions end when their leases do. */
+  halt(): void {
+    this.#closed = true;
+  }
+
+  async #open(group: number): Promise<bigint> {
+    const { entryId, incarnation, state } = this.#options;
+    this.#starts += 1;
+    try {
+      const reply = await state.runItemCommand(group, {
+        case: "openSession",
+        value: {
+          entry: entryId,
+          incarnation: `${incarnation}/${this.#starts}`,
+        },
+      });
+      this.#epochs.set(group, reply.epoch);
+      return reply.epoch;
+    } finally {
+      this.#opening.delete(group);
+    }
+  }
+
+  *#renewAlways(group: number): Steps<void> {
+    const { clock, renewIntervalMs } = this.#options;
+    while (!this.#closed) {
+      const epoch = yield* settle(this.getEpoch(group));
+      if (epoch.ok && !this.#closed) yield* this.#renew(group, epoch.value);
+      yield* pause(clock, renewIntervalMs);
+    }
+  }
+
+  *#renew(group: number, epoch: bigint): Steps<void> {
+    const { state, getJobIds, onRenewed } = this.#options;
+    const reply = yield* settle(
+      state.renew(group, epoch, getJobIds(group), RENEW_TIMEOUT_MS),
+    );
+    if (!reply.ok || this.#closed) return;
+    if (reply.value.code === MessageCode.STALE_EPOCH) {
+      this.noteEnded(group, epoch);
+    } else onRenewed(group, reply.value);
+  }
+}
+
+/** Whether an error says that the session is over. */
+export function isStaleEpoch(error: unknown): boolean {
+  return error instanceof ServingError &&
+    error.code === MessageCode.STALE_EPOCH;
+}
--- /dev/null
+++ b/src/services/keyed_store.ts
@@ -0,0 +1,185 @@
+/**
+ * Idempotency keys in the replicated state: the first request under a key
+ * runs, a resent one reads its outcome through whatever entry it comes.
+ */
+import type { KeyedRequest, Outcome } from "../schema/mod.ts";
+import { ItemState, MessageCode, Verdict } from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { ServingError } from "../sys/errors.ts";
+import type { Random } from "../sys/random.ts";
+import { getItemGroup, getRequestPlacement } from "./groups.ts";
+import { isStaleEpoch, type ItemSessions } from "./item_sessions.ts";
+import type { StateClient } from "./state_client.ts";
+
+/** A request under a key. */
+export interface KeyedCall {
+  readonly caller: string;
+  readonly operator: string;
+  readonly key: string;
+  readonly digest: Uint8Array;
+  readonly isNonIdempotent: boolean;
+  /** Monotonic milliseconds. */
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** The right to run a request, or the outcome of the first one. */
+export type KeyedStart =
+  | {
+    readonly kind: "run";
+    finish(outcome: Outcome | undefined): Promise<void>;
+  }
+  | { readonly kind: "known"; readonly outcome: Outcome };
+
+const POLL_MS = 100;
+
+/** Longest time that an answer waits for its outcome to be recorded. */
+const FINISH_WAIT_MS = 2_000;
+
+/** Keyed requests of one entry. */
+export class KeyedStore {
+  readonly #state: StateClient;
+  readonly #sessions: ItemSessions;
+  readonly #groupCount: number;
+  readonly #clock: Clock;
+  readonly #random: Random;
+
+  constructor(options: {
+    state: StateClient;
+    sessions: ItemSessions;
+    groupCount: number;
+    clock: Clock;
+    random: Random;
+  }) {
+    this.#state = options.state;
+    this.#sessions = options.sessions;
+    this.#groupCount = options.groupCount;
+    this.#clock = options.clock;
+    this.#random = options.random;
+  }
+
+  /**
+   * Starts a request under its key. Throws KEY_REUSED for another body, and
+   * STATE_UNREACHABLE with the verdict that an earlier request under the key
+   * may have run.
+   */
+  async begin(call: KeyedCall): Promise<KeyedStart> {
+    const placement = getRequestPlacement(call.caller, call.key);
+    const group = getItemGroup(placement, this.#groupCount);
+    for (;;) {
+      const request = await this.#tryBegin(group, call);
+      if (request.begun) {
+        return {
+          kind: "run",
+          finish: (outcome) =>
+            this.#finish(group, request.epoch, call, outcome),
+        };
+      }
+      if (request.outcome !== undefined) {
+        return { kind: "known", outcome: request.outcome };
+      }
+      await this.#waitForEnd(group, call);
+    }
+  }
+
+  async #tryBegin(
+    group: number,
+    call: KeyedCall,
+  ): Promise<{ begun: boolean; epoch: bigint; outcome?: Outcome }> {
+    const attemptId = this.#random.createId();
+    const epoch = await this.#sessions.getEpoch(group);
+    try {
+      const reply = await this.#state.runItemCommand(group, {
+        case: "beginRequest",
+        value: {
+          key: call.key,
+          caller: call.caller,
+          operator: call.operator,
+          digest: call.digest,
+          nonIdempotent: call.isNonIdempotent,
+          epoch,
+          attemptId,
+        },
+      }, this.#getLeftMs(call));
+      return { begun: reply.begun, epoch, outcome: reply.request?.outcome };
+    } catch (error) {
+      if (isStaleEpoch(error)) {
+        this.#sessions.noteEnded(group, epoch);
+        return { begun: false, epoch };
+      }
+      if (isRefusal(error)) throw error;
+      // The command may have been committed: give the request back as soon as
+      // the state can be reached, so that a resent one can run.
+      this.#finish(group, epoch, call, undefined).catch(() => {});
+      throw error;
+    }
+  }
+
+  async #waitForEnd(group: number, call: KeyedCall): Promise<void> {
+    for (;;) {
+      await this.#clock.delay(POLL_MS);
+      if (call.signal.aborted) {
+        throw new ServingError(MessageCode.CALLER_LEFT, {
+          verdict: Verdict.MAY_HAVE_RUN,
+        });
+      }
+      if (this.#getLeftMs(call) <= 0) {
+        throw new ServingError(MessageCode.STILL_RUNNING, {
+          verdict: Verdict.MAY_HAVE_RUN,
+          retryAfterS: 1,
+        });
+      }
+      const reply = await this.#state.query(group, {
+        case: "request",
+        value: { caller: call.caller, key: call.key },
+      }, this.#getLeftMs(call));
+      if (isOver(reply.request)) return;
+    }
+  }
+
+  /**
+   * Records an outcome, or gives the request back when there is none. It goes
+   * on in the background until the state takes it or the session is over, so
+   * that no key stays dispatched while its entry lives.
+   */
+  async #finish(
+    group: number,
+    epoch: bigint,
+    call: KeyedCall,
+    outcome: Outcome | undefined,
+  ): Promise<void> {
+    const finishing = this.#finishUntilDone(group, epoch, call, outcome);
+    await Promise.race([finishing, this.#clock.delay(FINISH_WAIT_MS)]);
+  }
+
+  async #finishUntilDone(
+    group: number,
+    epoch: bigint,
+    call: KeyedCall,
+    outcome: Outcome | undefined,
+  ): Promise<void> {
+    while (this.#sessions.tryGetEpoch(group) === epoch) {
+      try {
+        await this.#state.runItemCommand(group, {
+          case: "finishRequest",
+          value: { epoch, caller: call.caller, key: call.key, outcome },
+        });
+        return;
+      } catch (error) {
+        if (isStaleEpoch(error)) this.#sessions.noteEnded(group, epoch);
+      }
+    }
+  }
+
+  #getLeftMs(call: KeyedCall): number {
+    return Math.max(0, call.deadlineMs - this.#clock.getMonotonicMs());
+  }
+}
+
+function isOver(request: KeyedRequest | undefined): boolean {
+  return request === undefined || request.state !== ItemState.DISPATCHED;
+}
+
+function isRefusal(error: unknown): boolean {
+  return error instanceof ServingError && error.code === MessageCode.KEY_REUSED;
+}
--- /dev/null
+++ b/src/services/leases.ts
@@ -0,0 +1,35 @@
+/**
+ * Leases that a group's leader holds in memory. A new leader gives everybody a
+ * full lease, so that a change of leader never takes work from one that lives.
+ */
+import type { Clock } from "../sys/clock.ts";
+
+/** Renewal times by holder. */
+export class Leases<H> {
+  readonly #clock: Clock;
+  readonly #leaseMs: number;
+  readonly #renewedMs = new Map<H, number>();
+
+  constructor(options: { clock: Clock; leaseMs: number }) {
+    this.#clock = options.clock;
+    this.#leaseMs = options.leaseMs;
+  }
+
+  renew(holder: H): void {
+    this.#renewedMs.set(holder, this.#clock.getMonotonicMs());
+  }
+
+  /** Holders whose lease has run out; none while this replica doesn't lead. */
+  getExpired(isLeader: boolean, holders: readonly H[]): H[] {
+    if (!isLeader) {
+      this.#renewedMs.clear();
+      return [];
+    }
+    const nowMs = this.#clock.getMonotonicMs();
+    holders.filter((holder) => !this.#renewedMs.has(holder))
+      .forEach((holder) => this.#renewedMs.set(holder, nowMs));
+    return holders.filter((holder) =>
+      nowMs - (this.#renewedMs.get(holder) ?? nowMs) > this.#leaseMs
+    );
+  }
+}
--- /dev/null
+++ b/src/services/replica_links.ts
@@ -0,0 +1,84 @@
+/** Links from one state host to the others; they carry all groups' messages. */
+import { type ReplicaMessage, Replicas } from "../schema/mod.ts";
+import { ReplicaTransport } from "../state/mod.ts";
+import { RpcClient, type RpcCredentials, type RpcSender } from "../sys/rpc.ts";
+
+interface Link {
+  readonly client: RpcClient;
+  sender?: RpcSender<{ messages: ReplicaMessage[] }>;
+  queue: ReplicaMessage[];
+}
+
+/** Messages to one host that wait for their turn; more are dropped. */
+const MAX_QUEUED_MESSAGES = 10_000;
+
+/** Sends replicas' messages over gRPC, all of one turn in one batch. */
+export class ReplicaLinks extends ReplicaTransport {
+  readonly #credentials: RpcCredentials;
+  readonly #getAddress: (id: string) => string | undefined;
+  readonly #links = new Map<string, Link>();
+  #flushing = false;
+  #closed = false;
+
+  constructor(options: {
+    credentials: RpcCredentials;
+    getAddress: (id: string) => string | undefined;
+  }) {
+    super();
+    this.#credentials = options.credentials;
+    this.#getAddress = options.getAddress;
+  }
+
+  override send(message: ReplicaMessage): void {
+    const address = this.#getAddress(message.to);
+    if (address === undefined || this.#closed) return;
+    const link = this.#getLink(address);
+    if (link.queue.length >= MAX_QUEUED_MESSAGES) return;
+    link.queue.push(message);
+    if (this.#flushing) return;
+    this.#flushing = true;
+    setImmediate(() => this.#flush());
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#links.forEach((link) => {
+      link.sender?.close();
+      link.client.close();
+    });
+    this.#links.clear();
+  }
+
+  #getLink(address: string): Link {
+    const known = this.#links.get(address);
+    if (known !== undefined) return known;
+    const client = new RpcClient(address, this.#credentials);
+    const link: Link = { client, queue: [] };
+    this.#links.set(address, link);
+    return link;
+  }
+
+  #flush(): void {
+    this.#flushing = false;
+    this.#links.forEach((link) => this.#flushLink(link));
+  }
+
+  #flushLink(link: Link): void {
+    const messages = link.queue;
+    if (messages.length === 0 || this.#closed) return;
+    link.queue = [];
+    const sender = link.sender ?? this.#openSender(link);
+    // The protocol makes up for lost messages; a queue to a host that doesn't
+    // read would only grow old.
+    if (sender.isFull) return;
+    sender.send({ messages });
+  }
+
+  #openSender(link: Link): RpcSender<{ messages: ReplicaMessage[] }> {
+    const sender = link.client.openSender(Replicas.method.exchange, () => {
+      if (link.sender === sender) link.sender = undefined;
+    });
+    link.sender = sender;
+    return sender;
+  }
+}
--- /dev/null
+++ b/src/services/state_client.ts
@@ -0,0 +1,232 @@
+/**
+ * Client of the replicated state: finds each group's leader and repeats calls
+ * until their deadline. Commands are made so that a repeated one has the
+ * effect of one.
+ */
+import { create, fromBinary, type MessageInitShape } from "@bufbuild/protobuf";
+import {
+  ControlReplySchema,
+  type ItemCommandSchema,
+  type ItemReply,
+  ItemReplySchema,
+  MessageCode,
+  type Order,
+  type OrderOutcome,
+  OrderOutcomeSchema,
+  type QueryReply,
+  type RenewReply,
+  State,
+  Verdict,
+  type ViewUpdate,
+} from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { getReason, ServingError } from "../sys/errors.ts";
+import { RpcClient, type RpcCredentials } from "../sys/rpc.ts";
+import { CONTROL_GROUP } from "./groups.ts";
+import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
+
+/** How a {@linkcode StateClient} is made. */
+export interface StateClientOptions {
+  readonly addresses: readonly string[];
+  readonly credentials: RpcCredentials;
+  readonly clock: Clock;
+}
+
+const DEFAULT_TIMEOUT_MS = 5_000;
+const ATTEMPT_TIMEOUT_MS = 1_500;
+const RETRY_PAUSE_MS = 30;
+
+type QueryInit = NonNullable<
+  MessageInitShape<typeof State.method.query.input>["query"]
+>;
+
+/** Answers that say where the leader is. */
+interface Redirect {
+  readonly code: number;
+  readonly leader: string;
+  readonly detail?: string;
+}
+
+/** A connection to all state hosts. */
+export class StateClient {
+  readonly #options: StateClientOptions;
+  readonly #clients = new Map<string, RpcClient>();
+  readonly #leaders = new Map<number, string>();
+  #next = 0;
+  #closed = false;
+
+  constructor(options: StateClientOptions) {
+    this.#options = options;
+  }
+
+  /** Submits an order; a resent one gets its first answer. */
+  async submit(order: Order, timeoutMs?: number): Promise<OrderOutcome> {
+    const command = encodeControlCommand({ case: "order", value: order });
+    const reply = await this.propose(CONTROL_GROUP, command, timeoutMs);
+    const { outcome } = fromBinary(ControlReplySchema, reply);
+    return outcome ?? create(OrderOutcomeSchema);
+  }
+
+  /** Runs a command of an item group; a refusal is thrown with its code. */
+  async runItemCommand(
+    group: number,
+    command: MessageInitShape<typeof ItemCommandSchema>["command"],
+    timeoutMs?: number,
+  ): Promise<ItemReply> {
+    const bytes = encodeItemCommand(command);
+    const reply = await this.propose(group, bytes, timeoutMs);
+    const decoded = fromBinary(ItemReplySchema, reply);
+    if (decoded.code === 0) return decoded;
+    throw new RefusedError(decoded.code, decoded.detail);
+  }
+
+  /** Replicates a command and returns the reply of the state machine. */
+  async propose(
+    group: number,
+    command: Uint8Array,
+    timeoutMs?: number,
+  ): Promise<Uint8Array> {
+    const reply = await this.#callLeader(
+      group,
+      timeoutMs,
+      (client, callMs) =>
+        client.call(State.method.propose, { group, command }, {
+          timeoutMs: callMs,
+        }),
+    );
+    return reply.reply;
+  }
+
+  /** Reads from a group's leader. */
+  query(
+    group: number,
+    query: QueryInit,
+    timeoutMs?: number,
+  ): Promise<QueryReply> {
+    return this.#callLeader(
+      group,
+      timeoutMs,
+      (client, callMs) =>
+        client.call(State.method.query, { group, query }, {
+          timeoutMs: callMs,
+        }),
+    );
+  }
+
+  /** Renews a session. */
+  renew(
+    group: number,
+    epoch: bigint,
+    jobIds: readonly string[],
+    timeoutMs?: number,
+  ): Promise<RenewReply> {
+    return this.#callLeader(
+      group,
+      timeoutMs,
+      (client, callMs) =>
+        client.call(State.method.renew, {
+          group,
+          epoch,
+          jobIds: [...jobIds],
+        }, { timeoutMs: callMs }),
+    );
+  }
+
+  /** Renews an entry's place in the fleet; false when it has none. */
+  async renewEntry(entry: string, timeoutMs?: number): Promise<boolean> {
+    const reply = await this.#callLeader(
+      CONTROL_GROUP,
+      timeoutMs,
+      (client, callMs) =>
+        client.call(State.method.renew, { group: CONTROL_GROUP, entry }, {
+          timeoutMs: callMs,
+        }),
+    );
+    return reply.code === 0;
+  }
+
+  /** Follows the configuration and the entries at any one state host. */
+  watch(
+    from: { entry: string; version: bigint; entriesVersion: bigint },
+    on: { update: (update: ViewUpdate) => void; end: () => void },
+  ): { cancel(): void } {
+    const client = this.#getClient(this.#getNextAddress());
+    return client.openStream(State.method.watch, from, {
+      message: on.update,
+      end: on.end,
+    });
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#clients.forEach((client) => client.close());
+  }
+
+  async #callLeader<R extends Redirect>(
+    group: number,
+    timeoutMs: number | undefined,
+    call: (client: RpcClient, callMs: number) => Promise<R>,
+  ): Promise<R> {
+    const { clock } = this.#options;
+    const endMs = clock.getMonotonicMs() + (timeoutMs ?? DEFAULT_TIMEOUT_MS);
+    let reason = "no leader is known";
+    while (!this.#closed) {
+      const leftMs = endMs - clock.getMonotonicMs();
+      if (leftMs <= 0) break;
+      const address = this.#leaders.get(group) || this.#getNextAddress();
+      const callMs = Math.min(leftMs, ATTEMPT_TIMEOUT_MS);
+      try {
+        const reply = await call(this.#getClient(address), callMs);
+        if (!isRedirect(reply.code)) {
+          this.#leaders.set(group, address);
+          return reply;
+        }
+        reason = reply.detail || `the leader of group ${group} is not known`;
+        this.#followHint(group, address, reply.leader);
+      } catch (error) {
+        reason = getReason(error);
+        this.#leaders.delete(group);
+      }
+      const pauseMs = this.#leaders.has(group) ? 0 : RETRY_PAUSE_MS;
+      if (pauseMs > 0) await clock.delay(pauseMs);
+    }
+    throw new ServingError(MessageCode.STATE_UNREACHABLE, {
+      verdict: Verdict.MAY_HAVE_RUN,
+      parameters: { reason },
+      retryAfterS: 1,
+    });
+  }
+
+  #followHint(group: number, asked: string, leader: string): void {
+    if (leader === "" || leader === asked) this.#leaders.delete(group);
+    else this.#leaders.set(group, leader);
+  }
+
+  #getNextAddress(): string {
+    const { addresses } = this.#options;
+    const address = addresses[this.#next % addresses.length] ?? "";
+    this.#next += 1;
+    return address;
+  }
+
+  #getClient(address: string): RpcClient {
+    const known = this.#clients.get(address);
+    if (known !== undefined) return known;
+    const client = new RpcClient(address, this.#options.credentials);
+    this.#clients.set(address, client);
+    return client;
+  }
+}
+
+function isRedirect(code: number): boolean {
+  return code === MessageCode.NOT_LEADER ||
+    code === MessageCode.MAY_HAVE_COMMITTED;
+}
+
+/** A refusal by the state machine, with its text. */
+class RefusedError extends ServingError {
+  constructor(code: MessageCode, detail: string) {
+    super(code, { verdict: Verdict.NOT_RUN });
+    this.message = detail;
+  }
+}
--- /dev/null
+++ b/src/services/state_host.ts
@@ -0,0 +1,412 @@
+/**
+ * A state host: replicas of all groups in one process, served to entries and
+ * operators over gRPC.
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  type Member,
+  MemberSchema,
+  MembershipSchema,
+  MessageCode,
+  type ProposeReply,
+  type QueryRequest,
+  type RenewRequest,
+  Replicas,
+  State,
+  type StateSettings,
+} from "../schema/mod.ts";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import {
+  ControlMachine,
+  ItemMachine,
+  Replica,
+  type ReplicaDump,
+} from "../state/mod.ts";
+import { asServingError, getReason, ServingError } from "../sys/errors.ts";
+import { DiskFolder, type Folder } from "../sys/files.ts";
+import { MetricName } from "../sys/metrics.ts";
+import {
+  createCredentials,
+  type RpcCredentials,
+  RpcServer,
+} from "../sys/rpc.ts";
+import type { Timer } from "../sys/clock.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { CONTROL_GROUP, getItemGroups } from "./groups.ts";
+import { IdentityRecord, introduceReplica } from "./replica_identity.ts";
+import { ReplicaLinks } from "./replica_links.ts";
+import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
+import { formatCounts, type QueryAnswer, queryItems } from "./item_queries.ts";
+import { Leases } from "./leases.ts";
+import { ViewWatchers } from "./view_watchers.ts";
+
+interface ItemGroup {
+  readonly replica: Replica;
+  readonly machine: ItemMachine;
+  readonly leases: Leases<number>;
+}
+
+const LEASE_CHECK_MS = 250;
+
+/** A running state host. */
+export class StateHost {
+  readonly #settings: StateSettings;
+  readonly #context: ProcessContext;
+  readonly #control = new ControlMachine();
+  readonly #groups = new Map<number, ItemGroup>();
+  readonly #watchers = new ViewWatchers(this.#control);
+  readonly #addresses = new Map<string, string>();
+  readonly #credentials: RpcCredentials;
+  readonly #entryLeases: Leases<string>;
+  readonly server: RpcServer;
+  #controlReplica: Replica | undefined;
+  #links: ReplicaLinks | undefined;
+  #identity: IdentityRecord | undefined;
+  #leaseTimer: Timer | undefined;
+  #isReady = false;
+  #stopping = false;
+  address = "";
+  /** Called once when a replica can't go on. */
+  onFailure: (error: unknown) => void = () => {};
+
+  constructor(settings: StateSettings, context: ProcessContext) {
+    this.#settings = settings;
+    this.#context = context;
+    this.#credentials = createCredentials(settings.tls);
+    this.server = new RpcServer(this.#credentials);
+    this.#entryLeases = new Leases<string>({
+      clock: context.clock,
+      leaseMs: settings.sessionLeaseMs ?? 0,
+    });
+  }
+
+  get credentials(): RpcCredentials {
+    return this.#credentials;
+  }
+
+  get configuration() {
+    return this.#control.configuration;
+  }
+
+  /** The host takes part in its groups and knows a leader of each. */
+  get isReady(): boolean {
+    return this.#isReady && !this.#stopping &&
+      this.#getReplicas().every((replica) => replica.leader !== "");
+  }
+
+  /** Opens the port; the real address is known afterwards. */
+  async listen(): Promise<string> {
+    this.server.addService(Replicas, {
+      introduce: async (introduction) => ({
+        accepted: await this.#identity?.accept(introduction) ?? false,
+      }),
+      exchange: (onMessage) =>
+        onMessage((batch) =>
+          batch.messages.forEach((message) =>
+            this.#tryGetReplica(message.group)?.receive(message)
+          )
+        ),
+    });
+    this.server.addService(State, {
+      propose: (req) => this.#propose(req.group, req.command),
+      query: (req) => Promise.resolve(this.#query(req)),
+      renew: (req) => Promise.resolve(this.#renew(req)),
+      watch: (req, stream) => this.#watchers.serve(req, stream),
+    });
+    const root = await this.#openRoot();
+    this.#identity = await IdentityRecord.open(root, {
+      id: this.#settings.id,
+      random: this.#context.random,
+    });
+    this.address = await this.server.listen(this.#settings.listen ?? "");
+    this.#addresses.set(this.#settings.id, this.address);
+    return this.address;
+  }
+
+  /** Proves the identity and starts all replicas. */
+  async start(): Promise<void> {
+    const members = this.#settings.members.map((peer) =>
+      create(MemberSchema, {
+        id: peer.id,
+        address: peer.address,
+        dataCentre: peer.dataCentre,
+      })
+    );
+    members.forEach((member) => this.#addresses.set(member.id, member.address));
+    await this.#proveIdentity(members);
+    if (this.#stopping) return;
+    const links = new ReplicaLinks({
+      credentials: this.#credentials,
+      getAddress: (id) => this.#findAddress(id),
+    });
+    this.#links = links;
+    const root = await this.#openRoot();
+    const firstMembership = create(MembershipSchema, {
+      members: this.#settings.join ? [] : members,
+    });
+    const common = { root, links, firstMembership };
+    this.#controlReplica = await this.#startReplica({
+      ...common,
+      group: CONTROL_GROUP,
+      machine: this.#control,
+    });
+    for (const group of getItemGroups(this.#settings.itemGroups ?? 1)) {
+      const machine = new ItemMachine();
+      const replica = await this.#startReplica({ ...common, group, machine });
+      const leases = new Leases<number>({
+        clock: this.#context.clock,
+        leaseMs: this.#settings.sessionLeaseMs ?? 0,
+      });
+      this.#groups.set(group, { replica, machine, leases });
+    }
+    this.#leaseTimer = this.#context.clock.startInterval(
+      LEASE_CHECK_MS,
+      () => this.#endExpiredSessions(),
+    );
+    this.#isReady = true;
+  }
+
+  /** Hands leadership over and stops. */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    this.#leaseTimer?.cancel();
+    const replicas = this.#getReplicas();
+    await Promise.all(replicas.map((replica) => replica.transferLeadership()));
+    await this.halt();
+  }
+
+  /** Ends at once, as a crash would, but for open files. */
+  async halt(): Promise<void> {
+    this.#stopping = true;
+    this.#leaseTimer?.cancel();
+    const replicas = this.#getReplicas();
+    await Promise.all(replicas.map((replica) => replica.stop()));
+    this.#links?.close();
+    this.server.close();
+  }
+
+  /** Changes the membership of a group; throws when it is refused. */
+  changeMember(
+    group: number,
+    change: { add?: Member; promote?: string; remove?: string },
+  ): void {
+    const replica = this.#tryGetReplica(group);
+    const refusal = replica?.changeMembership(change) ?? (
+      replica === undefined ? "no such group" : undefined
+    );
+    if (refusal === undefined) return;
+    throw new ServingError(MessageCode.MEMBERSHIP_REFUSED, {
+      parameters: { reason: refusal },
+    });
+  }
+
+  /** Address of the leader of a group; empty when unknown. */
+  getLeaderAddress(group: number): string {
+    const replica = this.#tryGetReplica(group);
+    return replica === undefined ? "" : this.#findAddress(replica.leader) ?? "";
+  }
+
+  getDump(): Record<string, unknown> {
+    const dumps: ReplicaDump[] = this.#getReplicas().map((one) =>
+      one.getDump()
+    );
+    const counts = [...this.#groups].map(([group, { machine }]) => ({
+      group,
+      ...formatCounts(machine.getCounts()),
+      sessions: machine.getSessionEpochs().length,
+    }));
+    return {
+      process: "state",
+      id: this.#settings.id,
+      dataCentre: this.#settings.dataCentre,
+      ready: this.isReady,
+      configurationVersion: Number(this.#control.configuration.version),
+      entries: this.#control.entries.length,
+      replicas: dumps,
+      items: counts,
+      metrics: this.#context.metrics.getSums(),
+    };
+  }
+
+  async #openRoot(): Promise<Folder> {
+    const path = this.#settings.dataFolder;
+    try {
+      return await DiskFolder.open(path);
+    } catch (error) {
+      throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
+        parameters: { path, reason: getReason(error) },
+      });
+    }
+  }
+
+  async #proveIdentity(members: readonly Member[]): Promise<void> {
+    const record = this.#identity;
+    if (record === undefined || record.isConfirmed) return;
+    const others = members.filter((member) => member.id !== this.#settings.id);
+    const majority = Math.floor(others.length / 2) + 1;
+    await introduceReplica(record, {
+      addresses: others.map((member) => member.address),
+      needed: this.#settings.join ? majority : others.length,
+      credentials: this.#credentials,
+      clock: this.#context.clock,
+      isStopping: () => this.#stopping,
+      folderPath: this.#settings.dataFolder,
+    });
+    if (!this.#stopping) await record.confirm();
+  }
+
+  async #startReplica(options: {
+    root: Folder;
+    group: number;
+    machine: ControlMachine | ItemMachine;
+    links: ReplicaLinks;
+    firstMembership: ConstructorParameters<
+      typeof Replica
+    >[0]["firstMembership"];
+  }): Promise<Replica> {
+    const { clock, random, log, metrics } = this.#context;
+    const replica = new Replica({
+      id: this.#settings.id,
+      group: options.group,
+      folder: await options.root.openFolder(`group-${options.group}`),
+      machine: options.machine,
+      transport: options.links,
+      firstMembership: options.firstMembership,
+      clock,
+      random,
+      log,
+      metrics,
+      timing: {
+        heartbeatMs: this.#settings.heartbeatMs ?? 0,
+        electionTimeoutMs: this.#settings.electionTimeoutMs ?? 0,
+      },
+      snapshotBytes: this.#settings.snapshotBytes,
+      onFailure: (error) => this.onFailure(error),
+      onApplied: options.group === CONTROL_GROUP
+        ? () => this.#watchers.notifyAll()
+        : undefined,
+    });
+    await replica.start();
+    return replica;
+  }
+
+  #getReplicas(): Replica[] {
+    const control = this.#controlReplica === undefined
+      ? []
+      : [this.#controlReplica];
+    const items = [...this.#groups.values()].map((group) => group.replica);
+    return [...control, ...items];
+  }
+
+  #tryGetReplica(group: number): Replica | undefined {
+    return group === CONTROL_GROUP
+      ? this.#controlReplica
+      : this.#groups.get(group)?.replica;
+  }
+
+  #findAddress(id: string): string | undefined {
+    const members = this.#getReplicas().flatMap((replica) =>
+      replica.membership.members
+    );
+    return members.find((member) => member.id === id)?.address ??
+      this.#addresses.get(id);
+  }
+
+  async #propose(
+    group: number,
+    command: Uint8Array,
+  ): Promise<MessageInitShape<typeof State.method.propose.output>> {
+    const replica = this.#tryGetReplica(group);
+    if (replica === undefined) return this.#createNotLeader(group);
+    try {
+      return { reply: await replica.propose(command) };
+    } catch (error) {
+      const failure = asServingError(error);
+      return {
+        code: failure.code,
+        detail: failure.message,
+        leader: this.getLeaderAddress(group),
+      } satisfies Partial<ProposeReply>;
+    }
+  }
+
+  #createNotLeader(group: number) {
+    return {
+      code: MessageCode.NOT_LEADER,
+      leader: this.getLeaderAddress(group),
+    };
+  }
+
+  #query(req: QueryRequest): QueryAnswer {
+    const { query } = req;
+    const replica = this.#tryGetReplica(req.group);
+    if (replica === undefined || !replica.canRead()) {
+      return this.#createNotLeader(req.group);
+    }
+    if (query.case === "configuration") {
+      return { configuration: this.#control.configuration };
+    }
+    const machine = this.#groups.get(req.group)?.machine;
+    return machine === undefined ? {} : queryItems(machine, req);
+  }
+
+  #renew(
+    req: RenewRequest,
+  ): MessageInitShape<typeof State.method.renew.output> {
+    if (req.group === CONTROL_GROUP) return this.#renewEntry(req.entry);
+    const group = this.#groups.get(req.group);
+    if (group === undefined || !group.replica.canRead()) {
+      return this.#createNotLeader(req.group);
+    }
+    const epoch = Number(req.epoch);
+    if (!group.machine.isSessionOpen(epoch)) {
+      return { code: MessageCode.STALE_EPOCH };
+    }
+    group.leases.renew(epoch);
+    return {
+      cancelledJobs: group.machine.getCancelledJobs(req.jobIds),
+      waiting: group.machine.getWaiting(),
+    };
+  }
+
+  #renewEntry(
+    entry: string,
+  ): MessageInitShape<typeof State.method.renew.output> {
+    if (this.#controlReplica?.canRead() !== true) {
+      return this.#createNotLeader(CONTROL_GROUP);
+    }
+    this.#entryLeases.renew(entry);
+    const isKnown = this.#control.entries.some((one) => one.id === entry);
+    return { code: isKnown ? 0 : MessageCode.STALE_EPOCH };
+  }
+
+  /** Takes entries that fell silent out of the fleet. */
+  #removeSilentEntries(): void {
+    const replica = this.#controlReplica;
+    const ids = this.#control.entries.map((entry) => entry.id);
+    this.#entryLeases.getExpired(replica?.canRead() === true, ids)
+      .forEach((id) => {
+        const command = encodeControlCommand({
+          case: "removeEntry",
+          value: id,
+        });
+        replica?.propose(command).catch(() => {});
+      });
+  }
+
+  #endExpiredSessions(): void {
+    this.#removeSilentEntries();
+    this.#groups.forEach(({ replica, machine, leases }) => {
+      const epochs = machine.getSessionEpochs();
+      leases.getExpired(replica.canRead(), epochs).forEach((epoch) => {
+        this.#context.metrics.count(MetricName.sessionsEnded);
+        const command = encodeItemCommand({
+          case: "endSession",
+          value: { epoch: BigInt(epoch) },
+        });
+        replica.propose(command).catch(() => {});
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/services/state_operators.ts
@@ -0,0 +1,37 @@
+/** Operators' calls at a state host. */
+import { create } from "@bufbuild/protobuf";
+import { MemberSchema, type StateSettings } from "../schema/mod.ts";
+import { addOperatorService } from "./operator_service.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { StateClient } from "./state_client.ts";
+import type { StateHost } from "./state_host.ts";
+
+/** Adds the operators' service to a state host, before it listens. */
+export function addStateOperators(
+  host: StateHost,
+  settings: StateSettings,
+  context: ProcessContext,
+): StateClient {
+  const state = new StateClient({
+    addresses: settings.members.map((member) => member.address),
+    credentials: host.credentials,
+    clock: context.clock,
+  });
+  addOperatorService({
+    server: host.server,
+    state,
+    groupCount: settings.itemGroups ?? 1,
+    isSecure: host.credentials.isSecure,
+    getDump: () => host.getDump(),
+    countEntries: () =>
+      Promise.resolve({ streams: 0, claims: 0, unreachable: ["entries"] }),
+    changeMember: (req) =>
+      host.changeMember(req.group, {
+        add: req.add === undefined ? undefined : create(MemberSchema, req.add),
+        promote: req.promote || undefined,
+        remove: req.remove || undefined,
+      }),
+    getLeaderAddress: (group) => host.getLeaderAddress(group),
+  });
+  return state;
+}
--- /dev/null
+++ b/src/state/agreement/replica.ts
@@ -0,0 +1,535 @@
+/**
+ * One replica of a group: the agreement, its storage and its state machine,
+ * driven by two routines. The disk routine makes records durable in batches;
+ * the prompt routine sends heartbeats and applies entries, and never waits for
+ * the disk.
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  type LogEntry,
+  type Member,
+  type Membership,
+  MessageCode,
+  type ReplicaMessage,
+  type SnapshotMark,
+  SnapshotMarkSchema,
+  type SnapshotRequest,
+  Verdict,
+} from "../../schema/mod.ts";
+import type { Clock, Timer } from "../../sys/clock.ts";
+import type { Folder } from "../../sys/files.ts";
+import type { Random } from "../../sys/random.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
+import type { Log } from "../../sys/log.ts";
+import { MetricName, type Metrics } from "../../sys/metrics.ts";
+import {
+  type Channel,
+  createSlidingChannel,
+  send,
+  spawnRoutine,
+  type Steps,
+  tryReceive,
+  waitFor,
+} from "../../sys/routines.ts";
+import {
+  encodeSnapshot,
+  ReplicaStore,
+  type SnapshotImage,
+  tryDecodeSnapshot,
+} from "../log/replica_store.ts";
+import { getEntryBytes } from "../log/entry_log.ts";
+import type { StateMachine } from "../machines/state_machine.ts";
+import { type MembershipRefusal, ReplicaCore, Role } from "./replica_core.ts";
+import {
+  type AgreementTiming,
+  DEFAULT_TIMING,
+  SNAPSHOT_PART_BYTES,
+} from "./timing.ts";
+
+/** Carries messages to other replicas; it may lose, delay and reorder them. */
+export abstract class ReplicaTransport {
+  abstract send(message: ReplicaMessage): void;
+}
+
+/** How a {@linkcode Replica} is made. */
+export interface ReplicaOptions {
+  readonly id: string;
+  readonly group: number;
+  readonly folder: Folder;
+  readonly machine: StateMachine;
+  readonly transport: ReplicaTransport;
+  readonly firstMembership: Membership;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing?: AgreementTiming;
+  /** Bytes of log after which a snapshot is taken. */
+  readonly snapshotBytes?: number;
+  /** Called once when the replica can't go on; it has stopped by then. */
+  readonly onFailure: (error: unknown) => void;
+  /** Called after entries were applied. */
+  readonly onApplied?: () => void;
+}
+
+interface PendingProposal {
+  readonly term: number;
+  readonly startMs: number;
+  readonly resolve: (reply: Uint8Array) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+interface IncomingSnapshot {
+  readonly from: string;
+  readonly index: bigint;
+  readonly parts: Uint8Array[];
+  bytes: number;
+}
+
+const TICKS_PER_HEARTBEAT = 4;
+const DEFAULT_SNAPSHOT_BYTES = 32 << 20;
+
+/** Entries kept after a snapshot for followers that are a little behind. */
+const KEPT_ENTRIES = 2000;
+
+/** Parts encoded before other work of the process gets its turn. */
+const PARTS_PER_TURN = 64;
+
+/** What a dump shows of a replica. */
+export interface ReplicaDump {
+  readonly group: number;
+  readonly role: Role;
+  readonly term: number;
+  readonly leader: string;
+  readonly commitIndex: number;
+  readonly lastIndex: number;
+  readonly appliedIndex: number;
+  readonly segmentBytes: number;
+  readonly members: { id: string; learner: boolean; matchIndex: number }[];
+}
+
+/** A running replica. */
+export class Replica {
+  readonly #options: ReplicaOptions;
+  readonly #timing: AgreementTiming;
+  readonly #store: ReplicaStore;
+  readonly #diskWake: Channel<boolean> = createSlidingChannel(1);
+  readonly #promptWake: Channel<boolean> = createSlidingChannel(1);
+  readonly #pending = new Map<number, PendingProposal>();
+  #core: ReplicaCore | undefined;
+  #timer: Timer | undefined;
+  #appliedIndex = 0;
+  #logBytes = 0;
+  #snapshotRunning = false;
+  #snapshotReady: SnapshotMark | undefined;
+  #incoming: IncomingSnapshot | undefined;
+  #installReady:
+    | { image: SnapshotImage; from: string; round: bigint }
+    | undefined;
+  #stopped = false;
+  #lastRole: Role = Role.follower;
+  recoveredBytes = 0;
+
+  constructor(options: ReplicaOptions) {
+    this.#options = options;
+    this.#timing = options.timing ?? DEFAULT_TIMING;
+    this.#store = new ReplicaStore(options.folder);
+  }
+
+  /** Recovers the durable state and starts taking part. */
+  async start(): Promise<void> {
+    const recovered = await this.#store.recover();
+    this.recoveredBytes = recovered.recoveredBytes;
+    this.#options.machine.restore(recovered.snapshotParts);
+    this.#appliedIndex = Number(recovered.mark.index);
+    this.#core = new ReplicaCore({
+      id: this.#options.id,
+      group: this.#options.group,
+      recovered,
+      firstMembership: this.#options.firstMembership,
+      random: this.#options.random,
+      nowMs: this.#options.clock.getMonotonicMs(),
+      timing: this.#timing,
+    });
+    const tickMs = this.#timing.heartbeatMs / TICKS_PER_HEARTBEAT;
+    this.#timer = this.#options.clock.startInterval(tickMs, () => this.#tick());
+    const onError = (error: unknown) => this.#fail(error);
+    spawnRoutine(() => this.#runDisk(), onError);
+    spawnRoutine(() => this.#runPrompt(), onError);
+    this.#wake();
+  }
+
+  /** Stops taking part; what was acknowledged is durable already. */
+  async stop(): Promise<void> {
+    if (this.#stopped) return;
+    this.#stopped = true;
+    this.#timer?.cancel();
+    this.#diskWake.close();
+    this.#promptWake.close();
+    this.#rejectPending("the replica stops");
+    await this.#store.close();
+  }
+
+  get isLeader(): boolean {
+    return this.#core?.role === Role.leader;
+  }
+
+  /** The leader this replica knows of; empty when it knows none. */
+  get leader(): string {
+    return this.#core?.leader ?? "";
+  }
+
+  get membership(): Membership {
+    return this.#core?.membership ?? this.#options.firstMembership;
+  }
+
+  get term(): number {
+    return this.#core?.term ?? 0;
+  }
+
+  /** Whether the own state is current enough to answer reads. */
+  canRead(): boolean {
+    const core = this.#core;
+    return core !== undefined && !this.#stopped &&
+      this.#appliedIndex >= core.commitIndex &&
+      core.holdsLease(this.#options.clock.getMonotonicMs());
+  }
+
+  /** Takes a message from another replica. */
+  receive(message: ReplicaMessage): void {
+    const core = this.#core;
+    if (core === undefined || this.#stopped) return;
+    core.receive(message, this.#options.clock.getMonotonicMs());
+    if (message.body.case === "snapshotRequest") {
+      this.#receiveSnapshot(core, message, message.body.value);
+    }
+    this.#wake();
+  }
+
+  /**
+   * Replicates a command and returns the state machine's reply.
+   *
+   * Throws NOT_LEADER (not run) when this replica does not lead, and
+   * MAY_HAVE_COMMITTED when leadership was lost before the command's fate was
+   * known.
+   */
+  propose(command: Uint8Array): Promise<Uint8Array> {
+    const { clock } = this.#options;
+    const proposed = this.#stopped
+      ? undefined
+      : this.#core?.tryPropose(command, clock.getWallMs());
+    if (proposed === undefined) return Promise.reject(this.#createNotLeader());
+    this.#options.metrics.count(MetricName.proposals);
+    this.#wake();
+    return new Promise((resolve, reject) => {
+      this.#pending.set(proposed.index, {
+        term: proposed.term,
+        startMs: clock.getMonotonicMs(),
+        resolve,
+        reject,
+      });
+    });
+  }
+
+  /** Changes the membership; undefined when the change is on its way. */
+  changeMembership(
+    change: { add?: Member; promote?: string; remove?: string },
+  ): MembershipRefusal | undefined {
+    const core = this.#core;
+    if (core === undefined || this.#stopped) return "not the leader";
+    const refusal = core.changeMembership(
+      change,
+      this.#options.clock.getWallMs(),
+    );
+    this.#wake();
+    return refusal;
+  }
+
+  /** Hands leadership to another voter; resolves when it is gone. */
+  async transferLeadership(): Promise<void> {
+    const started = this.#core?.transferLeadership() ?? false;
+    this.#wake();
+    const rounds = started
+      ? Math.ceil(2 * this.#timing.electionTimeoutMs / this.#timing.heartbeatMs)
+      : 0;
+    for (let round = 0; round < rounds && this.isLeader; round += 1) {
+      await this.#options.clock.delay(this.#timing.heartbeatMs);
+    }
+  }
+
+  getDump(): ReplicaDump {
+    const core = this.#core;
+    return {
+      group: this.#options.group,
+      role: core?.role ?? Role.follower,
+      term: this.term,
+      leader: this.leader,
+      commitIndex: core?.commitIndex ?? 0,
+      lastIndex: core?.lastIndex ?? 0,
+      appliedIndex: this.#appliedIndex,
+      segmentBytes: this.#store.segmentBytes,
+      members: this.membership.members.map((member) => ({
+        id: member.id,
+        learner: member.learner,
+        matchIndex: core?.getMatchIndex(member.id) ?? 0,
+      })),
+    };
+  }
+
+  #wake(): void {
+    send(this.#promptWake, true);
+    send(this.#diskWake, true);
+  }
+
+  #tick(): void {
+    this.#core?.tick(this.#options.clock.getMonotonicMs());
+    this.#wake();
+  }
+
+  #fail(error: unknown): void {
+    if (this.#stopped) return;
+    this.#options.log.error("replica_failed", {
+      group: this.#options.group,
+      reason: getReason(error),
+    });
+    this.stop().catch(() => {});
+    this.#options.onFailure(error);
+  }
+
+  *#runDisk(): Steps<void> {
+    while ((yield* tryReceive(this.#diskWake)) !== undefined) {
+      yield* this.#drainDisk();
+      yield* this.#switchSegment();
+      yield* this.#installSnapshot();
+    }
+  }
+
+  *#drainDisk(): Steps<void> {
+    const core = this.#getCore();
+    for (;;) {
+      const output = core.tryTakeDurable();
+      if (output === undefined || this.#stopped) return;
+      if (output.records.length > 0) {
+        yield* waitFor(this.#store.append(output.records));
+        this.#options.metrics.count(MetricName.syncs);
+        this.#logBytes += getRecordBytes(output.records);
+        core.confirmDurable(output.durableIndex);
+        send(this.#promptWake, true);
+      }
+      output.messagesAfterSync.forEach((message) => this.#send(message));
+    }
+  }
+
+  *#switchSegment(): Steps<void> {
+    const mark = this.#snapshotReady;
+    if (mark === undefined || this.#stopped) return;
+    this.#snapshotReady = undefined;
+    const core = this.#getCore();
+    const keptAfter = Math.max(0, Number(mark.index) - KEPT_ENTRIES);
+    yield* waitFor(this.#store.compact(mark, {
+      hardState: core.hardState,
+      entries: core.getEntriesAfter(keptAfter),
+    }));
+    core.compactTo(keptAfter);
+    this.#logBytes = 0;
+    this.#snapshotRunning = false;
+  }
+
+  *#installSnapshot(): Steps<void> {
+    const install = this.#installReady;
+    this.#installReady = undefined;
+    const core = this.#getCore();
+    if (install === undefined || this.#stopped) return;
+    if (!core.needsSnapshot(install.image.mark)) return;
+    yield* waitFor(this.#store.writeSnapshot(install.image));
+    yield* waitFor(this.#store.compact(install.image.mark, {
+      hardState: core.hardState,
+      entries: [],
+    }));
+    if (!core.needsSnapshot(install.image.mark)) return;
+    this.#options.machine.restore(install.image.parts);
+    this.#appliedIndex = Number(install.image.mark.index);
+    core.installSnapshot(
+      install.image.mark,
+      install.from,
+      install.round,
+      this.#options.clock.getMonotonicMs(),
+    );
+    this.#options.onApplied?.();
+    this.#wake();
+  }
+
+  *#runPrompt(): Steps<void> {
+    while ((yield* tryReceive(this.#promptWake)) !== undefined) {
+      const core = this.#getCore();
+      const output = core.tryTakePrompt();
+      this.#noteRole(core);
+      if (output === undefined) continue;
+      output.messages.forEach((message) => this.#send(message));
+      this.#applyAll(output.committed);
+      output.snapshotTo.forEach((id) => this.#sendSnapshot(id));
+      send(this.#diskWake, true);
+    }
+  }
+
+  #getCore(): ReplicaCore {
+    if (this.#core === undefined) throw new Error("the replica is not started");
+    return this.#core;
+  }
+
+  #send(message: ReplicaMessage): void {
+    if (this.#stopped) return;
+    this.#options.metrics.count(MetricName.replicaMessages);
+    this.#options.transport.send(message);
+  }
+
+  #noteRole(core: ReplicaCore): void {
+    if (core.role === this.#lastRole) return;
+    const led = this.#lastRole === Role.leader;
+    this.#lastRole = core.role;
+    this.#options.log.info("role_changed", {
+      group: this.#options.group,
+      role: core.role,
+      term: core.term,
+    });
+    if (core.role === Role.leader) {
+      this.#options.metrics.count(MetricName.elections);
+    }
+    if (led) this.#rejectPending("leadership was lost");
+  }
+
+  #applyAll(entries: readonly LogEntry[]): void {
+    if (entries.length === 0) return;
+    entries.forEach((entry) => this.#apply(entry));
+    this.#options.onApplied?.();
+    this.#startSnapshotWhenDue();
+  }
+
+  #apply(entry: LogEntry): void {
+    const index = Number(entry.index);
+    const reply = entry.payload.case === "command"
+      ? this.#options.machine.apply(entry.payload.value, {
+        index,
+        term: Number(entry.term),
+        timeMs: Number(entry.timeMs),
+      })
+      : undefined;
+    this.#appliedIndex = index;
+    const pending = this.#pending.get(index);
+    if (pending === undefined) return;
+    this.#pending.delete(index);
+    if (pending.term !== Number(entry.term) || reply === undefined) {
+      pending.reject(this.#createNotLeader());
+      return;
+    }
+    const tookMs = this.#options.clock.getMonotonicMs() - pending.startMs;
+    this.#options.metrics.time(MetricName.commitMs, tookMs);
+    pending.resolve(reply);
+  }
+
+  #rejectPending(reason: string): void {
+    const error = new ServingError(MessageCode.MAY_HAVE_COMMITTED, {
+      verdict: Verdict.MAY_HAVE_RUN,
+      parameters: { reason },
+    });
+    this.#pending.forEach((pending) => pending.reject(error));
+    this.#pending.clear();
+  }
+
+  #createNotLeader(): ServingError {
+    return new ServingError(MessageCode.NOT_LEADER, {
+      verdict: Verdict.NOT_RUN,
+      parameters: { replica: this.#options.id, group: this.#options.group },
+    });
+  }
+
+  #startSnapshotWhenDue(): void {
+    const limit = this.#options.snapshotBytes ?? DEFAULT_SNAPSHOT_BYTES;
+    if (this.#snapshotRunning || this.#logBytes < limit) return;
+    this.#snapshotRunning = true;
+    const core = this.#getCore();
+    const mark = core.createMarkAt(this.#appliedIndex);
+    const parts = this.#options.machine.capture();
+    this.#writeSnapshot(mark, parts).then(() => {
+      this.#snapshotReady = mark;
+      this.#wake();
+    }, (error) => this.#fail(error));
+  }
+
+  async #writeSnapshot(
+    mark: SnapshotMark,
+    captured: Iterable<Uint8Array>,
+  ): Promise<void> {
+    const parts: Uint8Array[] = [];
+    for (const part of captured) {
+      parts.push(part);
+      if (parts.length % PARTS_PER_TURN === 0) {
+        await this.#options.clock.delay(0);
+      }
+    }
+    await this.#store.writeSnapshot({ mark, parts });
+  }
+
+  #sendSnapshot(to: string): void {
+    this.#store.tryReadSnapshot().then((image) => {
+      const core = this.#getCore();
+      if (image === undefined || core.role !== Role.leader) return;
+      const bytes = encodeSnapshot(image);
+      const count = Math.ceil(bytes.length / SNAPSHOT_PART_BYTES);
+      Array.from({ length: count }, (_, part) => part * SNAPSHOT_PART_BYTES)
+        .forEach((offset) => {
+          const end = offset + SNAPSHOT_PART_BYTES;
+          this.#send(core.createSnapshotMessage(to, {
+            mark: image.mark,
+            state: bytes.subarray(offset, end),
+            offset,
+            last: end >= bytes.length,
+          }));
+        });
+    }).catch((error) => this.#fail(error));
+  }
+
+  #receiveSnapshot(
+    core: ReplicaCore,
+    message: ReplicaMessage,
+    request: SnapshotRequest,
+  ): void {
+    const mark = request.mark ?? create(SnapshotMarkSchema);
+    if (Number(message.term) !== core.term) return;
+    if (!core.needsSnapshot(mark)) {
+      core.vouchForSnapshot(mark, message.from, request.round);
+      return;
+    }
+    if (request.offset === 0n) {
+      this.#incoming = {
+        from: message.from,
+        index: mark.index,
+        parts: [],
+        bytes: 0,
+      };
+    }
+    const incoming = this.#incoming;
+    const fits = incoming !== undefined && incoming.from === message.from &&
+      incoming.index === mark.index &&
+      BigInt(incoming.bytes) === request.offset;
+    if (!fits) return;
+    incoming.parts.push(request.state);
+    incoming.bytes += request.state.length;
+    if (!request.last) return;
+    this.#incoming = undefined;
+    const image = tryDecodeSnapshot(Buffer.concat(incoming.parts));
+    if (image === undefined) return;
+    this.#installReady = { image, from: message.from, round: request.round };
+  }
+}
+
+function getRecordBytes(
+  records: readonly { record: { case?: string; value?: unknown } }[],
+): number {
+  return records.reduce(
+    (sum, { record }) =>
+      sum +
+      (record.case === "entry" ? getEntryBytes(record.value as LogEntry) : 0),
+    0,
+  );
+}
--- /dev/null
+++ b/src/state/agreement/replica_core.ts
@@ -0,0 +1,904 @@
+/**
+ * Agreement of one replica as a deterministic machine: inputs are messages,
+ * time and proposals; outputs are records to make durable, messages to send
+ * and entries to apply. It does no I/O, so a test drives every order of
+ * events.
+ *
+ * The protocol is Raft (Ongaro and Ousterhout, 2014) with pre-vote,
+ * check-quorum, a leader's lease by bounded clock drift, learners, membership
+ * change of one member at a time and leadership transfer.
+ */
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import {
+  type AppendReply,
+  type AppendRequest,
+  type HardState,
+  HardStateSchema,
+  type LogEntry,
+  LogEntrySchema,
+  type LogRecord,
+  type Membership,
+  MembershipSchema,
+  type ReplicaMessage,
+  ReplicaMessageSchema,
+  type SnapshotMark,
+  SnapshotMarkSchema,
+  type VoteReply,
+  type VoteRequest,
+} from "../../schema/mod.ts";
+import { assert, assertNever } from "../../sys/errors.ts";
+import type { Random } from "../../sys/random.ts";
+import {
+  createEntryRecord,
+  createHardStateRecord,
+  type RecoveredState,
+} from "../log/replica_store.ts";
+import { EntryLog } from "../log/entry_log.ts";
+import {
+  type AgreementTiming,
+  CLOCK_DRIFT_BOUND,
+  DEFAULT_TIMING,
+  MAX_APPEND_BYTES,
+  MAX_APPEND_ENTRIES,
+  SNAPSHOT_RETRY_TIMEOUTS,
+} from "./timing.ts";
+import { getQuorumSize, getQuorumValue, getVoters, isVoter } from "./quorum.ts";
+
+/** Roles of a replica. */
+export const Role = {
+  follower: "follower",
+  preCandidate: "pre-candidate",
+  candidate: "candidate",
+  leader: "leader",
+} as const;
+
+/** Role of a replica. */
+export type Role = typeof Role[keyof typeof Role];
+
+/** What has to become durable before something else may be sent. */
+export interface DurableOutput {
+  /** Records to make durable together. */
+  readonly records: LogRecord[];
+  /** Last log index that the records make durable. */
+  readonly durableIndex: number;
+  /** Messages to send once the records are durable. */
+  readonly messagesAfterSync: ReplicaMessage[];
+}
+
+/** What depends on nothing durable and must not wait for the disk. */
+export interface PromptOutput {
+  readonly messages: ReplicaMessage[];
+  /** Entries to apply, in order. */
+  readonly committed: LogEntry[];
+  /** Members that need the snapshot. */
+  readonly snapshotTo: string[];
+}
+
+/** Where a proposed entry stands in the log. */
+export interface ProposedEntry {
+  readonly index: number;
+  readonly term: number;
+}
+
+/** Why a membership change is refused; undefined when it is taken. */
+export type MembershipRefusal =
+  | "not the leader"
+  | "another change is not committed yet"
+  | "the leader has committed nothing in its term yet"
+  | "the learner has not caught up"
+  | "no such member"
+  | "the member exists already"
+  | "the last voter cannot be removed";
+
+interface Progress {
+  matchIndex: number;
+  nextIndex: number;
+  /** When the newest acknowledged round was sent. */
+  contactMs: number;
+  /** Entries up to here are under way. */
+  sentIndex: number;
+  sentMs: number;
+  snapshotSentMs: number;
+}
+
+type Body = NonNullable<MessageInitShape<typeof ReplicaMessageSchema>["body"]>;
+
+/** How a {@linkcode ReplicaCore} is made. */
+export interface ReplicaCoreOptions {
+  readonly id: string;
+  readonly group: number;
+  readonly recovered: RecoveredState;
+  /** Members of the group before its first membership entry. */
+  readonly firstMembership: Membership;
+  readonly random: Random;
+  readonly nowMs: number;
+  readonly timing?: AgreementTiming;
+}
+
+const ROUNDS_KEPT = 256;
+
+/** One replica's part of the agreement. */
+export class ReplicaCore {
+  readonly #id: string;
+  readonly #group: number;
+  readonly #random: Random;
+  readonly #timing: AgreementTiming;
+  readonly #log: EntryLog;
+  readonly #firstMembership: Membership;
+  #markMembership: Membership;
+  #membership: Membership;
+  #membershipIndex = 0;
+  #hardState: HardState;
+  #role: Role = Role.follower;
+  #leader = "";
+  #commitIndex: number;
+  #handedOutIndex: number;
+  #durableIndex: number;
+  #votes = new Set<string>();
+  #progress = new Map<string, Progress>();
+  #round = 0;
+  #roundSentMs = new Map<number, number>();
+  #termStartIndex = 0;
+  #termStartMs = 0;
+  #transferTo = "";
+  #transferUntilMs = 0;
+  #lastContactMs: number;
+  #electionDueMs = 0;
+  #heartbeatDueMs = 0;
+  #nowMs: number;
+  #messagesNow: ReplicaMessage[] = [];
+  #messagesAfterSync: ReplicaMessage[] = [];
+  #records: LogRecord[] = [];
+  #queuedFrom = Infinity;
+  #snapshotTo = new Set<string>();
+  #broadcastDue = false;
+  #transferSent = false;
+
+  constructor(options: ReplicaCoreOptions) {
+    const { recovered } = options;
+    this.#id = options.id;
+    this.#group = options.group;
+    this.#random = options.random;
+    this.#timing = options.timing ?? DEFAULT_TIMING;
+    this.#log = new EntryLog(recovered.mark, recovered.entries);
+    this.#hardState = recovered.hardState;
+    this.#firstMembership = options.firstMembership;
+    this.#markMembership = recovered.mark.membership ??
+      options.firstMembership;
+    this.#membership = this.#markMembership;
+    this.#commitIndex = this.#log.markIndex;
+    this.#handedOutIndex = this.#log.markIndex;
+    this.#durableIndex = this.#log.lastIndex;
+    this.#nowMs = options.nowMs;
+    // A restarted replica may have promised silence to a leader that still
+    // holds its lease, so it behaves as if it had just heard from one.
+    this.#lastContactMs = options.nowMs;
+    this.#reloadMembership();
+    this.#armElection();
+  }
+
+  get role(): Role {
+    return this.#role;
+  }
+
+  get term(): number {
+    return Number(this.#hardState.term);
+  }
+
+  /** The leader this replica knows of; empty when it knows none. */
+  get leader(): string {
+    return this.#leader;
+  }
+
+  get commitIndex(): number {
+    return this.#commitIndex;
+  }
+
+  get lastIndex(): number {
+    return this.#log.lastIndex;
+  }
+
+  get membership(): Membership {
+    return this.#membership;
+  }
+
+  get hardState(): HardState {
+    return this.#hardState;
+  }
+
+  /** Index of the newest membership entry; zero for the first membership. */
+  get membershipIndex(): number {
+    return this.#membershipIndex;
+  }
+
+  /** Last index that `id` is known to hold; the leader's knowledge only. */
+  getMatchIndex(id: string): number {
+    return id === this.#id
+      ? this.#durableIndex
+      : this.#progress.get(id)?.matchIndex ?? 0;
+  }
+
+  /**
+   * Whether this replica may answer reads from its own state: it leads, its
+   * lease holds by the drift bound, and it has committed in its term.
+   */
+  holdsLease(nowMs: number): boolean {
+    if (this.#role !== Role.leader || this.#transferTo !== "") return false;
+    const leaseMs = this.#timing.electionTimeoutMs * (1 - CLOCK_DRIFT_BOUND);
+    return this.#commitIndex >= this.#termStartIndex &&
+      nowMs < this.#getQuorumContactMs() + leaseMs;
+  }
+
+  /** Moves time forward. */
+  tick(nowMs: number): void {
+    this.#nowMs = nowMs;
+    if (this.#role === Role.leader) {
+      this.#tickLeader();
+      return;
+    }
+    if (nowMs >= this.#electionDueMs) this.#startPreVote();
+  }
+
+  /** Appends a command; undefined when this replica does not lead. */
+  tryPropose(command: Uint8Array, wallMs: number): ProposedEntry | undefined {
+    if (this.#role !== Role.leader || this.#transferTo !== "") return undefined;
+    return this.#appendOwn({ case: "command", value: command }, wallMs);
+  }
+
+  /** Adds a learner, promotes a learner to voter or removes a member. */
+  changeMembership(change: {
+    add?: Membership["members"][number];
+    promote?: string;
+    remove?: string;
+  }, wallMs: number): MembershipRefusal | undefined {
+    const refusal = this.#tryRefuseChange(change);
+    if (refusal !== undefined) return refusal;
+    const members = this.#membership.members
+      .filter((member) => member.id !== change.remove)
+      .map((member) =>
+        member.id === change.promote ? { ...member, learner: false } : member
+      );
+    const added = change.add === undefined
+      ? []
+      : [{ ...change.add, learner: true }];
+    const membership = create(MembershipSchema, {
+      members: [...members, ...added],
+    });
+    this.#appendOwn({ case: "membership", value: membership }, wallMs);
+    return undefined;
+  }
+
+  /** Starts handing leadership to the voter that is furthest along. */
+  transferLeadership(): boolean {
+    if (this.#role !== Role.leader) return false;
+    const target = getVoters(this.#membership)
+      .filter((member) => member.id !== this.#id)
+      .sort((a, b) => this.getMatchIndex(b.id) - this.getMatchIndex(a.id))[0];
+    if (target === undefined) return false;
+    this.#transferTo = target.id;
+    this.#transferUntilMs = this.#nowMs + this.#timing.electionTimeoutMs;
+    this.#continueTransfer();
+    return true;
+  }
+
+  /** Takes a message from another replica. */
+  receive(message: ReplicaMessage, nowMs: number): void {
+    this.#nowMs = nowMs;
+    const { body } = message;
+    if (body.case === undefined) return;
+    if (body.case === "voteRequest") {
+      this.#receiveVoteRequest(message, body.value);
+      return;
+    }
+    if (body.case === "voteReply" && body.value.preVote) {
+      this.#receivePreVoteReply(message, body.value);
+      return;
+    }
+    const term = Number(message.term);
+    if (term > this.term) this.#becomeFollower(term, "");
+    if (term < this.term) {
+      this.#refuseStale(message);
+      return;
+    }
+    switch (body.case) {
+      case "voteReply":
+        this.#receiveVoteReply(message, body.value);
+        return;
+      case "appendRequest":
+        this.#receiveAppend(message, body.value);
+        return;
+      case "appendReply":
+        this.#receiveAppendReply(message, body.value);
+        return;
+      case "snapshotRequest":
+        this.#noteLeader(message.from);
+        return;
+      case "timeoutNow":
+        if (isVoter(this.#membership, this.#id)) this.#startElection(true);
+        return;
+      default:
+        assertNever(body);
+    }
+  }
+
+  /** Whether a snapshot at `mark` would bring this replica forward. */
+  needsSnapshot(mark: SnapshotMark): boolean {
+    const index = Number(mark.index);
+    return index > this.#commitIndex &&
+      this.#log.tryGetTerm(index) !== Number(mark.term);
+  }
+
+  /** Tells the leader that the log reaches the snapshot without it. */
+  vouchForSnapshot(mark: SnapshotMark, from: string, round: bigint): void {
+    this.#replyAppend(from, true, Number(mark.index), round);
+  }
+
+  /** One part of a snapshot as a message to `to`. */
+  createSnapshotMessage(
+    to: string,
+    part: {
+      mark: SnapshotMark;
+      state: Uint8Array;
+      offset: number;
+      last: boolean;
+    },
+  ): ReplicaMessage {
+    return this.#createMessage(to, {
+      case: "snapshotRequest",
+      value: {
+        ...part,
+        offset: BigInt(part.offset),
+        round: BigInt(this.#round),
+      },
+    }, this.term);
+  }
+
+  /** Takes over a snapshot from the leader that the owner has made durable. */
+  installSnapshot(
+    mark: SnapshotMark,
+    from: string,
+    round: bigint,
+    nowMs: number,
+  ): void {
+    this.#nowMs = nowMs;
+    const index = Number(mark.index);
+    assert(this.needsSnapshot(mark), "a snapshot brings the log forward");
+    this.#log.reset(index, Number(mark.term));
+    this.#markMembership = mark.membership ?? this.#firstMembership;
+    this.#reloadMembership();
+    this.#commitIndex = index;
+    this.#handedOutIndex = index;
+    this.#durableIndex = index;
+    this.#records = this.#records.filter((record) =>
+      record.record.case === "hardState"
+    );
+    this.#queuedFrom = Infinity;
+    // Replies that vouch for entries which the snapshot replaced are void.
+    this.#messagesAfterSync = this.#messagesAfterSync.filter((message) =>
+      message.body.case !== "appendReply"
+    );
+    this.#replyAppend(from, true, index, round);
+  }
+
+  /** The owner stored a snapshot at `index`; entries up to it are dropped. */
+  compactTo(index: number): void {
+    const term = this.#log.tryGetTerm(index);
+    if (index <= this.#log.markIndex || term === undefined) return;
+    this.#markMembership = this.#getMembershipAt(index);
+    this.#log.compactTo(index, term);
+  }
+
+  /** Mark of a snapshot of everything applied up to `index`. */
+  createMarkAt(index: number): SnapshotMark {
+    const term = this.#log.tryGetTerm(index) ?? 0;
+    return create(SnapshotMarkSchema, {
+      index: BigInt(index),
+      term: BigInt(term),
+      membership: this.#getMembershipAt(index),
+    });
+  }
+
+  /** Entries after `index`. */
+  getEntriesAfter(index: number): LogEntry[] {
+    return this.#log.getAfter(index);
+  }
+
+  /** What must not wait for the disk; undefined when there is nothing. */
+  tryTakePrompt(): PromptOutput | undefined {
+    if (this.#broadcastDue && this.#role === Role.leader) this.#broadcast();
+    this.#broadcastDue = false;
+    const committed = this.#takeCommitted();
+    const messages = this.#messagesNow;
+    const snapshotTo = [...this.#snapshotTo];
+    if (messages.length + committed.length + snapshotTo.length === 0) {
+      return undefined;
+    }
+    this.#messagesNow = [];
+    this.#snapshotTo.clear();
+    return { messages, committed, snapshotTo };
+  }
+
+  /** What the disk has to do next; undefined when there is nothing. */
+  tryTakeDurable(): DurableOutput | undefined {
+    const records = this.#records;
+    const messagesAfterSync = this.#messagesAfterSync;
+    if (records.length + messagesAfterSync.length === 0) return undefined;
+    this.#records = [];
+    this.#queuedFrom = Infinity;
+    this.#messagesAfterSync = [];
+    return { records, durableIndex: this.#log.lastIndex, messagesAfterSync };
+  }
+
+  /** The records of an output are durable up to `index`. */
+  confirmDurable(index: number): void {
+    // Entries rewritten since the output was taken are not durable yet.
+    this.#durableIndex = Math.min(index, this.#queuedFrom - 1);
+    if (this.#role === Role.leader) this.#advanceCommit();
+  }
+
+  #takeCommitted(): LogEntry[] {
+    const count = this.#commitIndex - this.#handedOutIndex;
+    if (count <= 0) return [];
+    const entries = this.#log.getAfter(this.#handedOutIndex).slice(0, count);
+    this.#handedOutIndex = this.#commitIndex;
+    return entries;
+  }
+
+  #tickLeader(): void {
+    const sinceQuorumMs = this.#nowMs - this.#getQuorumContactMs();
+    if (sinceQuorumMs > this.#timing.electionTimeoutMs) {
+      this.#becomeFollower(this.term, "");
+      return;
+    }
+    if (this.#transferTo !== "" && this.#nowMs >= this.#transferUntilMs) {
+      this.#endTransfer();
+      if (this.#role !== Role.leader) return;
+    }
+    if (this.#nowMs < this.#heartbeatDueMs) return;
+    this.#heartbeatDueMs = this.#nowMs + this.#timing.heartbeatMs;
+    this.#broadcast();
+  }
+
+  /**
+   * A transfer that was not taken in time. Once the target was told to start
+   * an election, it may still do so late and pass by the lease, so the lease
+   * can't be trusted any more in this term.
+   */
+  #endTransfer(): void {
+    this.#transferTo = "";
+    if (this.#transferSent) this.#becomeFollower(this.term, "");
+  }
+
+  #armElection(): void {
+    const base = this.#timing.electionTimeoutMs;
+    this.#electionDueMs = this.#nowMs + base +
+      this.#random.getFraction() * base;
+  }
+
+  #startPreVote(): void {
+    this.#armElection();
+    if (!isVoter(this.#membership, this.#id)) return;
+    this.#role = Role.preCandidate;
+    this.#leader = "";
+    this.#votes = new Set([this.#id]);
+    if (this.#hasMajority()) {
+      this.#startElection(false);
+      return;
+    }
+    this.#requestVotes({ preVote: true, transfer: false });
+  }
+
+  #startElection(transfer: boolean): void {
+    this.#armElection();
+    this.#setHardState(this.term + 1, this.#id);
+    this.#role = Role.candidate;
+    this.#leader = "";
+    this.#votes = new Set([this.#id]);
+    if (this.#hasMajority()) {
+      this.#becomeLeader();
+      return;
+    }
+    this.#requestVotes({ preVote: false, transfer });
+  }
+
+  #requestVotes(options: { preVote: boolean; transfer: boolean }): void {
+    const term = options.preVote ? this.term + 1 : this.term;
+    const value = {
+      ...options,
+      lastIndex: BigInt(this.#log.lastIndex),
+      lastTerm: BigInt(this.#log.lastTerm),
+    };
+    getVoters(this.#membership)
+      .filter((member) => member.id !== this.#id)
+      .forEach((member) =>
+        this.#sendAfterSync(member.id, { case: "voteRequest", value }, term)
+      );
+  }
+
+  #receiveVoteRequest(message: ReplicaMessage, request: VoteRequest): void {
+    const term = Number(message.term);
+    const hearsLeader = this.#role === Role.leader
+      ? this.#nowMs <
+        this.#getQuorumContactMs() + this.#timing.electionTimeoutMs
+      : this.#nowMs < this.#lastContactMs + this.#timing.electionTimeoutMs;
+    if (hearsLeader && !request.transfer) {
+      if (term >= this.term && request.preVote) return;
+      if (term > this.term) return;
+    }
+    if (request.preVote) {
+      const granted = term > this.term && this.#isUpToDate(request);
+      this.#replyVote(message.from, granted ? term : this.term, {
+        preVote: true,
+        granted,
+      });
+      return;
+    }
+    if (term > this.term) this.#becomeFollower(term, "");
+    const free = this.#hardState.votedFor === "" ||
+      this.#hardState.votedFor === message.from;
+    const granted = term === this.term && free &&
+      this.#role === Role.follower && this.#isUpToDate(request);
+    if (granted) {
+      this.#setHardState(this.term, message.from);
+      this.#armElection();
+    }
+    this.#replyVote(message.from, this.term, { preVote: false, granted });
+  }
+
+  #isUpToDate(request: VoteRequest): boolean {
+    const lastTerm = Number(request.lastTerm);
+    if (lastTerm !== this.#log.lastTerm) return lastTerm > this.#log.lastTerm;
+    return Number(request.lastIndex) >= this.#log.lastIndex;
+  }
+
+  #replyVote(
+    to: string,
+    term: number,
+    value: { preVote: boolean; granted: boolean },
+  ): void {
+    this.#sendAfterSync(to, { case: "voteReply", value }, term);
+  }
+
+  #receivePreVoteReply(message: ReplicaMessage, reply: VoteReply): void {
+    const term = Number(message.term);
+    if (!reply.granted) {
+      if (term > this.term) this.#becomeFollower(term, "");
+      return;
+    }
+    if (this.#role !== Role.preCandidate || term !== this.term + 1) return;
+    this.#votes.add(message.from);
+    if (this.#hasMajority()) this.#startElection(false);
+  }
+
+  #receiveVoteReply(message: ReplicaMessage, reply: VoteReply): void {
+    if (this.#role !== Role.candidate || !reply.granted) return;
+    this.#votes.add(message.from);
+    if (this.#hasMajority()) this.#becomeLeader();
+  }
+
+  #hasMajority(): boolean {
+    const votes = getVoters(this.#membership)
+      .filter((member) => this.#votes.has(member.id)).length;
+    return votes >= getQuorumSize(this.#membership);
+  }
+
+  #becomeFollower(term: number, leader: string): void {
+    if (term > this.term) this.#setHardState(term, "");
+    const changed = this.#role !== Role.follower;
+    this.#role = Role.follower;
+    this.#leader = leader;
+    this.#transferTo = "";
+    this.#progress.clear();
+    if (changed) this.#armElection();
+  }
+
+  #becomeLeader(): void {
+    this.#role = Role.leader;
+    this.#leader = this.#id;
+    this.#transferTo = "";
+    this.#transferSent = false;
+    this.#round = 0;
+    this.#roundSentMs.clear();
+    this.#termStartMs = this.#nowMs;
+    this.#progress = new Map();
+    this.#syncProgress();
+    const barrier = this.#appendOwn({ case: "barrier", value: true }, 0);
+    this.#termStartIndex = barrier.index;
+    this.#heartbeatDueMs = this.#nowMs + this.#timing.heartbeatMs;
+  }
+
+  /** Keeps a progress row for exactly the other members. */
+  #syncProgress(): void {
+    const others = this.#membership.members.map((member) => member.id)
+      .filter((id) => id !== this.#id);
+    [...this.#progress.keys()].filter((id) => !others.includes(id))
+      .forEach((id) => this.#progress.delete(id));
+    others.filter((id) => !this.#progress.has(id)).forEach((id) =>
+      this.#progress.set(id, {
+        matchIndex: 0,
+        nextIndex: this.#log.lastIndex + 1,
+        contactMs: this.#termStartMs,
+        sentIndex: 0,
+        sentMs: 0,
+        snapshotSentMs: -Infinity,
+      })
+    );
+  }
+
+  #appendOwn(payload: LogEntry["payload"], wallMs: number): ProposedEntry {
+    const entry = create(LogEntrySchema, {
+      index: BigInt(this.#log.lastIndex + 1),
+      term: BigInt(this.term),
+      timeMs: BigInt(wallMs),
+      payload,
+    });
+    this.#appendEntry(entry);
+    this.#broadcastDue = true;
+    return { index: Number(entry.index), term: this.term };
+  }
+
+  #appendEntry(entry: LogEntry): void {
+    this.#log.append(entry);
+    this.#records.push(createEntryRecord(entry));
+    this.#queuedFrom = Math.min(this.#queuedFrom, Number(entry.index));
+    if (entry.payload.case === "membership") this.#reloadMembership();
+  }
+
+  #broadcast(): void {
+    this.#round += 1;
+    this.#roundSentMs.set(this.#round, this.#nowMs);
+    this.#roundSentMs.delete(this.#round - ROUNDS_KEPT);
+    this.#progress.forEach((progress, id) => this.#sendAppend(id, progress));
+  }
+
+  #sendAppend(id: string, progress: Progress): void {
+    const previousIndex = progress.nextIndex - 1;
+    const previousTerm = this.#log.tryGetTerm(previousIndex);
+    if (previousTerm === undefined) {
+      this.#offerSnapshot(id, progress);
+      return;
+    }
+    const entries = this.#log.slice(
+      progress.nextIndex,
+      MAX_APPEND_ENTRIES,
+      MAX_APPEND_BYTES,
+    );
+    // Entries are sent ahead of their acknowledgement; a refusal or a lost
+    // message is made good from the refused index at the next heartbeat.
+    progress.nextIndex += entries.length;
+    progress.sentIndex = progress.nextIndex - 1;
+    if (entries.length > 0) progress.sentMs = this.#nowMs;
+    this.#sendNow(id, {
+      case: "appendRequest",
+      value: {
+        previousIndex: BigInt(previousIndex),
+        previousTerm: BigInt(previousTerm),
+        commitIndex: BigInt(this.#commitIndex),
+        entries,
+        round: BigInt(this.#round),
+      },
+    });
+  }
+
+  #offerSnapshot(id: string, progress: Progress): void {
+    const waitMs = this.#timing.electionTimeoutMs * SNAPSHOT_RETRY_TIMEOUTS;
+    if (this.#nowMs < progress.snapshotSentMs + waitMs) {
+      this.#sendEmptyAppend(id);
+      return;
+    }
+    progress.snapshotSentMs = this.#nowMs;
+    this.#snapshotTo.add(id);
+  }
+
+  /** A heartbeat that matches nothing but shows that the leader lives. */
+  #sendEmptyAppend(id: string): void {
+    this.#sendNow(id, {
+      case: "appendRequest",
+      value: { previousIndex: 0n, round: BigInt(this.#round) },
+    });
+  }
+
+  #noteLeader(from: string): void {
+    if (this.#role !== Role.follower) this.#becomeFollower(this.term, from);
+    this.#leader = from;
+    this.#lastContactMs = this.#nowMs;
+    this.#armElection();
+  }
+
+  #receiveAppend(message: ReplicaMessage, request: AppendRequest): void {
+    assert(this.#role !== Role.leader, "one leader in a term");
+    this.#noteLeader(message.from);
+    const previousIndex = Number(request.previousIndex);
+    const known = this.#log.tryGetTerm(previousIndex);
+    const behindMark = previousIndex < this.#log.markIndex;
+    if (!behindMark && known !== Number(request.previousTerm)) {
+      const hint = Math.min(this.#log.lastIndex, previousIndex - 1);
+      this.#replyAppend(message.from, false, hint, request.round);
+      return;
+    }
+    request.entries.forEach((entry) => this.#acceptEntry(entry));
+    const matched = previousIndex + request.entries.length;
+    this.#commitIndex = Math.max(
+      this.#commitIndex,
+      Math.min(Number(request.commitIndex), matched),
+    );
+    this.#replyAppend(message.from, true, matched, request.round);
+  }
+
+  #acceptEntry(entry: LogEntry): void {
+    const index = Number(entry.index);
+    if (index <= this.#log.markIndex) return;
+    const known = this.#log.tryGetTerm(index);
+    if (known === Number(entry.term)) return;
+    if (known !== undefined) {
+      assert(index > this.#commitIndex, "a committed entry never changes");
+      this.#log.truncateFrom(index);
+      this.#durableIndex = Math.min(this.#durableIndex, index - 1);
+      this.#reloadMembership();
+    }
+    this.#appendEntry(entry);
+  }
+
+  #replyAppend(
+    to: string,
+    accepted: boolean,
+    matchIndex: number,
+    round: bigint,
+  ): void {
+    this.#sendAfterSync(to, {
+      case: "appendReply",
+      value: { accepted, matchIndex: BigInt(matchIndex), round },
+    }, this.term);
+  }
+
+  #receiveAppendReply(message: ReplicaMessage, reply: AppendReply): void {
+    const progress = this.#progress.get(message.from);
+    if (this.#role !== Role.leader || progress === undefined) return;
+    const sentMs = this.#roundSentMs.get(Number(reply.round));
+    if (sentMs !== undefined) {
+      progress.contactMs = Math.max(progress.contactMs, sentMs);
+    }
+    const matchIndex = Number(reply.matchIndex);
+    if (!reply.accepted) {
+      progress.nextIndex = Math.max(progress.matchIndex, matchIndex) + 1;
+      this.#sendAppend(message.from, progress);
+      return;
+    }
+    progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
+    if (progress.matchIndex > this.#log.markIndex) {
+      progress.snapshotSentMs = -Infinity;
+    }
+    this.#resendLost(message.from, progress);
+    this.#advanceCommit();
+    this.#continueTransfer();
+  }
+
+  /** Goes back to the acknowledged index once a send is overdue. */
+  #resendLost(id: string, progress: Progress): void {
+    const behind = progress.nextIndex <= this.#log.lastIndex;
+    const unanswered = progress.matchIndex < progress.sentIndex &&
+      this.#nowMs > progress.sentMs + 2 * this.#timing.heartbeatMs;
+    progress.nextIndex = Math.max(
+      progress.nextIndex,
+      progress.matchIndex + 1,
+    );
+    if (unanswered) progress.nextIndex = progress.matchIndex + 1;
+    if (behind || unanswered) this.#sendAppend(id, progress);
+  }
+
+  #advanceCommit(): void {
+    const index = getQuorumValue(
+      this.#membership,
+      (id) => this.getMatchIndex(id),
+    );
+    if (index <= this.#commitIndex) return;
+    // Only an entry of the own term shows that earlier ones are settled.
+    if (this.#log.tryGetTerm(index) !== this.term) return;
+    this.#commitIndex = index;
+    const gone = this.#membershipIndex <= index &&
+      !isVoter(this.#membership, this.#id);
+    this.#broadcastDue = true;
+    if (gone) this.#becomeFollower(this.term, "");
+  }
+
+  #continueTransfer(): void {
+    if (this.#role !== Role.leader || this.#transferTo === "") return;
+    if (this.getMatchIndex(this.#transferTo) !== this.#log.lastIndex) return;
+    this.#transferSent = true;
+    this.#sendNow(this.#transferTo, { case: "timeoutNow", value: {} });
+  }
+
+  #getQuorumContactMs(): number {
+    return getQuorumValue(
+      this.#membership,
+      (id) =>
+        id === this.#id
+          ? this.#nowMs
+          : this.#progress.get(id)?.contactMs ?? -Infinity,
+    );
+  }
+
+  #tryRefuseChange(change: {
+    add?: Membership["members"][number];
+    promote?: string;
+    remove?: string;
+  }): MembershipRefusal | undefined {
+    const find = (id: string) =>
+      this.#membership.members.find((member) => member.id === id);
+    if (this.#role !== Role.leader) return "not the leader";
+    if (this.#membershipIndex > this.#commitIndex) {
+      return "another change is not committed yet";
+    }
+    if (this.#commitIndex < this.#termStartIndex) {
+      return "the leader has committed nothing in its term yet";
+    }
+    if (change.add !== undefined) {
+      return find(change.add.id) === undefined
+        ? undefined
+        : "the member exists already";
+    }
+    const target = find(change.promote ?? change.remove ?? "");
+    if (target === undefined) return "no such member";
+    if (change.promote !== undefined) {
+      return this.getMatchIndex(target.id) >= this.#commitIndex
+        ? undefined
+        : "the learner has not caught up";
+    }
+    const last = !target.learner && getVoters(this.#membership).length === 1;
+    return last ? "the last voter cannot be removed" : undefined;
+  }
+
+  #getMembershipAt(index: number): Membership {
+    const entry = this.#log.tryFindLast((one) =>
+      one.payload.case === "membership" && Number(one.index) <= index
+    );
+    return entry?.payload.case === "membership"
+      ? entry.payload.value
+      : this.#markMembership;
+  }
+
+  #reloadMembership(): void {
+    const entry = this.#log.tryFindLast((one) =>
+      one.payload.case === "membership"
+    );
+    this.#membership = entry?.payload.case === "membership"
+      ? entry.payload.value
+      : this.#markMembership;
+    this.#membershipIndex = Number(entry?.index ?? 0n);
+    if (this.#role === Role.leader) this.#syncProgress();
+  }
+
+  #setHardState(term: number, votedFor: string): void {
+    this.#hardState = create(HardStateSchema, {
+      term: BigInt(term),
+      votedFor,
+    });
+    this.#records.push(createHardStateRecord(this.#hardState));
+  }
+
+  /** Tells the sender of an old term about the current one. */
+  #refuseStale(message: ReplicaMessage): void {
+    const { body } = message;
+    if (body.case === "appendRequest" || body.case === "snapshotRequest") {
+      this.#replyAppend(message.from, false, 0, body.value.round);
+    }
+  }
+
+  #sendNow(to: string, body: Body): void {
+    this.#messagesNow.push(this.#createMessage(to, body, this.term));
+  }
+
+  #sendAfterSync(to: string, body: Body, term: number): void {
+    this.#messagesAfterSync.push(this.#createMessage(to, body, term));
+  }
+
+  #createMessage(to: string, body: Body, term: number): ReplicaMessage {
+    return create(ReplicaMessageSchema, {
+      group: this.#group,
+      from: this.#id,
+      to,
+      term: BigInt(term),
+      body,
+    });
+  }
+}
--- /dev/null
+++ b/src/state/machines/control_machine.ts
@@ -0,0 +1,169 @@
+/**
+ * State of the control group: the configuration, the answers to orders and the
+ * entries of the fleet.
+ */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import {
+  type Configuration,
+  ConfigurationSchema,
+  ControlCommandSchema,
+  ControlReplySchema,
+  ControlSnapshotSchema,
+  type EntryRegistration,
+  MessageCode,
+  type Order,
+  type OrderOutcome,
+  OrderOutcomeSchema,
+  OrderSchema,
+} from "../../schema/mod.ts";
+import { formatMessage } from "../../sys/errors.ts";
+import { getDigest } from "../../sys/random.ts";
+import { applyOrder } from "./orders.ts";
+import { type CommandContext, StateMachine } from "./state_machine.ts";
+
+interface RecordedAnswer {
+  readonly digest: Uint8Array;
+  readonly outcome: OrderOutcome;
+}
+
+/** Answers kept for resent orders; the oldest go first. */
+const MAX_RECORDED_ORDERS = 100_000;
+
+/** The control group's state. */
+export class ControlMachine extends StateMachine {
+  #configuration: Configuration = create(ConfigurationSchema);
+  #orders = new Map<string, RecordedAnswer>();
+  #entries = new Map<string, EntryRegistration>();
+  #entriesVersion = 0;
+
+  get configuration(): Configuration {
+    return this.#configuration;
+  }
+
+  get entries(): EntryRegistration[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Rises with each change of the entries. */
+  get entriesVersion(): number {
+    return this.#entriesVersion;
+  }
+
+  override apply(command: Uint8Array, context: CommandContext): Uint8Array {
+    const { command: body } = fromBinary(ControlCommandSchema, command);
+    const outcome = body.case === "order"
+      ? this.#applyOrder(body.value, context.index)
+      : undefined;
+    if (body.case === "registerEntry") this.#registerEntry(body.value);
+    if (body.case === "removeEntry") this.#removeEntry(body.value);
+    return toBinary(
+      ControlReplySchema,
+      create(ControlReplySchema, { outcome }),
+    );
+  }
+
+  override *capture(): Iterable<Uint8Array> {
+    const snapshot = create(ControlSnapshotSchema, {
+      configuration: this.#configuration,
+      orders: [...this.#orders].map(([orderId, answer]) => ({
+        orderId,
+        ...answer,
+      })),
+      entries: this.entries,
+      entriesVersion: BigInt(this.#entriesVersion),
+    });
+    yield toBinary(ControlSnapshotSchema, snapshot);
+  }
+
+  override restore(parts: readonly Uint8Array[]): void {
+    const snapshot = fromBinary(
+      ControlSnapshotSchema,
+      parts[0] ?? new Uint8Array(),
+    );
+    this.#configuration = snapshot.configuration ??
+      create(ConfigurationSchema);
+    this.#orders = new Map(snapshot.orders.map((order) => [order.orderId, {
+      digest: order.digest,
+      outcome: order.outcome ?? create(OrderOutcomeSchema),
+    }]));
+    this.#entries = new Map(
+      snapshot.entries.map((entry) => [entry.id, entry]),
+    );
+    this.#entriesVersion = Number(snapshot.entriesVersion);
+  }
+
+  #registerEntry(entry: EntryRegistration): void {
+    this.#entries.set(entry.id, entry);
+    this.#entriesVersion += 1;
+  }
+
+  #removeEntry(id: string): void {
+    if (this.#entries.delete(id)) this.#entriesVersion += 1;
+  }
+
+  #applyOrder(order: Order, index: number): OrderOutcome {
+    const digest = getDigest(toBinary(OrderSchema, order));
+    const recorded = this.#orders.get(order.orderId);
+    if (recorded !== undefined) {
+      return Buffer.compare(recorded.digest, digest) === 0
+        ? recorded.outcome
+        : this.#createRefusal(order, MessageCode.ORDER_REUSED, "");
+    }
+    const outcome = this.#decide(order, index);
+    this.#orders.set(order.orderId, { digest, outcome });
+    if (this.#orders.size > MAX_RECORDED_ORDERS) {
+      const oldest = this.#orders.keys().next().value;
+      if (oldest !== undefined) this.#orders.delete(oldest);
+    }
+    return outcome;
+  }
+
+  #decide(order: Order, index: number): OrderOutcome {
+    if (order.orderId === "") {
+      return this.#createRefusal(
+        order,
+        MessageCode.ORDER_INVALID,
+        "the order has no order id",
+      );
+    }
+    if (order.expectedVersion !== this.#configuration.version) {
+      return this.#createRefusal(order, MessageCode.ORDER_CONFLICT, "");
+    }
+    const result = applyOrder(this.#configuration, order, index);
+    if (!result.ok) {
+      return this.#createRefusal(
+        order,
+        result.refusal.code,
+        result.refusal.reason,
+      );
+    }
+    this.#configuration = result.configuration;
+    return create(OrderOutcomeSchema, {
+      orderId: order.orderId,
+      accepted: true,
+      version: this.#configuration.version,
+    });
+  }
+
+  #createRefusal(
+    order: Order,
+    code: MessageCode,
+    reason: string,
+  ): OrderOutcome {
+    const { version, lastOrderId, lastOperator } = this.#configuration;
+    return create(OrderOutcomeSchema, {
+      orderId: order.orderId,
+      accepted: false,
+      version,
+      code,
+      detail: reason || formatMessage(code, {
+        expected: Number(order.expectedVersion),
+        winner: lastOrderId,
+        operator: lastOperator,
+        version: Number(version),
+      }),
+      winnerOrderId: lastOrderId,
+      winnerOperator: lastOperator,
+    });
+  }
+}
--- /dev/null
+++ b/src/state/machines/keyed_requests.ts
@@ -0,0 +1,129 @@
+/**
+ * Requests under an idempotency key. The first request with a key runs; a
+ * resent one reads its outcome. A non-idempotent request is recorded as
+ * dispatched before its first byte leaves and never runs again.
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  type FinishRequest,
+  ItemState,
+  type KeyedRequest,
+  KeyedRequestSchema,
+  type Outcome,
+} from "../../schema/mod.ts";
+
+/** Answer to the start of a request. */
+export type BeginResult =
+  | { readonly kind: "begun"; readonly request: KeyedRequest }
+  | { readonly kind: "known"; readonly request: KeyedRequest }
+  | { readonly kind: "key reused" };
+
+function getMapKey(caller: string, key: string): string {
+  return `${caller}\u0000${key}`;
+}
+
+/** All keyed requests of a group. */
+export class KeyedRequests {
+  #requests = new Map<string, KeyedRequest>();
+  readonly #dispatched = new Set<string>();
+
+  get dispatchedCount(): number {
+    return this.#dispatched.size;
+  }
+
+  get count(): number {
+    return this.#requests.size;
+  }
+
+  getAll(): KeyedRequest[] {
+    return [...this.#requests.values()];
+  }
+
+  tryGet(caller: string, key: string): KeyedRequest | undefined {
+    return this.#requests.get(getMapKey(caller, key));
+  }
+
+  /** Starts a request under its key unless the key is known. */
+  begin(wanted: KeyedRequest, timeMs: number): BeginResult {
+    const known = this.tryGet(wanted.caller, wanted.key);
+    if (known === undefined) {
+      return this.#dispatch({ ...wanted, createdMs: BigInt(timeMs) });
+    }
+    if (Buffer.compare(known.digest, wanted.digest) !== 0) {
+      return { kind: "key reused" };
+    }
+    if (known.state === ItemState.ACCEPTED) {
+      const { epoch, attemptId } = wanted;
+      return this.#dispatch({ ...known, epoch, attemptId });
+    }
+    const resent = known.state === ItemState.DISPATCHED &&
+      known.attemptId === wanted.attemptId;
+    return { kind: resent ? "begun" : "known", request: known };
+  }
+
+  /** Records the outcome; false when the request is not dispatched so. */
+  finish(finished: FinishRequest): boolean {
+    const known = this.tryGet(finished.caller, finished.key);
+    const current = known?.state === ItemState.DISPATCHED &&
+      known.epoch === finished.epoch;
+    if (known === undefined || !current) return false;
+    if (finished.outcome === undefined) {
+      this.#put({ ...known, state: ItemState.ACCEPTED, epoch: 0n });
+    } else {
+      this.#put({
+        ...known,
+        state: ItemState.FINISHED,
+        outcome: finished.outcome,
+      });
+    }
+    return true;
+  }
+
+  /** Ends what a lost entry had dispatched. */
+  endEpoch(epoch: number, lost: Outcome): void {
+    [...this.#dispatched].map((key) => this.#requests.get(key))
+      .filter((request) => request !== undefined)
+      .filter((request) => Number(request.epoch) === epoch)
+      .forEach((request) =>
+        this.#put(
+          request.nonIdempotent
+            ? { ...request, state: ItemState.FINISHED, outcome: lost }
+            : { ...request, state: ItemState.ACCEPTED, epoch: 0n },
+        )
+      );
+  }
+
+  /** Removes requests that ended and were created before `beforeMs`. */
+  expire(beforeMs: number): void {
+    this.getAll()
+      .filter((request) =>
+        request.state !== ItemState.DISPATCHED &&
+        Number(request.createdMs) < beforeMs
+      )
+      .forEach((request) =>
+        this.#requests.delete(getMapKey(request.caller, request.key))
+      );
+  }
+
+  restore(requests: readonly KeyedRequest[]): void {
+    this.#requests = new Map();
+    this.#dispatched.clear();
+    requests.forEach((request) => this.#put(request));
+  }
+
+  #dispatch(request: KeyedRequest): BeginResult {
+    const dispatched = create(KeyedRequestSchema, {
+      ...request,
+      state: ItemState.DISPATCHED,
+    });
+    this.#put(dispatched);
+    return { kind: "begun", request: dispatched };
+  }
+
+  #put(request: KeyedRequest): void {
+    const key = getMapKey(request.caller, request.key);
+    this.#requests.set(key, request);
+    if (request.state === ItemState.DISPATCHED) this.#dispatched.add(key);
+    else this.#dispatched.delete(key);
+  }
+}
--- /dev/null
+++ b/src/sys/clock.ts
@@ -0,0 +1,118 @@
+/**
+ * The clock. Production code reads time and starts timers only through this
+ * class, so that a test replaces time whole.
+ */
+
+/** A timer that can be cancelled. */
+export interface Timer {
+  /** Stops the timer; after it fired this does nothing. */
+  cancel(): void;
+}
+
+/** Source of time and timers. */
+export abstract class Clock {
+  /** Wall time in milliseconds since the Unix epoch. */
+  abstract getWallMs(): number;
+
+  /** Monotonic time in milliseconds from an arbitrary start. */
+  abstract getMonotonicMs(): number;
+
+  /** Calls `action` once after `ms` milliseconds. */
+  abstract startTimer(ms: number, action: () => void): Timer;
+
+  /** Calls `action` every `ms` milliseconds until cancelled. */
+  startInterval(ms: number, action: () => void): Timer {
+    let cancelled = false;
+    const arm = (): Timer =>
+      this.startTimer(ms, () => {
+        if (cancelled) return;
+        timer = arm();
+        action();
+      });
+    let timer = arm();
+    return {
+      cancel: () => {
+        cancelled = true;
+        timer.cancel();
+      },
+    };
+  }
+
+  /** Resolves after `ms` milliseconds. */
+  delay(ms: number): Promise<void> {
+    return new Promise((resolve) => this.startTimer(ms, resolve));
+  }
+}
+
+/** The machine's own clock. */
+export class SystemClock extends Clock {
+  override getWallMs(): number {
+    return Date.now();
+  }
+
+  override getMonotonicMs(): number {
+    return performance.now();
+  }
+
+  override startTimer(ms: number, action: () => void): Timer {
+    const handle = setTimeout(action, ms);
+    return { cancel: () => clearTimeout(handle) };
+  }
+}
+
+interface PendingTimer {
+  readonly dueMs: number;
+  readonly order: number;
+  readonly action: () => void;
+}
+
+/** A clock that moves only when told; for tests and embedding. */
+export class ManualClock extends Clock {
+  #nowMs: number;
+  #order = 0;
+  #pending: PendingTimer[] = [];
+
+  constructor(startMs = 1_000_000) {
+    super();
+    this.#nowMs = startMs;
+  }
+
+  override getWallMs(): number {
+    return this.#nowMs;
+  }
+
+  override getMonotonicMs(): number {
+    return this.#nowMs;
+  }
+
+  override startTimer(ms: number, action: () => void): Timer {
+    const timer = { dueMs: this.#nowMs + ms, order: this.#order++, action };
+    this.#pending.push(timer);
+    return {
+      cancel: () => {
+        this.#pending = this.#pending.filter((other) => other !== timer);
+      },
+    };
+  }
+
+  /** Moves time by `ms`, firing due timers in order. */
+  advance(ms: number): void {
+    const endMs = this.#nowMs + ms;
+    let next = this.#tryTakeDue(endMs);
+    while (next !== undefined) {
+      this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+      next.action();
+      next = this.#tryTakeDue(endMs);
+    }
+    this.#nowMs = endMs;
+  }
+
+  #tryTakeDue(endMs: number): PendingTimer | undefined {
+    const due = this.#pending
+      .filter((timer) => timer.dueMs <= endMs)
+      .sort((a, b) => a.dueMs - b.dueMs || a.order - b.order)[0];
+    if (due === undefined) return undefined;
+    this.#pending = this.#pending.filter((other) => other !== due);
+    return due;
+  }
+}
--- /dev/null
+++ b/src/sys/routines.ts
@@ -0,0 +1,95 @@
+/**
+ * Process routines on js-csp. A routine is a generator that communicates over
+ * channels; these helpers give its steps types, bridge promises, make waiting
+ * cancellable, and give every routine the one place that catches its errors.
+ */
+import csp from "js-csp";
+import type { Channel } from "js-csp";
+import type { Clock } from "./clock.ts";
+
+export type { Channel } from "js-csp";
+
+/** A step sequence of a routine that returns `T`. */
+export type Steps<T> = Generator<unknown, T, unknown>;
+
+/** Outcome of a promise seen from a routine. */
+export type Settled<T> =
+  | { readonly ok: true; readonly value: T }
+  | { readonly ok: false; readonly error: unknown };
+
+/** Creates a channel that keeps the newest `size` values and never blocks. */
+export function createSlidingChannel<T>(size: number): Channel<T> {
+  return csp.chan<T>(csp.buffers.sliding(size));
+}
+
+/** Starts `routine`; an error that escapes it goes to `onError`. */
+export function spawnRoutine(
+  routine: () => Steps<void>,
+  onError: (error: unknown) => void,
+): void {
+  csp.go(function* () {
+    try {
+      yield* routine();
+    } catch (error) {
+      onError(error);
+    }
+    return true;
+  });
+}
+
+/** Puts `value` without waiting; a closed channel drops it. */
+export function send<T>(channel: Channel<T>, value: T): void {
+  if (channel.isClosed()) return;
+  csp.offer(channel, value);
+}
+
+/** Takes the next value, or undefined once the channel is closed. */
+export function* tryReceive<T>(channel: Channel<T>): Steps<T | undefined> {
+  const value = yield csp.take(channel);
+  return value === csp.CLOSED ? undefined : value as T;
+}
+
+/** Waits for a promise; a rejection comes back as a value. */
+export function* settle<T>(promise: Promise<T>): Steps<Settled<T>> {
+  const channel = csp.chan<Settled<T>>(1);
+  promise.then(
+    (value) => csp.offer(channel, { ok: true, value }),
+    (error) => csp.offer(channel, { ok: false, error }),
+  );
+  return (yield csp.take(channel)) as Settled<T>;
+}
+
+/** Waits for a promise; a rejection is thrown inside the routine. */
+export function* waitFor<T>(promise: Promise<T>): Steps<T> {
+  const settled = yield* settle(promise);
+  if (!settled.ok) throw settled.error;
+  return settled.value;
+}
+
+/** Waits `ms` milliseconds of `clock`. */
+export function* pause(clock: Clock, ms: number): Steps<void> {
+  const channel = csp.chan<boolean>(1);
+  clock.startTimer(ms, () => csp.offer(channel, true));
+  yield csp.take(channel);
+}
+
+/**
+ * Takes from `channel` for at most `ms` milliseconds. The timer is cleared as
+ * soon as a value arrives, so that no timer outlives its wait.
+ */
+export function* tryReceiveWithin<T>(
+  channel: Channel<T>,
+  clock: Clock,
+  ms: number,
+): Steps<T | undefined> {
+  const deadline = csp.chan<boolean>(1);
+  const timer = clock.startTimer(ms, () => csp.offer(deadline, true));
+  const result = (yield csp.alts([channel, deadline], {
+    priority: true,
+  })) as { channel: unknown; value: unknown };
+  timer.cancel();
+  if (result.channel !== channel || result.value === csp.CLOSED) {
+    return undefined;
+  }
+  return result.value as T;
+}
--- /dev/null
+++ b/src/test/agreement_harness.ts
@@ -0,0 +1,262 @@
+/**
+ * Replica cores on a simulated network, clock and disk, all from one seed.
+ * Only records that were synced outlast a crash, and a message that depends on
+ * them leaves only afterwards.
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  HardStateSchema,
+  type LogEntry,
+  type LogRecord,
+  type Membership,
+  MembershipSchema,
+  type ReplicaMessage,
+  SnapshotMarkSchema,
+} from "../schema/mod.ts";
+import { type DurableOutput, ReplicaCore, Role } from "../state/mod.ts";
+import { SeededRandom } from "../sys/random.ts";
+
+const TIMING = { heartbeatMs: 50, electionTimeoutMs: 300 };
+
+/** Clocks of hosts run apart by at most this factor. */
+const DRIFT = 0.02;
+
+interface SimulatedHost {
+  readonly id: string;
+  readonly clockRate: number;
+  core: ReplicaCore;
+  durable: LogRecord[];
+  pending: DurableOutput | undefined;
+  applied: LogEntry[];
+  isUp: boolean;
+}
+
+/** Faults that the network has. */
+export interface NetworkFaults {
+  readonly loss: number;
+  readonly doubling: number;
+}
+
+/** A simulated group. */
+export class SimulatedGroup {
+  readonly hosts: SimulatedHost[];
+  readonly random: SeededRandom;
+  readonly #membership: Membership;
+  readonly #leaders = new Map<number, string>();
+  /** Directed pairs that are cut, as `from>to`. */
+  readonly cuts = new Set<string>();
+  #messages: ReplicaMessage[] = [];
+  #nowMs = 1_000;
+  #proposed = 0;
+  faults: NetworkFaults = { loss: 0, doubling: 0 };
+  /** Commands known to be committed, by index. */
+  readonly committed = new Map<number, string>();
+
+  constructor(seed: number, size: number) {
+    this.random = new SeededRandom(seed);
+    const ids = Array.from({ length: size }, (_, index) => `r${index + 1}`);
+    this.#membership = create(MembershipSchema, {
+      members: ids.map((id) => ({ id })),
+    });
+    this.hosts = ids.map((id) => this.#createHost(id));
+  }
+
+  get nowMs(): number {
+    return this.#nowMs;
+  }
+
+  tryGetLeader(): SimulatedHost | undefined {
+    return this.hosts.filter((host) =>
+      host.isUp && host.core.role === Role.leader
+    ).sort((a, b) => b.core.term - a.core.term)[0];
+  }
+
+  /** Adds a host that belongs to no group yet. */
+  addHost(id: string): SimulatedHost {
+    const host = this.#createHost(id, create(MembershipSchema));
+    this.hosts.push(host);
+    return host;
+  }
+
+  crash(host: SimulatedHost): void {
+    host.isUp = false;
+    host.pending = undefined;
+  }
+
+  restart(host: SimulatedHost): void {
+    const isMember = this.#membership.members.some((one) => one.id === host.id);
+    const fresh = this.#createHost(
+      host.id,
+      isMember ? this.#membership : create(MembershipSchema),
+      host.durable,
+    );
+    Object.assign(host, { ...fresh, durable: host.durable });
+  }
+
+  /** Proposes a command at a host; false when it doesn't lead. */
+  propose(host: SimulatedHost): boolean {
+    this.#proposed += 1;
+    const command = new TextEncoder().encode(`c${this.#proposed}`);
+    return host.core.tryPropose(command, 0) !== undefined;
+  }
+
+  /** One random event of the simulation. */
+  step(): void {
+    const dice = this.random.getFraction();
+    if (dice < 0.5 && this.#messages.length > 0) this.#deliverOne();
+    else if (dice < 0.75) this.#syncOne();
+    else this.#passTime(1 + this.random.getBelow(10));
+    this.settle();
+  }
+
+  /** Runs without faults until the group is calm. */
+  heal(ms: number): void {
+    this.faults = { loss: 0, doubling: 0 };
+    this.cuts.clear();
+    this.hosts.filter((host) => !host.isUp).forEach((host) =>
+      this.restart(host)
+    );
+    const endMs = this.#nowMs + ms;
+    while (this.#nowMs < endMs) {
+      this.#passTime(5);
+      this.settle();
+      while (this.#messages.length > 0 || this.hosts.some((h) => h.pending)) {
+        this.hosts.forEach((host) => this.#sync(host));
+        if (this.#messages.length > 0) this.#deliverOne();
+        this.settle();
+      }
+    }
+  }
+
+  /** Takes all outputs and checks what must always hold. */
+  settle(): void {
+    this.hosts.filter((host) => host.isUp).forEach((host) => {
+      const prompt = host.core.tryTakePrompt();
+      this.#post(prompt?.messages ?? []);
+      (prompt?.committed ?? []).forEach((entry) => this.#apply(host, entry));
+      if (host.pending === undefined) {
+        host.pending = host.core.tryTakeDurable();
+      }
+    });
+    this.#checkLeaders();
+    this.#checkLease();
+  }
+
+  #createHost(
+    id: string,
+    membership = this.#membership,
+    durable: LogRecord[] = [],
+  ): SimulatedHost {
+    const clockRate = 1 + (this.random.getFraction() * 2 - 1) * DRIFT;
+    const host = { id, clockRate, durable, applied: [], isUp: true };
+    const core = new ReplicaCore({
+      id,
+      group: 1,
+      recovered: replay(durable),
+      firstMembership: membership,
+      random: this.random,
+      nowMs: this.#nowMs * clockRate,
+      timing: TIMING,
+    });
+    return { ...host, core, pending: undefined };
+  }
+
+  #passTime(ms: number): void {
+    this.#nowMs += ms;
+    this.hosts.filter((host) => host.isUp).forEach((host) =>
+      host.core.tick(this.#nowMs * host.clockRate)
+    );
+  }
+
+  #post(messages: readonly ReplicaMessage[]): void {
+    messages.forEach((message) => {
+      if (this.random.getFraction() < this.faults.loss) return;
+      this.#messages.push(message);
+      const isDoubled = this.random.getFraction() < this.faults.doubling;
+      if (isDoubled) this.#messages.push(message);
+    });
+  }
+
+  #deliverOne(): void {
+    const place = this.random.getBelow(this.#messages.length);
+    const [message] = this.#messages.splice(place, 1);
+    if (message === undefined) return;
+    if (this.cuts.has(`${message.from}>${message.to}`)) return;
+    const host = this.hosts.find((one) => one.id === message.to);
+    if (host?.isUp !== true) return;
+    host.core.receive(message, this.#nowMs * host.clockRate);
+  }
+
+  #syncOne(): void {
+    const waiting = this.hosts.filter((host) => host.pending !== undefined);
+    const host = waiting[this.random.getBelow(Math.max(1, waiting.length))];
+    if (host !== undefined) this.#sync(host);
+  }
+
+  #sync(host: SimulatedHost): void {
+    const output = host.pending;
+    if (output === undefined || !host.isUp) return;
+    host.pending = undefined;
+    host.durable.push(...output.records);
+    if (output.records.length > 0) {
+      host.core.confirmDurable(output.durableIndex);
+    }
+    this.#post(output.messagesAfterSync);
+  }
+
+  #apply(host: SimulatedHost, entry: LogEntry): void {
+    const index = Number(entry.index);
+    const text = `${entry.term}:${describe(entry)}`;
+    const known = this.committed.get(index);
+    if (known !== undefined && known !== text) {
+      throw new Error(`${host.id} applied ${text} at ${index}, not ${known}`);
+    }
+    this.committed.set(index, text);
+    host.applied.push(entry);
+  }
+
+  #checkLeaders(): void {
+    this.hosts.filter((host) => host.isUp && host.core.role === Role.leader)
+      .forEach((host) => {
+        const known = this.#leaders.get(host.core.term) ?? host.id;
+        if (known !== host.id) throw new Error("two leaders in one term");
+        this.#leaders.set(host.core.term, host.id);
+      });
+  }
+
+  /** A leader that answers reads knows everything that was committed. */
+  #checkLease(): void {
+    const newest = Math.max(0, ...this.committed.keys());
+    this.hosts.filter((host) => host.isUp).forEach((host) => {
+      const nowMs = this.#nowMs * host.clockRate;
+      if (host.core.holdsLease(nowMs) && host.core.commitIndex < newest) {
+        throw new Error(`${host.id} would answer a stale read`);
+      }
+    });
+  }
+}
+
+function describe(entry: LogEntry): string {
+  return entry.payload.case === "command"
+    ? new TextDecoder().decode(entry.payload.value)
+    : String(entry.payload.case);
+}
+
+function replay(records: readonly LogRecord[]) {
+  let hardState = create(HardStateSchema);
+  let entries: LogEntry[] = [];
+  records.forEach(({ record }) => {
+    if (record.case === "hardState") hardState = record.value;
+    if (record.case === "entry") {
+      entries = entries.slice(0, Number(record.value.index) - 1);
+      entries.push(record.value);
+    }
+  });
+  return {
+    hardState,
+    entries,
+    mark: create(SnapshotMarkSchema),
+    snapshotParts: [],
+    recoveredBytes: 0,
+  };
+}
--- /dev/null
+++ b/src/test/memory_folder.ts
@@ -0,0 +1,105 @@
+/**
+ * A folder in memory that behaves as a disk does in a crash: what was not
+ * synced may be gone or cut short.
+ */
+import { type AppendFile, Folder } from "../sys/files.ts";
+
+interface StoredFile {
+  bytes: Buffer;
+  syncedBytes: number;
+}
+
+/** A disk that can fail on request. */
+export class MemoryFolder extends Folder {
+  readonly path: string;
+  readonly #files: Map<string, StoredFile>;
+  readonly #folders: Map<string, MemoryFolder>;
+  /** Writes fail from now on, as on a full disk. */
+  isFull = false;
+  /** Steps of writing that still succeed before the machine stops. */
+  stepsLeft = Infinity;
+  syncCount = 0;
+
+  constructor(path = "memory") {
+    super();
+    this.path = path;
+    this.#files = new Map();
+    this.#folders = new Map();
+  }
+
+  override list(): Promise<string[]> {
+    return Promise.resolve([...this.#files.keys()].sort());
+  }
+
+  override tryRead(name: string): Promise<Uint8Array | undefined> {
+    const bytes = this.#files.get(name)?.bytes;
+    return Promise.resolve(bytes && Uint8Array.from(bytes));
+  }
+
+  override replace(name: string, bytes: Uint8Array): Promise<void> {
+    return this.#step(() => {
+      const content = Buffer.from(bytes);
+      this.#files.set(name, { bytes: content, syncedBytes: content.length });
+    });
+  }
+
+  override remove(name: string): Promise<void> {
+    return this.#step(() => this.#files.delete(name));
+  }
+
+  override openAppend(name: string, keepBytes: number): Promise<AppendFile> {
+    const file = this.#files.get(name) ??
+      { bytes: Buffer.alloc(0), syncedBytes: 0 };
+    file.bytes = file.bytes.subarray(0, keepBytes);
+    file.syncedBytes = keepBytes;
+    this.#files.set(name, file);
+    return Promise.resolve({
+      append: (bytes: Uint8Array) =>
+        this.#step(() => {
+          file.bytes = Buffer.concat([file.bytes, bytes]);
+        }),
+      sync: () =>
+        this.#step(() => {
+          this.syncCount += 1;
+          file.syncedBytes = file.bytes.length;
+        }),
+      close: () => Promise.resolve(),
+    });
+  }
+
+  override openFolder(name: string): Promise<Folder> {
+    const known = this.#folders.get(name) ?? new MemoryFolder(name);
+    this.#folders.set(name, known);
+    return Promise.resolve(known);
+  }
+
+  /** The machine stops: of what was not synced only `keepBytes` remain. */
+  crash(keepBytes: number): void {
+    this.stepsLeft = Infinity;
+    this.#files.forEach((file) => {
+      const kept = Math.min(file.bytes.length, file.syncedBytes + keepBytes);
+      file.bytes = file.bytes.subarray(0, kept);
+      file.syncedBytes = kept;
+    });
+  }
+
+  /** Changes one byte of a file. */
+  damage(name: string, offset: number): void {
+    const file = this.#files.get(name);
+    if (file === undefined) throw new Error(`no file ${name}`);
+    file.bytes = Buffer.from(file.bytes);
+    file.bytes[offset] = (file.bytes[offset] ?? 0) ^ 0xff;
+  }
+
+  getSize(name: string): number {
+    return this.#files.get(name)?.bytes.length ?? 0;
+  }
+
+  #step(action: () => void): Promise<void> {
+    if (this.isFull) return Promise.reject(new Error("no space left"));
+    if (this.stepsLeft <= 0) return Promise.reject(new Error("stopped"));
+    this.stepsLeft -= 1;
+    action();
+    return Promise.resolve();
+  }
+}
