Prove the promises in a whole fleet; run suspects one at a time on a server

Cause: tests of the whole fleet failed in four ways. A refused connection cast suspicion on a request that had not run, which then waited 2 s for a lane. A suspect of an entry that owns no server ran beside the request that kills servers and was refused with it. A key whose group was out of reach waited 5 s past its deadline. A stopping entry refused connections before the balancer could see that it was not ready. Change: only a request that reached a server is a suspect; the owner of a server grants one lane for a suspect, to any entry; the session's epoch is awaited up to the deadline; a stopping entry takes requests for stop_delay_ms. Ruled out: preferring owned servers alone, which left the hole above.

--- a/src/bench/announcer.ts
+++ b/src/bench/announcer.ts
@@ -24,12 +24,19 @@
 /** Sends announcements until it is stopped. */
 export class Announcer {
   readonly #options: AnnouncerOptions;
+  #entries: readonly string[];
   #timer: Timer | undefined;
   #sequence = 0;
   #turn = 0;
 
   constructor(options: AnnouncerOptions) {
     this.#options = options;
+    this.#entries = options.entries;
+  }
+
+  /** Goes on with other entries. */
+  useEntries(entries: readonly string[]): void {
+    this.#entries = entries;
   }
 
   async start(): Promise<void> {
@@ -52,7 +59,7 @@
   }
 
   async #announce(fields: AnnouncementFields): Promise<void> {
-    const { entries } = this.#options;
+    const entries = this.#entries;
     this.#sequence += 1;
     const announcement = create(AnnouncementSchema, {
       sequence: BigInt(this.#sequence),
--- a/src/bench/fleet.ts
+++ b/src/bench/fleet.ts
@@ -8,6 +8,8 @@
   DeploymentKind,
   Emphasis,
   EntrySettingsSchema,
+  type Member,
+  MemberSchema,
   type Order,
   type OrderOutcome,
   OrderSchema,
@@ -38,6 +40,8 @@
   readonly emphasis?: Emphasis;
   readonly tokenGapTargetMs?: number;
   readonly context?: Partial<ProcessContext>;
+  /** Whether messages from a process, by its id, to an address vanish. */
+  readonly isCut?: (from: string, address: string) => boolean;
   /** Changes to the entries' settings. */
   readonly entrySettings?: Record<string, unknown>;
   /** Changes to the state hosts' settings. */
@@ -122,6 +126,31 @@
     return host;
   }
 
+  getStateFolder(index: number): string {
+    return `${this.#options.folder}/${this.#statePeers[index]?.id}`;
+  }
+
+  /** Starts a state host that belongs to no group yet. */
+  async joinState(id: string): Promise<StateHost> {
+    const [port] = await findFreePorts(1);
+    const peer = {
+      id,
+      address: `127.0.0.1:${port}`,
+      data_centre: this.getDataCentre(this.#statePeers.length),
+    };
+    this.#statePeers.push(peer);
+    const index = this.#statePeers.length - 1;
+    const host = this.#createState(index, { join: true });
+    await host.listen();
+    await host.start();
+    this.states[index] = host;
+    return host;
+  }
+
+  createMember(fields: { id: string; address: string }): Member {
+    return create(MemberSchema, fields);
+  }
+
   async startEntries(): Promise<void> {
     const count = this.#options.entries ?? 2;
     for (let index = 0; index < count; index += 1) {
@@ -147,7 +176,7 @@
       ...this.#options.entrySettings,
     });
     const name = `entry-${index + 1}`;
-    const context = createProcessContext({ ...this.#options.context, name });
+    const context = this.#createContext(name);
     const entry = new EntryHost(settings, context);
     await entry.start();
     this.entries[index] = entry;
@@ -283,7 +312,10 @@
     await Promise.all(this.states.map((state) => state.halt()));
   }
 
-  #createState(index: number): StateHost {
+  #createState(
+    index: number,
+    changes: Record<string, unknown> = {},
+  ): StateHost {
     const peer = this.#statePeers[index];
     if (peer === undefined) throw new Error(`no state host ${index}`);
     const settings = createSettings(StateSettingsSchema, {
@@ -294,11 +326,17 @@
       members: this.#statePeers,
       item_groups: this.#options.itemGroups ?? 2,
       ...this.#options.stateSettings,
+      ...changes,
     });
-    const context = createProcessContext({
-      ...this.#options.context,
-      name: peer.id,
+    return new StateHost(settings, this.#createContext(peer.id));
+  }
+
+  #createContext(name: string): ProcessContext {
+    const { context, isCut } = this.#options;
+    return createProcessContext({
+      ...context,
+      name,
+      isCut: (address) => isCut?.(name, address) ?? false,
     });
-    return new StateHost(settings, context);
   }
 }
--- a/src/bench/stand_in_engine.ts
+++ b/src/bench/stand_in_engine.ts
@@ -161,6 +161,11 @@
     this.crash();
   }
 
+  /** Announces itself at other entries from now on. */
+  useEntries(entries: readonly string[]): void {
+    this.#announcer.useEntries(entries);
+  }
+
   announceLeaving(): Promise<void> {
     return this.#announcer.leave();
   }
--- a/src/services/backend_pool.ts
+++ b/src/services/backend_pool.ts
@@ -7,7 +7,6 @@
   chooseServer,
   FairQueue,
   getBatchRoom,
-  type ServerStanding,
 } from "../policy/mod.ts";
 import {
   type BackendServer,
@@ -18,6 +17,13 @@
 import type { Clock, Timer } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
+import {
+  ActivePlacement,
+  type Placement,
+  type PlacementEnd,
+} from "./placement.ts";
+import { getSequenceLimit, getStanding, isLoaded } from "./standings.ts";
+import type { SuspectLanes } from "./suspect_lanes.ts";
 
 /** What has to be placed. */
 export interface PlacementRequest {
@@ -34,68 +40,6 @@
   readonly signal: AbortSignal;
 }
 
-/** How the use of a server ended. */
-export interface PlacementEnd {
-  /** The server failed, as opposed to the request. */
-  readonly isFailure: boolean;
-  readonly gapSumMs?: number;
-  readonly gapCount?: number;
-}
-
-/** A sequence on a server. */
-export interface Placement {
-  readonly server: BackendServer;
-  /** Incarnation of the server when the placement began. */
-  readonly incarnation: bigint;
-  readonly isBatch: boolean;
-  /** Aborted when the placement has to end. */
-  readonly signal: AbortSignal;
-  readonly gaveWay: boolean;
-  release(end: PlacementEnd): void;
-}
-
-class ActivePlacement implements Placement {
-  readonly #abort = new AbortController();
-  readonly #onRelease: (placement: ActivePlacement, end: PlacementEnd) => void;
-  readonly server: BackendServer;
-  readonly incarnation: bigint;
-  readonly isBatch: boolean;
-  readonly isSuspect: boolean;
-  readonly isProbe: boolean;
-  #released = false;
-  gaveWay = false;
-
-  constructor(options: {
-    server: BackendServer;
-    isBatch: boolean;
-    isSuspect: boolean;
-    isProbe: boolean;
-    onRelease: (placement: ActivePlacement, end: PlacementEnd) => void;
-  }) {
-    this.server = options.server;
-    this.incarnation = options.server.announcement.incarnation;
-    this.isBatch = options.isBatch;
-    this.isSuspect = options.isSuspect;
-    this.isProbe = options.isProbe;
-    this.#onRelease = options.onRelease;
-  }
-
-  get signal(): AbortSignal {
-    return this.#abort.signal;
-  }
-
-  end(gaveWay: boolean): void {
-    this.gaveWay ||= gaveWay;
-    this.#abort.abort();
-  }
-
-  release(end: PlacementEnd): void {
-    if (this.#released) return;
-    this.#released = true;
-    this.#onRelease(this, end);
-  }
-}
-
 interface Waiter {
   readonly req: PlacementRequest;
   readonly resolve: (placement: Placement) => void;
@@ -109,18 +53,14 @@
   readonly view: FleetView;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly lanes: SuspectLanes;
   /** Asks the batch owner of a server to make room. */
   readonly onYield: (owner: string, server: string, count: number) => void;
 }
 
 const TICK_MS = 100;
 
-/** Sequences of a server that says nothing of its limit. */
-const DEFAULT_SEQUENCE_LIMIT = 64;
-
-/** Requests beside each other on a plain service. */
-const SERVICE_SEQUENCE_LIMIT = 1024;
-
+const SUSPECT_RETRY_MS = 50;
 const LEAST_TARGET = 2;
 const PEAK_DECAY_PER_TICK = 0.03;
 const RATE_DECAY = 0.9;
@@ -158,6 +98,7 @@
    * request that can't be met is refused at once as not run.
    */
   place(req: PlacementRequest): Promise<Placement> {
+    if (req.isSuspect) return this.#placeSuspect(req);
     const queue = this.#getQueue(req.deployment);
     if (queue.length === 0) {
       const placed = this.#tryPlaceOnline(req);
@@ -197,13 +138,13 @@
       .filter((one) => !req.excluded.has(one.name))
       .filter((one) => nowMs >= one.setAsideUntilMs && !one.isProbed)
       .filter((one) => isLoaded(one, req.model))
-      .filter((one) => !req.isSuspect || !this.#hasSuspect(one))
       .map((one) => ({ one, room: this.#getRoom(one) }))
       .filter(({ room }) => room > 0)
       .sort((a, b) => b.room - a.room)[0]?.one;
-    return server === undefined
-      ? undefined
-      : this.#start(server, { isBatch: true, isSuspect: req.isSuspect });
+    if (server === undefined) return undefined;
+    if (!req.isSuspect) return this.#start(server, { isBatch: true });
+    const onEnd = this.#options.lanes.tryHoldOwn(server.name);
+    return onEnd && this.#start(server, { isBatch: true, onEnd });
   }
 
   /** Ends the youngest batch sequences on a server. */
@@ -292,47 +233,43 @@
     });
   }
 
-  #getStanding(server: BackendServer): ServerStanding {
-    const { own, announcement } = server;
-    return {
-      name: server.name,
-      dataCentre: announcement.dataCentre,
-      models: announcement.models,
-      adapters: announcement.adapters,
-      sequences: own.online + own.batch + server.others,
-      batch: own.batch + Math.min(server.others, server.othersBatch),
-      sequenceTarget: server.sequenceTarget,
-      sequenceLimit: getSequenceLimit(server),
-      setAsideUntilMs: server.setAsideUntilMs,
-      isProbed: server.isProbed,
-      knownSinceMs: server.knownSinceMs,
-    };
-  }
-
-  #hasSuspect(server: BackendServer): boolean {
-    return [...this.#active.get(server.name) ?? []].some((one) =>
-      one.isSuspect
+  /**
+   * Places a request that was in flight when a server died: at most one such
+   * request is on a server at any time, so that a second death has one cause.
+   */
+  async #placeSuspect(req: PlacementRequest): Promise<Placement> {
+    const { clock, lanes } = this.#options;
+    while (!req.signal.aborted && clock.getMonotonicMs() < req.deadlineMs) {
+      const nowMs = clock.getMonotonicMs();
+      const serving = this.#getServing(req.deployment);
+      if (serving.length === 0) throw this.#createNoServer(req);
+      const healthy = serving
+        .filter((one) => nowMs >= one.setAsideUntilMs && !one.isProbed)
+        .filter((one) => isLoaded(one, req.model))
+        .sort((a, b) => a.own.online + a.others - b.own.online - b.others);
+      const leaseMs = req.deadlineMs - nowMs;
+      for (const server of healthy) {
+        const onEnd = await lanes.tryHold(server, leaseMs);
+        if (onEnd !== undefined) {
+          return this.#start(server, { isBatch: false, onEnd });
+        }
+      }
+      await clock.delay(SUSPECT_RETRY_MS);
+    }
+    throw new ServingError(
+      req.signal.aborted
+        ? MessageCode.CALLER_LEFT
+        : MessageCode.DEADLINE_PASSED,
     );
   }
 
-  /** Suspects run one at a time on servers that this entry owns. */
-  #getCandidates(req: PlacementRequest): BackendServer[] {
-    const serving = this.#getServing(req.deployment);
-    if (!req.isSuspect) return serving;
-    const owned = serving.filter((one) => this.#isOwner(one));
-    return (owned.length > 0 ? owned : serving)
-      .filter((one) => !this.#hasSuspect(one));
-  }
-
   #tryPlaceOnline(req: PlacementRequest): Placement | "none" | undefined {
     const { clock, dataCentre, entryId, view, onYield } = this.#options;
-    const candidates = this.#getCandidates(req);
     const decision = chooseServer(
-      candidates.map((server) => this.#getStanding(server)),
+      this.#getServing(req.deployment).map((server) => getStanding(server)),
       { ...req, dataCentre },
       clock.getMonotonicMs(),
     );
-    if (decision.kind === "none" && req.isSuspect) return undefined;
     if (decision.kind !== "server") {
       return decision.kind === "none" ? "none" : undefined;
     }
@@ -348,22 +285,25 @@
       server.othersBatch -= rest;
       onYield(owner.id, server.name, rest);
     }
-    return this.#start(server, { isBatch: false, isSuspect: req.isSuspect });
+    return this.#start(server, { isBatch: false });
   }
 
   #start(
     server: BackendServer,
-    kind: { isBatch: boolean; isSuspect: boolean },
+    options: { isBatch: boolean; onEnd?: () => void },
   ): Placement {
     const isProbe = server.failures > 0;
     if (isProbe) server.isProbed = true;
-    if (kind.isBatch) server.own.batch += 1;
+    if (options.isBatch) server.own.batch += 1;
     else server.own.online += 1;
     const placement = new ActivePlacement({
       server,
-      ...kind,
+      isBatch: options.isBatch,
       isProbe,
-      onRelease: (ended, end) => this.#release(ended, end),
+      onRelease: (ended, end) => {
+        options.onEnd?.();
+        this.#release(ended, end);
+      },
     });
     const active = this.#active.get(server.name) ?? new Set();
     active.add(placement);
@@ -489,14 +429,3 @@
     if (room < 0 && server.own.batch > 0) this.yieldBatch(server.name, -room);
   }
 }
-
-function getSequenceLimit(server: BackendServer): number {
-  const { sequenceLimit, models } = server.announcement;
-  if (sequenceLimit > 0) return sequenceLimit;
-  return models.length > 0 ? DEFAULT_SEQUENCE_LIMIT : SERVICE_SEQUENCE_LIMIT;
-}
-
-function isLoaded(server: BackendServer, model: string): boolean {
-  const { models } = server.announcement;
-  return model === "" || models.length === 0 || models.includes(model);
-}
--- a/src/services/death_watch.ts
+++ b/src/services/death_watch.ts
@@ -6,7 +6,7 @@
 import { type Suspicion, Verdict } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { HttpSendError, sendHttp } from "../sys/http.ts";
-import type { Placement } from "./backend_pool.ts";
+import type { Placement } from "./placement.ts";
 
 const PROBE_TIMEOUT_MS = 300;
 
--- a/src/services/engine_runner.ts
+++ b/src/services/engine_runner.ts
@@ -15,7 +15,8 @@
 import type { Clock } from "../sys/clock.ts";
 import { assertNever, ServingError } from "../sys/errors.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
-import type { BackendPool, Placement } from "./backend_pool.ts";
+import type { BackendPool } from "./backend_pool.ts";
+import type { Placement } from "./placement.ts";
 import type { DeathWatch } from "./death_watch.ts";
 
 /** A completion to run. */
@@ -139,7 +140,7 @@
     const isFailure = end.kind === "broken" ||
       (end.kind === "answered" && end.status >= 500);
     if (end.kind === "done") this.#deaths.noteFinished(run.fingerprint);
-    if (end.kind === "broken" && end.isConnectionLost) {
+    if (mayHaveKilled(end)) {
       await this.#deaths.noteBroken(run.fingerprint, placement);
     }
     placement.release({ isFailure, ...gaps.getSums() });
@@ -242,6 +243,12 @@
   }
 }
 
+/** Whether the request may have ended the server: it had reached it. */
+function mayHaveKilled(end: AttemptEnd): boolean {
+  return end.kind === "broken" && end.isConnectionLost &&
+    end.verdict !== Verdict.NOT_RUN;
+}
+
 function getEndReason(end: AttemptEnd): string {
   if (end.kind === "broken") return end.reason;
   return end.kind === "answered" ? `status ${end.status}` : end.kind;
--- a/src/services/entry_host.ts
+++ b/src/services/entry_host.ts
@@ -47,6 +47,7 @@
 import type { ProcessContext } from "./process_context.ts";
 import { Spreader } from "./spreader.ts";
 import { StateClient } from "./state_client.ts";
+import { SuspectLanes } from "./suspect_lanes.ts";
 import { ViewFollower } from "./view_follower.ts";
 
 /** Path that backend servers announce themselves at. */
@@ -65,6 +66,7 @@
   readonly view = new FleetView();
   readonly state: StateClient;
   readonly pool: BackendPool;
+  readonly #lanes: SuspectLanes;
   readonly #spreader: Spreader;
   readonly #sessions: ItemSessions;
   readonly #runner: EngineRunner;
@@ -89,7 +91,7 @@
     this.#context = context;
     const { clock, random, metrics, log } = context;
     this.#incarnation = random.createId();
-    this.#credentials = createCredentials(settings.tls);
+    this.#credentials = createCredentials(settings.tls, context.isCut);
     this.#rpc = new RpcServer(this.#credentials);
     const { view } = this;
     const groupCount = settings.itemGroups ?? 1;
@@ -106,7 +108,15 @@
       clock,
       metrics,
     });
+    this.#lanes = new SuspectLanes({
+      entryId: settings.id,
+      view,
+      credentials: this.#credentials,
+      clock,
+      random,
+    });
     this.pool = new BackendPool({
+      lanes: this.#lanes,
       entryId: settings.id,
       dataCentre: settings.dataCentre,
       view,
@@ -245,6 +255,8 @@
     const { clock, log } = this.#context;
     const limitMs = this.#settings.stopTimeoutMs ?? 0;
     log.info("stopping", { open: this.#open, held: this.batch.heldCount });
+    // The balancer goes on sending until it has seen that readiness is off.
+    await clock.delay(this.#settings.stopDelayMs ?? 0);
     const drained = this.#listener?.drain() ?? Promise.resolve();
     await Promise.race([
       Promise.all([drained, this.batch.stop(limitMs)]),
@@ -265,6 +277,7 @@
     this.#registrar?.halt();
     this.#follower?.close();
     this.#spreader.close();
+    this.#lanes.close();
     this.pool.close();
     this.#listener?.close();
     this.#rpc.close();
@@ -324,6 +337,18 @@
           suspicions: this.view.suspicions.getAll(),
         }));
       },
+      holdLane: (req) =>
+        Promise.resolve({
+          granted: this.#lanes.grant(
+            req.backendServer,
+            req.holder,
+            req.leaseMs,
+          ),
+        }),
+      releaseLane: (req) => {
+        this.#lanes.end(req.backendServer, req.holder);
+        return Promise.resolve({ granted: false });
+      },
       countOpen: () =>
         Promise.resolve({
           streams: BigInt(this.#open),
--- a/src/services/item_sessions.ts
+++ b/src/services/item_sessions.ts
@@ -91,6 +91,7 @@
   /** Stops renewing; the sessions end when their leases do. */
   halt(): void {
     this.#closed = true;
+    this.#epochs.clear();
   }
 
   async #open(group: number): Promise<bigint> {
--- a/src/services/keyed_store.ts
+++ b/src/services/keyed_store.ts
@@ -87,7 +87,7 @@
     call: KeyedCall,
   ): Promise<{ begun: boolean; epoch: bigint; outcome?: Outcome }> {
     const attemptId = this.#random.createId();
-    const epoch = await this.#sessions.getEpoch(group);
+    const epoch = await this.#getEpoch(group, call);
     try {
       const reply = await this.#state.runItemCommand(group, {
         case: "beginRequest",
@@ -115,6 +115,22 @@
     }
   }
 
+  /** The session's epoch, as far as the call's deadline lets it wait. */
+  async #getEpoch(group: number, call: KeyedCall): Promise<bigint> {
+    const known = this.#sessions.tryGetEpoch(group);
+    if (known !== undefined) return known;
+    const epoch = await Promise.race([
+      this.#sessions.getEpoch(group),
+      this.#clock.delay(this.#getLeftMs(call)),
+    ]);
+    if (typeof epoch === "bigint") return epoch;
+    throw new ServingError(MessageCode.STATE_UNREACHABLE, {
+      verdict: Verdict.MAY_HAVE_RUN,
+      parameters: { reason: "no session could be opened in time" },
+      retryAfterS: 1,
+    });
+  }
+
   async #waitForEnd(group: number, call: KeyedCall): Promise<void> {
     for (;;) {
       await this.#clock.delay(POLL_MS);
@@ -168,6 +184,7 @@
       } catch (error) {
         if (isStaleEpoch(error)) this.#sessions.noteEnded(group, epoch);
       }
+      await this.#clock.delay(POLL_MS);
     }
   }
 
--- a/src/services/plain_service.ts
+++ b/src/services/plain_service.ts
@@ -22,7 +22,8 @@
   removeHopHeaders,
 } from "../sys/http.ts";
 import { getDigest, getDigestHex } from "../sys/random.ts";
-import type { BackendPool, Placement } from "./backend_pool.ts";
+import type { BackendPool } from "./backend_pool.ts";
+import type { Placement } from "./placement.ts";
 import { type CallerRequest, getDeadlineMs } from "./caller_request.ts";
 import { createFailure, sendOutcome } from "./completion_service.ts";
 import type { DeathWatch } from "./death_watch.ts";
@@ -203,7 +204,9 @@
         this.#deaths.noteFinished(run.fingerprint);
         return { answer: result.answer, placement };
       }
-      if (result.kind === "broken" && result.isConnectionLost) {
+      const mayHaveKilled = result.kind === "broken" &&
+        result.isConnectionLost && result.verdict !== Verdict.NOT_RUN;
+      if (mayHaveKilled) {
         await this.#deaths.noteBroken(run.fingerprint, placement);
       }
       placement.release({ isFailure: result.kind === "broken" });
--- a/src/services/process_context.ts
+++ b/src/services/process_context.ts
@@ -10,6 +10,8 @@
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Whether messages to an address vanish; for tests of cut networks. */
+  readonly isCut?: (address: string) => boolean;
 }
 
 /** A context of the machine's own clock and randomness, silent by default. */
@@ -20,6 +22,7 @@
     clock: options.clock ?? new SystemClock(),
     random: options.random ?? new SystemRandom(),
     log: options.log ?? createSilentLog(),
+    isCut: options.isCut,
     metrics: options.metrics ?? new Metrics({ prefix: options.name }),
   };
 }
--- a/src/sys/rpc.ts
+++ b/src/sys/rpc.ts
@@ -142,12 +142,18 @@
   readonly server: grpc.ServerCredentials;
   readonly client: grpc.ChannelCredentials;
   readonly isSecure: boolean;
+  /** Whether messages to an address vanish; a test cuts the network so. */
+  readonly isCut: (address: string) => boolean;
 }
 
 /** Reads certificates; without settings connections are plain. */
-export function createCredentials(tls?: TlsSettings): RpcCredentials {
+export function createCredentials(
+  tls?: TlsSettings,
+  isCut: (address: string) => boolean = () => false,
+): RpcCredentials {
   if (tls === undefined) {
     return {
+      isCut,
       server: grpc.ServerCredentials.createInsecure(),
       client: grpc.credentials.createInsecure(),
       isSecure: false,
@@ -157,6 +163,7 @@
   const key = readFileSync(tls.key);
   const certificate = readFileSync(tls.certificate);
   return {
+    isCut,
     server: grpc.ServerCredentials.createSsl(
       authority,
       [{ private_key: key, cert_chain: certificate }],
@@ -322,10 +329,12 @@
 /** A connection to one process. */
 export class RpcClient {
   readonly #client: grpc.Client;
+  readonly #isCut: () => boolean;
   readonly address: string;
 
   constructor(address: string, credentials: RpcCredentials) {
     this.address = address;
+    this.#isCut = () => credentials.isCut(address);
     this.#client = new grpc.Client(
       address,
       credentials.client,
@@ -344,6 +353,7 @@
   ): Promise<MessageShape<O>> {
     const definition = createDefinition(method);
     const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+    if (this.#isCut()) return rejectAfter(timeoutMs);
     return new Promise((resolve, reject) => {
       this.#client.makeUnaryRequest(
         definition.path,
@@ -377,7 +387,9 @@
       create(method.input, req),
       new grpc.Metadata(),
     );
-    call.on("data", on.message);
+    call.on("data", (message) => {
+      if (!this.#isCut()) on.message(message);
+    });
     call.on("error", (error: grpc.ServiceError) => on.end(fromStatus(error)));
     call.on("end", () => on.end());
     return call;
@@ -407,6 +419,7 @@
         return full;
       },
       send: (message) => {
+        if (this.#isCut()) return;
         full = !call.write(create(method.input, message));
       },
       close: () => call.cancel(),
@@ -417,3 +430,16 @@
     this.#client.close();
   }
 }
+
+/** What a caller sees when messages vanish: nothing until its time is over. */
+function rejectAfter(timeoutMs: number): Promise<never> {
+  return new Promise((_, reject) =>
+    setTimeout(() =>
+      reject(
+        new ServingError(MessageCode.STATE_UNREACHABLE, {
+          verdict: Verdict.MAY_HAVE_RUN,
+          parameters: { reason: "no answer in time" },
+        }),
+      ), timeoutMs)
+  );
+}
