Bench: scenarios over threads, open-loop load, baselines in the same run

Cause: no policy could be judged; and the bench's first start found that two introductions at once replaced the identity file under each other (ENOENT).

--- a/src/bench/mod.ts
+++ b/src/bench/mod.ts
@@ -4,3 +4,5 @@
 export * from "./fleet.ts";
 export * from "./stand_in_engine.ts";
 export * from "./stand_in_service.ts";
+export * from "./report.ts";
+export * from "./scenario_run.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,10 +1,16 @@
 #!/usr/bin/env node
 /** The command line: settings, orders, jobs, dumps, exports and the demo. */
 import { randomUUID } from "node:crypto";
-import { readFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { toJson } from "@bufbuild/protobuf";
 import { Command } from "commander";
-import { callWhole } from "../bench/mod.ts";
+import {
+  callWhole,
+  createPlot,
+  formatHeading,
+  formatResult,
+  runScenario,
+} from "../bench/mod.ts";
 import { formatFailure, readSettings } from "../daemons/daemon.ts";
 import {
   ConfigurationSchema,
@@ -13,6 +19,7 @@
   MessageCode,
   Operators,
   OrderOutcomeSchema,
+  ScenarioSchema,
   StateSettingsSchema,
 } from "../schema/mod.ts";
 import { asServingError, formatCode, ServingError } from "../sys/errors.ts";
@@ -311,6 +318,27 @@
   },
 );
 
+interface BenchOptions {
+  readonly report?: string;
+}
+
+program.command("bench")
+  .description("Run a scenario against stand-in engines and report.")
+  .argument("<scenario>", "path of the scenario's TOML file")
+  .option("--report <path>", "also write <path>.json and <path>.svg")
+  .action(async (file: string, options: BenchOptions) => {
+    const scenario = readSettings(ScenarioSchema, file);
+    const output = getOutput();
+    output.print(formatHeading(), { scenario: scenario.name });
+    const results = await runScenario(
+      scenario,
+      (result) => output.print(formatResult(result), result),
+    );
+    if (options.report === undefined) return;
+    writeFileSync(`${options.report}.json`, JSON.stringify(results));
+    writeFileSync(`${options.report}.svg`, createPlot(scenario.name, results));
+  });
+
 program.command("demo")
   .description("Run a whole small fleet in this process and show its work.")
   .action(() => runDemo(getOutput()));
--- a/src/services/backend_pool.ts
+++ b/src/services/backend_pool.ts
@@ -149,6 +149,11 @@
 
   /** Ends the youngest batch sequences on a server. */
   yieldBatch(server: string, count: number): number {
+    const known = this.#options.view.backends.tryGet(server);
+    const rule = this.#options.view.tryGetRule(
+      known?.announcement.deployment ?? "",
+    );
+    if (rule?.batchStays === true) return 0;
     const batch = [...this.#active.get(server) ?? []]
       .filter((placement) => placement.isBatch && !placement.gaveWay);
     const leaving = batch.slice(Math.max(0, batch.length - count));
--- a/src/services/replica_identity.ts
+++ b/src/services/replica_identity.ts
@@ -25,6 +25,8 @@
 export class IdentityRecord {
   readonly #folder: Folder;
   #identity: ReplicaIdentity;
+  /** Writes go one after the other: each replaces the same file. */
+  #saving: Promise<void> = Promise.resolve();
 
   private constructor(folder: Folder, identity: ReplicaIdentity) {
     this.#folder = folder;
@@ -77,10 +79,11 @@
       ...this.#identity,
       ...change,
     });
-    await this.#folder.replace(
-      IDENTITY_FILE,
-      toBinary(ReplicaIdentitySchema, this.#identity),
+    const bytes = toBinary(ReplicaIdentitySchema, this.#identity);
+    this.#saving = this.#saving.then(() =>
+      this.#folder.replace(IDENTITY_FILE, bytes)
     );
+    await this.#saving;
   }
 }
 
