Stand-in engine: steps follow each other without drift

Change: a step is due its own length after the one before. The capacity that the idle use is measured against is that at which 95 in 100 gaps meet their target, two prompts read in beside.

--- a/src/bench/scenario_run.ts
+++ b/src/bench/scenario_run.ts
@@ -48,9 +48,15 @@
 /** Requests that a shared queue sends for each sequence of an engine. */
 const SHARED_QUEUE_DEPTH = 1.5;
 
-/** Sequences of an engine at which the token gap meets its target. */
+/** Prompts that 95 in 100 steps read in at most beside giving tokens. */
+const PROMPTS_BESIDE = 2;
+
+/** Sequences at which 95 in 100 token gaps of an engine meet their target. */
 export function getTargetSequences(scenario: Scenario): number {
-  const target = (scenario.tokenGapTargetMs ?? 0) * US_PER_MS;
+  const prefill = (scenario.batchPromptTokens ?? 0) *
+    (scenario.prefillTokenUs ?? 0);
+  const target = (scenario.tokenGapTargetMs ?? 0) * US_PER_MS -
+    PROMPTS_BESIDE * prefill;
   const base = scenario.baseStepUs ?? 0;
   const each = Math.max(1, scenario.sequenceStepUs ?? 1);
   const fitting = Math.floor((target - base) / each);
--- a/src/bench/stand_in_engine.ts
+++ b/src/bench/stand_in_engine.ts
@@ -103,6 +103,7 @@
   #fencingNumber = 0;
   #isFrozen = false;
   #stepMs = 0;
+  #dueMs = 0;
   address = "";
   /** Tokens given, by all sequences. */
   tokenCount = 0;
@@ -265,15 +266,19 @@
   #arm(ms: number): void {
     if (this.#timer !== undefined || this.#isFrozen) return;
     const { clock } = this.#options;
-    const dueMs = clock.getMonotonicMs() + ms;
-    this.#timer = clock.startTimer(ms, () => {
+    const nowMs = clock.getMonotonicMs();
+    // Steps follow each other by their own length, so that neither late timers
+    // nor the work of the stand-in itself slow the engine down.
+    if (this.#running.size === 0 || this.#dueMs === 0) this.#dueMs = nowMs;
+    this.#dueMs += ms;
+    this.#timer = clock.startTimer(Math.max(0, this.#dueMs - nowMs), () => {
       this.#timer = undefined;
-      this.#step(clock.getMonotonicMs() - dueMs);
+      this.#step();
     });
   }
 
   /** Admits what waits, gives each sequence a token and plans the next step. */
-  #step(lateMs: number): void {
+  #step(): void {
     const { baseStepMs, sequenceStepMs, prefillTokenMs } = this.#options;
     [...this.#running].forEach((sequence) => this.#giveToken(sequence));
     const room = this.#options.maxSequences - this.#running.size;
@@ -289,7 +294,7 @@
     }
     this.#stepMs = baseStepMs + sequenceStepMs * this.#running.size +
       prefillTokenMs * prefillTokens;
-    this.#arm(Math.max(0, this.#stepMs - lateMs));
+    this.#arm(this.#stepMs);
   }
 
   #getUncached(sequence: Sequence): number {
