Claim batch items a little ahead of their room

Cause: a sequence that ended stood empty until the next claim was committed. Change: idempotent items are claimed ahead, 4 and a fifth of those that run; an item that ends wakes the runner at once.

--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -88,6 +88,10 @@
 /** Non-idempotent items are claimed as dispatched, so few at a time. */
 const SERVICE_CLAIM_ITEMS = 16;
 
+/** Items claimed ahead of their room, at least and for each that runs. */
+const LEAST_AHEAD = 4;
+const AHEAD_SHARE = 0.2;
+
 /** Time after which an item that found no room goes back, in milliseconds. */
 const MAX_HOLD_MS = 2_000;
 
@@ -238,11 +242,22 @@
       const most = this.#isService(share.deployment)
         ? SERVICE_CLAIM_ITEMS
         : MAX_CLAIM_ITEMS;
-      const room = pool.getBatchRoom(share.deployment) - held;
+      const open = pool.getBatchRoom(share.deployment);
+      const room = open + this.#getAhead(share.deployment) - held;
       return { ...share, maxItems: Math.min(share.maxItems, most, room) };
     }).filter((share) => share.maxItems > 0);
   }
 
+  /**
+   * Items claimed ahead of their room, so that a sequence that ends is
+   * followed at once. Non-idempotent ones are not: a claim is their dispatch.
+   */
+  #getAhead(deployment: string): number {
+    if (this.#isService(deployment)) return 0;
+    const running = this.#getHeld((item) => item.isRunning).length;
+    return running === 0 ? 0 : LEAST_AHEAD + Math.ceil(running * AHEAD_SHARE);
+  }
+
   #isService(deployment: string): boolean {
     return this.#options.view.tryGetDeployment(deployment)?.kind ===
       DeploymentKind.PLAIN_SERVICE;
@@ -470,6 +485,7 @@
     const key = getItemKey(item);
     if (this.#held.get(key) !== item) return;
     this.#held.delete(key);
+    send(this.#wake, true);
     if (end.outcome !== undefined) {
       this.#options.metrics.count(MetricName.batchItems);
     }
