Bound batch by the recent online peak where latency weighs more

Cause: the latency setting kept the distance to the online peak free below the target, so in a burst steps still grew to the full target, and outside bursts idle capacity stood empty. A late report also still showed own sequences that had ended as those of others. Change: in the latency setting all sequences together stay within the online peak of about the last 20 s, at least a quarter of the target; the load of others is what a report shows beyond the highest own load of the last second.

--- a/src/membership/backend_view.ts
+++ b/src/membership/backend_view.ts
@@ -19,6 +19,8 @@
   knownSinceMs: number;
   leaseEndMs: number;
   readonly own: OwnLoad;
+  /** Highest own load of the last looks, which a late report may still show. */
+  readonly ownHistory: number[];
   /** Sequences of other entries, by the newest report. */
   others: number;
   /** Batch sequences among them, as the server's owner says. */
@@ -53,6 +55,9 @@
 
 const DEFAULT_LEASE_MS = 3_000;
 
+/** Looks at the own load that a report may lag behind. */
+const HISTORY_LENGTH = 10;
+
 /** Time for which a server that left is remembered, in milliseconds. */
 const REMEMBER_MS = 60_000;
 
@@ -86,8 +91,8 @@
     known.leaseEndMs = nowMs + leaseMs;
     known.others = Math.max(
       0,
-      announcement.running + announcement.waiting - known.own.online -
-        known.own.batch,
+      announcement.running + announcement.waiting -
+        Math.max(...known.ownHistory, known.own.online + known.own.batch),
     );
     if (restarted || wasGone) {
       known.knownSinceMs = nowMs;
@@ -138,6 +143,14 @@
     server.isProbed = false;
   }
 
+  /** Notes the own load on each server; called at even times. */
+  noteOwnLoads(): void {
+    this.#servers.forEach((server) => {
+      server.ownHistory.push(server.own.online + server.own.batch);
+      if (server.ownHistory.length > HISTORY_LENGTH) server.ownHistory.shift();
+    });
+  }
+
   /** Forgets servers that have been gone for long; returns lost ones. */
   sweep(nowMs: number): BackendServer[] {
     this.getAll()
@@ -163,6 +176,7 @@
     knownSinceMs: nowMs,
     leaseEndMs: nowMs + leaseMs,
     own: { online: 0, batch: 0 },
+    ownHistory: [],
     others: announcement.running + announcement.waiting,
     othersBatch: 0,
     sequenceTarget: announcement.sequenceLimit || FIRST_SEQUENCE_TARGET,
--- a/src/policy/batch_room.ts
+++ b/src/policy/batch_room.ts
@@ -1,7 +1,6 @@
 /**
  * How many batch sequences fit on a server. Batch fills what online requests
- * leave below the target, less a reserve that follows the recent height of
- * online bursts.
+ * leave below a limit, less the reserve that the operator wants.
  */
 import { Emphasis } from "../schema/mod.ts";
 
@@ -22,21 +21,23 @@
   readonly reserve: number;
 }
 
-/** Part of the distance to the recent peak that is kept free. */
-const PEAK_SHARE = {
-  [Emphasis.EMPHASIS_UNSPECIFIED]: 0.5,
-  [Emphasis.LATENCY]: 1,
-  [Emphasis.THROUGHPUT]: 0,
-} as const;
+/** Share of a server's target that batch may fill however low the peak is. */
+const LEAST_FILL = 0.25;
 
-/** Sequences kept free of batch. */
-export function getReserve(
+/**
+ * Sequences of all kinds up to which batch fills a server. Where online tail
+ * latency weighs more, a step never grows longer than in the recent online
+ * bursts, so that the tail stays what online requests make it themselves.
+ */
+export function getFillLimit(
   standing: BatchStanding,
-  weighing: BatchWeighing,
+  emphasis: Emphasis,
 ): number {
-  const distance = Math.max(0, standing.onlinePeak - standing.online);
-  const adaptive = Math.ceil(distance * PEAK_SHARE[weighing.emphasis]);
-  return Math.max(weighing.reserve, adaptive);
+  const { onlinePeak, sequenceTarget } = standing;
+  if (emphasis !== Emphasis.LATENCY) return sequenceTarget;
+  const least = sequenceTarget * LEAST_FILL;
+  const limit = Math.floor(Math.max(onlinePeak, least));
+  return Math.min(sequenceTarget, limit);
 }
 
 /** Batch sequences that may be added; negative when some have to leave. */
@@ -45,7 +46,6 @@
   weighing: BatchWeighing,
 ): number {
   const used = standing.online + standing.ownBatch;
-  const over = standing.sequenceTarget - used;
-  if (over < 0) return over;
-  return Math.max(0, over - getReserve(standing, weighing));
+  const room = getFillLimit(standing, weighing.emphasis) - used;
+  return room < 0 ? room : Math.max(0, room - weighing.reserve);
 }
--- a/src/services/backend_pool.ts
+++ b/src/services/backend_pool.ts
@@ -66,7 +66,7 @@
 /** Ticks after which targets adapt to what was seen. */
 const TICKS_PER_ADAPTATION = 5;
 
-const PEAK_DECAY_PER_TICK = 0.03;
+const PEAK_DECAY_PER_TICK = 0.005;
 const RATE_DECAY = 0.9;
 
 /** Waiting requests for which no estimate refuses any. */
@@ -380,6 +380,7 @@
     this.#ticks += 1;
     this.#refuseLate(nowMs);
     this.#updateRates();
+    view.backends.noteOwnLoads();
     view.backends.getAll().forEach((server) => this.#adapt(server));
     if (this.#ticks % 10 === 0) {
       view.backends.sweep(nowMs)
