Latency setting: fill to seven tenths of the online peak

Cause: with steps as long as in online bursts the tail still grew by 14%, by the prompts of batch items that are read in beside online ones. Change: all sequences together stay within 0.7 of the recent online peak.

--- a/src/policy/batch_room.ts
+++ b/src/policy/batch_room.ts
@@ -21,6 +21,9 @@
   readonly reserve: number;
 }
 
+/** Share of the online peak that all sequences may reach together. */
+const PEAK_SHARE = 0.7;
+
 /** Share of a server's target that batch may fill however low the peak is. */
 const LEAST_FILL = 0.25;
 
@@ -36,7 +39,7 @@
   const { onlinePeak, sequenceTarget } = standing;
   if (emphasis !== Emphasis.LATENCY) return sequenceTarget;
   const least = sequenceTarget * LEAST_FILL;
-  const limit = Math.floor(Math.max(onlinePeak, least));
+  const limit = Math.floor(Math.max(onlinePeak * PEAK_SHARE, least));
   return Math.min(sequenceTarget, limit);
 }
 
