--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -2,6 +2,7 @@
 export * from "./batch_order.ts";
 export * from "./batch_room.ts";
 export * from "./fair_queue.ts";
+export * from "./order_schedule.ts";
 export * from "./quantile_tracker.ts";
 export * from "./retry_budget.ts";
 export * from "./routing.ts";
--- /dev/null
+++ b/src/services/backend_orders.ts
@@ -0,0 +1,201 @@
+/**
+ * Sends operators' orders to backend servers. Only the control group's leader
+ * sends, and each call ends inside its lease; a new leader first waits until
+ * the old one's lease has ended by any clock within the drift bound. So a
+ * server that ignores fencing numbers still takes orders from one sender.
+ */
+import {
+  type Announcement,
+  type BackendOrder,
+  BackendOrder_Action,
+  Entries,
+} from "../schema/mod.ts";
+import { selectOrders, type ServerOrder } from "../policy/mod.ts";
+import { CLOCK_DRIFT_BOUND, type ControlMachine } from "../state/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
+import { sendHttp } from "../sys/http.ts";
+import type { Log } from "../sys/log.ts";
+import { pause, settle, spawnRoutine, type Steps } from "../sys/routines.ts";
+import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+
+/** How {@linkcode BackendOrders} are made. */
+export interface BackendOrdersOptions {
+  readonly control: ControlMachine;
+  /** Milliseconds left of the own lease; zero when this host doesn't lead. */
+  readonly getLeaseLeftMs: () => number;
+  readonly electionTimeoutMs: number;
+  readonly loadConcurrency: number;
+  readonly credentials: RpcCredentials;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+interface PlannedOrder extends ServerOrder {
+  readonly order: BackendOrder;
+  readonly address: string;
+  readonly key: string;
+}
+
+const CYCLE_MS = 100;
+const VIEW_TIMEOUT_MS = 1_000;
+
+/** Shortest part of a lease in which a call is still begun, in milliseconds. */
+const LEAST_LEASE_MS = 50;
+
+const ACTION_NAMES = {
+  [BackendOrder_Action.ACTION_UNSPECIFIED]: "none",
+  [BackendOrder_Action.LOAD_MODEL]: "load_model",
+  [BackendOrder_Action.LOAD_ADAPTER]: "load_adapter",
+  [BackendOrder_Action.SET_ROLE]: "set_role",
+} as const;
+
+/** Delivers orders while this host leads. */
+export class BackendOrders {
+  readonly #options: BackendOrdersOptions;
+  readonly #clients: RpcClients;
+  /** Orders that a start of a server has taken or refused for good. */
+  readonly #settled = new Map<string, string>();
+  readonly #running = new Map<string, ServerOrder>();
+  #leaderSinceMs: number | undefined;
+  #closed = false;
+
+  constructor(options: BackendOrdersOptions) {
+    this.#options = options;
+    this.#clients = new RpcClients(options.credentials);
+  }
+
+  start(): void {
+    spawnRoutine(
+      () => this.#sendAlways(),
+      (error) =>
+        this.#options.log.error("orders_failed", { reason: getReason(error) }),
+    );
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#clients.close();
+  }
+
+  /** What became of each order at each server, for the dump. */
+  getSettled(): Record<string, string> {
+    return Object.fromEntries(this.#settled);
+  }
+
+  *#sendAlways(): Steps<void> {
+    while (!this.#closed) {
+      yield* pause(this.#options.clock, CYCLE_MS);
+      if (!this.#maySend()) continue;
+      const orders = this.#options.control.configuration.backendOrders;
+      if (orders.length === 0) continue;
+      const servers = yield* settle(this.#readServers());
+      if (servers.ok && this.#maySend()) this.#startOrders(servers.value);
+    }
+  }
+
+  /** Whether the lease is held and the one before it has surely ended. */
+  #maySend(): boolean {
+    const { clock, electionTimeoutMs, getLeaseLeftMs } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    if (getLeaseLeftMs() < LEAST_LEASE_MS) {
+      this.#leaderSinceMs = undefined;
+      return false;
+    }
+    this.#leaderSinceMs ??= nowMs;
+    const waitMs = electionTimeoutMs * (1 + CLOCK_DRIFT_BOUND);
+    return nowMs - this.#leaderSinceMs >= waitMs;
+  }
+
+  /** All servers that entries know, newest announcements first. */
+  async #readServers(): Promise<Announcement[]> {
+    const views = await Promise.allSettled(
+      this.#options.control.entries.map((entry) =>
+        this.#clients.get(entry.address).call(Entries.method.getView, {
+          version: this.#options.control.configuration.version,
+        }, { timeoutMs: VIEW_TIMEOUT_MS })
+      ),
+    );
+    const known = new Map<string, Announcement>();
+    views.flatMap((view) =>
+      view.status === "fulfilled" ? view.value.announcements : []
+    ).forEach((one) => {
+      const other = known.get(one.name);
+      const isNewer = other === undefined ||
+        one.incarnation > other.incarnation ||
+        (one.incarnation === other.incarnation &&
+          one.sequence > other.sequence);
+      if (isNewer) known.set(one.name, one);
+    });
+    return [...known.values()].filter((one) => !one.leaving);
+  }
+
+  #startOrders(servers: readonly Announcement[]): void {
+    const { control, loadConcurrency } = this.#options;
+    const planned = control.configuration.backendOrders.flatMap((order) =>
+      servers.filter((server) => isMeant(order, server))
+        .map((server) => createPlan(order, server))
+    ).filter((plan) =>
+      !this.#settled.has(plan.key) && !this.#running.has(plan.key)
+    );
+    const running = [...this.#running.values()];
+    selectOrders(planned, running, loadConcurrency)
+      .forEach((plan) => this.#send(plan));
+  }
+
+  #send(plan: PlannedOrder): void {
+    const { log, getLeaseLeftMs } = this.#options;
+    const { order } = plan;
+    this.#running.set(plan.key, plan);
+    const body = JSON.stringify({
+      fencing_number: plan.fencingNumber,
+      action: ACTION_NAMES[order.action],
+      subject: order.subject,
+      version: order.version,
+    });
+    sendHttp({
+      address: plan.address,
+      method: "POST",
+      path: "/admin/orders",
+      headers: { "content-type": "application/json" },
+      body,
+      isFresh: true,
+      headTimeoutMs: getLeaseLeftMs(),
+    }).then((answer) => {
+      answer.body.resume();
+      // A server that is busy or failing is asked again.
+      if (answer.status >= 500) return;
+      const outcome = answer.status < 300
+        ? "taken"
+        : `refused ${answer.status}`;
+      this.#settled.set(plan.key, outcome);
+      log.info("backend_order", {
+        server: plan.backendServer,
+        fencing_number: plan.fencingNumber,
+        outcome,
+      });
+    }).catch((error) =>
+      log.warn("backend_order_unanswered", {
+        server: plan.backendServer,
+        reason: getReason(error),
+      })
+    ).finally(() => this.#running.delete(plan.key));
+  }
+}
+
+function isMeant(order: BackendOrder, server: Announcement): boolean {
+  return order.deployment === server.deployment &&
+    (order.backendServer === "" || order.backendServer === server.name);
+}
+
+function createPlan(order: BackendOrder, server: Announcement): PlannedOrder {
+  const fencingNumber = Number(order.fencingNumber);
+  return {
+    order,
+    fencingNumber,
+    backendServer: server.name,
+    address: server.address,
+    isLoad: order.action !== BackendOrder_Action.SET_ROLE,
+    key: `${fencingNumber} ${server.name}/${server.incarnation}`,
+  };
+}
--- a/src/services/spreader.ts
+++ b/src/services/spreader.ts
@@ -14,7 +14,7 @@
 } from "../schema/mod.ts";
 import { type Clock, type Timer } from "../sys/clock.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
-import { RpcClient, type RpcCredentials } from "../sys/rpc.ts";
+import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
 
 interface Outbox {
   announcements: Map<string, Announcement>;
@@ -48,12 +48,13 @@
 export class Spreader {
   readonly #options: SpreaderOptions;
   readonly #outboxes = new Map<string, Outbox>();
-  readonly #clients = new Map<string, RpcClient>();
+  readonly #clients: RpcClients;
   #timer: Timer | undefined;
   #closed = false;
 
   constructor(options: SpreaderOptions) {
     this.#options = options;
+    this.#clients = new RpcClients(options.credentials);
   }
 
   /** Passes a server's announcement to the other entries that use it. */
@@ -101,7 +102,7 @@
   close(): void {
     this.#closed = true;
     this.#timer?.cancel();
-    this.#clients.forEach((client) => client.close());
+    this.#clients.close();
   }
 
   #getOthers(entries: readonly EntryRegistration[]): EntryRegistration[] {
@@ -131,18 +132,10 @@
       toBinary(SpreadBatchSchema, batch).length,
     );
     // News that is lost is replaced by the next of its kind.
-    this.#getClient(address)
+    this.#clients.get(address)
       .call(Entries.method.spread, batch, { timeoutMs: CALL_TIMEOUT_MS })
       .catch(() => {});
   }
-
-  #getClient(address: string): RpcClient {
-    const known = this.#clients.get(address);
-    if (known !== undefined) return known;
-    const client = new RpcClient(address, this.#options.credentials);
-    this.#clients.set(address, client);
-    return client;
-  }
 }
 
 function toBatch(outbox: Outbox): MessageInitShape<typeof SpreadBatchSchema> {
--- a/src/services/state_client.ts
+++ b/src/services/state_client.ts
@@ -21,7 +21,7 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
-import { RpcClient, type RpcCredentials } from "../sys/rpc.ts";
+import { type RpcClient, RpcClients, type RpcCredentials } from "../sys/rpc.ts";
 import { CONTROL_GROUP } from "./groups.ts";
 import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
 
@@ -50,13 +50,14 @@
 /** A connection to all state hosts. */
 export class StateClient {
   readonly #options: StateClientOptions;
-  readonly #clients = new Map<string, RpcClient>();
+  readonly #clients: RpcClients;
   readonly #leaders = new Map<number, string>();
   #next = 0;
   #closed = false;
 
   constructor(options: StateClientOptions) {
     this.#options = options;
+    this.#clients = new RpcClients(options.credentials);
   }
 
   /** Submits an order; a resent one gets its first answer. */
@@ -150,7 +151,7 @@
     from: { entry: string; version: bigint; entriesVersion: bigint },
     on: { update: (update: ViewUpdate) => void; end: () => void },
   ): { cancel(): void } {
-    const client = this.#getClient(this.#getNextAddress());
+    const client = this.#clients.get(this.#getNextAddress());
     return client.openStream(State.method.watch, from, {
       message: on.update,
       end: on.end,
@@ -159,7 +160,7 @@
 
   close(): void {
     this.#closed = true;
-    this.#clients.forEach((client) => client.close());
+    this.#clients.close();
   }
 
   async #callLeader<R extends Redirect>(
@@ -176,7 +177,7 @@
       const address = this.#leaders.get(group) || this.#getNextAddress();
       const callMs = Math.min(leftMs, ATTEMPT_TIMEOUT_MS);
       try {
-        const reply = await call(this.#getClient(address), callMs);
+        const reply = await call(this.#clients.get(address), callMs);
         if (!isRedirect(reply.code)) {
           this.#leaders.set(group, address);
           return reply;
@@ -208,14 +209,6 @@
     this.#next += 1;
     return address;
   }
-
-  #getClient(address: string): RpcClient {
-    const known = this.#clients.get(address);
-    if (known !== undefined) return known;
-    const client = new RpcClient(address, this.#options.credentials);
-    this.#clients.set(address, client);
-    return client;
-  }
 }
 
 function isRedirect(code: number): boolean {
--- a/src/services/state_host.ts
+++ b/src/services/state_host.ts
@@ -35,6 +35,7 @@
 import { CONTROL_GROUP, getItemGroups } from "./groups.ts";
 import { IdentityRecord, introduceReplica } from "./replica_identity.ts";
 import { ReplicaLinks } from "./replica_links.ts";
+import { BackendOrders } from "./backend_orders.ts";
 import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
 import { formatCounts, type QueryAnswer, queryItems } from "./item_queries.ts";
 import { Leases } from "./leases.ts";
@@ -58,6 +59,7 @@
   readonly #addresses = new Map<string, string>();
   readonly #credentials: RpcCredentials;
   readonly #entryLeases: Leases<string>;
+  readonly #orders: BackendOrders;
   readonly server: RpcServer;
   #controlReplica: Replica | undefined;
   #links: ReplicaLinks | undefined;
@@ -78,6 +80,15 @@
       clock: context.clock,
       leaseMs: settings.sessionLeaseMs ?? 0,
     });
+    this.#orders = new BackendOrders({
+      control: this.#control,
+      getLeaseLeftMs: () => this.#controlReplica?.getLeaseLeftMs() ?? 0,
+      electionTimeoutMs: settings.electionTimeoutMs ?? 0,
+      loadConcurrency: settings.loadConcurrency ?? 1,
+      credentials: this.#credentials,
+      clock: context.clock,
+      log: context.log,
+    });
   }
 
   get credentials(): RpcCredentials {
@@ -163,6 +174,7 @@
       LEASE_CHECK_MS,
       () => this.#endExpiredSessions(),
     );
+    this.#orders.start();
     this.#isReady = true;
   }
 
@@ -182,6 +194,7 @@
     this.#leaseTimer?.cancel();
     const replicas = this.#getReplicas();
     await Promise.all(replicas.map((replica) => replica.stop()));
+    this.#orders.close();
     this.#links?.close();
     this.server.close();
   }
@@ -225,6 +238,7 @@
       entries: this.#control.entries.length,
       replicas: dumps,
       items: counts,
+      backendOrders: this.#orders.getSettled(),
       metrics: this.#context.metrics.getSums(),
     };
   }
@@ -395,8 +409,27 @@
       });
   }
 
+  /** Cancels what is left of all jobs once the fleet's dissolution is due. */
+  #cancelAtDissolution(): void {
+    const { dissolution } = this.#control.configuration;
+    const isDue = dissolution !== undefined &&
+      this.#context.clock.getWallMs() >= Number(dissolution.deadlineMs);
+    if (!isDue) return;
+    this.#groups.forEach(({ replica, machine }) => {
+      if (!replica.canRead()) return;
+      machine.getCancellableJobIds().forEach((jobId) => {
+        const command = encodeItemCommand({
+          case: "cancelJob",
+          value: { jobId },
+        });
+        replica.propose(command).catch(() => {});
+      });
+    });
+  }
+
   #endExpiredSessions(): void {
     this.#removeSilentEntries();
+    this.#cancelAtDissolution();
     this.#groups.forEach(({ replica, machine, leases }) => {
       const epochs = machine.getSessionEpochs();
       leases.getExpired(replica.canRead(), epochs).forEach((epoch) => {
--- a/src/services/suspect_lanes.ts
+++ b/src/services/suspect_lanes.ts
@@ -8,7 +8,7 @@
 import { Entries } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Random } from "../sys/random.ts";
-import { RpcClient, type RpcCredentials } from "../sys/rpc.ts";
+import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
 
 interface Lane {
   readonly holder: string;
@@ -36,10 +36,11 @@
 export class SuspectLanes {
   readonly #options: SuspectLanesOptions;
   readonly #lanes = new Map<string, Lane>();
-  readonly #clients = new Map<string, RpcClient>();
+  readonly #clients: RpcClients;
 
   constructor(options: SuspectLanesOptions) {
     this.#options = options;
+    this.#clients = new RpcClients(options.credentials);
   }
 
   /** Grants the lane of an owned server unless another holds it. */
@@ -80,7 +81,7 @@
     if (owner === undefined || owner.id === entryId) {
       return this.tryHoldOwn(server.name);
     }
-    const client = this.#getClient(owner.address);
+    const client = this.#clients.get(owner.address);
     const request = {
       backendServer: server.name,
       holder: random.createId(),
@@ -106,14 +107,6 @@
   }
 
   close(): void {
-    this.#clients.forEach((client) => client.close());
-  }
-
-  #getClient(address: string): RpcClient {
-    const known = this.#clients.get(address);
-    if (known !== undefined) return known;
-    const client = new RpcClient(address, this.#options.credentials);
-    this.#clients.set(address, client);
-    return client;
+    this.#clients.close();
   }
 }
--- a/src/services/view_follower.ts
+++ b/src/services/view_follower.ts
@@ -25,7 +25,7 @@
   type Steps,
   tryReceiveWithin,
 } from "../sys/routines.ts";
-import { RpcClient, type RpcCredentials } from "../sys/rpc.ts";
+import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
 import type { StateClient } from "./state_client.ts";
 
 /** How a {@linkcode ViewFollower} is made. */
@@ -55,13 +55,14 @@
 /** Follows the configuration for one entry. */
 export class ViewFollower {
   readonly #options: ViewFollowerOptions;
-  readonly #clients = new Map<string, RpcClient>();
+  readonly #clients: RpcClients;
   #turn = 0;
   #closed = false;
   #saving: Promise<void> = Promise.resolve();
 
   constructor(options: ViewFollowerOptions) {
     this.#options = options;
+    this.#clients = new RpcClients(options.credentials);
   }
 
   /** Reads the folder and asks the neighbours once, then follows. */
@@ -77,7 +78,7 @@
 
   close(): void {
     this.#closed = true;
-    this.#clients.forEach((client) => client.close());
+    this.#clients.close();
   }
 
   *#followAlways(): Steps<void> {
@@ -121,9 +122,7 @@
   }
 
   async #ask(address: string): Promise<void> {
-    const client = this.#clients.get(address) ??
-      new RpcClient(address, this.#options.credentials);
-    this.#clients.set(address, client);
+    const client = this.#clients.get(address);
     const { view, clock } = this.#options;
     const reply = await client.call(Entries.method.getView, {
       version: view.configuration.version,
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -195,6 +195,13 @@
       core.holdsLease(this.#options.clock.getMonotonicMs());
   }
 
+  /** Milliseconds left of the leader's lease; zero when it is not held. */
+  getLeaseLeftMs(): number {
+    if (!this.canRead()) return 0;
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return Math.max(0, this.#core?.getLeaseLeftMs(nowMs) ?? 0);
+  }
+
   /** Takes a message from another replica. */
   receive(message: ReplicaMessage): void {
     const core = this.#core;
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -223,10 +223,16 @@
    * lease holds by the drift bound, and it has committed in its term.
    */
   holdsLease(nowMs: number): boolean {
-    if (this.#role !== Role.leader || this.#transferTo !== "") return false;
+    return this.getLeaseLeftMs(nowMs) > 0;
+  }
+
+  /** Milliseconds left of the lease; zero or less when it is not held. */
+  getLeaseLeftMs(nowMs: number): number {
+    const isSettled = this.#role === Role.leader && this.#transferTo === "" &&
+      this.#commitIndex >= this.#termStartIndex;
+    if (!isSettled) return 0;
     const leaseMs = this.#timing.electionTimeoutMs * (1 - CLOCK_DRIFT_BOUND);
-    return this.#commitIndex >= this.#termStartIndex &&
-      nowMs < this.#getQuorumContactMs() + leaseMs;
+    return this.#getQuorumContactMs(nowMs) + leaseMs - nowMs;
   }
 
   /** Moves time forward. */
@@ -808,12 +814,12 @@
     this.#sendNow(this.#transferTo, { case: "timeoutNow", value: {} });
   }
 
-  #getQuorumContactMs(): number {
+  #getQuorumContactMs(nowMs = this.#nowMs): number {
     return getQuorumValue(
       this.#membership,
       (id) =>
         id === this.#id
-          ? this.#nowMs
+          ? nowMs
           : this.#progress.get(id)?.contactMs ?? -Infinity,
     );
   }
--- a/src/state/machines/item_machine.ts
+++ b/src/state/machines/item_machine.ts
@@ -142,6 +142,12 @@
       );
   }
 
+  /** Jobs that have not ended and may still be cancelled. */
+  getCancellableJobIds(): string[] {
+    return [...this.#active.values()].filter(({ job }) => !job.cancelled)
+      .map(({ job }) => job.id);
+  }
+
   /** What has not ended. */
   getCounts(): InFlightCounts {
     const stored = [...this.#jobs.values()];
--- /dev/null
+++ b/src/sys/rpc_client.ts
@@ -0,0 +1,197 @@
+/** The calling side of remote procedure calls, on grpc-js. */
+import * as grpc from "@grpc/grpc-js";
+import {
+  create,
+  type DescMessage,
+  type DescMethodClientStreaming,
+  type DescMethodServerStreaming,
+  type DescMethodUnary,
+  type MessageInitShape,
+  type MessageShape,
+} from "@bufbuild/protobuf";
+import { MessageCode, Verdict } from "../schema/mod.ts";
+import { ServingError } from "./errors.ts";
+import {
+  CHANNEL_OPTIONS,
+  CODE_METADATA,
+  createDefinition,
+  type RpcCredentials,
+  VERDICT_METADATA,
+} from "./rpc_common.ts";
+
+/** An error of the remote process, with its code and verdict. */
+class RemoteError extends ServingError {
+  constructor(code: MessageCode, verdict: Verdict, text: string) {
+    super(code, { verdict });
+    this.message = text;
+  }
+}
+
+/** The failure of a call as an error with code and verdict. */
+function fromStatus(error: grpc.ServiceError): ServingError {
+  const code = Number(error.metadata?.get(CODE_METADATA)[0] ?? 0);
+  const verdict = Number(error.metadata?.get(VERDICT_METADATA)[0] ?? 0);
+  if (code !== 0) return new RemoteError(code, verdict, error.details);
+  return new ServingError(MessageCode.STATE_UNREACHABLE, {
+    verdict: Verdict.MAY_HAVE_RUN,
+    parameters: { reason: error.details || error.message },
+    cause: error,
+  });
+}
+
+/** The sending side of a stream of messages. */
+export interface RpcSender<M> {
+  /** The remote process takes messages more slowly than they are sent. */
+  readonly isFull: boolean;
+  send(message: M): void;
+  close(): void;
+}
+
+/** Options of one call. */
+export interface CallOptions {
+  /** Longest wait for the answer, in milliseconds. */
+  readonly timeoutMs?: number;
+}
+
+const DEFAULT_CALL_TIMEOUT_MS = 5_000;
+
+/** A connection to one process. */
+export class RpcClient {
+  readonly #client: grpc.Client;
+  readonly #isCut: () => boolean;
+  readonly address: string;
+
+  constructor(address: string, credentials: RpcCredentials) {
+    this.address = address;
+    this.#isCut = () => credentials.isCut(address);
+    this.#client = new grpc.Client(
+      address,
+      credentials.client,
+      CHANNEL_OPTIONS,
+    );
+  }
+
+  /**
+   * Calls a method once. A failure without an answer is STATE_UNREACHABLE with
+   * the verdict that the call may have run.
+   */
+  call<I extends DescMessage, O extends DescMessage>(
+    method: DescMethodUnary<I, O>,
+    req: MessageInitShape<I>,
+    options: CallOptions = {},
+  ): Promise<MessageShape<O>> {
+    const definition = createDefinition(method);
+    const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+    if (this.#isCut()) return rejectAfter(timeoutMs);
+    return new Promise((resolve, reject) => {
+      this.#client.makeUnaryRequest(
+        definition.path,
+        definition.requestSerialize,
+        definition.responseDeserialize as (bytes: Buffer) => MessageShape<O>,
+        create(method.input, req),
+        new grpc.Metadata(),
+        { deadline: new Date(Date.now() + timeoutMs) },
+        (error, reply) => {
+          if (error !== null) reject(fromStatus(error));
+          else resolve(reply as MessageShape<O>);
+        },
+      );
+    });
+  }
+
+  /** Calls a method that answers with a stream. */
+  openStream<I extends DescMessage, O extends DescMessage>(
+    method: DescMethodServerStreaming<I, O>,
+    req: MessageInitShape<I>,
+    on: {
+      message: (message: MessageShape<O>) => void;
+      end: (error?: ServingError) => void;
+    },
+  ): { cancel(): void; pause(): void; resume(): void } {
+    const definition = createDefinition(method);
+    const call = this.#client.makeServerStreamRequest(
+      definition.path,
+      definition.requestSerialize,
+      definition.responseDeserialize as (bytes: Buffer) => MessageShape<O>,
+      create(method.input, req),
+      new grpc.Metadata(),
+    );
+    call.on("data", (message) => {
+      if (!this.#isCut()) on.message(message);
+    });
+    call.on("error", (error: grpc.ServiceError) => on.end(fromStatus(error)));
+    call.on("end", () => on.end());
+    return call;
+  }
+
+  /** Opens a stream of messages to the remote process. */
+  openSender<I extends DescMessage, O extends DescMessage>(
+    method: DescMethodClientStreaming<I, O>,
+    onEnd: () => void,
+  ): RpcSender<MessageInitShape<I>> {
+    const definition = createDefinition(method);
+    const call = this.#client.makeClientStreamRequest(
+      definition.path,
+      definition.requestSerialize,
+      definition.responseDeserialize,
+      new grpc.Metadata(),
+      { deadline: Infinity },
+      () => onEnd(),
+    );
+    let full = false;
+    call.on("error", onEnd);
+    call.on("drain", () => {
+      full = false;
+    });
+    return {
+      get isFull() {
+        return full;
+      },
+      send: (message) => {
+        if (this.#isCut()) return;
+        full = !call.write(create(method.input, message));
+      },
+      close: () => call.cancel(),
+    };
+  }
+
+  close(): void {
+    this.#client.close();
+  }
+}
+
+/** What a caller sees when messages vanish: nothing until its time is over. */
+function rejectAfter(timeoutMs: number): Promise<never> {
+  return new Promise((_, reject) =>
+    setTimeout(() =>
+      reject(
+        new ServingError(MessageCode.STATE_UNREACHABLE, {
+          verdict: Verdict.MAY_HAVE_RUN,
+          parameters: { reason: "no answer in time" },
+        }),
+      ), timeoutMs)
+  );
+}
+
+/** Connections of one process by address, opened when first used. */
+export class RpcClients {
+  readonly #credentials: RpcCredentials;
+  readonly #clients = new Map<string, RpcClient>();
+
+  constructor(credentials: RpcCredentials) {
+    this.#credentials = credentials;
+  }
+
+  get(address: string): RpcClient {
+    const known = this.#clients.get(address);
+    if (known !== undefined) return known;
+    const client = new RpcClient(address, this.#credentials);
+    this.#clients.set(address, client);
+    return client;
+  }
+
+  close(): void {
+    this.#clients.forEach((client) => client.close());
+    this.#clients.clear();
+  }
+}
--- /dev/null
+++ b/src/sys/rpc_server.ts
@@ -0,0 +1,221 @@
+/** The serving side of remote procedure calls, on grpc-js. */
+import * as grpc from "@grpc/grpc-js";
+import {
+  create,
+  type DescMessage,
+  type DescMethod,
+  type DescMethodClientStreaming,
+  type DescMethodServerStreaming,
+  type DescMethodUnary,
+  type DescService,
+  type MessageInitShape,
+  type MessageShape,
+} from "@bufbuild/protobuf";
+import { MessageCode } from "../schema/mod.ts";
+import { getReason, ServingError } from "./errors.ts";
+import {
+  CHANNEL_OPTIONS,
+  CODE_METADATA,
+  createDefinition,
+  type RpcCredentials,
+  VERDICT_METADATA,
+} from "./rpc_common.ts";
+
+/** Who made a call. */
+export interface RpcPeer {
+  /** Common name of the peer's certificate; empty without TLS. */
+  readonly identity: string;
+}
+
+/** Sends answers of a streaming call. */
+export interface RpcStream<O> {
+  /** Sends one message and resolves when there is room for the next. */
+  send(message: O): Promise<void>;
+  readonly closed: boolean;
+  onClosed(action: () => void): void;
+}
+
+type Handlers<S extends DescService> = {
+  [K in keyof S["method"]]: Handler<S["method"][K]>;
+};
+
+type Handler<M> = M extends DescMethodUnary<infer I, infer O> ? (
+    req: MessageShape<I>,
+    peer: RpcPeer,
+  ) => Promise<MessageInitShape<O>>
+  : M extends DescMethodServerStreaming<infer I, infer O> ? (
+      req: MessageShape<I>,
+      stream: RpcStream<MessageInitShape<O>>,
+      peer: RpcPeer,
+    ) => Promise<void>
+  : M extends DescMethodClientStreaming<infer I, infer O>
+    ? (onMessage: (on: (message: MessageShape<I>) => void) => void) => void
+  : never;
+
+function toStatus(error: unknown): Partial<grpc.StatusObject> {
+  const metadata = new grpc.Metadata();
+  if (error instanceof ServingError) {
+    metadata.set(CODE_METADATA, String(error.code));
+    metadata.set(VERDICT_METADATA, String(error.verdict));
+  }
+  return {
+    code: error instanceof ServingError
+      ? grpc.status.FAILED_PRECONDITION
+      : grpc.status.INTERNAL,
+    details: getReason(error),
+    metadata,
+  };
+}
+
+function getIdentity(call: { getAuthContext?: () => unknown }): string {
+  const context = call.getAuthContext?.() as
+    | { sslPeerCertificate?: { subject?: { CN?: string } } }
+    | undefined;
+  return context?.sslPeerCertificate?.subject?.CN ?? "";
+}
+
+/** A gRPC server on one address. */
+export class RpcServer {
+  readonly #server = new grpc.Server(CHANNEL_OPTIONS);
+  readonly #credentials: RpcCredentials;
+
+  constructor(credentials: RpcCredentials) {
+    this.#credentials = credentials;
+  }
+
+  /** Serves all methods of a service. */
+  addService<S extends DescService>(service: S, handlers: Handlers<S>): void {
+    const rows = service.methods.map((method) => {
+      const handler = handlers[method.localName as keyof Handlers<S>];
+      return {
+        name: method.name,
+        definition: createDefinition(method),
+        handler: createHandler(method, handler as never),
+      };
+    });
+    const definitions = rows.map(({ name, definition }) => [name, definition]);
+    const handlerRows = rows.map(({ name, handler }) => [name, handler]);
+    this.#server.addService(
+      Object.fromEntries(definitions),
+      Object.fromEntries(handlerRows),
+    );
+  }
+
+  /** Listens on `address` and returns the real one. */
+  listen(address: string): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.#server.bindAsync(
+        address,
+        this.#credentials.server,
+        (error, port) => {
+          if (error === null) {
+            const host = address.slice(0, address.lastIndexOf(":"));
+            resolve(`${host}:${port}`);
+            return;
+          }
+          reject(
+            new ServingError(MessageCode.PORT_BUSY, {
+              parameters: { address, reason: error.message },
+            }),
+          );
+        },
+      );
+    });
+  }
+
+  /** Ends at once. */
+  close(): void {
+    this.#server.forceShutdown();
+  }
+}
+
+function createHandler(
+  method: DescMethod,
+  handler: (...args: never[]) => unknown,
+): grpc.UntypedHandleCall {
+  if (method.methodKind === "client_streaming") {
+    return ((
+      call: grpc.ServerReadableStream<unknown, unknown>,
+      callback: grpc.sendUnaryData<unknown>,
+    ) => {
+      const run = handler as (on: (on: (m: unknown) => void) => void) => void;
+      run((on) => call.on("data", on));
+      call.on("end", () => callback(null, create(method.output)));
+      call.on("error", () => {});
+    }) as grpc.UntypedHandleCall;
+  }
+  if (method.methodKind === "server_streaming") {
+    return ((call: grpc.ServerWritableStream<unknown, unknown>) => {
+      const stream = new ServerStream(call, method.output);
+      const run = handler as (
+        req: unknown,
+        stream: unknown,
+        peer: RpcPeer,
+      ) => Promise<void>;
+      Promise.resolve()
+        .then(() => run(call.request, stream, { identity: getIdentity(call) }))
+        .then(
+          () => call.end(),
+          (error) => call.emit("error", toStatus(error)),
+        );
+    }) as grpc.UntypedHandleCall;
+  }
+  return ((
+    call: grpc.ServerUnaryCall<unknown, unknown>,
+    callback: grpc.sendUnaryData<unknown>,
+  ) => {
+    const run = handler as (
+      req: unknown,
+      peer: RpcPeer,
+    ) => Promise<MessageInitShape<DescMessage>>;
+    Promise.resolve()
+      .then(() => run(call.request, { identity: getIdentity(call) }))
+      .then(
+        (reply) => callback(null, create(method.output, reply)),
+        (error) => callback(toStatus(error)),
+      );
+  }) as grpc.UntypedHandleCall;
+}
+
+class ServerStream implements RpcStream<MessageInitShape<DescMessage>> {
+  readonly #call: grpc.ServerWritableStream<unknown, unknown>;
+  readonly #output: DescMessage;
+  readonly #onClosed = new Set<() => void>();
+  closed = false;
+
+  constructor(
+    call: grpc.ServerWritableStream<unknown, unknown>,
+    output: DescMessage,
+  ) {
+    this.#call = call;
+    this.#output = output;
+    call.on("cancelled", () => this.#close());
+    call.on("close", () => this.#close());
+    call.on("error", () => {});
+  }
+
+  onClosed(action: () => void): void {
+    this.#onClosed.add(action);
+  }
+
+  send(message: MessageInitShape<DescMessage>): Promise<void> {
+    if (this.closed) return Promise.resolve();
+    const roomy = this.#call.write(create(this.#output, message));
+    if (roomy) return Promise.resolve();
+    return new Promise((resolve) => {
+      const goOn = () => {
+        this.#onClosed.delete(goOn);
+        this.#call.off("drain", goOn);
+        resolve();
+      };
+      this.#call.on("drain", goOn);
+      this.#onClosed.add(goOn);
+    });
+  }
+
+  #close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    [...this.#onClosed].forEach((action) => action());
+  }
+}
