A membership change answers once it is committed

Change: the change's answer waits for its commit, so that an operator who goes by the answers never takes a second host out too early.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -204,7 +204,7 @@
       process.exitCode = 6;
       return;
     }
-    getOutput().print(`${change} ${id}: on its way`, { change, id });
+    getOutput().print(`${change} ${id}: done`, { change, id });
   });
 
 interface ExportOptions extends ConnectionOptions {
--- a/src/services/operator_service.ts
+++ b/src/services/operator_service.ts
@@ -28,7 +28,7 @@
     { streams: number; claims: number; unreachable: string[] }
   >;
   /** Changes a membership; undefined where the process holds no replicas. */
-  readonly changeMember?: (req: ChangeMemberRequest) => void;
+  readonly changeMember?: (req: ChangeMemberRequest) => Promise<void>;
   readonly getLeaderAddress?: (group: number) => string;
 }
 
@@ -49,7 +49,7 @@
       });
       return reply.configuration ?? {};
     },
-    changeMember: (req) => Promise.resolve(changeMember(options, req)),
+    changeMember: (req) => changeMember(options, req),
     dump: () => Promise.resolve({ json: JSON.stringify(options.getDump()) }),
     inFlight: () => getInFlight(options),
     export: (req, stream, peer) => {
@@ -72,10 +72,10 @@
   });
 }
 
-function changeMember(
+async function changeMember(
   options: OperatorServiceOptions,
   req: ChangeMemberRequest,
-): MemberInit {
+): Promise<MemberInit> {
   const leader = options.getLeaderAddress?.(req.group) ?? "";
   try {
     if (options.changeMember === undefined) {
@@ -83,7 +83,7 @@
         parameters: { reason: "this process holds no replicas" },
       });
     }
-    options.changeMember(req);
+    await options.changeMember(req);
     return { accepted: true, leader };
   } catch (error) {
     const failure = asServingError(error);
--- a/src/services/state_host.ts
+++ b/src/services/state_host.ts
@@ -199,18 +199,15 @@
     this.server.close();
   }
 
-  /** Changes the membership of a group; throws when it is refused. */
+  /** Changes the membership of a group; resolves once it is committed. */
   changeMember(
     group: number,
     change: { add?: Member; promote?: string; remove?: string },
-  ): void {
+  ): Promise<void> {
     const replica = this.#tryGetReplica(group);
-    const refusal = replica?.changeMembership(change) ?? (
-      replica === undefined ? "no such group" : undefined
-    );
-    if (refusal === undefined) return;
+    if (replica !== undefined) return replica.changeMembership(change);
     throw new ServingError(MessageCode.MEMBERSHIP_REFUSED, {
-      parameters: { reason: refusal },
+      parameters: { reason: "no such group" },
     });
   }
 
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -39,7 +39,12 @@
 } from "../log/replica_store.ts";
 import { getEntryBytes } from "../log/entry_log.ts";
 import type { StateMachine } from "../machines/state_machine.ts";
-import { type MembershipRefusal, ReplicaCore, Role } from "./replica_core.ts";
+import {
+  type MembershipRefusal,
+  type ProposedEntry,
+  ReplicaCore,
+  Role,
+} from "./replica_core.ts";
 import {
   type AgreementTiming,
   DEFAULT_TIMING,
@@ -228,28 +233,29 @@
     if (proposed === undefined) return Promise.reject(this.#createNotLeader());
     this.#options.metrics.count(MetricName.proposals);
     this.#wake();
-    return new Promise((resolve, reject) => {
-      this.#pending.set(proposed.index, {
-        term: proposed.term,
-        startMs: clock.getMonotonicMs(),
-        resolve,
-        reject,
-      });
-    });
+    return this.#waitForCommit(proposed);
   }
 
-  /** Changes the membership; undefined when the change is on its way. */
-  changeMembership(
+  /**
+   * Changes the membership and resolves once the change is committed. Throws
+   * MEMBERSHIP_REFUSED (not run) when it can't be made now.
+   */
+  async changeMembership(
     change: { add?: Member; promote?: string; remove?: string },
-  ): MembershipRefusal | undefined {
+  ): Promise<void> {
     const core = this.#core;
-    if (core === undefined || this.#stopped) return "not the leader";
-    const refusal = core.changeMembership(
-      change,
-      this.#options.clock.getWallMs(),
-    );
+    const refusal: MembershipRefusal | undefined =
+      core === undefined || this.#stopped
+        ? "not the leader"
+        : core.changeMembership(change, this.#options.clock.getWallMs());
+    if (core === undefined || refusal !== undefined) {
+      throw new ServingError(MessageCode.MEMBERSHIP_REFUSED, {
+        verdict: Verdict.NOT_RUN,
+        parameters: { reason: refusal ?? "" },
+      });
+    }
     this.#wake();
-    return refusal;
+    await this.#waitForCommit({ index: core.lastIndex, term: core.term });
   }
 
   /** Hands leadership to another voter; resolves when it is gone. */
@@ -283,6 +289,18 @@
     };
   }
 
+  /** Resolves with the machine's reply; empty where it was not asked. */
+  #waitForCommit(proposed: ProposedEntry): Promise<Uint8Array> {
+    return new Promise((resolve, reject) => {
+      this.#pending.set(proposed.index, {
+        term: proposed.term,
+        startMs: this.#options.clock.getMonotonicMs(),
+        resolve,
+        reject,
+      });
+    });
+  }
+
   #wake(): void {
     send(this.#promptWake, true);
     send(this.#diskWake, true);
@@ -420,12 +438,12 @@
         term: Number(entry.term),
         timeMs: Number(entry.timeMs),
       })
-      : undefined;
+      : new Uint8Array();
     this.#appliedIndex = index;
     const pending = this.#pending.get(index);
     if (pending === undefined) return;
     this.#pending.delete(index);
-    if (pending.term !== Number(entry.term) || reply === undefined) {
+    if (pending.term !== Number(entry.term)) {
       pending.reject(this.#createNotLeader());
       return;
     }
--- a/src/test/fleet_state_test.ts
+++ b/src/test/fleet_state_test.ts
@@ -126,12 +126,9 @@
         ) => {
           await waitUntil(fleet.clock, "the change", () => {
             const leader = fleet.states[findLeader(fleet, group)];
-            try {
-              leader?.changeMember(group, wanted);
-              return true;
-            } catch {
-              return false;
-            }
+            if (leader === undefined) return false;
+            return leader.changeMember(group, wanted)
+              .then(() => true, () => false);
           });
         };
         const member = { id: "state-4", address: joined.address };
