--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -534,7 +534,7 @@
 
 function getItemKey(item: HeldItem): string {
   const ref = item.claimed.ref;
-  return `${ref?.jobId}/${ref?.index}/${item.epoch}`;
+  return `${ref?.jobId}/${ref?.index}/${ref?.dispatch}`;
 }
 
 function encodeProgress(progress: Progress): Uint8Array {
--- a/src/services/keyed_store.ts
+++ b/src/services/keyed_store.ts
@@ -31,6 +31,18 @@
   }
   | { readonly kind: "known"; readonly outcome: Outcome };
 
+/** What names one beginning of a request. */
+interface BegunRequest {
+  readonly epoch: bigint;
+  readonly attemptId: string;
+}
+
+/** A request that this entry has begun. */
+interface OwnRequest extends BegunRequest {
+  readonly group: number;
+  readonly call: KeyedCall;
+}
+
 const POLL_MS = 100;
 
 /** Longest time that an answer waits for its outcome to be recorded. */
@@ -72,7 +84,7 @@
         return {
           kind: "run",
           finish: (outcome) =>
-            this.#finish(group, request.epoch, call, outcome),
+            this.#finish({ group, call, ...request }, outcome),
         };
       }
       if (request.outcome !== undefined) {
@@ -85,7 +97,7 @@
   async #tryBegin(
     group: number,
     call: KeyedCall,
-  ): Promise<{ begun: boolean; epoch: bigint; outcome?: Outcome }> {
+  ): Promise<BegunRequest & { begun: boolean; outcome?: Outcome }> {
     const attemptId = this.#random.createId();
     const epoch = await this.#getEpoch(group, call);
     try {
@@ -101,16 +113,18 @@
           attemptId,
         },
       }, this.#getLeftMs(call));
-      return { begun: reply.begun, epoch, outcome: reply.request?.outcome };
+      const { outcome } = reply.request ?? {};
+      return { begun: reply.begun, epoch, attemptId, outcome };
     } catch (error) {
       if (isStaleEpoch(error)) {
         this.#sessions.noteEnded(group, epoch);
-        return { begun: false, epoch };
+        return { begun: false, epoch, attemptId };
       }
       if (isRefusal(error)) throw error;
       // The command may have been committed: give the request back as soon as
       // the state can be reached, so that a resent one can run.
-      this.#finish(group, epoch, call, undefined).catch(() => {});
+      this.#finish({ group, call, epoch, attemptId }, undefined)
+        .catch(() => {});
       throw error;
     }
   }
@@ -159,26 +173,23 @@
    * that no key stays dispatched while its entry lives.
    */
   async #finish(
-    group: number,
-    epoch: bigint,
-    call: KeyedCall,
+    request: OwnRequest,
     outcome: Outcome | undefined,
   ): Promise<void> {
-    const finishing = this.#finishUntilDone(group, epoch, call, outcome);
+    const finishing = this.#finishUntilDone(request, outcome);
     await Promise.race([finishing, this.#clock.delay(FINISH_WAIT_MS)]);
   }
 
   async #finishUntilDone(
-    group: number,
-    epoch: bigint,
-    call: KeyedCall,
+    { group, call, epoch, attemptId }: OwnRequest,
     outcome: Outcome | undefined,
   ): Promise<void> {
+    const { caller, key } = call;
     while (this.#sessions.tryGetEpoch(group) === epoch) {
       try {
         await this.#state.runItemCommand(group, {
           case: "finishRequest",
-          value: { epoch, caller: call.caller, key: call.key, outcome },
+          value: { epoch, caller, key, attemptId, outcome },
         });
         return;
       } catch (error) {
--- a/src/state/machines/item_machine.ts
+++ b/src/state/machines/item_machine.ts
@@ -360,7 +360,7 @@
       return { claimed: this.#getStillClaimed(resent, epoch) };
     }
     const claimed = claim.shares.flatMap((share) =>
-      this.#claimShare(share, epoch, context.timeMs)
+      this.#claimShare(share, epoch, context)
     );
     const refs = claimed.flatMap((item) => item.ref ?? []);
     this.#sessions.recordClaim(epoch, claim.sequence, refs);
@@ -371,21 +371,24 @@
     return refs.flatMap((ref) => {
       const stored = this.#active.get(ref.jobId);
       const held = stored !== undefined &&
-        stored.items.getState(ref.index) === ItemState.DISPATCHED &&
-        stored.items.getEpoch(ref.index) === epoch;
+        isCurrent(stored.items, ref, epoch);
       return held ? [createClaimed(stored, ref.index)] : [];
     });
   }
 
-  #claimShare(share: Share, epoch: number, timeMs: number): ClaimedItem[] {
+  #claimShare(
+    share: Share,
+    epoch: number,
+    context: CommandContext,
+  ): ClaimedItem[] {
     const standings = [...this.#active.values()]
       .filter(({ job }) => job.deployment === share.deployment)
       .map((stored) => ({ stored, ...getStanding(stored) }));
     const claimed: ClaimedItem[] = [];
     while (claimed.length < share.maxItems) {
-      const next = trySelectJob(standings, this.#usage, timeMs);
+      const next = trySelectJob(standings, this.#usage, context.timeMs);
       if (next === undefined) break;
-      const index = next.stored.items.tryDispatch(epoch);
+      const index = next.stored.items.tryDispatch(epoch, context.index);
       if (index === undefined) break;
       next.waiting -= 1;
       claimed.push(this.#charge(next.stored, index));
@@ -421,9 +424,9 @@
   #finishItem(stored: StoredJob, finished: FinishedItem, epoch: number): Job {
     const { job, items } = stored;
     const index = finished.ref?.index ?? 0;
-    const current = items.getState(index) === ItemState.DISPATCHED &&
-      items.getEpoch(index) === epoch;
-    if (!current) return job;
+    const isOwn = finished.ref !== undefined &&
+      isCurrent(items, finished.ref, epoch);
+    if (!isOwn) return job;
     if (finished.outcome !== undefined) {
       return this.#recordOutcome(stored, index, finished.outcome);
     }
@@ -493,9 +496,17 @@
   }
 }
 
+/** Whether an item is still dispatched as the reference names it. */
+function isCurrent(items: JobItems, ref: ItemRef, epoch: number): boolean {
+  return items.getState(ref.index) === ItemState.DISPATCHED &&
+    items.getEpoch(ref.index) === epoch &&
+    items.getDispatch(ref.index) === Number(ref.dispatch);
+}
+
 function createClaimed({ job, items }: StoredJob, index: number): ClaimedItem {
+  const dispatch = BigInt(items.getDispatch(index));
   return create(ClaimedItemSchema, {
-    ref: { jobId: job.id, index },
+    ref: { jobId: job.id, index, dispatch },
     item: items.getItem(index),
     workload: job.workload,
     caller: job.caller,
--- a/src/state/machines/job_items.ts
+++ b/src/state/machines/job_items.ts
@@ -24,6 +24,7 @@
   readonly #states: Uint8Array;
   readonly #attempts: Uint8Array;
   readonly #epochs: Uint32Array;
+  readonly #dispatches: Float64Array;
   readonly #outcomes: (Uint8Array | undefined)[];
   readonly #progress = new Map<number, Uint8Array>();
   readonly #dispatched = new Set<number>();
@@ -42,6 +43,10 @@
     );
     this.#attempts = Uint8Array.from(items, (item) => item.attempts);
     this.#epochs = Uint32Array.from(items, (item) => Number(item.epoch));
+    this.#dispatches = Float64Array.from(
+      items,
+      (item) => Number(item.dispatch),
+    );
     this.#outcomes = items.map((item) =>
       item.outcome === undefined
         ? undefined
@@ -79,6 +84,11 @@
     return this.#epochs[index] ?? 0;
   }
 
+  /** Log index of the claim that dispatched the item; zero when none did. */
+  getDispatch(index: number): number {
+    return this.#dispatches[index] ?? 0;
+  }
+
   getBodyBytes(index: number): number {
     return this.#bodies[index]?.length ?? 0;
   }
@@ -96,6 +106,7 @@
       attempts: this.getAttempts(index),
       state: this.getState(index),
       epoch: BigInt(this.getEpoch(index)),
+      dispatch: BigInt(this.getDispatch(index)),
       outcome: outcome === undefined
         ? undefined
         : fromBinary(OutcomeSchema, outcome),
@@ -104,11 +115,12 @@
   }
 
   /** Marks the next waiting item as dispatched; undefined when none waits. */
-  tryDispatch(epoch: number): number | undefined {
+  tryDispatch(epoch: number, dispatch: number): number | undefined {
     const index = this.#returned.shift() ?? this.#tryTakeFresh();
     if (index === undefined) return undefined;
     this.#states[index] = ItemState.DISPATCHED;
     this.#epochs[index] = epoch;
+    this.#dispatches[index] = dispatch;
     this.#dispatched.add(index);
     return index;
   }
@@ -118,6 +130,7 @@
     this.#dispatched.delete(index);
     this.#states[index] = ItemState.ACCEPTED;
     this.#epochs[index] = 0;
+    this.#dispatches[index] = 0;
     if (options.charged) this.#attempts[index] = this.getAttempts(index) + 1;
     if (options.progress.length > 0) {
       this.#progress.set(index, options.progress);
@@ -157,6 +170,7 @@
     const states = this.#states.slice();
     const attempts = this.#attempts.slice();
     const epochs = this.#epochs.slice();
+    const dispatches = this.#dispatches.slice();
     const outcomes = this.#outcomes.slice();
     const progress = new Map(this.#progress);
     const bodies = this.#bodies;
@@ -169,6 +183,7 @@
           attempts: attempts[index],
           state: states[index],
           epoch: BigInt(epochs[index] ?? 0),
+          dispatch: BigInt(dispatches[index] ?? 0),
           outcome: outcome && fromBinary(OutcomeSchema, outcome),
           progress: progress.get(index),
         });
--- a/src/state/machines/keyed_requests.ts
+++ b/src/state/machines/keyed_requests.ts
@@ -65,7 +65,8 @@
   finish(finished: FinishRequest): boolean {
     const known = this.tryGet(finished.caller, finished.key);
     const current = known?.state === ItemState.DISPATCHED &&
-      known.epoch === finished.epoch;
+      known.epoch === finished.epoch &&
+      known.attemptId === finished.attemptId;
     if (known === undefined || !current) return false;
     if (finished.outcome === undefined) {
       this.#put({ ...known, state: ItemState.ACCEPTED, epoch: 0n });
