--- a/src/membership/fleet_view.ts
+++ b/src/membership/fleet_view.ts
@@ -12,6 +12,7 @@
   type Workload,
 } from "../schema/mod.ts";
 import { BackendView } from "./backend_view.ts";
+import { selectUsers, type ServerPlace } from "./subsets.ts";
 import { Suspicions } from "./suspicions.ts";
 
 /** The view of one entry. */
@@ -21,6 +22,8 @@
   #configuration: Configuration = create(ConfigurationSchema);
   #entries: EntryRegistration[] = [];
   #entriesVersion = 0;
+  /** Users by server; emptied when the entries change. */
+  readonly #users = new Map<string, EntryRegistration[]>();
 
   get configuration(): Configuration {
     return this.#configuration;
@@ -46,9 +49,28 @@
     if (version <= this.#entriesVersion) return false;
     this.#entries = entries;
     this.#entriesVersion = version;
+    this.#users.clear();
     return true;
   }
 
+  /** Entries that use a server, its owner first. */
+  getUsers(server: ServerPlace): readonly EntryRegistration[] {
+    const key = `${server.dataCentre}/${server.name}`;
+    const known = this.#users.get(key);
+    if (known !== undefined) return known;
+    const users = selectUsers(server, this.#entries);
+    this.#users.set(key, users);
+    return users;
+  }
+
+  /**
+   * The one entry that runs batch items and suspects on a server: the first of
+   * its users, so that two entries never fill the same idle capacity.
+   */
+  tryGetOwner(server: ServerPlace): EntryRegistration | undefined {
+    return this.getUsers(server)[0];
+  }
+
   isDissolving(): boolean {
     return this.#configuration.dissolution !== undefined;
   }
--- a/src/membership/subsets.ts
+++ b/src/membership/subsets.ts
@@ -12,11 +12,17 @@
 /** Entries of each other data centre that use it for overflow. */
 const REMOTE_USERS = 2;
 
+/** What places a backend server among the entries. */
+export interface ServerPlace {
+  readonly name: string;
+  readonly dataCentre: string;
+}
+
 const byId = (entry: EntryRegistration) => entry.id;
 
 /** Entries that use a server, those of its data centre first. */
 export function selectUsers(
-  server: { name: string; dataCentre: string },
+  server: ServerPlace,
   entries: readonly EntryRegistration[],
 ): EntryRegistration[] {
   const dataCentres = [...new Set(entries.map((entry) => entry.dataCentre))];
@@ -35,14 +41,3 @@
     )
   );
 }
-
-/**
- * The one entry that runs batch items and suspects on a server: the first of
- * its users, so that two entries never fill the same idle capacity.
- */
-export function tryGetOwner(
-  server: { name: string; dataCentre: string },
-  entries: readonly EntryRegistration[],
-): EntryRegistration | undefined {
-  return selectUsers(server, entries)[0];
-}
--- a/src/services/backend_pool.ts
+++ b/src/services/backend_pool.ts
@@ -8,11 +8,7 @@
   FairQueue,
   getBatchRoom,
 } from "../policy/mod.ts";
-import {
-  type BackendServer,
-  type FleetView,
-  tryGetOwner,
-} from "../membership/mod.ts";
+import type { BackendServer, FleetView } from "../membership/mod.ts";
 import { Emphasis, MessageCode, Verdict } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
@@ -214,10 +210,7 @@
 
   #isOwner(server: BackendServer): boolean {
     const { view, entryId } = this.#options;
-    const owner = tryGetOwner(
-      { name: server.name, dataCentre: server.announcement.dataCentre },
-      view.entries,
-    );
+    const owner = view.tryGetOwner(server.announcement);
     return owner === undefined || owner.id === entryId;
   }
 
@@ -286,10 +279,7 @@
     if (server === undefined) return undefined;
     const own = this.yieldBatch(server.name, decision.giveWay);
     const rest = Math.min(decision.giveWay - own, server.othersBatch);
-    const owner = tryGetOwner(
-      { name: server.name, dataCentre: server.announcement.dataCentre },
-      view.entries,
-    );
+    const owner = view.tryGetOwner(server.announcement);
     if (rest > 0 && owner !== undefined && owner.id !== entryId) {
       server.othersBatch -= rest;
       onYield(owner.id, server.name, rest);
--- a/src/services/spreader.ts
+++ b/src/services/spreader.ts
@@ -4,7 +4,7 @@
  * News of one short while goes in one batch.
  */
 import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
-import { type FleetView, selectUsers, tryGetOwner } from "../membership/mod.ts";
+import type { FleetView } from "../membership/mod.ts";
 import {
   type Announcement,
   Entries,
@@ -59,7 +59,7 @@
 
   /** Passes a server's announcement to the other entries that use it. */
   spreadAnnouncement(announcement: Announcement): void {
-    const users = selectUsers(announcement, this.#options.view.entries);
+    const users = this.#options.view.getUsers(announcement);
     this.#getOthers(users).forEach((entry) =>
       this.#getOutbox(entry).announcements.set(announcement.name, announcement)
     );
@@ -80,8 +80,8 @@
     loads.forEach((load) => {
       const server = view.backends.tryGet(load.backendServer)?.announcement;
       if (server === undefined) return;
-      if (tryGetOwner(server, view.entries)?.id !== entryId) return;
-      this.#getOthers(selectUsers(server, view.entries)).forEach((entry) =>
+      if (view.tryGetOwner(server)?.id !== entryId) return;
+      this.#getOthers(view.getUsers(server)).forEach((entry) =>
         this.#getOutbox(entry).batchLoads.set(
           load.backendServer,
           load.sequences,
--- a/src/services/suspect_lanes.ts
+++ b/src/services/suspect_lanes.ts
@@ -3,8 +3,7 @@
  * run there, whichever entry it came to. A second server that dies then has
  * one cause, and innocent requests are never refused with it.
  */
-import { type FleetView, tryGetOwner } from "../membership/mod.ts";
-import type { BackendServer } from "../membership/mod.ts";
+import type { BackendServer, FleetView } from "../membership/mod.ts";
 import { Entries } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Random } from "../sys/random.ts";
@@ -74,10 +73,7 @@
     leaseMs: number,
   ): Promise<LaneEnd | undefined> {
     const { view, entryId, random } = this.#options;
-    const owner = tryGetOwner({
-      name: server.name,
-      dataCentre: server.announcement.dataCentre,
-    }, view.entries);
+    const owner = view.tryGetOwner(server.announcement);
     if (owner === undefined || owner.id === entryId) {
       return this.tryHoldOwn(server.name);
     }
--- a/src/sys/random.ts
+++ b/src/sys/random.ts
@@ -69,9 +69,9 @@
 /** A fast, stable 32-bit hash for placement; never for identity. */
 export function getPlacementHash(text: string): number {
   let hash = FNV_OFFSET;
-  Array.prototype.forEach.call(text, (char: string) => {
-    hash = Math.imul(hash ^ char.charCodeAt(0), FNV_PRIME);
-  });
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
   hash ^= hash >>> 16;
   hash = Math.imul(hash, 0x85ebca6b);
   hash ^= hash >>> 13;
--- a/src/test/fuzz_world.ts
+++ b/src/test/fuzz_world.ts
@@ -215,12 +215,12 @@
   /** An entry stops as planned: it hands its items back. */
   stop(place: number): void {
     const entry = this.#getOpenEntry(place);
+    const before = this.#countUnknown();
     while (entry.held.length > 0) this.work(place, "not run");
     // A stop waits until the entry's own results are recorded.
     this.#late.filter((command) =>
       command?.case === "finishItems" && command.value.epoch === entry.epoch
     ).forEach((command) => this.#run(command));
-    const before = this.#countUnknown();
     this.#run({ case: "endSession", value: { epoch: entry.epoch } });
     requireThat(this.#countUnknown() === before, PromiseName.stop);
     entry.epoch = 0n;
