Ask neighbours for what is new only

Cause: each entry read a neighbour's whole view every second, so what an entry sent grew with the fleet: 2.5 KB/s at 4 entries, 25.6 KB/s at 64. Change: a starting entry asks for everything; later it names its versions and gets what it lacks. papayatally bench-membership measures the slope.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,8 +9,10 @@
   createPlot,
   formatHeading,
   formatResult,
+  runMembershipBench,
   runScenario,
   runStateBench,
+  type StateFigure,
 } from "../bench/mod.ts";
 import { formatFailure, readSettings } from "../daemons/daemon.ts";
 import {
@@ -340,17 +342,19 @@
     writeFileSync(`${options.report}.svg`, createPlot(scenario.name, results));
   });
 
+const printFigure = (figure: StateFigure) =>
+  getOutput().print(
+    `${figure.name}: ${figure.value.toFixed(1)} ${figure.unit}`,
+    figure,
+  );
+
 program.command("bench-state")
   .description("Measure the replicated state on this machine's disk.")
-  .action(() => {
-    const output = getOutput();
-    return runStateBench((figure) =>
-      output.print(
-        `${figure.name}: ${figure.value.toFixed(1)} ${figure.unit}`,
-        figure,
-      )
-    );
-  });
+  .action(() => runStateBench(printFigure));
+
+program.command("bench-membership")
+  .description("Measure what membership costs an entry, over sizes.")
+  .action(() => runMembershipBench(printFigure));
 
 program.command("demo")
   .description("Run a whole small fleet in this process and show its work.")
--- a/src/services/backend_orders.ts
+++ b/src/services/backend_orders.ts
@@ -113,6 +113,8 @@
       this.#options.control.entries.map((entry) =>
         this.#clients.get(entry.address).call(Entries.method.getView, {
           version: this.#options.control.configuration.version,
+          entriesVersion: BigInt(this.#options.control.entriesVersion),
+          whole: true,
         }, { timeoutMs: VIEW_TIMEOUT_MS })
       ),
     );
--- a/src/services/entry_host.ts
+++ b/src/services/entry_host.ts
@@ -10,7 +10,9 @@
   AnnouncementSchema,
   Entries,
   type EntrySettings,
+  type EntryView,
   EntryViewSchema,
+  type GetViewRequest,
   MessageCode,
   type SpreadBatch,
 } from "../schema/mod.ts";
@@ -325,17 +327,7 @@
         return Promise.resolve({});
       },
       getView: (req) => {
-        const { configuration, entries, entriesVersion } = this.view;
-        return Promise.resolve(create(EntryViewSchema, {
-          configuration: configuration.version > req.version
-            ? configuration
-            : undefined,
-          entries: [...entries],
-          entriesVersion: BigInt(entriesVersion),
-          announcements: this.view.backends.getAll()
-            .map((server) => server.announcement),
-          suspicions: this.view.suspicions.getAll(),
-        }));
+        return Promise.resolve(this.#createView(req));
       },
       holdLane: (req) =>
         Promise.resolve({
@@ -365,6 +357,22 @@
     });
   }
 
+  /** What the asker lacks; all of it when it starts. */
+  #createView(req: GetViewRequest): EntryView {
+    const { configuration, entries, entriesVersion, backends } = this.view;
+    const hasEntries = entriesVersion > Number(req.entriesVersion);
+    const servers = backends.getAll().map((server) => server.announcement);
+    return create(EntryViewSchema, {
+      configuration: configuration.version > req.version
+        ? configuration
+        : undefined,
+      entries: hasEntries ? [...entries] : [],
+      entriesVersion: BigInt(entriesVersion),
+      announcements: req.whole ? servers : [],
+      suspicions: req.whole ? this.view.suspicions.getAll() : [],
+    });
+  }
+
   async #countEntries() {
     const counts = await Promise.all(
       this.view.entries.map(async (entry) => {
--- a/src/services/view_follower.ts
+++ b/src/services/view_follower.ts
@@ -68,7 +68,7 @@
   /** Reads the folder and asks the neighbours once, then follows. */
   async start(): Promise<void> {
     await this.#readCache();
-    const asked = this.#getNeighbours().map((one) => this.#ask(one));
+    const asked = this.#getNeighbours().map((one) => this.#ask(one, true));
     await Promise.allSettled(asked);
     const onError = (error: unknown) =>
       this.#options.log.error("follower_failed", { reason: getReason(error) });
@@ -110,7 +110,9 @@
       const neighbours = this.#getNeighbours();
       const next = neighbours[this.#turn % Math.max(1, neighbours.length)];
       this.#turn += 1;
-      if (next !== undefined && !this.#closed) yield* settle(this.#ask(next));
+      if (next !== undefined && !this.#closed) {
+        yield* settle(this.#ask(next, false));
+      }
     }
   }
 
@@ -121,15 +123,19 @@
     return [...new Set([...neighbours, ...known])];
   }
 
-  async #ask(address: string): Promise<void> {
+  async #ask(address: string, whole: boolean): Promise<void> {
     const client = this.#clients.get(address);
     const { view, clock } = this.#options;
     const reply = await client.call(Entries.method.getView, {
       version: view.configuration.version,
+      entriesVersion: BigInt(view.entriesVersion),
+      whole,
     }, { timeoutMs: NEIGHBOUR_TIMEOUT_MS });
     if (reply.configuration) this.#acceptConfiguration(reply.configuration);
     const nowMs = clock.getMonotonicMs();
-    view.acceptEntries(reply.entries, Number(reply.entriesVersion));
+    if (reply.entries.length > 0) {
+      view.acceptEntries(reply.entries, Number(reply.entriesVersion));
+    }
     reply.announcements.forEach((one) => view.backends.accept(one, nowMs));
     reply.suspicions.forEach((one) => view.suspicions.merge(one, nowMs));
   }
