Fewer users of a server in a large fleet, all entries in a small one

Cause: with 8 users in a server's data centre and 2 in each other one, the messages of an entry still rose with the fleet; with fewer, an entry of a small fleet might use no other server once its own is lost. Change: up to 16 entries each uses each server; beyond, 4 of the server's data centre and 1 of each other one.

--- a/src/membership/subsets.ts
+++ b/src/membership/subsets.ts
@@ -6,11 +6,14 @@
 import type { EntryRegistration } from "../schema/mod.ts";
 import { selectByRendezvous } from "../sys/random.ts";
 
+/** Entries up to which each of them uses each server. */
+const SMALL_FLEET = 16;
+
 /** Entries of the server's data centre that use it. */
-const LOCAL_USERS = 8;
+const LOCAL_USERS = 4;
 
 /** Entries of each other data centre that use it for overflow. */
-const REMOTE_USERS = 2;
+const REMOTE_USERS = 1;
 
 /** What places a backend server among the entries. */
 export interface ServerPlace {
@@ -25,6 +28,9 @@
   server: ServerPlace,
   entries: readonly EntryRegistration[],
 ): EntryRegistration[] {
+  const isSmall = entries.length <= SMALL_FLEET;
+  const local = isSmall ? SMALL_FLEET : LOCAL_USERS;
+  const remote = isSmall ? SMALL_FLEET : REMOTE_USERS;
   const dataCentres = [...new Set(entries.map((entry) => entry.dataCentre))];
   const ordered = dataCentres.sort((a, b) =>
     Number(b === server.dataCentre) - Number(a === server.dataCentre) ||
@@ -35,7 +41,7 @@
       server.name,
       entries.filter((entry) => entry.dataCentre === dataCentre),
       {
-        count: dataCentre === server.dataCentre ? LOCAL_USERS : REMOTE_USERS,
+        count: dataCentre === server.dataCentre ? local : remote,
         getName: byId,
       },
     )
