--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,8 @@
   runMembershipBench,
   runScenario,
   runStateBench,
+  StandInEngine,
+  StandInService,
   type StateFigure,
 } from "../bench/mod.ts";
 import { formatFailure, readSettings } from "../daemons/daemon.ts";
@@ -25,6 +27,7 @@
   ScenarioSchema,
   StateSettingsSchema,
 } from "../schema/mod.ts";
+import { SystemClock } from "../sys/clock.ts";
 import { asServingError, formatCode, ServingError } from "../sys/errors.ts";
 import type { RpcClient } from "../sys/rpc.ts";
 import { connect, type ConnectionOptions } from "./connection.ts";
@@ -356,6 +359,47 @@
   .description("Measure what membership costs an entry, over sizes.")
   .action(() => runMembershipBench(printFigure));
 
+interface StandInOptions {
+  readonly entry: string;
+  readonly engines: string;
+  readonly deployment: string;
+  readonly model: string;
+  readonly service?: string;
+}
+
+program.command("stand-in")
+  .description("Run stand-in engines and a plain service for trials.")
+  .requiredOption("--entry <address>", "HTTP address of an entry")
+  .option("--engines <n>", "stand-in engines", "2")
+  .option("--deployment <name>", "their deployment", "refill-assistant")
+  .option("--model <name>", "their model", "refill-model")
+  .option("--service <deployment>", "also a plain service of this deployment")
+  .action(async (options: StandInOptions) => {
+    const common = {
+      dataCentre: "dc-1",
+      entries: [options.entry],
+      clock: new SystemClock(),
+    };
+    for (let index = 1; index <= Number(options.engines); index += 1) {
+      await new StandInEngine({
+        ...common,
+        name: `engine-${index}`,
+        deployment: options.deployment,
+        models: [options.model],
+      }).start();
+    }
+    if (options.service !== undefined) {
+      await new StandInService({
+        ...common,
+        name: "service-1",
+        deployment: options.service,
+      }).start();
+    }
+    getOutput().print("stand-ins run until this process ends", {
+      engines: Number(options.engines),
+    });
+  });
+
 program.command("demo")
   .description("Run a whole small fleet in this process and show its work.")
   .action(() => runDemo(getOutput()));
--- a/src/state/agreement/quorum.ts
+++ b/src/state/agreement/quorum.ts
@@ -1,5 +1,10 @@
 /** Who belongs to a group and what a majority of its voters agrees on. */
-import type { Member, Membership } from "../../schema/mod.ts";
+import { create } from "@bufbuild/protobuf";
+import {
+  type Member,
+  type Membership,
+  MembershipSchema,
+} from "../../schema/mod.ts";
 
 /** Members that vote. */
 export function getVoters(membership: Membership): Member[] {
@@ -25,3 +30,8 @@
     .sort((a, b) => b - a);
   return values[getQuorumSize(membership) - 1] ?? 0;
 }
+
+/** A membership of voters that need no address, for embedding. */
+export function createMembership(ids: readonly string[]): Membership {
+  return create(MembershipSchema, { members: ids.map((id) => ({ id })) });
+}
