--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -13,7 +13,7 @@
   getReason,
   ServingError,
 } from "../sys/errors.ts";
-import { createLog } from "../sys/log.ts";
+import { createLog, type Log } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { parseSettings } from "../sys/settings.ts";
 
@@ -66,6 +66,7 @@
 /** Settings that both daemons have. */
 interface CommonSettings {
   readonly id: string;
+  readonly tls?: unknown;
   readonly log?: { readonly level?: string };
   readonly metrics?: { readonly host?: string; readonly port?: number };
 }
@@ -101,6 +102,22 @@
   }
 }
 
+const LOOPBACK = /^(127\.|\[::1\]|localhost)/;
+
+/** Without certificates anybody who reaches the port is believed. */
+function warnOfPlainConnections(
+  log: Log,
+  settings: CommonSettings,
+  addresses: Record<string, string>,
+): void {
+  if (settings.tls !== undefined) return;
+  Object.entries(addresses)
+    .filter(([, address]) => !LOOPBACK.test(address))
+    .forEach(([name, address]) =>
+      log.warn("no_certificates", { name, address })
+    );
+}
+
 async function serve<S extends DescMessage>(
   options: {
     name: string;
@@ -134,5 +151,6 @@
   process.once("SIGTERM", stop);
   process.once("SIGINT", stop);
   const fields = await host.start();
+  warnOfPlainConnections(log, common, fields);
   log.info("ready", fields);
 }
--- a/src/sys/rpc_common.ts
+++ b/src/sys/rpc_common.ts
@@ -21,6 +21,9 @@
 const MAX_RECONNECT_MS = 1_000;
 const FIRST_RECONNECT_MS = 100;
 
+// Failures come back to the caller, who reports them in one line.
+grpc.setLogVerbosity(grpc.logVerbosity.NONE);
+
 /** Options of every connection and server. */
 export const CHANNEL_OPTIONS = {
   "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
