Relay whole events as bytes, read only when their text is needed

Cause: each token was parsed as an event and as JSON on its way, though only a resume, a whole answer or a batch item needs its text. Change: the relay cuts a stream after whole events without reading them; an event log reads them when asked.

--- a/src/relay/engine_stream.ts
+++ b/src/relay/engine_stream.ts
@@ -1,9 +1,7 @@
 /**
- * One attempt of a completion on a model engine. Events pass on whole and in
- * order; an event that is cut short by a broken connection is dropped, so that
- * a resumed stream delivers each token once.
+ * One attempt of a completion on a model engine. Events pass on whole, in order
+ * and unread.
  */
-import { createParser } from "eventsource-parser";
 import { Verdict } from "../schema/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import {
@@ -14,6 +12,9 @@
   watchIdle,
 } from "../sys/http.ts";
 
+import type { Progress } from "./event_log.ts";
+import { EventSplitter } from "./event_splitter.ts";
+
 /** Body of a completion as callers and engines write it. */
 export interface CompletionBody {
   readonly model: string;
@@ -24,16 +25,10 @@
   readonly [field: string]: unknown;
 }
 
-/** What has been produced so far. */
-export interface Progress {
-  readonly text: string;
-  readonly tokens: number;
-}
-
 /** Takes the events of a stream. */
 export interface EventSink {
-  /** Takes one event; false asks for a pause. */
-  onEvent(data: string, token: string): boolean;
+  /** Takes whole events; false asks for a pause. */
+  onEvents(events: Buffer, count: number): boolean;
   /** Resolves when there is room again. */
   whenReady(): Promise<void>;
 }
@@ -70,21 +65,9 @@
   readonly signal: AbortSignal;
 }
 
-const DONE_DATA = "[DONE]";
-
 /** Largest answer that is not a stream, in bytes. */
 const MAX_ANSWER_BYTES = 16 << 20;
 
-/** The text that an event of a completion adds. */
-export function getEventToken(data: string): string {
-  try {
-    const choice = JSON.parse(data).choices?.[0];
-    return choice?.text ?? choice?.delta?.content ?? "";
-  } catch {
-    return "";
-  }
-}
-
 function encodeBody(attempt: EngineAttempt): string {
   const { body, progress } = attempt;
   const resume = progress.tokens === 0
@@ -170,16 +153,12 @@
         body.resume();
       });
     };
-    const parser = createParser({
-      onEvent: ({ data }) => {
-        if (data === DONE_DATA) isDone = true;
-        const token = isDone ? "" : getEventToken(data);
-        if (!sink.onEvent(data, token)) pause();
-      },
-    });
-    const decoder = new TextDecoder();
+    const splitter = new EventSplitter();
     body.on("data", (chunk: Buffer) => {
-      parser.feed(decoder.decode(chunk, { stream: true }));
+      const events = splitter.tryTake(chunk);
+      if (events === undefined) return;
+      isDone ||= events.isDone;
+      if (!sink.onEvents(events.bytes, events.count)) pause();
     });
     body.on("end", finish);
     body.on("error", () => {});
--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -6,7 +6,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import type { FleetView } from "../membership/mod.ts";
-import type { CompletionBody, Progress } from "../relay/mod.ts";
+import { type CompletionBody, EventLog, type Progress } from "../relay/mod.ts";
 import {
   type ClaimedItem,
   DeploymentKind,
@@ -107,25 +107,14 @@
 
 /** Collects what an item's completion produces. */
 class ItemSink implements CompletionSink {
-  #text: string;
-  #tokens: number;
-  lastEvent = "";
+  readonly log: EventLog;
 
   constructor(progress: Progress) {
-    this.#text = progress.text;
-    this.#tokens = progress.tokens;
+    this.log = new EventLog(progress);
   }
 
-  get progress(): Progress {
-    return { text: this.#text, tokens: this.#tokens };
-  }
-
-  onEvent(data: string, token: string): boolean {
-    if (token !== "") {
-      this.#text += token;
-      this.#tokens += 1;
-    }
-    if (data !== "[DONE]") this.lastEvent = data;
+  onEvents(events: Buffer): boolean {
+    this.log.append(events);
     return true;
   }
 
@@ -489,7 +478,7 @@
     if (end.outcome !== undefined) {
       this.#options.metrics.count(MetricName.batchItems);
     }
-    const { progress } = item.sink;
+    const progress = item.sink.log.getProgress();
     const finished = create(FinishedItemSchema, {
       ref: item.claimed.ref,
       outcome: end.outcome,
@@ -554,7 +543,7 @@
   return create(OutcomeSchema, {
     verdict: Verdict.RAN,
     status: 200,
-    body: new TextEncoder().encode(JSON.stringify(createWholeAnswer(sink))),
+    body: new TextEncoder().encode(JSON.stringify(createWholeAnswer(sink.log))),
     contentType: "application/json",
   });
 }
--- a/src/services/completion_service.ts
+++ b/src/services/completion_service.ts
@@ -1,7 +1,7 @@
 /** Completions for callers: streamed or whole, with or without a key. */
 import { create } from "@bufbuild/protobuf";
 import type { FleetView } from "../membership/mod.ts";
-import type { CompletionBody, Progress } from "../relay/mod.ts";
+import { type CompletionBody, EventLog } from "../relay/mod.ts";
 import {
   MessageCode,
   type Outcome,
@@ -40,51 +40,25 @@
 
 /** Collects a completion and, when it streams, passes it on. */
 class AnswerSink implements CompletionSink {
+  readonly log = new EventLog();
   readonly #res: ServerResponse | undefined;
   readonly #onFirst: () => void;
-  readonly #kept: string[] = [];
-  readonly #isKept: boolean;
-  #text = "";
-  #tokens = 0;
-  #lastEvent = "";
 
   constructor(options: {
     /** Undefined for an answer that is sent whole. */
     res: ServerResponse | undefined;
-    isKept: boolean;
     onFirst: () => void;
   }) {
     this.#res = options.res;
-    this.#isKept = options.isKept;
     this.#onFirst = options.onFirst;
   }
 
-  get progress(): Progress {
-    return { text: this.#text, tokens: this.#tokens };
-  }
-
-  /** The newest event that was not the end mark. */
-  get lastEvent(): string {
-    return this.#lastEvent;
-  }
-
-  /** All events as they were sent. */
-  getKept(): string {
-    return this.#kept.join("");
-  }
-
-  onEvent(data: string, token: string): boolean {
-    if (this.#tokens === 0) this.#onFirst();
-    if (token !== "") {
-      this.#text += token;
-      this.#tokens += 1;
-    }
-    if (data !== "[DONE]") this.#lastEvent = data;
-    const event = `data: ${data}\n\n`;
-    if (this.#isKept) this.#kept.push(event);
+  onEvents(events: Buffer): boolean {
+    if (this.log.isEmpty) this.#onFirst();
+    this.log.append(events);
     if (this.#res === undefined || this.#res.destroyed) return true;
     if (!this.#res.headersSent) startStream(this.#res);
-    return this.#res.write(event);
+    return this.#res.write(events);
   }
 
   whenReady(): Promise<void> {
@@ -179,7 +153,7 @@
     }
     const run = this.#createRun(call, body, workload);
     if (call.key === "") {
-      await this.#runOnce(call, run, { isKept: false });
+      await this.#runOnce(call, run);
       return;
     }
     await this.#serveKeyed(call, run, { workload, digest: getDigest(bytes) });
@@ -230,10 +204,7 @@
       ? AbortSignal.timeout(Math.ceil(run.deadlineMs - call.startMs))
       : run.signal;
     try {
-      await this.#runOnce(call, { ...run, signal }, {
-        isKept: true,
-        finish: start.finish,
-      });
+      await this.#runOnce(call, { ...run, signal }, start);
     } catch (error) {
       const failure = asServingError(error);
       const isOver = run.isNonIdempotent && failure.verdict !== Verdict.NOT_RUN;
@@ -245,15 +216,11 @@
   async #runOnce(
     call: CallerRequest,
     run: EngineRun,
-    options: {
-      isKept: boolean;
-      finish?: (outcome: Outcome) => Promise<void>;
-    },
+    options: { finish?: (outcome: Outcome) => Promise<void> } = {},
   ): Promise<void> {
     const isStreamed = run.body.stream === true;
     const sink = new AnswerSink({
       res: isStreamed ? call.res : undefined,
-      isKept: options.isKept && isStreamed,
       onFirst: () =>
         this.#metrics.time(
           MetricName.firstTokenMs,
@@ -261,6 +228,10 @@
         ),
     });
     const ended = await this.#runner.run(run, sink);
+    if (isStreamed && call.res.headersSent && options.finish === undefined) {
+      call.res.end();
+      return;
+    }
     const outcome = createOutcome(ended, sink, isStreamed);
     await options.finish?.(
       outcome.body.length <= MAX_KEPT_BYTES
@@ -285,23 +256,23 @@
       contentType: ended.contentType,
     });
   }
-  const text = isStreamed
-    ? sink.getKept()
-    : `${JSON.stringify(createWholeAnswer(sink))}\n`;
+  const whole = () =>
+    new TextEncoder().encode(
+      `${JSON.stringify(createWholeAnswer(sink.log))}\n`,
+    );
   return create(OutcomeSchema, {
     verdict: Verdict.RAN,
     status: 200,
-    body: new TextEncoder().encode(text),
+    body: isStreamed ? sink.log.getBytes() : whole(),
     contentType: isStreamed ? EVENT_STREAM : "application/json",
   });
 }
 
 /** A whole answer in the shape of the stream's last event. */
-export function createWholeAnswer(
-  sink: { readonly lastEvent: string; readonly progress: Progress },
-): Record<string, unknown> {
-  const { text, tokens } = sink.progress;
-  const last = sink.lastEvent === "" ? {} : JSON.parse(sink.lastEvent);
+export function createWholeAnswer(log: EventLog): Record<string, unknown> {
+  const { text, tokens } = log.getProgress();
+  const lastEvent = log.getLastEvent();
+  const last = lastEvent === "" ? {} : JSON.parse(lastEvent);
   const isChat = last.choices?.[0]?.delta !== undefined;
   const reason = last.choices?.[0]?.finish_reason ?? "stop";
   const content = isChat
--- a/src/services/engine_runner.ts
+++ b/src/services/engine_runner.ts
@@ -7,8 +7,8 @@
 import {
   type AttemptEnd,
   type CompletionBody,
+  type EventLog,
   type EventSink,
-  type Progress,
   runEngineAttempt,
 } from "../relay/mod.ts";
 import { MessageCode, Verdict } from "../schema/mod.ts";
@@ -38,7 +38,7 @@
 /** Takes what a completion produces. */
 export interface CompletionSink extends EventSink {
   /** What was delivered so far, by all attempts. */
-  readonly progress: Progress;
+  readonly log: EventLog;
 }
 
 /** How a completion ended without an error. */
@@ -125,15 +125,15 @@
       address: placement.server.announcement.address,
       path: run.path,
       body: run.body,
-      progress: sink.progress,
+      progress: sink.log.getProgress(),
       requestId: run.requestId,
       isFresh: run.isNonIdempotent,
       stallMs: Math.max(1, Math.min(STALL_MS, leftMs)),
       signal,
     }, {
-      onEvent: (data, token) => {
-        gaps.note();
-        return sink.onEvent(data, token);
+      onEvents: (events, count) => {
+        gaps.note(count);
+        return sink.onEvents(events, count);
       },
       whenReady: () => sink.whenReady(),
     });
@@ -279,9 +279,12 @@
     this.#gap = gap;
   }
 
-  note(): void {
+  /** Some events arrived together. */
+  note(count: number): void {
     const nowMs = this.#clock.getMonotonicMs();
-    if (this.#lastMs !== undefined) this.#gap.note(nowMs - this.#lastMs);
+    if (this.#lastMs !== undefined) {
+      this.#gap.note((nowMs - this.#lastMs) / count);
+    }
     this.#lastMs = nowMs;
   }
 }
