Work out a waiting batch item's request once

Cause: the profile of an entry showed JSON and hashes of items that wait: each held item was parsed anew at every look, 50 times a second and at each wake. Change: an item's request is kept; a workload without room is asked once a look.

--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -75,6 +75,8 @@
   readonly epoch: bigint;
   readonly abort: AbortController;
   readonly sink: ItemSink;
+  /** The item's completion, worked out once. */
+  run?: EngineRun;
   heldSinceMs: number;
   isRunning: boolean;
 }
@@ -297,15 +299,32 @@
     const { clock } = this.#options;
     while (!this.#stopping || this.#held.size > 0) {
       yield* tryReceiveWithin(this.#wake, clock, CYCLE_MS);
-      this.#getHeld((item) => !item.isRunning).forEach((item) =>
-        this.#consider(item)
-      );
+      this.#considerAll();
     }
   }
 
-  /** Starts an item if there is room, and gives it back if it waited long. */
-  #consider(item: HeldItem): void {
-    const { view, clock } = this.#options;
+  /** Looks at what waits; a workload without room is asked once. */
+  #considerAll(): void {
+    const full = new Set<string>();
+    this.#getHeld((item) => !item.isRunning).forEach((item) => {
+      const { workload } = item.claimed;
+      const isFull = full.has(workload) && !this.#isOverdue(item);
+      if (!isFull && !this.#consider(item)) full.add(workload);
+    });
+  }
+
+  #isOverdue(item: HeldItem): boolean {
+    const { clock } = this.#options;
+    return this.#stopping ||
+      clock.getMonotonicMs() - item.heldSinceMs > MAX_HOLD_MS;
+  }
+
+  /**
+   * Starts an item if there is room, and gives it back if it waited long.
+   * False when there was no room for it.
+   */
+  #consider(item: HeldItem): boolean {
+    const { view } = this.#options;
     const workload = this.#tryGetWorkload(item);
     if (workload === undefined) {
       this.#end(item, {
@@ -315,7 +334,7 @@
           }),
         ),
       });
-      return;
+      return true;
     }
     const deployment = view.tryGetDeployment(workload.deployment);
     const started = !this.#stopping && !item.abort.signal.aborted && (
@@ -323,9 +342,9 @@
         ? this.#startService(item, workload)
         : this.#startEngine(item, workload)
     );
-    if (started) return;
-    const heldMs = clock.getMonotonicMs() - item.heldSinceMs;
-    if (this.#stopping || heldMs > MAX_HOLD_MS) this.#end(item, {});
+    if (started) return true;
+    if (this.#isOverdue(item)) this.#end(item, {});
+    return false;
   }
 
   #tryGetWorkload(item: HeldItem): Workload | undefined {
@@ -334,8 +353,9 @@
 
   #startEngine(item: HeldItem, workload: Workload): boolean {
     const { pool, runner, view, clock } = this.#options;
-    const run = this.#tryCreateRun(item, workload);
+    const run = item.run ?? this.#tryCreateRun(item, workload);
     if (run === undefined) return true;
+    item.run = run;
     if (view.suspicions.isRefused(run.fingerprint)) {
       this.#end(item, { outcome: createPoisoned(view, run.fingerprint) });
       return true;
