Retention of ended records; pages from the schema; item rates in the bench

Cause: ended jobs and keys stayed for ever; settings and messages stood in the schema only; the cost of an item through the state was not measured.

--- a/src/bench/state_bench.ts
+++ b/src/bench/state_bench.ts
@@ -8,7 +8,7 @@
 import path from "node:path";
 import { create, toBinary } from "@bufbuild/protobuf";
 import { build } from "hdr-histogram-js";
-import { ItemCommandSchema, ItemSchema } from "../schema/mod.ts";
+import { ItemCommandSchema, ItemSchema, Verdict } from "../schema/mod.ts";
 import { getItemGroup, getItemGroups, StateClient } from "../services/mod.ts";
 import { ItemMachine, ReplicaStore } from "../state/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
@@ -179,6 +179,7 @@
   return tookMs;
 }
 
+const CHUNKS_PER_GROUP = 120;
 const ITEM_BODY_BYTES = 200;
 const CHUNK_ITEMS = 256;
 
@@ -215,11 +216,89 @@
 }
 
 function getUsedBytes(): number {
-  globalThis.gc?.();
+  Array.from({ length: 4 }).forEach(() => globalThis.gc?.());
   const { heapUsed, arrayBuffers } = process.memoryUsage();
   return heapUsed + arrayBuffers;
 }
 
+const CLAIM_ITEMS = 64;
+const RESULT_BYTES = 200;
+
+/** Items a second through submission, claims and recorded outcomes. */
+async function measureItemRate(
+  group: Group,
+  options: { itemGroups: number; chunks: number },
+): Promise<number> {
+  const startMs = clock.getMonotonicMs();
+  const lanes = getItemGroups(options.itemGroups).map((one) =>
+    runItems(group.client, one, options.chunks)
+  );
+  const counts = await Promise.all(lanes);
+  const tookMs = clock.getMonotonicMs() - startMs;
+  return counts.reduce((sum, count) => sum + count, 0) / tookMs * 1_000;
+}
+
+async function runItems(
+  client: StateClient,
+  group: number,
+  chunks: number,
+): Promise<number> {
+  const jobId = `job-${group}`;
+  const items = Array.from(
+    { length: CHUNK_ITEMS },
+    () =>
+      create(ItemSchema, { body: new Uint8Array(ITEM_BODY_BYTES).fill(32) }),
+  );
+  await Promise.all(
+    Array.from({ length: chunks }, (_, index) =>
+      client.runItemCommand(group, {
+        case: "putChunk",
+        value: { jobId, index, items },
+      }, 30_000)),
+  );
+  await client.runItemCommand(group, {
+    case: "commitJob",
+    value: {
+      id: jobId,
+      deployment: "d",
+      itemCount: BigInt(chunks * CHUNK_ITEMS),
+    },
+  }, 30_000);
+  const { epoch } = await client.runItemCommand(group, {
+    case: "openSession",
+    value: { entry: "bench", incarnation: "items" },
+  });
+  const outcome = {
+    verdict: Verdict.RAN,
+    status: 200,
+    body: new Uint8Array(RESULT_BYTES),
+  };
+  let sequence = 0n;
+  let count = 0;
+  let recording: Promise<unknown> = Promise.resolve();
+  for (;;) {
+    sequence += 1n;
+    const { claimed } = await client.runItemCommand(group, {
+      case: "claimItems",
+      value: {
+        epoch,
+        sequence,
+        shares: [{ deployment: "d", maxItems: CLAIM_ITEMS }],
+      },
+    }, 30_000);
+    await recording;
+    if (claimed.length === 0) return count;
+    count += claimed.length;
+    recording = client.runItemCommand(group, {
+      case: "finishItems",
+      value: {
+        epoch,
+        items: claimed.map(({ ref }) => ({ ref, outcome })),
+      },
+    }, 30_000);
+  }
+}
+
 /** Memory of items in a machine, and time to bring them back from a disk. */
 async function measureItems(folder: string, count: number) {
   const before = getUsedBytes();
@@ -261,6 +340,11 @@
       report(`accepts over syncs, ${name}`, rate / syncs, "times");
       report(`accept p99, ${name}`, p99, "ms");
       report(`accept p99, ${name}`, p99 * syncs / 1_000, "syncs");
+      const items = await measureItemRate(group, {
+        itemGroups,
+        chunks: CHUNKS_PER_GROUP,
+      });
+      report(`items, ${name}`, items, "1/s");
       const rest = await measureRest(group, ms);
       report(`sent at rest, ${name}`, rest.bytes, "bytes/s");
       report(`messages at rest, ${name}`, rest.messages, "1/s");
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -39,6 +39,7 @@
   parseOrder,
 } from "./order_actions.ts";
 import { Output } from "./output.ts";
+import { createMessagesPage, createSettingsPage } from "./schema_pages.ts";
 
 const EXIT_CODES = `
 Exit codes: 0 done, 1 internal error, 2 usage, 3 settings, 4 port or folder,
@@ -400,6 +401,14 @@
     });
   });
 
+program.command("schema-pages")
+  .description("Write the pages that are made from the schema.")
+  .argument("<folder>", "where the pages go")
+  .action((folder: string) => {
+    writeFileSync(`${folder}/SETTINGS.md`, createSettingsPage());
+    writeFileSync(`${folder}/MESSAGES.md`, createMessagesPage());
+  });
+
 program.command("demo")
   .description("Run a whole small fleet in this process and show its work.")
   .action(() => runDemo(getOutput()));
--- a/src/services/state_host.ts
+++ b/src/services/state_host.ts
@@ -48,6 +48,8 @@
 }
 
 const LEASE_CHECK_MS = 250;
+const EXPIRY_CHECK_MS = 60_000;
+const MS_PER_HOUR = 3_600_000;
 
 /** A running state host. */
 export class StateHost {
@@ -65,6 +67,7 @@
   #links: ReplicaLinks | undefined;
   #identity: IdentityRecord | undefined;
   #leaseTimer: Timer | undefined;
+  #expiryTimer: Timer | undefined;
   #isReady = false;
   #stopping = false;
   address = "";
@@ -174,6 +177,10 @@
       LEASE_CHECK_MS,
       () => this.#endExpiredSessions(),
     );
+    this.#expiryTimer = this.#context.clock.startInterval(
+      EXPIRY_CHECK_MS,
+      () => this.#expireRecords(),
+    );
     this.#orders.start();
     this.#isReady = true;
   }
@@ -194,6 +201,7 @@
     this.#leaseTimer?.cancel();
     const replicas = this.#getReplicas();
     await Promise.all(replicas.map((replica) => replica.stop()));
+    this.#expiryTimer?.cancel();
     this.#orders.close();
     this.#links?.close();
     this.server.close();
@@ -425,6 +433,21 @@
     });
   }
 
+  /** Removes what ended longer ago than the settings keep. */
+  #expireRecords(): void {
+    const hours = this.#settings.retentionHours ?? 0;
+    if (hours === 0) return;
+    const beforeMs = this.#context.clock.getWallMs() - hours * MS_PER_HOUR;
+    const command = encodeItemCommand({
+      case: "expire",
+      value: { beforeMs: BigInt(Math.floor(beforeMs)) },
+    });
+    this.#groups.forEach(({ replica, machine }) => {
+      const isDue = replica.canRead() && machine.hasExpired(beforeMs);
+      if (isDue) replica.propose(command).catch(() => {});
+    });
+  }
+
   #endExpiredSessions(): void {
     this.#removeSilentEntries();
     this.#cancelAtDissolution();
--- a/src/state/machines/item_machine.ts
+++ b/src/state/machines/item_machine.ts
@@ -142,6 +142,12 @@
       );
   }
 
+  /** Whether anything ended before a time. */
+  hasExpired(beforeMs: number): boolean {
+    return this.#requests.hasExpired(beforeMs) ||
+      [...this.#jobs.values()].some(({ job }) => isExpired(job, beforeMs));
+  }
+
   /** Jobs that have not ended and may still be cancelled. */
   getCancellableJobIds(): string[] {
     return [...this.#active.values()].filter(({ job }) => !job.cancelled)
@@ -491,7 +497,7 @@
   #expire(beforeMs: number): void {
     this.#requests.expire(beforeMs);
     [...this.#jobs.values()].map((stored) => stored.job)
-      .filter((job) => job.endedMs > 0n && Number(job.endedMs) < beforeMs)
+      .filter((job) => isExpired(job, beforeMs))
       .forEach((job) => this.#jobs.delete(job.id));
   }
 }
@@ -515,6 +521,10 @@
   });
 }
 
+function isExpired(job: Job, beforeMs: number): boolean {
+  return job.endedMs > 0n && Number(job.endedMs) < beforeMs;
+}
+
 function decodeCommand(bytes: Uint8Array) {
   return fromBinary(ItemCommandSchema, bytes).command;
 }
--- a/src/state/machines/keyed_requests.ts
+++ b/src/state/machines/keyed_requests.ts
@@ -22,6 +22,11 @@
   return `${caller}\u0000${key}`;
 }
 
+function isExpired(request: KeyedRequest, beforeMs: number): boolean {
+  return request.state !== ItemState.DISPATCHED &&
+    Number(request.createdMs) < beforeMs;
+}
+
 /** All keyed requests of a group. */
 export class KeyedRequests {
   #requests = new Map<string, KeyedRequest>();
@@ -94,13 +99,14 @@
       );
   }
 
+  /** Whether a request ended and was created before `beforeMs`. */
+  hasExpired(beforeMs: number): boolean {
+    return this.getAll().some((request) => isExpired(request, beforeMs));
+  }
+
   /** Removes requests that ended and were created before `beforeMs`. */
   expire(beforeMs: number): void {
-    this.getAll()
-      .filter((request) =>
-        request.state !== ItemState.DISPATCHED &&
-        Number(request.createdMs) < beforeMs
-      )
+    this.getAll().filter((request) => isExpired(request, beforeMs))
       .forEach((request) =>
         this.#requests.delete(getMapKey(request.caller, request.key))
       );
--- a/src/test/examples_test.ts
+++ b/src/test/examples_test.ts
@@ -1,9 +1,10 @@
 /** The examples: settings files check, and the library runs embedded. */
 import { expect } from "chai";
-import { readdir } from "node:fs/promises";
+import { readdir, readFile } from "node:fs/promises";
 import path from "node:path";
 import { runPolicyAlone } from "papayatally/examples/policy_alone";
 import { runReplicatedLog } from "papayatally/examples/replicated_log";
+import { createMessagesPage, createSettingsPage } from "../cli/schema_pages.ts";
 import { readSettings } from "../daemons/daemon.ts";
 import {
   EntrySettingsSchema,
@@ -38,6 +39,15 @@
   });
 });
 
+describe("pages", () => {
+  it("made from the schema are fresh", async () => {
+    expect(await readFile("docs/SETTINGS.md", "utf8"))
+      .equal(createSettingsPage());
+    expect(await readFile("docs/MESSAGES.md", "utf8"))
+      .equal(createMessagesPage());
+  });
+});
+
 describe("settings", () => {
   it("report every fault with its line and stable code", () => {
     const result = parseSettings(
