A request beside a rack's loss needs one death more to be refused

Cause: with half of the engines lost at once, an innocent request may move to a server that dies by the same cause, and two deaths refused it. Change: where servers that the request did not run on died within 5 s, three deaths are needed. The bench reports what broken answers said.

--- a/src/bench/load.ts
+++ b/src/bench/load.ts
@@ -23,6 +23,8 @@
   readonly refused: number;
   readonly broken: number;
   readonly tokens: number;
+  /** What broken answers said, the first few of them. */
+  readonly failures: readonly string[];
   /** Microseconds from when a request was due. */
   readonly firstToken: Histogram;
   /** Microseconds. */
@@ -32,6 +34,7 @@
 const US_PER_MS = 1_000;
 const MAX_TRACKED_US = 600_000_000;
 const CHARACTERS_PER_TOKEN = 4;
+const MAX_FAILURES = 8;
 
 function createHistogram(): Histogram {
   return build({
@@ -87,6 +90,7 @@
   const sums = { sent: 0, answered: 0, refused: 0, broken: 0, tokens: 0 };
   const startMs = clock.getMonotonicMs();
   const open: Promise<void>[] = [];
+  const failures: string[] = [];
 
   const ask = async (arrival: Arrival, index: number): Promise<void> => {
     const dueMs = startMs + arrival.atMs;
@@ -108,12 +112,18 @@
         max_tokens: arrival.tokens,
       },
       { onToken },
-    ).catch(() => undefined);
+    ).catch((error) => {
+      failures.push(String(error));
+      return undefined;
+    });
     if (!isMeasured) return;
     sums.sent += 1;
     if (answer?.isDone === true) sums.answered += 1;
     else if (answer !== undefined && answer.status !== 200) sums.refused += 1;
-    else sums.broken += 1;
+    else {
+      sums.broken += 1;
+      failures.push(answer?.error ?? "no answer");
+    }
     sums.tokens += answer?.tokens ?? 0;
   };
 
@@ -125,5 +135,10 @@
   const leftMs = startMs + endMs - clock.getMonotonicMs();
   if (leftMs > 0) await clock.delay(leftMs);
   await Promise.all(open);
-  return { ...sums, firstToken, tokenGap };
+  return {
+    ...sums,
+    failures: failures.slice(0, MAX_FAILURES),
+    firstToken,
+    tokenGap,
+  };
 }
--- a/src/bench/report.ts
+++ b/src/bench/report.ts
@@ -25,7 +25,9 @@
 
 /** One mode as a line of the table. */
 export function formatResult(result: ModeResult): string {
-  return formatCells(COLUMNS.map(([, get]) => get(result)));
+  const line = formatCells(COLUMNS.map(([, get]) => get(result)));
+  return [line, ...result.failures.map((text) => `  broken: ${text}`)]
+    .join("\n");
 }
 
 const CELL_WIDTH = 13;
--- a/src/bench/scenario_run.ts
+++ b/src/bench/scenario_run.ts
@@ -29,6 +29,7 @@
   readonly answered: number;
   readonly refused: number;
   readonly broken: number;
+  readonly failures: readonly string[];
   readonly firstTokenMs: { p50: number; p95: number; p99: number };
   readonly tokenGapMs: { p50: number; p95: number; p99: number };
   readonly onlineTokensPerS: number;
@@ -240,6 +241,7 @@
       answered: online.answered,
       refused: online.refused,
       broken: online.broken,
+      failures: online.failures,
       firstTokenMs: getPercentiles(online.firstToken),
       tokenGapMs: getPercentiles(online.tokenGap),
       onlineTokensPerS: onlineTokens,
--- a/src/membership/suspicions.ts
+++ b/src/membership/suspicions.ts
@@ -9,11 +9,15 @@
 /** Deaths after which a request is refused. */
 export const MAX_DEATHS = 2;
 
+/** Deaths within this time of each other may have one cause, such as a rack. */
+const SAME_CAUSE_MS = 5_000;
+
 /** Time for which a suspicion is kept, in milliseconds. */
 const KEEP_MS = 24 * 3_600_000;
 
 interface Row {
-  readonly servers: Set<string>;
+  /** When each server that died under the request was noticed. */
+  readonly servers: Map<string, number>;
   updatedMs: number;
 }
 
@@ -26,8 +30,15 @@
     return this.#rows.get(fingerprint)?.servers.size ?? 0;
   }
 
+  /**
+   * Whether the request has ended too many servers. Where servers that it did
+   * not run on died at about the same time, one more death is needed: it may
+   * have been beside whatever took them.
+   */
   isRefused(fingerprint: string): boolean {
-    return this.getDeaths(fingerprint) >= MAX_DEATHS;
+    const row = this.#rows.get(fingerprint);
+    if (row === undefined || row.servers.size < MAX_DEATHS) return false;
+    return row.servers.size > MAX_DEATHS || !this.#hasOtherDeath(row);
   }
 
   isSuspect(fingerprint: string): boolean {
@@ -37,11 +48,14 @@
   /** Records a death; returns the news to spread. */
   record(fingerprint: string, server: string, nowMs: number): Suspicion {
     const row = this.#rows.get(fingerprint) ??
-      { servers: new Set<string>(), updatedMs: nowMs };
-    row.servers.add(server);
+      { servers: new Map<string, number>(), updatedMs: nowMs };
+    if (!row.servers.has(server)) row.servers.set(server, nowMs);
     row.updatedMs = nowMs;
     this.#rows.set(fingerprint, row);
-    return create(SuspicionSchema, { fingerprint, servers: [...row.servers] });
+    return create(SuspicionSchema, {
+      fingerprint,
+      servers: [...row.servers.keys()],
+    });
   }
 
   /** A suspect finished; it is one no more. Returns the news to spread. */
@@ -67,10 +81,21 @@
   /** All suspicions, for an entry that starts. */
   getAll(): Suspicion[] {
     return [...this.#rows].map(([fingerprint, row]) =>
-      create(SuspicionSchema, { fingerprint, servers: [...row.servers] })
+      create(SuspicionSchema, { fingerprint, servers: [...row.servers.keys()] })
+    );
+  }
+
+  #hasOtherDeath(row: Row): boolean {
+    const times = [...row.servers.values()];
+    return [...this.#rows.values()].some((other) =>
+      [...other.servers].some(([server, atMs]) =>
+        !row.servers.has(server) &&
+        times.some((time) => Math.abs(time - atMs) <= SAME_CAUSE_MS)
+      )
     );
   }
 
+  /** Forgets what is old. */
   sweep(nowMs: number): void {
     [...this.#rows].filter(([, row]) => nowMs - row.updatedMs > KEEP_MS)
       .forEach(([fingerprint]) => this.#rows.delete(fingerprint));
--- a/src/services/backend_pool.ts
+++ b/src/services/backend_pool.ts
@@ -59,6 +59,8 @@
 const SUSPECT_RETRY_MS = 50;
 const LEAST_TARGET = 2;
 
+const TICKS_PER_SWEEP = 10;
+
 /** Ticks after which targets adapt to what was seen. */
 const TICKS_PER_ADAPTATION = 5;
 
@@ -372,7 +374,8 @@
     this.#updateRates();
     view.backends.noteOwnLoads();
     view.backends.getAll().forEach((server) => this.#adapt(server));
-    if (this.#ticks % 10 === 0) {
+    if (this.#ticks % TICKS_PER_SWEEP === 0) {
+      view.suspicions.sweep(nowMs);
       view.backends.sweep(nowMs)
         .forEach((server) => this.abandonServer(server.name));
     }
--- a/src/test/policy_test.ts
+++ b/src/test/policy_test.ts
@@ -1,7 +1,7 @@
 /** Decisions as pure functions, and the pool that carries them out. */
 import { expect } from "chai";
 import { create } from "@bufbuild/protobuf";
-import { FleetView } from "../membership/mod.ts";
+import { FleetView, Suspicions } from "../membership/mod.ts";
 import {
   adaptTarget,
   chooseServer,
@@ -265,6 +265,20 @@
     expect(later.map((order) => order.fencingNumber)).deep.equal([1, 2]);
   });
 
+  it("refuses after two deaths, after three when others died as well", () => {
+    const alone = new Suspicions();
+    ["s1", "s2"].forEach((server) => alone.record("poison", server, 0));
+    alone.record("beside", "s1", 0);
+    expect(alone.isRefused("poison")).equal(true);
+    expect(alone.isRefused("beside")).equal(false);
+    const rack = new Suspicions();
+    ["s1", "s2"].forEach((server) => rack.record("innocent", server, 0));
+    rack.record("other", "s3", 100);
+    expect(rack.isRefused("innocent")).equal(false);
+    rack.record("innocent", "s4", 200);
+    expect(rack.isRefused("innocent")).equal(true);
+  });
+
   it("serves a queue's callers in turn", () => {
     const queue = new FairQueue<string>();
     ["a1", "a2", "a3"].forEach((value) => queue.push("a", value));
