--- /dev/null
+++ b/src/services/announcement_body.ts
@@ -0,0 +1,30 @@
+/** Announcements as backend servers write them. */
+import { fromJson, type JsonValue } from "@bufbuild/protobuf";
+import {
+  type Announcement,
+  AnnouncementSchema,
+  MessageCode,
+} from "../schema/mod.ts";
+import { getReason, ServingError } from "../sys/errors.ts";
+
+/** Reads an announcement's JSON; a bad one is BODY_MALFORMED. */
+export function parseAnnouncement(bytes: Uint8Array): Announcement {
+  try {
+    const value = JSON.parse(new TextDecoder().decode(bytes)) as JsonValue;
+    const announcement = fromJson(AnnouncementSchema, value, {
+      ignoreUnknownFields: true,
+    });
+    if (announcement.name !== "" && announcement.address !== "") {
+      return announcement;
+    }
+  } catch (error) {
+    throw createMalformed(getReason(error));
+  }
+  throw createMalformed("name and address are required");
+}
+
+function createMalformed(reason: string): ServingError {
+  return new ServingError(MessageCode.BODY_MALFORMED, {
+    parameters: { reason },
+  });
+}
--- /dev/null
+++ b/src/services/batch_item.ts
@@ -0,0 +1,141 @@
+/** Items that an entry holds: their requests, progress and outcomes. */
+import { create } from "@bufbuild/protobuf";
+import type { FleetView } from "../membership/mod.ts";
+import { EventLog, type Progress } from "../relay/mod.ts";
+import {
+  type ClaimedItem,
+  MessageCode,
+  type Outcome,
+  OutcomeSchema,
+  Verdict,
+  type Workload,
+} from "../schema/mod.ts";
+import { ServingError } from "../sys/errors.ts";
+import {
+  createFailure,
+  createWholeAnswer,
+  getFingerprint,
+  getPromptText,
+  parseCompletion,
+} from "./completion_service.ts";
+import type { CompletionSink, EngineRun } from "./engine_runner.ts";
+import { parseItemLine } from "./item_line.ts";
+
+/** An item that this entry holds. */
+export interface HeldItem {
+  readonly claimed: ClaimedItem;
+  readonly group: number;
+  readonly epoch: bigint;
+  readonly abort: AbortController;
+  readonly sink: ItemSink;
+  /** The item's completion, worked out once. */
+  run?: EngineRun;
+  heldSinceMs: number;
+  isRunning: boolean;
+}
+
+/** Statuses of an engine that condemn the item itself. */
+export function isFinalStatus(status: number): boolean {
+  return status < 500 && status !== 429 && status !== 408;
+}
+
+/** Collects what an item's completion produces. */
+export class ItemSink implements CompletionSink {
+  readonly log: EventLog;
+
+  constructor(progress: Progress) {
+    this.log = new EventLog(progress);
+  }
+
+  onEvents(events: Buffer): boolean {
+    this.log.append(events);
+    return true;
+  }
+
+  whenReady(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** The completion that an item asks for; throws when its line asks for none. */
+export function createItemRun(
+  item: HeldItem,
+  workload: Workload,
+  deadlineMs: number,
+): EngineRun {
+  const { claimed } = item;
+  const line = parseItemLine(claimed.item?.body ?? new Uint8Array(), 0);
+  const text = JSON.stringify({ model: workload.model, ...line.body });
+  const body = parseCompletion(new TextEncoder().encode(text));
+  const isChat = body.messages !== undefined;
+  return {
+    requestId: getItemKey(item),
+    path: isChat ? "/v1/chat/completions" : "/v1/completions",
+    body: { ...body, model: workload.model },
+    deployment: workload.deployment,
+    adapter: "",
+    caller: claimed.caller,
+    fingerprint: getFingerprint(workload.name, body),
+    affinity: getPromptText(body),
+    isNonIdempotent: claimed.nonIdempotent,
+    deadlineMs,
+    signal: item.abort.signal,
+  };
+}
+
+/** The outcome of an item that an engine refused for good. */
+export function createAnswerOutcome(end: {
+  readonly status: number;
+  readonly body: Uint8Array;
+  readonly contentType: string;
+}): Outcome {
+  return create(OutcomeSchema, {
+    verdict: Verdict.RAN,
+    status: end.status,
+    body: end.body,
+    contentType: end.contentType,
+    code: MessageCode.BACKEND_SERVER_FAILED,
+    detail: `the backend server answered ${end.status}`,
+  });
+}
+
+/** Names one dispatch of an item. */
+export function getItemKey(item: HeldItem): string {
+  const ref = item.claimed.ref;
+  return `${ref?.jobId}/${ref?.index}/${ref?.dispatch}`;
+}
+
+/** Progress as the state keeps it. */
+export function encodeProgress(progress: Progress): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(progress));
+}
+
+/** A sink that goes on from the item's progress. */
+export function createSink(claimed: ClaimedItem): ItemSink {
+  const bytes = claimed.item?.progress ?? new Uint8Array();
+  return new ItemSink(
+    bytes.length === 0
+      ? { text: "", tokens: 0 }
+      : JSON.parse(new TextDecoder().decode(bytes)),
+  );
+}
+
+/** The outcome of a completion that ended. */
+export function createItemOutcome(sink: ItemSink): Outcome {
+  return create(OutcomeSchema, {
+    verdict: Verdict.RAN,
+    status: 200,
+    body: new TextEncoder().encode(JSON.stringify(createWholeAnswer(sink.log))),
+    contentType: "application/json",
+  });
+}
+
+/** The outcome of an item that ended too many servers. */
+export function createPoisoned(view: FleetView, fingerprint: string): Outcome {
+  return createFailure(
+    new ServingError(MessageCode.REQUEST_POISONED, {
+      verdict: Verdict.MAY_HAVE_RUN,
+      parameters: { servers: view.suspicions.getDeaths(fingerprint) },
+    }),
+  );
+}
--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -6,15 +6,12 @@
  */
 import { create } from "@bufbuild/protobuf";
 import type { FleetView } from "../membership/mod.ts";
-import { type CompletionBody, EventLog, type Progress } from "../relay/mod.ts";
 import {
-  type ClaimedItem,
   DeploymentKind,
   type FinishedItem,
   FinishedItemSchema,
   MessageCode,
   type Outcome,
-  OutcomeSchema,
   type RenewReply,
   type Share,
   Verdict,
@@ -35,19 +32,20 @@
   type Steps,
   tryReceiveWithin,
 } from "../sys/routines.ts";
-import type { BackendPool } from "./backend_pool.ts";
 import {
-  createFailure,
-  createWholeAnswer,
-  getFingerprint,
-  getPromptText,
-  parseCompletion,
-} from "./completion_service.ts";
-import type {
-  CompletionSink,
-  EngineRun,
-  EngineRunner,
-} from "./engine_runner.ts";
+  createAnswerOutcome,
+  createItemOutcome,
+  createItemRun,
+  createPoisoned,
+  createSink,
+  encodeProgress,
+  getItemKey,
+  type HeldItem,
+  isFinalStatus,
+} from "./batch_item.ts";
+import type { BackendPool } from "./backend_pool.ts";
+import { createFailure } from "./completion_service.ts";
+import type { EngineRun, EngineRunner } from "./engine_runner.ts";
 import { getItemGroups } from "./groups.ts";
 import { isStaleEpoch, type ItemSessions } from "./item_sessions.ts";
 import { parseItemLine } from "./item_line.ts";
@@ -68,19 +66,6 @@
   readonly metrics: Metrics;
 }
 
-/** An item that this entry holds. */
-interface HeldItem {
-  readonly claimed: ClaimedItem;
-  readonly group: number;
-  readonly epoch: bigint;
-  readonly abort: AbortController;
-  readonly sink: ItemSink;
-  /** The item's completion, worked out once. */
-  run?: EngineRun;
-  heldSinceMs: number;
-  isRunning: boolean;
-}
-
 const CYCLE_MS = 20;
 const FINISH_FLUSH_MS = 20;
 
@@ -102,29 +87,6 @@
 
 const CLAIM_TIMEOUT_MS = 3_000;
 
-/** Statuses of an engine that condemn the item itself. */
-function isFinalStatus(status: number): boolean {
-  return status < 500 && status !== 429 && status !== 408;
-}
-
-/** Collects what an item's completion produces. */
-class ItemSink implements CompletionSink {
-  readonly log: EventLog;
-
-  constructor(progress: Progress) {
-    this.log = new EventLog(progress);
-  }
-
-  onEvents(events: Buffer): boolean {
-    this.log.append(events);
-    return true;
-  }
-
-  whenReady(): Promise<void> {
-    return Promise.resolve();
-  }
-}
-
 /** Runs the batch items of one entry. */
 export class BatchRunner {
   readonly #options: BatchRunnerOptions;
@@ -378,16 +340,7 @@
           return this.#end(
             item,
             isFinalStatus(end.status)
-              ? {
-                outcome: create(OutcomeSchema, {
-                  verdict: Verdict.RAN,
-                  status: end.status,
-                  body: end.body,
-                  contentType: end.contentType,
-                  code: MessageCode.BACKEND_SERVER_FAILED,
-                  detail: `the backend server answered ${end.status}`,
-                }),
-              }
+              ? { outcome: createAnswerOutcome(end) }
               : { charged: end.status !== 429 && end.status !== 503 },
           );
         case "broken":
@@ -416,27 +369,9 @@
   }
 
   #tryCreateRun(item: HeldItem, workload: Workload): EngineRun | undefined {
-    const { claimed } = item;
+    const nowMs = this.#options.clock.getMonotonicMs();
     try {
-      const line = parseItemLine(claimed.item?.body ?? new Uint8Array(), 0);
-      const text = JSON.stringify({ model: workload.model, ...line.body });
-      const body: CompletionBody = parseCompletion(
-        new TextEncoder().encode(text),
-      );
-      const isChat = body.messages !== undefined;
-      return {
-        requestId: getItemKey(item),
-        path: isChat ? "/v1/chat/completions" : "/v1/completions",
-        body: { ...body, model: workload.model },
-        deployment: workload.deployment,
-        adapter: "",
-        caller: claimed.caller,
-        fingerprint: getFingerprint(workload.name, body),
-        affinity: getPromptText(body),
-        isNonIdempotent: claimed.nonIdempotent,
-        deadlineMs: this.#options.clock.getMonotonicMs() + ITEM_TIMEOUT_MS,
-        signal: item.abort.signal,
-      };
+      return createItemRun(item, workload, nowMs + ITEM_TIMEOUT_MS);
     } catch (error) {
       this.#end(item, { outcome: createFailure(asServingError(error)) });
       return undefined;
@@ -540,39 +475,3 @@
     }
   }
 }
-
-function getItemKey(item: HeldItem): string {
-  const ref = item.claimed.ref;
-  return `${ref?.jobId}/${ref?.index}/${ref?.dispatch}`;
-}
-
-function encodeProgress(progress: Progress): Uint8Array {
-  return new TextEncoder().encode(JSON.stringify(progress));
-}
-
-function createSink(claimed: ClaimedItem): ItemSink {
-  const bytes = claimed.item?.progress ?? new Uint8Array();
-  return new ItemSink(
-    bytes.length === 0
-      ? { text: "", tokens: 0 }
-      : JSON.parse(new TextDecoder().decode(bytes)),
-  );
-}
-
-function createItemOutcome(sink: ItemSink): Outcome {
-  return create(OutcomeSchema, {
-    verdict: Verdict.RAN,
-    status: 200,
-    body: new TextEncoder().encode(JSON.stringify(createWholeAnswer(sink.log))),
-    contentType: "application/json",
-  });
-}
-
-function createPoisoned(view: FleetView, fingerprint: string): Outcome {
-  return createFailure(
-    new ServingError(MessageCode.REQUEST_POISONED, {
-      verdict: Verdict.MAY_HAVE_RUN,
-      parameters: { servers: view.suspicions.getDeaths(fingerprint) },
-    }),
-  );
-}
--- a/src/services/engine_runner.ts
+++ b/src/services/engine_runner.ts
@@ -127,7 +127,10 @@
       body: run.body,
       progress: sink.log.getProgress(),
       requestId: run.requestId,
-      isFresh: run.isNonIdempotent,
+      // On a connection that was kept, a dead server looks as if it had died
+      // under the request; a suspect would be refused for it.
+      isFresh: run.isNonIdempotent ||
+        this.#view.suspicions.isSuspect(run.fingerprint),
       stallMs: Math.max(1, Math.min(STALL_MS, leftMs)),
       signal,
     }, {
--- a/src/services/entry_host.ts
+++ b/src/services/entry_host.ts
@@ -2,12 +2,11 @@
  * An entry host: takes callers' requests and backend servers' announcements,
  * routes, and runs batch items. It needs no disk.
  */
-import { create, fromJson, type JsonValue } from "@bufbuild/protobuf";
+import { create } from "@bufbuild/protobuf";
 import { AnnouncementEffect, FleetView } from "../membership/mod.ts";
 import { RetryBudget } from "../policy/mod.ts";
 import {
   type Announcement,
-  AnnouncementSchema,
   Entries,
   type EntrySettings,
   type EntryView,
@@ -17,33 +16,27 @@
   type SpreadBatch,
 } from "../schema/mod.ts";
 import type { Timer } from "../sys/clock.ts";
-import { asServingError, getReason, ServingError } from "../sys/errors.ts";
+import { getReason, ServingError } from "../sys/errors.ts";
 import { DiskFolder, type Folder } from "../sys/files.ts";
-import {
-  type HttpListener,
-  type IncomingMessage,
-  listenHttp,
-  readBody,
-  type ServerResponse,
-} from "../sys/http.ts";
-import { MetricName } from "../sys/metrics.ts";
+import { type HttpListener, listenHttp } from "../sys/http.ts";
 import {
   createCredentials,
-  RpcClient,
   type RpcCredentials,
   RpcServer,
 } from "../sys/rpc.ts";
-import { createRawHeaderProblem, sendJson, sendProblem } from "./answers.ts";
+import { createRawHeaderProblem } from "./answers.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { BatchRunner } from "./batch_runner.ts";
-import { type CallerRequest, createCallerRequest } from "./caller_request.ts";
-import { COMPLETION_PATHS, CompletionService } from "./completion_service.ts";
+import { CallerLimits } from "./caller_limits.ts";
+import { CompletionService } from "./completion_service.ts";
 import { DeathWatch } from "./death_watch.ts";
 import { EngineRunner } from "./engine_runner.ts";
+import { EntryHttp } from "./entry_http.ts";
 import { Registrar } from "./entry_registration.ts";
 import { ItemSessions } from "./item_sessions.ts";
-import { JOBS_PATH, JobService } from "./job_service.ts";
+import { JobService } from "./job_service.ts";
 import { KeyedStore } from "./keyed_store.ts";
+import { countOpen } from "./open_counts.ts";
 import { addOperatorService } from "./operator_service.ts";
 import { PlainService } from "./plain_service.ts";
 import type { ProcessContext } from "./process_context.ts";
@@ -52,12 +45,7 @@
 import { SuspectLanes } from "./suspect_lanes.ts";
 import { ViewFollower } from "./view_follower.ts";
 
-/** Path that backend servers announce themselves at. */
-export const ANNOUNCE_PATH = "/v1/backend-servers/announce";
-
-const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
 const BATCH_LOAD_MS = 500;
-const COUNT_TIMEOUT_MS = 2_000;
 
 /** A running entry. */
 export class EntryHost {
@@ -78,12 +66,12 @@
   readonly #jobs: JobService;
   readonly batch: BatchRunner;
   readonly #rpc: RpcServer;
-  readonly #callers = new Map<string, number>();
+  readonly #callers: CallerLimits;
+  readonly #http: EntryHttp;
   #follower: ViewFollower | undefined;
   #registrar: Registrar | undefined;
   #listener: HttpListener | undefined;
   #timer: Timer | undefined;
-  #open = 0;
   #stopping = false;
   address = "";
   peerAddress = "";
@@ -95,6 +83,7 @@
     this.#incarnation = random.createId();
     this.#credentials = createCredentials(settings.tls, context.isCut);
     this.#rpc = new RpcServer(this.#credentials);
+    this.#callers = new CallerLimits(settings.limits?.callerStreams ?? 0);
     const { view } = this;
     const groupCount = settings.itemGroups ?? 1;
     const bodyBytes = settings.limits?.bodyBytes ?? 0;
@@ -198,6 +187,23 @@
       log,
       metrics,
     });
+    this.#http = new EntryHttp({
+      context,
+      view,
+      callers: this.#callers,
+      jobs: this.#jobs,
+      completions: this.#completions,
+      plain: this.#plain,
+      isReady: () => this.isReady,
+      isStopping: () => this.#stopping,
+      onAnnouncement: (announcement) => {
+        const effect = this.#acceptAnnouncement(announcement);
+        if (effect !== AnnouncementEffect.old) {
+          this.#spreader.spreadAnnouncement(announcement);
+        }
+        return effect;
+      },
+    });
   }
 
   /** Whether the balancer may send callers here. */
@@ -215,7 +221,7 @@
     const headerBytes = this.#settings.limits?.headerBytes ?? 0;
     this.#listener = await listenHttp(
       this.#settings.listen ?? "",
-      (req, res) => this.#serve(req, res),
+      (req, res) => this.#http.serve(req, res),
       { headerBytes, onHeadersTooLarge: createRawHeaderProblem(headerBytes) },
     );
     this.address = this.#listener.address;
@@ -256,7 +262,10 @@
     this.#stopping = true;
     const { clock, log } = this.#context;
     const limitMs = this.#settings.stopTimeoutMs ?? 0;
-    log.info("stopping", { open: this.#open, held: this.batch.heldCount });
+    log.info("stopping", {
+      open: this.#callers.openCount,
+      held: this.batch.heldCount,
+    });
     // The balancer goes on sending until it has seen that readiness is off.
     await clock.delay(this.#settings.stopDelayMs ?? 0);
     const drained = this.#listener?.drain() ?? Promise.resolve();
@@ -264,7 +273,10 @@
       Promise.all([drained, this.batch.stop(limitMs)]),
       clock.delay(limitMs),
     ]);
-    log.info("stopped", { open: this.#open, held: this.batch.heldCount });
+    log.info("stopped", {
+      open: this.#callers.openCount,
+      held: this.batch.heldCount,
+    });
     await this.#sessions.close();
     await this.#registrar?.close();
     this.halt();
@@ -297,7 +309,7 @@
       configurationVersion: Number(configuration.version),
       lastOrder: configuration.lastOrderId,
       entries: entries.map((entry) => entry.id),
-      open: this.#open,
+      open: this.#callers.openCount,
       active: this.pool.activeCount,
       waiting: this.pool.waitingCount,
       held: this.batch.heldCount,
@@ -343,7 +355,7 @@
       },
       countOpen: () =>
         Promise.resolve({
-          streams: BigInt(this.#open),
+          streams: BigInt(this.#callers.openCount),
           claims: BigInt(this.batch.heldCount),
         }),
     });
@@ -353,7 +365,7 @@
       groupCount: this.#settings.itemGroups ?? 1,
       isSecure: this.#credentials.isSecure,
       getDump: () => this.getDump(),
-      countEntries: () => this.#countEntries(),
+      countEntries: () => countOpen(this.view.entries, this.#credentials),
     });
   }
 
@@ -373,29 +385,6 @@
     });
   }
 
-  async #countEntries() {
-    const counts = await Promise.all(
-      this.view.entries.map(async (entry) => {
-        const client = new RpcClient(entry.address, this.#credentials);
-        try {
-          return await client.call(Entries.method.countOpen, {}, {
-            timeoutMs: COUNT_TIMEOUT_MS,
-          });
-        } catch {
-          return entry.id;
-        } finally {
-          client.close();
-        }
-      }),
-    );
-    const known = counts.filter((count) => typeof count !== "string");
-    return {
-      streams: known.reduce((sum, count) => sum + Number(count.streams), 0),
-      claims: known.reduce((sum, count) => sum + Number(count.claims), 0),
-      unreachable: counts.filter((count) => typeof count === "string"),
-    };
-  }
-
   async #tryOpenCache(): Promise<Folder | undefined> {
     const path = this.#settings.cacheFolder ?? "";
     if (path === "") return undefined;
@@ -439,132 +428,4 @@
     }
     return effect;
   }
-
-  #serve(req: IncomingMessage, res: ServerResponse): void {
-    const path = (req.url ?? "/").split("?")[0] ?? "/";
-    res.on("error", () => {});
-    if (path === "/healthz") {
-      sendJson(res, 200, { status: "alive" });
-      return;
-    }
-    if (path === "/readyz") {
-      sendJson(res, this.isReady ? 200 : 503, { ready: this.isReady });
-      return;
-    }
-    if (this.#stopping) res.setHeader("connection", "close");
-    const work = path === ANNOUNCE_PATH
-      ? this.#serveAnnouncement(req, res)
-      : this.#serveCaller(req, res, path);
-    work.catch((error) => this.#sendError(res, error));
-  }
-
-  #sendError(res: ServerResponse, thrown: unknown): void {
-    const { metrics, log } = this.#context;
-    const error = asServingError(thrown);
-    metrics.count(MetricName.requestErrors);
-    if (error.code === MessageCode.INTERNAL) {
-      log.error("request_failed", { reason: error.message });
-    }
-    if (error.code !== MessageCode.CALLER_LEFT) sendProblem(res, error);
-    else if (!res.writableEnded) res.destroy();
-  }
-
-  async #serveAnnouncement(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const bytes = await readBody(req, MAX_ANNOUNCEMENT_BYTES);
-    const announcement = parseAnnouncement(bytes);
-    const effect = this.#acceptAnnouncement(announcement);
-    if (effect !== AnnouncementEffect.old) {
-      this.#spreader.spreadAnnouncement(announcement);
-    }
-    sendJson(res, 200, { effect });
-  }
-
-  async #serveCaller(
-    req: IncomingMessage,
-    res: ServerResponse,
-    path: string,
-  ): Promise<void> {
-    const { clock, metrics } = this.#context;
-    const call = createCallerRequest(req, res, this.#context);
-    this.#admit(call);
-    res.on("close", () => this.#leave(call));
-    metrics.count(MetricName.requests);
-    if (path === JOBS_PATH || path.startsWith(`${JOBS_PATH}/`)) {
-      await this.#jobs.serve(call);
-    } else if (COMPLETION_PATHS.includes(path)) {
-      this.#requireAccepting();
-      requirePost(call, path);
-      await this.#completions.serve(call);
-    } else {
-      this.#requireAccepting();
-      const workload = this.view.tryFindWorkload({ path: req.url ?? "/" });
-      if (workload === undefined) {
-        throw new ServingError(MessageCode.UNKNOWN_ROUTE, {
-          parameters: { path },
-        });
-      }
-      await this.#plain.serve(call, workload);
-    }
-    metrics.time(
-      MetricName.requestMs,
-      clock.getMonotonicMs() - call.startMs,
-    );
-  }
-
-  #requireAccepting(): void {
-    if (this.view.isDissolving()) {
-      throw new ServingError(MessageCode.DISSOLVING);
-    }
-  }
-
-  #admit(call: CallerRequest): void {
-    const open = this.#callers.get(call.caller) ?? 0;
-    const limit = this.#settings.limits?.callerStreams ?? 0;
-    if (open >= limit) {
-      throw new ServingError(MessageCode.TOO_MANY_STREAMS, {
-        parameters: { caller: call.caller, limit },
-        retryAfterS: 1,
-      });
-    }
-    this.#callers.set(call.caller, open + 1);
-    this.#open += 1;
-  }
-
-  #leave(call: CallerRequest): void {
-    const open = this.#callers.get(call.caller) ?? 1;
-    if (open <= 1) this.#callers.delete(call.caller);
-    else this.#callers.set(call.caller, open - 1);
-    this.#open -= 1;
-  }
-}
-
-function requirePost(call: CallerRequest, path: string): void {
-  if (call.req.method === "POST") return;
-  throw new ServingError(MessageCode.METHOD_REFUSED, {
-    parameters: { path, method: call.req.method ?? "" },
-  });
-}
-
-function parseAnnouncement(bytes: Uint8Array): Announcement {
-  try {
-    const value = JSON.parse(new TextDecoder().decode(bytes)) as JsonValue;
-    const announcement = fromJson(AnnouncementSchema, value, {
-      ignoreUnknownFields: true,
-    });
-    if (announcement.name !== "" && announcement.address !== "") {
-      return announcement;
-    }
-  } catch (error) {
-    throw createMalformed(getReason(error));
-  }
-  throw createMalformed("name and address are required");
-}
-
-function createMalformed(reason: string): ServingError {
-  return new ServingError(MessageCode.BODY_MALFORMED, {
-    parameters: { reason },
-  });
 }
--- /dev/null
+++ b/src/services/entry_http.ts
@@ -0,0 +1,129 @@
+/** HTTP of an entry: health, announcements and callers' requests by path. */
+import { AnnouncementEffect, type FleetView } from "../membership/mod.ts";
+import { type Announcement, MessageCode } from "../schema/mod.ts";
+import { asServingError, ServingError } from "../sys/errors.ts";
+import {
+  type IncomingMessage,
+  readBody,
+  type ServerResponse,
+} from "../sys/http.ts";
+import { MetricName } from "../sys/metrics.ts";
+import { parseAnnouncement } from "./announcement_body.ts";
+import { sendJson, sendProblem } from "./answers.ts";
+import type { CallerLimits } from "./caller_limits.ts";
+import { type CallerRequest, createCallerRequest } from "./caller_request.ts";
+import {
+  COMPLETION_PATHS,
+  type CompletionService,
+} from "./completion_service.ts";
+import { JOBS_PATH, type JobService } from "./job_service.ts";
+import type { PlainService } from "./plain_service.ts";
+import type { ProcessContext } from "./process_context.ts";
+
+/** Path that backend servers announce themselves at. */
+export const ANNOUNCE_PATH = "/v1/backend-servers/announce";
+
+const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
+
+/** How an {@linkcode EntryHttp} is made. */
+export interface EntryHttpOptions {
+  readonly context: ProcessContext;
+  readonly view: FleetView;
+  readonly callers: CallerLimits;
+  readonly jobs: JobService;
+  readonly completions: CompletionService;
+  readonly plain: PlainService;
+  readonly isReady: () => boolean;
+  readonly isStopping: () => boolean;
+  readonly onAnnouncement: (announcement: Announcement) => AnnouncementEffect;
+}
+
+/** Serves an entry's HTTP port. */
+export class EntryHttp {
+  readonly #options: EntryHttpOptions;
+
+  constructor(options: EntryHttpOptions) {
+    this.#options = options;
+  }
+
+  /** Takes one request and answers it in any case. */
+  serve(req: IncomingMessage, res: ServerResponse): void {
+    const path = (req.url ?? "/").split("?")[0] ?? "/";
+    res.on("error", () => {});
+    if (path === "/healthz") {
+      sendJson(res, 200, { status: "alive" });
+      return;
+    }
+    if (path === "/readyz") {
+      const ready = this.#options.isReady();
+      sendJson(res, ready ? 200 : 503, { ready });
+      return;
+    }
+    if (this.#options.isStopping()) res.setHeader("connection", "close");
+    const work = path === ANNOUNCE_PATH
+      ? this.#serveAnnouncement(req, res)
+      : this.#serveCaller(req, res, path);
+    work.catch((error) => this.#sendError(res, error));
+  }
+
+  #sendError(res: ServerResponse, thrown: unknown): void {
+    const { metrics, log } = this.#options.context;
+    const error = asServingError(thrown);
+    metrics.count(MetricName.requestErrors);
+    if (error.code === MessageCode.INTERNAL) {
+      log.error("request_failed", { reason: error.message });
+    }
+    if (error.code !== MessageCode.CALLER_LEFT) sendProblem(res, error);
+    else if (!res.writableEnded) res.destroy();
+  }
+
+  async #serveAnnouncement(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const bytes = await readBody(req, MAX_ANNOUNCEMENT_BYTES);
+    const effect = this.#options.onAnnouncement(parseAnnouncement(bytes));
+    sendJson(res, 200, { effect });
+  }
+
+  async #serveCaller(
+    req: IncomingMessage,
+    res: ServerResponse,
+    path: string,
+  ): Promise<void> {
+    const { context, callers } = this.#options;
+    const call = createCallerRequest(req, res, context);
+    callers.admit(call.caller);
+    res.on("close", () => callers.leave(call.caller));
+    context.metrics.count(MetricName.requests);
+    await this.#route(call, path);
+    const tookMs = context.clock.getMonotonicMs() - call.startMs;
+    context.metrics.time(MetricName.requestMs, tookMs);
+  }
+
+  async #route(call: CallerRequest, path: string): Promise<void> {
+    const { jobs, completions, plain, view } = this.#options;
+    if (path === JOBS_PATH || path.startsWith(`${JOBS_PATH}/`)) {
+      return await jobs.serve(call);
+    }
+    if (view.isDissolving()) throw new ServingError(MessageCode.DISSOLVING);
+    if (COMPLETION_PATHS.includes(path)) {
+      requirePost(call, path);
+      return await completions.serve(call);
+    }
+    const workload = view.tryFindWorkload({ path: call.req.url ?? "/" });
+    if (workload === undefined) {
+      throw new ServingError(MessageCode.UNKNOWN_ROUTE, {
+        parameters: { path },
+      });
+    }
+    await plain.serve(call, workload);
+  }
+}
+
+function requirePost(call: CallerRequest, path: string): void {
+  if (call.req.method === "POST") return;
+  throw new ServingError(MessageCode.METHOD_REFUSED, {
+    parameters: { path, method: call.req.method ?? "" },
+  });
+}
--- /dev/null
+++ b/src/services/open_counts.ts
@@ -0,0 +1,34 @@
+/** What all entries of the fleet have open. */
+import { Entries, type EntryRegistration } from "../schema/mod.ts";
+import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+
+/** Open streams and held items, and the entries that did not answer. */
+export interface OpenCounts {
+  readonly streams: number;
+  readonly claims: number;
+  readonly unreachable: string[];
+}
+
+const COUNT_TIMEOUT_MS = 2_000;
+
+/** Asks each entry once. */
+export async function countOpen(
+  entries: readonly EntryRegistration[],
+  credentials: RpcCredentials,
+): Promise<OpenCounts> {
+  const clients = new RpcClients(credentials);
+  const counts = await Promise.all(
+    entries.map((entry) =>
+      clients.get(entry.address).call(Entries.method.countOpen, {}, {
+        timeoutMs: COUNT_TIMEOUT_MS,
+      }).catch(() => entry.id)
+    ),
+  );
+  clients.close();
+  const known = counts.filter((count) => typeof count !== "string");
+  return {
+    streams: known.reduce((sum, count) => sum + Number(count.streams), 0),
+    claims: known.reduce((sum, count) => sum + Number(count.claims), 0),
+    unreachable: counts.filter((count) => typeof count === "string"),
+  };
+}
--- a/src/services/plain_service.ts
+++ b/src/services/plain_service.ts
@@ -193,7 +193,8 @@
         path: run.path,
         headers: { ...run.headers, "x-request-id": run.requestId },
         body: run.body.length > 0 ? run.body : undefined,
-        isFresh: run.isNonIdempotent,
+        isFresh: run.isNonIdempotent ||
+          this.#view.suspicions.isSuspect(run.fingerprint),
         headTimeoutMs: Math.max(
           1,
           run.deadlineMs - this.#clock.getMonotonicMs(),
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -31,13 +31,9 @@
   tryReceive,
   waitFor,
 } from "../../sys/routines.ts";
-import {
-  encodeSnapshot,
-  ReplicaStore,
-  type SnapshotImage,
-  tryDecodeSnapshot,
-} from "../log/replica_store.ts";
+import { ReplicaStore, type SnapshotImage } from "../log/replica_store.ts";
 import { getEntryBytes } from "../log/entry_log.ts";
+import { IncomingSnapshot, splitSnapshot } from "./snapshot_transfer.ts";
 import type { StateMachine } from "../machines/state_machine.ts";
 import {
   type MembershipRefusal,
@@ -45,11 +41,7 @@
   ReplicaCore,
   Role,
 } from "./replica_core.ts";
-import {
-  type AgreementTiming,
-  DEFAULT_TIMING,
-  SNAPSHOT_PART_BYTES,
-} from "./timing.ts";
+import { type AgreementTiming, DEFAULT_TIMING } from "./timing.ts";
 
 /** Carries messages to other replicas; it may lose, delay and reorder them. */
 export abstract class ReplicaTransport {
@@ -84,13 +76,6 @@
   readonly reject: (error: unknown) => void;
 }
 
-interface IncomingSnapshot {
-  readonly from: string;
-  readonly index: bigint;
-  readonly parts: Uint8Array[];
-  bytes: number;
-}
-
 const TICKS_PER_HEARTBEAT = 4;
 const DEFAULT_SNAPSHOT_BYTES = 32 << 20;
 
@@ -127,7 +112,7 @@
   #logBytes = 0;
   #snapshotRunning = false;
   #snapshotReady: SnapshotMark | undefined;
-  #incoming: IncomingSnapshot | undefined;
+  readonly #incoming = new IncomingSnapshot();
   #installReady:
     | { image: SnapshotImage; from: string; round: bigint }
     | undefined;
@@ -499,18 +484,9 @@
     this.#store.tryReadSnapshot().then((image) => {
       const core = this.#getCore();
       if (image === undefined || core.role !== Role.leader) return;
-      const bytes = encodeSnapshot(image);
-      const count = Math.ceil(bytes.length / SNAPSHOT_PART_BYTES);
-      Array.from({ length: count }, (_, part) => part * SNAPSHOT_PART_BYTES)
-        .forEach((offset) => {
-          const end = offset + SNAPSHOT_PART_BYTES;
-          this.#send(core.createSnapshotMessage(to, {
-            mark: image.mark,
-            state: bytes.subarray(offset, end),
-            offset,
-            last: end >= bytes.length,
-          }));
-        });
+      splitSnapshot(image).forEach((part) =>
+        this.#send(core.createSnapshotMessage(to, part))
+      );
     }).catch((error) => this.#fail(error));
   }
 
@@ -525,24 +501,7 @@
       core.vouchForSnapshot(mark, message.from, request.round);
       return;
     }
-    if (request.offset === 0n) {
-      this.#incoming = {
-        from: message.from,
-        index: mark.index,
-        parts: [],
-        bytes: 0,
-      };
-    }
-    const incoming = this.#incoming;
-    const fits = incoming !== undefined && incoming.from === message.from &&
-      incoming.index === mark.index &&
-      BigInt(incoming.bytes) === request.offset;
-    if (!fits) return;
-    incoming.parts.push(request.state);
-    incoming.bytes += request.state.length;
-    if (!request.last) return;
-    this.#incoming = undefined;
-    const image = tryDecodeSnapshot(Buffer.concat(incoming.parts));
+    const image = this.#incoming.tryComplete(message.from, request);
     if (image === undefined) return;
     this.#installReady = { image, from: message.from, round: request.round };
   }
--- a/src/state/machines/item_machine.ts
+++ b/src/state/machines/item_machine.ts
@@ -26,22 +26,25 @@
   MessageCode,
   type OpenSession,
   type Outcome,
-  OutcomeSchema,
   type PutChunk,
   type Share,
   ShareSchema,
   Verdict,
 } from "../../schema/mod.ts";
-import type { MessageInitShape } from "@bufbuild/protobuf";
-import { formatMessage } from "../../sys/errors.ts";
 import { type JobStanding, trySelectJob } from "../../policy/batch_order.ts";
+import {
+  createFailedOutcome,
+  createLostOutcome,
+  createRefusal,
+  createStaleReply,
+  type ReplyInit,
+} from "./item_replies.ts";
+import { encodeCaptured } from "./item_snapshot.ts";
 import { JobItems } from "./job_items.ts";
 import { KeyedRequests } from "./keyed_requests.ts";
 import { Sessions } from "./sessions.ts";
 import { type CommandContext, StateMachine } from "./state_machine.ts";
 
-type ReplyInit = MessageInitShape<typeof ItemReplySchema>;
-
 interface StoredJob {
   readonly job: Job;
   readonly items: JobItems;
@@ -57,9 +60,6 @@
 const ITEM_BASE_COST = 64;
 const BYTES_PER_COST = 4;
 
-/** Items of one part of a snapshot. */
-const SNAPSHOT_CHUNK_ITEMS = 256;
-
 /** An item group's state. */
 export class ItemMachine extends StateMachine {
   #jobs = new Map<string, StoredJob>();
@@ -545,87 +545,3 @@
     waiting: items.waitingCount,
   };
 }
-
-function createRefusal(
-  code: MessageCode,
-  parameters: Record<string, string | number>,
-): ReplyInit {
-  return { code, detail: formatMessage(code, parameters) };
-}
-
-function createStaleReply(epoch: number): ReplyInit {
-  return createRefusal(MessageCode.STALE_EPOCH, { epoch });
-}
-
-function createLostOutcome(): Outcome {
-  return create(OutcomeSchema, {
-    verdict: Verdict.MAY_HAVE_RUN,
-    status: 502,
-    code: MessageCode.ENTRY_LOST,
-    detail: formatMessage(MessageCode.ENTRY_LOST),
-  });
-}
-
-function createFailedOutcome(attempts: number): Outcome {
-  return create(OutcomeSchema, {
-    verdict: Verdict.MAY_HAVE_RUN,
-    status: 502,
-    code: MessageCode.ATTEMPTS_SPENT,
-    detail: formatMessage(MessageCode.ATTEMPTS_SPENT, {
-      attempts,
-      reason: "each attempt failed",
-    }),
-  });
-}
-
-interface Captured {
-  readonly head: MessageInitShape<typeof ItemSnapshotSchema>;
-  readonly requests: readonly KeyedRequest[];
-  readonly jobs: readonly {
-    job: Job;
-    items: ReturnType<JobItems["capture"]>;
-  }[];
-  readonly staged: readonly {
-    jobId: string;
-    chunks: [number, readonly Item[]][];
-  }[];
-}
-
-function encodePart(part: MessageInitShape<typeof ItemSnapshotSchema>) {
-  return toBinary(ItemSnapshotSchema, create(ItemSnapshotSchema, part));
-}
-
-function getRanges(length: number): { index: number; start: number }[] {
-  const count = Math.ceil(length / SNAPSHOT_CHUNK_ITEMS);
-  return Array.from({ length: count }, (_, index) => ({
-    index,
-    start: index * SNAPSHOT_CHUNK_ITEMS,
-  }));
-}
-
-function* encodeCaptured(captured: Captured): Iterable<Uint8Array> {
-  yield encodePart(captured.head);
-  for (const { start } of getRanges(captured.requests.length)) {
-    const requests = captured.requests.slice(
-      start,
-      start + SNAPSHOT_CHUNK_ITEMS,
-    );
-    yield encodePart({ requests });
-  }
-  for (const { jobId, chunks } of captured.staged) {
-    for (const [index, items] of chunks) {
-      yield encodePart({ chunks: [{ jobId, index, items: [...items] }] });
-    }
-  }
-  for (const { job, items } of captured.jobs) {
-    for (const { index, start } of getRanges(items.length)) {
-      const count = Math.min(SNAPSHOT_CHUNK_ITEMS, items.length - start);
-      const chunk = Array.from(
-        { length: count },
-        (_, i) => items.getItem(start + i),
-      );
-      yield encodePart({ chunks: [{ jobId: job.id, index, items: chunk }] });
-    }
-    yield encodePart({ jobs: [job] });
-  }
-}
--- /dev/null
+++ b/src/state/machines/item_snapshot.ts
@@ -0,0 +1,66 @@
+/** Snapshots of an item group, encoded in parts while commands go on. */
+import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
+import {
+  type Item,
+  ItemSnapshotSchema,
+  type Job,
+  type KeyedRequest,
+} from "../../schema/mod.ts";
+import type { JobItems } from "./job_items.ts";
+
+/** Items of one part. */
+const SNAPSHOT_CHUNK_ITEMS = 256;
+
+/** State of a group as of one command; nothing of it changes in place. */
+export interface Captured {
+  readonly head: MessageInitShape<typeof ItemSnapshotSchema>;
+  readonly requests: readonly KeyedRequest[];
+  readonly jobs: readonly {
+    job: Job;
+    items: ReturnType<JobItems["capture"]>;
+  }[];
+  readonly staged: readonly {
+    jobId: string;
+    chunks: [number, readonly Item[]][];
+  }[];
+}
+
+function encodePart(part: MessageInitShape<typeof ItemSnapshotSchema>) {
+  return toBinary(ItemSnapshotSchema, create(ItemSnapshotSchema, part));
+}
+
+function getRanges(length: number): { index: number; start: number }[] {
+  const count = Math.ceil(length / SNAPSHOT_CHUNK_ITEMS);
+  return Array.from({ length: count }, (_, index) => ({
+    index,
+    start: index * SNAPSHOT_CHUNK_ITEMS,
+  }));
+}
+
+/** The parts of a snapshot, each encoded when it is asked for. */
+export function* encodeCaptured(captured: Captured): Iterable<Uint8Array> {
+  yield encodePart(captured.head);
+  for (const { start } of getRanges(captured.requests.length)) {
+    const requests = captured.requests.slice(
+      start,
+      start + SNAPSHOT_CHUNK_ITEMS,
+    );
+    yield encodePart({ requests });
+  }
+  for (const { jobId, chunks } of captured.staged) {
+    for (const [index, items] of chunks) {
+      yield encodePart({ chunks: [{ jobId, index, items: [...items] }] });
+    }
+  }
+  for (const { job, items } of captured.jobs) {
+    for (const { index, start } of getRanges(items.length)) {
+      const count = Math.min(SNAPSHOT_CHUNK_ITEMS, items.length - start);
+      const chunk = Array.from(
+        { length: count },
+        (_, i) => items.getItem(start + i),
+      );
+      yield encodePart({ chunks: [{ jobId: job.id, index, items: chunk }] });
+    }
+    yield encodePart({ jobs: [job] });
+  }
+}
--- a/src/test/leaving_test.ts
+++ b/src/test/leaving_test.ts
@@ -135,6 +135,33 @@
       );
     }));
 
+  it("refuses no innocent request when several servers die at once", () =>
+    withFleet({
+      engines: 5,
+      engine: { ...QUICK_ENGINE, baseStepMs: 4 },
+    }, async (fleet) => {
+      const addresses = fleet.getEntryAddresses();
+      // Connections that are kept to every engine, as in a fleet that has run.
+      await Promise.all(
+        range(40).map((index) =>
+          ask(addresses[index % 2] ?? "", `before ${index}`, 3)
+        ),
+      );
+      const answers = range(40).map((index) =>
+        ask(addresses[index % 2] ?? "", `during ${index}`, 60)
+      );
+      await waitUntil(
+        fleet.clock,
+        "work everywhere",
+        () => fleet.engines.every((engine) => engine.load > 0),
+      );
+      fleet.engines.slice(0, 3).forEach((engine) => engine.crash());
+      (await Promise.all(answers)).forEach((answer, index) =>
+        expect(isWhole(answer, `during ${index}`, 60), answer.error)
+          .equal(true)
+      );
+    }));
+
   it("cuts off no request while all entries and replicas restart", () =>
     withFleet({ engines: 3, entries: 3 }, async (fleet) => {
       const address = fleet.getEntryAddresses()[2] ?? "";
