--- /dev/null
+++ b/src/state/agreement/membership_change.ts
@@ -0,0 +1,81 @@
+/** Changes of a group's members, one at a time. */
+import { create } from "@bufbuild/protobuf";
+import {
+  type Member,
+  type Membership,
+  MembershipSchema,
+} from "../../schema/mod.ts";
+import { getVoters } from "./quorum.ts";
+
+/** One of: a learner to add, a learner to promote, a member to remove. */
+export interface MembershipChange {
+  readonly add?: Member;
+  readonly promote?: string;
+  readonly remove?: string;
+}
+
+/** Why a membership change is refused; undefined when it is taken. */
+export type MembershipRefusal =
+  | "not the leader"
+  | "another change is not committed yet"
+  | "the leader has committed nothing in its term yet"
+  | "the learner has not caught up"
+  | "no such member"
+  | "the member exists already"
+  | "the last voter cannot be removed";
+
+/** What the leader knows when it judges a change. */
+export interface ChangeFacts {
+  readonly isLeader: boolean;
+  /** An earlier change is not committed yet. */
+  readonly isChanging: boolean;
+  /** The leader has committed an entry of its own term. */
+  readonly isSettled: boolean;
+  readonly commitIndex: number;
+  readonly getMatchIndex: (id: string) => number;
+}
+
+/** Why a change can't be made now; undefined when it can. */
+export function tryRefuseChange(
+  membership: Membership,
+  change: MembershipChange,
+  facts: ChangeFacts,
+): MembershipRefusal | undefined {
+  const find = (id: string) =>
+    membership.members.find((member) => member.id === id);
+  if (!facts.isLeader) return "not the leader";
+  if (facts.isChanging) return "another change is not committed yet";
+  if (!facts.isSettled) {
+    return "the leader has committed nothing in its term yet";
+  }
+  if (change.add !== undefined) {
+    return find(change.add.id) === undefined
+      ? undefined
+      : "the member exists already";
+  }
+  const target = find(change.promote ?? change.remove ?? "");
+  if (target === undefined) return "no such member";
+  if (change.promote !== undefined) {
+    return facts.getMatchIndex(target.id) >= facts.commitIndex
+      ? undefined
+      : "the learner has not caught up";
+  }
+  const isLast = !target.learner && getVoters(membership).length === 1;
+  return isLast ? "the last voter cannot be removed" : undefined;
+}
+
+/** The membership after a change; an added member starts as a learner. */
+export function applyChange(
+  membership: Membership,
+  change: MembershipChange,
+): Membership {
+  const members = membership.members
+    .filter((member) => member.id !== change.remove)
+    .map((member) =>
+      member.id === change.promote ? { ...member, learner: false } : member
+    );
+  const added = change.add === undefined
+    ? []
+    : [{ ...change.add, learner: true }];
+  return create(MembershipSchema, { members: [...members, ...added] });
+}
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -7,7 +7,6 @@
 import { create } from "@bufbuild/protobuf";
 import {
   type LogEntry,
-  type Member,
   type Membership,
   MessageCode,
   type ReplicaMessage,
@@ -35,12 +34,12 @@
 import { getEntryBytes } from "../log/entry_log.ts";
 import { IncomingSnapshot, splitSnapshot } from "./snapshot_transfer.ts";
 import type { StateMachine } from "../machines/state_machine.ts";
-import {
-  type MembershipRefusal,
-  type ProposedEntry,
-  ReplicaCore,
-  Role,
-} from "./replica_core.ts";
+import { type ProposedEntry, Role } from "./core_types.ts";
+import type {
+  MembershipChange,
+  MembershipRefusal,
+} from "./membership_change.ts";
+import { ReplicaCore } from "./replica_core.ts";
 import { type AgreementTiming, DEFAULT_TIMING } from "./timing.ts";
 
 /** Carries messages to other replicas; it may lose, delay and reorder them. */
@@ -225,9 +224,7 @@
    * Changes the membership and resolves once the change is committed. Throws
    * MEMBERSHIP_REFUSED (not run) when it can't be made now.
    */
-  async changeMembership(
-    change: { add?: Member; promote?: string; remove?: string },
-  ): Promise<void> {
+  async changeMembership(change: MembershipChange): Promise<void> {
     const core = this.#core;
     const refusal: MembershipRefusal | undefined =
       core === undefined || this.#stopped
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -18,7 +18,6 @@
   LogEntrySchema,
   type LogRecord,
   type Membership,
-  MembershipSchema,
   type ReplicaMessage,
   ReplicaMessageSchema,
   type SnapshotMark,
@@ -42,65 +41,21 @@
   MAX_APPEND_ENTRIES,
   SNAPSHOT_RETRY_TIMEOUTS,
 } from "./timing.ts";
+import {
+  type DurableOutput,
+  type PromptOutput,
+  type ProposedEntry,
+  Role,
+} from "./core_types.ts";
+import { FollowerProgress, type Progress } from "./follower_progress.ts";
+import {
+  applyChange,
+  type MembershipChange,
+  type MembershipRefusal,
+  tryRefuseChange,
+} from "./membership_change.ts";
 import { getQuorumSize, getQuorumValue, getVoters, isVoter } from "./quorum.ts";
 
-/** Roles of a replica. */
-export const Role = {
-  follower: "follower",
-  preCandidate: "pre-candidate",
-  candidate: "candidate",
-  leader: "leader",
-} as const;
-
-/** Role of a replica. */
-export type Role = typeof Role[keyof typeof Role];
-
-/** What has to become durable before something else may be sent. */
-export interface DurableOutput {
-  /** Records to make durable together. */
-  readonly records: LogRecord[];
-  /** Last log index that the records make durable. */
-  readonly durableIndex: number;
-  /** Messages to send once the records are durable. */
-  readonly messagesAfterSync: ReplicaMessage[];
-}
-
-/** What depends on nothing durable and must not wait for the disk. */
-export interface PromptOutput {
-  readonly messages: ReplicaMessage[];
-  /** Entries to apply, in order. */
-  readonly committed: LogEntry[];
-  /** Members that need the snapshot. */
-  readonly snapshotTo: string[];
-}
-
-/** Where a proposed entry stands in the log. */
-export interface ProposedEntry {
-  readonly index: number;
-  readonly term: number;
-}
-
-/** Why a membership change is refused; undefined when it is taken. */
-export type MembershipRefusal =
-  | "not the leader"
-  | "another change is not committed yet"
-  | "the leader has committed nothing in its term yet"
-  | "the learner has not caught up"
-  | "no such member"
-  | "the member exists already"
-  | "the last voter cannot be removed";
-
-interface Progress {
-  matchIndex: number;
-  nextIndex: number;
-  /** When the newest acknowledged round was sent. */
-  contactMs: number;
-  /** Entries up to here are under way. */
-  sentIndex: number;
-  sentMs: number;
-  snapshotSentMs: number;
-}
-
 type Body = NonNullable<MessageInitShape<typeof ReplicaMessageSchema>["body"]>;
 
 /** How a {@linkcode ReplicaCore} is made. */
@@ -115,8 +70,6 @@
   readonly timing?: AgreementTiming;
 }
 
-const ROUNDS_KEPT = 256;
-
 /** One replica's part of the agreement. */
 export class ReplicaCore {
   readonly #id: string;
@@ -135,9 +88,7 @@
   #handedOutIndex: number;
   #durableIndex: number;
   #votes = new Set<string>();
-  #progress = new Map<string, Progress>();
-  #round = 0;
-  #roundSentMs = new Map<number, number>();
+  readonly #followers = new FollowerProgress();
   #termStartIndex = 0;
   #termStartMs = 0;
   #transferTo = "";
@@ -215,7 +166,7 @@
   getMatchIndex(id: string): number {
     return id === this.#id
       ? this.#durableIndex
-      : this.#progress.get(id)?.matchIndex ?? 0;
+      : this.#followers.tryGet(id)?.matchIndex ?? 0;
   }
 
   /**
@@ -252,25 +203,20 @@
   }
 
   /** Adds a learner, promotes a learner to voter or removes a member. */
-  changeMembership(change: {
-    add?: Membership["members"][number];
-    promote?: string;
-    remove?: string;
-  }, wallMs: number): MembershipRefusal | undefined {
-    const refusal = this.#tryRefuseChange(change);
-    if (refusal !== undefined) return refusal;
-    const members = this.#membership.members
-      .filter((member) => member.id !== change.remove)
-      .map((member) =>
-        member.id === change.promote ? { ...member, learner: false } : member
-      );
-    const added = change.add === undefined
-      ? []
-      : [{ ...change.add, learner: true }];
-    const membership = create(MembershipSchema, {
-      members: [...members, ...added],
+  changeMembership(
+    change: MembershipChange,
+    wallMs: number,
+  ): MembershipRefusal | undefined {
+    const refusal = tryRefuseChange(this.#membership, change, {
+      isLeader: this.#role === Role.leader,
+      isChanging: this.#membershipIndex > this.#commitIndex,
+      isSettled: this.#commitIndex >= this.#termStartIndex,
+      commitIndex: this.#commitIndex,
+      getMatchIndex: (id) => this.getMatchIndex(id),
     });
-    this.#appendOwn({ case: "membership", value: membership }, wallMs);
+    if (refusal !== undefined) return refusal;
+    const value = applyChange(this.#membership, change);
+    this.#appendOwn({ case: "membership", value }, wallMs);
     return undefined;
   }
 
@@ -354,7 +300,7 @@
       value: {
         ...part,
         offset: BigInt(part.offset),
-        round: BigInt(this.#round),
+        round: BigInt(this.#followers.round),
       },
     }, this.term);
   }
@@ -594,7 +540,7 @@
     this.#role = Role.follower;
     this.#leader = leader;
     this.#transferTo = "";
-    this.#progress.clear();
+    this.#followers.clear();
     if (changed) this.#armElection();
   }
 
@@ -603,32 +549,21 @@
     this.#leader = this.#id;
     this.#transferTo = "";
     this.#transferSent = false;
-    this.#round = 0;
-    this.#roundSentMs.clear();
+    this.#followers.clear();
     this.#termStartMs = this.#nowMs;
-    this.#progress = new Map();
     this.#syncProgress();
     const barrier = this.#appendOwn({ case: "barrier", value: true }, 0);
     this.#termStartIndex = barrier.index;
     this.#heartbeatDueMs = this.#nowMs + this.#timing.heartbeatMs;
   }
 
-  /** Keeps a progress row for exactly the other members. */
   #syncProgress(): void {
     const others = this.#membership.members.map((member) => member.id)
       .filter((id) => id !== this.#id);
-    [...this.#progress.keys()].filter((id) => !others.includes(id))
-      .forEach((id) => this.#progress.delete(id));
-    others.filter((id) => !this.#progress.has(id)).forEach((id) =>
-      this.#progress.set(id, {
-        matchIndex: 0,
-        nextIndex: this.#log.lastIndex + 1,
-        contactMs: this.#termStartMs,
-        sentIndex: 0,
-        sentMs: 0,
-        snapshotSentMs: -Infinity,
-      })
-    );
+    this.#followers.sync(others, {
+      nextIndex: this.#log.lastIndex + 1,
+      contactMs: this.#termStartMs,
+    });
   }
 
   #appendOwn(payload: LogEntry["payload"], wallMs: number): ProposedEntry {
@@ -651,10 +586,8 @@
   }
 
   #broadcast(): void {
-    this.#round += 1;
-    this.#roundSentMs.set(this.#round, this.#nowMs);
-    this.#roundSentMs.delete(this.#round - ROUNDS_KEPT);
-    this.#progress.forEach((progress, id) => this.#sendAppend(id, progress));
+    this.#followers.startRound(this.#nowMs);
+    this.#followers.forEach((progress, id) => this.#sendAppend(id, progress));
   }
 
   #sendAppend(id: string, progress: Progress): void {
@@ -681,7 +614,7 @@
         previousTerm: BigInt(previousTerm),
         commitIndex: BigInt(this.#commitIndex),
         entries,
-        round: BigInt(this.#round),
+        round: BigInt(this.#followers.round),
       },
     });
   }
@@ -700,7 +633,7 @@
   #sendEmptyAppend(id: string): void {
     this.#sendNow(id, {
       case: "appendRequest",
-      value: { previousIndex: 0n, round: BigInt(this.#round) },
+      value: { previousIndex: 0n, round: BigInt(this.#followers.round) },
     });
   }
 
@@ -758,12 +691,9 @@
   }
 
   #receiveAppendReply(message: ReplicaMessage, reply: AppendReply): void {
-    const progress = this.#progress.get(message.from);
+    const progress = this.#followers.tryGet(message.from);
     if (this.#role !== Role.leader || progress === undefined) return;
-    const sentMs = this.#roundSentMs.get(Number(reply.round));
-    if (sentMs !== undefined) {
-      progress.contactMs = Math.max(progress.contactMs, sentMs);
-    }
+    this.#followers.noteReply(progress, Number(reply.round));
     const matchIndex = Number(reply.matchIndex);
     if (!reply.accepted) {
       progress.nextIndex = Math.max(progress.matchIndex, matchIndex) + 1;
@@ -820,40 +750,10 @@
       (id) =>
         id === this.#id
           ? nowMs
-          : this.#progress.get(id)?.contactMs ?? -Infinity,
+          : this.#followers.tryGet(id)?.contactMs ?? -Infinity,
     );
   }
 
-  #tryRefuseChange(change: {
-    add?: Membership["members"][number];
-    promote?: string;
-    remove?: string;
-  }): MembershipRefusal | undefined {
-    const find = (id: string) =>
-      this.#membership.members.find((member) => member.id === id);
-    if (this.#role !== Role.leader) return "not the leader";
-    if (this.#membershipIndex > this.#commitIndex) {
-      return "another change is not committed yet";
-    }
-    if (this.#commitIndex < this.#termStartIndex) {
-      return "the leader has committed nothing in its term yet";
-    }
-    if (change.add !== undefined) {
-      return find(change.add.id) === undefined
-        ? undefined
-        : "the member exists already";
-    }
-    const target = find(change.promote ?? change.remove ?? "");
-    if (target === undefined) return "no such member";
-    if (change.promote !== undefined) {
-      return this.getMatchIndex(target.id) >= this.#commitIndex
-        ? undefined
-        : "the learner has not caught up";
-    }
-    const last = !target.learner && getVoters(this.#membership).length === 1;
-    return last ? "the last voter cannot be removed" : undefined;
-  }
-
   #getMembershipAt(index: number): Membership {
     const entry = this.#log.tryFindLast((one) =>
       one.payload.case === "membership" && Number(one.index) <= index
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -2,6 +2,8 @@
  * Replicated state: the log on disk, the agreement between replicas and the
  * state machines that the log drives.
  */
+export * from "./agreement/core_types.ts";
+export * from "./agreement/membership_change.ts";
 export * from "./agreement/quorum.ts";
 export * from "./agreement/replica.ts";
 export * from "./agreement/replica_core.ts";
