Longer seeded runs; a follower that alone lost its leader elects nobody

The seeded runs were so short that most held one election. Change: events lie up to 40 ms apart and a run has 600; a test cuts one follower from its leader only and expects leader and term to stay.

--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -49,6 +49,8 @@
   #nowMs = 1_000;
   #proposed = 0;
   faults: NetworkFaults = { loss: 0, doubling: 0 };
+  /** Longest time that passes between two events, in milliseconds. */
+  maxStepMs = 10;
   /** Commands known to be committed, by index. */
   readonly committed = new Map<number, string>();
 
@@ -105,7 +107,7 @@
     const dice = this.random.getFraction();
     if (dice < 0.5 && this.#messages.length > 0) this.#deliverOne();
     else if (dice < 0.75) this.#syncOne();
-    else this.#passTime(1 + this.random.getBelow(10));
+    else this.#passTime(1 + this.random.getBelow(this.maxStepMs));
     this.settle();
   }
 
@@ -116,6 +118,11 @@
     this.hosts.filter((host) => !host.isUp).forEach((host) =>
       this.restart(host)
     );
+    this.run(ms);
+  }
+
+  /** Runs with every message delivered at once, but for cut pairs. */
+  run(ms: number): void {
     const endMs = this.#nowMs + ms;
     while (this.#nowMs < endMs) {
       this.#passTime(5);
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -11,6 +11,8 @@
   const group = new SimulatedGroup(seed, size);
   const { random, hosts } = group;
   group.faults = { loss: 0.1, doubling: 0.1 };
+  // Some elections in each run.
+  group.maxStepMs = 40;
   Array.from({ length: steps }).forEach(() => {
     const host = hosts[random.getBelow(size)];
     const other = hosts[random.getBelow(size)];
@@ -41,7 +43,7 @@
 
   it("loses no committed entry in 1000 seeded runs", () => {
     Array.from({ length: 1_000 }, (_, seed) => seed).forEach((seed) => {
-      const group = runFaults(seed, 3 + 2 * (seed % 2), 400);
+      const group = runFaults(seed, 3 + 2 * (seed % 2), 600);
       const before = Math.max(0, ...group.committed.keys());
       group.heal(CALM_MS);
       const leader = group.tryGetLeader();
@@ -68,6 +70,20 @@
     expect(leader?.core.term).equal(term);
   });
 
+  it("elects nobody for a follower that alone lost the leader", () => {
+    const group = new SimulatedGroup(23, 3);
+    group.heal(CALM_MS);
+    const leader = group.tryGetLeader();
+    const follower = group.hosts.find((host) => host !== leader);
+    const term = leader?.core.term;
+    group.cuts.add(`${leader?.id}>${follower?.id}`);
+    group.cuts.add(`${follower?.id}>${leader?.id}`);
+    group.run(CALM_MS);
+    expect(leader?.core.role).equal(Role.leader);
+    expect(group.hosts.map((host) => host.core.term))
+      .deep.equal([term, term, term]);
+  });
+
   it("stops a leader that hears from no majority, in both directions", () => {
     [true, false].forEach((outgoing) => {
       const group = new SimulatedGroup(11, 3);
