--- a/src/services/completion_service.ts
+++ b/src/services/completion_service.ts
@@ -65,8 +65,13 @@
     const res = this.#res;
     if (res === undefined || res.destroyed) return Promise.resolve();
     return new Promise((resolve) => {
-      res.once("drain", resolve);
-      res.once("close", resolve);
+      const goOn = () => {
+        res.off("drain", goOn);
+        res.off("close", goOn);
+        resolve();
+      };
+      res.on("drain", goOn);
+      res.on("close", goOn);
     });
   }
 }
