End a completion at its deadline

Cause: a deadline bound the wait for a place and for the first token, but a stream that had begun ran on past it. Change: an attempt ends at the request's deadline, its engine's sequence with it; the caller gets PT3003 as the stream's last event. A batch item past its time goes back charged, with its progress.

--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -346,6 +346,9 @@
         case "broken":
           return this.#endBroken(item, end);
         case "aborted":
+          if (clock.getMonotonicMs() >= run.deadlineMs) {
+            return this.#end(item, { charged: true });
+          }
           // Gave way: it waits here for room and resumes.
           send(this.#wake, true);
       }
--- a/src/services/engine_runner.ts
+++ b/src/services/engine_runner.ts
@@ -119,8 +119,14 @@
     placement: Placement,
   ): Promise<AttemptEnd> {
     const gaps = new GapMeter(this.#clock, placement.server.gap);
-    const signal = AbortSignal.any([run.signal, placement.signal]);
-    const leftMs = run.deadlineMs - this.#clock.getMonotonicMs();
+    const leftMs = Math.max(1, run.deadlineMs - this.#clock.getMonotonicMs());
+    const late = new AbortController();
+    const timer = this.#clock.startTimer(leftMs, () => late.abort());
+    const signal = AbortSignal.any([
+      run.signal,
+      placement.signal,
+      late.signal,
+    ]);
     const end = await runEngineAttempt({
       address: placement.server.announcement.address,
       path: run.path,
@@ -131,7 +137,7 @@
       // under the request; a suspect would be refused for it.
       isFresh: run.isNonIdempotent ||
         this.#view.suspicions.isSuspect(run.fingerprint),
-      stallMs: Math.max(1, Math.min(STALL_MS, leftMs)),
+      stallMs: Math.min(STALL_MS, leftMs),
       signal,
     }, {
       onEvents: (events, count) => {
@@ -140,6 +146,7 @@
       },
       whenReady: () => sink.whenReady(),
     });
+    timer.cancel();
     const isFailure = end.kind === "broken" ||
       (end.kind === "answered" && end.status >= 500);
     if (end.kind === "done") this.#deaths.noteFinished(run.fingerprint);
@@ -147,9 +154,9 @@
       await this.#deaths.noteBroken(run.fingerprint, placement);
     }
     placement.release({ isFailure });
-    if (end.kind !== "aborted" || run.signal.aborted || placement.gaveWay) {
-      return end;
-    }
+    const isWanted = run.signal.aborted || placement.gaveWay ||
+      late.signal.aborted;
+    if (end.kind !== "aborted" || isWanted) return end;
     // The server left the view under the request.
     return {
       kind: "broken",
--- a/src/test/serving_test.ts
+++ b/src/test/serving_test.ts
@@ -162,6 +162,26 @@
       },
     ));
 
+  it("ends a stream at its deadline and frees the engine", () =>
+    withFleet({ engines: 1 }, async (fleet) => {
+      const answer = await callStreamed(
+        fleet.getEntryAddresses()[0] ?? "",
+        { model, prompt: "long", max_tokens: 1_000_000 },
+        { headers: { "papayatally-deadline-ms": "300" } },
+      );
+      expect(answer.tokens).greaterThan(0);
+      expect(answer.isDone).equal(false);
+      expect(JSON.parse(answer.error)).include({
+        code: "PT3003",
+        verdict: "may have run",
+      });
+      await waitUntil(
+        fleet.clock,
+        "a free engine",
+        () => fleet.engines[0]?.load === 0,
+      );
+    }));
+
   it("refuses at once what no server can take, as not run", () =>
     withFleet({ engines: 0 }, async (fleet) => {
       const address = fleet.getEntryAddresses()[0] ?? "";
