Requests under a key run in one place

Cause: completions and plain services each held the same steps around a key: begin, go on without the caller, record a failure or give back. Change: the keyed store runs a request under its key with two actions of the service; making and sending recorded outcomes is a module of its own.

--- a/src/services/batch_item.ts
+++ b/src/services/batch_item.ts
@@ -12,12 +12,12 @@
 } from "../schema/mod.ts";
 import { ServingError } from "../sys/errors.ts";
 import {
-  createFailure,
   createWholeAnswer,
   getFingerprint,
   getPromptText,
   parseCompletion,
 } from "./completion_service.ts";
+import { createFailure } from "./outcomes.ts";
 import type { CompletionSink, EngineRun } from "./engine_runner.ts";
 import { parseItemLine } from "./item_line.ts";
 
--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -44,7 +44,7 @@
   isFinalStatus,
 } from "./batch_item.ts";
 import type { BackendPool } from "./backend_pool.ts";
-import { createFailure } from "./completion_service.ts";
+import { createFailure } from "./outcomes.ts";
 import type { EngineRun, EngineRunner } from "./engine_runner.ts";
 import { getItemGroups } from "./groups.ts";
 import { isStaleEpoch, type ItemSessions } from "./item_sessions.ts";
--- a/src/services/completion_service.ts
+++ b/src/services/completion_service.ts
@@ -10,11 +10,10 @@
   type Workload,
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
-import { asServingError, getReason, ServingError } from "../sys/errors.ts";
+import { getReason, ServingError } from "../sys/errors.ts";
 import { readBody, type ServerResponse } from "../sys/http.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import { getDigest, getDigestHex } from "../sys/random.ts";
-import { sendJson } from "./answers.ts";
 import { type CallerRequest, getDeadlineMs } from "./caller_request.ts";
 import type {
   CompletionSink,
@@ -23,6 +22,7 @@
   EngineRunner,
 } from "./engine_runner.ts";
 import type { KeyedStore } from "./keyed_store.ts";
+import { sendOutcome } from "./outcomes.ts";
 
 /** Paths of completions. */
 export const COMPLETION_PATHS: readonly string[] = [
@@ -190,7 +190,7 @@
     options: { workload: Workload; digest: Uint8Array },
   ): Promise<void> {
     const deployment = this.#view.tryGetDeployment(run.deployment);
-    const start = await this.#keys.begin({
+    await this.#keys.runUnderKey({
       caller: call.caller,
       operator: deployment?.operator ?? "",
       key: call.key,
@@ -198,24 +198,11 @@
       isNonIdempotent: run.isNonIdempotent,
       deadlineMs: run.deadlineMs,
       signal: call.signal,
+    }, {
+      onKnown: (outcome) => sendOutcome(call.res, outcome),
+      run: (signal, finish) =>
+        this.#runOnce(call, { ...run, signal }, { finish }),
     });
-    if (start.kind === "known") {
-      sendOutcome(call.res, start.outcome);
-      return;
-    }
-    // A non-idempotent request goes on without its caller: the outcome is
-    // there when the caller asks again.
-    const signal = run.isNonIdempotent
-      ? AbortSignal.timeout(Math.ceil(run.deadlineMs - call.startMs))
-      : run.signal;
-    try {
-      await this.#runOnce(call, { ...run, signal }, start);
-    } catch (error) {
-      const failure = asServingError(error);
-      const isOver = run.isNonIdempotent && failure.verdict !== Verdict.NOT_RUN;
-      await start.finish(isOver ? createFailure(failure) : undefined);
-      throw error;
-    }
   }
 
   async #runOnce(
@@ -289,29 +276,3 @@
     usage: { completion_tokens: tokens },
   };
 }
-
-/** Sends a recorded outcome as the answer of a request. */
-export function sendOutcome(res: ServerResponse, outcome: Outcome): void {
-  if (outcome.code !== 0) {
-    const error = new ServingError(outcome.code, { verdict: outcome.verdict });
-    error.message = outcome.detail;
-    throw error;
-  }
-  if (res.destroyed) return;
-  if (outcome.body.length === 0) {
-    sendJson(res, outcome.status, {});
-    return;
-  }
-  res.writeHead(outcome.status, { "content-type": outcome.contentType });
-  res.end(outcome.body);
-}
-
-/** A failure as the recorded outcome of a request. */
-export function createFailure(error: ServingError): Outcome {
-  return create(OutcomeSchema, {
-    verdict: error.verdict,
-    status: error.httpStatus,
-    code: error.code,
-    detail: error.message,
-  });
-}
--- a/src/services/keyed_store.ts
+++ b/src/services/keyed_store.ts
@@ -5,10 +5,11 @@
 import type { KeyedRequest, Outcome } from "../schema/mod.ts";
 import { ItemState, MessageCode, Verdict } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
+import { asServingError, ServingError } from "../sys/errors.ts";
 import type { Random } from "../sys/random.ts";
 import { getItemGroup, getRequestPlacement } from "./groups.ts";
 import { isStaleEpoch, type ItemSessions } from "./item_sessions.ts";
+import { createFailure } from "./outcomes.ts";
 import type { StateClient } from "./state_client.ts";
 
 /** A request under a key. */
@@ -31,6 +32,17 @@
   }
   | { readonly kind: "known"; readonly outcome: Outcome };
 
+/** What is done with a request under a key. */
+export interface KeyedActions {
+  /** The first request under the key has this outcome. */
+  readonly onKnown: (outcome: Outcome) => void;
+  /** Runs the request; `finish` records its outcome. */
+  readonly run: (
+    signal: AbortSignal,
+    finish: (outcome: Outcome) => Promise<void>,
+  ) => Promise<void>;
+}
+
 /** What names one beginning of a request. */
 interface BegunRequest {
   readonly epoch: bigint;
@@ -70,6 +82,31 @@
     this.#random = options.random;
   }
 
+  /**
+   * Runs a request under its key, or answers with the outcome of the first. A
+   * non-idempotent request goes on without its caller: the outcome is there
+   * when the caller asks again.
+   */
+  async runUnderKey(call: KeyedCall, actions: KeyedActions): Promise<void> {
+    const start = await this.begin(call);
+    if (start.kind === "known") {
+      actions.onKnown(start.outcome);
+      return;
+    }
+    const signal = call.isNonIdempotent
+      ? AbortSignal.timeout(Math.ceil(this.#getLeftMs(call)))
+      : call.signal;
+    try {
+      await actions.run(signal, (outcome) => start.finish(outcome));
+    } catch (error) {
+      const failure = asServingError(error);
+      const isOver = call.isNonIdempotent &&
+        failure.verdict !== Verdict.NOT_RUN;
+      await start.finish(isOver ? createFailure(failure) : undefined);
+      throw failure;
+    }
+  }
+
   /**
    * Starts a request under its key. Throws KEY_REUSED for another body, and
    * STATE_UNREACHABLE with the verdict that an earlier request under the key
--- /dev/null
+++ b/src/services/outcomes.ts
@@ -0,0 +1,32 @@
+/** Recorded outcomes: made from failures, sent as answers. */
+import { create } from "@bufbuild/protobuf";
+import { type Outcome, OutcomeSchema } from "../schema/mod.ts";
+import { ServingError } from "../sys/errors.ts";
+import type { ServerResponse } from "../sys/http.ts";
+import { sendJson } from "./answers.ts";
+
+/** Sends a recorded outcome as the answer of a request. */
+export function sendOutcome(res: ServerResponse, outcome: Outcome): void {
+  if (outcome.code !== 0) {
+    const error = new ServingError(outcome.code, { verdict: outcome.verdict });
+    error.message = outcome.detail;
+    throw error;
+  }
+  if (res.destroyed) return;
+  if (outcome.body.length === 0) {
+    sendJson(res, outcome.status, {});
+    return;
+  }
+  res.writeHead(outcome.status, { "content-type": outcome.contentType });
+  res.end(outcome.body);
+}
+
+/** A failure as the recorded outcome of a request. */
+export function createFailure(error: ServingError): Outcome {
+  return create(OutcomeSchema, {
+    verdict: error.verdict,
+    status: error.httpStatus,
+    code: error.code,
+    detail: error.message,
+  });
+}
--- a/src/services/plain_service.ts
+++ b/src/services/plain_service.ts
@@ -25,7 +25,7 @@
 import type { BackendPool } from "./backend_pool.ts";
 import type { Placement } from "./placement.ts";
 import { type CallerRequest, getDeadlineMs } from "./caller_request.ts";
-import { createFailure, sendOutcome } from "./completion_service.ts";
+import { sendOutcome } from "./outcomes.ts";
 import type { DeathWatch } from "./death_watch.ts";
 import { raiseVerdict } from "./engine_runner.ts";
 import type { KeyedStore } from "./keyed_store.ts";
@@ -148,7 +148,7 @@
   }
 
   async #serveKeyed(call: CallerRequest, run: ServiceRun): Promise<void> {
-    const start = await this.#keys.begin({
+    await this.#keys.runUnderKey({
       caller: call.caller,
       operator: this.#view.tryGetDeployment(run.deployment)?.operator ?? "",
       key: call.key,
@@ -159,24 +159,14 @@
       isNonIdempotent: run.isNonIdempotent,
       deadlineMs: run.deadlineMs,
       signal: call.signal,
+    }, {
+      onKnown: (outcome) => sendOutcome(call.res, outcome),
+      run: async (signal, finish) => {
+        const outcome = await this.runWhole({ ...run, signal });
+        await finish(outcome);
+        sendOutcome(call.res, outcome);
+      },
     });
-    if (start.kind === "known") {
-      sendOutcome(call.res, start.outcome);
-      return;
-    }
-    const signal = run.isNonIdempotent
-      ? AbortSignal.timeout(Math.ceil(run.deadlineMs - call.startMs))
-      : run.signal;
-    try {
-      const outcome = await this.runWhole({ ...run, signal });
-      await start.finish(outcome);
-      sendOutcome(call.res, outcome);
-    } catch (error) {
-      const failure = asServingError(error);
-      const isOver = run.isNonIdempotent && failure.verdict !== Verdict.NOT_RUN;
-      await start.finish(isOver ? createFailure(failure) : undefined);
-      throw failure;
-    }
   }
 
   /** Sends the request until a server answers, as far as that is safe. */
