Tell a late request from one whose caller left by its signal, not the clock

The timer had fired a fraction of a millisecond before the deadline by the clock, so the request passed as left by its caller. A non-idempotent keyed request that waited to its deadline had the same fault. Change: one function says it from the signal: only an abort that is no time-out is a caller's leave.

--- a/src/services/backend_pool.ts
+++ b/src/services/backend_pool.ts
@@ -11,7 +11,7 @@
 import type { BackendServer, FleetView } from "../membership/mod.ts";
 import { Emphasis, MessageCode, Verdict } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
+import { createAbortError, ServingError } from "../sys/errors.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import {
   ActivePlacement,
@@ -114,7 +114,7 @@
       queue.push(req.caller, waiter);
       req.signal.addEventListener("abort", () => {
         if (queue.remove(req.caller, waiter)) {
-          reject(new ServingError(MessageCode.CALLER_LEFT));
+          reject(createAbortError(req.signal, Verdict.NOT_RUN));
         }
       }, { once: true });
     });
@@ -260,11 +260,7 @@
       }
       await clock.delay(SUSPECT_RETRY_MS);
     }
-    throw new ServingError(
-      req.signal.aborted
-        ? MessageCode.CALLER_LEFT
-        : MessageCode.DEADLINE_PASSED,
-    );
+    throw createAbortError(req.signal, Verdict.NOT_RUN);
   }
 
   #tryPlaceOnline(req: PlacementRequest): Placement | "none" | undefined {
--- a/src/services/engine_runner.ts
+++ b/src/services/engine_runner.ts
@@ -13,7 +13,7 @@
 } from "../relay/mod.ts";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
-import { assertNever, ServingError } from "../sys/errors.ts";
+import { assertNever, createAbortError, ServingError } from "../sys/errors.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { Placement } from "./placement.ts";
@@ -96,7 +96,9 @@
       const placement = await this.#place(run, excluded, verdict);
       const end = await this.runAttempt(run, sink, placement);
       if (end.kind === "done") return end;
-      if (end.kind === "aborted") this.#throwAborted(run);
+      if (end.kind === "aborted") {
+        throw createAbortError(run.signal, Verdict.MAY_HAVE_RUN);
+      }
       if (end.kind === "answered" && !BUSY_STATUSES.includes(end.status)) {
         return end;
       }
@@ -228,14 +230,6 @@
       retryAfterS: 1,
     });
   }
-
-  #throwAborted(run: EngineRun): never {
-    const isLate = this.#clock.getMonotonicMs() >= run.deadlineMs;
-    throw new ServingError(
-      isLate ? MessageCode.DEADLINE_PASSED : MessageCode.CALLER_LEFT,
-      { verdict: Verdict.MAY_HAVE_RUN },
-    );
-  }
 }
 
 function getVerdict(end: AttemptEnd): Verdict {
--- a/src/sys/errors.ts
+++ b/src/sys/errors.ts
@@ -118,6 +118,18 @@
   });
 }
 
+/** The end of a request whose signal was aborted: late, or left by its caller. */
+export function createAbortError(
+  signal: AbortSignal,
+  verdict: Verdict,
+): ServingError {
+  const isLate = !signal.aborted || signal.reason?.name === "TimeoutError";
+  return new ServingError(
+    isLate ? MessageCode.DEADLINE_PASSED : MessageCode.CALLER_LEFT,
+    { verdict },
+  );
+}
+
 /** States that a union has no member left. */
 export function assertNever(value: never): never {
   throw new Error(`unexpected value ${JSON.stringify(value)}`);
--- a/src/test/policy_test.ts
+++ b/src/test/policy_test.ts
@@ -19,12 +19,13 @@
   Emphasis,
   EntryRegistrationSchema,
   MessageCode,
+  Verdict,
 } from "../schema/mod.ts";
 import { BackendPool } from "../services/backend_pool.ts";
 import type { Placement } from "../services/placement.ts";
 import { SuspectLanes } from "../services/suspect_lanes.ts";
 import { ManualClock } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
+import { createAbortError, ServingError } from "../sys/errors.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { createCredentials } from "../sys/rpc.ts";
@@ -167,6 +168,17 @@
     pool.close();
   });
 
+  it("tells a late request from one whose caller left", () => {
+    const late = AbortSignal.abort(new DOMException("late", "TimeoutError"));
+    const left = AbortSignal.abort();
+    const still = new AbortController().signal;
+    const codes = [late, left, still].map((signal) =>
+      createAbortError(signal, Verdict.NOT_RUN).code
+    );
+    const { DEADLINE_PASSED, CALLER_LEFT } = MessageCode;
+    expect(codes).deep.equal([DEADLINE_PASSED, CALLER_LEFT, DEADLINE_PASSED]);
+  });
+
   it("sends to the nearest data centre first and overflows", () => {
     const servers = [
       createStanding({ name: "near", sequences: 31 }),
