A claim answered after a stop began no longer holds up the stop

Cause: the routines that give items back and record them ended as soon as nothing was held. A claim that was under way brought items afterwards; they stayed held, and the stop waited for its whole limit of 60 s.

Ruled out: draining of connections (ended after 6 ms), open requests (none).

Change: claims under way count as work until they are answered.

--- a/src/services/batch_runner.ts
+++ b/src/services/batch_runner.ts
@@ -101,6 +101,8 @@
   /** Claims without an answer so far. */
   readonly #openClaims = new Map<number, Share[]>();
   #stopping = false;
+  /** Claims whose answers are under way; they may still bring items. */
+  #openCalls = 0;
 
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
@@ -113,6 +115,11 @@
     return this.#held.size + unrecorded;
   }
 
+  /** Items are held or may still arrive, or results have to be recorded. */
+  get #isBusy(): boolean {
+    return this.#openCalls > 0 || this.heldCount > 0;
+  }
+
   start(): void {
     const { log, groupCount } = this.#options;
     const onError = (error: unknown) =>
@@ -154,7 +161,7 @@
       .forEach((item) => item.abort.abort());
     const { clock } = this.#options;
     const endMs = clock.getMonotonicMs() + limitMs;
-    while (this.heldCount > 0 && clock.getMonotonicMs() < endMs) {
+    while (this.#isBusy && clock.getMonotonicMs() < endMs) {
       await clock.delay(CYCLE_MS);
     }
   }
@@ -225,10 +232,12 @@
       : this.#sequences.get(group) ?? 1n;
     this.#sequences.set(group, sequence);
     this.#openClaims.set(group, shares);
+    this.#openCalls += 1;
     const reply = yield* settle(state.runItemCommand(group, {
       case: "claimItems",
       value: { epoch: epoch.value, shares, sequence },
     }, CLAIM_TIMEOUT_MS));
+    this.#openCalls -= 1;
     if (!reply.ok) {
       // Asked again under the same number, so that a lost answer loses no item.
       if (isStaleEpoch(reply.error)) {
@@ -259,7 +268,7 @@
 
   *#runAlways(): Steps<void> {
     const { clock } = this.#options;
-    while (!this.#stopping || this.#held.size > 0) {
+    while (!this.#stopping || this.#isBusy) {
       yield* tryReceiveWithin(this.#wake, clock, CYCLE_MS);
       this.#considerAll();
     }
@@ -455,7 +464,7 @@
 
   *#recordAlways(group: number): Steps<void> {
     const { clock } = this.#options;
-    while (!this.#stopping || this.heldCount > 0) {
+    while (!this.#stopping || this.#isBusy) {
       yield* this.#recordAll(group);
       yield* pause(clock, FINISH_FLUSH_MS);
     }
