--- /dev/null
+++ b/dist/bench/bench_fleet.js
@@ -0,0 +1,168 @@
+/** A fleet of the bench: each entry and each few engines in a thread. */
+import { randomUUID } from "node:crypto";
+import { create } from "@bufbuild/protobuf";
+import { DeploymentKind, Operators, OrderSchema, } from "../schema/mod.js";
+import { SystemClock } from "../sys/clock.js";
+import { findFreePorts } from "../sys/ports.js";
+import { createCredentials, RpcClient } from "../sys/rpc.js";
+import { FleetName, waitUntil } from "./fleet.js";
+import { callWhole } from "./caller.js";
+import { Part } from "./part.js";
+const STATES = 3;
+const ENGINES_PER_THREAD = 4;
+const US_PER_MS = 1_000;
+/** A running fleet of threads. */
+export class BenchFleet {
+    #clock = new SystemClock();
+    #states = [];
+    #entries = [];
+    #engines = [];
+    entryAddresses = [];
+    peerAddresses = [];
+    /** Starts all threads and orders the configuration. */
+    async start(options) {
+        const { scenario, folder } = options;
+        const peers = await this.#startStates(scenario, folder);
+        await this.#startEntries(scenario, peers);
+        await this.#configure(options);
+        await this.#startEngines(scenario);
+        await this.#waitForServing(scenario.engines ?? 1);
+    }
+    async count() {
+        const [engines, entries, states] = await Promise.all([this.#engines, this.#entries, this.#states].map((parts) => Promise.all(parts.map((part) => part.count()))));
+        return {
+            tokens: (engines ?? []).reduce((sum, one) => sum + one.tokens, 0),
+            entries: entries ?? [],
+            states: states ?? [],
+        };
+    }
+    /** Ends engines at once. */
+    crashEngines(count) {
+        this.#engines.forEach((part, index) => part.send({
+            kind: "crash",
+            engines: Math.max(0, count - index * ENGINES_PER_THREAD),
+        }));
+    }
+    async close() {
+        const parts = [...this.#engines, ...this.#entries, ...this.#states];
+        await Promise.all(parts.map((part) => part.close()));
+    }
+    async #startStates(scenario, folder) {
+        const ports = await findFreePorts(STATES);
+        const peers = ports.map((port, index) => ({
+            id: `state-${index + 1}`,
+            address: `127.0.0.1:${port}`,
+        }));
+        this.#states = peers.map((peer) => new Part({
+            kind: "states",
+            settings: [{
+                    id: peer.id,
+                    data_centre: "dc-1",
+                    listen: peer.address,
+                    data_folder: `${folder}/${peer.id}`,
+                    members: peers,
+                    item_groups: scenario.itemGroups,
+                }],
+        }));
+        await Promise.all(this.#states.map((part) => part.start()));
+        return peers;
+    }
+    async #startEntries(scenario, peers) {
+        const count = scenario.entries ?? 1;
+        const dataCentres = scenario.dataCentres ?? 1;
+        this.#entries = Array.from({ length: count }, (_, index) => new Part({
+            kind: "entry",
+            settings: {
+                id: `entry-${index + 1}`,
+                data_centre: `dc-${1 + index % dataCentres}`,
+                listen: "127.0.0.1:0",
+                peer_listen: "127.0.0.1:0",
+                state: peers,
+                item_groups: scenario.itemGroups,
+                limits: { caller_streams: 100_000 },
+            },
+        }));
+        const addresses = await Promise.all(this.#entries.map((part) => part.start()));
+        this.entryAddresses = addresses.map((pair) => pair[0] ?? "");
+        this.peerAddresses = addresses.map((pair) => pair[1] ?? "");
+    }
+    async #startEngines(scenario) {
+        const count = scenario.engines ?? 1;
+        const dataCentres = scenario.dataCentres ?? 1;
+        const all = Array.from({ length: count }, (_, index) => ({
+            name: `engine-${index + 1}`,
+            deployment: FleetName.engines,
+            dataCentre: `dc-${1 + index % dataCentres}`,
+            models: [FleetName.model],
+            entries: this.entryAddresses,
+            baseStepMs: (scenario.baseStepUs ?? 0) / US_PER_MS,
+            sequenceStepMs: (scenario.sequenceStepUs ?? 0) / US_PER_MS,
+            prefillTokenMs: (scenario.prefillTokenUs ?? 0) / US_PER_MS,
+            maxSequences: scenario.maxSequences,
+            reportLagMs: scenario.reportLagMs,
+        }));
+        const threads = Math.ceil(count / ENGINES_PER_THREAD);
+        this.#engines = Array.from({ length: threads }, (_, index) => new Part({
+            kind: "engines",
+            engines: all.slice(index * ENGINES_PER_THREAD, (index + 1) * ENGINES_PER_THREAD),
+        }));
+        await Promise.all(this.#engines.map((part) => part.start()));
+    }
+    async #configure(options) {
+        const client = new RpcClient(this.peerAddresses[0] ?? "", createCredentials());
+        const { engines, model, workload, operator } = FleetName;
+        const actions = [
+            {
+                case: "putDeployment",
+                value: {
+                    name: engines,
+                    kind: DeploymentKind.MODEL_ENGINE,
+                    emphasis: options.emphasis,
+                    tokenGapTargetMs: options.scenario.tokenGapTargetMs,
+                },
+            },
+            { case: "putModel", value: { name: model, deployment: engines } },
+            {
+                case: "putWorkload",
+                value: {
+                    name: workload,
+                    deployment: engines,
+                    model,
+                    batchAllowed: true,
+                },
+            },
+            { case: "putRule", value: { deployment: engines, ...options.rule } },
+        ];
+        let version = 0n;
+        for (const action of actions) {
+            const order = create(OrderSchema, {
+                orderId: randomUUID(),
+                operator,
+                expectedVersion: version,
+                action,
+            });
+            const outcome = await client.call(Operators.method.submit, order, {
+                timeoutMs: 20_000,
+            });
+            if (!outcome.accepted)
+                throw new Error(outcome.detail);
+            version = outcome.version;
+        }
+        client.close();
+    }
+    async #waitForServing(engines) {
+        const credentials = createCredentials();
+        for (const address of this.peerAddresses) {
+            const client = new RpcClient(address, credentials);
+            await waitUntil(this.#clock, "all engines in every view", async () => {
+                const reply = await client.call(Operators.method.dump, {});
+                const dump = JSON.parse(reply.json);
+                return dump.backendServers.length >= engines &&
+                    dump.configurationVersion >= 4;
+            });
+            client.close();
+        }
+        await callWhole(this.entryAddresses[0] ?? "", "/readyz", undefined);
+    }
+}
+//# sourceMappingURL=bench_fleet.js.map
--- /dev/null
+++ b/dist/bench/caller.js
@@ -0,0 +1,66 @@
+/** A caller's side of the interface, for the demo, tests and the bench. */
+import { createParser } from "eventsource-parser";
+import { getEventToken } from "../relay/mod.js";
+import { readBody, sendHttp } from "../sys/http.js";
+const MAX_BODY_BYTES = 256 << 20;
+/** Sends a request and reads the whole answer. */
+export async function callWhole(address, path, body, options = {}) {
+    const isText = typeof body === "string";
+    const answer = await sendHttp({
+        address,
+        method: options.method ?? (body === undefined ? "GET" : "POST"),
+        path,
+        headers: { "content-type": "application/json", ...options.headers },
+        body: body === undefined ? undefined : isText ? body : JSON.stringify(body),
+        signal: options.signal,
+    });
+    const bytes = await readBody(answer.body, MAX_BODY_BYTES);
+    return {
+        status: answer.status,
+        headers: answer.headers,
+        text: bytes.toString(),
+    };
+}
+/** Sends a completion and reads its stream. */
+export async function callStreamed(address, body, options = {}) {
+    const answer = await sendHttp({
+        address,
+        method: "POST",
+        path: "/v1/completions",
+        headers: { "content-type": "application/json", ...options.headers },
+        body: JSON.stringify({ ...body, stream: true }),
+        signal: options.signal,
+    });
+    if (answer.status !== 200) {
+        const error = (await readBody(answer.body, MAX_BODY_BYTES)).toString();
+        return { status: answer.status, text: "", tokens: 0, isDone: false, error };
+    }
+    let text = "";
+    let tokens = 0;
+    let isDone = false;
+    let error = "";
+    const parser = createParser({
+        onEvent: ({ event, data }) => {
+            if (event === "error")
+                error = data;
+            else if (data === "[DONE]")
+                isDone = true;
+            else {
+                text += getEventToken(data);
+                tokens += 1;
+                options.onToken?.();
+            }
+        },
+    });
+    const decoder = new TextDecoder();
+    try {
+        for await (const chunk of answer.body) {
+            parser.feed(decoder.decode(chunk, { stream: true }));
+        }
+    }
+    catch (thrown) {
+        error ||= String(thrown);
+    }
+    return { status: 200, text, tokens, isDone, error };
+}
+//# sourceMappingURL=caller.js.map
--- /dev/null
+++ b/dist/bench/fleet.js
@@ -0,0 +1,260 @@
+/**
+ * A small whole fleet in one process, through the library: state replicas,
+ * entries and stand-in backend servers on loopback and temporary folders.
+ */
+import { randomUUID } from "node:crypto";
+import { create } from "@bufbuild/protobuf";
+import { DeploymentKind, Emphasis, EntrySettingsSchema, MemberSchema, OrderSchema, StateSettingsSchema, } from "../schema/mod.js";
+import { createProcessContext, EntryHost, StateHost, } from "../services/mod.js";
+import { SystemClock } from "../sys/clock.js";
+import { createSettings } from "../sys/settings.js";
+import { findFreePorts } from "../sys/ports.js";
+import { StandInEngine } from "./stand_in_engine.js";
+import { StandInService } from "./stand_in_service.js";
+const POLL_MS = 20;
+const READY_TIMEOUT_MS = 20_000;
+/** Names that the fleet's configuration uses. */
+export const FleetName = {
+    operator: "utility",
+    engines: "assistant",
+    services: "receipts",
+    model: "refill-model",
+    workload: "refill-questions",
+    receiptWorkload: "fill-receipts",
+};
+/** Waits until `test` holds, polling. */
+export async function waitUntil(clock, what, test, timeoutMs = READY_TIMEOUT_MS) {
+    const endMs = clock.getMonotonicMs() + timeoutMs;
+    while (!(await test())) {
+        if (clock.getMonotonicMs() > endMs)
+            throw new Error(`no sign of: ${what}`);
+        await clock.delay(POLL_MS);
+    }
+}
+/** A running fleet. */
+export class Fleet {
+    #options;
+    clock;
+    states = [];
+    entries = [];
+    engines = [];
+    services = [];
+    ledger = new Map();
+    #statePeers = [];
+    constructor(options) {
+        this.#options = options;
+        this.clock = options.context?.clock ?? new SystemClock();
+    }
+    /** Starts everything and puts the configuration in force. */
+    async start() {
+        await this.startStates();
+        await this.startEntries();
+        await this.configure();
+        await this.startBackendServers();
+    }
+    getDataCentre(index) {
+        return `dc-${1 + index % (this.#options.dataCentres ?? 2)}`;
+    }
+    async startStates() {
+        const count = this.#options.states ?? 3;
+        const ports = await findFreePorts(count);
+        this.#statePeers = ports.map((port, index) => ({
+            id: `state-${index + 1}`,
+            address: `127.0.0.1:${port}`,
+            data_centre: this.getDataCentre(index),
+        }));
+        const hosts = this.#statePeers.map((_, index) => this.#createState(index));
+        await Promise.all(hosts.map((host) => host.listen()));
+        await Promise.all(hosts.map((host) => host.start()));
+        this.states.push(...hosts);
+    }
+    /** Starts a state host again on its folder. */
+    async restartState(index) {
+        const host = this.#createState(index);
+        await host.listen();
+        await host.start();
+        this.states[index] = host;
+        return host;
+    }
+    getStateFolder(index) {
+        return `${this.#options.folder}/${this.#statePeers[index]?.id}`;
+    }
+    /** Starts a state host that belongs to no group yet. */
+    async joinState(id) {
+        const [port] = await findFreePorts(1);
+        const peer = {
+            id,
+            address: `127.0.0.1:${port}`,
+            data_centre: this.getDataCentre(this.#statePeers.length),
+        };
+        this.#statePeers.push(peer);
+        const index = this.#statePeers.length - 1;
+        const host = this.#createState(index, { join: true });
+        await host.listen();
+        await host.start();
+        this.states[index] = host;
+        return host;
+    }
+    createMember(fields) {
+        return create(MemberSchema, fields);
+    }
+    async startEntries() {
+        const count = this.#options.entries ?? 2;
+        for (let index = 0; index < count; index += 1) {
+            await this.startEntry(index);
+        }
+        await waitUntil(this.clock, "all entries in every view", () => this.entries.every((entry) => entry.view.entries.length >= count));
+    }
+    /** Starts the entry of an index, in place of one that ended. */
+    async startEntry(index) {
+        const settings = createSettings(EntrySettingsSchema, {
+            id: `entry-${index + 1}`,
+            data_centre: this.getDataCentre(index),
+            listen: "127.0.0.1:0",
+            peer_listen: "127.0.0.1:0",
+            state: this.#statePeers,
+            entries: this.entries.map((entry) => entry.peerAddress),
+            item_groups: this.#options.itemGroups ?? 2,
+            ...this.#options.entrySettings,
+        });
+        const name = `entry-${index + 1}`;
+        const context = this.#createContext(name);
+        const entry = new EntryHost(settings, context);
+        await entry.start();
+        this.entries[index] = entry;
+        return entry;
+    }
+    /** Orders the deployments, the model and the workloads. */
+    async configure() {
+        const { engines, services, model, workload, receiptWorkload } = FleetName;
+        await this.order({
+            case: "putDeployment",
+            value: {
+                name: engines,
+                kind: DeploymentKind.MODEL_ENGINE,
+                emphasis: this.#options.emphasis ?? Emphasis.THROUGHPUT,
+                firstTokenTargetMs: 1_200,
+                tokenGapTargetMs: this.#options.tokenGapTargetMs ?? 26,
+            },
+        });
+        await this.order({
+            case: "putDeployment",
+            value: { name: services, kind: DeploymentKind.PLAIN_SERVICE },
+        });
+        await this.order({
+            case: "putModel",
+            value: { name: model, deployment: engines, version: "1" },
+        });
+        await this.order({
+            case: "putWorkload",
+            value: {
+                name: workload,
+                deployment: engines,
+                model,
+                timeoutMs: 60_000,
+                batchAllowed: true,
+            },
+        });
+        const outcome = await this.order({
+            case: "putWorkload",
+            value: {
+                name: receiptWorkload,
+                deployment: services,
+                pathPrefix: "/receipts",
+                nonIdempotent: true,
+                timeoutMs: 10_000,
+                batchAllowed: true,
+            },
+        });
+        await waitUntil(this.clock, "the configuration in force everywhere", () => this.entries.every((entry) => entry.view.configuration.version >= outcome.version));
+    }
+    /** Submits an order on top of the newest configuration. */
+    async order(action, changes = {}) {
+        const entry = this.entries[0];
+        if (entry === undefined)
+            throw new Error("the fleet has no entries");
+        const reply = await entry.state.query(0, {
+            case: "configuration",
+            value: true,
+        });
+        const outcome = await entry.state.submit(create(OrderSchema, {
+            orderId: randomUUID(),
+            operator: FleetName.operator,
+            expectedVersion: reply.configuration?.version ?? 0n,
+            action,
+            ...changes,
+        }));
+        if (!outcome.accepted)
+            throw new Error(outcome.detail);
+        return outcome;
+    }
+    async startBackendServers() {
+        const engines = this.#options.engines ?? 3;
+        const services = this.#options.services ?? 1;
+        for (let index = 0; index < engines; index += 1) {
+            await this.startEngine(index);
+        }
+        for (let index = 0; index < services; index += 1) {
+            const service = new StandInService({
+                name: `service-${index + 1}`,
+                deployment: FleetName.services,
+                dataCentre: this.getDataCentre(index),
+                entries: this.getEntryAddresses(),
+                clock: this.clock,
+                ledger: this.ledger,
+            });
+            await service.start();
+            this.services.push(service);
+        }
+        await waitUntil(this.clock, "all backend servers in every view", () => this.entries.every((entry) => entry.view.backends.getAll().length >= engines + services));
+    }
+    async startEngine(index) {
+        const engine = new StandInEngine({
+            name: `engine-${index + 1}`,
+            deployment: FleetName.engines,
+            dataCentre: this.getDataCentre(index),
+            models: [FleetName.model],
+            entries: this.getEntryAddresses(),
+            clock: this.clock,
+            ...this.#options.engine,
+        });
+        await engine.start();
+        this.engines[index] = engine;
+        return engine;
+    }
+    getEntryAddresses() {
+        return this.entries.map((entry) => entry.address);
+    }
+    /** Ends everything at once. */
+    async close() {
+        this.engines.forEach((engine) => engine.crash());
+        this.services.forEach((service) => service.crash());
+        this.entries.forEach((entry) => entry.halt());
+        await Promise.all(this.states.map((state) => state.halt()));
+    }
+    #createState(index, changes = {}) {
+        const peer = this.#statePeers[index];
+        if (peer === undefined)
+            throw new Error(`no state host ${index}`);
+        const settings = createSettings(StateSettingsSchema, {
+            id: peer.id,
+            data_centre: peer.data_centre,
+            listen: peer.address,
+            data_folder: `${this.#options.folder}/${peer.id}`,
+            members: this.#statePeers,
+            item_groups: this.#options.itemGroups ?? 2,
+            ...this.#options.stateSettings,
+            ...changes,
+        });
+        return new StateHost(settings, this.#createContext(peer.id));
+    }
+    #createContext(name) {
+        const { context, isCut } = this.#options;
+        return createProcessContext({
+            ...context,
+            name,
+            isCut: (address) => isCut?.(name, address) ?? false,
+        });
+    }
+}
+//# sourceMappingURL=fleet.js.map
--- /dev/null
+++ b/dist/bench/load.js
@@ -0,0 +1,111 @@
+/**
+ * Open-loop load: arrivals follow the clock and the seed, whatever the answers
+ * do, and each time is measured from when the request was due.
+ */
+import { build } from "hdr-histogram-js";
+import { SeededRandom } from "../sys/random.js";
+import { callStreamed } from "./caller.js";
+import { FleetName } from "./fleet.js";
+const US_PER_MS = 1_000;
+const MAX_TRACKED_US = 600_000_000;
+const CHARACTERS_PER_TOKEN = 4;
+const MAX_FAILURES = 8;
+function createHistogram() {
+    return build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: MAX_TRACKED_US,
+        numberOfSignificantValueDigits: 3,
+    });
+}
+/** Text of about `tokens` tokens that starts differently for each name. */
+export function createPrompt(name, tokens) {
+    return `${name} `.padEnd(tokens * CHARACTERS_PER_TOKEN, "lorem ipsum ");
+}
+/** All arrivals of a run, from its seed. */
+export function createArrivals(scenario, endMs) {
+    const random = new SeededRandom(scenario.seed ?? 1);
+    const rate = (scenario.onlinePerSecond ?? 0) / 1_000;
+    const factor = scenario.burstFactor ?? 1;
+    const arrivals = [];
+    if (rate === 0)
+        return arrivals;
+    let atMs = 0;
+    while (atMs < endMs) {
+        const phaseMs = atMs % (scenario.burstEveryMs ?? 1);
+        const isBurst = phaseMs < (scenario.burstMs ?? 0);
+        const current = isBurst ? rate * factor : rate;
+        atMs += -Math.log(1 - random.getFraction()) / current;
+        const spread = 0.5 + random.getFraction();
+        arrivals.push({
+            atMs,
+            prompt: createPrompt(`online ${arrivals.length}`, scenario.promptTokens ?? 1),
+            tokens: Math.max(1, Math.round((scenario.outputTokens ?? 1) * spread)),
+        });
+    }
+    return arrivals;
+}
+/** Sends the arrivals and measures those due after the warm-up. */
+export async function runOnline(options) {
+    const { scenario, addresses, clock } = options;
+    const warmupMs = (scenario.warmupSeconds ?? 0) * 1_000;
+    const endMs = warmupMs + (scenario.seconds ?? 0) * 1_000;
+    const arrivals = createArrivals(scenario, endMs);
+    const firstToken = createHistogram();
+    const tokenGap = createHistogram();
+    const sums = { sent: 0, answered: 0, refused: 0, broken: 0, tokens: 0 };
+    const startMs = clock.getMonotonicMs();
+    const open = [];
+    const failures = [];
+    const ask = async (arrival, index) => {
+        const dueMs = startMs + arrival.atMs;
+        const isMeasured = arrival.atMs >= warmupMs;
+        let lastMs = 0;
+        const onToken = () => {
+            const nowMs = clock.getMonotonicMs();
+            if (isMeasured) {
+                if (lastMs === 0)
+                    firstToken.recordValue((nowMs - dueMs) * US_PER_MS);
+                else
+                    tokenGap.recordValue((nowMs - lastMs) * US_PER_MS);
+            }
+            lastMs = nowMs;
+        };
+        const answer = await callStreamed(addresses[index % addresses.length] ?? "", {
+            model: FleetName.model,
+            prompt: arrival.prompt,
+            max_tokens: arrival.tokens,
+        }, { onToken }).catch((error) => {
+            failures.push(String(error));
+            return undefined;
+        });
+        if (!isMeasured)
+            return;
+        sums.sent += 1;
+        if (answer?.isDone === true)
+            sums.answered += 1;
+        else if (answer !== undefined && answer.status !== 200)
+            sums.refused += 1;
+        else {
+            sums.broken += 1;
+            failures.push(answer?.error ?? "no answer");
+        }
+        sums.tokens += answer?.tokens ?? 0;
+    };
+    for (const [index, arrival] of arrivals.entries()) {
+        const waitMs = startMs + arrival.atMs - clock.getMonotonicMs();
+        if (waitMs > 1)
+            await clock.delay(waitMs);
+        open.push(ask(arrival, index));
+    }
+    const leftMs = startMs + endMs - clock.getMonotonicMs();
+    if (leftMs > 0)
+        await clock.delay(leftMs);
+    await Promise.all(open);
+    return {
+        ...sums,
+        failures: failures.slice(0, MAX_FAILURES),
+        firstToken,
+        tokenGap,
+    };
+}
+//# sourceMappingURL=load.js.map
--- /dev/null
+++ b/dist/bench/membership_bench.js
@@ -0,0 +1,82 @@
+/**
+ * Measures what membership costs an entry at rest, over several sizes of the
+ * fleet: entries and announcing servers in one process, with one state host.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { SystemClock } from "../sys/clock.js";
+import { rpcTraffic } from "../sys/rpc.js";
+import { Announcer } from "./announcer.js";
+import { Fleet, FleetName, waitUntil } from "./fleet.js";
+const SERVERS_PER_ENTRY = 6;
+const ANNOUNCE_MS = 2_000;
+const LEASE_MS = 6_000;
+const SETTLE_MS = 4_000;
+const MEASURE_MS = 8_000;
+const US_PER_S = 1_000_000;
+function createServers(fleet, count) {
+    const { clock } = fleet;
+    return Array.from({ length: count }, (_, index) => new Announcer({
+        entries: fleet.getEntryAddresses(),
+        clock,
+        intervalMs: ANNOUNCE_MS,
+        fields: () => ({
+            name: `server-${index}`,
+            incarnation: 1n,
+            address: "127.0.0.1:1",
+            deployment: FleetName.engines,
+            dataCentre: fleet.getDataCentre(index),
+            models: [FleetName.model],
+            leaseMs: LEASE_MS,
+            running: index % 30,
+        }),
+    }));
+}
+async function measure(entries, report) {
+    const folder = await mkdtemp(path.join(tmpdir(), "papayatally-members-"));
+    const clock = new SystemClock();
+    const fleet = new Fleet({
+        folder,
+        states: 1,
+        entries,
+        dataCentres: 2,
+        itemGroups: 1,
+    });
+    await fleet.startStates();
+    await fleet.startEntries();
+    await fleet.configure();
+    const servers = createServers(fleet, entries * SERVERS_PER_ENTRY);
+    for (const server of servers)
+        await server.start();
+    await clock.delay(SETTLE_MS);
+    const bytes = rpcTraffic.sentBytes;
+    const messages = rpcTraffic.sentMessages;
+    const cpu = process.cpuUsage();
+    const startMs = clock.getMonotonicMs();
+    await clock.delay(MEASURE_MS);
+    const seconds = (clock.getMonotonicMs() - startMs) / 1_000;
+    const used = process.cpuUsage(cpu);
+    const perEntry = (value) => value / seconds / entries;
+    const name = `${entries} entries, ${servers.length} servers`;
+    report(`bytes of an entry, ${name}`, perEntry(rpcTraffic.sentBytes - bytes), "bytes/s");
+    report(`messages of an entry, ${name}`, perEntry(rpcTraffic.sentMessages - messages), "1/s");
+    report(`processor of an entry, ${name}`, perEntry(used.user + used.system) / US_PER_S * 100, "% of a core");
+    const orderedMs = clock.getMonotonicMs();
+    const { version } = await fleet.order({
+        case: "drain",
+        value: { name: "server-0" },
+    });
+    await waitUntil(clock, "force", () => fleet.entries.every((entry) => entry.view.configuration.version >= version));
+    report(`configuration in force, ${name}`, clock.getMonotonicMs() - orderedMs, "ms");
+    servers.forEach((server) => server.stop());
+    await fleet.close();
+    await rm(folder, { recursive: true, force: true });
+}
+/** Runs the measurement at each size. */
+export async function runMembershipBench(onFigure) {
+    for (const entries of [8, 16, 32, 64]) {
+        await measure(entries, (name, value, unit) => onFigure({ name, value, unit }));
+    }
+}
+//# sourceMappingURL=membership_bench.js.map
--- /dev/null
+++ b/dist/bench/scenario_run.js
@@ -0,0 +1,187 @@
+/** Runs a scenario in each of its modes and compares them. */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { Emphasis } from "../schema/mod.js";
+import { SystemClock } from "../sys/clock.js";
+import { BenchFleet } from "./bench_fleet.js";
+import { callWhole } from "./caller.js";
+import { FleetName } from "./fleet.js";
+import { createPrompt, runOnline } from "./load.js";
+/** Ways of running batch beside online requests. */
+export const Mode = {
+    onlineAlone: "online-alone",
+    sharedQueue: "shared-queue",
+    fixedSplit: "fixed-split",
+    noGiveWay: "no-give-way",
+    latency: "latency",
+    throughput: "throughput",
+};
+const US_PER_MS = 1_000;
+/** Batch items queued before a run, so that batch never runs dry. */
+const BACKLOG_FACTOR = 1.5;
+const ITEMS_PER_JOB = 4_000;
+/** Requests that a shared queue sends for each sequence of an engine. */
+const SHARED_QUEUE_DEPTH = 1.5;
+/** Prompts that 95 in 100 steps read in at most beside giving tokens. */
+const PROMPTS_BESIDE = 2;
+/** Sequences at which 95 in 100 token gaps of an engine meet their target. */
+export function getTargetSequences(scenario) {
+    const prefill = (scenario.batchPromptTokens ?? 0) *
+        (scenario.prefillTokenUs ?? 0);
+    const target = (scenario.tokenGapTargetMs ?? 0) * US_PER_MS -
+        PROMPTS_BESIDE * prefill;
+    const base = scenario.baseStepUs ?? 0;
+    const each = Math.max(1, scenario.sequenceStepUs ?? 1);
+    const fitting = Math.floor((target - base) / each);
+    return Math.max(1, Math.min(scenario.maxSequences ?? 1, fitting));
+}
+/** Tokens a second that all engines give at the target, prompts aside. */
+export function getCapacity(scenario) {
+    const sequences = getTargetSequences(scenario);
+    const stepUs = (scenario.baseStepUs ?? 0) +
+        sequences * (scenario.sequenceStepUs ?? 0);
+    // A sequence's prompt is read in once for all of its tokens.
+    const prefillUs = (scenario.batchPromptTokens ?? 0) *
+        (scenario.prefillTokenUs ?? 0) / (scenario.batchOutputTokens ?? 1);
+    const perTokenUs = stepUs / sequences + prefillUs;
+    return (scenario.engines ?? 1) * 1_000_000 / perTokenUs;
+}
+function getPercentiles(histogram) {
+    const get = (percentile) => histogram.getValueAtPercentile(percentile) / US_PER_MS;
+    return { p50: get(50), p95: get(95), p99: get(99) };
+}
+function getEmphasis(mode) {
+    return mode === Mode.latency ? Emphasis.LATENCY : Emphasis.THROUGHPUT;
+}
+function getRule(mode, scenario) {
+    const half = Math.floor(getTargetSequences(scenario) / 2);
+    if (mode === Mode.fixedSplit) {
+        return { batchReserve: half, batchStays: true };
+    }
+    return { batchStays: mode === Mode.noGiveWay };
+}
+async function submitBacklog(scenario, address) {
+    const seconds = (scenario.seconds ?? 0) + (scenario.warmupSeconds ?? 0);
+    const tokens = getCapacity(scenario) * seconds * BACKLOG_FACTOR;
+    const count = Math.ceil(tokens / (scenario.batchOutputTokens ?? 1));
+    const jobs = Math.ceil(count / ITEMS_PER_JOB);
+    for (let job = 0; job < jobs; job += 1) {
+        const lines = Array.from({ length: ITEMS_PER_JOB }, (_, index) => JSON.stringify({
+            prompt: createPrompt(`batch ${job} ${index}`, scenario.batchPromptTokens ?? 1),
+            max_tokens: scenario.batchOutputTokens,
+        }));
+        await callWhole(address, `/v1/jobs?workload=${FleetName.workload}`, lines.join("\n"));
+    }
+}
+/** Sends batch items as if they were online requests, without pause. */
+function startSharedQueue(scenario, addresses) {
+    let isStopped = false;
+    let sent = 0;
+    const lanes = Math.ceil((scenario.engines ?? 1) * (scenario.maxSequences ?? 1) *
+        SHARED_QUEUE_DEPTH);
+    const work = async (lane) => {
+        while (!isStopped) {
+            sent += 1;
+            await callWhole(addresses[lane % addresses.length] ?? "", "/v1/completions", {
+                model: FleetName.model,
+                prompt: createPrompt(`batch ${sent}`, scenario.batchPromptTokens ?? 1),
+                max_tokens: scenario.batchOutputTokens,
+            }).catch(() => { });
+        }
+    };
+    Array.from({ length: lanes }, (_, lane) => work(lane));
+    return {
+        stop: () => {
+            isStopped = true;
+        },
+    };
+}
+async function runMode(scenario, mode) {
+    const clock = new SystemClock();
+    const folder = await mkdtemp(path.join(tmpdir(), "papayatally-bench-"));
+    const fleet = new BenchFleet();
+    try {
+        await fleet.start({
+            scenario,
+            folder,
+            emphasis: getEmphasis(mode),
+            rule: getRule(mode, scenario),
+        });
+        const { entryAddresses } = fleet;
+        const isQueued = mode !== Mode.onlineAlone && mode !== Mode.sharedQueue;
+        if (isQueued)
+            await submitBacklog(scenario, entryAddresses[0] ?? "");
+        const shared = mode === Mode.sharedQueue
+            ? startSharedQueue(scenario, entryAddresses)
+            : undefined;
+        const warmupMs = (scenario.warmupSeconds ?? 0) * 1_000;
+        const lengthMs = (scenario.seconds ?? 0) * 1_000;
+        const counting = countBetween(fleet, { clock, warmupMs, lengthMs });
+        const crash = clock.startTimer(warmupMs + lengthMs / 2, () => fleet.crashEngines(scenario.crashEngines ?? 0));
+        const online = await runOnline({
+            scenario,
+            addresses: entryAddresses,
+            clock,
+        });
+        crash.cancel();
+        shared?.stop();
+        return { online, counts: await counting };
+    }
+    finally {
+        await fleet.close();
+        await rm(folder, { recursive: true, force: true });
+    }
+}
+/** Counts at the start and at the end of the measured time. */
+async function countBetween(fleet, options) {
+    await options.clock.delay(options.warmupMs);
+    const startMs = options.clock.getMonotonicMs();
+    const before = await fleet.count();
+    await options.clock.delay(options.lengthMs);
+    const after = await fleet.count();
+    const tookMs = options.clock.getMonotonicMs() - startMs;
+    return { before, after, seconds: tookMs / 1_000 };
+}
+function getMeanBusy(parts) {
+    const sum = parts.reduce((total, part) => total + part.busy, 0);
+    return parts.length === 0 ? 0 : sum / parts.length;
+}
+/** Runs all modes of a scenario, one after the other. */
+export async function runScenario(scenario, onMode) {
+    const modes = scenario.modes.length > 0
+        ? scenario.modes
+        : Object.values(Mode);
+    const results = [];
+    for (const mode of modes) {
+        const { online, counts } = await runMode(scenario, mode);
+        const allTokens = (counts.after.tokens - counts.before.tokens) /
+            counts.seconds;
+        const onlineTokens = online.tokens / (scenario.seconds ?? 1);
+        const batchTokens = mode === Mode.onlineAlone
+            ? 0
+            : Math.max(0, allTokens - onlineTokens);
+        const alone = results.find((one) => one.mode === Mode.onlineAlone);
+        const idle = getCapacity(scenario) -
+            (alone?.onlineTokensPerS ?? onlineTokens);
+        const result = {
+            mode,
+            sent: online.sent,
+            answered: online.answered,
+            refused: online.refused,
+            broken: online.broken,
+            failures: online.failures,
+            firstTokenMs: getPercentiles(online.firstToken),
+            tokenGapMs: getPercentiles(online.tokenGap),
+            onlineTokensPerS: onlineTokens,
+            batchTokensPerS: batchTokens,
+            idleUse: batchTokens / idle,
+            entryBusy: getMeanBusy(counts.after.entries),
+            stateBusy: getMeanBusy(counts.after.states),
+        };
+        results.push(result);
+        onMode(result);
+    }
+    return results;
+}
+//# sourceMappingURL=scenario_run.js.map
--- /dev/null
+++ b/dist/bench/stand_in_engine.js
@@ -0,0 +1,260 @@
+import { listenHttp, readBody, } from "../sys/http.js";
+import { getPlacementHash } from "../sys/random.js";
+import { Announcer } from "./announcer.js";
+const DEFAULTS = {
+    baseStepMs: 8,
+    sequenceStepMs: 0.25,
+    prefillTokenMs: 0.05,
+    maxSequences: 48,
+    cachedPrefixes: 64,
+    announceMs: 500,
+    leaseMs: 2_000,
+    reportLagMs: 300,
+};
+const CHARACTERS_PER_TOKEN = 4;
+const PREFIX_CHARACTERS = 256;
+const DEFAULT_MAX_TOKENS = 16;
+const MAX_BODY_BYTES = 16 << 20;
+/** The token that every engine gives for a prompt at a place. */
+export function getToken(prompt, index) {
+    const word = getPlacementHash(`${prompt}\u0000${index}`).toString(36);
+    return `${word} `;
+}
+/** The whole text that an engine gives for a prompt. */
+export function getCompletion(prompt, tokens) {
+    return Array.from({ length: tokens }, (_, index) => getToken(prompt, index))
+        .join("");
+}
+/** A running stand-in engine. */
+export class StandInEngine {
+    #options;
+    #running = new Set();
+    #waiting = [];
+    #prefixes = new Map();
+    #loads = [];
+    #announcer;
+    #listener;
+    #timer;
+    #fencingNumber = 0;
+    #isFrozen = false;
+    #stepMs = 0;
+    #dueMs = 0;
+    address = "";
+    /** Tokens given, by all sequences. */
+    tokenCount = 0;
+    requestCount = 0;
+    ordersTaken = [];
+    /** Called when a marked prompt ended the server. */
+    onCrash = () => { };
+    constructor(options) {
+        this.#options = { ...DEFAULTS, ...options };
+        const { clock, announceMs, entries, incarnation } = this.#options;
+        const started = incarnation ?? Math.floor(clock.getWallMs());
+        this.#announcer = new Announcer({
+            entries,
+            clock,
+            intervalMs: announceMs,
+            fields: () => ({
+                ...this.#getReport(),
+                name: options.name,
+                incarnation: BigInt(started),
+                address: this.address,
+                deployment: options.deployment,
+                dataCentre: options.dataCentre,
+                host: options.host ?? `host-of-${options.name}`,
+                models: [...options.models],
+                leaseMs: this.#options.leaseMs,
+                sequenceLimit: this.#options.maxSequences,
+            }),
+        });
+    }
+    get name() {
+        return this.#options.name;
+    }
+    /** Sequences that run or wait. */
+    get load() {
+        return this.#running.size + this.#waiting.length;
+    }
+    async start() {
+        this.#listener = await listenHttp(`127.0.0.1:${this.#options.port ?? 0}`, (req, res) => {
+            this.#serve(req, res).catch(() => res.destroy());
+        });
+        this.address = this.#listener.address;
+        await this.#announcer.start();
+    }
+    /** Leaves the fleet and stops when the running sequences have ended. */
+    async leave() {
+        await this.#announcer.leave();
+        await this.#listener?.drain();
+        this.crash();
+    }
+    /** Announces itself at other entries from now on. */
+    useEntries(entries) {
+        this.#announcer.useEntries(entries);
+    }
+    announceLeaving() {
+        return this.#announcer.leave();
+    }
+    /** Ends at once. */
+    crash() {
+        this.#announcer.stop();
+        this.#timer?.cancel();
+        this.#listener?.close();
+        this.#running.clear();
+        this.#waiting.length = 0;
+    }
+    /** Stops giving tokens and announcing, with connections left open. */
+    freeze() {
+        this.#isFrozen = true;
+        this.#announcer.stop();
+        this.#timer?.cancel();
+    }
+    #getReport() {
+        const { clock, reportLagMs } = this.#options;
+        const nowMs = clock.getMonotonicMs();
+        const old = this.#loads.findLast((row) => row.atMs <= nowMs - reportLagMs);
+        this.#loads.push({
+            atMs: nowMs,
+            running: this.#running.size,
+            waiting: this.#waiting.length,
+        });
+        if (this.#loads.length > 64)
+            this.#loads.shift();
+        return {
+            running: old?.running ?? 0,
+            waiting: old?.waiting ?? 0,
+            tokenGapMs: Math.round(this.#stepMs),
+        };
+    }
+    async #serve(req, res) {
+        const path = req.url ?? "/";
+        if (path === "/health") {
+            res.end("ok");
+            return;
+        }
+        const bytes = await readBody(req, MAX_BODY_BYTES);
+        const body = JSON.parse(bytes.toString());
+        if (path === "/admin/orders") {
+            this.#takeOrder(body, res);
+            return;
+        }
+        this.#takeRequest(body, res);
+    }
+    #takeOrder(order, res) {
+        const isOld = order.fencing_number < this.#fencingNumber;
+        if (isOld && this.#options.checksFencing === true) {
+            res.writeHead(409);
+            res.end();
+            return;
+        }
+        this.#fencingNumber = Math.max(this.#fencingNumber, order.fencing_number);
+        this.ordersTaken.push(`${order.action} ${order.subject}`);
+        res.end("{}");
+    }
+    #takeRequest(body, res) {
+        const prompt = JSON.stringify(body.prompt ?? body.messages ?? "");
+        this.requestCount += 1;
+        const mark = this.#options.crashMark;
+        if (mark !== undefined && prompt.includes(mark)) {
+            this.crash();
+            this.onCrash();
+            return;
+        }
+        const sequence = {
+            res,
+            prompt,
+            promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+            maxTokens: body.max_tokens ?? DEFAULT_MAX_TOKENS,
+            isStreamed: body.stream === true,
+            next: body.resume_tokens ?? 0,
+            text: body.resume_text ?? "",
+        };
+        res.on("close", () => this.#remove(sequence));
+        this.#waiting.push(sequence);
+        this.#arm(0);
+    }
+    #remove(sequence) {
+        this.#running.delete(sequence);
+        const place = this.#waiting.indexOf(sequence);
+        if (place >= 0)
+            this.#waiting.splice(place, 1);
+    }
+    #arm(ms) {
+        if (this.#timer !== undefined || this.#isFrozen)
+            return;
+        const { clock } = this.#options;
+        const nowMs = clock.getMonotonicMs();
+        // Steps follow each other by their own length, so that neither late timers
+        // nor the work of the stand-in itself slow the engine down.
+        if (this.#running.size === 0 || this.#dueMs === 0)
+            this.#dueMs = nowMs;
+        this.#dueMs += ms;
+        this.#timer = clock.startTimer(Math.max(0, this.#dueMs - nowMs), () => {
+            this.#timer = undefined;
+            this.#step();
+        });
+    }
+    /** Admits what waits, gives each sequence a token and plans the next step. */
+    #step() {
+        const { baseStepMs, sequenceStepMs, prefillTokenMs } = this.#options;
+        [...this.#running].forEach((sequence) => this.#giveToken(sequence));
+        const room = this.#options.maxSequences - this.#running.size;
+        const admitted = this.#waiting.splice(0, room);
+        admitted.forEach((sequence) => this.#running.add(sequence));
+        const prefillTokens = admitted.reduce((sum, sequence) => sum + this.#getUncached(sequence), 0);
+        if (this.#running.size === 0) {
+            this.#stepMs = 0;
+            return;
+        }
+        this.#stepMs = baseStepMs + sequenceStepMs * this.#running.size +
+            prefillTokenMs * prefillTokens;
+        this.#arm(this.#stepMs);
+    }
+    #getUncached(sequence) {
+        const prefix = sequence.prompt.slice(0, PREFIX_CHARACTERS);
+        const isCached = this.#prefixes.delete(prefix);
+        this.#prefixes.set(prefix, true);
+        if (this.#prefixes.size > this.#options.cachedPrefixes) {
+            const oldest = this.#prefixes.keys().next().value;
+            if (oldest !== undefined)
+                this.#prefixes.delete(oldest);
+        }
+        const cached = isCached
+            ? Math.ceil(prefix.length / CHARACTERS_PER_TOKEN)
+            : 0;
+        return Math.max(0, sequence.promptTokens + sequence.next - cached);
+    }
+    #giveToken(sequence) {
+        const token = getToken(sequence.prompt, sequence.next);
+        sequence.next += 1;
+        sequence.text += token;
+        this.tokenCount += 1;
+        const isLast = sequence.next >= sequence.maxTokens;
+        if (sequence.isStreamed)
+            this.#stream(sequence, token, isLast);
+        else if (isLast)
+            this.#answer(sequence);
+        if (isLast)
+            this.#running.delete(sequence);
+    }
+    #stream(sequence, token, isLast) {
+        const { res } = sequence;
+        if (!res.headersSent) {
+            res.writeHead(200, { "content-type": "text/event-stream" });
+        }
+        const choice = {
+            index: 0,
+            text: token,
+            finish_reason: isLast ? "length" : null,
+        };
+        res.write(`data: ${JSON.stringify({ choices: [choice] })}\n\n`);
+        if (isLast)
+            res.end("data: [DONE]\n\n");
+    }
+    #answer(sequence) {
+        const choice = { index: 0, text: sequence.text, finish_reason: "length" };
+        sequence.res.setHeader("content-type", "application/json");
+        sequence.res.end(JSON.stringify({ choices: [choice] }));
+    }
+}
+//# sourceMappingURL=stand_in_engine.js.map
--- /dev/null
+++ b/dist/bench/state_bench.js
@@ -0,0 +1,294 @@
+/**
+ * Measures the replicated state: accepts a second and their tail next to the
+ * bare sync rate of the same disk, what a group costs at rest, fail-over, and
+ * the memory and recovery time of many items.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { create, toBinary } from "@bufbuild/protobuf";
+import { build } from "hdr-histogram-js";
+import { ItemCommandSchema, ItemSchema, Verdict } from "../schema/mod.js";
+import { getItemGroup, getItemGroups, StateClient } from "../services/mod.js";
+import { ItemMachine, ReplicaStore } from "../state/mod.js";
+import { SystemClock } from "../sys/clock.js";
+import { DiskFolder } from "../sys/files.js";
+import { findFreePorts } from "../sys/ports.js";
+import { createCredentials } from "../sys/rpc.js";
+import { Part } from "./part.js";
+const CALLERS = 64;
+const RECORD_BYTES = 256;
+const US_PER_MS = 1_000;
+const clock = new SystemClock();
+async function withFolder(use) {
+    const folder = await mkdtemp(path.join(tmpdir(), "papayatally-state-"));
+    try {
+        return await use(folder);
+    }
+    finally {
+        await rm(folder, { recursive: true, force: true });
+    }
+}
+/** Syncs a second of one file, each after a small append. */
+async function measureSyncs(folder, ms) {
+    const disk = await DiskFolder.open(folder);
+    const file = await disk.openAppend("syncs", 0);
+    const endMs = clock.getMonotonicMs() + ms;
+    let syncs = 0;
+    while (clock.getMonotonicMs() < endMs) {
+        await file.append(new Uint8Array(RECORD_BYTES));
+        await file.sync();
+        syncs += 1;
+    }
+    await file.close();
+    return syncs / ms * 1_000;
+}
+async function startGroup(folder, options) {
+    const ports = await findFreePorts(options.replicas);
+    const members = ports.map((port, index) => ({
+        id: `s${index + 1}`,
+        address: `127.0.0.1:${port}`,
+    }));
+    const parts = members.map((member) => new Part({
+        kind: "states",
+        settings: [{
+                id: member.id,
+                data_centre: "dc-1",
+                listen: member.address,
+                data_folder: `${folder}/${member.id}`,
+                members,
+                item_groups: options.itemGroups,
+                session_lease_ms: 600_000,
+            }],
+    }));
+    await Promise.all(parts.map((part) => part.start()));
+    const client = new StateClient({
+        addresses: members.map((member) => member.address),
+        credentials: createCredentials(),
+        clock,
+    });
+    return { parts, client };
+}
+async function closeGroup(group) {
+    group.client.close();
+    await Promise.all(group.parts.map((part) => part.close()));
+}
+/** Accepts of keyed requests by 64 callers, each waiting for its answer. */
+async function measureAccepts(group, options) {
+    const { client } = group;
+    const epochs = new Map();
+    for (const one of getItemGroups(options.itemGroups)) {
+        const reply = await client.runItemCommand(one, {
+            case: "openSession",
+            value: { entry: "bench", incarnation: "1" },
+        }, 20_000);
+        epochs.set(one, reply.epoch);
+    }
+    const times = build({ numberOfSignificantValueDigits: 3 });
+    const endMs = clock.getMonotonicMs() + options.ms;
+    let accepted = 0;
+    const work = async (caller) => {
+        for (let index = 0; clock.getMonotonicMs() < endMs; index += 1) {
+            const key = `${caller}-${index}`;
+            const one = getItemGroup(key, options.itemGroups);
+            const startMs = clock.getMonotonicMs();
+            await client.runItemCommand(one, {
+                case: "beginRequest",
+                value: {
+                    key,
+                    caller: "bench",
+                    epoch: epochs.get(one),
+                    attemptId: key,
+                    digest: new Uint8Array(32),
+                },
+            });
+            times.recordValue((clock.getMonotonicMs() - startMs) * US_PER_MS);
+            accepted += 1;
+        }
+    };
+    await Promise.all(Array.from({ length: CALLERS }, (_, index) => work(index)));
+    return {
+        rate: accepted / options.ms * 1_000,
+        p99: times.getValueAtPercentile(99) / US_PER_MS,
+    };
+}
+/** What a host sends and spends while nothing happens. */
+async function measureRest(group, ms) {
+    await Promise.all(group.parts.map((part) => part.count()));
+    const before = await Promise.all(group.parts.map((part) => part.count()));
+    await clock.delay(ms);
+    const after = await Promise.all(group.parts.map((part) => part.count()));
+    const perSecond = (get) => Math.max(...group.parts.map((_, index) => get(index))) / ms * 1_000;
+    return {
+        bytes: perSecond((index) => (after[index]?.sentBytes ?? 0) - (before[index]?.sentBytes ?? 0)),
+        messages: perSecond((index) => (after[index]?.sentMessages ?? 0) - (before[index]?.sentMessages ?? 0)),
+        busy: Math.max(...after.map((counts) => counts.busy)),
+    };
+}
+/** Time from the loss of a leader to the next accepted command. */
+async function measureFailOver(folder) {
+    const group = await startGroup(folder, { replicas: 3, itemGroups: 1 });
+    const open = (incarnation) => group.client.runItemCommand(1, {
+        case: "openSession",
+        value: { entry: "bench", incarnation },
+    }, 20_000);
+    await open("before");
+    const leader = group.client.getLeaderIndex(1);
+    const startMs = clock.getMonotonicMs();
+    await group.parts[leader]?.close();
+    await open("after");
+    const tookMs = clock.getMonotonicMs() - startMs;
+    group.client.close();
+    await Promise.all(group.parts.filter((_, index) => index !== leader)
+        .map((part) => part.close()));
+    return tookMs;
+}
+const CHUNKS_PER_GROUP = 120;
+const ITEM_BODY_BYTES = 200;
+const CHUNK_ITEMS = 256;
+function fillMachine(machine, count) {
+    const apply = (command, index) => machine.apply(toBinary(ItemCommandSchema, create(ItemCommandSchema, command)), { index, term: 1, timeMs: 1 });
+    const chunks = Math.ceil(count / CHUNK_ITEMS);
+    for (let index = 0; index < chunks; index += 1) {
+        const items = Array.from({ length: CHUNK_ITEMS }, () => create(ItemSchema, { body: new Uint8Array(ITEM_BODY_BYTES).fill(32) }));
+        apply({
+            command: { case: "putChunk", value: { jobId: "j", index, items } },
+        }, index + 1);
+    }
+    apply({
+        command: {
+            case: "commitJob",
+            value: {
+                id: "j",
+                caller: "c",
+                itemCount: BigInt(chunks * CHUNK_ITEMS),
+            },
+        },
+    }, chunks + 1);
+}
+function getUsedBytes() {
+    Array.from({ length: 4 }).forEach(() => globalThis.gc?.());
+    const { heapUsed, arrayBuffers } = process.memoryUsage();
+    return heapUsed + arrayBuffers;
+}
+const CLAIM_ITEMS = 64;
+const RESULT_BYTES = 200;
+/** Items a second through submission, claims and recorded outcomes. */
+async function measureItemRate(group, options) {
+    const startMs = clock.getMonotonicMs();
+    const lanes = getItemGroups(options.itemGroups).map((one) => runItems(group.client, one, options.chunks));
+    const counts = await Promise.all(lanes);
+    const tookMs = clock.getMonotonicMs() - startMs;
+    return counts.reduce((sum, count) => sum + count, 0) / tookMs * 1_000;
+}
+async function runItems(client, group, chunks) {
+    const jobId = `job-${group}`;
+    const items = Array.from({ length: CHUNK_ITEMS }, () => create(ItemSchema, { body: new Uint8Array(ITEM_BODY_BYTES).fill(32) }));
+    await Promise.all(Array.from({ length: chunks }, (_, index) => client.runItemCommand(group, {
+        case: "putChunk",
+        value: { jobId, index, items },
+    }, 30_000)));
+    await client.runItemCommand(group, {
+        case: "commitJob",
+        value: {
+            id: jobId,
+            deployment: "d",
+            itemCount: BigInt(chunks * CHUNK_ITEMS),
+        },
+    }, 30_000);
+    const { epoch } = await client.runItemCommand(group, {
+        case: "openSession",
+        value: { entry: "bench", incarnation: "items" },
+    });
+    const outcome = {
+        verdict: Verdict.RAN,
+        status: 200,
+        body: new Uint8Array(RESULT_BYTES),
+    };
+    let sequence = 0n;
+    let count = 0;
+    let recording = Promise.resolve();
+    for (;;) {
+        sequence += 1n;
+        const { claimed } = await client.runItemCommand(group, {
+            case: "claimItems",
+            value: {
+                epoch,
+                sequence,
+                shares: [{ deployment: "d", maxItems: CLAIM_ITEMS }],
+            },
+        }, 30_000);
+        await recording;
+        if (claimed.length === 0)
+            return count;
+        count += claimed.length;
+        recording = client.runItemCommand(group, {
+            case: "finishItems",
+            value: {
+                epoch,
+                items: claimed.map(({ ref }) => ({ ref, outcome })),
+            },
+        }, 30_000);
+    }
+}
+/** Memory of items in a machine, and time to bring them back from a disk. */
+async function measureItems(folder, count) {
+    const before = getUsedBytes();
+    const machine = new ItemMachine();
+    fillMachine(machine, count);
+    const bytes = getUsedBytes() - before;
+    const store = new ReplicaStore(await DiskFolder.open(folder));
+    const { mark } = await store.recover();
+    const parts = [...machine.capture()];
+    await store.writeSnapshot({ mark: { ...mark, index: 1n, term: 1n }, parts });
+    await store.close();
+    const startMs = clock.getMonotonicMs();
+    const again = new ReplicaStore(await DiskFolder.open(folder));
+    const recovered = await again.recover();
+    new ItemMachine().restore(recovered.snapshotParts);
+    const recoveryMs = clock.getMonotonicMs() - startMs;
+    await again.close();
+    return { bytesPerItem: bytes / count, recoveryMs };
+}
+/** Runs all measurements. */
+export async function runStateBench(onFigure) {
+    const report = (name, value, unit) => onFigure({ name, value, unit });
+    const syncs = await withFolder((folder) => measureSyncs(folder, 2_000));
+    report("bare syncs of one file", syncs, "1/s");
+    for (const [replicas, itemGroups] of [[1, 1], [3, 1], [3, 2], [3, 4], [5, 1]]) {
+        if (replicas === undefined || itemGroups === undefined)
+            continue;
+        await withFolder(async (folder) => {
+            const name = `${replicas} replicas, ${itemGroups} item groups`;
+            const group = await startGroup(folder, { replicas, itemGroups });
+            const ms = 4_000;
+            const { rate, p99 } = await measureAccepts(group, { itemGroups, ms });
+            report(`accepts, ${name}`, rate, "1/s");
+            report(`accepts over syncs, ${name}`, rate / syncs, "times");
+            report(`accept p99, ${name}`, p99, "ms");
+            report(`accept p99, ${name}`, p99 * syncs / 1_000, "syncs");
+            const items = await measureItemRate(group, {
+                itemGroups,
+                chunks: CHUNKS_PER_GROUP,
+            });
+            report(`items, ${name}`, items, "1/s");
+            const rest = await measureRest(group, ms);
+            report(`sent at rest, ${name}`, rest.bytes, "bytes/s");
+            report(`messages at rest, ${name}`, rest.messages, "1/s");
+            report(`event loop at rest, ${name}`, rest.busy * 100, "%");
+            await closeGroup(group);
+        });
+    }
+    for (let run = 1; run <= 5; run += 1) {
+        const ms = await withFolder((folder) => measureFailOver(folder));
+        report(`fail-over, run ${run}`, ms, "ms");
+    }
+    for (const count of [100_000, 200_000, 400_000]) {
+        await withFolder(async (folder) => {
+            const { bytesPerItem, recoveryMs } = await measureItems(folder, count);
+            report(`memory of one of ${count} items`, bytesPerItem, "bytes");
+            report(`recovery of ${count} items`, recoveryMs, "ms");
+        });
+    }
+}
+//# sourceMappingURL=state_bench.js.map
--- /dev/null
+++ b/dist/bench/worker_messages.js
@@ -0,0 +1,2 @@
+export {};
+//# sourceMappingURL=worker_messages.js.map
--- /dev/null
+++ b/dist/cli/demo.js
@@ -0,0 +1,124 @@
+/**
+ * The demo: a whole small fleet in one process on temporary folders. It shows
+ * online requests, a job, a cancel, a receipt that is sent twice and a backend
+ * server that is lost.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { callStreamed, callWhole, Fleet, FleetName, getCompletion, waitUntil, } from "../bench/mod.js";
+import { MessageCode } from "../schema/mod.js";
+import { ServingError } from "../sys/errors.js";
+const ONLINE_REQUESTS = 40;
+const TOKENS = 24;
+const JOB_ITEMS = 400;
+async function getJob(address, id) {
+    const answer = await callWhole(address, `/v1/jobs/${id}`, undefined);
+    return JSON.parse(answer.text);
+}
+function createLines(name, count) {
+    return Array.from({ length: count }, (_, index) => JSON.stringify({
+        custom_id: `${name}-${index}`,
+        body: { prompt: `${name} ${index}`, max_tokens: TOKENS },
+    })).join("\n");
+}
+async function submitJob(address, name, count) {
+    const answer = await callWhole(address, `/v1/jobs?workload=${FleetName.workload}`, createLines(name, count));
+    return JSON.parse(answer.text);
+}
+async function askOnline(fleet, name) {
+    const addresses = fleet.getEntryAddresses();
+    const answers = await Promise.all(Array.from({ length: ONLINE_REQUESTS }, async (_, index) => {
+        const prompt = `${name} ${index}`;
+        const answer = await callStreamed(addresses[index % addresses.length] ?? "", { model: FleetName.model, prompt, max_tokens: TOKENS });
+        const expected = getCompletion(JSON.stringify(prompt), TOKENS);
+        return answer.isDone && answer.text === expected;
+    }));
+    return answers.filter((isWhole) => isWhole).length;
+}
+async function showOnline(fleet) {
+    const whole = await askOnline(fleet, "question");
+    return {
+        step: "online",
+        passed: whole === ONLINE_REQUESTS,
+        text: `${whole} of ${ONLINE_REQUESTS} streamed answers whole`,
+    };
+}
+async function showReceipt(fleet) {
+    const addresses = fleet.getEntryAddresses();
+    const send = (address) => callWhole(address, "/receipts", { receipt: "r-1" }, {
+        headers: { "idempotency-key": "r-1" },
+    });
+    const first = await send(addresses[0] ?? "");
+    const second = await send(addresses[1] ?? "");
+    const count = fleet.ledger.get("r-1");
+    return {
+        step: "receipt",
+        passed: count === 1 && first.text === second.text,
+        text: `sent through two entries, ran ${count} time, same answer`,
+    };
+}
+/** A job runs while a backend server is lost under online requests. */
+async function showLoss(fleet) {
+    const address = fleet.getEntryAddresses()[0] ?? "";
+    const job = await submitJob(address, "summary", JOB_ITEMS);
+    const online = askOnline(fleet, "during the loss");
+    await waitUntil(fleet.clock, "items under way", async () => (await getJob(address, job.id)).finished > 0);
+    fleet.engines[0]?.crash();
+    const whole = await online;
+    await waitUntil(fleet.clock, "the job's end", async () => (await getJob(address, job.id)).status === "finished");
+    const done = await getJob(address, job.id);
+    return {
+        step: "lost backend server",
+        passed: whole === ONLINE_REQUESTS && done.finished === JOB_ITEMS,
+        text: `${whole} of ${ONLINE_REQUESTS} online answers whole, ` +
+            `${done.finished} of ${JOB_ITEMS} items finished`,
+    };
+}
+async function showCancel(fleet) {
+    const address = fleet.getEntryAddresses()[1] ?? "";
+    const job = await submitJob(address, "collection", JOB_ITEMS * 4);
+    await waitUntil(fleet.clock, "items under way", async () => (await getJob(address, job.id)).finished > 0);
+    await callWhole(address, `/v1/jobs/${job.id}/cancel`, {});
+    const stopped = await getJob(address, job.id);
+    await fleet.clock.delay(1_000);
+    const later = await getJob(address, job.id);
+    return {
+        step: "cancel",
+        passed: later.status === "cancelled" && later.finished === stopped.finished,
+        text: `cancelled after ${stopped.finished} items, none started since`,
+    };
+}
+/** Runs the demo; throws when a step did not show what it should. */
+export async function runDemo(output) {
+    const folder = await mkdtemp(path.join(tmpdir(), "papayatally-demo-"));
+    const fleet = new Fleet({ folder });
+    try {
+        output.print("starting 3 state hosts, 2 entries, 3 engines, 1 service", {
+            step: "start",
+        });
+        await fleet.start();
+        const steps = [];
+        for (const show of [showOnline, showReceipt, showLoss, showCancel]) {
+            const step = await show(fleet);
+            const mark = step.passed ? "ok  " : "FAIL";
+            output.print(`${mark} ${step.step}: ${step.text}`, step);
+            steps.push(step);
+        }
+        const failed = steps.filter((step) => !step.passed).length;
+        output.print(`${steps.length - failed} of ${steps.length} steps passed`, {
+            step: "end",
+            failed,
+        });
+        if (failed > 0) {
+            throw new ServingError(MessageCode.INTERNAL, {
+                parameters: { reason: `${failed} steps of the demo failed` },
+            });
+        }
+    }
+    finally {
+        await fleet.close();
+        await rm(folder, { recursive: true, force: true });
+    }
+}
+//# sourceMappingURL=demo.js.map
--- /dev/null
+++ b/dist/cli/main.d.ts
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+export {};
--- /dev/null
+++ b/dist/cli/schema_pages.js
@@ -0,0 +1,65 @@
+/** Pages made from the schema: every setting and every message. */
+import { getOption } from "@bufbuild/protobuf";
+import { EntrySettingsSchema, message as messageOption, MessageCodeSchema, rule as ruleOption, ScenarioSchema, StateSettingsSchema, } from "../schema/mod.js";
+import { formatCode } from "../sys/errors.js";
+function formatRows(schema, prefix) {
+    return schema.fields.flatMap((field) => {
+        const rule = getOption(field, ruleOption);
+        const key = `${prefix}${field.name}`;
+        const inner = field.fieldKind === "message" ||
+            (field.fieldKind === "list" && field.listKind === "message")
+            ? field.message
+            : undefined;
+        const range = rule.max > 0 ? `${rule.min} to ${rule.max}` : "";
+        const fallback = rule.required ? "required" : rule.fallback;
+        const row = `| \`${key}\` | ${fallback} | ${range} | ${rule.note} |`;
+        const mark = field.fieldKind === "list" ? "[]." : ".";
+        return inner === undefined
+            ? [row]
+            : [row, ...formatRows(inner, `${key}${mark}`)];
+    });
+}
+function formatTable(title, schema) {
+    return [
+        `## ${title}`,
+        "",
+        "| key | default | range | meaning |",
+        "| --- | --- | --- | --- |",
+        ...formatRows(schema, ""),
+        "",
+    ];
+}
+/** The page of all settings. */
+export function createSettingsPage() {
+    return [
+        "# Settings",
+        "",
+        "Made from the schema by `papayatally schema-pages`. A `[]` marks a table",
+        "that may be repeated.",
+        "",
+        ...formatTable("papayatally-entry", EntrySettingsSchema),
+        ...formatTable("papayatally-state", StateSettingsSchema),
+        ...formatTable("Scenarios of papayatally bench", ScenarioSchema),
+    ].join("\n");
+}
+/** The page of all messages. */
+export function createMessagesPage() {
+    const rows = MessageCodeSchema.values.filter((value) => value.number > 0)
+        .map((value) => {
+        const { text, httpStatus, exitCode } = getOption(value, messageOption);
+        return `| ${formatCode(value.number)} | ${value.name.toLowerCase()} | ` +
+            `${httpStatus || ""} | ${exitCode || ""} | ${text} |`;
+    });
+    return [
+        "# Messages",
+        "",
+        "Made from the schema by `papayatally schema-pages`. A code never changes",
+        "its meaning.",
+        "",
+        "| code | name | HTTP status | exit code | text |",
+        "| --- | --- | --- | --- | --- |",
+        ...rows,
+        "",
+    ].join("\n");
+}
+//# sourceMappingURL=schema_pages.js.map
--- /dev/null
+++ b/dist/daemons/state_main.js
@@ -0,0 +1,36 @@
+#!/usr/bin/env node
+/** The state daemon. */
+import { StateSettingsSchema } from "../schema/mod.js";
+import { listenHttp } from "../sys/http.js";
+import { addStateOperators, StateHost } from "../services/mod.js";
+import { runDaemon } from "./daemon.js";
+await runDaemon({
+    name: "papayatally-state",
+    description: "Holds the replicated state; needs a data folder.",
+    schema: StateSettingsSchema,
+    createHost: (settings, context) => {
+        const host = new StateHost(settings, context);
+        let health;
+        return {
+            start: async () => {
+                addStateOperators(host, settings, context);
+                await host.listen();
+                health = await listenHttp(settings.healthListen ?? "", (req, res) => {
+                    const isAsked = req.url === "/readyz";
+                    res.statusCode = isAsked && !host.isReady ? 503 : 200;
+                    res.end();
+                });
+                await host.start();
+                return { listen: host.address, health_listen: health.address };
+            },
+            stop: async () => {
+                await host.stop();
+                health?.close();
+            },
+            set onFailure(action) {
+                host.onFailure = action;
+            },
+        };
+    },
+});
+//# sourceMappingURL=state_main.js.map
--- /dev/null
+++ b/dist/examples/replicated_log.js
@@ -0,0 +1,71 @@
+/**
+ * The replicated log alone: three replicas in one process agree on the words
+ * that are appended, with a state machine and a transport of one's own.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { createMembership, Replica, ReplicaTransport, StateMachine, } from "papayatally/state";
+import { createProcessContext } from "papayatally/services";
+import { DiskFolder } from "papayatally/sys";
+/** Collects words; its snapshot is one part. */
+class Words extends StateMachine {
+    words = [];
+    apply(command) {
+        this.words.push(new TextDecoder().decode(command));
+        return new TextEncoder().encode(String(this.words.length));
+    }
+    capture() {
+        return [new TextEncoder().encode(JSON.stringify(this.words))];
+    }
+    restore(parts) {
+        const text = new TextDecoder().decode(parts[0]);
+        this.words = text === "" ? [] : JSON.parse(text);
+    }
+}
+/** Hands messages over inside the process. */
+class LocalTransport extends ReplicaTransport {
+    replicas = new Map();
+    send(message) {
+        setImmediate(() => this.replicas.get(message.to)?.receive(message));
+    }
+}
+/** Appends three words and returns what each replica has. */
+export async function runReplicatedLog() {
+    const root = await mkdtemp(path.join(tmpdir(), "replicated-log-"));
+    const transport = new LocalTransport();
+    const context = createProcessContext({ name: "example" });
+    const ids = ["a", "b", "c"];
+    const machines = ids.map(() => new Words());
+    for (const [index, id] of ids.entries()) {
+        const replica = new Replica({
+            ...context,
+            id,
+            group: 1,
+            folder: await DiskFolder.open(path.join(root, id)),
+            machine: machines[index] ?? new Words(),
+            transport,
+            firstMembership: createMembership(ids),
+            onFailure: (error) => {
+                throw error;
+            },
+        });
+        transport.replicas.set(id, replica);
+        await replica.start();
+    }
+    const replicas = [...transport.replicas.values()];
+    while (!replicas.some((replica) => replica.canRead())) {
+        await context.clock.delay(20);
+    }
+    for (const word of ["lease", "quorum", "heartbeat"]) {
+        const leader = replicas.find((replica) => replica.isLeader);
+        await leader?.propose(new TextEncoder().encode(word));
+    }
+    while (machines.some((machine) => machine.words.length < 3)) {
+        await context.clock.delay(20);
+    }
+    await Promise.all(replicas.map((replica) => replica.stop()));
+    await rm(root, { recursive: true });
+    return machines.map((machine) => machine.words);
+}
+//# sourceMappingURL=replicated_log.js.map
--- /dev/null
+++ b/dist/membership/subsets.js
@@ -0,0 +1,22 @@
+import { selectByRendezvous } from "../sys/random.js";
+/** Entries up to which each of them uses each server. */
+const SMALL_FLEET = 16;
+/** Entries of the server's data centre that use it. */
+const LOCAL_USERS = 4;
+/** Entries of each other data centre that use it for overflow. */
+const REMOTE_USERS = 1;
+const byId = (entry) => entry.id;
+/** Entries that use a server, those of its data centre first. */
+export function selectUsers(server, entries) {
+    const isSmall = entries.length <= SMALL_FLEET;
+    const local = isSmall ? SMALL_FLEET : LOCAL_USERS;
+    const remote = isSmall ? SMALL_FLEET : REMOTE_USERS;
+    const dataCentres = [...new Set(entries.map((entry) => entry.dataCentre))];
+    const ordered = dataCentres.sort((a, b) => Number(b === server.dataCentre) - Number(a === server.dataCentre) ||
+        (a < b ? -1 : 1));
+    return ordered.flatMap((dataCentre) => selectByRendezvous(server.name, entries.filter((entry) => entry.dataCentre === dataCentre), {
+        count: dataCentre === server.dataCentre ? local : remote,
+        getName: byId,
+    }));
+}
+//# sourceMappingURL=subsets.js.map
--- /dev/null
+++ b/dist/policy/batch_order.js
@@ -0,0 +1,42 @@
+/**
+ * Which job's item runs next. Jobs that run out of slack go first, by earliest
+ * deadline; otherwise the caller that has used least goes first, and among its
+ * jobs the earliest deadline.
+ */
+/** Time that one waiting item is taken to need, in milliseconds. */
+const ITEM_ESTIMATE_MS = 20;
+/** Slack below which a job goes first whatever its caller has used. */
+const URGENT_SLACK_MS = 10_000;
+function getDeadline(job) {
+    return job.deadlineMs === 0 ? Infinity : job.deadlineMs;
+}
+/** Milliseconds left to a job after its waiting items have run. */
+export function getSlackMs(job, nowMs) {
+    return getDeadline(job) - nowMs - job.waiting * ITEM_ESTIMATE_MS;
+}
+/** The job whose item runs next; undefined when none waits. */
+export function trySelectJob(jobs, usage, nowMs) {
+    const rows = jobs.filter((job) => job.waiting > 0).map((job) => ({
+        job,
+        // A job that can't be met any more is not urgent: it must not make
+        // others late as well.
+        urgent: getSlackMs(job, nowMs) < URGENT_SLACK_MS &&
+            getDeadline(job) > nowMs,
+        used: usage.get(job.caller) ?? 0,
+        deadline: getDeadline(job),
+    }));
+    return rows.reduce((best, row) => {
+        if (best === undefined)
+            return row;
+        if (row.urgent !== best.urgent)
+            return row.urgent ? row : best;
+        if (row.urgent || row.used === best.used) {
+            if (row.deadline !== best.deadline) {
+                return row.deadline < best.deadline ? row : best;
+            }
+            return row.job.jobId < best.job.jobId ? row : best;
+        }
+        return row.used < best.used ? row : best;
+    }, undefined)?.job;
+}
+//# sourceMappingURL=batch_order.js.map
--- /dev/null
+++ b/dist/policy/sequence_target.js
@@ -0,0 +1,27 @@
+/**
+ * The number of sequences at which an engine still meets the target for the
+ * time between tokens. It rises by one while the target is met under load and
+ * falls in proportion when it is not.
+ */
+/** Shares of the gap target between which the target stays as it is. */
+const GAP_RAISE = 0.94;
+const GAP_LOWER = 0.98;
+/** Most that a target falls at once. */
+const MIN_FACTOR = 0.9;
+const NEARLY_FULL = 0.9;
+/** The next target after an observation. */
+export function adaptTarget(target, seen, bounds) {
+    const clamp = (value) => Math.min(bounds.most, Math.max(bounds.least, value));
+    if (bounds.gapTargetMs === 0 || seen.gapMs === 0)
+        return clamp(target);
+    const share = seen.gapMs / bounds.gapTargetMs;
+    const isFull = seen.sequences >= target * NEARLY_FULL;
+    if (share > GAP_LOWER) {
+        const factor = Math.max(MIN_FACTOR, GAP_LOWER / share);
+        // A target that is not used says nothing of the gap that it would give.
+        const used = Math.min(target, seen.sequences);
+        return clamp(Math.floor(used * factor));
+    }
+    return clamp(isFull && share < GAP_RAISE ? target + 1 : target);
+}
+//# sourceMappingURL=sequence_target.js.map
--- /dev/null
+++ b/dist/services/backend_orders.js
@@ -0,0 +1,153 @@
+/**
+ * Sends operators' orders to backend servers. Only the control group's leader
+ * sends, and each call ends inside its lease; a new leader first waits until
+ * the old one's lease has ended by any clock within the drift bound. So a
+ * server that ignores fencing numbers still takes orders from one sender.
+ */
+import { BackendOrder_Action, Entries, } from "../schema/mod.js";
+import { selectOrders } from "../policy/mod.js";
+import { CLOCK_DRIFT_BOUND } from "../state/mod.js";
+import { getReason } from "../sys/errors.js";
+import { sendHttp } from "../sys/http.js";
+import { pause, settle, spawnRoutine } from "../sys/routines.js";
+import { RpcClients } from "../sys/rpc.js";
+const CYCLE_MS = 100;
+const VIEW_TIMEOUT_MS = 1_000;
+/** Shortest part of a lease in which a call is still begun, in milliseconds. */
+const LEAST_LEASE_MS = 50;
+const ACTION_NAMES = {
+    [BackendOrder_Action.ACTION_UNSPECIFIED]: "none",
+    [BackendOrder_Action.LOAD_MODEL]: "load_model",
+    [BackendOrder_Action.LOAD_ADAPTER]: "load_adapter",
+    [BackendOrder_Action.SET_ROLE]: "set_role",
+};
+/** Delivers orders while this host leads. */
+export class BackendOrders {
+    #options;
+    #clients;
+    /** Orders that a start of a server has taken or refused for good. */
+    #settled = new Map();
+    #running = new Map();
+    #leaderSinceMs;
+    #closed = false;
+    constructor(options) {
+        this.#options = options;
+        this.#clients = new RpcClients(options.credentials);
+    }
+    start() {
+        spawnRoutine(() => this.#sendAlways(), (error) => this.#options.log.error("orders_failed", { reason: getReason(error) }));
+    }
+    close() {
+        this.#closed = true;
+        this.#clients.close();
+    }
+    /** What became of each order at each server, for the dump. */
+    getSettled() {
+        return Object.fromEntries(this.#settled);
+    }
+    *#sendAlways() {
+        while (!this.#closed) {
+            yield* pause(this.#options.clock, CYCLE_MS);
+            if (!this.#maySend())
+                continue;
+            const orders = this.#options.control.configuration.backendOrders;
+            if (orders.length === 0)
+                continue;
+            const servers = yield* settle(this.#readServers());
+            if (servers.ok && this.#maySend())
+                this.#startOrders(servers.value);
+        }
+    }
+    /** Whether the lease is held and the one before it has surely ended. */
+    #maySend() {
+        const { clock, electionTimeoutMs, getLeaseLeftMs } = this.#options;
+        const nowMs = clock.getMonotonicMs();
+        if (getLeaseLeftMs() < LEAST_LEASE_MS) {
+            this.#leaderSinceMs = undefined;
+            return false;
+        }
+        this.#leaderSinceMs ??= nowMs;
+        const waitMs = electionTimeoutMs * (1 + CLOCK_DRIFT_BOUND);
+        return nowMs - this.#leaderSinceMs >= waitMs;
+    }
+    /** All servers that entries know, newest announcements first. */
+    async #readServers() {
+        const views = await Promise.allSettled(this.#options.control.entries.map((entry) => this.#clients.get(entry.address).call(Entries.method.getView, {
+            version: this.#options.control.configuration.version,
+            entriesVersion: BigInt(this.#options.control.entriesVersion),
+            whole: true,
+        }, { timeoutMs: VIEW_TIMEOUT_MS })));
+        const known = new Map();
+        views.flatMap((view) => view.status === "fulfilled" ? view.value.announcements : []).forEach((one) => {
+            const other = known.get(one.name);
+            const isNewer = other === undefined ||
+                one.incarnation > other.incarnation ||
+                (one.incarnation === other.incarnation &&
+                    one.sequence > other.sequence);
+            if (isNewer)
+                known.set(one.name, one);
+        });
+        return [...known.values()].filter((one) => !one.leaving);
+    }
+    #startOrders(servers) {
+        const { control, loadConcurrency } = this.#options;
+        const planned = control.configuration.backendOrders.flatMap((order) => servers.filter((server) => isMeant(order, server))
+            .map((server) => createPlan(order, server))).filter((plan) => !this.#settled.has(plan.key) && !this.#running.has(plan.key));
+        const running = [...this.#running.values()];
+        selectOrders(planned, running, loadConcurrency)
+            .forEach((plan) => this.#send(plan));
+    }
+    #send(plan) {
+        const { log, getLeaseLeftMs } = this.#options;
+        const { order } = plan;
+        this.#running.set(plan.key, plan);
+        const body = JSON.stringify({
+            fencing_number: plan.fencingNumber,
+            action: ACTION_NAMES[order.action],
+            subject: order.subject,
+            version: order.version,
+        });
+        sendHttp({
+            address: plan.address,
+            method: "POST",
+            path: "/admin/orders",
+            headers: { "content-type": "application/json" },
+            body,
+            isFresh: true,
+            headTimeoutMs: getLeaseLeftMs(),
+        }).then((answer) => {
+            answer.body.resume();
+            // A server that is busy or failing is asked again.
+            if (answer.status >= 500)
+                return;
+            const outcome = answer.status < 300
+                ? "taken"
+                : `refused ${answer.status}`;
+            this.#settled.set(plan.key, outcome);
+            log.info("backend_order", {
+                server: plan.backendServer,
+                fencing_number: plan.fencingNumber,
+                outcome,
+            });
+        }).catch((error) => log.warn("backend_order_unanswered", {
+            server: plan.backendServer,
+            reason: getReason(error),
+        })).finally(() => this.#running.delete(plan.key));
+    }
+}
+function isMeant(order, server) {
+    return order.deployment === server.deployment &&
+        (order.backendServer === "" || order.backendServer === server.name);
+}
+function createPlan(order, server) {
+    const fencingNumber = Number(order.fencingNumber);
+    return {
+        order,
+        fencingNumber,
+        backendServer: server.name,
+        address: server.address,
+        isLoad: order.action !== BackendOrder_Action.SET_ROLE,
+        key: `${fencingNumber} ${server.name}/${server.incarnation}`,
+    };
+}
+//# sourceMappingURL=backend_orders.js.map
--- /dev/null
+++ b/dist/services/backend_pool.js
@@ -0,0 +1,340 @@
+/**
+ * Places requests on backend servers: asks the policy, keeps the entry's own
+ * load, lets online requests wait in turn and makes batch give way to them.
+ */
+import { adaptTarget, chooseServer, FairQueue, getBatchRoom, } from "../policy/mod.js";
+import { Emphasis, MessageCode, Verdict } from "../schema/mod.js";
+import { createAbortError, ServingError } from "../sys/errors.js";
+import { MetricName } from "../sys/metrics.js";
+import { ActivePlacement, } from "./placement.js";
+import { getSequenceLimit, getStanding, isLoaded } from "./standings.js";
+const TICK_MS = 100;
+const SUSPECT_RETRY_MS = 50;
+const LEAST_TARGET = 2;
+const TICKS_PER_SWEEP = 10;
+/** Ticks after which targets adapt to what was seen. */
+const TICKS_PER_ADAPTATION = 5;
+const PEAK_DECAY_PER_TICK = 0.005;
+const RATE_DECAY = 0.9;
+/** Waiting requests for which no estimate refuses any. */
+const FREE_QUEUE_LENGTH = 8;
+/** Places requests of one entry. */
+export class BackendPool {
+    #options;
+    #active = new Map();
+    #queues = new Map();
+    /** Smoothed online completions per tick, by deployment. */
+    #rates = new Map();
+    #ended = new Map();
+    #timer;
+    #ticks = 0;
+    constructor(options) {
+        this.#options = options;
+        this.#timer = options.clock.startInterval(TICK_MS, () => this.#tick());
+    }
+    /** Sequences of all kinds that this entry runs. */
+    get activeCount() {
+        return [...this.#active.values()].reduce((sum, set) => sum + set.size, 0);
+    }
+    get waitingCount() {
+        return [...this.#queues.values()].reduce((sum, q) => sum + q.length, 0);
+    }
+    /**
+     * Places an online request, waiting in turn for room until its deadline. A
+     * request that can't be met is refused at once as not run.
+     */
+    place(req) {
+        if (req.isSuspect)
+            return this.#placeSuspect(req);
+        const queue = this.#getQueue(req.deployment);
+        if (queue.length === 0) {
+            const placed = this.#tryPlaceOnline(req);
+            if (placed === "none")
+                return Promise.reject(this.#createNoServer(req));
+            if (placed !== undefined)
+                return Promise.resolve(placed);
+        }
+        const refusal = this.#tryRefuse(req, queue.length);
+        if (refusal !== undefined)
+            return Promise.reject(refusal);
+        return new Promise((resolve, reject) => {
+            const waiter = { req, resolve, reject };
+            queue.push(req.caller, waiter);
+            req.signal.addEventListener("abort", () => {
+                if (queue.remove(req.caller, waiter)) {
+                    reject(createAbortError(req.signal, Verdict.NOT_RUN));
+                }
+            }, { once: true });
+        });
+    }
+    /** Batch sequences that may be added in a deployment now. */
+    getBatchRoom(deployment) {
+        return this.#getOwned(deployment).reduce((sum, server) => sum + Math.max(0, this.#getRoom(server)), 0);
+    }
+    /** Places a batch item where most room is; undefined when there is none. */
+    tryPlaceBatch(req) {
+        const nowMs = this.#options.clock.getMonotonicMs();
+        const server = this.#getOwned(req.deployment)
+            .filter((one) => !req.excluded.has(one.name))
+            .filter((one) => nowMs >= one.setAsideUntilMs && !one.isProbed)
+            .filter((one) => isLoaded(one, req.model))
+            .map((one) => ({ one, room: this.#getRoom(one) }))
+            .filter(({ room }) => room > 0)
+            .sort((a, b) => b.room - a.room)[0]?.one;
+        if (server === undefined)
+            return undefined;
+        if (!req.isSuspect)
+            return this.#start(server, { isBatch: true });
+        const onEnd = this.#options.lanes.tryHoldOwn(server.name);
+        return onEnd && this.#start(server, { isBatch: true, onEnd });
+    }
+    /** Ends the youngest batch sequences on a server. */
+    yieldBatch(server, count) {
+        const known = this.#options.view.backends.tryGet(server);
+        const rule = this.#options.view.tryGetRule(known?.announcement.deployment ?? "");
+        if (rule?.batchStays === true)
+            return 0;
+        const batch = [...this.#active.get(server) ?? []]
+            .filter((placement) => placement.isBatch && !placement.gaveWay);
+        const leaving = batch.slice(Math.max(0, batch.length - count));
+        leaving.forEach((placement) => placement.end(true));
+        this.#options.metrics.count(MetricName.batchGaveWay, leaving.length);
+        return leaving.length;
+    }
+    /** Ends everything on a server that is gone. */
+    abandonServer(server) {
+        [...this.#active.get(server) ?? []].forEach((one) => one.end(false));
+    }
+    /** Own batch sequences on servers that this entry owns. */
+    getBatchLoads() {
+        return this.#options.view.backends.getAll()
+            .filter((server) => server.own.batch > 0)
+            .map((server) => ({
+            backendServer: server.name,
+            sequences: server.own.batch,
+        }));
+    }
+    /** Something may have made room. */
+    wake() {
+        [...this.#queues.keys()].forEach((deployment) => this.#serve(deployment));
+    }
+    /** Refuses all that wait; what runs goes on. */
+    close() {
+        this.#timer.cancel();
+        this.#queues.forEach((queue) => queue.getAll().forEach((waiter) => waiter.reject(new ServingError(MessageCode.HOST_STOPPING))));
+    }
+    #getQueue(deployment) {
+        const known = this.#queues.get(deployment);
+        if (known !== undefined)
+            return known;
+        const queue = new FairQueue();
+        this.#queues.set(deployment, queue);
+        return queue;
+    }
+    #getServing(deployment) {
+        const { view, clock } = this.#options;
+        return view.backends.getServing(deployment, clock.getMonotonicMs())
+            .filter((server) => !view.isDrained(server.name, server.announcement.host));
+    }
+    #isOwner(server) {
+        const { view, entryId } = this.#options;
+        const owner = view.tryGetOwner(server.announcement);
+        return owner === undefined || owner.id === entryId;
+    }
+    #getOwned(deployment) {
+        return this.#getServing(deployment).filter((one) => this.#isOwner(one));
+    }
+    #getRoom(server) {
+        const { view } = this.#options;
+        const { deployment } = server.announcement;
+        const rule = view.tryGetRule(deployment);
+        if (rule?.batchPaused === true)
+            return 0;
+        return getBatchRoom({
+            online: server.own.online + server.others,
+            onlinePeak: server.onlinePeak,
+            ownBatch: server.own.batch,
+            sequenceTarget: server.sequenceTarget,
+        }, {
+            emphasis: view.tryGetDeployment(deployment)?.emphasis ??
+                Emphasis.EMPHASIS_UNSPECIFIED,
+            reserve: rule?.batchReserve ?? 0,
+        });
+    }
+    /**
+     * Places a request that was in flight when a server died: at most one such
+     * request is on a server at any time, so that a second death has one cause.
+     */
+    async #placeSuspect(req) {
+        const { clock, lanes } = this.#options;
+        while (!req.signal.aborted && clock.getMonotonicMs() < req.deadlineMs) {
+            const nowMs = clock.getMonotonicMs();
+            const serving = this.#getServing(req.deployment);
+            if (serving.length === 0)
+                throw this.#createNoServer(req);
+            const healthy = serving
+                .filter((one) => nowMs >= one.setAsideUntilMs && !one.isProbed)
+                .filter((one) => isLoaded(one, req.model))
+                .sort((a, b) => a.own.online + a.others - b.own.online - b.others);
+            const leaseMs = req.deadlineMs - nowMs;
+            for (const server of healthy) {
+                const onEnd = await lanes.tryHold(server, leaseMs);
+                if (onEnd !== undefined) {
+                    return this.#start(server, { isBatch: false, onEnd });
+                }
+            }
+            await clock.delay(SUSPECT_RETRY_MS);
+        }
+        throw createAbortError(req.signal, Verdict.NOT_RUN);
+    }
+    #tryPlaceOnline(req) {
+        const { clock, dataCentre, entryId, view, onYield } = this.#options;
+        const decision = chooseServer(this.#getServing(req.deployment).map((server) => getStanding(server)), { ...req, dataCentre }, clock.getMonotonicMs());
+        if (decision.kind !== "server") {
+            return decision.kind === "none" ? "none" : undefined;
+        }
+        const server = view.backends.tryGet(decision.name);
+        if (server === undefined)
+            return undefined;
+        const own = this.yieldBatch(server.name, decision.giveWay);
+        const rest = Math.min(decision.giveWay - own, server.othersBatch);
+        const owner = view.tryGetOwner(server.announcement);
+        if (rest > 0 && owner !== undefined && owner.id !== entryId) {
+            server.othersBatch -= rest;
+            onYield(owner.id, server.name, rest);
+        }
+        return this.#start(server, { isBatch: false });
+    }
+    #start(server, options) {
+        const isProbe = server.failures > 0;
+        if (isProbe)
+            server.isProbed = true;
+        if (options.isBatch)
+            server.own.batch += 1;
+        else
+            server.own.online += 1;
+        const placement = new ActivePlacement({
+            server,
+            isBatch: options.isBatch,
+            isProbe,
+            onRelease: (ended, end) => {
+                options.onEnd?.();
+                this.#release(ended, end);
+            },
+        });
+        const active = this.#active.get(server.name) ?? new Set();
+        active.add(placement);
+        this.#active.set(server.name, active);
+        return placement;
+    }
+    #release(placement, end) {
+        const { server } = placement;
+        const { backends } = this.#options.view;
+        const { deployment } = server.announcement;
+        this.#active.get(server.name)?.delete(placement);
+        if (placement.isBatch)
+            server.own.batch -= 1;
+        else {
+            server.own.online -= 1;
+            this.#ended.set(deployment, (this.#ended.get(deployment) ?? 0) + 1);
+        }
+        const isCurrent = server.announcement.incarnation === placement.incarnation;
+        if (end.isFailure && isCurrent) {
+            backends.noteFailure(server.name, this.#options.clock.getMonotonicMs());
+        }
+        else if (!end.isFailure)
+            backends.noteSuccess(server.name);
+        else if (placement.isProbe)
+            server.isProbed = false;
+        this.#serve(deployment);
+    }
+    #serve(deployment) {
+        const queue = this.#getQueue(deployment);
+        let waiter = queue.tryPeek();
+        while (waiter !== undefined) {
+            const placed = this.#tryPlaceOnline(waiter.req);
+            if (placed === undefined)
+                return;
+            queue.tryShift();
+            if (placed === "none")
+                waiter.reject(this.#createNoServer(waiter.req));
+            else
+                waiter.resolve(placed);
+            waiter = queue.tryPeek();
+        }
+    }
+    #tryRefuse(req, length) {
+        const leftMs = req.deadlineMs - this.#options.clock.getMonotonicMs();
+        if (leftMs <= 0)
+            return new ServingError(MessageCode.DEADLINE_PASSED);
+        const rate = this.#rates.get(req.deployment) ?? 0;
+        if (length < FREE_QUEUE_LENGTH)
+            return undefined;
+        const waitMs = rate > 0 ? (length + 1) / rate * TICK_MS : Infinity;
+        if (waitMs <= leftMs)
+            return undefined;
+        this.#options.metrics.count(MetricName.refusals);
+        return new ServingError(MessageCode.OVERLOADED, {
+            verdict: Verdict.NOT_RUN,
+            parameters: { reason: `${length} requests wait already` },
+            retryAfterS: 1,
+        });
+    }
+    #createNoServer(req) {
+        return new ServingError(MessageCode.NO_BACKEND_SERVER, {
+            verdict: Verdict.NOT_RUN,
+            parameters: { workload: req.deployment },
+            retryAfterS: 1,
+        });
+    }
+    #tick() {
+        const { view, clock } = this.#options;
+        const nowMs = clock.getMonotonicMs();
+        this.#ticks += 1;
+        this.#refuseLate(nowMs);
+        this.#updateRates();
+        view.backends.noteOwnLoads();
+        view.backends.getAll().forEach((server) => this.#adapt(server));
+        if (this.#ticks % TICKS_PER_SWEEP === 0) {
+            view.suspicions.sweep(nowMs);
+            view.backends.sweep(nowMs)
+                .forEach((server) => this.abandonServer(server.name));
+        }
+        this.wake();
+    }
+    #refuseLate(nowMs) {
+        this.#queues.forEach((queue) => queue.getAll().filter((waiter) => nowMs >= waiter.req.deadlineMs)
+            .filter((waiter) => queue.remove(waiter.req.caller, waiter))
+            .forEach((waiter) => waiter.reject(new ServingError(MessageCode.DEADLINE_PASSED))));
+    }
+    #updateRates() {
+        this.#queues.forEach((_, deployment) => {
+            const ended = this.#ended.get(deployment) ?? 0;
+            const rate = this.#rates.get(deployment) ?? ended;
+            this.#rates.set(deployment, rate * RATE_DECAY + ended * (1 - RATE_DECAY));
+        });
+        this.#ended.clear();
+    }
+    #adapt(server) {
+        const online = server.own.online + server.others - server.othersBatch;
+        server.onlinePeak = Math.max(online, server.onlinePeak - (server.onlinePeak - online) * PEAK_DECAY_PER_TICK);
+        if (this.#ticks % TICKS_PER_ADAPTATION === 0) {
+            this.#adaptTarget(server);
+        }
+        const room = this.#getRoom(server);
+        if (room < 0 && server.own.batch > 0)
+            this.yieldBatch(server.name, -room);
+    }
+    #adaptTarget(server) {
+        const deployment = this.#options.view.tryGetDeployment(server.announcement.deployment);
+        server.sequenceTarget = adaptTarget(server.sequenceTarget, {
+            gapMs: server.gap.estimate || server.announcement.tokenGapMs,
+            sequences: server.own.online + server.own.batch + server.others,
+        }, {
+            gapTargetMs: deployment?.tokenGapTargetMs ?? 0,
+            least: LEAST_TARGET,
+            most: deployment?.sequenceLimit || getSequenceLimit(server),
+        });
+    }
+}
+//# sourceMappingURL=backend_pool.js.map
--- /dev/null
+++ b/dist/services/caller_limits.js
@@ -0,0 +1,38 @@
+/** How many requests each caller has open at this entry. */
+import { MessageCode } from "../schema/mod.js";
+import { ServingError } from "../sys/errors.js";
+/** Counts and bounds open requests by caller. */
+export class CallerLimits {
+    #limit;
+    #open = new Map();
+    #openCount = 0;
+    constructor(limit) {
+        this.#limit = limit;
+    }
+    /** Open requests of all callers. */
+    get openCount() {
+        return this.#openCount;
+    }
+    /** Counts a request; throws TOO_MANY_STREAMS (not run) over the limit. */
+    admit(caller) {
+        const open = this.#open.get(caller) ?? 0;
+        if (open >= this.#limit) {
+            throw new ServingError(MessageCode.TOO_MANY_STREAMS, {
+                parameters: { caller, limit: this.#limit },
+                retryAfterS: 1,
+            });
+        }
+        this.#open.set(caller, open + 1);
+        this.#openCount += 1;
+    }
+    /** A request that was admitted has ended. */
+    leave(caller) {
+        const open = this.#open.get(caller) ?? 1;
+        if (open <= 1)
+            this.#open.delete(caller);
+        else
+            this.#open.set(caller, open - 1);
+        this.#openCount -= 1;
+    }
+}
+//# sourceMappingURL=caller_limits.js.map
--- /dev/null
+++ b/dist/services/caller_request.js
@@ -0,0 +1,70 @@
+/** What every request of a caller carries, read from its headers. */
+import { MessageCode } from "../schema/mod.js";
+import { ServingError } from "../sys/errors.js";
+/** Headers that callers set. */
+export const CallerHeader = {
+    caller: "papayatally-caller",
+    deadlineMs: "papayatally-deadline-ms",
+    idempotent: "papayatally-idempotent",
+    idempotencyKey: "idempotency-key",
+    requestId: "x-request-id",
+};
+/** Time that a request may take when nothing else is said. */
+export const DEFAULT_TIMEOUT_MS = 60_000;
+const MAX_TIMEOUT_MS = 24 * 3_600_000;
+const MAX_KEY_LENGTH = 255;
+function getHeader(req, name) {
+    const value = req.headers[name];
+    return (Array.isArray(value) ? value[0] : value) ?? "";
+}
+function parseTimeout(text) {
+    if (text === "")
+        return undefined;
+    const value = Number(text);
+    const fits = Number.isInteger(value) && value >= 1 && value <= MAX_TIMEOUT_MS;
+    if (fits)
+        return value;
+    throw new ServingError(MessageCode.BAD_PARAMETER, {
+        parameters: {
+            name: CallerHeader.deadlineMs,
+            expected: `a whole number from 1 to ${MAX_TIMEOUT_MS}`,
+        },
+    });
+}
+/** An idempotency key may be written as a quoted string. */
+function parseKey(text) {
+    const key = text.replace(/^"(.*)"$/, "$1");
+    if (key.length <= MAX_KEY_LENGTH)
+        return key;
+    throw new ServingError(MessageCode.BAD_PARAMETER, {
+        parameters: {
+            name: CallerHeader.idempotencyKey,
+            expected: `at most ${MAX_KEY_LENGTH} characters`,
+        },
+    });
+}
+/** Reads a request's headers; a bad one is thrown as BAD_PARAMETER. */
+export function createCallerRequest(req, res, options) {
+    const abort = new AbortController();
+    res.on("close", () => {
+        if (!res.writableFinished)
+            abort.abort();
+    });
+    return {
+        req,
+        res,
+        id: getHeader(req, CallerHeader.requestId) || options.random.createId(),
+        caller: getHeader(req, CallerHeader.caller) || "anonymous",
+        key: parseKey(getHeader(req, CallerHeader.idempotencyKey)),
+        isMarkedNonIdempotent: getHeader(req, CallerHeader.idempotent).toLowerCase() === "false",
+        timeoutMs: parseTimeout(getHeader(req, CallerHeader.deadlineMs)),
+        startMs: options.clock.getMonotonicMs(),
+        signal: abort.signal,
+    };
+}
+/** When the request's answer is no longer wanted, in monotonic milliseconds. */
+export function getDeadlineMs(call, workload) {
+    const allowedMs = workload?.timeoutMs || DEFAULT_TIMEOUT_MS;
+    return call.startMs + Math.min(call.timeoutMs ?? allowedMs, allowedMs);
+}
+//# sourceMappingURL=caller_request.js.map
--- /dev/null
+++ b/dist/services/descriptions.js
@@ -0,0 +1,75 @@
+/** Jobs, items and keyed requests as callers and operators read them. */
+import { ItemState, } from "../schema/mod.js";
+import { formatCode, VerdictText } from "../sys/errors.js";
+import { parseItemLine } from "./item_line.js";
+/** Names of item states in answers. */
+const StateText = {
+    [ItemState.ITEM_STATE_UNSPECIFIED]: "unknown",
+    [ItemState.ACCEPTED]: "accepted",
+    [ItemState.DISPATCHED]: "dispatched",
+    [ItemState.FINISHED]: "finished",
+    [ItemState.CANCELLED]: "cancelled",
+};
+/** A job as callers see it. */
+export function describeJob(job) {
+    const isEnded = job.endedMs > 0n;
+    const running = job.cancelled ? "cancelling" : "running";
+    const ended = job.cancelled ? "cancelled" : "finished";
+    return {
+        id: job.id,
+        workload: job.workload,
+        status: isEnded ? ended : running,
+        items: Number(job.itemCount),
+        finished: Number(job.finishedCount),
+        failed: Number(job.failedCount),
+        cancelled: Number(job.cancelledCount),
+        unknown: Number(job.unknownCount),
+        created_ms: Number(job.createdMs),
+        ended_ms: isEnded ? Number(job.endedMs) : null,
+    };
+}
+/** An item with its outcome as callers see it. */
+export function describeItem(item, index) {
+    const { outcome } = item;
+    const customId = parseItemLine(item.body, index + 1).customId;
+    const head = {
+        index,
+        ...(customId === "" ? {} : { custom_id: customId }),
+        state: StateText[item.state],
+    };
+    return { ...head, ...describeOutcome(outcome) };
+}
+/** A keyed request with its outcome as operators read it. */
+export function describeRequest(request) {
+    return {
+        caller: request.caller,
+        key: request.key,
+        state: StateText[request.state],
+        created_ms: Number(request.createdMs),
+        ...describeOutcome(request.outcome),
+    };
+}
+function describeOutcome(outcome) {
+    if (outcome === undefined)
+        return {};
+    const verdict = VerdictText[outcome.verdict];
+    if (outcome.code !== 0) {
+        const error = { code: formatCode(outcome.code), detail: outcome.detail };
+        return { verdict, error };
+    }
+    const text = new TextDecoder().decode(outcome.body);
+    return {
+        verdict,
+        status: outcome.status,
+        body: tryParseJson(text) ?? text,
+    };
+}
+function tryParseJson(text) {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+//# sourceMappingURL=descriptions.js.map
--- /dev/null
+++ b/dist/services/engine_runner.js
@@ -0,0 +1,216 @@
+import { runEngineAttempt, } from "../relay/mod.js";
+import { MessageCode, Verdict } from "../schema/mod.js";
+import { assertNever, createAbortError, ServingError } from "../sys/errors.js";
+import { MetricName } from "../sys/metrics.js";
+/** Attempts of one request, whatever they fail of. */
+const MAX_ATTEMPTS = 5;
+/** Longest wait for an engine's next event, in milliseconds. */
+const STALL_MS = 10_000;
+const BUSY_STATUSES = [429, 503];
+/** Runs completions of one entry. */
+export class EngineRunner {
+    #view;
+    #pool;
+    #deaths;
+    #budget;
+    #clock;
+    #metrics;
+    constructor(options) {
+        this.#view = options.view;
+        this.#pool = options.pool;
+        this.#deaths = options.deaths;
+        this.#budget = options.budget;
+        this.#clock = options.clock;
+        this.#metrics = options.metrics;
+    }
+    /** Runs an online completion; throws a ServingError with its verdict. */
+    async run(run, sink) {
+        const excluded = new Set();
+        let verdict = Verdict.NOT_RUN;
+        let reason = "";
+        this.#budget.earn();
+        for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
+            const placement = await this.#place(run, excluded, verdict);
+            const end = await this.runAttempt(run, sink, placement);
+            if (end.kind === "done")
+                return end;
+            if (end.kind === "aborted") {
+                throw createAbortError(run.signal, Verdict.MAY_HAVE_RUN);
+            }
+            if (end.kind === "answered" && !BUSY_STATUSES.includes(end.status)) {
+                return end;
+            }
+            verdict = Math.max(verdict, getVerdict(end));
+            reason = getEndReason(end);
+            excluded.add(placement.server.name);
+            if (excluded.size >= this.#getServerCount(run))
+                excluded.clear();
+            this.#requireRetry(run, end, { verdict, reason });
+        }
+        throw new ServingError(MessageCode.ANSWER_LOST, {
+            verdict,
+            parameters: { reason },
+        });
+    }
+    /** Runs one attempt on a placement, which is released at its end. */
+    async runAttempt(run, sink, placement) {
+        const gaps = new GapMeter(this.#clock, placement.server.gap);
+        const leftMs = Math.max(1, run.deadlineMs - this.#clock.getMonotonicMs());
+        const late = new AbortController();
+        const timer = this.#clock.startTimer(leftMs, () => late.abort());
+        const signal = AbortSignal.any([
+            run.signal,
+            placement.signal,
+            late.signal,
+        ]);
+        const end = await runEngineAttempt({
+            address: placement.server.announcement.address,
+            path: run.path,
+            body: run.body,
+            progress: sink.log.getProgress(),
+            requestId: run.requestId,
+            // On a connection that was kept, a dead server looks as if it had died
+            // under the request; a suspect would be refused for it.
+            isFresh: run.isNonIdempotent ||
+                this.#view.suspicions.isSuspect(run.fingerprint),
+            stallMs: Math.min(STALL_MS, leftMs),
+            signal,
+        }, {
+            onEvents: (events, count) => {
+                gaps.note(count);
+                return sink.onEvents(events, count);
+            },
+            whenReady: () => sink.whenReady(),
+        });
+        timer.cancel();
+        const isFailure = end.kind === "broken" ||
+            (end.kind === "answered" && end.status >= 500);
+        if (end.kind === "done")
+            this.#deaths.noteFinished(run.fingerprint);
+        if (mayHaveKilled(end)) {
+            await this.#deaths.noteBroken(run.fingerprint, placement);
+        }
+        placement.release({ isFailure });
+        const isWanted = run.signal.aborted || placement.gaveWay ||
+            late.signal.aborted;
+        if (end.kind !== "aborted" || isWanted)
+            return end;
+        // The server left the view under the request.
+        return {
+            kind: "broken",
+            reason: "the backend server is gone",
+            verdict: Verdict.MAY_HAVE_RUN,
+            isConnectionLost: false,
+        };
+    }
+    /** Throws when the request has ended too many servers. */
+    requireNotRefused(fingerprint, verdict) {
+        const { suspicions } = this.#view;
+        if (!suspicions.isRefused(fingerprint))
+            return;
+        throw new ServingError(MessageCode.REQUEST_POISONED, {
+            verdict,
+            parameters: { servers: suspicions.getDeaths(fingerprint) },
+        });
+    }
+    async #place(run, excluded, verdict) {
+        this.requireNotRefused(run.fingerprint, verdict);
+        try {
+            return await this.#pool.place({
+                deployment: run.deployment,
+                model: run.body.model,
+                adapter: run.adapter,
+                affinity: run.affinity,
+                caller: run.caller,
+                deadlineMs: run.deadlineMs,
+                excluded,
+                isSuspect: this.#view.suspicions.isSuspect(run.fingerprint),
+                signal: run.signal,
+            });
+        }
+        catch (error) {
+            throw raiseVerdict(error, verdict);
+        }
+    }
+    #getServerCount(run) {
+        return this.#view.backends
+            .getServing(run.deployment, this.#clock.getMonotonicMs()).length;
+    }
+    /** Throws unless the request may run again. */
+    #requireRetry(run, end, options) {
+        const { verdict, reason } = options;
+        if (run.isNonIdempotent && verdict !== Verdict.NOT_RUN) {
+            throw new ServingError(MessageCode.ANSWER_LOST, {
+                verdict,
+                parameters: { reason },
+            });
+        }
+        const isMove = end.kind === "broken" && end.isConnectionLost;
+        this.#metrics.count(isMove ? MetricName.resumes : MetricName.retries);
+        // Work of a server that is gone moves with its load; any other retry adds
+        // load and has to be earned.
+        if (isMove || this.#budget.trySpend())
+            return;
+        throw new ServingError(MessageCode.RETRY_BUDGET_SPENT, {
+            verdict,
+            parameters: { reason },
+            retryAfterS: 1,
+        });
+    }
+}
+function getVerdict(end) {
+    switch (end.kind) {
+        case "broken":
+            return end.verdict;
+        case "answered":
+            return BUSY_STATUSES.includes(end.status) ? Verdict.NOT_RUN : Verdict.RAN;
+        case "done":
+            return Verdict.RAN;
+        case "aborted":
+            return Verdict.MAY_HAVE_RUN;
+        default:
+            return assertNever(end);
+    }
+}
+/** Whether the request may have ended the server: it had reached it. */
+function mayHaveKilled(end) {
+    return end.kind === "broken" && end.isConnectionLost &&
+        end.verdict !== Verdict.NOT_RUN;
+}
+function getEndReason(end) {
+    if (end.kind === "broken")
+        return end.reason;
+    return end.kind === "answered" ? `status ${end.status}` : end.kind;
+}
+/** An error with at least the verdict that earlier attempts left. */
+export function raiseVerdict(error, verdict) {
+    if (!(error instanceof ServingError) || error.verdict >= verdict) {
+        return error;
+    }
+    const raised = new ServingError(error.code, {
+        verdict,
+        retryAfterS: error.retryAfterS,
+        cause: error,
+    });
+    raised.message = error.message;
+    return raised;
+}
+/** Measures the time between events of one attempt. */
+class GapMeter {
+    #clock;
+    #gap;
+    #lastMs;
+    constructor(clock, gap) {
+        this.#clock = clock;
+        this.#gap = gap;
+    }
+    /** Some events arrived together. */
+    note(count) {
+        const nowMs = this.#clock.getMonotonicMs();
+        if (this.#lastMs !== undefined) {
+            this.#gap.note((nowMs - this.#lastMs) / count);
+        }
+        this.#lastMs = nowMs;
+    }
+}
+//# sourceMappingURL=engine_runner.js.map
--- /dev/null
+++ b/dist/services/entry_host.js
@@ -0,0 +1,390 @@
+/**
+ * An entry host: takes callers' requests and backend servers' announcements,
+ * routes, and runs batch items. It needs no disk.
+ */
+import { create } from "@bufbuild/protobuf";
+import { AnnouncementEffect, FleetView } from "../membership/mod.js";
+import { RetryBudget } from "../policy/mod.js";
+import { Entries, EntryViewSchema, MessageCode, } from "../schema/mod.js";
+import { getReason, ServingError } from "../sys/errors.js";
+import { DiskFolder } from "../sys/files.js";
+import { listenHttp } from "../sys/http.js";
+import { createCredentials, RpcServer, } from "../sys/rpc.js";
+import { createRawHeaderProblem } from "./answers.js";
+import { BackendPool } from "./backend_pool.js";
+import { BatchRunner } from "./batch_runner.js";
+import { CallerLimits } from "./caller_limits.js";
+import { CompletionService } from "./completion_service.js";
+import { DeathWatch } from "./death_watch.js";
+import { EngineRunner } from "./engine_runner.js";
+import { EntryHttp } from "./entry_http.js";
+import { Registrar } from "./entry_registration.js";
+import { ItemSessions } from "./item_sessions.js";
+import { JobService } from "./job_service.js";
+import { KeyedStore } from "./keyed_store.js";
+import { countOpen } from "./open_counts.js";
+import { addOperatorService } from "./operator_service.js";
+import { PlainService } from "./plain_service.js";
+import { Spreader } from "./spreader.js";
+import { StateClient } from "./state_client.js";
+import { SuspectLanes } from "./suspect_lanes.js";
+import { ViewFollower } from "./view_follower.js";
+const BATCH_LOAD_MS = 500;
+/** A running entry. */
+export class EntryHost {
+    #settings;
+    #context;
+    #credentials;
+    #incarnation;
+    view = new FleetView();
+    state;
+    pool;
+    #lanes;
+    #spreader;
+    #sessions;
+    #runner;
+    #keys;
+    #plain;
+    #completions;
+    #jobs;
+    batch;
+    #rpc;
+    #callers;
+    #http;
+    #follower;
+    #registrar;
+    #listener;
+    #timer;
+    #stopping = false;
+    address = "";
+    peerAddress = "";
+    constructor(settings, context) {
+        this.#settings = settings;
+        this.#context = context;
+        const { clock, random, metrics, log } = context;
+        this.#incarnation = random.createId();
+        this.#credentials = createCredentials(settings.tls, context.isCut);
+        this.#rpc = new RpcServer(this.#credentials);
+        this.#callers = new CallerLimits(settings.limits?.callerStreams ?? 0);
+        const { view } = this;
+        const groupCount = settings.itemGroups ?? 1;
+        const bodyBytes = settings.limits?.bodyBytes ?? 0;
+        this.state = new StateClient({
+            addresses: settings.state.map((peer) => peer.address),
+            credentials: this.#credentials,
+            clock,
+        });
+        this.#spreader = new Spreader({
+            entryId: settings.id,
+            view,
+            credentials: this.#credentials,
+            clock,
+            metrics,
+        });
+        this.#lanes = new SuspectLanes({
+            entryId: settings.id,
+            view,
+            credentials: this.#credentials,
+            clock,
+            random,
+        });
+        this.pool = new BackendPool({
+            lanes: this.#lanes,
+            entryId: settings.id,
+            dataCentre: settings.dataCentre,
+            view,
+            clock,
+            metrics,
+            onYield: (owner, server, count) => this.#spreader.sendYield(owner, server, count),
+        });
+        const deaths = new DeathWatch({
+            view,
+            clock,
+            onNews: (news) => this.#spreader.spreadSuspicion(news),
+        });
+        const budget = new RetryBudget();
+        const { pool, state } = this;
+        this.#runner = new EngineRunner({
+            view,
+            pool,
+            deaths,
+            budget,
+            clock,
+            metrics,
+        });
+        this.#sessions = new ItemSessions({
+            entryId: settings.id,
+            incarnation: this.#incarnation,
+            groupCount,
+            renewIntervalMs: settings.renewIntervalMs ?? 0,
+            state,
+            clock,
+            log,
+            getJobIds: (group) => this.batch.getJobIds(group),
+            onRenewed: (group, reply) => this.batch.noteRenewed(group, reply),
+            onEnded: (group, epoch) => this.batch.noteEnded(group, epoch),
+        });
+        const sessions = this.#sessions;
+        const keys = new KeyedStore({ state, sessions, groupCount, clock, random });
+        this.#keys = keys;
+        this.#plain = new PlainService({
+            view,
+            pool,
+            keys,
+            deaths,
+            budget,
+            clock,
+            bodyBytes,
+        });
+        this.#completions = new CompletionService({
+            view,
+            runner: this.#runner,
+            keys,
+            clock,
+            metrics,
+            bodyBytes,
+        });
+        this.#jobs = new JobService({
+            view,
+            state,
+            groupCount,
+            clock,
+            random,
+            limits: {
+                lineBytes: settings.limits?.lineBytes ?? 0,
+                jobItems: settings.limits?.jobItems ?? 0,
+                jobBytes: settings.limits?.jobBytes ?? 0,
+            },
+        });
+        this.batch = new BatchRunner({
+            view,
+            pool,
+            runner: this.#runner,
+            plain: this.#plain,
+            state,
+            sessions,
+            groupCount,
+            clock,
+            log,
+            metrics,
+        });
+        this.#http = new EntryHttp({
+            context,
+            view,
+            callers: this.#callers,
+            jobs: this.#jobs,
+            completions: this.#completions,
+            plain: this.#plain,
+            isReady: () => this.isReady,
+            isStopping: () => this.#stopping,
+            onAnnouncement: (announcement) => {
+                const effect = this.#acceptAnnouncement(announcement);
+                if (effect !== AnnouncementEffect.old) {
+                    this.#spreader.spreadAnnouncement(announcement);
+                }
+                return effect;
+            },
+        });
+    }
+    /** Whether the balancer may send callers here. */
+    get isReady() {
+        const isInformed = this.view.entriesVersion > 0 ||
+            this.view.configuration.version > 0n;
+        return !this.#stopping && isInformed;
+    }
+    /** Opens the ports and starts all parts. */
+    async start() {
+        const { clock, log } = this.#context;
+        this.#addServices();
+        this.peerAddress = await this.#rpc.listen(this.#settings.peerListen ?? "");
+        const headerBytes = this.#settings.limits?.headerBytes ?? 0;
+        this.#listener = await listenHttp(this.#settings.listen ?? "", (req, res) => this.#http.serve(req, res), { headerBytes, onHeadersTooLarge: createRawHeaderProblem(headerBytes) });
+        this.address = this.#listener.address;
+        this.#follower = new ViewFollower({
+            entryId: this.#settings.id,
+            view: this.view,
+            state: this.state,
+            neighbours: this.#settings.entries,
+            cache: await this.#tryOpenCache(),
+            credentials: this.#credentials,
+            clock,
+            log,
+            onChanged: () => this.pool.wake(),
+        });
+        await this.#follower.start();
+        this.#registrar = new Registrar({
+            entry: {
+                id: this.#settings.id,
+                incarnation: this.#incarnation,
+                address: this.peerAddress,
+                dataCentre: this.#settings.dataCentre,
+            },
+            state: this.state,
+            clock,
+        });
+        this.#registrar.start();
+        this.#sessions.start();
+        this.batch.start();
+        this.#timer = clock.startInterval(BATCH_LOAD_MS, () => this.#spreader.spreadBatchLoads(this.pool.getBatchLoads()));
+    }
+    /** Stops without cutting off a request, within the time that is set. */
+    async stop() {
+        if (this.#stopping)
+            return;
+        this.#stopping = true;
+        const { clock, log } = this.#context;
+        const limitMs = this.#settings.stopTimeoutMs ?? 0;
+        log.info("stopping", {
+            open: this.#callers.openCount,
+            held: this.batch.heldCount,
+        });
+        // The balancer goes on sending until it has seen that readiness is off.
+        await clock.delay(this.#settings.stopDelayMs ?? 0);
+        const drained = this.#listener?.drain() ?? Promise.resolve();
+        await Promise.race([
+            Promise.all([drained, this.batch.stop(limitMs)]),
+            clock.delay(limitMs),
+        ]);
+        log.info("stopped", {
+            open: this.#callers.openCount,
+            held: this.batch.heldCount,
+        });
+        await this.#sessions.close();
+        await this.#registrar?.close();
+        this.halt();
+    }
+    /** Ends at once, as a crash would. */
+    halt() {
+        this.#stopping = true;
+        this.#timer?.cancel();
+        this.batch.halt();
+        this.#sessions.halt();
+        this.#registrar?.halt();
+        this.#follower?.close();
+        this.#spreader.close();
+        this.#lanes.close();
+        this.pool.close();
+        this.#listener?.close();
+        this.#rpc.close();
+        this.state.close();
+    }
+    getDump() {
+        const nowMs = this.#context.clock.getMonotonicMs();
+        const { configuration, entries, backends, suspicions } = this.view;
+        return {
+            process: "entry",
+            id: this.#settings.id,
+            dataCentre: this.#settings.dataCentre,
+            ready: this.isReady,
+            configurationVersion: Number(configuration.version),
+            lastOrder: configuration.lastOrderId,
+            entries: entries.map((entry) => entry.id),
+            open: this.#callers.openCount,
+            active: this.pool.activeCount,
+            waiting: this.pool.waitingCount,
+            held: this.batch.heldCount,
+            backendServers: backends.getAll().map((server) => ({
+                name: server.name,
+                deployment: server.announcement.deployment,
+                dataCentre: server.announcement.dataCentre,
+                leaving: server.announcement.leaving,
+                leaseLeftMs: Math.round(server.leaseEndMs - nowMs),
+                own: server.own,
+                others: server.others,
+                sequenceTarget: server.sequenceTarget,
+                failures: server.failures,
+            })),
+            suspicions: suspicions.getAll().map((one) => ({
+                fingerprint: one.fingerprint,
+                servers: one.servers,
+            })),
+            metrics: this.#context.metrics.getSums(),
+        };
+    }
+    #addServices() {
+        this.#rpc.addService(Entries, {
+            spread: (batch) => {
+                this.#acceptSpread(batch);
+                return Promise.resolve({});
+            },
+            getView: (req) => {
+                return Promise.resolve(this.#createView(req));
+            },
+            holdLane: (req) => Promise.resolve({
+                granted: this.#lanes.grant(req.backendServer, req.holder, req.leaseMs),
+            }),
+            releaseLane: (req) => {
+                this.#lanes.end(req.backendServer, req.holder);
+                return Promise.resolve({ granted: false });
+            },
+            countOpen: () => Promise.resolve({
+                streams: BigInt(this.#callers.openCount),
+                claims: BigInt(this.batch.heldCount),
+            }),
+        });
+        addOperatorService({
+            server: this.#rpc,
+            state: this.state,
+            groupCount: this.#settings.itemGroups ?? 1,
+            isSecure: this.#credentials.isSecure,
+            getDump: () => this.getDump(),
+            countEntries: () => countOpen(this.view.entries, this.#credentials),
+        });
+    }
+    /** What the asker lacks; all of it when it starts. */
+    #createView(req) {
+        const { configuration, entries, entriesVersion, backends } = this.view;
+        const hasEntries = entriesVersion > Number(req.entriesVersion);
+        const servers = backends.getAll().map((server) => server.announcement);
+        return create(EntryViewSchema, {
+            configuration: configuration.version > req.version
+                ? configuration
+                : undefined,
+            entries: hasEntries ? [...entries] : [],
+            entriesVersion: BigInt(entriesVersion),
+            announcements: req.whole ? servers : [],
+            suspicions: req.whole ? this.view.suspicions.getAll() : [],
+        });
+    }
+    async #tryOpenCache() {
+        const path = this.#settings.cacheFolder ?? "";
+        if (path === "")
+            return undefined;
+        try {
+            return await DiskFolder.open(path);
+        }
+        catch (error) {
+            throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
+                parameters: { path, reason: getReason(error) },
+            });
+        }
+    }
+    #acceptSpread(batch) {
+        const nowMs = this.#context.clock.getMonotonicMs();
+        batch.announcements.forEach((one) => this.#acceptAnnouncement(one));
+        batch.suspicions.forEach((one) => this.view.suspicions.merge(one, nowMs));
+        batch.yields.forEach((one) => this.pool.yieldBatch(one.backendServer, one.sequences));
+        batch.batchLoads.forEach((load) => {
+            const server = this.view.backends.tryGet(load.backendServer);
+            if (server !== undefined)
+                server.othersBatch = load.sequences;
+        });
+    }
+    #acceptAnnouncement(announcement) {
+        const nowMs = this.#context.clock.getMonotonicMs();
+        const effect = this.view.backends.accept(announcement, nowMs);
+        if (effect !== AnnouncementEffect.old &&
+            effect !== AnnouncementEffect.refreshed) {
+            this.#context.log.info(`backend_server_${effect}`, {
+                server: announcement.name,
+                deployment: announcement.deployment,
+            });
+            this.pool.wake();
+        }
+        if (effect === AnnouncementEffect.restarted) {
+            this.pool.abandonServer(announcement.name);
+        }
+        return effect;
+    }
+}
+//# sourceMappingURL=entry_host.js.map
--- /dev/null
+++ b/dist/services/item_queries.js
@@ -0,0 +1,49 @@
+const MAX_PAGE_ITEMS = 1_000;
+/** Counts as plain numbers, for the dump. */
+export function formatCounts(counts) {
+    return {
+        jobs: Number(counts.jobs),
+        accepted: Number(counts.accepted),
+        dispatched: Number(counts.dispatched),
+        finished: Number(counts.finished),
+        requestsDispatched: Number(counts.requestsDispatched),
+    };
+}
+/** Answers a query of an item group from its state. */
+export function queryItems(machine, req) {
+    const { query } = req;
+    switch (query.case) {
+        case "jobId": {
+            const job = machine.tryGetJob(query.value);
+            return { jobs: job === undefined ? [] : [job] };
+        }
+        case "listJobs":
+            return { jobs: machine.getJobs(query.value) };
+        case "readResults": {
+            const { jobId, after } = query.value;
+            const limit = Math.min(query.value.limit || MAX_PAGE_ITEMS, MAX_PAGE_ITEMS);
+            const job = machine.tryGetJob(jobId);
+            const items = machine.getItems(jobId, after, limit);
+            const end = after + items.length;
+            const more = end < Number(job?.itemCount ?? 0n);
+            return {
+                jobs: job === undefined ? [] : [job],
+                items,
+                next: more ? end : 0,
+            };
+        }
+        case "request":
+            return {
+                request: machine.tryGetRequest(query.value.caller, query.value.key),
+            };
+        case "listRequests": {
+            const { operator, after, limit } = query.value;
+            return { requests: machine.getRequests(operator, after, limit) };
+        }
+        case "counts":
+            return { counts: machine.getCounts() };
+        default:
+            return {};
+    }
+}
+//# sourceMappingURL=item_queries.js.map
--- /dev/null
+++ b/dist/services/job_service.js
@@ -0,0 +1,293 @@
+/** Batch jobs for callers: submit, status, results, cancel and list. */
+import { create } from "@bufbuild/protobuf";
+import { createHash } from "node:crypto";
+import { ItemSchema, MessageCode, } from "../schema/mod.js";
+import { ServingError } from "../sys/errors.js";
+import { getDigestHex } from "../sys/random.js";
+import { sendJson } from "./answers.js";
+import { describeItem, describeJob } from "./descriptions.js";
+import { getItemGroup, getItemGroups } from "./groups.js";
+import { parseItemLine } from "./item_line.js";
+/** Path below which jobs live. */
+export const JOBS_PATH = "/v1/jobs";
+const CHUNK_ITEMS = 256;
+const CHUNK_BYTES = 256 * 1024;
+/** Chunks of one job that are on their way at once. */
+const CHUNKS_IN_FLIGHT = 4;
+const COMMIT_TIMEOUT_MS = 15_000;
+const DEFAULT_PAGE_ITEMS = 500;
+const MAX_PAGE_ITEMS = 1_000;
+const NEWLINE = 0x0a;
+/** Serves callers' jobs. */
+export class JobService {
+    #view;
+    #state;
+    #groupCount;
+    #clock;
+    #random;
+    #limits;
+    constructor(options) {
+        this.#view = options.view;
+        this.#state = options.state;
+        this.#groupCount = options.groupCount;
+        this.#clock = options.clock;
+        this.#random = options.random;
+        this.#limits = options.limits;
+    }
+    /** Serves one request below {@linkcode JOBS_PATH}. */
+    async serve(call) {
+        const url = new URL(call.req.url ?? "/", "http://localhost");
+        const method = call.req.method ?? "GET";
+        const [id, action] = url.pathname.slice(JOBS_PATH.length).split("/")
+            .filter((part) => part !== "").map(decodeURIComponent);
+        const route = `${method} ${id === undefined ? "" : ":id"} ${action ?? ""}`;
+        switch (route.trimEnd()) {
+            case "POST":
+                return await this.#submit(call, url.searchParams);
+            case "GET":
+                return await this.#list(call);
+            case "GET :id":
+                return await this.#getStatus(call, id ?? "");
+            case "GET :id results":
+                return await this.#getResults(call, id ?? "", url.searchParams);
+            case "POST :id cancel":
+                return await this.#cancel(call, id ?? "");
+            default:
+                throw new ServingError(MessageCode.METHOD_REFUSED, {
+                    parameters: { path: url.pathname, method },
+                });
+        }
+    }
+    async #submit(call, params) {
+        const workload = this.#getWorkload(params.get("workload") ?? "");
+        const id = call.key === ""
+            ? this.#random.createId()
+            : getDigestHex(call.caller, call.key).slice(0, 32);
+        const group = getItemGroup(id, this.#groupCount);
+        const known = await this.#tryGetJob(group, id);
+        const upload = known === undefined
+            ? new JobUpload({ id, group, state: this.#state })
+            : undefined;
+        const reader = new LineReader(this.#limits);
+        const digest = createHash("sha256").update(workload.name).update("\0");
+        for await (const line of reader.read(call.req)) {
+            digest.update(line).update("\n");
+            await upload?.add(line);
+        }
+        const sum = new Uint8Array(digest.digest());
+        if (known !== undefined) {
+            if (Buffer.compare(known.digest, sum) !== 0) {
+                throw new ServingError(MessageCode.KEY_REUSED);
+            }
+            sendJson(call.res, 200, describeJob(known));
+            return;
+        }
+        await upload?.flush();
+        const job = await this.#commit(call, workload, {
+            id,
+            digest: sum,
+            itemCount: reader.count,
+            group,
+        });
+        sendJson(call.res, 201, describeJob(job), {
+            location: `${JOBS_PATH}/${id}`,
+        });
+    }
+    async #commit(call, workload, job) {
+        const deployment = this.#view.tryGetDeployment(workload.deployment);
+        const nowMs = this.#clock.getWallMs();
+        const reply = await this.#state.runItemCommand(job.group, {
+            case: "commitJob",
+            value: {
+                id: job.id,
+                caller: call.caller,
+                operator: deployment?.operator ?? "",
+                workload: workload.name,
+                deployment: workload.deployment,
+                deadlineMs: call.timeoutMs === undefined
+                    ? 0n
+                    : BigInt(Math.ceil(nowMs + call.timeoutMs)),
+                itemCount: BigInt(job.itemCount),
+                digest: job.digest,
+                nonIdempotent: workload.nonIdempotent || call.isMarkedNonIdempotent,
+            },
+        }, COMMIT_TIMEOUT_MS);
+        if (reply.job === undefined)
+            throw new ServingError(MessageCode.INTERNAL);
+        return reply.job;
+    }
+    #getWorkload(name) {
+        if (this.#view.isDissolving()) {
+            throw new ServingError(MessageCode.DISSOLVING);
+        }
+        const workload = this.#view.tryGetWorkload(name);
+        if (workload?.batchAllowed === true)
+            return workload;
+        throw new ServingError(MessageCode.BAD_PARAMETER, {
+            parameters: {
+                name: "workload",
+                expected: "the name of a workload that allows batch",
+            },
+        });
+    }
+    async #tryGetJob(group, id) {
+        const reply = await this.#state.query(group, { case: "jobId", value: id });
+        return reply.jobs[0];
+    }
+    async #getOwnJob(call, id) {
+        const group = getItemGroup(id, this.#groupCount);
+        const job = await this.#tryGetJob(group, id);
+        if (job?.caller === call.caller)
+            return job;
+        throw new ServingError(MessageCode.UNKNOWN_JOB, {
+            parameters: { job: id },
+        });
+    }
+    async #list(call) {
+        const replies = await Promise.all(getItemGroups(this.#groupCount).map((group) => this.#state.query(group, {
+            case: "listJobs",
+            value: { caller: call.caller },
+        })));
+        const jobs = replies.flatMap((reply) => reply.jobs)
+            .sort((a, b) => Number(b.createdMs - a.createdMs));
+        sendJson(call.res, 200, { jobs: jobs.map(describeJob) });
+    }
+    async #getStatus(call, id) {
+        sendJson(call.res, 200, describeJob(await this.#getOwnJob(call, id)));
+    }
+    async #getResults(call, id, params) {
+        const after = parseCount(params, "after", { fallback: 0, most: 2 ** 31 });
+        const limit = parseCount(params, "limit", {
+            fallback: DEFAULT_PAGE_ITEMS,
+            most: MAX_PAGE_ITEMS,
+        });
+        await this.#getOwnJob(call, id);
+        const reply = await this.#state.query(getItemGroup(id, this.#groupCount), { case: "readResults", value: { jobId: id, after, limit } });
+        const lines = reply.items.map((item, offset) => `${JSON.stringify(describeItem(item, after + offset))}\n`);
+        const next = reply.next === 0
+            ? {}
+            : { "papayatally-next": String(reply.next) };
+        call.res.writeHead(200, { "content-type": "application/jsonl", ...next });
+        call.res.end(lines.join(""));
+    }
+    async #cancel(call, id) {
+        const reply = await this.#state.runItemCommand(getItemGroup(id, this.#groupCount), { case: "cancelJob", value: { jobId: id, caller: call.caller } });
+        sendJson(call.res, 200, reply.job ? describeJob(reply.job) : {});
+    }
+}
+/** Sends a job's items to its group in chunks, a few at a time. */
+class JobUpload {
+    #id;
+    #group;
+    #state;
+    #sending = new Set();
+    #items = [];
+    #bytes = 0;
+    #index = 0;
+    #failure;
+    constructor(options) {
+        this.#id = options.id;
+        this.#group = options.group;
+        this.#state = options.state;
+    }
+    async add(line) {
+        this.#items.push(create(ItemSchema, { body: line }));
+        this.#bytes += line.length;
+        const isFull = this.#items.length >= CHUNK_ITEMS ||
+            this.#bytes >= CHUNK_BYTES;
+        if (isFull)
+            await this.#send();
+    }
+    /** Sends the rest and waits until all chunks are accepted. */
+    async flush() {
+        if (this.#items.length > 0)
+            await this.#send();
+        await Promise.all(this.#sending);
+        if (this.#failure !== undefined)
+            throw this.#failure;
+    }
+    async #send() {
+        while (this.#sending.size >= CHUNKS_IN_FLIGHT) {
+            await Promise.race(this.#sending);
+        }
+        if (this.#failure !== undefined)
+            throw this.#failure;
+        const chunk = { jobId: this.#id, index: this.#index, items: this.#items };
+        this.#items = [];
+        this.#bytes = 0;
+        this.#index += 1;
+        const sending = this.#state.runItemCommand(this.#group, {
+            case: "putChunk",
+            value: chunk,
+        }, COMMIT_TIMEOUT_MS).then(() => { }, (error) => {
+            this.#failure = error;
+        }).finally(() => this.#sending.delete(sending));
+        this.#sending.add(sending);
+    }
+}
+/** Reads the lines of a job within its limits, without keeping the body. */
+class LineReader {
+    #limits;
+    #bytes = 0;
+    count = 0;
+    constructor(limits) {
+        this.#limits = limits;
+    }
+    async *read(body) {
+        let rest = Buffer.alloc(0);
+        for await (const chunk of body) {
+            this.#bytes += chunk.length;
+            if (this.#bytes > this.#limits.jobBytes) {
+                throw new ServingError(MessageCode.BODY_TOO_LARGE, {
+                    parameters: { limit: this.#limits.jobBytes },
+                });
+            }
+            rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+            let end = rest.indexOf(NEWLINE);
+            while (end >= 0) {
+                yield* this.#check(rest.subarray(0, end));
+                rest = rest.subarray(end + 1);
+                end = rest.indexOf(NEWLINE);
+            }
+            this.#requireShort(rest);
+        }
+        yield* this.#check(rest);
+        if (this.count === 0) {
+            throw new ServingError(MessageCode.BODY_MALFORMED, {
+                parameters: { reason: "the job has no items" },
+            });
+        }
+    }
+    *#check(line) {
+        if (line.toString().trim() === "")
+            return;
+        this.#requireShort(line);
+        this.count += 1;
+        if (this.count > this.#limits.jobItems) {
+            throw new ServingError(MessageCode.TOO_MANY_ITEMS, {
+                parameters: { limit: this.#limits.jobItems },
+            });
+        }
+        parseItemLine(line, this.count);
+        yield line;
+    }
+    #requireShort(line) {
+        if (line.length <= this.#limits.lineBytes)
+            return;
+        throw new ServingError(MessageCode.LINE_TOO_LONG, {
+            parameters: { line: this.count + 1, limit: this.#limits.lineBytes },
+        });
+    }
+}
+function parseCount(params, name, options) {
+    const text = params.get(name);
+    if (text === null)
+        return options.fallback;
+    const value = Number(text);
+    if (/^\d+$/.test(text) && value <= options.most)
+        return value;
+    throw new ServingError(MessageCode.BAD_PARAMETER, {
+        parameters: { name, expected: `a whole number up to ${options.most}` },
+    });
+}
+//# sourceMappingURL=job_service.js.map
--- /dev/null
+++ b/dist/services/keyed_store.js
@@ -0,0 +1,178 @@
+import { ItemState, MessageCode, Verdict } from "../schema/mod.js";
+import { asServingError, ServingError } from "../sys/errors.js";
+import { getItemGroup, getRequestPlacement } from "./groups.js";
+import { isStaleEpoch } from "./item_sessions.js";
+import { createFailure } from "./outcomes.js";
+const POLL_MS = 100;
+/** Longest time that an answer waits for its outcome to be recorded. */
+const FINISH_WAIT_MS = 2_000;
+/** Keyed requests of one entry. */
+export class KeyedStore {
+    #state;
+    #sessions;
+    #groupCount;
+    #clock;
+    #random;
+    constructor(options) {
+        this.#state = options.state;
+        this.#sessions = options.sessions;
+        this.#groupCount = options.groupCount;
+        this.#clock = options.clock;
+        this.#random = options.random;
+    }
+    /**
+     * Runs a request under its key, or answers with the outcome of the first. A
+     * non-idempotent request goes on without its caller: the outcome is there
+     * when the caller asks again.
+     */
+    async runUnderKey(call, actions) {
+        const start = await this.begin(call);
+        if (start.kind === "known") {
+            actions.onKnown(start.outcome);
+            return;
+        }
+        const signal = call.isNonIdempotent
+            ? AbortSignal.timeout(Math.ceil(this.#getLeftMs(call)))
+            : call.signal;
+        try {
+            await actions.run(signal, (outcome) => start.finish(outcome));
+        }
+        catch (error) {
+            const failure = asServingError(error);
+            const isOver = call.isNonIdempotent &&
+                failure.verdict !== Verdict.NOT_RUN;
+            await start.finish(isOver ? createFailure(failure) : undefined);
+            throw failure;
+        }
+    }
+    /**
+     * Starts a request under its key. Throws KEY_REUSED for another body, and
+     * STATE_UNREACHABLE with the verdict that an earlier request under the key
+     * may have run.
+     */
+    async begin(call) {
+        const placement = getRequestPlacement(call.caller, call.key);
+        const group = getItemGroup(placement, this.#groupCount);
+        for (;;) {
+            const request = await this.#tryBegin(group, call);
+            if (request.begun) {
+                return {
+                    kind: "run",
+                    finish: (outcome) => this.#finish({ group, call, ...request }, outcome),
+                };
+            }
+            if (request.outcome !== undefined) {
+                return { kind: "known", outcome: request.outcome };
+            }
+            await this.#waitForEnd(group, call);
+        }
+    }
+    async #tryBegin(group, call) {
+        const attemptId = this.#random.createId();
+        const epoch = await this.#getEpoch(group, call);
+        try {
+            const reply = await this.#state.runItemCommand(group, {
+                case: "beginRequest",
+                value: {
+                    key: call.key,
+                    caller: call.caller,
+                    operator: call.operator,
+                    digest: call.digest,
+                    nonIdempotent: call.isNonIdempotent,
+                    epoch,
+                    attemptId,
+                },
+            }, this.#getLeftMs(call));
+            const { outcome } = reply.request ?? {};
+            return { begun: reply.begun, epoch, attemptId, outcome };
+        }
+        catch (error) {
+            if (isStaleEpoch(error)) {
+                this.#sessions.noteEnded(group, epoch);
+                return { begun: false, epoch, attemptId };
+            }
+            if (isRefusal(error))
+                throw error;
+            // The command may have been committed: give the request back as soon as
+            // the state can be reached, so that a resent one can run.
+            this.#finish({ group, call, epoch, attemptId }, undefined)
+                .catch(() => { });
+            throw error;
+        }
+    }
+    /** The session's epoch, as far as the call's deadline lets it wait. */
+    async #getEpoch(group, call) {
+        const known = this.#sessions.tryGetEpoch(group);
+        if (known !== undefined)
+            return known;
+        const epoch = await Promise.race([
+            this.#sessions.getEpoch(group),
+            this.#clock.delay(this.#getLeftMs(call)),
+        ]);
+        if (typeof epoch === "bigint")
+            return epoch;
+        throw new ServingError(MessageCode.STATE_UNREACHABLE, {
+            verdict: Verdict.MAY_HAVE_RUN,
+            parameters: { reason: "no session could be opened in time" },
+            retryAfterS: 1,
+        });
+    }
+    async #waitForEnd(group, call) {
+        for (;;) {
+            await this.#clock.delay(POLL_MS);
+            if (call.signal.aborted) {
+                throw new ServingError(MessageCode.CALLER_LEFT, {
+                    verdict: Verdict.MAY_HAVE_RUN,
+                });
+            }
+            if (this.#getLeftMs(call) <= 0) {
+                throw new ServingError(MessageCode.STILL_RUNNING, {
+                    verdict: Verdict.MAY_HAVE_RUN,
+                    retryAfterS: 1,
+                });
+            }
+            const reply = await this.#state.query(group, {
+                case: "request",
+                value: { caller: call.caller, key: call.key },
+            }, this.#getLeftMs(call));
+            if (isOver(reply.request))
+                return;
+        }
+    }
+    /**
+     * Records an outcome, or gives the request back when there is none. It goes
+     * on in the background until the state takes it or the session is over, so
+     * that no key stays dispatched while its entry lives.
+     */
+    async #finish(request, outcome) {
+        const finishing = this.#finishUntilDone(request, outcome);
+        await Promise.race([finishing, this.#clock.delay(FINISH_WAIT_MS)]);
+    }
+    async #finishUntilDone({ group, call, epoch, attemptId }, outcome) {
+        const { caller, key } = call;
+        while (this.#sessions.tryGetEpoch(group) === epoch) {
+            try {
+                await this.#state.runItemCommand(group, {
+                    case: "finishRequest",
+                    value: { epoch, caller, key, attemptId, outcome },
+                });
+                return;
+            }
+            catch (error) {
+                if (isStaleEpoch(error))
+                    this.#sessions.noteEnded(group, epoch);
+            }
+            await this.#clock.delay(POLL_MS);
+        }
+    }
+    #getLeftMs(call) {
+        return Math.max(0, call.deadlineMs - this.#clock.getMonotonicMs());
+    }
+}
+function isOver(request) {
+    return request === undefined || request.state !== ItemState.DISPATCHED;
+}
+function isRefusal(error) {
+    return error instanceof ServingError && error.code === MessageCode.KEY_REUSED;
+}
+//# sourceMappingURL=keyed_store.js.map
--- /dev/null
+++ b/dist/services/open_counts.js
@@ -0,0 +1,19 @@
+/** What all entries of the fleet have open. */
+import { Entries } from "../schema/mod.js";
+import { RpcClients } from "../sys/rpc.js";
+const COUNT_TIMEOUT_MS = 2_000;
+/** Asks each entry once. */
+export async function countOpen(entries, credentials) {
+    const clients = new RpcClients(credentials);
+    const counts = await Promise.all(entries.map((entry) => clients.get(entry.address).call(Entries.method.countOpen, {}, {
+        timeoutMs: COUNT_TIMEOUT_MS,
+    }).catch(() => entry.id)));
+    clients.close();
+    const known = counts.filter((count) => typeof count !== "string");
+    return {
+        streams: known.reduce((sum, count) => sum + Number(count.streams), 0),
+        claims: known.reduce((sum, count) => sum + Number(count.claims), 0),
+        unreachable: counts.filter((count) => typeof count === "string"),
+    };
+}
+//# sourceMappingURL=open_counts.js.map
--- /dev/null
+++ b/dist/services/plain_service.js
@@ -0,0 +1,206 @@
+/**
+ * Requests to plain services: routed by path, passed through unchanged, and
+ * repeated only where that is safe.
+ */
+import { create } from "@bufbuild/protobuf";
+import { callService } from "../relay/mod.js";
+import { MessageCode, OutcomeSchema, Verdict, } from "../schema/mod.js";
+import { asServingError, ServingError } from "../sys/errors.js";
+import { readBody, removeHopHeaders, } from "../sys/http.js";
+import { getDigest, getDigestHex } from "../sys/random.js";
+import { getDeadlineMs } from "./caller_request.js";
+import { sendOutcome } from "./outcomes.js";
+import { raiseVerdict } from "./engine_runner.js";
+/** Methods that HTTP defines as idempotent (RFC 9110). */
+const IDEMPOTENT_METHODS = [
+    "GET",
+    "HEAD",
+    "PUT",
+    "DELETE",
+    "OPTIONS",
+];
+const MAX_ATTEMPTS = 4;
+/** Largest answer kept under a key, in bytes. */
+const MAX_KEPT_BYTES = 16 << 20;
+/** Serves plain services' callers. */
+export class PlainService {
+    #view;
+    #pool;
+    #keys;
+    #deaths;
+    #budget;
+    #clock;
+    #bodyBytes;
+    constructor(options) {
+        this.#view = options.view;
+        this.#pool = options.pool;
+        this.#keys = options.keys;
+        this.#deaths = options.deaths;
+        this.#budget = options.budget;
+        this.#clock = options.clock;
+        this.#bodyBytes = options.bodyBytes;
+    }
+    /** Serves one request; errors are thrown as ServingError. */
+    async serve(call, workload) {
+        const body = await readBody(call.req, this.#bodyBytes);
+        const run = this.#createRun(call, workload, body);
+        if (call.key !== "") {
+            await this.#serveKeyed(call, run);
+            return;
+        }
+        const { answer, placement } = await this.#open(run);
+        passAnswer(call, answer, placement);
+    }
+    /** Runs a request to its whole answer, for keyed requests and batch items. */
+    async runWhole(run) {
+        const { answer, placement } = await this.#open(run);
+        try {
+            const body = await readBody(answer.body, MAX_KEPT_BYTES);
+            placement.release({ isFailure: false });
+            return create(OutcomeSchema, {
+                verdict: Verdict.RAN,
+                status: answer.status,
+                body,
+                contentType: answer.headers["content-type"] ?? "",
+            });
+        }
+        catch (error) {
+            placement.release({ isFailure: true });
+            throw raiseVerdict(asServingError(error), Verdict.MAY_HAVE_RUN);
+        }
+    }
+    #createRun(call, workload, body) {
+        const method = call.req.method ?? "GET";
+        const path = call.req.url ?? "/";
+        return {
+            requestId: call.id,
+            method,
+            path,
+            headers: call.req.headers,
+            body,
+            deployment: workload.deployment,
+            caller: call.caller,
+            fingerprint: getDigestHex(workload.name, method, path, body),
+            isNonIdempotent: workload.nonIdempotent || call.isMarkedNonIdempotent ||
+                !IDEMPOTENT_METHODS.includes(method),
+            deadlineMs: getDeadlineMs(call, workload),
+            signal: call.signal,
+        };
+    }
+    async #serveKeyed(call, run) {
+        await this.#keys.runUnderKey({
+            caller: call.caller,
+            operator: this.#view.tryGetDeployment(run.deployment)?.operator ?? "",
+            key: call.key,
+            digest: getDigest(Buffer.concat([
+                Buffer.from(`${run.method} ${run.path}\n`),
+                run.body,
+            ])),
+            isNonIdempotent: run.isNonIdempotent,
+            deadlineMs: run.deadlineMs,
+            signal: call.signal,
+        }, {
+            onKnown: (outcome) => sendOutcome(call.res, outcome),
+            run: async (signal, finish) => {
+                const outcome = await this.runWhole({ ...run, signal });
+                await finish(outcome);
+                sendOutcome(call.res, outcome);
+            },
+        });
+    }
+    /** Sends the request until a server answers, as far as that is safe. */
+    async #open(run) {
+        const excluded = new Set();
+        let verdict = Verdict.NOT_RUN;
+        let reason = "";
+        this.#budget.earn();
+        for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
+            const placement = await this.#place(run, excluded, verdict);
+            const result = await callService({
+                address: placement.server.announcement.address,
+                method: run.method,
+                path: run.path,
+                headers: { ...run.headers, "x-request-id": run.requestId },
+                body: run.body.length > 0 ? run.body : undefined,
+                isFresh: run.isNonIdempotent ||
+                    this.#view.suspicions.isSuspect(run.fingerprint),
+                headTimeoutMs: Math.max(1, run.deadlineMs - this.#clock.getMonotonicMs()),
+                signal: AbortSignal.any([run.signal, placement.signal]),
+            });
+            if (result.kind === "answered") {
+                this.#deaths.noteFinished(run.fingerprint);
+                return { answer: result.answer, placement };
+            }
+            const mayHaveKilled = result.kind === "broken" &&
+                result.isConnectionLost && result.verdict !== Verdict.NOT_RUN;
+            if (mayHaveKilled) {
+                await this.#deaths.noteBroken(run.fingerprint, placement);
+            }
+            placement.release({ isFailure: result.kind === "broken" });
+            excluded.add(placement.server.name);
+            verdict = Math.max(verdict, result.kind === "broken" ? result.verdict : Verdict.MAY_HAVE_RUN);
+            reason = result.kind === "broken" ? result.reason : "it was stopped";
+            this.#requireRetry(run, verdict, reason);
+        }
+        throw createLost(verdict, reason);
+    }
+    async #place(run, excluded, verdict) {
+        const { suspicions } = this.#view;
+        if (suspicions.isRefused(run.fingerprint)) {
+            throw new ServingError(MessageCode.REQUEST_POISONED, {
+                verdict,
+                parameters: { servers: suspicions.getDeaths(run.fingerprint) },
+            });
+        }
+        try {
+            return await this.#pool.place({
+                deployment: run.deployment,
+                model: "",
+                adapter: "",
+                affinity: "",
+                caller: run.caller,
+                deadlineMs: run.deadlineMs,
+                excluded,
+                isSuspect: suspicions.isSuspect(run.fingerprint),
+                signal: run.signal,
+            });
+        }
+        catch (error) {
+            throw raiseVerdict(error, verdict);
+        }
+    }
+    #requireRetry(run, verdict, reason) {
+        const isSafe = verdict === Verdict.NOT_RUN || !run.isNonIdempotent;
+        const isWanted = !run.signal.aborted &&
+            this.#clock.getMonotonicMs() < run.deadlineMs;
+        if (!isSafe || !isWanted)
+            throw createLost(verdict, reason);
+        if (this.#budget.trySpend())
+            return;
+        throw new ServingError(MessageCode.RETRY_BUDGET_SPENT, {
+            verdict,
+            parameters: { reason },
+            retryAfterS: 1,
+        });
+    }
+}
+function createLost(verdict, reason) {
+    return new ServingError(MessageCode.ANSWER_LOST, {
+        verdict,
+        parameters: { reason },
+    });
+}
+/** Passes an answer to the caller as it arrives, with back-pressure. */
+function passAnswer(call, answer, placement) {
+    const { res } = call;
+    res.writeHead(answer.status, removeHopHeaders(answer.headers));
+    answer.body.pipe(res);
+    answer.body.on("error", () => res.destroy());
+    answer.body.on("close", () => {
+        placement.release({ isFailure: !answer.body.complete });
+        if (!answer.body.complete)
+            res.destroy();
+    });
+    res.on("close", () => answer.body.destroy());
+}
+//# sourceMappingURL=plain_service.js.map
--- /dev/null
+++ b/dist/services/proposal_batch.js
@@ -0,0 +1,70 @@
+/**
+ * Commands of one process for one group, sent together. While a call is under
+ * way others gather, so that calls grow with the load and their cost does not;
+ * commands reach the group in the order in which they were given.
+ */
+import { MessageCode, Verdict } from "../schema/mod.js";
+import { ServingError } from "../sys/errors.js";
+/** Most commands and bytes of one call. */
+const MAX_COMMANDS = 512;
+const MAX_BYTES = 1 << 20;
+/** Gathers commands and sends them. */
+export class ProposalBatch {
+    #clock;
+    #send;
+    #queue = [];
+    #isSending = false;
+    constructor(options) {
+        this.#clock = options.clock;
+        this.#send = options.send;
+    }
+    /** Sends a command with others; its reply comes within `timeoutMs`. */
+    add(command, timeoutMs) {
+        return new Promise((resolve, reject) => {
+            const timer = this.#clock.startTimer(timeoutMs, () => reject(createTimeout()));
+            const endMs = this.#clock.getMonotonicMs() + timeoutMs;
+            this.#queue.push({ command, endMs, timer, resolve, reject });
+            if (!this.#isSending)
+                this.#sendAll();
+        });
+    }
+    async #sendAll() {
+        this.#isSending = true;
+        // Commands given in the same turn go together.
+        await Promise.resolve();
+        while (this.#queue.length > 0)
+            await this.#sendSome(this.#takeSome());
+        this.#isSending = false;
+    }
+    #takeSome() {
+        let bytes = 0;
+        const end = this.#queue.findIndex((waiting, index) => {
+            bytes += waiting.command.length;
+            return index >= MAX_COMMANDS || (index > 0 && bytes > MAX_BYTES);
+        });
+        return this.#queue.splice(0, end < 0 ? this.#queue.length : end);
+    }
+    async #sendSome(some) {
+        const nowMs = this.#clock.getMonotonicMs();
+        const leftMs = Math.max(...some.map((waiting) => waiting.endMs)) - nowMs;
+        try {
+            const commands = some.map((waiting) => waiting.command);
+            const replies = await this.#send(commands, leftMs);
+            some.forEach((waiting, index) => waiting.resolve(replies[index] ?? new Uint8Array()));
+        }
+        catch (error) {
+            some.forEach((waiting) => waiting.reject(error));
+        }
+        finally {
+            some.forEach((waiting) => waiting.timer.cancel());
+        }
+    }
+}
+function createTimeout() {
+    return new ServingError(MessageCode.STATE_UNREACHABLE, {
+        verdict: Verdict.MAY_HAVE_RUN,
+        parameters: { reason: "no answer in time" },
+        retryAfterS: 1,
+    });
+}
+//# sourceMappingURL=proposal_batch.js.map
--- /dev/null
+++ b/dist/services/replica_identity.js
@@ -0,0 +1,109 @@
+/**
+ * Identity of a state replica. A data folder gets an id when it is made; the
+ * other members remember it. A replica whose disk was lost shows a new folder
+ * id under its old name, is refused and never votes.
+ */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { MessageCode, ReplicaIdentitySchema, Replicas, } from "../schema/mod.js";
+import { ServingError } from "../sys/errors.js";
+import { RpcClient } from "../sys/rpc.js";
+const IDENTITY_FILE = "identity";
+const RETRY_MS = 100;
+const CALL_TIMEOUT_MS = 2_000;
+/** The identity record of one data folder. */
+export class IdentityRecord {
+    #folder;
+    #identity;
+    /** Writes go one after the other: each replaces the same file. */
+    #saving = Promise.resolve();
+    constructor(folder, identity) {
+        this.#folder = folder;
+        this.#identity = identity;
+    }
+    /** Reads the record, or makes it for an empty folder. */
+    static async open(folder, options) {
+        const bytes = await folder.tryRead(IDENTITY_FILE);
+        if (bytes !== undefined) {
+            const identity = fromBinary(ReplicaIdentitySchema, bytes);
+            return new IdentityRecord(folder, identity);
+        }
+        const record = new IdentityRecord(folder, create(ReplicaIdentitySchema, {
+            id: options.id,
+            folderId: options.random.createId(),
+        }));
+        await record.#save({});
+        return record;
+    }
+    get isConfirmed() {
+        return this.#identity.confirmed;
+    }
+    get introduction() {
+        return { id: this.#identity.id, folderId: this.#identity.folderId };
+    }
+    /** Whether `other` shows the folder it showed first; remembers a new one. */
+    async accept(other) {
+        const known = this.#identity.known.find((one) => one.id === other.id);
+        if (known !== undefined)
+            return known.folderId === other.folderId;
+        await this.#save({ known: [...this.#identity.known, other] });
+        return true;
+    }
+    async confirm() {
+        await this.#save({ confirmed: true });
+    }
+    async #save(change) {
+        this.#identity = create(ReplicaIdentitySchema, {
+            ...this.#identity,
+            ...change,
+        });
+        const bytes = toBinary(ReplicaIdentitySchema, this.#identity);
+        this.#saving = this.#saving.then(() => this.#folder.replace(IDENTITY_FILE, bytes));
+        await this.#saving;
+    }
+}
+/**
+ * Introduces a replica to the other members until enough of them accept it:
+ * all of the first members, or a majority when it joins a running group.
+ * Throws IDENTITY_LOST when one of them knows another folder under its name.
+ */
+export async function introduceReplica(record, options) {
+    const waiting = new Set(options.addresses);
+    const clients = new Map(options.addresses.map((address) => [
+        address,
+        new RpcClient(address, options.credentials),
+    ]));
+    const isDone = () => options.addresses.length - waiting.size >= options.needed;
+    try {
+        while (!isDone() && !options.isStopping()) {
+            const answers = await Promise.all([...waiting].map(async (address) => ({
+                address,
+                accepted: await tryIntroduce(clients.get(address), record),
+            })));
+            if (answers.some((answer) => answer.accepted === false)) {
+                throw new ServingError(MessageCode.IDENTITY_LOST, {
+                    parameters: {
+                        path: options.folderPath,
+                        replica: record.introduction.id,
+                    },
+                });
+            }
+            answers.filter((answer) => answer.accepted === true)
+                .forEach((answer) => waiting.delete(answer.address));
+            if (!isDone())
+                await options.clock.delay(RETRY_MS);
+        }
+    }
+    finally {
+        clients.forEach((client) => client.close());
+    }
+}
+async function tryIntroduce(client, record) {
+    try {
+        const reply = await client?.call(Replicas.method.introduce, record.introduction, { timeoutMs: CALL_TIMEOUT_MS });
+        return reply?.accepted;
+    }
+    catch {
+        return undefined;
+    }
+}
+//# sourceMappingURL=replica_identity.js.map
--- /dev/null
+++ b/dist/services/spreader.js
@@ -0,0 +1,107 @@
+/**
+ * Spreads news between entries: announcements to the users of a backend
+ * server, suspicions to all, requests to give way to a server's batch owner.
+ * News of one short while goes in one batch.
+ */
+import { create, toBinary } from "@bufbuild/protobuf";
+import { Entries, SpreadBatchSchema, } from "../schema/mod.js";
+import {} from "../sys/clock.js";
+import { MetricName } from "../sys/metrics.js";
+import { RpcClients } from "../sys/rpc.js";
+const FLUSH_MS = 20;
+const CALL_TIMEOUT_MS = 1_000;
+function createOutbox() {
+    return {
+        announcements: new Map(),
+        suspicions: new Map(),
+        yields: new Map(),
+        batchLoads: new Map(),
+    };
+}
+/** Sends news to other entries. */
+export class Spreader {
+    #options;
+    #outboxes = new Map();
+    #clients;
+    #timer;
+    #closed = false;
+    constructor(options) {
+        this.#options = options;
+        this.#clients = new RpcClients(options.credentials);
+    }
+    /** Passes a server's announcement to the other entries that use it. */
+    spreadAnnouncement(announcement) {
+        const users = this.#options.view.getUsers(announcement);
+        this.#getOthers(users).forEach((entry) => this.#getOutbox(entry).announcements.set(announcement.name, announcement));
+    }
+    /** Passes a suspicion to all other entries. */
+    spreadSuspicion(news) {
+        this.#getOthers(this.#options.view.entries).forEach((entry) => this.#getOutbox(entry).suspicions.set(news.fingerprint, news));
+    }
+    /** Tells the other users of owned servers what batch runs there. */
+    spreadBatchLoads(loads) {
+        const { view, entryId } = this.#options;
+        loads.forEach((load) => {
+            const server = view.backends.tryGet(load.backendServer)?.announcement;
+            if (server === undefined)
+                return;
+            if (view.tryGetOwner(server)?.id !== entryId)
+                return;
+            this.#getOthers(view.getUsers(server)).forEach((entry) => this.#getOutbox(entry).batchLoads.set(load.backendServer, load.sequences));
+        });
+    }
+    /** Asks an entry to end batch sequences on a server, without delay. */
+    sendYield(owner, server, count) {
+        const entry = this.#options.view.entries.find((one) => one.id === owner);
+        if (entry === undefined)
+            return;
+        const { yields } = this.#getOutbox(entry);
+        yields.set(server, (yields.get(server) ?? 0) + count);
+        this.#flush(entry.address);
+    }
+    close() {
+        this.#closed = true;
+        this.#timer?.cancel();
+        this.#clients.close();
+    }
+    #getOthers(entries) {
+        return entries.filter((entry) => entry.id !== this.#options.entryId);
+    }
+    #getOutbox(entry) {
+        this.#timer ??= this.#options.clock.startTimer(FLUSH_MS, () => {
+            this.#timer = undefined;
+            [...this.#outboxes.keys()].forEach((address) => this.#flush(address));
+        });
+        const outbox = this.#outboxes.get(entry.address) ?? createOutbox();
+        this.#outboxes.set(entry.address, outbox);
+        return outbox;
+    }
+    #flush(address) {
+        const outbox = this.#outboxes.get(address);
+        this.#outboxes.delete(address);
+        if (outbox === undefined || this.#closed)
+            return;
+        const batch = create(SpreadBatchSchema, toBatch(outbox));
+        batch.from = this.#options.entryId;
+        const { metrics } = this.#options;
+        metrics.count(MetricName.spreadMessages);
+        metrics.count(MetricName.spreadBytes, toBinary(SpreadBatchSchema, batch).length);
+        // News that is lost is replaced by the next of its kind.
+        this.#clients.get(address)
+            .call(Entries.method.spread, batch, { timeoutMs: CALL_TIMEOUT_MS })
+            .catch(() => { });
+    }
+}
+function toBatch(outbox) {
+    const toRow = ([backendServer, sequences]) => ({
+        backendServer,
+        sequences,
+    });
+    return {
+        announcements: [...outbox.announcements.values()],
+        suspicions: [...outbox.suspicions.values()],
+        yields: [...outbox.yields].map(toRow),
+        batchLoads: [...outbox.batchLoads].map(toRow),
+    };
+}
+//# sourceMappingURL=spreader.js.map
--- /dev/null
+++ b/dist/services/standings.js
@@ -0,0 +1,34 @@
+/** Sequences of a server that says nothing of its limit. */
+const DEFAULT_SEQUENCE_LIMIT = 64;
+/** Requests beside each other on a plain service. */
+const SERVICE_SEQUENCE_LIMIT = 1024;
+/** What routing needs to know of a server. */
+export function getStanding(server) {
+    const { own, announcement } = server;
+    return {
+        name: server.name,
+        dataCentre: announcement.dataCentre,
+        models: announcement.models,
+        adapters: announcement.adapters,
+        sequences: own.online + own.batch + server.others,
+        batch: own.batch + Math.min(server.others, server.othersBatch),
+        sequenceTarget: server.sequenceTarget,
+        sequenceLimit: getSequenceLimit(server),
+        setAsideUntilMs: server.setAsideUntilMs,
+        isProbed: server.isProbed,
+        knownSinceMs: server.knownSinceMs,
+    };
+}
+/** Sequences that online requests may fill. */
+export function getSequenceLimit(server) {
+    const { sequenceLimit, models } = server.announcement;
+    if (sequenceLimit > 0)
+        return sequenceLimit;
+    return models.length > 0 ? DEFAULT_SEQUENCE_LIMIT : SERVICE_SEQUENCE_LIMIT;
+}
+/** Whether the server has the model, or does not say. */
+export function isLoaded(server, model) {
+    const { models } = server.announcement;
+    return model === "" || models.length === 0 || models.includes(model);
+}
+//# sourceMappingURL=standings.js.map
--- /dev/null
+++ b/dist/services/state_host.js
@@ -0,0 +1,388 @@
+/**
+ * A state host: replicas of all groups in one process, served to entries and
+ * operators over gRPC.
+ */
+import { create } from "@bufbuild/protobuf";
+import { MemberSchema, MembershipSchema, MessageCode, Replicas, State, } from "../schema/mod.js";
+import { ControlMachine, ItemMachine, Replica, } from "../state/mod.js";
+import { asServingError, getReason, ServingError } from "../sys/errors.js";
+import { DiskFolder } from "../sys/files.js";
+import { MetricName } from "../sys/metrics.js";
+import { createCredentials, RpcServer, } from "../sys/rpc.js";
+import { CONTROL_GROUP, getItemGroups } from "./groups.js";
+import { IdentityRecord, introduceReplica } from "./replica_identity.js";
+import { ReplicaLinks } from "./replica_links.js";
+import { BackendOrders } from "./backend_orders.js";
+import { encodeControlCommand, encodeItemCommand } from "./commands.js";
+import { formatCounts, queryItems } from "./item_queries.js";
+import { Leases } from "./leases.js";
+import { ViewWatchers } from "./view_watchers.js";
+const LEASE_CHECK_MS = 250;
+const EXPIRY_CHECK_MS = 60_000;
+const MS_PER_HOUR = 3_600_000;
+/** A running state host. */
+export class StateHost {
+    #settings;
+    #context;
+    #control = new ControlMachine();
+    #groups = new Map();
+    #watchers = new ViewWatchers(this.#control);
+    #addresses = new Map();
+    #credentials;
+    #entryLeases;
+    #orders;
+    server;
+    #controlReplica;
+    #links;
+    #identity;
+    #leaseTimer;
+    #expiryTimer;
+    #isReady = false;
+    #stopping = false;
+    address = "";
+    /** Called once when a replica can't go on. */
+    onFailure = () => { };
+    constructor(settings, context) {
+        this.#settings = settings;
+        this.#context = context;
+        this.#credentials = createCredentials(settings.tls, context.isCut);
+        this.server = new RpcServer(this.#credentials);
+        this.#entryLeases = new Leases({
+            clock: context.clock,
+            leaseMs: settings.sessionLeaseMs ?? 0,
+        });
+        this.#orders = new BackendOrders({
+            control: this.#control,
+            getLeaseLeftMs: () => this.#controlReplica?.getLeaseLeftMs() ?? 0,
+            electionTimeoutMs: settings.electionTimeoutMs ?? 0,
+            loadConcurrency: settings.loadConcurrency ?? 1,
+            credentials: this.#credentials,
+            clock: context.clock,
+            log: context.log,
+        });
+    }
+    get credentials() {
+        return this.#credentials;
+    }
+    get configuration() {
+        return this.#control.configuration;
+    }
+    /** The host takes part in its groups and knows a leader of each. */
+    get isReady() {
+        return this.#isReady && !this.#stopping &&
+            this.#getReplicas().every((replica) => replica.leader !== "");
+    }
+    /** Opens the port; the real address is known afterwards. */
+    async listen() {
+        this.server.addService(Replicas, {
+            introduce: async (introduction) => ({
+                accepted: await this.#identity?.accept(introduction) ?? false,
+            }),
+            exchange: (onMessage) => onMessage((batch) => batch.messages.forEach((message) => this.#tryGetReplica(message.group)?.receive(message))),
+        });
+        this.server.addService(State, {
+            propose: (req) => this.#propose(req.group, req.commands),
+            query: (req) => Promise.resolve(this.#query(req)),
+            renew: (req) => Promise.resolve(this.#renew(req)),
+            watch: (req, stream) => this.#watchers.serve(req, stream),
+        });
+        const root = await this.#openRoot();
+        this.#identity = await IdentityRecord.open(root, {
+            id: this.#settings.id,
+            random: this.#context.random,
+        });
+        this.address = await this.server.listen(this.#settings.listen ?? "");
+        this.#addresses.set(this.#settings.id, this.address);
+        return this.address;
+    }
+    /** Proves the identity and starts all replicas. */
+    async start() {
+        const members = this.#settings.members.map((peer) => create(MemberSchema, {
+            id: peer.id,
+            address: peer.address,
+            dataCentre: peer.dataCentre,
+        }));
+        members.forEach((member) => this.#addresses.set(member.id, member.address));
+        await this.#proveIdentity(members);
+        if (this.#stopping)
+            return;
+        const links = new ReplicaLinks({
+            credentials: this.#credentials,
+            getAddress: (id) => this.#findAddress(id),
+        });
+        this.#links = links;
+        const root = await this.#openRoot();
+        const firstMembership = create(MembershipSchema, {
+            members: this.#settings.join ? [] : members,
+        });
+        const common = { root, links, firstMembership };
+        this.#controlReplica = await this.#startReplica({
+            ...common,
+            group: CONTROL_GROUP,
+            machine: this.#control,
+        });
+        for (const group of getItemGroups(this.#settings.itemGroups ?? 1)) {
+            const machine = new ItemMachine();
+            const replica = await this.#startReplica({ ...common, group, machine });
+            const leases = new Leases({
+                clock: this.#context.clock,
+                leaseMs: this.#settings.sessionLeaseMs ?? 0,
+            });
+            this.#groups.set(group, { replica, machine, leases });
+        }
+        this.#leaseTimer = this.#context.clock.startInterval(LEASE_CHECK_MS, () => this.#endExpiredSessions());
+        this.#expiryTimer = this.#context.clock.startInterval(EXPIRY_CHECK_MS, () => this.#expireRecords());
+        this.#orders.start();
+        this.#isReady = true;
+    }
+    /** Hands leadership over and stops. */
+    async stop() {
+        if (this.#stopping)
+            return;
+        this.#stopping = true;
+        this.#leaseTimer?.cancel();
+        const replicas = this.#getReplicas();
+        await Promise.all(replicas.map((replica) => replica.transferLeadership()));
+        await this.halt();
+    }
+    /** Ends at once, as a crash would, but for open files. */
+    async halt() {
+        this.#stopping = true;
+        this.#leaseTimer?.cancel();
+        const replicas = this.#getReplicas();
+        await Promise.all(replicas.map((replica) => replica.stop()));
+        this.#expiryTimer?.cancel();
+        this.#orders.close();
+        this.#links?.close();
+        this.server.close();
+    }
+    /** Changes the membership of a group; resolves once it is committed. */
+    changeMember(group, change) {
+        const replica = this.#tryGetReplica(group);
+        if (replica !== undefined)
+            return replica.changeMembership(change);
+        throw new ServingError(MessageCode.MEMBERSHIP_REFUSED, {
+            parameters: { reason: "no such group" },
+        });
+    }
+    /** Address of the leader of a group; empty when unknown. */
+    getLeaderAddress(group) {
+        const replica = this.#tryGetReplica(group);
+        return replica === undefined ? "" : this.#findAddress(replica.leader) ?? "";
+    }
+    getDump() {
+        const dumps = this.#getReplicas().map((one) => one.getDump());
+        const counts = [...this.#groups].map(([group, { machine }]) => ({
+            group,
+            ...formatCounts(machine.getCounts()),
+            sessions: machine.getSessionEpochs().length,
+        }));
+        return {
+            process: "state",
+            id: this.#settings.id,
+            dataCentre: this.#settings.dataCentre,
+            ready: this.isReady,
+            configurationVersion: Number(this.#control.configuration.version),
+            entries: this.#control.entries.length,
+            replicas: dumps,
+            items: counts,
+            backendOrders: this.#orders.getSettled(),
+            metrics: this.#context.metrics.getSums(),
+        };
+    }
+    async #openRoot() {
+        const path = this.#settings.dataFolder;
+        try {
+            return await DiskFolder.open(path);
+        }
+        catch (error) {
+            throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
+                parameters: { path, reason: getReason(error) },
+            });
+        }
+    }
+    async #proveIdentity(members) {
+        const record = this.#identity;
+        if (record === undefined || record.isConfirmed)
+            return;
+        const others = members.filter((member) => member.id !== this.#settings.id);
+        const majority = Math.floor(others.length / 2) + 1;
+        await introduceReplica(record, {
+            addresses: others.map((member) => member.address),
+            needed: this.#settings.join ? majority : others.length,
+            credentials: this.#credentials,
+            clock: this.#context.clock,
+            isStopping: () => this.#stopping,
+            folderPath: this.#settings.dataFolder,
+        });
+        if (!this.#stopping)
+            await record.confirm();
+    }
+    async #startReplica(options) {
+        const { clock, random, log, metrics } = this.#context;
+        const replica = new Replica({
+            id: this.#settings.id,
+            group: options.group,
+            folder: await options.root.openFolder(`group-${options.group}`),
+            machine: options.machine,
+            transport: options.links,
+            firstMembership: options.firstMembership,
+            clock,
+            random,
+            log,
+            metrics,
+            timing: {
+                heartbeatMs: this.#settings.heartbeatMs ?? 0,
+                electionTimeoutMs: this.#settings.electionTimeoutMs ?? 0,
+            },
+            snapshotBytes: this.#settings.snapshotBytes,
+            onFailure: (error) => this.onFailure(error),
+            onApplied: options.group === CONTROL_GROUP
+                ? () => this.#watchers.notifyAll()
+                : undefined,
+        });
+        await replica.start();
+        return replica;
+    }
+    #getReplicas() {
+        const control = this.#controlReplica === undefined
+            ? []
+            : [this.#controlReplica];
+        const items = [...this.#groups.values()].map((group) => group.replica);
+        return [...control, ...items];
+    }
+    #tryGetReplica(group) {
+        return group === CONTROL_GROUP
+            ? this.#controlReplica
+            : this.#groups.get(group)?.replica;
+    }
+    #findAddress(id) {
+        const members = this.#getReplicas().flatMap((replica) => replica.membership.members);
+        return members.find((member) => member.id === id)?.address ??
+            this.#addresses.get(id);
+    }
+    async #propose(group, commands) {
+        const replica = this.#tryGetReplica(group);
+        if (replica === undefined)
+            return this.#createNotLeader(group);
+        try {
+            const replies = commands.map((command) => replica.propose(command));
+            return { replies: await Promise.all(replies) };
+        }
+        catch (error) {
+            const failure = asServingError(error);
+            return {
+                code: failure.code,
+                detail: failure.message,
+                leader: this.getLeaderAddress(group),
+            };
+        }
+    }
+    #createNotLeader(group) {
+        return {
+            code: MessageCode.NOT_LEADER,
+            leader: this.getLeaderAddress(group),
+        };
+    }
+    #query(req) {
+        const { query } = req;
+        const replica = this.#tryGetReplica(req.group);
+        if (replica === undefined || !replica.canRead()) {
+            return this.#createNotLeader(req.group);
+        }
+        if (query.case === "configuration") {
+            return { configuration: this.#control.configuration };
+        }
+        const machine = this.#groups.get(req.group)?.machine;
+        return machine === undefined ? {} : queryItems(machine, req);
+    }
+    #renew(req) {
+        if (req.group === CONTROL_GROUP)
+            return this.#renewEntry(req.entry);
+        const group = this.#groups.get(req.group);
+        if (group === undefined || !group.replica.canRead()) {
+            return this.#createNotLeader(req.group);
+        }
+        const epoch = Number(req.epoch);
+        if (!group.machine.isSessionOpen(epoch)) {
+            return { code: MessageCode.STALE_EPOCH };
+        }
+        group.leases.renew(epoch);
+        return {
+            cancelledJobs: group.machine.getCancelledJobs(req.jobIds),
+            waiting: group.machine.getWaiting(),
+        };
+    }
+    #renewEntry(entry) {
+        if (this.#controlReplica?.canRead() !== true) {
+            return this.#createNotLeader(CONTROL_GROUP);
+        }
+        this.#entryLeases.renew(entry);
+        const isKnown = this.#control.entries.some((one) => one.id === entry);
+        return { code: isKnown ? 0 : MessageCode.STALE_EPOCH };
+    }
+    /** Takes entries that fell silent out of the fleet. */
+    #removeSilentEntries() {
+        const replica = this.#controlReplica;
+        const ids = this.#control.entries.map((entry) => entry.id);
+        this.#entryLeases.getExpired(replica?.canRead() === true, ids)
+            .forEach((id) => {
+            const command = encodeControlCommand({
+                case: "removeEntry",
+                value: id,
+            });
+            replica?.propose(command).catch(() => { });
+        });
+    }
+    /** Cancels what is left of all jobs once the fleet's dissolution is due. */
+    #cancelAtDissolution() {
+        const { dissolution } = this.#control.configuration;
+        const isDue = dissolution !== undefined &&
+            this.#context.clock.getWallMs() >= Number(dissolution.deadlineMs);
+        if (!isDue)
+            return;
+        this.#groups.forEach(({ replica, machine }) => {
+            if (!replica.canRead())
+                return;
+            machine.getCancellableJobIds().forEach((jobId) => {
+                const command = encodeItemCommand({
+                    case: "cancelJob",
+                    value: { jobId },
+                });
+                replica.propose(command).catch(() => { });
+            });
+        });
+    }
+    /** Removes what ended longer ago than the settings keep. */
+    #expireRecords() {
+        const hours = this.#settings.retentionHours ?? 0;
+        if (hours === 0)
+            return;
+        const beforeMs = this.#context.clock.getWallMs() - hours * MS_PER_HOUR;
+        const command = encodeItemCommand({
+            case: "expire",
+            value: { beforeMs: BigInt(Math.floor(beforeMs)) },
+        });
+        this.#groups.forEach(({ replica, machine }) => {
+            const isDue = replica.canRead() && machine.hasExpired(beforeMs);
+            if (isDue)
+                replica.propose(command).catch(() => { });
+        });
+    }
+    #endExpiredSessions() {
+        this.#removeSilentEntries();
+        this.#cancelAtDissolution();
+        this.#groups.forEach(({ replica, machine, leases }) => {
+            const epochs = machine.getSessionEpochs();
+            leases.getExpired(replica.canRead(), epochs).forEach((epoch) => {
+                this.#context.metrics.count(MetricName.sessionsEnded);
+                const command = encodeItemCommand({
+                    case: "endSession",
+                    value: { epoch: BigInt(epoch) },
+                });
+                replica.propose(command).catch(() => { });
+            });
+        });
+    }
+}
+//# sourceMappingURL=state_host.js.map
--- /dev/null
+++ b/dist/services/suspect_lanes.js
@@ -0,0 +1,71 @@
+import { Entries } from "../schema/mod.js";
+import { RpcClients } from "../sys/rpc.js";
+const CALL_TIMEOUT_MS = 500;
+/** Longest time that a lane is held without a release, in milliseconds. */
+const MAX_LEASE_MS = 10 * 60_000;
+/** Lanes that this entry owns, and those that it asks others for. */
+export class SuspectLanes {
+    #options;
+    #lanes = new Map();
+    #clients;
+    constructor(options) {
+        this.#options = options;
+        this.#clients = new RpcClients(options.credentials);
+    }
+    /** Grants the lane of an owned server unless another holds it. */
+    grant(server, holder, leaseMs) {
+        const nowMs = this.#options.clock.getMonotonicMs();
+        const lane = this.#lanes.get(server);
+        const isHeld = lane !== undefined && nowMs < lane.endMs &&
+            lane.holder !== holder;
+        if (isHeld)
+            return false;
+        const endMs = nowMs + Math.min(leaseMs, MAX_LEASE_MS);
+        this.#lanes.set(server, { holder, endMs });
+        return true;
+    }
+    /** Takes a lane back from its holder. */
+    end(server, holder) {
+        if (this.#lanes.get(server)?.holder === holder)
+            this.#lanes.delete(server);
+    }
+    /** Holds the lane of a server that this entry owns. */
+    tryHoldOwn(server) {
+        const holder = this.#options.random.createId();
+        return this.grant(server, holder, MAX_LEASE_MS)
+            ? () => this.end(server, holder)
+            : undefined;
+    }
+    /** Holds the lane of any server by asking its owner. */
+    async tryHold(server, leaseMs) {
+        const { view, entryId, random } = this.#options;
+        const owner = view.tryGetOwner(server.announcement);
+        if (owner === undefined || owner.id === entryId) {
+            return this.tryHoldOwn(server.name);
+        }
+        const client = this.#clients.get(owner.address);
+        const request = {
+            backendServer: server.name,
+            holder: random.createId(),
+            leaseMs: Math.ceil(Math.min(leaseMs, MAX_LEASE_MS)),
+        };
+        const options = { timeoutMs: CALL_TIMEOUT_MS };
+        const release = () => {
+            client.call(Entries.method.releaseLane, request, options)
+                .catch(() => { });
+        };
+        try {
+            const { granted } = await client.call(Entries.method.holdLane, request, options);
+            return granted ? release : undefined;
+        }
+        catch {
+            // The grant may have been lost on its way.
+            release();
+            return undefined;
+        }
+    }
+    close() {
+        this.#clients.close();
+    }
+}
+//# sourceMappingURL=suspect_lanes.js.map
