--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -38,17 +38,35 @@
   };
 }
 
+/** Time for which an idle connection of a caller is kept by default. */
+const DEFAULT_IDLE_MS = 30_000;
+
+/** How a server is opened. */
+export interface ListenOptions {
+  readonly headerBytes?: number;
+  readonly onHeadersTooLarge?: string;
+  /** Bounds that are in force now; undefined for the defaults. */
+  readonly getBounds?: () => { readonly idleTimeoutMs: number } | undefined;
+}
+
 /** Opens a server; a busy port is PORT_BUSY. */
 export function listenHttp(
   address: string,
   handler: HttpHandler,
-  options: { headerBytes?: number; onHeadersTooLarge?: string } = {},
+  options: ListenOptions = {},
 ): Promise<HttpListener> {
+  const { getBounds } = options;
   const server = http.createServer({
     maxHeaderSize: options.headerBytes,
-    keepAliveTimeout: 30_000,
+    keepAliveTimeout: DEFAULT_IDLE_MS,
     requestTimeout: 0,
-  }, handler);
+  }, (req, res) => {
+    // Bounds may change while connections are open; each answer tells the
+    // caller the time for which its connection is kept.
+    const idleMs = getBounds?.()?.idleTimeoutMs ?? 0;
+    if (idleMs > 0) server.keepAliveTimeout = idleMs;
+    handler(req, res);
+  });
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
     const answer = error.code === "HPE_HEADER_OVERFLOW"
       ? options.onHeadersTooLarge
@@ -100,10 +118,13 @@
   readonly address: string;
   readonly method: string;
   readonly path: string;
-  readonly headers?: http.OutgoingHttpHeaders;
+  /** As a record, or as names and values in turn to send as they are. */
+  readonly headers?: http.OutgoingHttpHeaders | readonly string[];
   readonly body?: Uint8Array | string;
   /** Use a connection of its own, so that a refused one is truly not run. */
   readonly isFresh?: boolean;
+  /** Connections to use; all senders share others by default. */
+  readonly agent?: HttpAgent;
   /** Longest wait for the head of the answer, in milliseconds. */
   readonly headTimeoutMs?: number;
   readonly signal?: AbortSignal;
@@ -143,6 +164,19 @@
   timeout: 60_000,
 });
 
+/** Connections that are kept for a while after their last answer. */
+export type HttpAgent = http.Agent;
+
+/** Creates an agent whose idle connections are closed after `idleMs`. */
+export function createHttpAgent(options: { idleMs: number }): HttpAgent {
+  return new http.Agent({
+    keepAlive: true,
+    maxSockets: Infinity,
+    scheduling: "lifo",
+    timeout: options.idleMs,
+  });
+}
+
 /** Sends a request and resolves with the head of its answer. */
 export function sendHttp(call: HttpCall): Promise<HttpAnswer> {
   const { host, port } = parseAddress(call.address);
@@ -154,8 +188,8 @@
       port,
       method: call.method,
       path: call.path,
-      headers: call.headers,
-      agent: call.isFresh === true ? false : sharedAgent,
+      headers: call.headers as http.OutgoingHttpHeaders,
+      agent: call.isFresh === true ? false : call.agent ?? sharedAgent,
       signal: call.signal,
     });
     const giveUp = () => {
@@ -238,6 +272,25 @@
   "upgrade",
 ]);
 
+/** Raw headers, names and values in turn, without those of the connection. */
+export function removeRawHopHeaders(
+  raw: readonly string[],
+  also: ReadonlySet<string> = new Set(),
+): string[] {
+  const rows = raw.flatMap((name, index) =>
+    index % 2 === 0 ? [{ name, value: raw[index + 1] ?? "" }] : []
+  );
+  const named = new Set(
+    rows.filter(({ name }) => name.toLowerCase() === "connection")
+      .flatMap(({ value }) => value.split(","))
+      .map((name) => name.trim().toLowerCase()),
+  );
+  return rows.filter(({ name }) => {
+    const lower = name.toLowerCase();
+    return !HOP_HEADERS.has(lower) && !named.has(lower) && !also.has(lower);
+  }).flatMap(({ name, value }) => [name, value]);
+}
+
 /** Headers without those of the connection. */
 export function removeHopHeaders(
   headers: http.IncomingHttpHeaders,
--- a/src/sys/rpc_client.ts
+++ b/src/sys/rpc_client.ts
@@ -57,18 +57,16 @@
 
 /** A connection to one process. */
 export class RpcClient {
-  readonly #client: grpc.Client;
+  readonly #credentials: RpcCredentials;
   readonly #isCut: () => boolean;
   readonly address: string;
+  #client: grpc.Client;
 
   constructor(address: string, credentials: RpcCredentials) {
     this.address = address;
+    this.#credentials = credentials;
     this.#isCut = () => credentials.isCut(address);
-    this.#client = new grpc.Client(
-      address,
-      credentials.client,
-      CHANNEL_OPTIONS,
-    );
+    this.#client = this.#connect();
   }
 
   /**
@@ -83,8 +81,9 @@
     const definition = createDefinition(method);
     const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
     if (this.#isCut()) return rejectAfter(timeoutMs);
+    const client = this.#client;
     return new Promise((resolve, reject) => {
-      this.#client.makeUnaryRequest(
+      client.makeUnaryRequest(
         definition.path,
         definition.requestSerialize,
         definition.responseDeserialize as (bytes: Buffer) => MessageShape<O>,
@@ -92,6 +91,9 @@
         new grpc.Metadata(),
         { deadline: new Date(Date.now() + timeoutMs) },
         (error, reply) => {
+          if (error?.code === grpc.status.DEADLINE_EXCEEDED) {
+            this.#replaceSilent(client);
+          }
           if (error !== null) reject(fromStatus(error));
           else resolve(reply as MessageShape<O>);
         },
@@ -158,6 +160,25 @@
   close(): void {
     this.#client.close();
   }
+
+  #connect(): grpc.Client {
+    return new grpc.Client(
+      this.address,
+      this.#credentials.client,
+      CHANNEL_OPTIONS,
+    );
+  }
+
+  /**
+   * A connection can die without a reset, and then looks like a slow process:
+   * the next call goes over a new one. Calls that are open on the old one end
+   * by their own deadlines.
+   */
+  #replaceSilent(client: grpc.Client): void {
+    if (this.#client !== client) return;
+    this.#client = this.#connect();
+    client.close();
+  }
 }
 
 /** What a caller sees when messages vanish: nothing until its time is over. */
