Tests of the fleet on the platform; retirement, reload, a doubtful server

Found by them and mended: a group that had replaced a silent voter kept one voter too many when that came back (seed 71 of 10 hosts, 2 lost); a gateway halted twice threw; a service whose servers had all failed within half a second was refused as if it had none.

Grown: store hosts can be taken out of service and are done once the group's committed members are without them; SIGHUP and a changed settings file are read again (Node's default would have ended the process); seeds may change.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -3,7 +3,11 @@
  * and end with the exit code of the message table.
  */
 import { readFileSync } from "node:fs";
-import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
+import {
+  type DescMessage,
+  type MessageShape,
+  toJson,
+} from "@bufbuild/protobuf";
 import { Command } from "commander";
 import { MessageCode } from "../schema/mod.ts";
 import { createProcessContext, type ProcessContext } from "../services/mod.ts";
@@ -59,10 +63,15 @@
   start(): Promise<Record<string, string>>;
   /** Stops without cutting off a request. */
   stop(): Promise<void>;
+  /** Takes over settings that may change while it runs. */
+  reload?(settings: unknown): void;
   /** Called by the host when it can't go on. */
   onFailure?: (error: unknown) => void;
 }
 
+/** Time between two looks at the settings file, in milliseconds. */
+const SETTINGS_LOOK_MS = 5_000;
+
 /** Settings that both daemons have. */
 interface CommonSettings {
   readonly id: string;
@@ -94,8 +103,9 @@
   });
   program.parse();
   try {
-    const settings = readSettings(options.schema, program.args[0] ?? "");
-    await serve(options, settings);
+    const path = program.args[0] ?? "";
+    const settings = readSettings(options.schema, path);
+    await serve({ ...options, path }, settings);
   } catch (error) {
     process.stderr.write(`${formatFailure(error)}\n`);
     process.exit(asServingError(error).exitCode);
@@ -118,9 +128,47 @@
     );
 }
 
+/**
+ * Reads the settings again at SIGHUP and when the file has changed. Settings
+ * with a fault change nothing.
+ */
+function watchSettings<S extends DescMessage>(options: {
+  schema: S;
+  path: string;
+  host: DaemonHost;
+  context: ProcessContext;
+}): void {
+  const { log, clock } = options.context;
+  let current = JSON.stringify(
+    toJson(options.schema, readSettings(options.schema, options.path)),
+  );
+  const reload = (cause: string) => {
+    try {
+      const settings = readSettings(options.schema, options.path);
+      const text = JSON.stringify(toJson(options.schema, settings));
+      if (text === current) return;
+      current = text;
+      options.host.reload?.(settings);
+      log.info("settings_reloaded", { cause });
+    } catch (error) {
+      log.warn("settings_not_reloaded", {
+        cause,
+        reason: formatFailure(error),
+      });
+    }
+  };
+  process.on("SIGHUP", () => {
+    log.info("signal", { signal: "SIGHUP" });
+    reload("signal");
+  });
+  clock.startInterval(SETTINGS_LOOK_MS, () => reload("changed"));
+}
+
 async function serve<S extends DescMessage>(
   options: {
     name: string;
+    schema: S;
+    path: string;
     createHost: (
       settings: MessageShape<S>,
       context: ProcessContext,
@@ -150,6 +198,7 @@
   };
   process.once("SIGTERM", stop);
   process.once("SIGINT", stop);
+  watchSettings({ ...options, host, context });
   const fields = await host.start();
   warnOfPlainConnections(log, common, fields);
   log.info("ready", fields);
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -3,9 +3,14 @@
  * servers, and the streams by which every other process follows both.
  */
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { selectFirstMembers, tryFindRouteFault } from "../policy/mod.ts";
+import {
+  getWantedVoters,
+  selectFirstMembers,
+  tryFindRouteFault,
+} from "../policy/mod.ts";
 import {
   Fleet,
+  type FleetReply,
   FleetReplySchema,
   type FleetSettings,
   HostRole,
@@ -56,19 +61,24 @@
   readonly #settings: FleetSettings;
   readonly #context: ProcessContext;
   readonly #process: StateProcess;
-  readonly #machine = new FleetMachine();
+  readonly #machine: FleetMachine;
   readonly #hub: RegistrationHub;
   readonly #client: StateClient;
   #member: GroupMember | undefined;
   #formTimer: Timer | undefined;
   #storesSeenMs: number | undefined;
+  #seeds: readonly string[];
   #stopping = false;
   /** Called once when the replica can't go on. */
   onFailure: (error: unknown) => void = () => {};
 
   constructor(settings: FleetSettings, context: ProcessContext) {
     this.#settings = settings;
+    this.#seeds = settings.seeds;
     this.#context = context;
+    this.#machine = new FleetMachine({
+      leastStoreHosts: getWantedVoters(settings.lostHosts ?? 0),
+    });
     this.#process = new StateProcess({
       settings,
       context,
@@ -111,6 +121,11 @@
     ).catch((error) => this.onFailure(error));
   }
 
+  /** Takes other addresses of control hosts. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
     if (this.#stopping) return;
@@ -137,7 +152,7 @@
       });
     }
     const command = encodeFleetCommand({ case: "putRoutes", value: table });
-    const version = await this.#proposeFor(command);
+    const { version } = await this.#proposeFor(command);
     this.#context.log.info("routes_committed", {
       version: Number(table.version),
       in_force: Number(version),
@@ -152,7 +167,7 @@
     const { clock } = this.#context;
     const endMs = clock.getMonotonicMs() + OPERATOR_TIMEOUT_MS;
     const command = encodeFleetCommand({ case: "confirmRead", value: true });
-    const version = await this.#proposeFor(command);
+    const { version } = await this.#proposeFor(command);
     while (this.#machine.routes.version < version) {
       if (clock.getMonotonicMs() > endMs) {
         throw new ServingError(MessageCode.STATE_UNREACHABLE, {
@@ -164,6 +179,41 @@
     return this.#machine.routes;
   }
 
+  /**
+   * Takes a store host out of service; its replica moves to another host.
+   *
+   * Throws UNKNOWN_HOST or TOO_FEW_HOSTS (not run), or STATE_UNREACHABLE (may
+   * have run).
+   */
+  async retireHost(name: string): Promise<void> {
+    const command = encodeFleetCommand({ case: "retireHost", value: name });
+    const { code } = await this.#proposeFor(command);
+    this.#context.log.info("host_retires", { host: name, code });
+    if (code === 0) return;
+    throw new ServingError(code, {
+      verdict: Verdict.NOT_RUN,
+      parameters: { host: name },
+    });
+  }
+
+  /**
+   * Whether a host that was taken out of service holds nothing that is needed.
+   * Throws UNKNOWN_HOST when no such host was.
+   */
+  async isRetired(name: string): Promise<boolean> {
+    // The answer "done" takes the host's disk away, so it must be current.
+    await this.readRoutes();
+    const { hosts, retired, storeNow } = this.#machine.hosts;
+    const host = hosts.find((one) => one.name === name);
+    if (host === undefined || !retired.includes(host.id)) {
+      throw new ServingError(MessageCode.UNKNOWN_HOST, {
+        verdict: Verdict.NOT_RUN,
+        parameters: { host: name },
+      });
+    }
+    return storeNow !== undefined && !storeNow.ids.includes(host.id);
+  }
+
   /** Takes what a backend server says of itself. */
   register(registration: Registration): void {
     this.#hub.accept(registration);
@@ -196,20 +246,20 @@
     };
   }
 
-  async #proposeFor(command: Uint8Array): Promise<bigint> {
+  async #proposeFor(command: Uint8Array): Promise<FleetReply> {
     const reply = await this.#client.propose(
       FLEET_GROUP,
       command,
       OPERATOR_TIMEOUT_MS,
     );
-    return fromBinary(FleetReplySchema, reply).version;
+    return fromBinary(FleetReplySchema, reply);
   }
 
   #getControl(): string[] {
     const known = this.#machine.hosts.hosts
       .filter((host) => host.role === HostRole.CONTROL)
       .map((host) => host.address);
-    return [...new Set([...known, ...this.#settings.seeds])];
+    return [...new Set([...known, ...this.#seeds])];
   }
 
   /**
--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -48,10 +48,18 @@
   readonly #options: FleetFollowerOptions;
   readonly #followed = new Set<string>();
   readonly #lost = new Set<string>();
+  #seeds: readonly string[];
   #closed = false;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
+    this.#seeds = options.seeds;
+  }
+
+  /** Takes other addresses to begin with. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+    this.#followAll();
   }
 
   start(): void {
@@ -68,10 +76,9 @@
    * while fewer than those have registered.
    */
   getAddresses(): string[] {
-    const { view, seeds } = this.#options;
-    const known = view.getAddresses(HostRole.CONTROL);
-    return known.length < seeds.length
-      ? [...new Set([...known, ...seeds])]
+    const known = this.#options.view.getAddresses(HostRole.CONTROL);
+    return known.length < this.#seeds.length
+      ? [...new Set([...known, ...this.#seeds])]
       : known;
   }
 
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -161,6 +161,11 @@
     );
   }
 
+  /** Takes other addresses of control hosts. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#follower.setSeeds(seeds);
+  }
+
   /** Stops without cutting off a request, within the time that is set. */
   async stop(): Promise<void> {
     if (this.#stopping) return;
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -14,16 +14,19 @@
   type ReadBodyRequest,
   type ReadJobRequest,
   type RecordRuns,
+  StoreMembersSchema,
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/process_context.ts";
 import type { StateClient } from "../services/state_client.ts";
 import { JobMachine, type QueuedJob } from "../state/mod.ts";
+import type { Timer } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
 import { createHttpAgent } from "../sys/http.ts";
 import { BackendCaller } from "./backend_call.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
 import { FleetFollower } from "./fleet_follower.ts";
-import { STORE_GROUP } from "./groups.ts";
+import { FLEET_GROUP, STORE_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
 import {
   createFirstMembers,
@@ -35,11 +38,14 @@
 import { LoadExchange } from "./load_exchange.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
-import { StateProcess } from "./state_process.ts";
+import { encodeFleetCommand, StateProcess } from "./state_process.ts";
 
 /** Idle time of connections to backend servers, in milliseconds. */
 const BACKEND_IDLE_MS = 4_000;
 
+/** Time between two looks at whether the members are known, in milliseconds. */
+const REPORT_INTERVAL_MS = 250;
+
 /** Most bytes of results in one page, half of what callers may get. */
 const MAX_PAGE_BYTES = 512 * 1024;
 
@@ -57,6 +63,8 @@
   readonly #client: StateClient;
   readonly #readers = new Set<() => void>();
   #member: GroupMember | undefined;
+  #reportTimer: Timer | undefined;
+  #isReporting = false;
   #stopping = false;
   /** Called once when the replica can't go on. */
   onFailure: (error: unknown) => void = () => {};
@@ -142,18 +150,28 @@
     this.#follower.start();
     await this.#exchange.start();
     this.#runner.start();
+    this.#reportTimer = this.#context.clock.startInterval(
+      REPORT_INTERVAL_MS,
+      () => this.#reportMembers(),
+    );
     const known = await tryReadFirstMembers(folder);
     if (known !== undefined) await this.#startMember(folder, id, known);
     this.#join(folder, id, known !== undefined)
       .catch((error) => this.onFailure(error));
   }
 
+  /** Takes other addresses of control hosts. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#follower.setSeeds(seeds);
+  }
+
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
     this.#runner.close();
     await this.#member?.stop();
+    this.#reportTimer?.cancel();
     this.#exchange.close();
     this.#follower.close();
     this.#client.close();
@@ -226,6 +244,7 @@
       credentials: this.#process.credentials,
       getHosts: () =>
         this.#view.hosts.hosts.filter((host) => host.role === HostRole.STORE),
+      getRetired: () => new Set(this.#view.hosts.retired),
       onApplied: () => this.#wakeReaders(),
       onFailure: (error) => this.onFailure(error),
     });
@@ -272,6 +291,35 @@
       : { body: item.body };
   }
 
+  /** Tells the fleet who is a member now, when it knows otherwise. */
+  #reportMembers(): void {
+    const replica = this.#member?.replica;
+    if (replica?.canServe() !== true || this.#isReporting) return;
+    const settled = replica.tryGetSettledMembers();
+    if (settled === undefined) return;
+    const ids = settled.members.map((member) => member.id).sort();
+    const known = this.#view.hosts.storeNow?.ids ?? [];
+    if (ids.join() === [...known].sort().join()) return;
+    const command = encodeFleetCommand({
+      case: "reportStore",
+      value: create(StoreMembersSchema, {
+        ids,
+        term: BigInt(replica.term),
+        index: BigInt(replica.getDump().commitIndex),
+      }),
+    });
+    this.#isReporting = true;
+    this.#client.propose(FLEET_GROUP, command)
+      .catch((error) =>
+        this.#context.log.warn("members_not_reported", {
+          reason: getReason(error),
+        })
+      )
+      .finally(() => {
+        this.#isReporting = false;
+      });
+  }
+
   #redirect() {
     return {
       code: MessageCode.NOT_LEADER,
--- a/src/membership/server_book.ts
+++ b/src/membership/server_book.ts
@@ -101,16 +101,20 @@
     return [...this.#servers.values()].map((known) => known.registration);
   }
 
-  /** Servers of a service that take new requests. */
+  /**
+   * Servers of a service that take new requests. Those that failed lately are
+   * left out as long as others remain: a doubtful server is better than none.
+   */
   getUsable(service: string, nowMs: number): Registration[] {
-    return [...this.#servers.values()]
-      .filter((known) =>
-        known.registration.service === service &&
-        known.registration.state === ServerState.READY &&
-        !known.isMisplaced && known.avoidUntilMs <= nowMs &&
-        !this.#isSilent(known)
-      )
-      .map((known) => known.registration);
+    const ready = [...this.#servers.values()].filter((known) =>
+      known.registration.service === service &&
+      known.registration.state === ServerState.READY &&
+      !known.isMisplaced && !this.#isSilent(known)
+    );
+    const sound = ready.filter((known) => known.avoidUntilMs <= nowMs);
+    return (sound.length > 0 ? sound : ready).map((known) =>
+      known.registration
+    );
   }
 
   /** Silence counts only while control hosts are heard themselves. */
--- a/src/policy/membership_plan.ts
+++ b/src/policy/membership_plan.ts
@@ -50,10 +50,11 @@
   const lost = voters.filter((one) => isLost(facts, one));
   const sound = voters.length - lost.length;
   const wanted = getWantedVoters(facts.lostHosts);
-  const excess = lost[0];
-  if (excess !== undefined && voters.length > wanted) {
-    return { kind: "remove", id: excess.member.id };
-  }
+  // A member that was replaced while it was away may have come back.
+  const excess = voters.length > wanted
+    ? lost[0] ?? getMostCrowded(facts, voters)
+    : undefined;
+  if (excess !== undefined) return { kind: "remove", id: excess.member.id };
   const standBy = sound < wanted ? tryFindStandBy(facts) : undefined;
   if (standBy !== undefined) return { kind: "add", host: standBy };
   // Without a stand-by a superseded member only raises the quorum: its new
@@ -86,15 +87,32 @@
   );
 }
 
+/** First members may not know where they stand; their host records do. */
+function getCentre(facts: PlanFacts, member: Member): string {
+  return facts.hosts.find((host) => host.id === member.id)?.dataCentre ??
+    member.dataCentre;
+}
+
+/** A voter of the data centre with the most; the leader, if need be, last. */
+function getMostCrowded(
+  facts: PlanFacts,
+  voters: readonly MemberHealth[],
+): MemberHealth | undefined {
+  const countBeside = (one: MemberHealth) =>
+    voters.filter((other) =>
+      getCentre(facts, other.member) === getCentre(facts, one.member)
+    ).length;
+  return [...voters].sort((a, b) =>
+    countBeside(b) - countBeside(a) || b.silentMs - a.silentMs
+  )[0];
+}
+
 /** A host to add: from the data centre with the fewest sound voters. */
 function tryFindStandBy(facts: PlanFacts): HostRecord | undefined {
   const taken = new Set(facts.members.map((one) => one.member.id));
   const sound = facts.members.filter((one) => !isLost(facts, one));
-  const getCentre = (member: Member) =>
-    facts.hosts.find((host) => host.id === member.id)?.dataCentre ??
-      member.dataCentre;
   const countIn = (dataCentre: string) =>
-    sound.filter((one) => getCentre(one.member) === dataCentre).length;
+    sound.filter((one) => getCentre(facts, one.member) === dataCentre).length;
   return facts.hosts
     .filter((host) => !taken.has(host.id) && !facts.retired.has(host.id))
     .sort((a, b) =>
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -182,6 +182,14 @@
     return this.#core?.membership ?? this.#options.firstMembership;
   }
 
+  /** The membership once its newest change is committed; undefined before. */
+  tryGetSettledMembers(): Membership | undefined {
+    const core = this.#core;
+    return core !== undefined && core.membershipIndex <= core.commitIndex
+      ? core.membership
+      : undefined;
+  }
+
   get term(): number {
     return this.#core?.term ?? 0;
   }
--- a/src/state/machines/fleet_machine.ts
+++ b/src/state/machines/fleet_machine.ts
@@ -12,16 +12,31 @@
   HostListSchema,
   type HostRecord,
   HostRecordSchema,
+  HostRole,
+  MessageCode,
   type RouteTable,
   RouteTableSchema,
+  type StoreMembers,
 } from "../../schema/mod.ts";
 import { type CommandContext, StateMachine } from "./state_machine.ts";
 
+/** How a {@linkcode FleetMachine} is made; equal on all replicas. */
+export interface FleetMachineOptions {
+  /** Store hosts that must remain when one is taken out of service. */
+  readonly leastStoreHosts?: number;
+}
+
 /** The fleet group's state. */
 export class FleetMachine extends StateMachine {
+  readonly #leastStoreHosts: number;
   #routes: RouteTable = create(RouteTableSchema);
   #hosts: HostList = create(HostListSchema);
 
+  constructor(options: FleetMachineOptions = {}) {
+    super();
+    this.#leastStoreHosts = options.leastStoreHosts ?? 1;
+  }
+
   /** The routes in force; version 0 before the first. */
   get routes(): RouteTable {
     return this.#routes;
@@ -33,6 +48,7 @@
 
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(FleetCommandSchema, command);
+    let code = 0;
     switch (body.case) {
       case "putRoutes":
         if (body.value.version > this.#routes.version) {
@@ -45,13 +61,19 @@
       case "formStore":
         this.#formStore(body.value.ids);
         break;
+      case "retireHost":
+        code = this.#retireHost(body.value);
+        break;
+      case "reportStore":
+        this.#reportStore(body.value);
+        break;
       default:
         // A confirmed read changes nothing: its commit is the confirmation.
         break;
     }
     return toBinary(
       FleetReplySchema,
-      create(FleetReplySchema, { version: this.#routes.version }),
+      create(FleetReplySchema, { version: this.#routes.version, code }),
     );
   }
 
@@ -90,9 +112,33 @@
     this.#changeHosts({ storeMembers: [...ids] });
   }
 
-  #changeHosts(
-    change: { hosts?: HostRecord[]; storeMembers?: string[] },
-  ): void {
+  /** Takes a store host out of service; again changes nothing. */
+  #retireHost(name: string): MessageCode | 0 {
+    const stores = this.#hosts.hosts.filter((host) =>
+      host.role === HostRole.STORE
+    );
+    const host = stores.find((one) => one.name === name);
+    if (host === undefined) return MessageCode.UNKNOWN_HOST;
+    const { retired } = this.#hosts;
+    if (retired.includes(host.id)) return 0;
+    const remaining = stores.filter((one) =>
+      one.id !== host.id && !retired.includes(one.id)
+    );
+    if (remaining.length < this.#leastStoreHosts) {
+      return MessageCode.TOO_FEW_HOSTS;
+    }
+    this.#changeHosts({ retired: [...retired, host.id] });
+    return 0;
+  }
+
+  #reportStore(report: StoreMembers): void {
+    const known = this.#hosts.storeNow;
+    const isOld = known !== undefined && (report.term < known.term ||
+      (report.term === known.term && report.index <= known.index));
+    if (!isOld) this.#changeHosts({ storeNow: report });
+  }
+
+  #changeHosts(change: Partial<Omit<HostList, "$typeName">>): void {
     this.#hosts = create(HostListSchema, {
       ...this.#hosts,
       ...change,
--- a/src/sys/datagrams.ts
+++ b/src/sys/datagrams.ts
@@ -54,8 +54,8 @@
       socket.send(bytes, target.port, target.host, () => {});
     },
     close: () => {
+      if (isOpen) socket.close();
       isOpen = false;
-      socket.close();
     },
   };
 }
--- /dev/null
+++ b/src/test/membership_plan_test.ts
@@ -0,0 +1,225 @@
+/** Groups that heal themselves, through seeds of overlapping losses. */
+import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import {
+  getWantedVoters,
+  type MemberHealth,
+  type PlannedChange,
+  selectFirstMembers,
+  tryPlanChange,
+} from "../policy/mod.ts";
+import {
+  type HostRecord,
+  HostRecordSchema,
+  HostRole,
+  type Member,
+  MemberSchema,
+} from "../schema/mod.ts";
+import { SeededRandom } from "../sys/random.ts";
+
+const REPLACE_AFTER_MS = 6_000;
+const LEARN_MS = 5_000;
+
+interface SimulatedHost {
+  address: string;
+  dataCentre: string;
+  /** Life of its disk; rises when the disk is lost. */
+  disk: number;
+  isUp: boolean;
+  downSinceMs: number;
+}
+
+/** A group whose leader makes one planned change a step. */
+class SimulatedGroup {
+  readonly hosts: SimulatedHost[];
+  readonly lostHosts: number;
+  readonly retired = new Set<string>();
+  members: Member[];
+  nowMs = 0;
+
+  constructor(hostCount: number, lostHosts: number) {
+    this.lostHosts = lostHosts;
+    this.hosts = Array.from({ length: hostCount }, (_, index) => ({
+      address: `h${index}:1`,
+      dataCentre: `dc${index % 4}`,
+      disk: 0,
+      isUp: true,
+      downSinceMs: 0,
+    }));
+    this.members = selectFirstMembers(this.getRecords(), lostHosts).map((
+      host,
+    ) => create(MemberSchema, { ...host, $typeName: undefined } as object));
+  }
+
+  getRecords(): HostRecord[] {
+    return this.hosts.map((host, index) =>
+      create(HostRecordSchema, {
+        id: `${host.address}/${host.disk}`,
+        role: HostRole.STORE,
+        address: host.address,
+        dataCentre: host.dataCentre,
+        index: BigInt(index),
+      })
+    );
+  }
+
+  /** Voters that run on the disk under which they vote. */
+  getSound(): Member[] {
+    return this.members.filter((member) =>
+      !member.learner && this.getSilentMs(member) === 0
+    );
+  }
+
+  get voters(): Member[] {
+    return this.members.filter((member) => !member.learner);
+  }
+
+  hasQuorum(): boolean {
+    return this.getSound().length > this.voters.length / 2;
+  }
+
+  getSilentMs(member: Member): number {
+    const host = this.hosts.find((one) => one.address === member.address);
+    const isSame = host !== undefined &&
+      member.id === `${host.address}/${host.disk}`;
+    if (isSame && host.isUp) return 0;
+    return this.nowMs - (host?.downSinceMs ?? 0);
+  }
+
+  step(): PlannedChange | undefined {
+    this.nowMs += 250;
+    if (!this.hasQuorum()) return undefined;
+    const health: MemberHealth[] = this.members.map((member) => ({
+      member,
+      silentMs: this.getSilentMs(member),
+      isCurrent: this.getSilentMs(member) === 0,
+    }));
+    const change = tryPlanChange({
+      members: health,
+      hosts: this.getRecords(),
+      retired: this.retired,
+      lostHosts: this.lostHosts,
+      replaceAfterMs: REPLACE_AFTER_MS,
+      learnMs: LEARN_MS,
+    });
+    if (change !== undefined) this.#make(change);
+    return change;
+  }
+
+  run(ms: number): void {
+    for (let passed = 0; passed < ms; passed += 250) this.step();
+  }
+
+  lose(index: number, options: { disk: boolean }): void {
+    const host = this.hosts[index];
+    if (host === undefined) return;
+    host.isUp = false;
+    host.downSinceMs = this.nowMs;
+    if (options.disk) host.disk += 1;
+  }
+
+  recover(index: number): void {
+    const host = this.hosts[index];
+    if (host !== undefined) host.isUp = true;
+  }
+
+  #make(change: PlannedChange): void {
+    const id = change.kind === "add" ? change.host.id : change.id;
+    if (change.kind === "add") {
+      this.members.push(create(MemberSchema, {
+        id,
+        address: change.host.address,
+        dataCentre: change.host.dataCentre,
+        learner: true,
+      }));
+    }
+    if (change.kind === "promote") {
+      this.members.filter((member) => member.id === id)
+        .forEach((member) => member.learner = false);
+    }
+    if (change.kind === "remove") {
+      this.members = this.members.filter((member) => member.id !== id);
+    }
+  }
+}
+
+describe("membership plan", () => {
+  it("founds a group over data centres, with an odd number of voters", () => {
+    const group = new SimulatedGroup(10, 2);
+    expect(group.voters).length(5);
+    const counts = new Map<string, number>();
+    group.voters.forEach(({ dataCentre }) =>
+      counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1)
+    );
+    expect(Math.max(...counts.values())).most(2);
+    expect(selectFirstMembers(group.getRecords().slice(0, 2), 1)).length(1);
+  });
+
+  it("replaces a lost disk at once, the vote only after the catch-up", () => {
+    const group = new SimulatedGroup(3, 1);
+    group.lose(0, { disk: true });
+    group.recover(0);
+    const kinds = Array.from({ length: 4 }, () => group.step()?.kind);
+    expect(kinds).deep.equal(["add", "promote", "remove", undefined]);
+    expect(group.voters.map((member) => member.id)).includes("h0:1/1");
+  });
+
+  it("leaves a host that restarts in its place", () => {
+    const group = new SimulatedGroup(4, 1);
+    const before = group.voters.map((member) => member.id);
+    group.lose(0, { disk: false });
+    group.run(5_000);
+    group.recover(0);
+    group.run(5_000);
+    expect(group.voters.map((member) => member.id)).deep.equal(before);
+  });
+
+  it("empties a host that is taken out of service", () => {
+    const group = new SimulatedGroup(4, 1);
+    const retired = group.voters[0]?.id ?? "";
+    group.retired.add(retired);
+    group.run(3_000);
+    expect(group.members.map((member) => member.id)).not.includes(retired);
+    expect(group.voters).length(3);
+  });
+
+  it("takes away a learner that stays silent and tries another", () => {
+    const group = new SimulatedGroup(5, 1);
+    const spare = group.hosts.findIndex((host) =>
+      group.members.every((member) => member.address !== host.address)
+    );
+    group.lose(spare, { disk: false });
+    group.lose(0, { disk: true });
+    group.run(60_000);
+    expect(group.getSound()).length(3);
+  });
+
+  [{ hosts: 4, lost: 1 }, { hosts: 3, lost: 1 }, { hosts: 10, lost: 2 }]
+    .forEach(({ hosts, lost }) =>
+      it(`keeps a quorum of ${hosts} hosts through losses of ${lost}`, () => {
+        for (let seed = 1; seed <= 200; seed += 1) {
+          const random = new SeededRandom(seed);
+          const group = new SimulatedGroup(hosts, lost);
+          for (let round = 0; round < 8; round += 1) {
+            const victims = new Set(
+              Array.from(
+                { length: lost },
+                () => random.getBelow(group.hosts.length),
+              ),
+            );
+            victims.forEach((victim) =>
+              group.lose(victim, { disk: random.getFraction() < 0.5 })
+            );
+            group.run(random.getBelow(12) * 1_000);
+            expect(group.hasQuorum(), `seed ${seed}`).equal(true);
+            victims.forEach((victim) => group.recover(victim));
+            group.run(20_000);
+            expect(group.getSound(), `seed ${seed}`)
+              .length(getWantedVoters(lost));
+            expect(group.members, `seed ${seed}`)
+              .length(getWantedVoters(lost));
+          }
+        }
+      })
+    );
+});
--- /dev/null
+++ b/src/test/platform_codec_test.ts
@@ -0,0 +1,298 @@
+/** The platform's wire: what is decoded, and what is refused. */
+import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import fc from "fast-check";
+import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
+import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
+import {
+  decodeLeave,
+  decodeRegistration,
+} from "../../platform/registration_codec.ts";
+import { decodeRouteTable } from "../../platform/routes_codec.ts";
+import {
+  MessageCode,
+  RequestKind,
+  RouteSchema,
+  ServerState,
+  Verdict,
+} from "../schema/mod.ts";
+import { ServingError } from "../sys/errors.ts";
+
+const ROUTE = {
+  Name: "r-1",
+  Host: "a.example",
+  PathPrefix: "/x/",
+  Kind: "streaming",
+  TimeoutMs: 5000,
+  SloMs: 300,
+  Priority: 1,
+  Backends: [{ Service: "s", Weight: 90 }, { Service: "t", Weight: 10 }],
+  Attempts: 2,
+  Sticky: true,
+  Resumable: true,
+  GapTargetMs: 250,
+};
+
+const BATCH_ROUTE = {
+  ...ROUTE,
+  Name: "r-2",
+  PathPrefix: "/b/",
+  Kind: "batch",
+  Backends: undefined,
+  Service: "s",
+  RunTargetMs: 18000,
+  RetentionS: 60,
+  MaxCount: 1200000,
+};
+
+const CONFIG = {
+  Version: 7,
+  Routes: [ROUTE, BATCH_ROUTE],
+  Services: [
+    {
+      Name: "s",
+      HealthPath: "/healthz",
+      MaxConns: 160,
+      Protocol: "h1",
+      Tls: false,
+      Engine: { Slots: 8, MaxCount: 12 },
+    },
+    { Name: "t", HealthPath: "/healthz", MaxConns: 96 },
+  ],
+  Limits: {
+    MaxHeaderBytes: 16384,
+    MaxBodyBytes: 4194304,
+    HeaderTimeoutMs: 3000,
+    IdleTimeoutMs: 15000,
+  },
+};
+
+const REGISTRATION = {
+  Service: "s",
+  Address: "10.128.0.9:8080",
+  Zone: "dc-a",
+  Version: "v1",
+  Slots: 8,
+  State: "ready",
+  ColdLeftMs: 0,
+  Seq: 4,
+  born: 1_700_000_000_000,
+};
+
+const encode = (value: unknown) => Buffer.from(JSON.stringify(value));
+
+function getCode(action: () => unknown): MessageCode | undefined {
+  try {
+    action();
+    return undefined;
+  } catch (error) {
+    return error instanceof ServingError ? error.code : MessageCode.INTERNAL;
+  }
+}
+
+describe("platform configuration", () => {
+  it("is decoded into routes whose fields say what they hold", () => {
+    const document = encode(CONFIG);
+    const table = decodeRouteTable(document);
+    expect(table.version).equal(7n);
+    expect(Buffer.from(table.document).equals(document)).equal(true);
+    const [stream, batch] = table.routes;
+    expect(stream).deep.include({
+      kind: RequestKind.STREAM,
+      latencyTargetMs: 300,
+      gapTargetMs: 250,
+      maxAttempts: 2,
+      resumable: true,
+    });
+    expect(stream?.targets.map(({ service, weight }) => [service, weight]))
+      .deep.equal([["s", 90], ["t", 10]]);
+    expect(batch).deep.include({
+      kind: RequestKind.BATCH,
+      dueMs: 18_000,
+      retentionMs: 60_000,
+      waitingTokens: 1_200_000n,
+    });
+    expect(batch?.targets.map((target) => target.service)).deep.equal(["s"]);
+    expect(table.services.map((one) => one.engineSlots)).deep.equal([8, 0]);
+    expect(table.bounds?.idleTimeoutMs).equal(15_000);
+  });
+
+  it("is refused whole when a field is missing or of another type", () => {
+    const faults: unknown[] = [
+      { ...CONFIG, Version: "7" },
+      { ...CONFIG, Version: undefined },
+      { ...CONFIG, Routes: {} },
+      { ...CONFIG, Services: undefined },
+      { ...CONFIG, Routes: [{ ...ROUTE, Kind: "other" }] },
+      { ...CONFIG, Routes: [{ ...ROUTE, Host: 4 }] },
+      { ...CONFIG, Routes: [{ ...ROUTE, TimeoutMs: -1 }] },
+      { ...CONFIG, Routes: [{ ...ROUTE, Backends: [{ Service: "s" }] }] },
+      { ...CONFIG, Limits: [] },
+      [],
+    ];
+    faults.forEach((fault) =>
+      expect(getCode(() => decodeRouteTable(encode(fault))))
+        .equal(MessageCode.BODY_MALFORMED)
+    );
+  });
+
+  it("is refused when it was cut short anywhere", () => {
+    const whole = encode(CONFIG);
+    fc.assert(fc.property(
+      fc.integer({ min: 0, max: whole.length - 1 }),
+      (length) => {
+        expect(getCode(() => decodeRouteTable(whole.subarray(0, length))))
+          .equal(MessageCode.BODY_MALFORMED);
+      },
+    ));
+  });
+});
+
+describe("platform registrations", () => {
+  it("are decoded, with the start of the server", () => {
+    expect(decodeRegistration("i-1", encode(REGISTRATION))).include({
+      id: "i-1",
+      bornMs: 1_700_000_000_000n,
+      sequence: 4n,
+      address: "10.128.0.9:8080",
+      dataCentre: "dc-a",
+      state: ServerState.READY,
+      slots: 8,
+    });
+  });
+
+  it("of another writer name no server", () => {
+    const faults: unknown[] = [
+      { ...REGISTRATION, State: "resting" },
+      { ...REGISTRATION, Seq: "4" },
+      { ...REGISTRATION, Slots: 1.5 },
+      { ...REGISTRATION, Address: "elsewhere" },
+      { ...REGISTRATION, Zone: undefined },
+      { ...REGISTRATION, born: "yesterday" },
+    ];
+    faults.forEach((fault) =>
+      expect(getCode(() => decodeRegistration("i-1", encode(fault))))
+        .equal(MessageCode.BODY_MALFORMED)
+    );
+    const bytes = Buffer.from([0xff, 0xfe, 0x00]);
+    expect(getCode(() => decodeRegistration("i-1", bytes)))
+      .equal(MessageCode.BODY_MALFORMED);
+  });
+
+  it("end with a leave of the start that is known", () => {
+    const known = decodeRegistration("i-1", encode(REGISTRATION));
+    const leave = decodeLeave("i-1", Buffer.alloc(0), known);
+    expect(leave).include({
+      state: ServerState.GONE,
+      bornMs: known.bornMs,
+      address: known.address,
+    });
+    expect(decodeLeave("i-2", Buffer.alloc(0), undefined).bornMs).equal(0n);
+  });
+});
+
+describe("platform dialects", () => {
+  const caller = new PlatformCallerDialect();
+  const backend = new PlatformBackendDialect();
+
+  it("reads what a request says of itself", () => {
+    expect(caller.readCall({
+      "x-request-id": "r1",
+      "x-deadline-ms": "2500",
+      "x-prompt-prefix": "5c:800, 91:410,e4:250",
+    })).deep.equal({
+      requestId: "r1",
+      deadlineMs: 2_500,
+      prefix: ["5c", "91"],
+      resumeAfter: undefined,
+    });
+    expect(caller.readCall({ "x-deadline-ms": "soon" }).deadlineMs)
+      .equal(undefined);
+  });
+
+  it("reads calls about jobs and leaves all others alone", () => {
+    const read = (method: string, target: string) =>
+      caller.tryReadJobCall(method, target, { "x-wait-ms": "60000" });
+    expect(read("GET", "/-/lots/j1?After=12")).deep.equal({
+      kind: "results",
+      job: "j1",
+      after: 12,
+      waitMs: 1_000,
+    });
+    expect(read("DELETE", "/-/lots/j1")).deep.equal({ kind: "end", job: "j1" });
+    expect(read("GET", "/-/items/j1?Id=i9")).deep.equal({
+      kind: "body",
+      job: "j1",
+      item: "i9",
+    });
+    expect(read("POST", "/-/lots/j1")).equal(undefined);
+    expect(read("GET", "/lots/j1")).equal(undefined);
+  });
+
+  it("decodes a job, or refuses all of it", () => {
+    const route = create(RouteSchema, {
+      name: "r-2",
+      host: "a.example",
+      retentionMs: 60_000,
+      maxAttempts: 3,
+    });
+    const item = {
+      Id: "i1",
+      Path: "/b/3/91c4",
+      Headers: { "X-Model": "m" },
+      Body: "q83vEjRWeJA=",
+      Tokens: 940,
+    };
+    const decode = (items: unknown[], id = "j1") =>
+      caller.decodeJob(encode({ Items: items }), { "x-request-id": id }, route);
+    const job = decode([item]);
+    expect(job).include({ id: "j1", route: "r-2", retentionMs: 60_000 });
+    expect(Buffer.from(job.items[0]?.body ?? []).toString("hex"))
+      .equal("abcdef1234567890");
+    [[item, item], [{ ...item, Tokens: "9" }], [{ ...item, Body: 7 }]]
+      .forEach((items) =>
+        expect(getCode(() => decode(items))).equal(MessageCode.BODY_MALFORMED)
+      );
+    expect(getCode(() => decode([item], ""))).equal(MessageCode.BODY_MALFORMED);
+  });
+
+  it("promises only what is true", () => {
+    const refuse = (code: MessageCode, verdict: Verdict) =>
+      caller.createRefusal(
+        new ServingError(code, { verdict, retryAfterS: 0.25 }),
+      );
+    const notRun = refuse(MessageCode.NO_ROOM, Verdict.NOT_RUN);
+    expect(notRun.status).equal(503);
+    expect(notRun.headers).includes("0.250");
+    const open = refuse(MessageCode.STATE_UNREACHABLE, Verdict.MAY_HAVE_RUN);
+    expect(open.status).equal(504);
+    expect(refuse(MessageCode.ANSWER_LOST, Verdict.MAY_HAVE_RUN).status)
+      .equal(502);
+  });
+
+  it("tells a backend server who is meant and what time is left", () => {
+    expect(backend.createHeaders({
+      server: "i-1",
+      leftMs: 900,
+      resumeAfter: 4,
+    })).deep.equal([
+      "X-Deadline-Ms",
+      "900",
+      "X-Expect-Instance",
+      "i-1",
+      "Last-Event-Id",
+      "4",
+    ]);
+  });
+
+  it("believes a server that it did not run a request, and no other sign", () => {
+    const read = (status: number, headers: Record<string, string>) =>
+      backend.readAnswer(status, headers);
+    expect(read(503, { "x-not-run": "full" }).isNotRun).equal(true);
+    expect(read(503, {}).isNotRun).equal(false);
+    expect(read(500, {}).isNotRun).equal(false);
+    expect(read(421, {})).include({ isNotRun: true, isWrongServer: true });
+    expect(read(200, { "x-server-load": "3,2,8" }).load).equal(5);
+    expect(read(200, { "x-server-load": "x" }).load).equal(undefined);
+  });
+});
--- /dev/null
+++ b/src/test/platform_fleet.ts
@@ -0,0 +1,327 @@
+/** A small whole fleet on loopback that speaks the platform's dialects. */
+import { mkdtemp, rm } from "node:fs/promises";
+import http from "node:http";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
+import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
+import { ControlFront } from "../../platform/control_front.ts";
+import { ControlHost, GatewayHost, StoreHost } from "../fleet/mod.ts";
+import { type FleetSettings, FleetSettingsSchema } from "../schema/mod.ts";
+import { createProcessContext } from "../services/mod.ts";
+import { SystemClock } from "../sys/clock.ts";
+import { MemoryLog } from "../sys/log.ts";
+import { findFreePorts } from "../sys/ports.ts";
+import { createSettings } from "../sys/settings.ts";
+import { type Behaviour, PlatformServer } from "./platform_server.ts";
+
+const DIALECTS = {
+  caller: new PlatformCallerDialect(),
+  backend: new PlatformBackendDialect(),
+};
+
+/** An answer, whole or cut short. */
+export interface Answer {
+  /** 0 when the connection ended before the head. */
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly text: string;
+  readonly isWhole: boolean;
+}
+
+/** Sends one request on a connection of its own. */
+export function call(
+  address: string,
+  method: string,
+  target: string,
+  options: {
+    headers?: Record<string, string>;
+    body?: string;
+    signal?: AbortSignal;
+  } = {},
+): Promise<Answer> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const req = http.request({
+      host,
+      port,
+      method,
+      path: target,
+      headers: options.headers,
+      agent: false,
+      signal: options.signal,
+    });
+    const none = { status: 0, headers: {}, text: "", isWhole: false };
+    req.on("error", () => resolve(none));
+    req.on("response", (res) => {
+      const chunks: Buffer[] = [];
+      res.on("data", (chunk) => chunks.push(chunk));
+      res.on("error", () => {});
+      res.on("close", () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          text: Buffer.concat(chunks).toString("utf8"),
+          isWhole: res.complete,
+        }));
+    });
+    req.end(options.body);
+  });
+}
+
+/** A configuration with a route of each kind. */
+export function createConfig(version: number, change = {}): string {
+  const route = {
+    Host: "a.example",
+    TimeoutMs: 3_000,
+    SloMs: 1_000,
+    Priority: 0,
+    Service: "s",
+    Attempts: 2,
+  };
+  return JSON.stringify({
+    Version: version,
+    Routes: [
+      { ...route, Name: "plain", PathPrefix: "/p/", Kind: "idempotent" },
+      { ...route, Name: "once", PathPrefix: "/n/", Kind: "non_idempotent" },
+      {
+        ...route,
+        Name: "stream",
+        PathPrefix: "/s/",
+        Kind: "streaming",
+        Resumable: true,
+        GapTargetMs: 300,
+      },
+      {
+        ...route,
+        Name: "live",
+        PathPrefix: "/l/",
+        Kind: "streaming",
+        Resumable: false,
+        GapTargetMs: 300,
+      },
+      {
+        ...route,
+        Name: "jobs",
+        PathPrefix: "/b/",
+        Kind: "batch",
+        Attempts: 2,
+        RunTargetMs: 10_000,
+        RetentionS: 60,
+        MaxCount: 1_000,
+      },
+    ],
+    Services: [{ Name: "s", HealthPath: "/healthz", MaxConns: 100 }],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 100_000,
+      HeaderTimeoutMs: 3_000,
+      IdleTimeoutMs: 15_000,
+    },
+    ...change,
+  });
+}
+
+/** The fleet. */
+export class PlatformFleet {
+  readonly clock = new SystemClock();
+  readonly log = new MemoryLog();
+  readonly servers: PlatformServer[] = [];
+  /** How the next requests are treated, at whichever server. */
+  readonly behaviours: Behaviour[] = [];
+  readonly controls: ControlHost[] = [];
+  readonly stores: StoreHost[] = [];
+  readonly gateways: GatewayHost[] = [];
+  readonly controlAddresses: string[] = [];
+  readonly gatewayAddresses: string[] = [];
+  readonly readyAddresses: string[] = [];
+  readonly #fronts: ControlFront[] = [];
+  #folder = "";
+  #seeds: string[] = [];
+
+  /** Starts everything and puts a first configuration in force. */
+  async start(options: { servers: number; gateways: number }): Promise<void> {
+    this.#folder = await mkdtemp(path.join(tmpdir(), "papayatally-fleet-"));
+    const ports = await findFreePorts(9 + 3 * options.gateways);
+    const take = () => ports.shift() ?? 0;
+    const controlPorts = [take(), take(), take()];
+    this.#seeds = controlPorts.map((port) => `127.0.0.1:${port}`);
+    await Promise.all(
+      controlPorts.map((port, index) =>
+        this.#startControl(index, port, take())
+      ),
+    );
+    await Promise.all(
+      [0, 1, 2].map((index) => this.#startStore(index, take())),
+    );
+    for (let index = 0; index < options.gateways; index += 1) {
+      await this.#startGateway(index, [take(), take(), take()]);
+    }
+    await this.until(
+      "the first configuration",
+      async () => (await this.putConfig(createConfig(1))).status === 200,
+    );
+    await this.until(
+      "ready gateways",
+      () => this.gateways.every((gateway) => gateway.isReady),
+    );
+    for (let index = 0; index < options.servers; index += 1) {
+      await this.addServer(`i-${index}`);
+    }
+    await this.until(
+      "ready stores",
+      () => this.stores.every((store) => store.isReady),
+    );
+  }
+
+  async addServer(id: string): Promise<PlatformServer> {
+    const server = new PlatformServer(id, this.behaviours);
+    await server.start();
+    this.servers.push(server);
+    await this.register(server);
+    await this.until(
+      `server ${id} at the gateways`,
+      () =>
+        this.gateways.every((gateway) =>
+          JSON.stringify(gateway.getDump()).includes(id)
+        ),
+    );
+    return server;
+  }
+
+  register(server: PlatformServer, values = {}, at = 0): Promise<Answer> {
+    return call(
+      this.controlAddresses[at] ?? "",
+      "PUT",
+      `/-/instances/${server.id}`,
+      { body: server.createRegistration(values) },
+    );
+  }
+
+  putConfig(body: string, at = 0): Promise<Answer> {
+    return call(this.controlAddresses[at] ?? "", "PUT", "/-/config", { body });
+  }
+
+  /** A request of a caller at a gateway. */
+  ask(
+    id: string,
+    target: string,
+    options: { body?: string; at?: number; signal?: AbortSignal } = {},
+  ): Promise<Answer> {
+    return call(
+      this.gatewayAddresses[options.at ?? 0] ?? "",
+      "POST",
+      target,
+      {
+        headers: {
+          Host: "a.example",
+          "X-Request-Id": id,
+          "X-Deadline-Ms": "2500",
+        },
+        body: options.body ?? `body of ${id}`,
+        signal: options.signal,
+      },
+    );
+  }
+
+  /** A call about a job at a gateway. */
+  askJob(method: string, target: string, at = 0): Promise<Answer> {
+    return call(this.gatewayAddresses[at] ?? "", method, target, {
+      headers: { Host: "a.example", "X-Wait-Ms": "1000" },
+    });
+  }
+
+  /** Requests that any server saw under an id. */
+  getSeen(id: string) {
+    return this.servers.flatMap((server) =>
+      server.seen.filter((seen) => seen.id === id)
+    );
+  }
+
+  async until(
+    what: string,
+    test: () => boolean | Promise<boolean>,
+  ): Promise<void> {
+    for (let turn = 0; turn < 1_500; turn += 1) {
+      if (await test()) return;
+      await this.clock.delay(20);
+    }
+    throw new Error(`waited in vain for ${what}`);
+  }
+
+  async close(): Promise<void> {
+    this.gateways.forEach((gateway) => gateway.halt());
+    this.servers.forEach((server) => server.close());
+    this.#fronts.forEach((front) => front.close());
+    await Promise.all(
+      [...this.stores, ...this.controls].map((one) => one.stop()),
+    );
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  #createSettings(values: Record<string, unknown>): FleetSettings {
+    return createSettings(FleetSettingsSchema, {
+      data_centre: "dc-1",
+      ip: "127.0.0.1",
+      seeds: this.#seeds,
+      first_start: true,
+      beat_ms: 60_000,
+      ...values,
+    });
+  }
+
+  #createContext(name: string) {
+    return createProcessContext({ name, log: this.log });
+  }
+
+  async #startControl(
+    index: number,
+    port: number,
+    frontPort: number,
+  ): Promise<void> {
+    const id = `control-${index}`;
+    const settings = this.#createSettings({
+      id,
+      role: "control",
+      peer_port: port,
+      data_folder: path.join(this.#folder, id),
+    });
+    const host = new ControlHost(settings, this.#createContext(id));
+    this.controls[index] = host;
+    const front = new ControlFront(host, this.log);
+    this.#fronts.push(front);
+    this.controlAddresses[index] = `127.0.0.1:${frontPort}`;
+    await host.start();
+    await front.listen(`127.0.0.1:${frontPort}`);
+  }
+
+  async #startStore(index: number, port: number): Promise<void> {
+    const id = `store-${index}`;
+    const settings = this.#createSettings({
+      id,
+      role: "store",
+      peer_port: port,
+      data_folder: path.join(this.#folder, id),
+    });
+    const host = new StoreHost(settings, this.#createContext(id), DIALECTS);
+    this.stores[index] = host;
+    await host.start();
+  }
+
+  async #startGateway(index: number, ports: number[]): Promise<void> {
+    const id = `gateway-${index}`;
+    const [peer, listen, ready] = ports;
+    const settings = this.#createSettings({
+      id,
+      role: "gateway",
+      peer_port: peer,
+      listen: `127.0.0.1:${listen}`,
+      ready_listen: `127.0.0.1:${ready}`,
+    });
+    const host = new GatewayHost(settings, this.#createContext(id), DIALECTS);
+    this.gateways[index] = host;
+    this.gatewayAddresses[index] = `127.0.0.1:${listen}`;
+    this.readyAddresses[index] = `127.0.0.1:${ready}`;
+    await host.start();
+  }
+}
--- /dev/null
+++ b/src/test/server_book_test.ts
@@ -0,0 +1,135 @@
+/** Registrations of backend servers: late, doubled and out of order. */
+import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import { LoadBook, ServerBook } from "../membership/mod.ts";
+import {
+  LoadReportSchema,
+  type Registration,
+  RegistrationSchema,
+  ServerState,
+} from "../schema/mod.ts";
+
+const BEAT_MS = 1_000;
+
+function createRegistration(values: Partial<Registration>): Registration {
+  return create(
+    RegistrationSchema,
+    {
+      id: "a",
+      bornMs: 10n,
+      sequence: 1n,
+      service: "s",
+      address: "10.0.0.1:80",
+      dataCentre: "dc",
+      state: ServerState.READY,
+      slots: 4,
+      ...values,
+    } as Parameters<typeof create<typeof RegistrationSchema>>[1],
+  );
+}
+
+function createBook() {
+  const book = new ServerBook({ beatMs: BEAT_MS });
+  const accept = (values: Partial<Registration>, nowMs = 0) =>
+    book.accept(createRegistration(values), nowMs);
+  const getUsable = (nowMs = 0) =>
+    book.getUsable("s", nowMs).map((one) => one.id);
+  return { book, accept, getUsable };
+}
+
+describe("server book", () => {
+  it("keeps a leaving server out whatever arrives late", () => {
+    const { accept, getUsable } = createBook();
+    expect(accept({})).equal("added");
+    expect(accept({ state: ServerState.DRAINING, sequence: 3n }))
+      .equal("changed");
+    expect(accept({ sequence: 2n })).equal("old");
+    expect(accept({ sequence: 9n })).equal("old");
+    expect(getUsable()).deep.equal([]);
+    expect(accept({ state: ServerState.GONE, sequence: 0n })).equal("changed");
+    expect(accept({ state: ServerState.DRAINING, sequence: 10n }))
+      .equal("old");
+  });
+
+  it("takes a restart under the same id, and nothing of the start before", () => {
+    const { accept, getUsable } = createBook();
+    accept({ sequence: 50n, state: ServerState.DRAINING });
+    expect(accept({ bornMs: 20n, sequence: 1n })).equal("added");
+    expect(accept({ bornMs: 10n, sequence: 99n })).equal("old");
+    expect(getUsable()).deep.equal(["a"]);
+  });
+
+  it("gives an address to the server that started there last", () => {
+    const { accept, getUsable } = createBook();
+    accept({ id: "a", bornMs: 10n });
+    accept({ id: "b", bornMs: 20n });
+    expect(getUsable()).deep.equal(["b"]);
+    // Held up on its way, from before the second server started.
+    expect(accept({ id: "a", bornMs: 10n, sequence: 7n })).equal("old");
+    expect(getUsable()).deep.equal(["b"]);
+  });
+
+  it("counts silence only while control hosts are heard", () => {
+    const { book, accept, getUsable } = createBook();
+    accept({}, 0);
+    book.noteControlHeard(0);
+    expect(getUsable(60_000)).deep.equal(["a"]);
+    book.noteControlHeard(10 * BEAT_MS);
+    expect(getUsable(10 * BEAT_MS)).deep.equal([]);
+    book.noteHeard("a", 10 * BEAT_MS);
+    expect(getUsable(10 * BEAT_MS)).deep.equal(["a"]);
+  });
+
+  it("leaves a server alone after a failure, and a misplaced one for good", () => {
+    const { book, accept, getUsable } = createBook();
+    accept({});
+    book.avoid("a", 0, 500);
+    expect(getUsable(499), "better than none").deep.equal(["a"]);
+    accept({ id: "b", address: "10.0.0.2:80" });
+    expect(getUsable(499)).deep.equal(["b"]);
+    expect(getUsable(500)).deep.equal(["a", "b"]);
+    book.noteMisplaced("a");
+    expect(getUsable(500)).deep.equal(["b"]);
+    accept({ sequence: 2n });
+    expect(getUsable(500)).deep.equal(["a", "b"]);
+  });
+});
+
+describe("load book", () => {
+  const report = (sender: string, sequence: bigint, online: number) =>
+    create(LoadReportSchema, {
+      sender,
+      sequence,
+      loads: [{ server: "a", online, batch: 0 }],
+    });
+
+  it("adds own requests to the newest report of each other process", () => {
+    const book = new LoadBook();
+    book.begin("a", "online");
+    book.begin("a", "batch");
+    book.acceptReport(report("x", 2n, 3), 0);
+    expect(book.acceptReport(report("x", 1n, 9), 0)).equal(false);
+    book.acceptReport(report("y", 1n, 1), 0);
+    expect(book.getBusy("a", 0)).equal(6);
+    book.end("a", "batch");
+    expect(book.getBusy("a", 0)).equal(5);
+    expect(book.getBusy("a", 5_000), "old reports count no more").equal(1);
+  });
+
+  it("takes the word of the server where it knows of more", () => {
+    const book = new LoadBook();
+    book.observe("a", 6, 0);
+    book.begin("a", "online");
+    expect(book.getBusy("a", 100)).equal(7);
+    expect(book.getBusy("a", 1_000)).equal(1);
+  });
+
+  it("merges loads without those of the process that asks", () => {
+    const book = new LoadBook();
+    book.begin("a", "batch");
+    book.acceptReport(report("x", 1n, 3), 0);
+    book.acceptReport(report("y", 1n, 2), 0);
+    const [merged] = book.getMerged(0, "x");
+    expect(merged).include({ server: "a", online: 2, batch: 1 });
+  });
+});
