A replica takes only messages that are meant for it; successors join in 4 s

Cause 1: a store host that lost its disk comes back at its address under a new name. Ruled out: two votes in a term; each vote is synced before it is sent, and the two configurations overlap in every majority. Change: a replica drops what names another as its receiver.

Change: 1.5 s where a host has come since the silence began. The plan's test with six hosts replaced in series 4 s apart fails without it.

--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -51,6 +51,12 @@
  */
 const REPLACE_AFTER_MS = 6_000;
 
+/**
+ * The same where a new host has come since, in milliseconds: a successor has
+ * to be taken in within the 4 s after which another host may be lost.
+ */
+const SUCCEED_AFTER_MS = 1_500;
+
 /** Time that a silent learner is given, in milliseconds. */
 const LEARN_MS = 5_000;
 
@@ -61,6 +67,7 @@
   readonly replica: Replica;
   #timer: Timer | undefined;
   #isChanging = false;
+  readonly #firstSeenMs = new Map<string, number>();
   /** When this leader made its last change. */
   #changedMs = -Infinity;
 
@@ -146,8 +153,22 @@
       ?.address ?? getNameAddress(id);
   }
 
+  /** Time since this process first saw a host, in milliseconds. */
+  #getKnownMs(id: string): number {
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    return nowMs - (this.#firstSeenMs.get(id) ?? nowMs);
+  }
+
+  #noteHosts(): void {
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    this.#options.getHosts()
+      .filter((host) => !this.#firstSeenMs.has(host.id))
+      .forEach((host) => this.#firstSeenMs.set(host.id, nowMs));
+  }
+
   /** Makes the next change of membership, one at a time. */
   #heal(): void {
+    this.#noteHosts();
     const standings = this.replica.getMemberHealth();
     if (standings.length === 0 || this.#isChanging) return;
     // A member that was just added had no time to answer yet.
@@ -162,7 +183,9 @@
       hosts: this.#options.getHosts(),
       retired: this.#options.getRetired?.() ?? new Set(),
       lostHosts: this.#options.lostHosts,
+      getKnownMs: (id) => this.#getKnownMs(id),
       replaceAfterMs: REPLACE_AFTER_MS,
+      succeedAfterMs: SUCCEED_AFTER_MS,
       learnMs: LEARN_MS,
     });
     if (change !== undefined) this.#makeChange(change);
--- a/src/policy/membership_plan.ts
+++ b/src/policy/membership_plan.ts
@@ -2,7 +2,8 @@
  * How a replicated group heals by itself: which one change of membership its
  * leader makes next. A member that lost its disk comes back under another id
  * and is replaced at once; one that stays silent is replaced once another
- * host stands by. A replacement joins as a learner, votes when it has caught
+ * host stands by, and sooner if that host came after the silence began, as a
+ * successor does. A replacement joins as a learner, votes when it has caught
  * up, and only then does the lost member leave.
  */
 import type { HostRecord, Member } from "../schema/mod.ts";
@@ -21,16 +22,26 @@
   readonly members: readonly MemberHealth[];
   /** Registered hosts of the group's role. */
   readonly hosts: readonly HostRecord[];
+  /** Time since the leader first heard of a host, in milliseconds. */
+  readonly getKnownMs: (id: string) => number;
   /** Ids of hosts that must leave, because an operator retires them. */
   readonly retired: ReadonlySet<string>;
   /** Hosts that may be lost at once. */
   readonly lostHosts: number;
   /** Silence after which a member is replaced, in milliseconds. */
   readonly replaceAfterMs: number;
+  /** The same where a host has come since the silence began. */
+  readonly succeedAfterMs: number;
   /** Time for which a learner may be behind, in milliseconds. */
   readonly learnMs: number;
 }
 
+/**
+ * Time that a new leader's count of a silence may lack, in milliseconds: it
+ * begins with the term, after an election of up to two timeouts.
+ */
+const ELECTION_MARGIN_MS = 2_000;
+
 /** One change of membership. */
 export type PlannedChange =
   | { readonly kind: "add"; readonly host: HostRecord }
@@ -77,7 +88,16 @@
 
 function isLost(facts: PlanFacts, one: MemberHealth): boolean {
   return facts.retired.has(one.member.id) || isSuperseded(facts, one.member) ||
-    one.silentMs > facts.replaceAfterMs;
+    one.silentMs > facts.replaceAfterMs || isSucceeded(facts, one);
+}
+
+/** A host that no member runs on has come since the member fell silent. */
+function isSucceeded(facts: PlanFacts, one: MemberHealth): boolean {
+  if (one.silentMs <= facts.succeedAfterMs) return false;
+  return facts.hosts.some((host) =>
+    facts.getKnownMs(host.id) < one.silentMs + ELECTION_MARGIN_MS &&
+    facts.members.every((other) => other.member.address !== host.address)
+  );
 }
 
 /** Another id is registered at the member's address. */
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -225,6 +225,9 @@
   receive(message: ReplicaMessage): void {
     const core = this.#core;
     if (core === undefined || this.#stopped) return;
+    // A host that lost its disk stands at the address of its former self,
+    // which may still be a member.
+    if (message.to !== this.#options.id) return;
     core.receive(message, this.#options.clock.getMonotonicMs());
     if (message.body.case === "snapshotRequest") {
       this.#receiveSnapshot(core, message, message.body.value);
--- a/src/test/membership_plan_test.ts
+++ b/src/test/membership_plan_test.ts
@@ -18,6 +18,7 @@
 import { SeededRandom } from "../sys/random.ts";
 
 const REPLACE_AFTER_MS = 6_000;
+const SUCCEED_AFTER_MS = 1_500;
 const LEARN_MS = 5_000;
 
 interface SimulatedHost {
@@ -36,6 +37,8 @@
   readonly retired = new Set<string>();
   members: Member[];
   nowMs = 0;
+  readonly #knownSinceMs = new Map<string, number>();
+  readonly #lostSinceMs = new Map<string, number>();
 
   constructor(hostCount: number, lostHosts: number) {
     this.lostHosts = lostHosts;
@@ -83,7 +86,8 @@
     const isSame = host !== undefined &&
       member.id === `${host.address}/${host.disk}`;
     if (isSame && host.isUp) return 0;
-    return this.nowMs - (host?.downSinceMs ?? 0);
+    return this.nowMs -
+      (host?.downSinceMs ?? this.#lostSinceMs.get(member.id) ?? 0);
   }
 
   step(): PlannedChange | undefined {
@@ -99,7 +103,9 @@
       hosts: this.getRecords(),
       retired: this.retired,
       lostHosts: this.lostHosts,
+      getKnownMs: (id) => this.nowMs - (this.#knownSinceMs.get(id) ?? 0),
       replaceAfterMs: REPLACE_AFTER_MS,
+      succeedAfterMs: SUCCEED_AFTER_MS,
       learnMs: LEARN_MS,
     });
     if (change !== undefined) this.#make(change);
@@ -113,6 +119,7 @@
   lose(index: number, options: { disk: boolean }): void {
     const host = this.hosts[index];
     if (host === undefined) return;
+    this.#lostSinceMs.set(`${host.address}/${host.disk}`, this.nowMs);
     host.isUp = false;
     host.downSinceMs = this.nowMs;
     if (options.disk) host.disk += 1;
@@ -121,6 +128,26 @@
   recover(index: number): void {
     const host = this.hosts[index];
     if (host !== undefined) host.isUp = true;
+    this.#noteHosts();
+  }
+
+  /** A host at a new address comes for one that is gone for good. */
+  replace(index: number): void {
+    const gone = this.hosts[index];
+    if (gone === undefined) return;
+    this.lose(index, { disk: true });
+    this.hosts[index] = {
+      ...gone,
+      address: `${gone.address}x`,
+      disk: 0,
+      isUp: true,
+    };
+    this.#noteHosts();
+  }
+
+  #noteHosts(): void {
+    this.getRecords().filter((host) => !this.#knownSinceMs.has(host.id))
+      .forEach((host) => this.#knownSinceMs.set(host.id, this.nowMs));
   }
 
   #make(change: PlannedChange): void {
@@ -166,6 +193,7 @@
 
   it("leaves a host that restarts in its place", () => {
     const group = new SimulatedGroup(4, 1);
+    group.run(10_000);
     const before = group.voters.map((member) => member.id);
     group.lose(0, { disk: false });
     group.run(5_000);
@@ -174,6 +202,16 @@
     expect(group.voters.map((member) => member.id)).deep.equal(before);
   });
 
+  it("takes in the successor of a host that is gone within 4 s", () => {
+    const group = new SimulatedGroup(3, 1);
+    for (const index of [0, 1, 2, 0, 1, 2]) {
+      group.replace(index);
+      group.run(4_000);
+      expect(group.getSound()).length(3);
+      expect(group.members).length(3);
+    }
+  });
+
   it("empties a host that is taken out of service", () => {
     const group = new SimulatedGroup(4, 1);
     const retired = group.voters[0]?.id ?? "";
--- /dev/null
+++ b/src/test/replica_address_test.ts
@@ -0,0 +1,79 @@
+/** Messages for the replica that stood at the address before. */
+import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import { ReplicaMessageSchema } from "../schema/mod.ts";
+import {
+  createMembership,
+  Replica,
+  ReplicaTransport,
+  StateMachine,
+} from "../state/mod.ts";
+import { ManualClock } from "../sys/clock.ts";
+import { createSilentLog } from "../sys/log.ts";
+import { Metrics } from "../sys/metrics.ts";
+import { SeededRandom } from "../sys/random.ts";
+import { MemoryFolder } from "./memory_folder.ts";
+
+class NoState extends StateMachine {
+  override apply(): Uint8Array {
+    return new Uint8Array();
+  }
+
+  override *capture(): Iterable<Uint8Array> {}
+
+  override restore(): void {}
+}
+
+class NoTransport extends ReplicaTransport {
+  override send(): void {}
+}
+
+function settleTurns(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+describe("replica address", () => {
+  it("ignores what is meant for another replica, its own sends too", async () => {
+    const clock = new ManualClock();
+    const replica = new Replica({
+      id: "host/new",
+      group: 1,
+      folder: new MemoryFolder(),
+      machine: new NoState(),
+      transport: new NoTransport(),
+      firstMembership: createMembership(["host/new"]),
+      clock,
+      random: new SeededRandom(1),
+      log: createSilentLog(),
+      metrics: new Metrics({ prefix: "test" }),
+      onFailure: (error) => {
+        throw error;
+      },
+    });
+    await replica.start();
+    for (let turn = 0; turn < 100 && !replica.isLeader; turn += 1) {
+      clock.advance(50);
+      await settleTurns();
+    }
+    expect(replica.isLeader).equal(true);
+    const { term } = replica;
+    const receive = (message: object) =>
+      replica.receive(create(ReplicaMessageSchema, {
+        group: 1,
+        from: "host/new",
+        to: "host/old",
+        ...message,
+      }));
+    receive({
+      term: BigInt(term),
+      body: { case: "appendRequest", value: { previousIndex: 0n, round: 1n } },
+    });
+    receive({
+      term: BigInt(term + 5),
+      body: { case: "appendRequest", value: { previousIndex: 0n, round: 1n } },
+    });
+    expect(replica.isLeader).equal(true);
+    expect(replica.term).equal(term);
+    await replica.stop();
+  });
+});
