--- a/src/fleet/answer_passers.ts
+++ b/src/fleet/answer_passers.ts
@@ -4,7 +4,8 @@
  */
 import { EventSequence, EventSplitter, readEvents } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
-import { type HttpAnswer, removeRawHopHeaders } from "../sys/http.ts";
+import { removeRawHopHeaders } from "../sys/http.ts";
+import type { BackendAnswer } from "./backend_call.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 
 /** How the passing of one answer ended. */
@@ -33,7 +34,7 @@
   abstract get canGoOn(): boolean;
 
   /** Passes an answer on to its end. */
-  async pass(answer: HttpAnswer, signal: AbortSignal): Promise<PassEnd> {
+  async pass(answer: BackendAnswer, signal: AbortSignal): Promise<PassEnd> {
     const stop = () => answer.body.destroy();
     signal.addEventListener("abort", stop);
     try {
@@ -45,9 +46,9 @@
     }
   }
 
-  protected abstract passBody(answer: HttpAnswer): Promise<PassEnd>;
+  protected abstract passBody(answer: BackendAnswer): Promise<PassEnd>;
 
-  protected begin(answer: HttpAnswer): void {
+  protected begin(answer: BackendAnswer): void {
     this.answer.begin(
       answer.status,
       removeRawHopHeaders(answer.body.rawHeaders),
@@ -72,9 +73,9 @@
     return !this.answer.hasBegun;
   }
 
-  protected override async passBody(answer: HttpAnswer): Promise<PassEnd> {
+  protected override async passBody(answer: BackendAnswer): Promise<PassEnd> {
     this.begin(answer);
-    for await (const chunk of answer.body) await this.answer.write(chunk);
+    for await (const chunk of answer.chunks) await this.answer.write(chunk);
     if (!answer.body.complete) return createCutShort();
     this.answer.end();
     return DONE;
@@ -91,10 +92,10 @@
     return !this.answer.hasBegun;
   }
 
-  protected override async passBody(answer: HttpAnswer): Promise<PassEnd> {
+  protected override async passBody(answer: BackendAnswer): Promise<PassEnd> {
     const held: Buffer[] = [];
     let bytes = 0;
-    for await (const chunk of answer.body) {
+    for await (const chunk of answer.chunks) {
       bytes += chunk.length;
       if (this.answer.hasBegun) await this.answer.write(chunk);
       else held.push(chunk);
@@ -106,7 +107,7 @@
     return DONE;
   }
 
-  async #letGo(answer: HttpAnswer, held: Buffer[]): Promise<void> {
+  async #letGo(answer: BackendAnswer, held: Buffer[]): Promise<void> {
     if (this.answer.hasBegun) return;
     this.begin(answer);
     for (const chunk of held.splice(0)) await this.answer.write(chunk);
@@ -134,14 +135,14 @@
     return !this.answer.hasBegun || this.#sequence.last !== undefined;
   }
 
-  protected override async passBody(answer: HttpAnswer): Promise<PassEnd> {
+  protected override async passBody(answer: BackendAnswer): Promise<PassEnd> {
     const isFollowUp = this.answer.hasBegun;
     if (isFollowUp && answer.status !== 200) {
       answer.body.resume();
       return { kind: "broken", reason: `status ${answer.status}` };
     }
     const splitter = new EventSplitter();
-    for await (const chunk of answer.body) {
+    for await (const chunk of answer.chunks) {
       const events = splitter.tryTake(chunk);
       if (events === undefined) continue;
       const passed = this.#sequence.last;
--- a/src/fleet/backend_call.ts
+++ b/src/fleet/backend_call.ts
@@ -35,10 +35,15 @@
   readonly signal: AbortSignal;
 }
 
+/** An answer whose body is read by {@linkcode BackendAnswer.chunks}. */
+export interface BackendAnswer extends HttpAnswer {
+  readonly chunks: AsyncIterable<Buffer>;
+}
+
 /** What came of sending a request, up to the head of its answer. */
 export type AttemptHead =
   /** The server answers; the body follows. */
-  | { readonly kind: "answer"; readonly answer: HttpAnswer }
+  | { readonly kind: "answer"; readonly answer: BackendAnswer }
   /** The server surely did not run it. */
   | {
     readonly kind: "notRun";
@@ -60,6 +65,7 @@
   readonly #onLoad: (server: string, total: number) => void;
   readonly #onMisplaced: (server: string) => void;
   readonly #onUnreachable: (server: string) => void;
+  readonly #onHeard: (server: string) => void;
 
   constructor(options: {
     dialect: BackendDialect;
@@ -67,12 +73,14 @@
     onLoad: (server: string, total: number) => void;
     onMisplaced: (server: string) => void;
     onUnreachable: (server: string) => void;
+    onHeard: (server: string) => void;
   }) {
     this.#dialect = options.dialect;
     this.#agent = options.agent;
     this.#onLoad = options.onLoad;
     this.#onMisplaced = options.onMisplaced;
     this.#onUnreachable = options.onUnreachable;
+    this.#onHeard = options.onHeard;
   }
 
   /** Sends one attempt and waits for the head of its answer. */
@@ -110,6 +118,8 @@
 
   #classify(answer: HttpAnswer, options: AttemptOptions): AttemptHead {
     const { request, place } = options;
+    const { id } = place.server;
+    this.#onHeard(id);
     const facts = this.#dialect.readAnswer(answer.status, answer.headers);
     const isOther = facts.requestId !== "" &&
       facts.requestId !== request.requestId;
@@ -121,7 +131,10 @@
     }
     if (facts.load !== undefined) this.#onLoad(place.server.id, facts.load);
     if (facts.isWrongServer) this.#onMisplaced(place.server.id);
-    if (!facts.isNotRun) return { kind: "answer", answer };
+    if (!facts.isNotRun) {
+      const chunks = readChunks(answer.body, () => this.#onHeard(id));
+      return { kind: "answer", answer: { ...answer, chunks } };
+    }
     answer.body.resume();
     return {
       kind: "notRun",
@@ -142,6 +155,16 @@
   }
 }
 
+async function* readChunks(
+  body: HttpAnswer["body"],
+  onChunk: () => void,
+): AsyncIterable<Buffer> {
+  for await (const chunk of body) {
+    onChunk();
+    yield chunk;
+  }
+}
+
 function readRetryAfter(value: string | undefined): number | undefined {
   const seconds = Number(value);
   return value === undefined || !Number.isFinite(seconds)
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -13,6 +13,8 @@
   type FleetReply,
   FleetReplySchema,
   type FleetSettings,
+  type FleetUpdate,
+  FleetUpdateSchema,
   HostRole,
   type Membership,
   MembershipSchema,
@@ -38,7 +40,8 @@
   tryReadFirstMembers,
   writeFirstMembers,
 } from "./host_identity.ts";
-import { RegistrationHub } from "./registration_hub.ts";
+import { LastViewWriter, tryReadLastView } from "./last_view.ts";
+import { type FleetState, RegistrationHub } from "./registration_hub.ts";
 import { encodeFleetCommand, StateProcess } from "./state_process.ts";
 
 /**
@@ -65,6 +68,9 @@
   readonly #hub: RegistrationHub;
   readonly #client: StateClient;
   #member: GroupMember | undefined;
+  /** What this host knew before its restart. */
+  #lastView: FleetUpdate | undefined;
+  #lastViewWriter: LastViewWriter | undefined;
   #formTimer: Timer | undefined;
   #storesSeenMs: number | undefined;
   #seeds: readonly string[];
@@ -85,7 +91,8 @@
       getMember: () => this.#member,
     });
     this.#hub = new RegistrationHub({
-      machine: this.#machine,
+      getState: () => this.#getState(),
+      onNews: () => this.#lastViewWriter?.noteChange(),
       beatMs: settings.beatMs ?? 0,
       clock: context.clock,
       log: context.log,
@@ -102,6 +109,7 @@
     const { address, server } = this.#process;
     const folder = await this.#process.openFolder();
     const { id, members } = await this.#openIdentity(folder);
+    await this.#openLastView(folder);
     this.#member = await this.#createMember(folder, id, members);
     server.addService(Fleet, {
       follow: (req, stream) => this.#hub.serve(req, stream),
@@ -255,8 +263,45 @@
     return fromBinary(FleetReplySchema, reply);
   }
 
+  /**
+   * The newest of what the group has applied and what was known before the
+   * restart: until a leader is elected the group has applied nothing.
+   */
+  #getState(): FleetState {
+    const { routes, hosts } = this.#machine;
+    const last = this.#lastView;
+    return {
+      routes: last?.routes !== undefined && last.routes.version > routes.version
+        ? last.routes
+        : routes,
+      hosts: last?.hosts !== undefined && last.hosts.version > hosts.version
+        ? last.hosts
+        : hosts,
+    };
+  }
+
+  async #openLastView(folder: Folder): Promise<void> {
+    const { clock, log } = this.#context;
+    this.#lastView = await tryReadLastView(folder, log);
+    this.#lastView?.servers.forEach((server) => this.#hub.accept(server));
+    log.info("last_view", {
+      routes: Number(this.#lastView?.routes?.version ?? 0),
+      servers: this.#lastView?.servers.length ?? 0,
+    });
+    this.#lastViewWriter = new LastViewWriter({
+      folder,
+      clock,
+      log,
+      getView: () =>
+        create(FleetUpdateSchema, {
+          ...this.#getState(),
+          servers: this.#hub.getAll(),
+        }),
+    });
+  }
+
   #getControl(): string[] {
-    const known = this.#machine.hosts.hosts
+    const known = this.#getState().hosts.hosts
       .filter((host) => host.role === HostRole.CONTROL)
       .map((host) => host.address);
     return [...new Set([...known, ...this.#seeds])];
@@ -309,7 +354,10 @@
         this.#machine.hosts.hosts.filter((host) =>
           host.role === HostRole.CONTROL
         ),
-      onApplied: () => this.#hub.notifyAll(),
+      onApplied: () => {
+        this.#hub.notifyAll();
+        this.#lastViewWriter?.noteChange();
+      },
       onFailure: (error) => this.onFailure(error),
     });
   }
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -56,6 +56,9 @@
  */
 const LINGER_MS = 2_600;
 
+/** Time in which a gateway that starts learns the routes, in seconds. */
+const NO_ROUTES_RETRY_S = 1;
+
 /** Time kept between the last answer and the end of the process. */
 const END_MARGIN_MS = 300;
 
@@ -97,6 +100,7 @@
       view: this.#view,
       clock,
       random,
+      log,
     });
     const pool = this.#pool;
     this.#relay = new OnlineRelay({
@@ -107,6 +111,7 @@
         onLoad: (server, total) => pool.observe(server, total),
         onMisplaced: (server) => pool.noteMisplaced(server),
         onUnreachable: (server) => pool.avoid(server),
+        onHeard: (server) => pool.noteHeard(server),
       }),
       dialect: this.#dialect,
       times: new ServiceTimes(),
@@ -192,6 +197,7 @@
     this.#listener?.close();
     this.#readyListener?.close();
     this.#exchange.close();
+    this.#pool.close();
     this.#follower.close();
     this.#state.close();
   }
@@ -342,6 +348,6 @@
 function createNoRoutes(): ServingError {
   return new ServingError(MessageCode.NO_ROUTES_YET, {
     verdict: Verdict.NOT_RUN,
-    retryAfterS: 0.5,
+    retryAfterS: NO_ROUTES_RETRY_S,
   });
 }
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -5,8 +5,12 @@
  */
 import { EventSequence, EventSplitter, readEvents } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
-import { type HttpAnswer, readBody } from "../sys/http.ts";
-import type { BackendCaller, BackendRequest } from "./backend_call.ts";
+import { readBody } from "../sys/http.ts";
+import type {
+  BackendAnswer,
+  BackendCaller,
+  BackendRequest,
+} from "./backend_call.ts";
 import type { Place } from "./server_pool.ts";
 
 /** What an item has produced so far. */
@@ -115,7 +119,7 @@
 }
 
 async function readAnswer(
-  answer: HttpAnswer,
+  answer: BackendAnswer,
   progress: ItemProgress,
   signal: AbortSignal,
 ): Promise<ItemEnding> {
@@ -135,11 +139,11 @@
 }
 
 async function readStream(
-  answer: HttpAnswer,
+  answer: BackendAnswer,
   progress: ItemProgress,
 ): Promise<ItemEnding> {
   const splitter = new EventSplitter();
-  for await (const chunk of answer.body) {
+  for await (const chunk of answer.chunks) {
     const events = splitter.tryTake(chunk);
     if (events === undefined || progress.accept(events.bytes)) continue;
     answer.body.destroy();
@@ -152,7 +156,7 @@
     : { kind: "broken", reason: "the answer was cut short" };
 }
 
-async function readFailure(answer: HttpAnswer): Promise<ItemEnding> {
+async function readFailure(answer: BackendAnswer): Promise<ItemEnding> {
   const reason = `the server answered ${answer.status}`;
   await readBody(answer.body, MAX_ERROR_BYTES);
   if (answer.status === IMPOSSIBLE_STATUS) {
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -221,18 +221,20 @@
     const headers = Object.fromEntries(
       item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
     );
+    const stop = new AbortController();
     const place = pool.tryTake({
       service: target?.service ?? "",
       kind: LoadKind.batch,
       prefix: dialects.caller.readCall(headers).prefix,
       excluded: new Set(),
       reserve: DEFAULT_FILL.reserve,
+      onSilent: () => stop.abort(),
     });
     if (place === undefined) return;
     const run: Run = {
       item: item.id,
       server: place.server.id,
-      stop: new AbortController(),
+      stop,
       startedMs: context.clock.getMonotonicMs(),
       dueMs: candidate.dueMs,
     };
--- /dev/null
+++ b/src/fleet/last_view.ts
@@ -0,0 +1,82 @@
+/**
+ * What a control host knew last, on its disk: after a restart it serves the
+ * routes, hosts and backend servers from there, until its group has a leader
+ * and the servers have registered again. All of it was in force once, so a
+ * follower that starts with it is at worst behind.
+ */
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { type FleetUpdate, FleetUpdateSchema } from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
+import type { Folder } from "../sys/files.ts";
+import type { Log } from "../sys/log.ts";
+
+const FILE_NAME = "last-view";
+
+/** Time in which changes gather before they are written, in milliseconds. */
+const GATHER_MS = 200;
+
+/** Reads the file; undefined when there is none or it can't be read. */
+export async function tryReadLastView(
+  folder: Folder,
+  log: Log,
+): Promise<FleetUpdate | undefined> {
+  const bytes = await folder.tryRead(FILE_NAME);
+  if (bytes === undefined) return undefined;
+  try {
+    return fromBinary(FleetUpdateSchema, bytes);
+  } catch (error) {
+    log.warn("last_view_unreadable", { reason: getReason(error) });
+    return undefined;
+  }
+}
+
+/** Writes the file when something has changed, one write at a time. */
+export class LastViewWriter {
+  readonly #options: {
+    folder: Folder;
+    clock: Clock;
+    log: Log;
+    getView: () => FleetUpdate;
+  };
+  #isDue = false;
+  #isWriting = false;
+
+  constructor(
+    options: {
+      folder: Folder;
+      clock: Clock;
+      log: Log;
+      getView: () => FleetUpdate;
+    },
+  ) {
+    this.#options = options;
+  }
+
+  /** Something changed. */
+  noteChange(): void {
+    this.#isDue = true;
+    if (this.#isWriting) return;
+    this.#isWriting = true;
+    this.#writeUntilDone().finally(() => {
+      this.#isWriting = false;
+    });
+  }
+
+  async #writeUntilDone(): Promise<void> {
+    const { folder, clock, log, getView } = this.#options;
+    while (this.#isDue) {
+      await clock.delay(GATHER_MS);
+      this.#isDue = false;
+      try {
+        await folder.replace(
+          FILE_NAME,
+          toBinary(FleetUpdateSchema, getView()),
+        );
+      } catch (error) {
+        // The file only quickens a restart; the group holds what must last.
+        log.warn("last_view_not_written", { reason: getReason(error) });
+      }
+    }
+  }
+}
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -17,7 +17,6 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getCodeName, ServingError } from "../sys/errors.ts";
-import type { HttpAnswer } from "../sys/http.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { Random } from "../sys/random.ts";
@@ -29,6 +28,7 @@
 } from "./answer_passers.ts";
 import type {
   AttemptHead,
+  BackendAnswer,
   BackendCaller,
   BackendRequest,
 } from "./backend_call.ts";
@@ -67,8 +67,11 @@
  */
 const MAX_REFUSALS = 4;
 
-/** Time after which a caller may come back when no server is known. */
-const NO_SERVER_RETRY_MS = 500;
+/**
+ * Time after which a caller may come back when no server is known, in
+ * milliseconds: processes that were all killed serve again within that.
+ */
+const NO_SERVER_RETRY_MS = 1_000;
 
 /** Relays the online requests of one process. */
 export class OnlineRelay {
@@ -93,6 +96,8 @@
   readonly #passer: AnswerPasser;
   readonly #excluded = new Set<string>();
   readonly #stop = new AbortController();
+  /** Stops the attempt under way, and not the request. */
+  #attemptStop = new AbortController();
   /** Attempts that a server may have run. */
   #runs = 0;
   #refusals = 0;
@@ -119,7 +124,10 @@
   }
 
   async serve(): Promise<void> {
-    const stop = () => this.#stop.abort();
+    const stop = () => {
+      this.#stop.abort();
+      this.#attemptStop.abort();
+    };
     this.#answer.gone.addEventListener("abort", stop);
     const timer = this.#options.clock.startTimer(
       Math.max(0, this.#leftMs),
@@ -150,13 +158,14 @@
   async #attempt(place: Place): Promise<boolean> {
     const { clock, times, caller, metrics } = this.#options;
     const startMs = clock.getMonotonicMs();
+    this.#attemptStop = new AbortController();
     const head = await caller.send({
       request: this.#req.request,
       place,
       leftMs: this.#leftMs,
       resumeAfter: this.#passer.resumeAfter,
       isFresh: this.#req.route.kind === RequestKind.NON_IDEMPOTENT,
-      signal: this.#stop.signal,
+      signal: this.#attemptStop.signal,
     });
     if (head.kind !== "answer") {
       this.#noteUnanswered(head, place);
@@ -171,7 +180,7 @@
     return isDone;
   }
 
-  async #pass(answer: HttpAnswer, place: Place): Promise<boolean> {
+  async #pass(answer: BackendAnswer, place: Place): Promise<boolean> {
     this.#runs += 1;
     const isFailure = answer.status >= 500 || answer.status === 429;
     if (isFailure && this.#mayRunAgain()) {
@@ -179,7 +188,7 @@
       this.#note("attempt_failed", place, `status ${answer.status}`);
       return false;
     }
-    const end = await this.#passer.pass(answer, this.#stop.signal);
+    const end = await this.#passer.pass(answer, this.#attemptStop.signal);
     if (end.kind === "done") return true;
     if (this.#stop.signal.aborted) throw this.#createLate();
     this.#options.pool.avoid(place.server.id);
@@ -195,7 +204,9 @@
   ): void {
     if (head.kind === "aborted") {
       this.#runs += 1;
-      throw this.#createLate();
+      if (this.#stop.signal.aborted) throw this.#createLate();
+      this.#note("attempt_silent", place, "the server says nothing");
+      return;
     }
     this.#note(`attempt_${head.kind}`, place, head.reason);
     if (head.kind === "notRun") {
@@ -215,6 +226,14 @@
       this.#passer.canGoOn && !this.#answer.gone.aborted;
   }
 
+  /** A silent server may still answer what nobody else may run. */
+  #leaveSilent(): void {
+    const { route } = this.#req;
+    const mayMove = isRepeatable(route) && this.#passer.canGoOn &&
+      this.#runs + 1 < route.maxAttempts;
+    if (mayMove) this.#attemptStop.abort();
+  }
+
   async #findPlace(): Promise<Place> {
     const { pool, clock, metrics } = this.#options;
     const startMs = clock.getMonotonicMs();
@@ -285,6 +304,7 @@
       kind: LoadKind.online,
       prefix: this.#req.prefix,
       excluded: this.#excluded,
+      onSilent: () => this.#leaveSilent(),
     };
   }
 
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -9,9 +9,10 @@
   type FleetUpdate,
   FleetUpdateSchema,
   type FollowRequest,
+  type HostList,
   type Registration,
+  type RouteTable,
 } from "../schema/mod.ts";
-import type { FleetMachine } from "../state/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
 import type { RpcStream } from "../sys/rpc.ts";
@@ -30,9 +31,18 @@
   heard: Set<string>;
 }
 
+/** What followers get besides backend servers. */
+export interface FleetState {
+  readonly routes: RouteTable;
+  readonly hosts: HostList;
+}
+
 /** How a {@linkcode RegistrationHub} is made. */
 export interface RegistrationHubOptions {
-  readonly machine: FleetMachine;
+  /** The newest routes and hosts that this host knows. */
+  readonly getState: () => FleetState;
+  /** Called when a backend server said something new. */
+  readonly onNews: () => void;
   readonly beatMs: number;
   readonly clock: Clock;
   readonly log: Log;
@@ -90,6 +100,7 @@
       address: registration.address,
       followers: this.#followers.size,
     });
+    this.#options.onNews();
     this.#followers.forEach((one) => {
       one.servers.set(registration.id, registration);
       this.#sendTo(one, false);
@@ -134,14 +145,14 @@
   }
 
   #lacksNews(follower: Follower): boolean {
-    const { routes, hosts } = this.#options.machine;
+    const { routes, hosts } = this.#options.getState();
     return follower.servers.size > 0 ||
       follower.routesVersion < routes.version ||
       follower.hostsVersion < hosts.version;
   }
 
   #takeUpdate(follower: Follower): FleetUpdate {
-    const { routes, hosts } = this.#options.machine;
+    const { routes, hosts } = this.#options.getState();
     const hasRoutes = routes.version > follower.routesVersion;
     const hasHosts = hosts.version > follower.hostsVersion;
     const update = create(FleetUpdateSchema, {
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -2,14 +2,15 @@
  * Backend servers with room, for requests of callers and of jobs alike. A
  * request takes a place before it is sent and gives it back when it has ended.
  */
-import { LoadBook, type LoadKind } from "../membership/mod.ts";
+import { LoadBook, type LoadKind, SilenceWatch } from "../membership/mod.ts";
 import {
   type ServerCandidate,
   tryGetLeastBusy,
   trySelectServer,
 } from "../policy/mod.ts";
 import type { Registration } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
+import type { Clock, Timer } from "../sys/clock.ts";
+import type { Log } from "../sys/log.ts";
 import type { Random } from "../sys/random.ts";
 import type { RoutingView } from "./routing_view.ts";
 
@@ -27,6 +28,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Slots that it must leave free. */
   readonly reserve?: number;
+  /** Called once when the server it went to has fallen silent. */
+  readonly onSilent?: () => void;
 }
 
 /** A place at a server. */
@@ -42,8 +45,15 @@
   readonly view: RoutingView;
   readonly clock: Clock;
   readonly random: Random;
+  readonly log: Log;
 }
 
+/** Time between two looks for silent servers, in milliseconds. */
+const SILENCE_LOOK_MS = 100;
+
+/** Time for which a silent server is left alone, in milliseconds. */
+const SILENT_AVOID_MS = 2_000;
+
 /** Time for which a server is left alone after it could not be reached. */
 const AVOID_MS = 500;
 
@@ -51,17 +61,47 @@
 export class ServerPool {
   readonly #options: ServerPoolOptions;
   readonly loads = new LoadBook();
+  readonly #silence = new SilenceWatch();
   readonly #waiting = new Set<() => void>();
+  readonly #timer: Timer;
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
     options.view.onChange(() => this.wake());
+    this.#timer = options.clock.startInterval(
+      SILENCE_LOOK_MS,
+      () => this.#giveUpSilent(),
+    );
+  }
+
+  close(): void {
+    this.#timer.cancel();
+  }
+
+  /** Something arrived from a server. */
+  noteHeard(server: string): void {
+    this.#silence.noteHeard(server, this.#options.clock.getMonotonicMs());
+  }
+
+  /** Servers that say nothing lose the requests that may run elsewhere. */
+  #giveUpSilent(): void {
+    const { clock, view, log } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    this.#silence.giveUp(nowMs).forEach((server) => {
+      if (view.book.isAvoided(server, nowMs)) return;
+      log.info("backend_server_silent", { server });
+      view.book.avoid(server, nowMs, SILENT_AVOID_MS);
+    });
   }
 
   /** All servers of a service that take requests, with their loads. */
   getServers(service: string): PoolServer[] {
     const nowMs = this.#options.clock.getMonotonicMs();
-    return this.#options.view.book.getUsable(service, nowMs)
+    const usable = this.#options.view.book.getUsable(service, nowMs);
+    const heard = usable.filter((one) =>
+      !this.#silence.isDoubtful(one.id, nowMs)
+    );
+    return (heard.length > 0 ? heard : usable)
       .map((one) => this.#describe(one, nowMs));
   }
 
@@ -73,7 +113,7 @@
       reserve: req.reserve,
       getFraction: () => this.#options.random.getFraction(),
     });
-    return server === undefined ? undefined : this.#take(server, req.kind);
+    return server === undefined ? undefined : this.#take(server, req);
   }
 
   /** The least busy server, full or not; undefined when there is none. */
@@ -88,7 +128,7 @@
   /** A place in the queue of the least busy server. */
   tryQueue(req: PlaceRequest): Place | undefined {
     const server = this.tryGetLeastBusy(req);
-    return server === undefined ? undefined : this.#take(server, req.kind);
+    return server === undefined ? undefined : this.#take(server, req);
   }
 
   /** Resolves when a place may have become free, or after `ms`. */
@@ -138,8 +178,10 @@
     return { id, address, dataCentre, slots, busy };
   }
 
-  #take(server: PoolServer, kind: LoadKind): Place {
+  #take(server: PoolServer, { kind, onSilent }: PlaceRequest): Place {
+    const watched = { server: server.id, onSilent };
     this.loads.begin(server.id, kind);
+    this.#silence.begin(watched, this.#options.clock.getMonotonicMs());
     let isHeld = true;
     return {
       server,
@@ -147,6 +189,7 @@
         if (!isHeld) return;
         isHeld = false;
         this.loads.end(server.id, kind);
+        this.#silence.end(watched);
         this.wake();
       },
     };
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -100,6 +100,7 @@
       view: this.#view,
       clock,
       random,
+      log,
     });
     const pool = this.#pool;
     this.#runner = new ItemRunner({
@@ -113,6 +114,7 @@
         onLoad: (server, total) => pool.observe(server, total),
         onMisplaced: (server) => pool.noteMisplaced(server),
         onUnreachable: (server) => pool.avoid(server),
+        onHeard: (server) => pool.noteHeard(server),
       }),
       dialects,
       context,
@@ -173,6 +175,7 @@
     await this.#member?.stop();
     this.#reportTimer?.cancel();
     this.#exchange.close();
+    this.#pool.close();
     this.#follower.close();
     this.#client.close();
     this.#process.server.close();
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -5,3 +5,4 @@
 export * from "./suspicions.ts";
 export * from "./server_book.ts";
 export * from "./load_book.ts";
+export * from "./silence_watch.ts";
--- a/src/membership/server_book.ts
+++ b/src/membership/server_book.ts
@@ -87,6 +87,11 @@
     if (known !== undefined) known.avoidUntilMs = nowMs + ms;
   }
 
+  /** Whether requests are kept away from a server now. */
+  isAvoided(id: string, nowMs: number): boolean {
+    return (this.#servers.get(id)?.avoidUntilMs ?? -Infinity) > nowMs;
+  }
+
   /** Another server answered at the address of this one. */
   noteMisplaced(id: string): void {
     const known = this.#servers.get(id);
--- /dev/null
+++ b/src/membership/silence_watch.ts
@@ -0,0 +1,89 @@
+/**
+ * Backend servers that say nothing although requests are under way there.
+ * Connections can die without a reset, and a server can hang: only its silence
+ * shows it. Anything that arrives from a server ends its silence.
+ */
+
+/** A request under way at a server. */
+export interface WatchedRequest {
+  readonly server: string;
+  /** Called once when its server has been silent for too long. */
+  readonly onSilent?: () => void;
+}
+
+interface Watched {
+  readonly requests: Set<WatchedRequest>;
+  /** Since when something is due from the server. */
+  dueSinceMs: number;
+}
+
+/** Times by which silence is judged, in milliseconds. */
+export interface SilenceLimits {
+  /** New requests go elsewhere. */
+  readonly doubtMs: number;
+  /** Requests that may run elsewhere are taken there. */
+  readonly giveUpMs: number;
+}
+
+/**
+ * The first event comes within 30 ms for 99 in 100 requests of a quiet day,
+ * and within 300 ms in a burst; plain services take up to 450 ms.
+ */
+export const DEFAULT_SILENCE: SilenceLimits = { doubtMs: 600, giveUpMs: 1_000 };
+
+/** The watch of one process. */
+export class SilenceWatch {
+  readonly #limits: SilenceLimits;
+  readonly #servers = new Map<string, Watched>();
+
+  constructor(limits: SilenceLimits = DEFAULT_SILENCE) {
+    this.#limits = limits;
+  }
+
+  begin(request: WatchedRequest, nowMs: number): void {
+    const known = this.#servers.get(request.server);
+    if (known !== undefined) {
+      known.requests.add(request);
+      return;
+    }
+    this.#servers.set(request.server, {
+      requests: new Set([request]),
+      dueSinceMs: nowMs,
+    });
+  }
+
+  end(request: WatchedRequest): void {
+    const known = this.#servers.get(request.server);
+    known?.requests.delete(request);
+    if (known?.requests.size === 0) this.#servers.delete(request.server);
+  }
+
+  /** Something arrived from a server. */
+  noteHeard(server: string, nowMs: number): void {
+    const known = this.#servers.get(server);
+    if (known !== undefined) known.dueSinceMs = nowMs;
+  }
+
+  /** Whether new requests should go elsewhere. */
+  isDoubtful(server: string, nowMs: number): boolean {
+    return this.#getSilentMs(server, nowMs) > this.#limits.doubtMs;
+  }
+
+  /** Gives up servers that have been silent for too long; returns them. */
+  giveUp(nowMs: number): string[] {
+    const silent = [...this.#servers.keys()].filter((server) =>
+      this.#getSilentMs(server, nowMs) > this.#limits.giveUpMs
+    );
+    silent.forEach((server) =>
+      [...this.#servers.get(server)?.requests ?? []].forEach((request) =>
+        request.onSilent?.()
+      )
+    );
+    return silent;
+  }
+
+  #getSilentMs(server: string, nowMs: number): number {
+    const known = this.#servers.get(server);
+    return known === undefined ? 0 : nowMs - known.dueSinceMs;
+  }
+}
--- a/src/test/platform_fleet_test.ts
+++ b/src/test/platform_fleet_test.ts
@@ -124,6 +124,16 @@
     await fleet.until("the end", () => fleet.getSeen("left")[0]?.left === true);
   });
 
+  it("takes from a silent server what may run elsewhere", async () => {
+    tellNext("silent");
+    const answer = await fleet.ask("moved", "/s/");
+    expect(answer).include({ status: 200, isWhole: true });
+    expect(getData(answer.text)).equal(getWholeText("moved"));
+    const seen = fleet.getSeen("moved");
+    expect(seen).length(2);
+    expect(seen.some((one) => one.left)).equal(true);
+  });
+
   it("answers at the route's timeout", async () => {
     await fleet.putConfig(createConfig(5, {
       Routes: [{
