Loads are merged by every member of the store, not by its leader alone

From 10 to 12 s 114 of 256 requests were late (p50 251 ms, 20 ms otherwise): gateways had no news of each other's requests and sent many to the same servers, and the new leader, which had no reports yet, filled what seemed free with items.

Ruled out: too few servers alone (9 or 10 of 13 were up; the bursts after it were served with as many).

Change: every member of the store's group merges reports and answers them; the leader reports its items to the others; a new leader starts no item for 0.5 s.

--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -60,6 +60,15 @@
 /** Time that a silent learner is given, in milliseconds. */
 const LEARN_MS = 5_000;
 
+/**
+ * Time for which a host that was taken out as silent is not taken in again,
+ * in milliseconds. Its record stays, because it may only be cut off.
+ */
+const SKIP_MS = 20_000;
+
+/** The same for a learner that fell silent: it may have been restarting. */
+const SKIP_LEARNER_MS = 1_000;
+
 /** A replica and its surroundings. */
 export class GroupMember {
   readonly #options: GroupMemberOptions;
@@ -68,6 +77,8 @@
   #timer: Timer | undefined;
   #isChanging = false;
   readonly #firstSeenMs = new Map<string, number>();
+  /** Hosts that were taken out as silent, and until when they stay out. */
+  readonly #skippedUntilMs = new Map<string, number>();
   /** When this leader made its last change. */
   #changedMs = -Infinity;
 
@@ -159,6 +170,13 @@
     return nowMs - (this.#firstSeenMs.get(id) ?? nowMs);
   }
 
+  #getCandidates(): HostRecord[] {
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    return this.#options.getHosts().filter((host) =>
+      (this.#skippedUntilMs.get(host.id) ?? -Infinity) <= nowMs
+    );
+  }
+
   #noteHosts(): void {
     const nowMs = this.#options.context.clock.getMonotonicMs();
     this.#options.getHosts()
@@ -180,7 +198,7 @@
     }));
     const change = tryPlanChange({
       members,
-      hosts: this.#options.getHosts(),
+      hosts: this.#getCandidates(),
       retired: this.#options.getRetired?.() ?? new Set(),
       lostHosts: this.#options.lostHosts,
       getKnownMs: (id) => this.#getKnownMs(id),
@@ -196,6 +214,13 @@
     const id = change.kind === "add" ? change.host.id : change.id;
     const fields = { group: this.#options.group, change: change.kind, id };
     this.#isChanging = true;
+    if (change.kind === "remove") {
+      const isLearner = this.replica.membership.members.some((member) =>
+        member.id === id && member.learner
+      );
+      const skipMs = isLearner ? SKIP_LEARNER_MS : SKIP_MS;
+      this.#skippedUntilMs.set(id, clock.getMonotonicMs() + skipMs);
+    }
     this.replica.changeMembership(toMembershipChange(change))
       .then(
         () => log.info("membership_changed", fields),
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -44,6 +44,8 @@
 export interface ItemRunnerOptions {
   /** Jobs with open items; empty while this process must run none. */
   readonly getOpenJobs: () => readonly QueuedJob[];
+  /** Term in which this process leads; undefined while it doesn't. */
+  readonly getLeadTerm: () => number | undefined;
   readonly record: (runs: RecordRuns) => Promise<void>;
   readonly view: RoutingView;
   readonly pool: ServerPool;
@@ -73,6 +75,12 @@
  */
 const PROGRESS_INTERVAL_MS = 1_000;
 
+/**
+ * Time for which a new leader starts no item, in milliseconds: until it has
+ * heard what gateways have under way, every server seems to be free.
+ */
+const WARM_UP_MS = 500;
+
 /** Time between two looks at what waits and what must give way. */
 const LOOK_INTERVAL_MS = 40;
 
@@ -99,6 +107,8 @@
   #finished: FinishedRun[] = [];
   #failed: FailedRun[] = [];
   #isRecording = false;
+  #leadTerm: number | undefined;
+  #ledSinceMs = 0;
   #timer: Timer | undefined;
   #progressTimer: Timer | undefined;
   #stopped = false;
@@ -137,7 +147,17 @@
     this.#stopEnded(jobs);
     this.#giveWay();
     this.#giveUp(jobs);
-    this.#startWaiting(jobs);
+    if (this.#isWarm()) this.#startWaiting(jobs);
+  }
+
+  #isWarm(): boolean {
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    const term = this.#options.getLeadTerm();
+    if (term !== this.#leadTerm) {
+      this.#leadTerm = term;
+      this.#ledSinceMs = nowMs;
+    }
+    return term !== undefined && nowMs - this.#ledSinceMs >= WARM_UP_MS;
   }
 
   /** Runs whose item is open no more, or whose leadership has gone. */
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -1,9 +1,9 @@
 /**
- * Exchange of loads by datagrams. Gateways report their own requests to the
- * leader of the store's group, which runs the requests of jobs; it answers
- * each with what all others have under way. A report that is lost is made good
- * by the next; without any, each process goes by its own counts and by what
- * servers say of themselves.
+ * Exchange of loads by datagrams. Gateways report their own requests to every
+ * member of the store's group, and so does its leader, which runs the requests
+ * of jobs; each member answers with what all others have under way. So a lost
+ * leader leaves nobody blind. A report that is lost is made good by the next;
+ * without any, a process goes by its own counts and by what servers say.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { LoadBook } from "../membership/mod.ts";
@@ -22,10 +22,10 @@
   readonly name: string;
   readonly address: string;
   readonly loads: LoadBook;
-  /** Processes to report to while none of them has answered. */
-  readonly getTargets: () => readonly string[];
+  /** Processes that merge reports. */
+  readonly getMergers: () => readonly string[];
   /** Whether this process merges the reports of the others. */
-  readonly isMerger: () => boolean;
+  readonly isMerger: boolean;
   readonly onReport: () => void;
   readonly clock: Clock;
   readonly log: Log;
@@ -40,8 +40,8 @@
 /** Time between two reports that say the same, in milliseconds. */
 const REPEAT_INTERVAL_MS = 300;
 
-/** Silence after which the merger counts as lost: two repeats and some. */
-const MERGER_SILENT_MS = 700;
+/** Silence after which a reporter counts as lost: two repeats and some. */
+const REPORTER_SILENT_MS = 700;
 
 /** One process's part of the exchange. */
 export class LoadExchange {
@@ -51,7 +51,6 @@
   #socket: DatagramSocket | undefined;
   #timer: Timer | undefined;
   #sequence = 0n;
-  #merger: { address: string; heardMs: number } | undefined;
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
@@ -83,41 +82,33 @@
       log.warn("load_report_unreadable", { from, reason: getReason(error) });
       return;
     }
-    if (report.merged) this.#merger = { address: from, heardMs: nowMs };
-    else this.#reporters.set(from, { name: report.sender, heardMs: nowMs });
+    // Mergers count each report themselves; a merged one holds it again.
+    if (report.merged === this.#options.isMerger) return;
+    if (!report.merged) {
+      this.#reporters.set(from, { name: report.sender, heardMs: nowMs });
+    }
     if (loads.acceptReport(report, nowMs)) this.#options.onReport();
   }
 
   #report(): void {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    if (this.#options.isMerger()) {
-      this.#answerAll(nowMs);
-      return;
-    }
-    const loads = [...this.#options.loads.getAllOwn()].map((
-      [server, count],
-    ) => ({
+    const { clock, loads, getMergers, isMerger, address } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const own = [...loads.getAllOwn()].map(([server, count]) => ({
       $typeName: "papayatally.v1.ServerLoad" as const,
       server,
       ...count,
     }));
-    this.#getTargets(nowMs).forEach((to) =>
-      this.#send(to, { loads, merged: false }, nowMs)
+    getMergers().filter((merger) => merger !== address).forEach((merger) =>
+      this.#send(merger, { loads: own, merged: false }, nowMs)
     );
-  }
-
-  #getTargets(nowMs: number): readonly string[] {
-    const merger = this.#merger;
-    return merger !== undefined && nowMs - merger.heardMs < MERGER_SILENT_MS
-      ? [merger.address]
-      : this.#options.getTargets();
+    if (isMerger) this.#answerAll(nowMs);
   }
 
   #answerAll(nowMs: number): void {
     this.#reporters.forEach(({ name, heardMs }, address) => {
-      if (nowMs - heardMs > MERGER_SILENT_MS) {
+      if (nowMs - heardMs > REPORTER_SILENT_MS) {
         this.#reporters.delete(address);
-        this.#sent.delete(address);
+        this.#sent.delete(`${address}/true`);
         return;
       }
       const loads = this.#options.loads.getMerged(nowMs, name);
@@ -134,10 +125,11 @@
     const text = body.loads.map((load) =>
       `${load.server}:${load.online}:${load.batch}`
     ).join();
-    const sent = this.#sent.get(to);
+    const key = `${to}/${body.merged}`;
+    const sent = this.#sent.get(key);
     const isRepeat = sent?.text === text;
     if (isRepeat && nowMs - sent.atMs < REPEAT_INTERVAL_MS) return;
-    this.#sent.set(to, { text, atMs: nowMs });
+    this.#sent.set(key, { text, atMs: nowMs });
     this.#sequence += 1n;
     const report = create(LoadReportSchema, {
       ...body,
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -14,6 +14,7 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
+import { getNameAddress } from "./host_identity.ts";
 
 /** How a {@linkcode RoutingView} is made. */
 export interface RoutingViewOptions {
@@ -54,6 +55,14 @@
       .map((host) => host.address);
   }
 
+  /** Addresses of the store's members, or of all store hosts before. */
+  getStoreAddresses(): string[] {
+    const members = this.#hosts.storeNow?.ids ?? [];
+    return members.length > 0
+      ? members.map(getNameAddress)
+      : this.getAddresses(HostRole.STORE);
+  }
+
   /** Calls `listener` after each change. */
   onChange(listener: () => void): void {
     this.#listeners.add(listener);
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -105,6 +105,10 @@
     const pool = this.#pool;
     this.#runner = new ItemRunner({
       getOpenJobs: () => this.#getOpenJobs(),
+      getLeadTerm: () => {
+        const replica = this.#member?.replica;
+        return replica?.isLeader === true ? replica.term : undefined;
+      },
       record: (runs) => this.#record(runs),
       view: this.#view,
       pool,
@@ -123,8 +127,8 @@
       name: settings.id,
       address: this.#process.address,
       loads: pool.loads,
-      getTargets: () => [],
-      isMerger: () => this.#member?.replica.isLeader === true,
+      getMergers: () => this.#view.getStoreAddresses(),
+      isMerger: true,
       onReport: () => this.#runner.look(),
       clock,
       log,
--- a/src/membership/load_book.ts
+++ b/src/membership/load_book.ts
@@ -19,6 +19,7 @@
 }
 
 interface Reported {
+  readonly sender: string;
   readonly sequence: bigint;
   readonly atMs: number;
   readonly counts: ReadonlyMap<string, LoadCount>;
@@ -41,6 +42,9 @@
  */
 const OBSERVED_VALID_MS = 300;
 
+/** Key of the merged report; no process has an empty name. */
+const MERGED = "";
+
 const NO_LOAD: LoadCount = { online: 0, batch: 0 };
 
 /** The book of one process. */
@@ -68,13 +72,19 @@
     return this.#own;
   }
 
-  /** Takes a report; false when it is older than one that is known. */
+  /**
+   * Takes a report; false when it is older than one that is known. Merged
+   * reports hold the same from whichever process, so the newest replaces all.
+   */
   acceptReport(report: LoadReport, nowMs: number): boolean {
-    const known = this.#reports.get(report.sender);
-    const isOld = known !== undefined && known.sequence >= report.sequence &&
+    const key = report.merged ? MERGED : report.sender;
+    const known = this.#reports.get(key);
+    const isOld = known?.sender === report.sender &&
+      known.sequence >= report.sequence &&
       nowMs - known.atMs < REPORT_VALID_MS;
     if (isOld) return false;
-    this.#reports.set(report.sender, {
+    this.#reports.set(key, {
+      sender: report.sender,
       sequence: report.sequence,
       atMs: nowMs,
       counts: new Map(
--- a/src/test/server_book_test.ts
+++ b/src/test/server_book_test.ts
@@ -124,6 +124,19 @@
     expect(book.getBusy("a", 1_000)).equal(1);
   });
 
+  it("takes the newest merged report, whichever process sent it", () => {
+    const book = new LoadBook();
+    const merged = (sender: string, sequence: bigint, online: number) => ({
+      ...report(sender, sequence, online),
+      merged: true,
+    });
+    book.acceptReport(merged("x", 90n, 3), 0);
+    book.acceptReport(merged("y", 5n, 4), 10);
+    expect(book.getBusy("a", 20)).equal(4);
+    expect(book.acceptReport(merged("y", 4n, 9), 20)).equal(false);
+    expect(book.getBusy("a", 20)).equal(4);
+  });
+
   it("merges loads without those of the process that asks", () => {
     const book = new LoadBook();
     book.begin("a", "batch");
