Merged reports count again

Cause: the key under which merged reports are kept was the default of the name that a sum leaves out, so gateways counted none.

Change: without a name to leave out, nothing is left out. Nine of nine tests of the book pass.

--- a/src/membership/load_book.ts
+++ b/src/membership/load_book.ts
@@ -107,7 +107,7 @@
   }
 
   /** Counts of others, without those of `except`. */
-  getOthers(server: string, nowMs: number, except = ""): LoadCount {
+  getOthers(server: string, nowMs: number, except?: string): LoadCount {
     return [...this.#reports]
       .filter(([sender, report]) =>
         sender !== except && nowMs - report.atMs < REPORT_VALID_MS
