Services in folders by job: common, control, online, batch, hosts

Forty files stood side by side. Each folder imports only from those before it; checked over all imports when the files were moved.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -24,8 +24,8 @@
   StoreMembersSchema,
   Verdict,
 } from "../schema/mod.ts";
-import type { ProcessContext } from "../services/process_context.ts";
-import type { StateClient } from "../services/state_client.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
+import type { StateClient } from "../services/common/state_client.ts";
 import { FleetMachine } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -11,8 +11,8 @@
   type Route,
   Verdict,
 } from "../schema/mod.ts";
-import type { ProcessContext } from "../services/process_context.ts";
-import { StateClient } from "../services/state_client.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
+import { StateClient } from "../services/common/state_client.ts";
 import { asServingError, getCodeName, ServingError } from "../sys/errors.ts";
 import {
   createHttpAgent,
--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -12,8 +12,8 @@
 } from "../schema/mod.ts";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type PlannedChange, tryPlanChange } from "../policy/mod.ts";
-import type { ProcessContext } from "../services/process_context.ts";
-import { ReplicaLinks } from "../services/replica_links.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
+import { ReplicaLinks } from "../services/control/replica_links.ts";
 import { Replica, type ReplicaDump, type StateMachine } from "../state/mod.ts";
 import { asServingError, getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -26,7 +26,7 @@
   RunProgressSchema,
 } from "../schema/mod.ts";
 import { createDeadLetter, joinParts, type QueuedJob } from "../state/mod.ts";
-import type { ProcessContext } from "../services/process_context.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import { MetricName } from "../sys/metrics.ts";
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -10,7 +10,7 @@
   type SubmitJob,
   Verdict,
 } from "../schema/mod.ts";
-import type { StateClient } from "../services/state_client.ts";
+import type { StateClient } from "../services/common/state_client.ts";
 import { ServingError } from "../sys/errors.ts";
 import type { JobPage } from "./dialects.ts";
 import { STORE_GROUP } from "./groups.ts";
--- a/src/fleet/state_process.ts
+++ b/src/fleet/state_process.ts
@@ -14,8 +14,8 @@
   Replicas,
   State,
 } from "../schema/mod.ts";
-import type { ProcessContext } from "../services/process_context.ts";
-import { StateClient } from "../services/state_client.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
+import { StateClient } from "../services/common/state_client.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
 import { DiskFolder, type Folder } from "../sys/files.ts";
 import {
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -16,8 +16,8 @@
   type RecordRuns,
   StoreMembersSchema,
 } from "../schema/mod.ts";
-import type { ProcessContext } from "../services/process_context.ts";
-import type { StateClient } from "../services/state_client.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
+import type { StateClient } from "../services/common/state_client.ts";
 import { JobMachine, type QueuedJob } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
--- a/src/services/batch_item.ts
+++ b/src/services/batch/batch_item.ts
@@ -1,7 +1,7 @@
 /** Items that an entry holds: their requests, progress and outcomes. */
 import { create } from "@bufbuild/protobuf";
-import type { FleetView } from "../membership/mod.ts";
-import { EventLog, type Progress } from "../relay/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
+import { EventLog, type Progress } from "../../relay/mod.ts";
 import {
   type ClaimedItem,
   MessageCode,
@@ -9,17 +9,17 @@
   OutcomeSchema,
   Verdict,
   type Workload,
-} from "../schema/mod.ts";
-import { ServingError } from "../sys/errors.ts";
+} from "../../schema/mod.ts";
+import { ServingError } from "../../sys/errors.ts";
 import {
   createWholeAnswer,
   getFingerprint,
   getPromptText,
   parseCompletion,
-} from "./completion_service.ts";
-import { createFailure } from "./outcomes.ts";
-import type { CompletionSink, EngineRun } from "./engine_runner.ts";
-import { parseItemLine } from "./item_line.ts";
+} from "../online/completion_service.ts";
+import { createFailure } from "../common/outcomes.ts";
+import type { CompletionSink, EngineRun } from "../online/engine_runner.ts";
+import { parseItemLine } from "../common/item_line.ts";
 
 /** An item that this entry holds. */
 export interface HeldItem {
--- a/src/services/batch_runner.ts
+++ b/src/services/batch/batch_runner.ts
@@ -5,7 +5,7 @@
  * batches.
  */
 import { create } from "@bufbuild/protobuf";
-import type { FleetView } from "../membership/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
 import {
   DeploymentKind,
   type FinishedItem,
@@ -16,12 +16,12 @@
   type Share,
   Verdict,
   type Workload,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { asServingError, getReason, ServingError } from "../sys/errors.ts";
-import type { Log } from "../sys/log.ts";
-import { MetricName, type Metrics } from "../sys/metrics.ts";
-import { getDigestHex } from "../sys/random.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { asServingError, getReason, ServingError } from "../../sys/errors.ts";
+import type { Log } from "../../sys/log.ts";
+import { MetricName, type Metrics } from "../../sys/metrics.ts";
+import { getDigestHex } from "../../sys/random.ts";
 import {
   type Channel,
   createSlidingChannel,
@@ -31,7 +31,7 @@
   spawnRoutine,
   type Steps,
   tryReceiveWithin,
-} from "../sys/routines.ts";
+} from "../../sys/routines.ts";
 import {
   createAnswerOutcome,
   createItemOutcome,
@@ -43,14 +43,14 @@
   type HeldItem,
   isFinalStatus,
 } from "./batch_item.ts";
-import type { BackendPool } from "./backend_pool.ts";
-import { createFailure } from "./outcomes.ts";
-import type { EngineRun, EngineRunner } from "./engine_runner.ts";
-import { getItemGroups } from "./groups.ts";
-import { isStaleEpoch, type ItemSessions } from "./item_sessions.ts";
-import { parseItemLine } from "./item_line.ts";
-import type { PlainService } from "./plain_service.ts";
-import type { StateClient } from "./state_client.ts";
+import type { BackendPool } from "../online/backend_pool.ts";
+import { createFailure } from "../common/outcomes.ts";
+import type { EngineRun, EngineRunner } from "../online/engine_runner.ts";
+import { getItemGroups } from "../common/groups.ts";
+import { isStaleEpoch, type ItemSessions } from "../common/item_sessions.ts";
+import { parseItemLine } from "../common/item_line.ts";
+import type { PlainService } from "../online/plain_service.ts";
+import type { StateClient } from "../common/state_client.ts";
 
 /** How a {@linkcode BatchRunner} is made. */
 export interface BatchRunnerOptions {
--- a/src/services/job_service.ts
+++ b/src/services/batch/job_service.ts
@@ -1,24 +1,24 @@
 /** Batch jobs for callers: submit, status, results, cancel and list. */
 import { create } from "@bufbuild/protobuf";
 import { createHash } from "node:crypto";
-import type { FleetView } from "../membership/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
 import {
   type Item,
   ItemSchema,
   type Job,
   MessageCode,
   type Workload,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
-import type { IncomingMessage } from "../sys/http.ts";
-import { getDigestHex, type Random } from "../sys/random.ts";
-import { sendJson } from "./answers.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import { describeItem, describeJob } from "./descriptions.ts";
-import { getItemGroup, getItemGroups } from "./groups.ts";
-import { parseItemLine } from "./item_line.ts";
-import type { StateClient } from "./state_client.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { ServingError } from "../../sys/errors.ts";
+import type { IncomingMessage } from "../../sys/http.ts";
+import { getDigestHex, type Random } from "../../sys/random.ts";
+import { sendJson } from "../common/answers.ts";
+import type { CallerRequest } from "../common/caller_request.ts";
+import { describeItem, describeJob } from "../control/descriptions.ts";
+import { getItemGroup, getItemGroups } from "../common/groups.ts";
+import { parseItemLine } from "../common/item_line.ts";
+import type { StateClient } from "../common/state_client.ts";
 
 /** Path below which jobs live. */
 export const JOBS_PATH = "/v1/jobs";
--- a/src/services/answers.ts
+++ b/src/services/common/answers.ts
@@ -1,5 +1,5 @@
 /** Answers of an entry to callers: JSON and problem details (RFC 9457). */
-import { MessageCode } from "../schema/mod.ts";
+import { MessageCode } from "../../schema/mod.ts";
 import {
   asServingError,
   formatCode,
@@ -7,8 +7,8 @@
   getCodeName,
   type ServingError,
   VerdictText,
-} from "../sys/errors.ts";
-import type { ServerResponse } from "../sys/http.ts";
+} from "../../sys/errors.ts";
+import type { ServerResponse } from "../../sys/http.ts";
 
 /** The body of an error answer. */
 export function createProblem(error: ServingError): Record<string, unknown> {
--- a/src/services/caller_limits.ts
+++ b/src/services/common/caller_limits.ts
@@ -1,6 +1,6 @@
 /** How many requests each caller has open at this entry. */
-import { MessageCode } from "../schema/mod.ts";
-import { ServingError } from "../sys/errors.ts";
+import { MessageCode } from "../../schema/mod.ts";
+import { ServingError } from "../../sys/errors.ts";
 
 /** Counts and bounds open requests by caller. */
 export class CallerLimits {
--- a/src/services/caller_request.ts
+++ b/src/services/common/caller_request.ts
@@ -1,9 +1,9 @@
 /** What every request of a caller carries, read from its headers. */
-import { MessageCode, type Workload } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
-import type { IncomingMessage, ServerResponse } from "../sys/http.ts";
-import type { Random } from "../sys/random.ts";
+import { MessageCode, type Workload } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { ServingError } from "../../sys/errors.ts";
+import type { IncomingMessage, ServerResponse } from "../../sys/http.ts";
+import type { Random } from "../../sys/random.ts";
 
 /** Headers that callers set. */
 export const CallerHeader = {
--- a/src/services/commands.ts
+++ b/src/services/common/commands.ts
@@ -1,6 +1,6 @@
 /** Commands of the groups as bytes of the log. */
 import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
-import { ControlCommandSchema, ItemCommandSchema } from "../schema/mod.ts";
+import { ControlCommandSchema, ItemCommandSchema } from "../../schema/mod.ts";
 
 /** A command of the control group. */
 export function encodeControlCommand(
--- a/src/services/groups.ts
+++ b/src/services/common/groups.ts
@@ -1,5 +1,5 @@
 /** Numbers of the replicated groups and which group holds what. */
-import { getPlacementHash } from "../sys/random.ts";
+import { getPlacementHash } from "../../sys/random.ts";
 
 /** The group of the configuration, orders and entries. */
 export const CONTROL_GROUP = 0;
--- a/src/services/item_line.ts
+++ b/src/services/common/item_line.ts
@@ -1,6 +1,6 @@
 /** Lines of a job: one item each. */
-import { MessageCode, Verdict } from "../schema/mod.ts";
-import { ServingError } from "../sys/errors.ts";
+import { MessageCode, Verdict } from "../../schema/mod.ts";
+import { ServingError } from "../../sys/errors.ts";
 
 /** An item's line: a body alone, or with an id of the caller's. */
 export interface ItemLine {
--- a/src/services/item_sessions.ts
+++ b/src/services/common/item_sessions.ts
@@ -3,11 +3,11 @@
  * first needed and renewed as long as the process lives; one that ended is
  * replaced by a new one under a higher epoch.
  */
-import { MessageCode, type RenewReply } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
-import { pause, settle, spawnRoutine, type Steps } from "../sys/routines.ts";
-import type { Log } from "../sys/log.ts";
+import { MessageCode, type RenewReply } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { ServingError } from "../../sys/errors.ts";
+import { pause, settle, spawnRoutine, type Steps } from "../../sys/routines.ts";
+import type { Log } from "../../sys/log.ts";
 import { getItemGroups } from "./groups.ts";
 import type { StateClient } from "./state_client.ts";
 
--- a/src/services/leases.ts
+++ b/src/services/common/leases.ts
@@ -2,7 +2,7 @@
  * Leases that a group's leader holds in memory. A new leader gives everybody a
  * full lease, so that a change of leader never takes work from one that lives.
  */
-import type { Clock } from "../sys/clock.ts";
+import type { Clock } from "../../sys/clock.ts";
 
 /** Renewal times by holder. */
 export class Leases<H> {
--- a/src/services/outcomes.ts
+++ b/src/services/common/outcomes.ts
@@ -1,8 +1,8 @@
 /** Recorded outcomes: made from failures, sent as answers. */
 import { create } from "@bufbuild/protobuf";
-import { type Outcome, OutcomeSchema } from "../schema/mod.ts";
-import { ServingError } from "../sys/errors.ts";
-import type { ServerResponse } from "../sys/http.ts";
+import { type Outcome, OutcomeSchema } from "../../schema/mod.ts";
+import { ServingError } from "../../sys/errors.ts";
+import type { ServerResponse } from "../../sys/http.ts";
 import { sendJson } from "./answers.ts";
 
 /** Sends a recorded outcome as the answer of a request. */
--- a/src/services/process_context.ts
+++ b/src/services/common/process_context.ts
@@ -1,8 +1,8 @@
 /** What every process takes from outside; tests replace it whole. */
-import { type Clock, SystemClock } from "../sys/clock.ts";
-import { createSilentLog, type Log } from "../sys/log.ts";
-import { Metrics } from "../sys/metrics.ts";
-import { type Random, SystemRandom } from "../sys/random.ts";
+import { type Clock, SystemClock } from "../../sys/clock.ts";
+import { createSilentLog, type Log } from "../../sys/log.ts";
+import { Metrics } from "../../sys/metrics.ts";
+import { type Random, SystemRandom } from "../../sys/random.ts";
 
 /** Clock, randomness, log and metrics of one process. */
 export interface ProcessContext {
--- a/src/services/proposal_batch.ts
+++ b/src/services/common/proposal_batch.ts
@@ -3,9 +3,9 @@
  * way others gather, so that calls grow with the load and their cost does not;
  * commands reach the group in the order in which they were given.
  */
-import { MessageCode, Verdict } from "../schema/mod.ts";
-import type { Clock, Timer } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
+import { MessageCode, Verdict } from "../../schema/mod.ts";
+import type { Clock, Timer } from "../../sys/clock.ts";
+import { ServingError } from "../../sys/errors.ts";
 
 interface WaitingCommand {
   readonly command: Uint8Array;
--- a/src/services/state_client.ts
+++ b/src/services/common/state_client.ts
@@ -18,10 +18,14 @@
   State,
   Verdict,
   type ViewUpdate,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { getReason, ServingError } from "../sys/errors.ts";
-import { type RpcClient, RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
+import {
+  type RpcClient,
+  RpcClients,
+  type RpcCredentials,
+} from "../../sys/rpc.ts";
 import { CONTROL_GROUP } from "./groups.ts";
 import { ProposalBatch } from "./proposal_batch.ts";
 import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
--- a/src/services/announcement_body.ts
+++ b/src/services/control/announcement_body.ts
@@ -4,8 +4,8 @@
   type Announcement,
   AnnouncementSchema,
   MessageCode,
-} from "../schema/mod.ts";
-import { getReason, ServingError } from "../sys/errors.ts";
+} from "../../schema/mod.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
 
 /** Reads an announcement's JSON; a bad one is BODY_MALFORMED. */
 export function parseAnnouncement(bytes: Uint8Array): Announcement {
--- a/src/services/backend_orders.ts
+++ b/src/services/control/backend_orders.ts
@@ -9,15 +9,15 @@
   type BackendOrder,
   BackendOrder_Action,
   Entries,
-} from "../schema/mod.ts";
-import { selectOrders, type ServerOrder } from "../policy/mod.ts";
-import { CLOCK_DRIFT_BOUND, type ControlMachine } from "../state/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { getReason } from "../sys/errors.ts";
-import { sendHttp } from "../sys/http.ts";
-import type { Log } from "../sys/log.ts";
-import { pause, settle, spawnRoutine, type Steps } from "../sys/routines.ts";
-import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+} from "../../schema/mod.ts";
+import { selectOrders, type ServerOrder } from "../../policy/mod.ts";
+import { CLOCK_DRIFT_BOUND, type ControlMachine } from "../../state/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { getReason } from "../../sys/errors.ts";
+import { sendHttp } from "../../sys/http.ts";
+import type { Log } from "../../sys/log.ts";
+import { pause, settle, spawnRoutine, type Steps } from "../../sys/routines.ts";
+import { RpcClients, type RpcCredentials } from "../../sys/rpc.ts";
 
 /** How {@linkcode BackendOrders} are made. */
 export interface BackendOrdersOptions {
--- a/src/services/descriptions.ts
+++ b/src/services/control/descriptions.ts
@@ -5,9 +5,9 @@
   type Job,
   type KeyedRequest,
   type Outcome,
-} from "../schema/mod.ts";
-import { formatCode, VerdictText } from "../sys/errors.ts";
-import { parseItemLine } from "./item_line.ts";
+} from "../../schema/mod.ts";
+import { formatCode, VerdictText } from "../../sys/errors.ts";
+import { parseItemLine } from "../common/item_line.ts";
 
 /** Names of item states in answers. */
 const StateText = {
--- a/src/services/entry_registration.ts
+++ b/src/services/control/entry_registration.ts
@@ -1,12 +1,12 @@
 /** Keeps an entry registered among the entries of the fleet. */
-import type { EntryRegistration } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { pause, settle, spawnRoutine, type Steps } from "../sys/routines.ts";
-import { encodeControlCommand } from "./commands.ts";
-import { CONTROL_GROUP } from "./groups.ts";
-import type { StateClient } from "./state_client.ts";
+import type { EntryRegistration } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { pause, settle, spawnRoutine, type Steps } from "../../sys/routines.ts";
+import { encodeControlCommand } from "../common/commands.ts";
+import { CONTROL_GROUP } from "../common/groups.ts";
+import type { StateClient } from "../common/state_client.ts";
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { EntryRegistrationSchema } from "../schema/mod.ts";
+import type { EntryRegistrationSchema } from "../../schema/mod.ts";
 
 const RENEW_MS = 1_000;
 const CALL_TIMEOUT_MS = 2_000;
--- a/src/services/item_queries.ts
+++ b/src/services/control/item_queries.ts
@@ -4,8 +4,8 @@
   InFlightCounts,
   QueryReplySchema,
   QueryRequest,
-} from "../schema/mod.ts";
-import type { ItemMachine } from "../state/mod.ts";
+} from "../../schema/mod.ts";
+import type { ItemMachine } from "../../state/mod.ts";
 
 /** Answer to a query. */
 export type QueryAnswer = MessageInitShape<typeof QueryReplySchema>;
--- a/src/services/open_counts.ts
+++ b/src/services/control/open_counts.ts
@@ -1,6 +1,6 @@
 /** What all entries of the fleet have open. */
-import { Entries, type EntryRegistration } from "../schema/mod.ts";
-import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+import { Entries, type EntryRegistration } from "../../schema/mod.ts";
+import { RpcClients, type RpcCredentials } from "../../sys/rpc.ts";
 
 /** Open streams and held items, and the entries that did not answer. */
 export interface OpenCounts {
--- a/src/services/operator_service.ts
+++ b/src/services/control/operator_service.ts
@@ -6,11 +6,11 @@
   MessageCode,
   Operators,
   Verdict,
-} from "../schema/mod.ts";
-import { asServingError, ServingError } from "../sys/errors.ts";
-import type { RpcPeer, RpcServer, RpcStream } from "../sys/rpc.ts";
-import { CONTROL_GROUP, getItemGroups } from "./groups.ts";
-import type { StateClient } from "./state_client.ts";
+} from "../../schema/mod.ts";
+import { asServingError, ServingError } from "../../sys/errors.ts";
+import type { RpcPeer, RpcServer, RpcStream } from "../../sys/rpc.ts";
+import { CONTROL_GROUP, getItemGroups } from "../common/groups.ts";
+import type { StateClient } from "../common/state_client.ts";
 
 type ExportInit = MessageInitShape<typeof Operators.method.export.output>;
 type InFlightInit = MessageInitShape<typeof Operators.method.inFlight.output>;
--- a/src/services/replica_identity.ts
+++ b/src/services/control/replica_identity.ts
@@ -10,12 +10,12 @@
   type ReplicaIdentity,
   ReplicaIdentitySchema,
   Replicas,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { ServingError } from "../sys/errors.ts";
-import type { Folder } from "../sys/files.ts";
-import type { Random } from "../sys/random.ts";
-import { RpcClient, type RpcCredentials } from "../sys/rpc.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { ServingError } from "../../sys/errors.ts";
+import type { Folder } from "../../sys/files.ts";
+import type { Random } from "../../sys/random.ts";
+import { RpcClient, type RpcCredentials } from "../../sys/rpc.ts";
 
 const IDENTITY_FILE = "identity";
 const RETRY_MS = 100;
--- a/src/services/replica_links.ts
+++ b/src/services/control/replica_links.ts
@@ -1,8 +1,12 @@
 /** Links from one state host to the others; they carry all groups' messages. */
-import { type ReplicaMessage, Replicas } from "../schema/mod.ts";
-import { ReplicaTransport } from "../state/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { RpcClient, type RpcCredentials, type RpcSender } from "../sys/rpc.ts";
+import { type ReplicaMessage, Replicas } from "../../schema/mod.ts";
+import { ReplicaTransport } from "../../state/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import {
+  RpcClient,
+  type RpcCredentials,
+  type RpcSender,
+} from "../../sys/rpc.ts";
 
 interface Link {
   readonly client: RpcClient;
--- a/src/services/spreader.ts
+++ b/src/services/control/spreader.ts
@@ -4,17 +4,17 @@
  * News of one short while goes in one batch.
  */
 import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
-import type { FleetView } from "../membership/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
 import {
   type Announcement,
   Entries,
   type EntryRegistration,
   SpreadBatchSchema,
   type Suspicion,
-} from "../schema/mod.ts";
-import { type Clock, type Timer } from "../sys/clock.ts";
-import { MetricName, type Metrics } from "../sys/metrics.ts";
-import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+} from "../../schema/mod.ts";
+import { type Clock, type Timer } from "../../sys/clock.ts";
+import { MetricName, type Metrics } from "../../sys/metrics.ts";
+import { RpcClients, type RpcCredentials } from "../../sys/rpc.ts";
 
 interface Outbox {
   announcements: Map<string, Announcement>;
--- a/src/services/view_follower.ts
+++ b/src/services/control/view_follower.ts
@@ -4,17 +4,17 @@
  * entry that restarts in a data centre that is cut off starts from those.
  */
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { FleetView } from "../membership/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
 import {
   type Configuration,
   ConfigurationSchema,
   Entries,
   type ViewUpdate,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { getReason } from "../sys/errors.ts";
-import type { Folder } from "../sys/files.ts";
-import type { Log } from "../sys/log.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { getReason } from "../../sys/errors.ts";
+import type { Folder } from "../../sys/files.ts";
+import type { Log } from "../../sys/log.ts";
 import {
   type Channel,
   createSlidingChannel,
@@ -24,9 +24,9 @@
   spawnRoutine,
   type Steps,
   tryReceiveWithin,
-} from "../sys/routines.ts";
-import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
-import type { StateClient } from "./state_client.ts";
+} from "../../sys/routines.ts";
+import { RpcClients, type RpcCredentials } from "../../sys/rpc.ts";
+import type { StateClient } from "../common/state_client.ts";
 
 /** How a {@linkcode ViewFollower} is made. */
 export interface ViewFollowerOptions {
--- a/src/services/view_watchers.ts
+++ b/src/services/control/view_watchers.ts
@@ -1,8 +1,8 @@
 /** Processes that follow the configuration and the entries at a state host. */
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { ViewUpdateSchema, WatchRequest } from "../schema/mod.ts";
-import type { ControlMachine } from "../state/mod.ts";
-import type { RpcStream } from "../sys/rpc.ts";
+import type { ViewUpdateSchema, WatchRequest } from "../../schema/mod.ts";
+import type { ControlMachine } from "../../state/mod.ts";
+import type { RpcStream } from "../../sys/rpc.ts";
 
 type WatchUpdate = MessageInitShape<typeof ViewUpdateSchema>;
 
--- a/src/services/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -3,8 +3,8 @@
  * routes, and runs batch items. It needs no disk.
  */
 import { create } from "@bufbuild/protobuf";
-import { AnnouncementEffect, FleetView } from "../membership/mod.ts";
-import { RetryBudget } from "../policy/mod.ts";
+import { AnnouncementEffect, FleetView } from "../../membership/mod.ts";
+import { RetryBudget } from "../../policy/mod.ts";
 import {
   type Announcement,
   Entries,
@@ -14,36 +14,36 @@
   type GetViewRequest,
   MessageCode,
   type SpreadBatch,
-} from "../schema/mod.ts";
-import type { Timer } from "../sys/clock.ts";
-import { getReason, ServingError } from "../sys/errors.ts";
-import { DiskFolder, type Folder } from "../sys/files.ts";
-import { type HttpListener, listenHttp } from "../sys/http.ts";
+} from "../../schema/mod.ts";
+import type { Timer } from "../../sys/clock.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
+import { DiskFolder, type Folder } from "../../sys/files.ts";
+import { type HttpListener, listenHttp } from "../../sys/http.ts";
 import {
   createCredentials,
   type RpcCredentials,
   RpcServer,
-} from "../sys/rpc.ts";
-import { createRawHeaderProblem } from "./answers.ts";
-import { BackendPool } from "./backend_pool.ts";
-import { BatchRunner } from "./batch_runner.ts";
-import { CallerLimits } from "./caller_limits.ts";
-import { CompletionService } from "./completion_service.ts";
-import { DeathWatch } from "./death_watch.ts";
-import { EngineRunner } from "./engine_runner.ts";
+} from "../../sys/rpc.ts";
+import { createRawHeaderProblem } from "../common/answers.ts";
+import { BackendPool } from "../online/backend_pool.ts";
+import { BatchRunner } from "../batch/batch_runner.ts";
+import { CallerLimits } from "../common/caller_limits.ts";
+import { CompletionService } from "../online/completion_service.ts";
+import { DeathWatch } from "../online/death_watch.ts";
+import { EngineRunner } from "../online/engine_runner.ts";
 import { EntryHttp } from "./entry_http.ts";
-import { Registrar } from "./entry_registration.ts";
-import { ItemSessions } from "./item_sessions.ts";
-import { JobService } from "./job_service.ts";
-import { KeyedStore } from "./keyed_store.ts";
-import { countOpen } from "./open_counts.ts";
-import { addOperatorService } from "./operator_service.ts";
-import { PlainService } from "./plain_service.ts";
-import type { ProcessContext } from "./process_context.ts";
-import { Spreader } from "./spreader.ts";
-import { StateClient } from "./state_client.ts";
-import { SuspectLanes } from "./suspect_lanes.ts";
-import { ViewFollower } from "./view_follower.ts";
+import { Registrar } from "../control/entry_registration.ts";
+import { ItemSessions } from "../common/item_sessions.ts";
+import { JobService } from "../batch/job_service.ts";
+import { KeyedStore } from "../online/keyed_store.ts";
+import { countOpen } from "../control/open_counts.ts";
+import { addOperatorService } from "../control/operator_service.ts";
+import { PlainService } from "../online/plain_service.ts";
+import type { ProcessContext } from "../common/process_context.ts";
+import { Spreader } from "../control/spreader.ts";
+import { StateClient } from "../common/state_client.ts";
+import { SuspectLanes } from "../online/suspect_lanes.ts";
+import { ViewFollower } from "../control/view_follower.ts";
 
 const BATCH_LOAD_MS = 500;
 
--- a/src/services/entry_http.ts
+++ b/src/services/hosts/entry_http.ts
@@ -1,24 +1,27 @@
 /** HTTP of an entry: health, announcements and callers' requests by path. */
-import { AnnouncementEffect, type FleetView } from "../membership/mod.ts";
-import { type Announcement, MessageCode } from "../schema/mod.ts";
-import { asServingError, ServingError } from "../sys/errors.ts";
+import { AnnouncementEffect, type FleetView } from "../../membership/mod.ts";
+import { type Announcement, MessageCode } from "../../schema/mod.ts";
+import { asServingError, ServingError } from "../../sys/errors.ts";
 import {
   type IncomingMessage,
   readBody,
   type ServerResponse,
-} from "../sys/http.ts";
-import { MetricName } from "../sys/metrics.ts";
-import { parseAnnouncement } from "./announcement_body.ts";
-import { sendJson, sendProblem } from "./answers.ts";
-import type { CallerLimits } from "./caller_limits.ts";
-import { type CallerRequest, createCallerRequest } from "./caller_request.ts";
+} from "../../sys/http.ts";
+import { MetricName } from "../../sys/metrics.ts";
+import { parseAnnouncement } from "../control/announcement_body.ts";
+import { sendJson, sendProblem } from "../common/answers.ts";
+import type { CallerLimits } from "../common/caller_limits.ts";
+import {
+  type CallerRequest,
+  createCallerRequest,
+} from "../common/caller_request.ts";
 import {
   COMPLETION_PATHS,
   type CompletionService,
-} from "./completion_service.ts";
-import { JOBS_PATH, type JobService } from "./job_service.ts";
-import type { PlainService } from "./plain_service.ts";
-import type { ProcessContext } from "./process_context.ts";
+} from "../online/completion_service.ts";
+import { JOBS_PATH, type JobService } from "../batch/job_service.ts";
+import type { PlainService } from "../online/plain_service.ts";
+import type { ProcessContext } from "../common/process_context.ts";
 
 /** Path that backend servers announce themselves at. */
 export const ANNOUNCE_PATH = "/v1/backend-servers/announce";
--- a/src/services/state_host.ts
+++ b/src/services/hosts/state_host.ts
@@ -14,32 +14,39 @@
   Replicas,
   State,
   type StateSettings,
-} from "../schema/mod.ts";
+} from "../../schema/mod.ts";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import {
   ControlMachine,
   ItemMachine,
   Replica,
   type ReplicaDump,
-} from "../state/mod.ts";
-import { asServingError, getReason, ServingError } from "../sys/errors.ts";
-import { DiskFolder, type Folder } from "../sys/files.ts";
-import { MetricName } from "../sys/metrics.ts";
+} from "../../state/mod.ts";
+import { asServingError, getReason, ServingError } from "../../sys/errors.ts";
+import { DiskFolder, type Folder } from "../../sys/files.ts";
+import { MetricName } from "../../sys/metrics.ts";
 import {
   createCredentials,
   type RpcCredentials,
   RpcServer,
-} from "../sys/rpc.ts";
-import type { Timer } from "../sys/clock.ts";
-import type { ProcessContext } from "./process_context.ts";
-import { CONTROL_GROUP, getItemGroups } from "./groups.ts";
-import { IdentityRecord, introduceReplica } from "./replica_identity.ts";
-import { ReplicaLinks } from "./replica_links.ts";
-import { BackendOrders } from "./backend_orders.ts";
-import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
-import { formatCounts, type QueryAnswer, queryItems } from "./item_queries.ts";
-import { Leases } from "./leases.ts";
-import { ViewWatchers } from "./view_watchers.ts";
+} from "../../sys/rpc.ts";
+import type { Timer } from "../../sys/clock.ts";
+import type { ProcessContext } from "../common/process_context.ts";
+import { CONTROL_GROUP, getItemGroups } from "../common/groups.ts";
+import {
+  IdentityRecord,
+  introduceReplica,
+} from "../control/replica_identity.ts";
+import { ReplicaLinks } from "../control/replica_links.ts";
+import { BackendOrders } from "../control/backend_orders.ts";
+import { encodeControlCommand, encodeItemCommand } from "../common/commands.ts";
+import {
+  formatCounts,
+  type QueryAnswer,
+  queryItems,
+} from "../control/item_queries.ts";
+import { Leases } from "../common/leases.ts";
+import { ViewWatchers } from "../control/view_watchers.ts";
 
 interface ItemGroup {
   readonly replica: Replica;
--- a/src/services/state_operators.ts
+++ b/src/services/hosts/state_operators.ts
@@ -1,9 +1,9 @@
 /** Operators' calls at a state host. */
 import { create } from "@bufbuild/protobuf";
-import { MemberSchema, type StateSettings } from "../schema/mod.ts";
-import { addOperatorService } from "./operator_service.ts";
-import type { ProcessContext } from "./process_context.ts";
-import { StateClient } from "./state_client.ts";
+import { MemberSchema, type StateSettings } from "../../schema/mod.ts";
+import { addOperatorService } from "../control/operator_service.ts";
+import type { ProcessContext } from "../common/process_context.ts";
+import { StateClient } from "../common/state_client.ts";
 import type { StateHost } from "./state_host.ts";
 
 /** Adds the operators' service to a state host, before it listens. */
--- a/src/services/mod.ts
+++ b/src/services/mod.ts
@@ -1,8 +1,8 @@
 /** The services of both daemons, for embedding. */
-export * from "./descriptions.ts";
-export * from "./entry_host.ts";
-export * from "./groups.ts";
-export * from "./process_context.ts";
-export * from "./state_client.ts";
-export * from "./state_host.ts";
-export * from "./state_operators.ts";
+export * from "./control/descriptions.ts";
+export * from "./hosts/entry_host.ts";
+export * from "./common/groups.ts";
+export * from "./common/process_context.ts";
+export * from "./common/state_client.ts";
+export * from "./hosts/state_host.ts";
+export * from "./hosts/state_operators.ts";
--- a/src/services/backend_pool.ts
+++ b/src/services/online/backend_pool.ts
@@ -7,12 +7,12 @@
   chooseServer,
   FairQueue,
   getBatchRoom,
-} from "../policy/mod.ts";
-import type { BackendServer, FleetView } from "../membership/mod.ts";
-import { Emphasis, MessageCode, Verdict } from "../schema/mod.ts";
-import type { Clock, Timer } from "../sys/clock.ts";
-import { createAbortError, ServingError } from "../sys/errors.ts";
-import { MetricName, type Metrics } from "../sys/metrics.ts";
+} from "../../policy/mod.ts";
+import type { BackendServer, FleetView } from "../../membership/mod.ts";
+import { Emphasis, MessageCode, Verdict } from "../../schema/mod.ts";
+import type { Clock, Timer } from "../../sys/clock.ts";
+import { createAbortError, ServingError } from "../../sys/errors.ts";
+import { MetricName, type Metrics } from "../../sys/metrics.ts";
 import {
   ActivePlacement,
   type Placement,
--- a/src/services/completion_service.ts
+++ b/src/services/online/completion_service.ts
@@ -1,20 +1,20 @@
 /** Completions for callers: streamed or whole, with or without a key. */
 import { create } from "@bufbuild/protobuf";
-import type { FleetView } from "../membership/mod.ts";
-import { type CompletionBody, EventLog } from "../relay/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
+import { type CompletionBody, EventLog } from "../../relay/mod.ts";
 import {
   MessageCode,
   type Outcome,
   OutcomeSchema,
   Verdict,
   type Workload,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { getReason, ServingError } from "../sys/errors.ts";
-import { readBody, type ServerResponse } from "../sys/http.ts";
-import { MetricName, type Metrics } from "../sys/metrics.ts";
-import { getDigest, getDigestHex } from "../sys/random.ts";
-import { type CallerRequest, getDeadlineMs } from "./caller_request.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
+import { readBody, type ServerResponse } from "../../sys/http.ts";
+import { MetricName, type Metrics } from "../../sys/metrics.ts";
+import { getDigest, getDigestHex } from "../../sys/random.ts";
+import { type CallerRequest, getDeadlineMs } from "../common/caller_request.ts";
 import type {
   CompletionSink,
   EngineOutcome,
@@ -22,7 +22,7 @@
   EngineRunner,
 } from "./engine_runner.ts";
 import type { KeyedStore } from "./keyed_store.ts";
-import { sendOutcome } from "./outcomes.ts";
+import { sendOutcome } from "../common/outcomes.ts";
 
 /** Paths of completions. */
 export const COMPLETION_PATHS: readonly string[] = [
--- a/src/services/death_watch.ts
+++ b/src/services/online/death_watch.ts
@@ -2,10 +2,10 @@
  * Finds out whether a backend server died under a request, and keeps the
  * suspicion against the requests that were in flight.
  */
-import type { FleetView } from "../membership/mod.ts";
-import { type Suspicion, Verdict } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { HttpSendError, sendHttp } from "../sys/http.ts";
+import type { FleetView } from "../../membership/mod.ts";
+import { type Suspicion, Verdict } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { HttpSendError, sendHttp } from "../../sys/http.ts";
 import type { Placement } from "./placement.ts";
 
 const PROBE_TIMEOUT_MS = 300;
--- a/src/services/engine_runner.ts
+++ b/src/services/online/engine_runner.ts
@@ -2,19 +2,23 @@
  * Runs a completion until it ends: places it, relays its events, and after a
  * failure resumes it elsewhere as far as its verdict allows.
  */
-import type { FleetView } from "../membership/mod.ts";
-import type { QuantileTracker, RetryBudget } from "../policy/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
+import type { QuantileTracker, RetryBudget } from "../../policy/mod.ts";
 import {
   type AttemptEnd,
   type CompletionBody,
   type EventLog,
   type EventSink,
   runEngineAttempt,
-} from "../relay/mod.ts";
-import { MessageCode, Verdict } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { assertNever, createAbortError, ServingError } from "../sys/errors.ts";
-import { MetricName, type Metrics } from "../sys/metrics.ts";
+} from "../../relay/mod.ts";
+import { MessageCode, Verdict } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import {
+  assertNever,
+  createAbortError,
+  ServingError,
+} from "../../sys/errors.ts";
+import { MetricName, type Metrics } from "../../sys/metrics.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { Placement } from "./placement.ts";
 import type { DeathWatch } from "./death_watch.ts";
--- a/src/services/keyed_store.ts
+++ b/src/services/online/keyed_store.ts
@@ -2,15 +2,15 @@
  * Idempotency keys in the replicated state: the first request under a key
  * runs, a resent one reads its outcome through whatever entry it comes.
  */
-import type { KeyedRequest, Outcome } from "../schema/mod.ts";
-import { ItemState, MessageCode, Verdict } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { asServingError, ServingError } from "../sys/errors.ts";
-import type { Random } from "../sys/random.ts";
-import { getItemGroup, getRequestPlacement } from "./groups.ts";
-import { isStaleEpoch, type ItemSessions } from "./item_sessions.ts";
-import { createFailure } from "./outcomes.ts";
-import type { StateClient } from "./state_client.ts";
+import type { KeyedRequest, Outcome } from "../../schema/mod.ts";
+import { ItemState, MessageCode, Verdict } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { asServingError, ServingError } from "../../sys/errors.ts";
+import type { Random } from "../../sys/random.ts";
+import { getItemGroup, getRequestPlacement } from "../common/groups.ts";
+import { isStaleEpoch, type ItemSessions } from "../common/item_sessions.ts";
+import { createFailure } from "../common/outcomes.ts";
+import type { StateClient } from "../common/state_client.ts";
 
 /** A request under a key. */
 export interface KeyedCall {
--- a/src/services/placement.ts
+++ b/src/services/online/placement.ts
@@ -1,5 +1,5 @@
 /** The use of one sequence on a backend server. */
-import type { BackendServer } from "../membership/mod.ts";
+import type { BackendServer } from "../../membership/mod.ts";
 
 /** How the use of a server ended. */
 export interface PlacementEnd {
--- a/src/services/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -3,29 +3,29 @@
  * repeated only where that is safe.
  */
 import { create } from "@bufbuild/protobuf";
-import type { FleetView } from "../membership/mod.ts";
-import type { RetryBudget } from "../policy/mod.ts";
-import { callService } from "../relay/mod.ts";
+import type { FleetView } from "../../membership/mod.ts";
+import type { RetryBudget } from "../../policy/mod.ts";
+import { callService } from "../../relay/mod.ts";
 import {
   MessageCode,
   type Outcome,
   OutcomeSchema,
   Verdict,
   type Workload,
-} from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import { asServingError, ServingError } from "../sys/errors.ts";
+} from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import { asServingError, ServingError } from "../../sys/errors.ts";
 import {
   type HttpAnswer,
   type IncomingHttpHeaders,
   readBody,
   removeHopHeaders,
-} from "../sys/http.ts";
-import { getDigest, getDigestHex } from "../sys/random.ts";
+} from "../../sys/http.ts";
+import { getDigest, getDigestHex } from "../../sys/random.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { Placement } from "./placement.ts";
-import { type CallerRequest, getDeadlineMs } from "./caller_request.ts";
-import { sendOutcome } from "./outcomes.ts";
+import { type CallerRequest, getDeadlineMs } from "../common/caller_request.ts";
+import { sendOutcome } from "../common/outcomes.ts";
 import type { DeathWatch } from "./death_watch.ts";
 import { raiseVerdict } from "./engine_runner.ts";
 import type { KeyedStore } from "./keyed_store.ts";
--- a/src/services/standings.ts
+++ b/src/services/online/standings.ts
@@ -1,6 +1,6 @@
 /** A backend server as the policy sees it. */
-import type { BackendServer } from "../membership/mod.ts";
-import type { ServerStanding } from "../policy/mod.ts";
+import type { BackendServer } from "../../membership/mod.ts";
+import type { ServerStanding } from "../../policy/mod.ts";
 
 /** Sequences of a server that says nothing of its limit. */
 const DEFAULT_SEQUENCE_LIMIT = 64;
--- a/src/services/suspect_lanes.ts
+++ b/src/services/online/suspect_lanes.ts
@@ -3,11 +3,11 @@
  * run there, whichever entry it came to. A second server that dies then has
  * one cause, and innocent requests are never refused with it.
  */
-import type { BackendServer, FleetView } from "../membership/mod.ts";
-import { Entries } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
-import type { Random } from "../sys/random.ts";
-import { RpcClients, type RpcCredentials } from "../sys/rpc.ts";
+import type { BackendServer, FleetView } from "../../membership/mod.ts";
+import { Entries } from "../../schema/mod.ts";
+import type { Clock } from "../../sys/clock.ts";
+import type { Random } from "../../sys/random.ts";
+import { RpcClients, type RpcCredentials } from "../../sys/rpc.ts";
 
 interface Lane {
   readonly holder: string;
--- a/src/test/batch_stop_test.ts
+++ b/src/test/batch_stop_test.ts
@@ -7,7 +7,7 @@
   ItemReplySchema,
   ShareSchema,
 } from "../schema/mod.ts";
-import { BatchRunner } from "../services/batch_runner.ts";
+import { BatchRunner } from "../services/batch/batch_runner.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
--- a/src/test/fuzz_test.ts
+++ b/src/test/fuzz_test.ts
@@ -15,8 +15,8 @@
 import { ServingError } from "../sys/errors.ts";
 import { parseSettings } from "../sys/settings.ts";
 import { scanFrames } from "../state/log/frame.ts";
-import { parseCompletion } from "../services/completion_service.ts";
-import { parseItemLine } from "../services/item_line.ts";
+import { parseCompletion } from "../services/online/completion_service.ts";
+import { parseItemLine } from "../services/common/item_line.ts";
 import { FuzzWorld } from "./fuzz_world.ts";
 import { MemoryFolder } from "./memory_folder.ts";
 
--- a/src/test/policy_test.ts
+++ b/src/test/policy_test.ts
@@ -21,9 +21,9 @@
   MessageCode,
   Verdict,
 } from "../schema/mod.ts";
-import { BackendPool } from "../services/backend_pool.ts";
-import type { Placement } from "../services/placement.ts";
-import { SuspectLanes } from "../services/suspect_lanes.ts";
+import { BackendPool } from "../services/online/backend_pool.ts";
+import type { Placement } from "../services/online/placement.ts";
+import { SuspectLanes } from "../services/online/suspect_lanes.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createAbortError, ServingError } from "../sys/errors.ts";
 import { Metrics } from "../sys/metrics.ts";
--- a/src/test/replica_identity_test.ts
+++ b/src/test/replica_identity_test.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { IntroductionSchema } from "../schema/mod.ts";
-import { IdentityRecord } from "../services/replica_identity.ts";
+import { IdentityRecord } from "../services/control/replica_identity.ts";
 import { DiskFolder } from "../sys/files.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { range } from "./fleet_helpers.ts";
