Results that could not be recorded are offered again; two modules split off

Cause: when a record of results failed while this replica went on leading, its items ran again from their last event; a text that was already whole was asked for beyond its end.

Change: RunRecorder keeps results until they are recorded or another leads; failures are not offered twice, because each would count. Its tests drive both. BackendSide holds what gateways and store hosts built alike (view, pool, calls, exchange of loads), so item_runner, gateway_host and store_host lose 190 lines.

--- a/dist/bench/worker_messages.js
+++ /dev/null
@@ -1,2 +0,0 @@
-export {};
-//# sourceMappingURL=worker_messages.js.map
--- a/dist/daemons/state_main.d.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env node
-export {};
--- a/dist/examples/policy_alone.d.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Name of the chosen server and the room for batch beside its load. */
-export declare function runPolicyAlone(): {
-    server: string;
-    room: number;
-};
--- a/dist/membership/mod.d.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Who belongs to the fleet, as one entry knows it. */
-export * from "./backend_view.ts";
-export * from "./fleet_view.ts";
-export * from "./subsets.ts";
-export * from "./suspicions.ts";
--- a/dist/relay/mod.d.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-/** HTTP between an entry and backend servers. */
-export * from "./engine_stream.ts";
-export * from "./event_log.ts";
-export * from "./event_splitter.ts";
-export * from "./service_call.ts";
--- a/dist/schema/mod.js
+++ /dev/null
@@ -1,12 +0,0 @@
-/**
- * The schema: messages, durable records, settings and the table of messages
- * to people. Everything under gen/ is generated from proto/ and committed.
- */
-export * from "./gen/papayatally/v1/bench_pb.js";
-export * from "./gen/papayatally/v1/configuration_pb.js";
-export * from "./gen/papayatally/v1/messages_pb.js";
-export * from "./gen/papayatally/v1/options_pb.js";
-export * from "./gen/papayatally/v1/services_pb.js";
-export * from "./gen/papayatally/v1/settings_pb.js";
-export * from "./gen/papayatally/v1/state_pb.js";
-//# sourceMappingURL=mod.js.map
--- a/dist/sys/rpc.js
+++ /dev/null
@@ -1,9 +0,0 @@
-/**
- * Remote procedure calls between own processes and from operators, over gRPC.
- * Services and messages come from the schema; these modules bind them to
- * grpc-js and are the only door to it.
- */
-export * from "./rpc_client.js";
-export { createCredentials, rpcTraffic, } from "./rpc_common.js";
-export * from "./rpc_server.js";
-//# sourceMappingURL=rpc.js.map
--- /dev/null
+++ b/src/fleet/backend_side.ts
@@ -0,0 +1,94 @@
+/**
+ * What every process that sends requests to backend servers has: its view of
+ * the fleet, places at the servers, the calls to them, and the exchange of
+ * loads with the other processes.
+ */
+import type { FleetSettings } from "../schema/mod.ts";
+import type { ProcessContext } from "../services/common/process_context.ts";
+import { createHttpAgent } from "../sys/http.ts";
+import type { RpcCredentials } from "../sys/rpc.ts";
+import { BackendCaller } from "./backend_call.ts";
+import type { BackendDialect } from "./dialects.ts";
+import { FleetFollower } from "./fleet_follower.ts";
+import { LoadExchange } from "./load_exchange.ts";
+import { RoutingView } from "./routing_view.ts";
+import { ServerPool } from "./server_pool.ts";
+
+/** How a {@linkcode BackendSide} is made. */
+export interface BackendSideOptions {
+  readonly settings: FleetSettings;
+  readonly context: ProcessContext;
+  readonly credentials: RpcCredentials;
+  readonly dialect: BackendDialect;
+  /** Whether this process merges the load reports of the others. */
+  readonly isMerger: boolean;
+  /** Called when others have reported their loads. */
+  readonly onReport: () => void;
+}
+
+/**
+ * Time for which an idle connection to a backend server is kept, in
+ * milliseconds: shorter than the servers keep theirs.
+ */
+const BACKEND_IDLE_MS = 4_000;
+
+/** One process's side towards backend servers. */
+export class BackendSide {
+  readonly view: RoutingView;
+  readonly follower: FleetFollower;
+  readonly pool: ServerPool;
+  readonly caller: BackendCaller;
+  readonly #exchange: LoadExchange;
+
+  constructor(options: BackendSideOptions) {
+    const { settings, credentials } = options;
+    const { clock, log, random } = options.context;
+    const view = new RoutingView({ beatMs: settings.beatMs ?? 0, clock, log });
+    this.view = view;
+    this.follower = new FleetFollower({
+      name: settings.id,
+      view,
+      seeds: settings.seeds,
+      credentials,
+      clock,
+      log,
+    });
+    const pool = new ServerPool({
+      dataCentre: settings.dataCentre,
+      view,
+      clock,
+      random,
+      log,
+    });
+    this.pool = pool;
+    this.caller = new BackendCaller({
+      dialect: options.dialect,
+      agent: createHttpAgent({ idleMs: BACKEND_IDLE_MS }),
+      onLoad: (server, total) => pool.observe(server, total),
+      onMisplaced: (server) => pool.noteMisplaced(server),
+      onUnreachable: (server) => pool.avoid(server),
+      onHeard: (server) => pool.noteHeard(server),
+    });
+    this.#exchange = new LoadExchange({
+      name: settings.id,
+      address: `${settings.ip}:${settings.peerPort}`,
+      loads: pool.loads,
+      getMergers: () => view.getStoreAddresses(),
+      isMerger: options.isMerger,
+      onReport: options.onReport,
+      clock,
+      log,
+    });
+  }
+
+  async start(): Promise<void> {
+    this.follower.start();
+    await this.#exchange.start();
+  }
+
+  close(): void {
+    this.#exchange.close();
+    this.pool.close();
+    this.follower.close();
+  }
+}
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -15,7 +15,6 @@
 import { StateClient } from "../services/common/state_client.ts";
 import { asServingError, getCodeName, ServingError } from "../sys/errors.ts";
 import {
-  createHttpAgent,
   type HttpListener,
   type IncomingMessage,
   listenHttp,
@@ -25,7 +24,7 @@
 } from "../sys/http.ts";
 import { MetricName } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
-import { BackendCaller } from "./backend_call.ts";
+import { BackendSide } from "./backend_side.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import type {
   BackendDialect,
@@ -33,20 +32,10 @@
   JobCall,
   OwnAnswer,
 } from "./dialects.ts";
-import { FleetFollower } from "./fleet_follower.ts";
 import { JobClient } from "./job_client.ts";
-import { LoadExchange } from "./load_exchange.ts";
 import { OnlineRelay, type OnlineRequest } from "./online_relay.ts";
-import { RoutingView } from "./routing_view.ts";
-import { ServerPool } from "./server_pool.ts";
 import { ServiceTimes } from "./service_times.ts";
 
-/**
- * Time for which an idle connection to a backend server is kept, in
- * milliseconds: shorter than the servers keep theirs.
- */
-const BACKEND_IDLE_MS = 4_000;
-
 /** Largest body before the first routes are known, in bytes. */
 const FIRST_BODY_BYTES = 1 << 20;
 
@@ -70,13 +59,10 @@
   readonly #settings: FleetSettings;
   readonly #context: ProcessContext;
   readonly #dialect: CallerDialect;
-  readonly #view: RoutingView;
-  readonly #pool: ServerPool;
+  readonly #side: BackendSide;
   readonly #relay: OnlineRelay;
-  readonly #follower: FleetFollower;
   readonly #state: StateClient;
   readonly #jobs: JobClient;
-  readonly #exchange: LoadExchange;
   readonly #ownHeaders: ReadonlySet<string>;
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
@@ -94,25 +80,18 @@
     this.#ownHeaders = dialects.backend.ownHeaders;
     const { clock, log, random, metrics } = context;
     const credentials = createCredentials(undefined, context.isCut);
-    this.#view = new RoutingView({ beatMs: settings.beatMs ?? 0, clock, log });
-    this.#pool = new ServerPool({
-      dataCentre: settings.dataCentre,
-      view: this.#view,
-      clock,
-      random,
-      log,
+    const side = new BackendSide({
+      settings,
+      context,
+      credentials,
+      dialect: dialects.backend,
+      isMerger: false,
+      onReport: () => side.pool.wake(),
     });
-    const pool = this.#pool;
+    this.#side = side;
     this.#relay = new OnlineRelay({
-      pool,
-      caller: new BackendCaller({
-        dialect: dialects.backend,
-        agent: createHttpAgent({ idleMs: BACKEND_IDLE_MS }),
-        onLoad: (server, total) => pool.observe(server, total),
-        onMisplaced: (server) => pool.noteMisplaced(server),
-        onUnreachable: (server) => pool.avoid(server),
-        onHeard: (server) => pool.noteHeard(server),
-      }),
+      pool: side.pool,
+      caller: side.caller,
       dialect: this.#dialect,
       times: new ServiceTimes(),
       clock,
@@ -120,40 +99,21 @@
       log,
       metrics,
     });
-    this.#follower = new FleetFollower({
-      name: settings.id,
-      view: this.#view,
-      seeds: settings.seeds,
-      credentials,
-      clock,
-      log,
-    });
     this.#state = new StateClient({
-      getAddresses: () => this.#view.getAddresses(HostRole.STORE),
+      getAddresses: () => side.view.getAddresses(HostRole.STORE),
       credentials,
       clock,
     });
     this.#jobs = new JobClient(this.#state);
-    this.#exchange = new LoadExchange({
-      name: settings.id,
-      address: `${settings.ip}:${settings.peerPort}`,
-      loads: pool.loads,
-      getMergers: () => this.#view.getStoreAddresses(),
-      isMerger: false,
-      onReport: () => pool.wake(),
-      clock,
-      log,
-    });
   }
 
   /** Whether the balancer may send callers here. */
   get isReady(): boolean {
-    return !this.#stopping && this.#view.routes !== undefined;
+    return !this.#stopping && this.#side.view.routes !== undefined;
   }
 
   async start(): Promise<void> {
-    this.#follower.start();
-    await this.#exchange.start();
+    await this.#side.start();
     this.#readyListener = await listenHttp(
       this.#settings.readyListen ?? "",
       (_, res) => {
@@ -163,13 +123,13 @@
     this.#listener = await listenHttp(
       this.#settings.listen ?? "",
       (req, res) => this.#serve(req, res),
-      { getBounds: () => this.#view.routes?.table.bounds },
+      { getBounds: () => this.#side.view.routes?.table.bounds },
     );
   }
 
   /** Takes other addresses of control hosts. */
   setSeeds(seeds: readonly string[]): void {
-    this.#follower.setSeeds(seeds);
+    this.#side.follower.setSeeds(seeds);
   }
 
   /** Stops without cutting off a request, within the time that is set. */
@@ -196,9 +156,7 @@
     this.#stopping = true;
     this.#listener?.close();
     this.#readyListener?.close();
-    this.#exchange.close();
-    this.#pool.close();
-    this.#follower.close();
+    this.#side.close();
     this.#state.close();
   }
 
@@ -209,15 +167,15 @@
       id: this.#settings.id,
       dataCentre: this.#settings.dataCentre,
       ready: this.isReady,
-      routesVersion: Number(this.#view.routesVersion),
+      routesVersion: Number(this.#side.view.routesVersion),
       open: this.#open,
-      hosts: this.#view.hosts.hosts.map((host) => host.id),
-      backendServers: this.#view.book.getAll().map((one) => ({
+      hosts: this.#side.view.hosts.hosts.map((host) => host.id),
+      backendServers: this.#side.view.book.getAll().map((one) => ({
         id: one.id,
         service: one.service,
         state: one.state,
         slots: one.slots,
-        busy: this.#pool.loads.getBusy(one.id, nowMs),
+        busy: this.#side.pool.loads.getBusy(one.id, nowMs),
       })),
       metrics: this.#context.metrics.getSums(),
     };
@@ -251,7 +209,7 @@
       code: getCodeName(error.code),
       verdict: Verdict[error.verdict] ?? "",
       reason: error.message,
-      routes: Number(this.#view.routesVersion),
+      routes: Number(this.#side.view.routesVersion),
     });
     if (answer.hasBegun) answer.cut();
     else answer.sendOwn(this.#dialect.createRefusal(error));
@@ -266,7 +224,7 @@
       answer.sendOwn(await this.#callJob(jobCall));
       return;
     }
-    const routes = this.#view.routes;
+    const routes = this.#side.view.routes;
     if (routes === undefined) throw createNoRoutes();
     const path = getPath(target);
     const route = routes.tryMatch(req.headers.host ?? "", path);
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -15,10 +15,6 @@
   selectYielding,
 } from "../policy/mod.ts";
 import {
-  type FailedRun,
-  FailedRunSchema,
-  type FinishedRun,
-  FinishedRunSchema,
   ItemEnd,
   type JobItem,
   type RecordRuns,
@@ -38,6 +34,7 @@
   runItemAttempt,
 } from "./item_attempt.ts";
 import type { RoutingView } from "./routing_view.ts";
+import { type EndedItem, getItemKey, RunRecorder } from "./run_recorder.ts";
 import type { Place, ServerPool } from "./server_pool.ts";
 
 /** How an {@linkcode ItemRunner} is made. */
@@ -87,12 +84,6 @@
 /** Pause of an item after an attempt that failed, in milliseconds. */
 const FAILURE_PAUSE_MS = 400;
 
-/** Longest time that results wait to be recorded together. */
-const RECORD_PAUSE_MS = 15;
-
-/** Pause before results that could not be recorded are offered again. */
-const RECORD_RETRY_MS = 100;
-
 /** Items looked at in one turn; more than all slots of a large fleet. */
 const MAX_CANDIDATES = 512;
 
@@ -102,11 +93,7 @@
   readonly #runs = new Map<string, Run>();
   readonly #progress = new Map<string, ItemProgress>();
   readonly #pausedUntilMs = new Map<string, number>();
-  /** Ended items whose records are under way; they don't start again. */
-  readonly #recording = new Set<string>();
-  #finished: FinishedRun[] = [];
-  #failed: FailedRun[] = [];
-  #isRecording = false;
+  readonly #recorder: RunRecorder;
   #leadTerm: number | undefined;
   #ledSinceMs = 0;
   #timer: Timer | undefined;
@@ -115,6 +102,12 @@
 
   constructor(options: ItemRunnerOptions) {
     this.#options = options;
+    this.#recorder = new RunRecorder({
+      record: options.record,
+      isLeading: () => options.getLeadTerm() !== undefined,
+      clock: options.context.clock,
+      log: options.context.log,
+    });
   }
 
   get runCount(): number {
@@ -203,9 +196,8 @@
     jobs.filter((queued) => nowMs > queued.submittedMs + queued.job.retentionMs)
       .forEach((queued) =>
         queued.open.forEach((item) => {
-          const key = getKey(queued, item.id);
-          if (this.#recording.has(key)) return;
-          this.#runs.get(key)?.stop.abort();
+          if (this.#recorder.hasEnded(queued.job.id, item.id)) return;
+          this.#runs.get(getKey(queued, item.id))?.stop.abort();
           this.#finish(queued, item, createDeadLetter(item.id), "too late");
         })
       );
@@ -226,8 +218,9 @@
         dueMs: queued.submittedMs + queued.job.dueMs,
         jobOpen: queued.open.size,
       }))
-    ).filter(({ key }) =>
-      !this.#runs.has(key) && !this.#recording.has(key) &&
+    ).filter(({ queued, item, key }) =>
+      !this.#runs.has(key) &&
+      !this.#recorder.hasEnded(queued.job.id, item.id) &&
       (this.#pausedUntilMs.get(key) ?? 0) <= nowMs
     ).sort(compareWaiting);
   }
@@ -335,10 +328,7 @@
         return;
       case "failed":
         this.#progress.get(key)?.reset();
-        this.#failed.push(
-          create(FailedRunSchema, { job: queued.job.id, item: item.id }),
-        );
-        this.#scheduleRecord();
+        this.#recorder.fail(queued.job.id, item.id);
         break;
       case "broken":
         pool.avoid(server);
@@ -361,10 +351,9 @@
   #finish(
     queued: QueuedJob,
     item: JobItem,
-    result: NonNullable<Parameters<typeof createFinishedRun>[1]>,
+    result: EndedItem,
     reason: string,
   ): void {
-    this.#recording.add(getKey(queued, item.id));
     this.#options.context.metrics.count(MetricName.batchItems);
     if (result.end !== ItemEnd.DONE) {
       this.#options.context.log.info("item_given_up", {
@@ -373,8 +362,7 @@
         reason,
       });
     }
-    this.#finished.push(createFinishedRun(queued.job.id, result));
-    this.#scheduleRecord();
+    this.#recorder.finish(queued.job.id, result);
   }
 
   /**
@@ -386,7 +374,7 @@
     const progress = this.#options.getOpenJobs().flatMap((queued) =>
       [...queued.open.keys()].flatMap((item) => {
         const key = getKey(queued, item);
-        const part = this.#recording.has(key)
+        const part = this.#recorder.hasEnded(queued.job.id, item)
           ? undefined
           : this.#progress.get(key)?.tryTakeUnrecorded();
         return part === undefined ? [] : [create(RunProgressSchema, {
@@ -407,44 +395,6 @@
         }),
     );
   }
-
-  #scheduleRecord(): void {
-    if (this.#isRecording) return;
-    this.#isRecording = true;
-    this.#options.context.clock.delay(RECORD_PAUSE_MS)
-      .then(() => this.#recordAll())
-      .finally(() => {
-        this.#isRecording = false;
-        if (this.#finished.length + this.#failed.length > 0) {
-          this.#scheduleRecord();
-        }
-      });
-  }
-
-  async #recordAll(): Promise<void> {
-    const finished = this.#finished;
-    const failed = this.#failed;
-    this.#finished = [];
-    this.#failed = [];
-    const { context } = this.#options;
-    try {
-      await this.#options.record(
-        create(RecordRunsSchema, { finished, failed }),
-      );
-    } catch (error) {
-      // The fate of the records is open: an item may run again, and a second
-      // result of it is dropped.
-      context.log.warn("results_not_recorded", {
-        finished: finished.length,
-        failed: failed.length,
-        reason: getReason(error),
-      });
-      await context.clock.delay(RECORD_RETRY_MS);
-    }
-    finished.forEach(({ job, result }) =>
-      this.#recording.delete(`${job}/${result?.id ?? ""}`)
-    );
-  }
 }
 
 /** Progress as far as it was recorded, by this or an earlier leader. */
@@ -455,15 +405,8 @@
   return new ItemProgress({ last: recorded.last, text });
 }
 
-function createFinishedRun(
-  job: string,
-  result: { id: string; end: ItemEnd; text: Uint8Array },
-): FinishedRun {
-  return create(FinishedRunSchema, { job, result });
-}
-
 function getKey(queued: QueuedJob, item: string): string {
-  return `${queued.job.id}/${item}`;
+  return getItemKey(queued.job.id, item);
 }
 
 function encode(text: string): Uint8Array {
--- /dev/null
+++ b/src/fleet/run_recorder.ts
@@ -0,0 +1,115 @@
+/**
+ * Records how runs of items ended, many at once: results and failures are
+ * gathered while an earlier record is under way.
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  type FailedRun,
+  FailedRunSchema,
+  type FinishedRun,
+  FinishedRunSchema,
+  type ItemEnd,
+  type RecordRuns,
+  RecordRunsSchema,
+} from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
+import type { Log } from "../sys/log.ts";
+
+/** How a {@linkcode RunRecorder} is made. */
+export interface RunRecorderOptions {
+  /** Makes records durable; rejects when that failed or isn't known. */
+  readonly record: (runs: RecordRuns) => Promise<void>;
+  /** Whether this process may still record. */
+  readonly isLeading: () => boolean;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** A result as it is recorded. */
+export interface EndedItem {
+  readonly id: string;
+  readonly end: ItemEnd;
+  readonly text: Uint8Array;
+}
+
+/** Longest time that results wait to be recorded together. */
+const GATHER_MS = 15;
+
+/** Pause before results that could not be recorded are offered again. */
+const RETRY_MS = 100;
+
+/** Name of an item among all jobs. */
+export function getItemKey(job: string, item: string): string {
+  return `${job}/${item}`;
+}
+
+/** Records of one process. */
+export class RunRecorder {
+  readonly #options: RunRecorderOptions;
+  /** Items whose results are not recorded yet; they don't start again. */
+  readonly #ended = new Set<string>();
+  #finished: FinishedRun[] = [];
+  #failed: FailedRun[] = [];
+  #isRecording = false;
+
+  constructor(options: RunRecorderOptions) {
+    this.#options = options;
+  }
+
+  /** Whether an item has ended here and its record is under way. */
+  hasEnded(job: string, item: string): boolean {
+    return this.#ended.has(getItemKey(job, item));
+  }
+
+  /** An item has its result. */
+  finish(job: string, result: EndedItem): void {
+    this.#ended.add(getItemKey(job, result.id));
+    this.#finished.push(create(FinishedRunSchema, { job, result }));
+    this.#schedule();
+  }
+
+  /** A backend server ran an item and failed. */
+  fail(job: string, item: string): void {
+    this.#failed.push(create(FailedRunSchema, { job, item }));
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    if (this.#isRecording) return;
+    this.#isRecording = true;
+    this.#options.clock.delay(GATHER_MS)
+      .then(() => this.#recordAll())
+      .finally(() => {
+        this.#isRecording = false;
+        if (this.#finished.length + this.#failed.length > 0) this.#schedule();
+      });
+  }
+
+  async #recordAll(): Promise<void> {
+    const { record, isLeading, clock, log } = this.#options;
+    const finished = this.#finished;
+    const failed = this.#failed;
+    this.#finished = [];
+    this.#failed = [];
+    try {
+      await record(create(RecordRunsSchema, { finished, failed }));
+    } catch (error) {
+      log.warn("results_not_recorded", {
+        finished: finished.length,
+        failed: failed.length,
+        reason: getReason(error),
+      });
+      await clock.delay(RETRY_MS);
+      // A result that was recorded after all is dropped the second time; a
+      // failure would count twice, so it is not offered again.
+      if (isLeading()) {
+        this.#finished.unshift(...finished);
+        return;
+      }
+    }
+    finished.forEach(({ job, result }) =>
+      this.#ended.delete(getItemKey(job, result?.id ?? ""))
+    );
+  }
+}
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -22,10 +22,8 @@
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
-import { createHttpAgent } from "../sys/http.ts";
-import { BackendCaller } from "./backend_call.ts";
+import { BackendSide } from "./backend_side.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
-import { FleetFollower } from "./fleet_follower.ts";
 import { FLEET_GROUP, STORE_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
 import {
@@ -35,14 +33,8 @@
   writeFirstMembers,
 } from "./host_identity.ts";
 import { ItemRunner } from "./item_runner.ts";
-import { LoadExchange } from "./load_exchange.ts";
-import { RoutingView } from "./routing_view.ts";
-import { ServerPool } from "./server_pool.ts";
 import { encodeFleetCommand, StateProcess } from "./state_process.ts";
 
-/** Idle time of connections to backend servers, in milliseconds. */
-const BACKEND_IDLE_MS = 4_000;
-
 /** Time between two looks at whether the members are known, in milliseconds. */
 const REPORT_INTERVAL_MS = 250;
 
@@ -55,11 +47,8 @@
   readonly #context: ProcessContext;
   readonly #process: StateProcess;
   readonly #machine: JobMachine;
-  readonly #view: RoutingView;
-  readonly #follower: FleetFollower;
-  readonly #pool: ServerPool;
+  readonly #side: BackendSide;
   readonly #runner: ItemRunner;
-  readonly #exchange: LoadExchange;
   readonly #client: StateClient;
   readonly #readers = new Set<() => void>();
   #member: GroupMember | undefined;
@@ -76,33 +65,24 @@
   ) {
     this.#settings = settings;
     this.#context = context;
-    const { clock, log, random } = context;
     this.#machine = new JobMachine({ keptMs: settings.statusMs });
     this.#process = new StateProcess({
       settings,
       context,
       getMember: () => this.#member,
     });
-    this.#view = new RoutingView({ beatMs: settings.beatMs ?? 0, clock, log });
-    this.#follower = new FleetFollower({
-      name: settings.id,
-      view: this.#view,
-      seeds: settings.seeds,
+    this.#side = new BackendSide({
+      settings,
+      context,
       credentials: this.#process.credentials,
-      clock,
-      log,
+      dialect: dialects.backend,
+      isMerger: true,
+      onReport: () => this.#runner.look(),
     });
+    const { view, pool, caller, follower } = this.#side;
     this.#client = this.#process.createFleetClient(() =>
-      this.#follower.getAddresses()
+      follower.getAddresses()
     );
-    this.#pool = new ServerPool({
-      dataCentre: settings.dataCentre,
-      view: this.#view,
-      clock,
-      random,
-      log,
-    });
-    const pool = this.#pool;
     this.#runner = new ItemRunner({
       getOpenJobs: () => this.#getOpenJobs(),
       getLeadTerm: () => {
@@ -110,29 +90,12 @@
         return replica?.isLeader === true ? replica.term : undefined;
       },
       record: (runs) => this.#record(runs),
-      view: this.#view,
+      view,
       pool,
-      caller: new BackendCaller({
-        dialect: dialects.backend,
-        agent: createHttpAgent({ idleMs: BACKEND_IDLE_MS }),
-        onLoad: (server, total) => pool.observe(server, total),
-        onMisplaced: (server) => pool.noteMisplaced(server),
-        onUnreachable: (server) => pool.avoid(server),
-        onHeard: (server) => pool.noteHeard(server),
-      }),
+      caller,
       dialects,
       context,
     });
-    this.#exchange = new LoadExchange({
-      name: settings.id,
-      address: this.#process.address,
-      loads: pool.loads,
-      getMergers: () => this.#view.getStoreAddresses(),
-      isMerger: true,
-      onReport: () => this.#runner.look(),
-      clock,
-      log,
-    });
   }
 
   /** The replica takes part in its group. */
@@ -153,8 +116,7 @@
       readBody: (req) => Promise.resolve(this.#readBody(req)),
     });
     await server.listen(address);
-    this.#follower.start();
-    await this.#exchange.start();
+    await this.#side.start();
     this.#runner.start();
     this.#reportTimer = this.#context.clock.startInterval(
       REPORT_INTERVAL_MS,
@@ -168,7 +130,7 @@
 
   /** Takes other addresses of control hosts. */
   setSeeds(seeds: readonly string[]): void {
-    this.#follower.setSeeds(seeds);
+    this.#side.follower.setSeeds(seeds);
   }
 
   /** Hands leadership over and stops. */
@@ -178,9 +140,7 @@
     this.#runner.close();
     await this.#member?.stop();
     this.#reportTimer?.cancel();
-    this.#exchange.close();
-    this.#pool.close();
-    this.#follower.close();
+    this.#side.close();
     this.#client.close();
     this.#process.server.close();
   }
@@ -219,16 +179,16 @@
   #waitForFounders(): Promise<string[]> {
     return new Promise((resolve) => {
       const look = () => {
-        const { storeMembers } = this.#view.hosts;
+        const { storeMembers } = this.#side.view.hosts;
         if (storeMembers.length > 0) resolve(storeMembers);
       };
-      this.#view.onChange(look);
+      this.#side.view.onChange(look);
       look();
     });
   }
 
   #getDataCentre(name: string): string {
-    return this.#view.hosts.hosts.find((host) => host.id === name)
+    return this.#side.view.hosts.hosts.find((host) => host.id === name)
       ?.dataCentre ?? "";
   }
 
@@ -250,8 +210,10 @@
       context: this.#context,
       credentials: this.#process.credentials,
       getHosts: () =>
-        this.#view.hosts.hosts.filter((host) => host.role === HostRole.STORE),
-      getRetired: () => new Set(this.#view.hosts.retired),
+        this.#side.view.hosts.hosts.filter((host) =>
+          host.role === HostRole.STORE
+        ),
+      getRetired: () => new Set(this.#side.view.hosts.retired),
       onApplied: () => this.#wakeReaders(),
       onFailure: (error) => this.onFailure(error),
     });
@@ -305,7 +267,7 @@
     const settled = replica.tryGetSettledMembers();
     if (settled === undefined) return;
     const ids = settled.members.map((member) => member.id).sort();
-    const known = this.#view.hosts.storeNow?.ids ?? [];
+    const known = this.#side.view.hosts.storeNow?.ids ?? [];
     if (ids.join() === [...known].sort().join()) return;
     const command = encodeFleetCommand({
       case: "reportStore",
--- /dev/null
+++ b/src/test/run_recorder_test.ts
@@ -0,0 +1,75 @@
+/** Results of items while records fail. */
+import { expect } from "chai";
+import { RunRecorder } from "../fleet/run_recorder.ts";
+import { ItemEnd, type RecordRuns } from "../schema/mod.ts";
+import { ManualClock } from "../sys/clock.ts";
+import { createSilentLog } from "../sys/log.ts";
+
+function settleTurns(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function createRecorder() {
+  const clock = new ManualClock();
+  const state = { isLeading: true, isBroken: false };
+  const records: RecordRuns[] = [];
+  const recorder = new RunRecorder({
+    record: (runs) => {
+      records.push(runs);
+      return state.isBroken
+        ? Promise.reject(new Error("no quorum"))
+        : Promise.resolve();
+    },
+    isLeading: () => state.isLeading,
+    clock,
+    log: createSilentLog(),
+  });
+  const pass = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 5) {
+      clock.advance(5);
+      await settleTurns();
+    }
+  };
+  const finish = (id: string) =>
+    recorder.finish("j", { id, end: ItemEnd.DONE, text: new Uint8Array() });
+  const getFinished = () =>
+    records.map((one) => one.finished.map((run) => run.result?.id).join());
+  return { recorder, state, records, pass, finish, getFinished };
+}
+
+describe("run recorder", () => {
+  it("records together what ends together", async () => {
+    const { recorder, pass, finish, getFinished } = createRecorder();
+    finish("a");
+    finish("b");
+    expect(recorder.hasEnded("j", "a")).equal(true);
+    await pass(50);
+    expect(getFinished()).deep.equal(["a,b"]);
+    expect(recorder.hasEnded("j", "a")).equal(false);
+  });
+
+  it("offers results again while it leads, and failures never", async () => {
+    const { recorder, state, records, pass, finish, getFinished } =
+      createRecorder();
+    state.isBroken = true;
+    finish("a");
+    recorder.fail("j", "f");
+    await pass(60);
+    expect(recorder.hasEnded("j", "a")).equal(true);
+    state.isBroken = false;
+    await pass(300);
+    expect(getFinished()).deep.equal(["a", "a"]);
+    expect(records.map((one) => one.failed.length)).deep.equal([1, 0]);
+    expect(recorder.hasEnded("j", "a")).equal(false);
+  });
+
+  it("lets go of results once another leads", async () => {
+    const { recorder, state, pass, finish, getFinished } = createRecorder();
+    state.isBroken = true;
+    state.isLeading = false;
+    finish("a");
+    await pass(300);
+    expect(getFinished()).deep.equal(["a"]);
+    expect(recorder.hasEnded("j", "a")).equal(false);
+  });
+});
