Settings of the fleet's processes checked by the command line; pages

`papayatally check fleet FILE` prints each fault of a gateway's, control host's or store host's settings; docs/SETTINGS.md lists them. Checked: a filled-in gateway template has no faults; a text in place of a number is PT1004 with its line, exit code 3.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,7 +2,7 @@
 /** The command line: settings, orders, jobs, dumps, exports and the demo. */
 import { randomUUID } from "node:crypto";
 import { readFileSync, writeFileSync } from "node:fs";
-import { toJson } from "@bufbuild/protobuf";
+import { type DescMessage, toJson } from "@bufbuild/protobuf";
 import { Command } from "commander";
 import {
   callWhole,
@@ -20,6 +20,7 @@
 import {
   ConfigurationSchema,
   EntrySettingsSchema,
+  FleetSettingsSchema,
   InFlightReplySchema,
   MessageCode,
   Operators,
@@ -75,18 +76,26 @@
   }
 }
 
+/** Settings files by the kind of process that they are for. */
+const SETTINGS_SCHEMAS: ReadonlyMap<string, DescMessage> = new Map<
+  string,
+  DescMessage
+>([
+  ["entry", EntrySettingsSchema],
+  ["state", StateSettingsSchema],
+  ["fleet", FleetSettingsSchema],
+]);
+
 program.command("check")
   .description("Check a settings file and print every fault.")
-  .argument("<kind>", "entry or state")
+  .argument("<kind>", "entry, state or fleet")
   .argument("<file>", "path of the TOML file")
   .action((kind: string, file: string) => {
-    if (kind !== "entry" && kind !== "state") {
-      throw createUsageError("the kind must be entry or state");
+    const schema = SETTINGS_SCHEMAS.get(kind);
+    if (schema === undefined) {
+      throw createUsageError("the kind must be entry, state or fleet");
     }
-    readSettings(
-      kind === "entry" ? EntrySettingsSchema : StateSettingsSchema,
-      file,
-    );
+    readSettings(schema, file);
     getOutput().print(`${file}: no faults`, { file, faults: [] });
   });
 
--- a/src/cli/schema_pages.ts
+++ b/src/cli/schema_pages.ts
@@ -2,6 +2,7 @@
 import { type DescMessage, getOption } from "@bufbuild/protobuf";
 import {
   EntrySettingsSchema,
+  FleetSettingsSchema,
   message as messageOption,
   MessageCodeSchema,
   rule as ruleOption,
@@ -49,6 +50,10 @@
     "",
     ...formatTable("papayatally-entry", EntrySettingsSchema),
     ...formatTable("papayatally-state", StateSettingsSchema),
+    ...formatTable(
+      "gateways, control hosts and store hosts",
+      FleetSettingsSchema,
+    ),
     ...formatTable("Scenarios of papayatally bench", ScenarioSchema),
   ].join("\n");
 }
