Agreement: a member that fell behind gets its backlog once

Cause: a leader that looked for the match of a member answered each refusal with up to 1 MB of entries, and each proposal began another such chain. That filled the leader's memory, and the heartbeats waited behind it.

Change: a match is looked for by one message without entries at a time; a refusal names the entry before the whole conflicting term; at most two appends wait for an acknowledgement. Entries that are lost show by the refusal of the next message, so nothing is sent again by time.

--- a/src/state/agreement/follower_progress.ts
+++ b/src/state/agreement/follower_progress.ts
@@ -3,6 +3,13 @@
  * they were surely in contact. Rounds of messages are numbered, so that a reply
  * proves contact at the time its round was sent, not when it arrived.
  */
+import { MAX_APPEND_BYTES } from "./timing.ts";
+
+/** Entries that were sent and are not acknowledged. */
+interface SentEntries {
+  readonly lastIndex: number;
+  readonly bytes: number;
+}
 
 /** What is known of one member. */
 export interface Progress {
@@ -10,12 +17,25 @@
   nextIndex: number;
   /** When the newest acknowledged round was sent. */
   contactMs: number;
-  /** Entries up to here are under way. */
-  sentIndex: number;
-  sentMs: number;
+  /**
+   * Where its log matches is being looked for, by messages without entries:
+   * one after each refusal, or one a heartbeat.
+   */
+  isProbing: boolean;
+  /** Round of the newest probe; refusals of earlier rounds say nothing new. */
+  probeRound: number;
+  probeSentMs: number;
+  sent: SentEntries[];
   snapshotSentMs: number;
 }
 
+/**
+ * Bytes sent to one member that may wait for its acknowledgement: two appends.
+ * Without a bound, what is queued for a member that was cut off fills memory
+ * and delays the heartbeats behind it.
+ */
+const MAX_UNACKED_BYTES = 2 * MAX_APPEND_BYTES;
+
 /** Rounds for which a late reply still counts as contact. */
 const ROUNDS_KEPT = 256;
 
@@ -49,8 +69,10 @@
       this.#rows.set(id, {
         ...first,
         matchIndex: 0,
-        sentIndex: 0,
-        sentMs: 0,
+        isProbing: true,
+        probeRound: 0,
+        probeSentMs: -Infinity,
+        sent: [],
         snapshotSentMs: -Infinity,
       })
     );
@@ -68,6 +90,49 @@
     progress.contactMs = Math.max(progress.contactMs, sentMs);
   }
 
+  /** Notes entries as sent; `nextIndex` moves past them. */
+  noteSent(progress: Progress, count: number, bytes: number): void {
+    if (count === 0) return;
+    progress.nextIndex += count;
+    progress.sent.push({ lastIndex: progress.nextIndex - 1, bytes });
+  }
+
+  /** Whether another message with entries may be under way. */
+  hasRoom(progress: Progress): boolean {
+    const bytes = progress.sent.reduce((sum, one) => sum + one.bytes, 0);
+    return bytes < MAX_UNACKED_BYTES;
+  }
+
+  /** A member's log matches up to an index. */
+  noteMatch(progress: Progress, index: number): void {
+    progress.matchIndex = Math.max(progress.matchIndex, index);
+    const { matchIndex } = progress;
+    progress.nextIndex = progress.isProbing
+      ? matchIndex + 1
+      : Math.max(progress.nextIndex, matchIndex + 1);
+    progress.isProbing = false;
+    progress.sent = progress.sent.filter((one) => one.lastIndex > matchIndex);
+  }
+
+  /**
+   * A member's log does not match; it may up to `hint`. False when a newer
+   * probe is under way.
+   */
+  noteRefusal(progress: Progress, round: number, hint: number): boolean {
+    if (progress.isProbing && round < progress.probeRound) return false;
+    progress.isProbing = true;
+    progress.sent = [];
+    progress.nextIndex = Math.max(progress.matchIndex, hint) + 1;
+    return true;
+  }
+
+  /** Begins a probe in a round of its own. */
+  startProbe(progress: Progress, nowMs: number): void {
+    this.startRound(nowMs);
+    progress.probeRound = this.#round;
+    progress.probeSentMs = nowMs;
+  }
+
   /** Forgets everything, at the start and the end of a term. */
   clear(): void {
     this.#rows.clear();
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -32,7 +32,7 @@
   createHardStateRecord,
   type RecoveredState,
 } from "../log/replica_store.ts";
-import { EntryLog } from "../log/entry_log.ts";
+import { EntryLog, getEntryBytes } from "../log/entry_log.ts";
 import {
   type AgreementTiming,
   CLOCK_DRIFT_BOUND,
@@ -599,7 +599,13 @@
 
   #broadcast(): void {
     this.#followers.startRound(this.#nowMs);
-    this.#followers.forEach((progress, id) => this.#sendAppend(id, progress));
+    const probeDueMs = this.#nowMs - this.#timing.heartbeatMs / 2;
+    this.#followers.forEach((progress, id) => {
+      if (!progress.isProbing) this.#sendAppend(id, progress);
+      else if (progress.probeSentMs <= probeDueMs) {
+        this.#sendProbe(id, progress);
+      }
+    });
   }
 
   #sendAppend(id: string, progress: Progress): void {
@@ -609,16 +615,12 @@
       this.#offerSnapshot(id, progress);
       return;
     }
-    const entries = this.#log.slice(
-      progress.nextIndex,
-      MAX_APPEND_ENTRIES,
-      MAX_APPEND_BYTES,
-    );
-    // Entries are sent ahead of their acknowledgement; a refusal or a lost
-    // message is made good from the refused index at the next heartbeat.
-    progress.nextIndex += entries.length;
-    progress.sentIndex = progress.nextIndex - 1;
-    if (entries.length > 0) progress.sentMs = this.#nowMs;
+    // Entries are sent ahead of their acknowledgement; what is lost shows by
+    // a refusal of the next message.
+    const mayCarry = !progress.isProbing && this.#followers.hasRoom(progress);
+    const entries = mayCarry ? this.#getEntriesFrom(progress.nextIndex) : [];
+    const bytes = entries.reduce((sum, one) => sum + getEntryBytes(one), 0);
+    this.#followers.noteSent(progress, entries.length, bytes);
     this.#sendNow(id, {
       case: "appendRequest",
       value: {
@@ -631,6 +633,15 @@
     });
   }
 
+  #getEntriesFrom(index: number): LogEntry[] {
+    return this.#log.slice(index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
+  }
+
+  #sendProbe(id: string, progress: Progress): void {
+    this.#followers.startProbe(progress, this.#nowMs);
+    this.#sendAppend(id, progress);
+  }
+
   #offerSnapshot(id: string, progress: Progress): void {
     const waitMs = this.#timing.electionTimeoutMs * SNAPSHOT_RETRY_TIMEOUTS;
     if (this.#nowMs < progress.snapshotSentMs + waitMs) {
@@ -663,7 +674,7 @@
     const known = this.#log.tryGetTerm(previousIndex);
     const behindMark = previousIndex < this.#log.markIndex;
     if (!behindMark && known !== Number(request.previousTerm)) {
-      const hint = Math.min(this.#log.lastIndex, previousIndex - 1);
+      const hint = this.#getMatchHint(previousIndex);
       this.#replyAppend(message.from, false, hint, request.round);
       return;
     }
@@ -676,6 +687,20 @@
     this.#replyAppend(message.from, true, matched, request.round);
   }
 
+  /**
+   * Up to where the own log may match: before the term that conflicts, since
+   * a leader that lacks one entry of a term's tail mostly lacks all of it.
+   */
+  #getMatchHint(previousIndex: number): number {
+    const conflict = this.#log.tryGetTerm(previousIndex);
+    let hint = Math.min(this.#log.lastIndex, previousIndex - 1);
+    while (
+      conflict !== undefined && hint > this.#commitIndex &&
+      this.#log.tryGetTerm(hint) === conflict
+    ) hint -= 1;
+    return hint;
+  }
+
   #acceptEntry(entry: LogEntry): void {
     const index = Number(entry.index);
     if (index <= this.#log.markIndex) return;
@@ -708,30 +733,29 @@
     this.#followers.noteReply(progress, Number(reply.round));
     const matchIndex = Number(reply.matchIndex);
     if (!reply.accepted) {
-      progress.nextIndex = Math.max(progress.matchIndex, matchIndex) + 1;
-      this.#sendAppend(message.from, progress);
+      const { round } = reply;
+      const isNew = this.#followers
+        .noteRefusal(progress, Number(round), matchIndex);
+      if (isNew) this.#sendProbe(message.from, progress);
       return;
     }
-    progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
+    // It answers a heartbeat of a member that waits for a snapshot.
+    if (matchIndex < this.#log.markIndex) return;
+    this.#followers.noteMatch(progress, matchIndex);
     if (progress.matchIndex > this.#log.markIndex) {
       progress.snapshotSentMs = -Infinity;
     }
-    this.#resendLost(message.from, progress);
+    this.#sendRest(message.from, progress);
     this.#advanceCommit();
     this.#continueTransfer();
   }
 
-  /** Goes back to the acknowledged index once a send is overdue. */
-  #resendLost(id: string, progress: Progress): void {
-    const behind = progress.nextIndex <= this.#log.lastIndex;
-    const unanswered = progress.matchIndex < progress.sentIndex &&
-      this.#nowMs > progress.sentMs + 2 * this.#timing.heartbeatMs;
-    progress.nextIndex = Math.max(
-      progress.nextIndex,
-      progress.matchIndex + 1,
-    );
-    if (unanswered) progress.nextIndex = progress.matchIndex + 1;
-    if (behind || unanswered) this.#sendAppend(id, progress);
+  /** Sends what a member lacks, as far as it may be under way at once. */
+  #sendRest(id: string, progress: Progress): void {
+    const isBehind = () =>
+      progress.nextIndex <= this.#log.lastIndex &&
+      this.#followers.hasRoom(progress);
+    while (isBehind()) this.#sendAppend(id, progress);
   }
 
   #advanceCommit(): void {
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -48,6 +48,8 @@
   #messages: ReplicaMessage[] = [];
   #nowMs = 1_000;
   #proposed = 0;
+  /** Bytes of commands that were sent to each host, delivered or not. */
+  readonly sentBytes = new Map<string, number>();
   faults: NetworkFaults = { loss: 0, doubling: 0 };
   /** Longest time that passes between two events, in milliseconds. */
   maxStepMs = 10;
@@ -96,9 +98,10 @@
   }
 
   /** Proposes a command at a host; false when it doesn't lead. */
-  propose(host: SimulatedHost): boolean {
+  propose(host: SimulatedHost, bytes = 0): boolean {
     this.#proposed += 1;
-    const command = new TextEncoder().encode(`c${this.#proposed}`);
+    const text = `c${this.#proposed}`.padEnd(bytes, ".");
+    const command = new TextEncoder().encode(text);
     return host.core.tryPropose(command, 0) !== undefined;
   }
 
@@ -177,6 +180,7 @@
 
   #post(messages: readonly ReplicaMessage[]): void {
     messages.forEach((message) => {
+      this.#countEntries(message);
       if (this.random.getFraction() < this.faults.loss) return;
       this.#messages.push(message);
       const isDoubled = this.random.getFraction() < this.faults.doubling;
@@ -184,6 +188,16 @@
     });
   }
 
+  #countEntries({ to, body }: ReplicaMessage): void {
+    if (body.case !== "appendRequest") return;
+    const bytes = body.value.entries.reduce(
+      (sum, { payload }) =>
+        sum + (payload.case === "command" ? payload.value.length : 0),
+      this.sentBytes.get(to) ?? 0,
+    );
+    this.sentBytes.set(to, bytes);
+  }
+
   #deliverOne(): void {
     const place = this.random.getBelow(this.#messages.length);
     const [message] = this.#messages.splice(place, 1);
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -70,6 +70,65 @@
     expect(leader?.core.term).equal(term);
   });
 
+  /** A group of three whose leader is cut off while it has work. */
+  function cutLeaderOff(seed: number) {
+    const group = new SimulatedGroup(seed, 3);
+    group.heal(CALM_MS);
+    const leader = group.tryGetLeader();
+    if (leader === undefined) throw new Error("no leader");
+    const others = group.hosts.filter((host) => host !== leader);
+    others.forEach(({ id }) => {
+      group.cuts.add(`${id}>${leader.id}`);
+      group.cuts.add(`${leader.id}>${id}`);
+    });
+    return { group, leader, others };
+  }
+
+  it("sends a leader that was cut off what it lacks about once", () => {
+    [11, 12, 13].forEach((seed) => {
+      const { group, leader, others } = cutLeaderOff(seed);
+      // Entries of its own that nobody else will ever have.
+      for (let count = 0; count < 60; count += 1) group.propose(leader);
+      group.run(CALM_MS);
+      const successor = others.find((host) => host.core.role === Role.leader);
+      if (successor === undefined) throw new Error("no successor");
+      const backlog = 300 * 10_000;
+      for (let count = 0; count < 300; count += 1) {
+        group.propose(successor, 10_000);
+        if (count % 10 === 0) group.run(10);
+      }
+      group.cuts.clear();
+      group.sentBytes.clear();
+      // Work goes on while it catches up.
+      for (let count = 0; count < 200; count += 1) {
+        group.propose(successor, 100);
+        group.run(5);
+      }
+      group.run(CALM_MS);
+      expect(leader.core.commitIndex).equal(successor.core.commitIndex);
+      expect(group.sentBytes.get(leader.id)).below(2 * backlog);
+    });
+  });
+
+  it("lets a bounded number of bytes wait for a member that is cut off", () => {
+    const group = new SimulatedGroup(14, 3);
+    group.heal(CALM_MS);
+    const leader = group.tryGetLeader();
+    const deaf = group.hosts.find((host) => host !== leader);
+    if (leader === undefined || deaf === undefined) throw new Error("no group");
+    group.cuts.add(`${leader.id}>${deaf.id}`);
+    group.sentBytes.clear();
+    for (let count = 0; count < 100; count += 1) {
+      group.propose(leader, 100_000);
+      group.run(10);
+    }
+    const twoAppends = 2 << 20;
+    expect(group.sentBytes.get(deaf.id)).most(twoAppends + (1 << 20));
+    group.cuts.clear();
+    group.run(CALM_MS);
+    expect(deaf.core.commitIndex).equal(leader.core.commitIndex);
+  });
+
   it("elects nobody for a follower that alone lost the leader", () => {
     const group = new SimulatedGroup(23, 3);
     group.heal(CALM_MS);
