Items: queue and progress apart from the runner; two lines on load

The waiting items (`ItemQueue`), what items have produced (`ProgressBook`) and an item as a request move out; no change of behaviour. New lines: how full the servers are, once a second on the host that runs items, and a process's memory every 10 s, since a process that is ended for its memory can't say so itself.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -72,6 +72,11 @@
 /** Time between two looks at the settings file, in milliseconds. */
 const SETTINGS_LOOK_MS = 5_000;
 
+/** Time between two lines about a process's memory, in milliseconds. */
+const MEMORY_LINE_MS = 10_000;
+
+const BYTES_PER_MB = 1 << 20;
+
 /** Settings that both daemons have. */
 interface CommonSettings {
   readonly id: string;
@@ -165,6 +170,18 @@
   clock.startInterval(SETTINGS_LOOK_MS, () => reload("changed"));
 }
 
+/** A process that is ended for its memory can't say so itself. */
+function logMemory({ log, clock }: ProcessContext): void {
+  clock.startInterval(MEMORY_LINE_MS, () => {
+    const { rss, heapUsed, external } = process.memoryUsage();
+    log.info("memory", {
+      resident_mb: Math.round(rss / BYTES_PER_MB),
+      heap_mb: Math.round(heapUsed / BYTES_PER_MB),
+      external_mb: Math.round(external / BYTES_PER_MB),
+    });
+  });
+}
+
 async function serve<S extends DescMessage>(
   options: {
     name: string;
@@ -200,6 +217,7 @@
   process.once("SIGTERM", stop);
   process.once("SIGINT", stop);
   watchSettings({ ...options, host, context });
+  logMemory(context);
   const fields = await host.start();
   warnOfPlainConnections(log, common, fields);
   log.info("ready", fields);
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -3,6 +3,7 @@
  * collected; an attempt that breaks off or gives way goes on after the last
  * whole event.
  */
+import type { JobItem } from "../schema/mod.ts";
 import { EventSequence, EventSplitter, readEvents } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import { readBody } from "../sys/http.ts";
@@ -11,6 +12,7 @@
   BackendCaller,
   BackendRequest,
 } from "./backend_call.ts";
+import type { BackendDialect } from "./dialects.ts";
 import type { Place } from "./server_pool.ts";
 
 /** What an item has produced so far. */
@@ -166,3 +168,23 @@
     ? { kind: "failed", reason }
     : { kind: "broken", reason };
 }
+
+/** An item as a request to a backend server. */
+export function createItemRequest(
+  host: string,
+  item: JobItem,
+  { requestIdHeader, ownHeaders }: BackendDialect,
+): BackendRequest {
+  const headers = item.headers.filter(({ name }) =>
+    !ownHeaders.has(name.toLowerCase()) &&
+    name.toLowerCase() !== requestIdHeader.toLowerCase()
+  ).flatMap(({ name, value }) => [name, value]);
+  const { buffer, byteOffset, length } = item.body;
+  return {
+    requestId: item.id,
+    method: "POST",
+    target: item.path,
+    headers: ["Host", host, requestIdHeader, item.id, ...headers],
+    body: Buffer.from(buffer, byteOffset, length),
+  };
+}
--- /dev/null
+++ b/src/fleet/item_queue.ts
@@ -0,0 +1,60 @@
+/**
+ * Which items of open jobs wait for a server, and in which order. An item
+ * pauses after an attempt that failed, so that it doesn't fail at every look.
+ */
+import { compareWaiting, type WaitingItem } from "../policy/mod.ts";
+import type { JobItem } from "../schema/mod.ts";
+import type { QueuedJob } from "../state/mod.ts";
+import { getItemKey } from "./run_recorder.ts";
+
+/** An item of a job, as a candidate to run. */
+export interface ItemCandidate extends WaitingItem {
+  readonly queued: QueuedJob;
+  readonly item: JobItem;
+  /** Its name among all jobs. */
+  readonly key: string;
+}
+
+/** Pause of an item after an attempt that failed, in milliseconds. */
+const FAILURE_PAUSE_MS = 400;
+
+/** The waiting items of one process. */
+export class ItemQueue {
+  readonly #pausedUntilMs = new Map<string, number>();
+
+  /** An attempt failed: the item waits before the next one. */
+  pause(key: string, nowMs: number): void {
+    this.#pausedUntilMs.set(key, nowMs + FAILURE_PAUSE_MS);
+  }
+
+  /** Forgets items that are open no more. */
+  keepOnly(open: ReadonlySet<string>): void {
+    [...this.#pausedUntilMs.keys()].filter((key) => !open.has(key))
+      .forEach((key) => this.#pausedUntilMs.delete(key));
+  }
+
+  /** Items that may start now, the first to start first. */
+  getWaiting(
+    jobs: readonly QueuedJob[],
+    options: {
+      nowMs: number;
+      /** The item runs, or its end is being recorded. */
+      isTaken: (candidate: ItemCandidate) => boolean;
+    },
+  ): ItemCandidate[] {
+    return jobs.flatMap(createCandidates).filter((candidate) =>
+      (this.#pausedUntilMs.get(candidate.key) ?? 0) <= options.nowMs &&
+      !options.isTaken(candidate)
+    ).sort(compareWaiting);
+  }
+}
+
+function createCandidates(queued: QueuedJob): ItemCandidate[] {
+  return [...queued.open.values()].map((item) => ({
+    queued,
+    item,
+    key: getItemKey(queued.job.id, item.id),
+    dueMs: queued.submittedMs + queued.job.dueMs,
+    jobOpen: queued.open.size,
+  }));
+}
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -7,7 +7,6 @@
 import { LoadKind } from "../membership/mod.ts";
 import {
   type BatchRun,
-  compareWaiting,
   countToYield,
   DEFAULT_FILL,
   getPath,
@@ -19,9 +18,8 @@
   type JobItem,
   type RecordRuns,
   RecordRunsSchema,
-  RunProgressSchema,
 } from "../schema/mod.ts";
-import { createDeadLetter, joinParts, type QueuedJob } from "../state/mod.ts";
+import { createDeadLetter, type QueuedJob } from "../state/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
@@ -29,13 +27,15 @@
 import type { BackendCaller } from "./backend_call.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
 import {
+  createItemRequest,
   type ItemEnding,
-  ItemProgress,
   runItemAttempt,
 } from "./item_attempt.ts";
+import { type ItemCandidate, ItemQueue } from "./item_queue.ts";
+import { ProgressBook } from "./progress_book.ts";
 import type { RoutingView } from "./routing_view.ts";
 import { type EndedItem, getItemKey, RunRecorder } from "./run_recorder.ts";
-import type { Place, ServerPool } from "./server_pool.ts";
+import type { Place, PoolServer, ServerPool } from "./server_pool.ts";
 
 /** How an {@linkcode ItemRunner} is made. */
 export interface ItemRunnerOptions {
@@ -58,14 +58,6 @@
   readonly dueMs: number;
 }
 
-interface Candidate {
-  readonly queued: QueuedJob;
-  readonly item: JobItem;
-  readonly key: string;
-  readonly dueMs: number;
-  readonly jobOpen: number;
-}
-
 /**
  * Time between two recordings of what running items have produced: a new
  * leader repeats half of it on the mean, of runs that last 5 s.
@@ -84,9 +76,6 @@
 /** Least time between two looks, in milliseconds; the next one catches up. */
 const LEAST_LOOK_MS = 15;
 
-/** Pause of an item after an attempt that failed, in milliseconds. */
-const FAILURE_PAUSE_MS = 400;
-
 /**
  * Time by which the wall clocks of two leaders may differ, in milliseconds:
  * the platform steps them by up to 6 s. No item is given up too early by it.
@@ -100,8 +89,8 @@
 export class ItemRunner {
   readonly #options: ItemRunnerOptions;
   readonly #runs = new Map<string, Run>();
-  readonly #progress = new Map<string, ItemProgress>();
-  readonly #pausedUntilMs = new Map<string, number>();
+  readonly #progress = new ProgressBook();
+  readonly #queue = new ItemQueue();
   readonly #recorder: RunRecorder;
   #leadTerm: number | undefined;
   #ledSinceMs = 0;
@@ -131,7 +120,10 @@
     );
     this.#progressTimer = this.#options.context.clock.startInterval(
       PROGRESS_INTERVAL_MS,
-      () => this.#recordProgress(),
+      () => {
+        this.#recordProgress();
+        this.#noteFill();
+      },
     );
   }
 
@@ -180,22 +172,18 @@
     this.#runs.forEach((run, key) => {
       if (!open.has(key)) run.stop.abort();
     });
-    [...this.#progress.keys()].filter((key) => !open.has(key))
-      .forEach((key) => this.#progress.delete(key));
-    [...this.#pausedUntilMs.keys()].filter((key) => !open.has(key))
-      .forEach((key) => this.#pausedUntilMs.delete(key));
+    this.#progress.keepOnly(open);
+    this.#queue.keepOnly(open);
+  }
+
+  #getServers(): PoolServer[] {
+    const { view, pool } = this.#options;
+    return (view.routes?.table.services ?? [])
+      .flatMap((service) => pool.getServers(service.name));
   }
 
   #giveWay(): void {
-    const services = new Set(
-      [...this.#options.view.routes?.table.services ?? []].map((one) =>
-        one.name
-      ),
-    );
-    const servers = [...services].flatMap((service) =>
-      this.#options.pool.getServers(service)
-    );
-    servers.forEach((server) => {
+    this.#getServers().forEach((server) => {
       const runs = [...this.#runs.values()].filter((run) =>
         run.server === server.id && !run.stop.signal.aborted
       );
@@ -225,39 +213,31 @@
   /** A service without room is asked once a look. */
   #startWaiting(jobs: readonly QueuedJob[]): void {
     const full = new Set<string>();
-    this.#getCandidates(jobs).slice(0, MAX_CANDIDATES).forEach((candidate) => {
+    this.#getWaiting(jobs).slice(0, MAX_CANDIDATES).forEach((candidate) => {
       const service = this.#tryGetService(candidate);
       if (service === undefined || full.has(service)) return;
       if (!this.#tryStart(candidate, service)) full.add(service);
     });
   }
 
-  #tryGetService({ queued, item }: Candidate): string | undefined {
+  #tryGetService({ queued, item }: ItemCandidate): string | undefined {
     const { view, context } = this.#options;
     const route = view.routes?.tryMatch(queued.job.host, getPath(item.path));
     if (route === undefined) return undefined;
     return selectTarget(route, context.random.getFraction())?.service;
   }
 
-  #getCandidates(jobs: readonly QueuedJob[]): Candidate[] {
-    const nowMs = this.#options.context.clock.getMonotonicMs();
-    return jobs.flatMap((queued) =>
-      [...queued.open.values()].map((item) => ({
-        queued,
-        item,
-        key: getKey(queued, item.id),
-        dueMs: queued.submittedMs + queued.job.dueMs,
-        jobOpen: queued.open.size,
-      }))
-    ).filter(({ queued, item, key }) =>
-      !this.#runs.has(key) &&
-      !this.#recorder.hasEnded(queued.job.id, item.id) &&
-      (this.#pausedUntilMs.get(key) ?? 0) <= nowMs
-    ).sort(compareWaiting);
+  #getWaiting(jobs: readonly QueuedJob[]): ItemCandidate[] {
+    return this.#queue.getWaiting(jobs, {
+      nowMs: this.#options.context.clock.getMonotonicMs(),
+      isTaken: ({ key, queued, item }) =>
+        this.#runs.has(key) ||
+        this.#recorder.hasEnded(queued.job.id, item.id),
+    });
   }
 
   /** Starts an item; false when its service has no room. */
-  #tryStart(candidate: Candidate, service: string): boolean {
+  #tryStart(candidate: ItemCandidate, service: string): boolean {
     const { queued, item, key } = candidate;
     const { pool, dialects, context } = this.#options;
     const headers = Object.fromEntries(
@@ -295,15 +275,18 @@
   }
 
   async #run(
-    { queued, item, key }: Candidate,
+    { queued, item }: ItemCandidate,
     place: Place,
     run: Run,
   ): Promise<void> {
-    const progress = this.#progress.get(key) ?? createProgress(queued, item);
-    this.#progress.set(key, progress);
+    const progress = this.#progress.open(queued, item);
     const ending = await runItemAttempt({
       caller: this.#options.caller,
-      request: this.#createRequest(queued, item),
+      request: createItemRequest(
+        queued.job.host,
+        item,
+        this.#options.dialects.backend,
+      ),
       place,
       leftMs: this.#getLeftMs(queued),
       progress,
@@ -317,25 +300,6 @@
       this.#options.context.clock.getWallMs();
   }
 
-  #createRequest(queued: QueuedJob, item: JobItem) {
-    const { requestIdHeader, ownHeaders } = this.#options.dialects.backend;
-    const headers = item.headers.filter(({ name }) =>
-      !ownHeaders.has(name.toLowerCase()) &&
-      name.toLowerCase() !== requestIdHeader.toLowerCase()
-    ).flatMap(({ name, value }) => [name, value]);
-    return {
-      requestId: item.id,
-      method: "POST",
-      target: item.path,
-      headers: ["Host", queued.job.host, requestIdHeader, item.id, ...headers],
-      body: Buffer.from(
-        item.body.buffer,
-        item.body.byteOffset,
-        item.body.length,
-      ),
-    };
-  }
-
   #settle(
     queued: QueuedJob,
     item: JobItem,
@@ -346,7 +310,7 @@
     const { context, pool } = this.#options;
     switch (ending.kind) {
       case "done": {
-        const text = this.#progress.get(key)?.text ?? "";
+        const text = this.#progress.tryGet(key)?.text ?? "";
         const result = { id: item.id, end: ItemEnd.DONE, text: encode(text) };
         this.#finish(queued, item, result, "done");
         return;
@@ -357,7 +321,7 @@
       case "stopped":
         return;
       case "failed":
-        this.#progress.get(key)?.reset();
+        this.#progress.tryGet(key)?.reset();
         this.#recorder.fail(queued.job.id, item.id);
         break;
       case "broken":
@@ -366,15 +330,14 @@
       case "notRun":
         break;
     }
-    const nowMs = context.clock.getMonotonicMs();
-    this.#pausedUntilMs.set(key, nowMs + FAILURE_PAUSE_MS);
+    this.#queue.pause(key, context.clock.getMonotonicMs());
     context.log.info("item_attempt_ended", {
       job: queued.job.id,
       item: item.id,
       server,
       ending: ending.kind,
       reason: ending.reason,
-      event: this.#progress.get(key)?.last ?? -1,
+      event: this.#progress.tryGet(key)?.last ?? -1,
     });
   }
 
@@ -395,26 +358,30 @@
     this.#recorder.finish(queued.job.id, result);
   }
 
+  /** Says once an interval how full the servers are, while items are open. */
+  #noteFill(): void {
+    const jobs = this.#options.getOpenJobs();
+    if (jobs.length === 0) return;
+    const servers = this.#getServers();
+    this.#options.context.log.info("items_under_way", {
+      jobs: jobs.length,
+      open: jobs.reduce((sum, { open }) => sum + open.size, 0),
+      running: this.#runs.size,
+      servers: servers.length,
+      slots: servers.reduce((sum, { slots }) => sum + slots, 0),
+      busy: servers.reduce((sum, { busy }) => sum + busy, 0),
+    });
+  }
+
   /**
    * Records what running items have produced since the last time. A part that
    * is lost leaves a gap, and later parts of that run are dropped; the result
    * itself is always recorded whole.
    */
   #recordProgress(): void {
-    const progress = this.#options.getOpenJobs().flatMap((queued) =>
-      [...queued.open.keys()].flatMap((item) => {
-        const key = getKey(queued, item);
-        const part = this.#recorder.hasEnded(queued.job.id, item)
-          ? undefined
-          : this.#progress.get(key)?.tryTakeUnrecorded();
-        return part === undefined ? [] : [create(RunProgressSchema, {
-          job: queued.job.id,
-          item,
-          after: BigInt(part.after),
-          last: BigInt(part.last),
-          text: encode(part.text),
-        })];
-      })
+    const progress = this.#progress.takeUnrecorded(
+      this.#options.getOpenJobs(),
+      (job, item) => this.#recorder.hasEnded(job, item),
     );
     if (progress.length === 0) return;
     this.#options.record(create(RecordRunsSchema, { progress })).catch(
@@ -427,14 +394,6 @@
   }
 }
 
-/** Progress as far as it was recorded, by this or an earlier leader. */
-function createProgress(queued: QueuedJob, item: JobItem): ItemProgress {
-  const recorded = queued.progress.get(item.id);
-  if (recorded === undefined) return new ItemProgress();
-  const text = Buffer.from(joinParts(recorded.parts)).toString("utf8");
-  return new ItemProgress({ last: recorded.last, text });
-}
-
 function getKey(queued: QueuedJob, item: string): string {
   return getItemKey(queued.job.id, item);
 }
--- /dev/null
+++ b/src/fleet/progress_book.ts
@@ -0,0 +1,65 @@
+/**
+ * What the items under way have produced so far, kept while they wait for
+ * another attempt, and recorded now and then so that a new leader goes on
+ * from there.
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  type JobItem,
+  type RunProgress,
+  RunProgressSchema,
+} from "../schema/mod.ts";
+import { joinParts, type QueuedJob } from "../state/mod.ts";
+import { ItemProgress } from "./item_attempt.ts";
+import { getItemKey } from "./run_recorder.ts";
+
+/** Progress of the items that one process has run. */
+export class ProgressBook {
+  readonly #rows = new Map<string, ItemProgress>();
+
+  tryGet(key: string): ItemProgress | undefined {
+    return this.#rows.get(key);
+  }
+
+  /** An item's progress; at first what this or an earlier leader recorded. */
+  open(queued: QueuedJob, item: JobItem): ItemProgress {
+    const key = getItemKey(queued.job.id, item.id);
+    const progress = this.#rows.get(key) ?? createProgress(queued, item);
+    this.#rows.set(key, progress);
+    return progress;
+  }
+
+  /** Forgets items that are open no more. */
+  keepOnly(open: ReadonlySet<string>): void {
+    [...this.#rows.keys()].filter((key) => !open.has(key))
+      .forEach((key) => this.#rows.delete(key));
+  }
+
+  /** What has come since the last time, of items that have no result yet. */
+  takeUnrecorded(
+    jobs: readonly QueuedJob[],
+    hasEnded: (job: string, item: string) => boolean,
+  ): RunProgress[] {
+    return jobs.flatMap(({ job, open }) =>
+      [...open.keys()].filter((item) => !hasEnded(job.id, item))
+        .flatMap((item) => {
+          const part = this.#rows.get(getItemKey(job.id, item))
+            ?.tryTakeUnrecorded();
+          return part === undefined ? [] : [create(RunProgressSchema, {
+            job: job.id,
+            item,
+            after: BigInt(part.after),
+            last: BigInt(part.last),
+            text: Buffer.from(part.text, "utf8"),
+          })];
+        })
+    );
+  }
+}
+
+function createProgress(queued: QueuedJob, item: JobItem): ItemProgress {
+  const recorded = queued.progress.get(item.id);
+  if (recorded === undefined) return new ItemProgress();
+  const text = Buffer.from(joinParts(recorded.parts)).toString("utf8");
+  return new ItemProgress({ last: recorded.last, text });
+}
