--- /dev/null
+++ b/src/cli/bench_commands.ts
@@ -0,0 +1,103 @@
+/** Commands that measure, and stand-ins for trials. */
+import { writeFileSync } from "node:fs";
+import type { Command } from "commander";
+import {
+  createPlot,
+  formatHeading,
+  formatResult,
+  runMembershipBench,
+  runScenario,
+  runStateBench,
+  StandInEngine,
+  StandInService,
+  type StateFigure,
+} from "../bench/mod.ts";
+import { readSettings } from "../daemons/daemon.ts";
+import { ScenarioSchema } from "../schema/mod.ts";
+import { SystemClock } from "../sys/clock.ts";
+import type { Output } from "./output.ts";
+
+interface BenchOptions {
+  readonly report?: string;
+}
+
+interface StandInOptions {
+  readonly entry: string;
+  readonly engines: string;
+  readonly deployment: string;
+  readonly model: string;
+  readonly service?: string;
+}
+
+/** Adds the benches and `stand-in`. */
+export function addBenchCommands(
+  program: Command,
+  getOutput: () => Output,
+): void {
+  program.command("bench")
+    .description("Run a scenario against stand-in engines and report.")
+    .argument("<scenario>", "path of the scenario's TOML file")
+    .option("--report <path>", "also write <path>.json and <path>.svg")
+    .action(async (file: string, options: BenchOptions) => {
+      const scenario = readSettings(ScenarioSchema, file);
+      const output = getOutput();
+      output.print(formatHeading(), { scenario: scenario.name });
+      const results = await runScenario(
+        scenario,
+        (result) => output.print(formatResult(result), result),
+      );
+      if (options.report === undefined) return;
+      writeFileSync(`${options.report}.json`, JSON.stringify(results));
+      writeFileSync(
+        `${options.report}.svg`,
+        createPlot(scenario.name, results),
+      );
+    });
+
+  const printFigure = (figure: StateFigure) =>
+    getOutput().print(
+      `${figure.name}: ${figure.value.toFixed(1)} ${figure.unit}`,
+      figure,
+    );
+
+  program.command("bench-state")
+    .description("Measure the replicated state on this machine's disk.")
+    .action(() => runStateBench(printFigure));
+
+  program.command("bench-membership")
+    .description("Measure what membership costs an entry, over sizes.")
+    .action(() => runMembershipBench(printFigure));
+
+  program.command("stand-in")
+    .description("Run stand-in engines and a plain service for trials.")
+    .requiredOption("--entry <address>", "HTTP address of an entry")
+    .option("--engines <n>", "stand-in engines", "2")
+    .option("--deployment <name>", "their deployment", "refill-assistant")
+    .option("--model <name>", "their model", "refill-model")
+    .option("--service <deployment>", "also a plain service of this deployment")
+    .action(async (options: StandInOptions) => {
+      const common = {
+        dataCentre: "dc-1",
+        entries: [options.entry],
+        clock: new SystemClock(),
+      };
+      for (let index = 1; index <= Number(options.engines); index += 1) {
+        await new StandInEngine({
+          ...common,
+          name: `engine-${index}`,
+          deployment: options.deployment,
+          models: [options.model],
+        }).start();
+      }
+      if (options.service !== undefined) {
+        await new StandInService({
+          ...common,
+          name: "service-1",
+          deployment: options.service,
+        }).start();
+      }
+      getOutput().print("stand-ins run until this process ends", {
+        engines: Number(options.engines),
+      });
+    });
+}
