Logs: bounded, and never waiting for the reader

Cause: winston's console writes to a pipe synchronously, so a reader that stops reading stops the process; and nothing bounded the lines of an overload. Errors went to standard error, though the users ask for standard output.

What is too much is dropped, `info` before warnings and errors, and `lines_dropped` says how many. The rest is written at once when the process ends. Its cost in processor time is not measured yet.

--- a/src/sys/log.ts
+++ b/src/sys/log.ts
@@ -1,5 +1,7 @@
 /** Logs: one line of key=value pairs for each event, by winston. */
+import { Writable } from "node:stream";
 import winston from "winston";
+import { FileSink, LineWriter } from "./line_writer.ts";
 
 /** Fields of one event. */
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
@@ -41,20 +43,49 @@
   return [`event=${formatValue(event)}`, ...pairs].join(" ");
 }
 
+/** Key under which winston keeps the text of a line. */
+const MESSAGE = Symbol.for("message");
+
+const STANDARD_OUTPUT = 1;
+
+/** Lines about failures outlast others when too many come. */
+const IMPORTANT_LEVELS = new Set(["error", "warn"]);
+
+/** A winston stream that hands lines to a writer and never makes it wait. */
+function createStream(writer: LineWriter): Writable {
+  return new Writable({
+    objectMode: true,
+    write: (row: winston.Logform.TransformableInfo, _encoding, done) => {
+      const isImportant = IMPORTANT_LEVELS.has(row.level);
+      writer.write(String(row[MESSAGE]), isImportant ? 1 : 0);
+      done();
+    },
+  });
+}
+
 class WinstonLog extends Log {
   readonly #logger: winston.Logger;
 
-  constructor(level: string, process: string) {
+  constructor(level: string, name: string) {
     super();
+    const writer = new LineWriter({
+      sink: new FileSink(STANDARD_OUTPUT),
+      createDroppedLine: (count) =>
+        `time=${new Date().toISOString()} level=warn process=${name} ` +
+        formatEvent("lines_dropped", { count }),
+    });
+    process.once("exit", () => writer.flushNow());
     this.#logger = winston.createLogger({
       level,
       format: winston.format.combine(
         winston.format.timestamp(),
         winston.format.printf((row) =>
-          `time=${row.timestamp} level=${row.level} process=${process} ${row.message}`
+          `time=${row.timestamp} level=${row.level} process=${name} ${row.message}`
         ),
       ),
-      transports: [new winston.transports.Console({ stderrLevels: ["error"] })],
+      transports: [
+        new winston.transports.Stream({ stream: createStream(writer) }),
+      ],
     });
   }
 
