Urgent items take the last slots, and leave when a request queues

Change: an item that has had 0.4 of its job's time takes a slot without a reserve and leaves only when online requests queue there; others leave a slot as before. An online request that finds every slot taken goes at once to the server with the fewest online requests, where an item will leave; it waits or is refused only where online requests alone fill the servers. It is reported at once (10 ms apart), and a change within 15 ms of a look brings another look.

--- a/src/fleet/backend_side.ts
+++ b/src/fleet/backend_side.ts
@@ -13,6 +13,7 @@
 import { LoadExchange } from "./load_exchange.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
+import { getBindAddress } from "./state_process.ts";
 
 /** How a {@linkcode BackendSide} is made. */
 export interface BackendSideOptions {
@@ -59,6 +60,7 @@
       clock,
       random,
       log,
+      onQueued: () => this.#exchange.reportSoon(),
     });
     this.pool = pool;
     this.caller = new BackendCaller({
@@ -72,6 +74,7 @@
     this.#exchange = new LoadExchange({
       name: settings.id,
       address: `${settings.ip}:${settings.peerPort}`,
+      bindAddress: getBindAddress(settings),
       loads: pool.loads,
       getMergers: () => view.getStoreAddresses(),
       isMerger: options.isMerger,
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -103,7 +103,7 @@
   }
 
   async start(): Promise<void> {
-    const { address, server } = this.#process;
+    const { server } = this.#process;
     const folder = await this.#process.openFolder();
     const { id, members } = await this.#openIdentity(folder);
     await this.#openLastView(folder);
@@ -111,7 +111,7 @@
     server.addService(Fleet, {
       follow: (req, stream) => this.#hub.serve(req, stream),
     });
-    await server.listen(address);
+    await this.#process.listen();
     await this.#member.start();
     this.#hub.start();
     this.#formTimer = this.#context.clock.startInterval(
--- a/src/fleet/item_queue.ts
+++ b/src/fleet/item_queue.ts
@@ -2,7 +2,11 @@
  * Which items of open jobs wait for a server, and in which order. An item
  * pauses after an attempt that failed, so that it doesn't fail at every look.
  */
-import { compareWaiting, type WaitingItem } from "../policy/mod.ts";
+import {
+  compareWaiting,
+  getUrgentFrom,
+  type WaitingItem,
+} from "../policy/mod.ts";
 import type { JobItem } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
 import { getItemKey } from "./run_recorder.ts";
@@ -13,6 +17,8 @@
   readonly item: JobItem;
   /** Its name among all jobs. */
   readonly key: string;
+  /** Time from which it is urgent, on the wall clock. */
+  readonly urgentFromMs: number;
 }
 
 /** Pause of an item after an attempt that failed, in milliseconds. */
@@ -50,11 +56,14 @@
 }
 
 function createCandidates(queued: QueuedJob): ItemCandidate[] {
+  const dueMs = queued.submittedMs + queued.job.dueMs;
+  const urgentFromMs = getUrgentFrom(queued.submittedMs, dueMs);
   return [...queued.open.values()].map((item) => ({
     queued,
     item,
     key: getItemKey(queued.job.id, item.id),
-    dueMs: queued.submittedMs + queued.job.dueMs,
+    dueMs,
+    urgentFromMs,
     jobOpen: queued.open.size,
   }));
 }
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -8,8 +8,8 @@
 import {
   type BatchRun,
   countToYield,
-  DEFAULT_FILL,
   getPath,
+  getReserve,
   selectTarget,
   selectYielding,
 } from "../policy/mod.ts";
@@ -54,8 +54,6 @@
 interface Run extends BatchRun {
   readonly server: string;
   readonly stop: AbortController;
-  readonly startedMs: number;
-  readonly dueMs: number;
 }
 
 /**
@@ -73,7 +71,7 @@
 /** Time between two looks at what waits and what must give way. */
 const LOOK_INTERVAL_MS = 40;
 
-/** Least time between two looks, in milliseconds; the next one catches up. */
+/** Least time between two looks, in milliseconds. */
 const LEAST_LOOK_MS = 15;
 
 /**
@@ -96,6 +94,7 @@
   #ledSinceMs = 0;
   #lookedMs = -Infinity;
   #timer: Timer | undefined;
+  #nextLook: Timer | undefined;
   #progressTimer: Timer | undefined;
   #stopped = false;
 
@@ -131,19 +130,27 @@
   close(): void {
     this.#stopped = true;
     this.#timer?.cancel();
+    this.#nextLook?.cancel();
     this.#progressTimer?.cancel();
     this.#runs.forEach((run) => run.stop.abort());
   }
 
   /** Something changed; many changes make one look. */
   noteChange(): void {
-    const nowMs = this.#options.context.clock.getMonotonicMs();
-    if (nowMs - this.#lookedMs >= LEAST_LOOK_MS) this.look();
+    const { clock } = this.#options.context;
+    const dueMs = this.#lookedMs + LEAST_LOOK_MS - clock.getMonotonicMs();
+    if (dueMs <= 0) {
+      this.look();
+      return;
+    }
+    this.#nextLook ??= clock.startTimer(dueMs, () => this.look());
   }
 
   /** Starts what has room, and stops what has to give way or has ended. */
   look(): void {
     if (this.#stopped) return;
+    this.#nextLook?.cancel();
+    this.#nextLook = undefined;
     this.#lookedMs = this.#options.context.clock.getMonotonicMs();
     const jobs = this.#options.getOpenJobs();
     this.#stopEnded(jobs);
@@ -183,11 +190,14 @@
   }
 
   #giveWay(): void {
+    const nowMs = this.#options.context.clock.getWallMs();
     this.#getServers().forEach((server) => {
       const runs = [...this.#runs.values()].filter((run) =>
         run.server === server.id && !run.stop.signal.aborted
       );
-      selectYielding(runs, countToYield(server, runs.length))
+      const urgent = runs.filter((run) => run.urgentFromMs <= nowMs).length;
+      const patient = runs.length - urgent;
+      selectYielding(runs, countToYield(server, { patient, urgent }))
         .forEach((run) => {
           this.#options.context.metrics.count(MetricName.batchGaveWay);
           run.stop.abort();
@@ -212,11 +222,14 @@
 
   /** A service without room is asked once a look. */
   #startWaiting(jobs: readonly QueuedJob[]): void {
+    const nowMs = this.#options.context.clock.getWallMs();
     const full = new Set<string>();
     this.#getWaiting(jobs).slice(0, MAX_CANDIDATES).forEach((candidate) => {
       const service = this.#tryGetService(candidate);
-      if (service === undefined || full.has(service)) return;
-      if (!this.#tryStart(candidate, service)) full.add(service);
+      const isUrgent = candidate.urgentFromMs <= nowMs;
+      if (service === undefined || full.has(`${service}/${isUrgent}`)) return;
+      const isStarted = this.#tryStart(candidate, service, isUrgent);
+      if (!isStarted) full.add(`${service}/${isUrgent}`);
     });
   }
 
@@ -237,7 +250,11 @@
   }
 
   /** Starts an item; false when its service has no room. */
-  #tryStart(candidate: ItemCandidate, service: string): boolean {
+  #tryStart(
+    candidate: ItemCandidate,
+    service: string,
+    isUrgent: boolean,
+  ): boolean {
     const { queued, item, key } = candidate;
     const { pool, dialects, context } = this.#options;
     const headers = Object.fromEntries(
@@ -249,7 +266,7 @@
       kind: LoadKind.batch,
       prefix: dialects.caller.readCall(headers).prefix,
       excluded: new Set(),
-      reserve: DEFAULT_FILL.reserve,
+      reserve: getReserve(isUrgent),
       onSilent: () => stop.abort(),
     });
     if (place === undefined) return false;
@@ -259,6 +276,7 @@
       stop,
       startedMs: context.clock.getMonotonicMs(),
       dueMs: candidate.dueMs,
+      urgentFromMs: candidate.urgentFromMs,
     };
     this.#runs.set(key, run);
     this.#run(candidate, place, run).catch((error) =>
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -21,7 +21,9 @@
 /** How a {@linkcode LoadExchange} is made. */
 export interface LoadExchangeOptions {
   readonly name: string;
+  /** Where other processes reach this one. */
   readonly address: string;
+  readonly bindAddress: string;
   readonly loads: LoadBook;
   /** Processes that merge reports. */
   readonly getMergers: () => readonly string[];
@@ -38,6 +40,12 @@
  */
 const REPORT_INTERVAL_MS = 80;
 
+/**
+ * Least time between two reports when a request queues at a full server, in
+ * milliseconds: what runs there of jobs gives way no sooner than it is heard.
+ */
+const LEAST_REPORT_INTERVAL_MS = 10;
+
 /** Time between two reports that say the same, in milliseconds. */
 const REPEAT_INTERVAL_MS = 300;
 
@@ -58,17 +66,18 @@
   #socket: DatagramSocket | undefined;
   #timer: Timer | undefined;
   #sequence = 0n;
+  #reportedMs = -Infinity;
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
   }
 
   async start(): Promise<void> {
-    const { clock, address } = this.#options;
+    const { clock, bindAddress } = this.#options;
     // Sequences of an earlier start of this process must not pass for newer.
     this.#sequence = BigInt(Math.floor(clock.getWallMs()));
     this.#socket = await openDatagrams(
-      address,
+      bindAddress,
       (bytes, from) => this.#receive(bytes, from),
     );
     this.#timer = clock.startInterval(REPORT_INTERVAL_MS, () => this.#report());
@@ -79,6 +88,13 @@
     this.#socket?.close();
   }
 
+  /** Reports without waiting for the next interval. */
+  reportSoon(): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const isDue = nowMs - this.#reportedMs >= LEAST_REPORT_INTERVAL_MS;
+    if (isDue) this.#report();
+  }
+
   #receive(bytes: Uint8Array, from: string): void {
     const { clock, log, loads } = this.#options;
     const nowMs = clock.getMonotonicMs();
@@ -100,6 +116,7 @@
   #report(): void {
     const { clock, loads, getMergers, isMerger, address } = this.#options;
     const nowMs = clock.getMonotonicMs();
+    this.#reportedMs = nowMs;
     const own = [...loads.getAllOwn()].map(([server, count]) => ({
       $typeName: "papayatally.v1.ServerLoad" as const,
       server,
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -258,7 +258,7 @@
     const least = pool.tryGetLeastBusy(this.#createPlaceRequest());
     if (least === undefined) return this.#waitForServer(waitedMs);
     const decision = decideAdmission({
-      busy: least.busy,
+      busy: least.busy - least.batch,
       slots: least.slots,
       serviceMs: times.getMs(service),
       targetMs: route.latencyTargetMs,
@@ -272,7 +272,8 @@
         return undefined;
       case "refuse":
         throw this.#createNoRoom(
-          `${least.busy} requests on ${least.slots} slots at the least busy`,
+          `${least.busy} requests, ${least.batch} of jobs, on ${least.slots} ` +
+            "slots at the least busy",
           decision.retryAfterMs,
         );
     }
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -46,6 +46,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  /** Called when a request goes to a server without a free slot. */
+  readonly onQueued?: () => void;
 }
 
 /** Time between two looks for silent servers, in milliseconds. */
@@ -175,12 +177,14 @@
   #describe(registration: Registration, nowMs: number): PoolServer {
     const { id, address, dataCentre, slots } = registration;
     const busy = this.loads.getBusy(id, nowMs);
-    return { id, address, dataCentre, slots, busy };
+    const batch = this.loads.getBatch(id, nowMs);
+    return { id, address, dataCentre, slots, busy, batch };
   }
 
   #take(server: PoolServer, { kind, onSilent }: PlaceRequest): Place {
     const watched = { server: server.id, onSilent };
     this.loads.begin(server.id, kind);
+    if (server.busy >= server.slots) this.#options.onQueued?.();
     this.#silence.begin(watched, this.#options.clock.getMonotonicMs());
     let isHeld = true;
     return {
--- a/src/fleet/state_process.ts
+++ b/src/fleet/state_process.ts
@@ -38,6 +38,7 @@
   readonly context: ProcessContext;
   readonly credentials: RpcCredentials;
   readonly server: RpcServer;
+  /** Where other processes reach this one. */
   readonly address: string;
   readonly #getMember: () => GroupMember | undefined;
 
@@ -56,6 +57,11 @@
     this.#addServices();
   }
 
+  /** Opens the port for other processes. */
+  listen(): Promise<unknown> {
+    return this.server.listen(getBindAddress(this.settings));
+  }
+
   async openFolder(): Promise<Folder> {
     const path = this.settings.dataFolder ?? "";
     try {
@@ -130,6 +136,11 @@
   }
 }
 
+/** Address on which a process listens for the others. */
+export function getBindAddress({ bindIp, ip, peerPort }: FleetSettings) {
+  return `${bindIp || ip}:${peerPort}`;
+}
+
 /** A command of the fleet group as bytes of its log. */
 export function encodeFleetCommand(
   command: MessageInitShape<typeof FleetCommandSchema>["command"],
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -115,7 +115,7 @@
       readResults: (req) => this.#readResults(req),
       readBody: (req) => Promise.resolve(this.#readBody(req)),
     });
-    await server.listen(address);
+    await this.#process.listen();
     await this.#side.start();
     this.#runner.start();
     this.#reportTimer = this.#context.clock.startInterval(
--- a/src/membership/load_book.ts
+++ b/src/membership/load_book.ts
@@ -138,6 +138,11 @@
       : known;
   }
 
+  /** Requests of jobs at a server, from everybody. */
+  getBatch(server: string, nowMs: number): number {
+    return this.getOwn(server).batch + this.getOthers(server, nowMs).batch;
+  }
+
   /** Own and others' counts of every server, without those of one source. */
   getMerged(nowMs: number, except: string): ServerLoad[] {
     const sums = this.#getSums(nowMs);
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -6,7 +6,7 @@
 
 /** What the decision goes by. */
 export interface AdmissionFacts {
-  /** Requests at the least busy server, and slots there. */
+  /** Online requests at the least busy server, and slots there. */
   readonly busy: number;
   readonly slots: number;
   /** Mean time of a request on a slot, in milliseconds. */
--- a/src/policy/batch_fill.ts
+++ b/src/policy/batch_fill.ts
@@ -10,33 +10,48 @@
 export interface BatchRun {
   readonly item: string;
   readonly startedMs: number;
-  /** Time at which the job's results are due, on the same clock. */
+  /** Time at which the job's results are due, on the wall clock. */
   readonly dueMs: number;
+  /** Time from which it is urgent, on the same clock. */
+  readonly urgentFromMs: number;
 }
 
-/** How batch shares a service's backend servers with online requests. */
-export interface FillOptions {
-  /** Slots of each server kept free for online requests that arrive. */
-  readonly reserve: number;
-  /** Free slots below which batch gives way. */
-  readonly yieldBelow: number;
-}
+/**
+ * Share of the time to a job's results after which its items are urgent. A run
+ * of 5 s that a burst of 2.4 s in 5.8 s interrupts takes half of the 18 s that
+ * the platform's jobs have.
+ */
+const PATIENT_SHARE = 0.4;
 
 /**
- * One slot: two leave jobs behind on the scale days, where items fill the
- * valleys between bursts to the last (docs/design/platform.md).
+ * Slots of each server that items which are not urgent leave to online
+ * requests. Two leave jobs behind on the scale days, and even one an eighth of
+ * what items could have (docs/design/platform.md).
  */
-export const DEFAULT_FILL: FillOptions = { reserve: 1, yieldBelow: 1 };
+const PATIENT_RESERVE = 1;
+
+/** When an item becomes urgent, on the clock of both times. */
+export function getUrgentFrom(submittedMs: number, dueMs: number): number {
+  return submittedMs + (dueMs - submittedMs) * PATIENT_SHARE;
+}
 
-/** Requests of batch jobs that a server should lose now. */
+/** Slots of a server that an item must leave free when it starts. */
+export function getReserve(isUrgent: boolean): number {
+  return isUrgent ? 0 : PATIENT_RESERVE;
+}
+
+/**
+ * Requests of batch jobs that a server should lose now. Urgent ones leave when
+ * online requests queue there, the others as soon as no slot is free.
+ */
 export function countToYield(
   server: ServerCandidate,
-  batchRuns: number,
-  options: FillOptions = DEFAULT_FILL,
+  runs: { readonly patient: number; readonly urgent: number },
 ): number {
   const free = server.slots - server.busy;
-  if (free >= options.yieldBelow) return 0;
-  return Math.min(batchRuns, options.yieldBelow - free);
+  const forReserve = Math.min(runs.patient, PATIENT_RESERVE - free);
+  const forQueue = Math.min(runs.patient + runs.urgent, -free);
+  return Math.max(0, forReserve, forQueue);
 }
 
 /** Those that give way: the latest due, of these the youngest. */
--- a/src/policy/server_choice.ts
+++ b/src/policy/server_choice.ts
@@ -13,6 +13,8 @@
   readonly slots: number;
   /** Requests that are on it or on their way to it, from everybody. */
   readonly busy: number;
+  /** Of these, requests of jobs, which give way to online ones. */
+  readonly batch: number;
 }
 
 /** What the chooser goes by besides the servers. */
@@ -41,15 +43,19 @@
   const free = servers.filter((one) => one.busy + reserve < one.slots);
   const near = free.filter((one) => one.dataCentre === options.dataCentre);
   const pool = near.length > 0 ? near : free;
-  return tryFindKeeper(pool, options) ?? getLeastBusy(pool, options);
+  return tryFindKeeper(pool, options) ??
+    getLeast(pool, (one) => one.busy, options);
 }
 
-/** The server with the fewest requests for its slots, full or not. */
+/**
+ * The server with the fewest online requests for its slots, full or not: what
+ * it runs of jobs gives way when an online request queues there.
+ */
 export function tryGetLeastBusy<S extends ServerCandidate>(
   servers: readonly S[],
   options: ChoiceOptions,
 ): S | undefined {
-  return getLeastBusy(servers, options);
+  return getLeast(servers, (one) => one.busy - one.batch, options);
 }
 
 /**
@@ -68,13 +74,16 @@
   return getLargest(hasRoom, (one) => getPlacementHash(`${key}\0${one.id}`));
 }
 
-function getLeastBusy<S extends ServerCandidate>(
+/** The server with the least for its slots; chance breaks ties. */
+function getLeast<S extends ServerCandidate>(
   servers: readonly S[],
+  getLoad: (server: S) => number,
   options: ChoiceOptions,
 ): S | undefined {
   return getLargest(
     servers,
-    (one) => -one.busy / Math.max(1, one.slots) - options.getFraction() * 1e-3,
+    (one) =>
+      -getLoad(one) / Math.max(1, one.slots) - options.getFraction() * 1e-3,
   );
 }
 
