Items: several runners in large fleets, bursts left alone, hopeless ones last

Changes: - a list of runners is part of the replicated state: the leader, and one more for each 24 backend servers. Items go by hashing over it, servers evenly and near first. An item that changes its runner starts nowhere for 0.5 s. Results go to the leader by its own call, which may repeat: a failure carries its number, so it counts once; a runner keeps an item as ended until it has applied the record itself. `run_recorder`'s tests say so now (as strict: they hold the item until it is known to be recorded, and offer failures again). - a server where an item was driven out within 0.4 s gets none for 0.35 s. - the time that an item still needs is learned from runs; what can't be in time stands behind what can, gives way first, and leaves the reserved slot alone. - item_runner is divided (`item_runs`, `item_settler`).

--- a/src/fleet/item_queue.ts
+++ b/src/fleet/item_queue.ts
@@ -17,8 +17,6 @@
   readonly item: JobItem;
   /** Its name among all jobs. */
   readonly key: string;
-  /** Time from which it is urgent, on the wall clock. */
-  readonly urgentFromMs: number;
 }
 
 /** Pause of an item after an attempt that failed, in milliseconds. */
@@ -44,18 +42,26 @@
     jobs: readonly QueuedJob[],
     options: {
       nowMs: number;
+      wallMs: number;
+      /** Time on a slot that an item still needs, in milliseconds. */
+      getRemainingMs: (queued: QueuedJob, item: JobItem) => number;
       /** The item runs, or its end is being recorded. */
       isTaken: (candidate: ItemCandidate) => boolean;
     },
   ): ItemCandidate[] {
-    return jobs.flatMap(createCandidates).filter((candidate) =>
-      (this.#pausedUntilMs.get(candidate.key) ?? 0) <= options.nowMs &&
-      !options.isTaken(candidate)
-    ).sort(compareWaiting);
+    const { nowMs, wallMs, getRemainingMs, isTaken } = options;
+    return jobs.flatMap((queued) => createCandidates(queued, getRemainingMs))
+      .filter((candidate) =>
+        (this.#pausedUntilMs.get(candidate.key) ?? 0) <= nowMs &&
+        !isTaken(candidate)
+      ).sort((a, b) => compareWaiting(a, b, wallMs));
   }
 }
 
-function createCandidates(queued: QueuedJob): ItemCandidate[] {
+function createCandidates(
+  queued: QueuedJob,
+  getRemainingMs: (queued: QueuedJob, item: JobItem) => number,
+): ItemCandidate[] {
   const dueMs = queued.submittedMs + queued.job.dueMs;
   const urgentFromMs = getUrgentFrom(queued.submittedMs, dueMs);
   return [...queued.open.values()].map((item) => ({
@@ -64,6 +70,7 @@
     key: getItemKey(queued.job.id, item.id),
     dueMs,
     urgentFromMs,
+    remainingMs: getRemainingMs(queued, item),
     jobOpen: queued.open.size,
   }));
 }
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -1,48 +1,52 @@
 /**
- * Runs the items of jobs on the leader of the store's group, in the room that
- * online requests leave. What an item has produced is kept here while it
- * waits, so that giving way costs little; a new leader starts items afresh.
+ * Runs one member's share of the items of jobs, in the room that online
+ * requests leave. What an item has produced is kept here while it waits, so
+ * that giving way costs little, and recorded now and then, so that another
+ * member goes on from there.
  */
 import { create } from "@bufbuild/protobuf";
 import { LoadKind } from "../membership/mod.ts";
 import {
-  type BatchRun,
-  countToYield,
+  BurstGate,
   getPath,
   getReserve,
+  RunEstimate,
   selectTarget,
-  selectYielding,
 } from "../policy/mod.ts";
 import {
-  ItemEnd,
   type JobItem,
   type RecordRuns,
   RecordRunsSchema,
 } from "../schema/mod.ts";
-import { createDeadLetter, type QueuedJob } from "../state/mod.ts";
+import type { QueuedJob } from "../state/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import { MetricName } from "../sys/metrics.ts";
 import type { BackendCaller } from "./backend_call.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
-import {
-  createItemRequest,
-  type ItemEnding,
-  runItemAttempt,
-} from "./item_attempt.ts";
+import { createItemRequest, runItemAttempt } from "./item_attempt.ts";
 import { type ItemCandidate, ItemQueue } from "./item_queue.ts";
+import { type ItemRun, ItemRuns } from "./item_runs.ts";
+import { ItemSettler } from "./item_settler.ts";
 import { ProgressBook } from "./progress_book.ts";
 import type { RoutingView } from "./routing_view.ts";
-import { type EndedItem, getItemKey, RunRecorder } from "./run_recorder.ts";
-import type { Place, PoolServer, ServerPool } from "./server_pool.ts";
+import { getItemKey, RunRecorder } from "./run_recorder.ts";
+import type { RunShares } from "./run_shares.ts";
+import type {
+  Place,
+  PlaceRequest,
+  PoolServer,
+  ServerPool,
+} from "./server_pool.ts";
 
 /** How an {@linkcode ItemRunner} is made. */
 export interface ItemRunnerOptions {
   /** Jobs with open items; empty while this process must run none. */
   readonly getOpenJobs: () => readonly QueuedJob[];
-  /** Term in which this process leads; undefined while it doesn't. */
-  readonly getLeadTerm: () => number | undefined;
+  readonly shares: RunShares;
+  /** Whether this process may still record what its runs produce. */
+  readonly mayRecord: () => boolean;
   readonly record: (runs: RecordRuns) => Promise<void>;
   readonly view: RoutingView;
   readonly pool: ServerPool;
@@ -51,23 +55,12 @@
   readonly context: ProcessContext;
 }
 
-interface Run extends BatchRun {
-  readonly server: string;
-  readonly stop: AbortController;
-}
-
 /**
- * Time between two recordings of what running items have produced: a new
- * leader repeats half of it on the mean, of runs that last 5 s.
+ * Time between two recordings of what running items have produced: who goes
+ * on repeats half of it on the mean, of runs that last 5 s.
  */
 const PROGRESS_INTERVAL_MS = 1_000;
 
-/**
- * Time for which a new leader starts no item, in milliseconds: until it has
- * heard what gateways have under way, every server seems to be free.
- */
-const WARM_UP_MS = 500;
-
 /** Time between two looks at what waits and what must give way. */
 const LOOK_INTERVAL_MS = 40;
 
@@ -83,15 +76,16 @@
 /** Items looked at in one turn; more than all slots of a large fleet. */
 const MAX_CANDIDATES = 512;
 
-/** Runs items while this process leads. */
+/** Runs the items of one process. */
 export class ItemRunner {
   readonly #options: ItemRunnerOptions;
-  readonly #runs = new Map<string, Run>();
+  readonly #runs = new ItemRuns();
   readonly #progress = new ProgressBook();
   readonly #queue = new ItemQueue();
+  readonly #gate = new BurstGate();
+  readonly #estimate = new RunEstimate();
   readonly #recorder: RunRecorder;
-  #leadTerm: number | undefined;
-  #ledSinceMs = 0;
+  readonly #settler: ItemSettler;
   #lookedMs = -Infinity;
   #timer: Timer | undefined;
   #nextLook: Timer | undefined;
@@ -102,10 +96,17 @@
     this.#options = options;
     this.#recorder = new RunRecorder({
       record: options.record,
-      isLeading: () => options.getLeadTerm() !== undefined,
+      mayRecord: options.mayRecord,
       clock: options.context.clock,
       log: options.context.log,
     });
+    this.#settler = new ItemSettler({
+      recorder: this.#recorder,
+      progress: this.#progress,
+      queue: this.#queue,
+      pool: options.pool,
+      context: options.context,
+    });
   }
 
   get runCount(): number {
@@ -132,7 +133,7 @@
     this.#timer?.cancel();
     this.#nextLook?.cancel();
     this.#progressTimer?.cancel();
-    this.#runs.forEach((run) => run.stop.abort());
+    this.#runs.stopAll();
   }
 
   /** Something changed; many changes make one look. */
@@ -153,34 +154,27 @@
     this.#nextLook = undefined;
     this.#lookedMs = this.#options.context.clock.getMonotonicMs();
     const jobs = this.#options.getOpenJobs();
+    this.#options.shares.update();
     this.#stopEnded(jobs);
     this.#giveWay();
     this.#giveUp(jobs);
-    if (this.#isWarm()) this.#startWaiting(jobs);
-  }
-
-  #isWarm(): boolean {
-    const nowMs = this.#options.context.clock.getMonotonicMs();
-    const term = this.#options.getLeadTerm();
-    if (term !== this.#leadTerm) {
-      this.#leadTerm = term;
-      this.#ledSinceMs = nowMs;
-    }
-    return term !== undefined && nowMs - this.#ledSinceMs >= WARM_UP_MS;
+    this.#startWaiting(jobs);
   }
 
-  /** Runs whose item is open no more, or whose leadership has gone. */
+  /** Runs whose item is open no more, or not this process's any more. */
   #stopEnded(jobs: readonly QueuedJob[]): void {
+    const { shares } = this.#options;
     const open = new Set(
       jobs.flatMap((queued) =>
         [...queued.open.keys()].map((id) => getKey(queued, id))
       ),
     );
-    this.#runs.forEach((run, key) => {
-      if (!open.has(key)) run.stop.abort();
-    });
-    this.#progress.keepOnly(open);
-    this.#queue.keepOnly(open);
+    const mine = new Set([...open].filter((key) => shares.isMine(key)));
+    shares.keepOnly(open);
+    this.#recorder.keepOnly(open);
+    this.#runs.keepOnly(mine);
+    this.#progress.keepOnly(mine);
+    this.#queue.keepOnly(mine);
   }
 
   #getServers(): PoolServer[] {
@@ -190,18 +184,19 @@
   }
 
   #giveWay(): void {
-    const nowMs = this.#options.context.clock.getWallMs();
-    this.#getServers().forEach((server) => {
-      const runs = [...this.#runs.values()].filter((run) =>
-        run.server === server.id && !run.stop.signal.aborted
-      );
-      const urgent = runs.filter((run) => run.urgentFromMs <= nowMs).length;
-      const patient = runs.length - urgent;
-      selectYielding(runs, countToYield(server, { patient, urgent }))
-        .forEach((run) => {
-          this.#options.context.metrics.count(MetricName.batchGaveWay);
-          run.stop.abort();
-        });
+    const { metrics, log, clock } = this.#options.context;
+    const nowMs = clock.getMonotonicMs();
+    const leaving = this.#runs.giveWay(this.#getServers(), clock.getWallMs());
+    leaving.forEach(({ run, server }) => {
+      this.#gate.noteGaveWay(run.server, nowMs - run.startedMs, nowMs);
+      metrics.count(MetricName.batchGaveWay);
+      log.info("item_gave_way", {
+        job: run.job,
+        item: run.item,
+        server: server.id,
+        busy: server.busy,
+        slots: server.slots,
+      });
     });
   }
 
@@ -213,26 +208,53 @@
     jobs.filter(isOver)
       .forEach((queued) =>
         queued.open.forEach((item) => {
-          if (this.#recorder.hasEnded(queued.job.id, item.id)) return;
-          this.#runs.get(getKey(queued, item.id))?.stop.abort();
-          this.#finish(queued, item, createDeadLetter(item.id), "too late");
+          const isMine = this.#options.shares.isMine(getKey(queued, item.id));
+          if (!isMine || this.#recorder.hasEnded(queued.job.id, item.id)) {
+            return;
+          }
+          this.#runs.stop(getKey(queued, item.id));
+          this.#settler.giveUp(queued, item, "too late");
         })
       );
   }
 
   /** A service without room is asked once a look. */
   #startWaiting(jobs: readonly QueuedJob[]): void {
-    const nowMs = this.#options.context.clock.getWallMs();
+    const { pool, shares, context } = this.#options;
+    const nowMs = context.clock.getWallMs();
     const full = new Set<string>();
+    const allowed = new Map<string, ReadonlySet<string>>();
     this.#getWaiting(jobs).slice(0, MAX_CANDIDATES).forEach((candidate) => {
       const service = this.#tryGetService(candidate);
-      const isUrgent = candidate.urgentFromMs <= nowMs;
-      if (service === undefined || full.has(`${service}/${isUrgent}`)) return;
-      const isStarted = this.#tryStart(candidate, service, isUrgent);
-      if (!isStarted) full.add(`${service}/${isUrgent}`);
+      if (service === undefined) return;
+      const reserve = getReserve(candidate, nowMs);
+      if (full.has(`${service}/${reserve}`)) return;
+      const servers = allowed.get(service) ??
+        this.#getOpenServers(shares.getServers(pool.getServers(service)));
+      allowed.set(service, servers);
+      const isStarted = this.#tryStart(candidate, {
+        service,
+        allowed: servers,
+        reserve,
+      });
+      if (!isStarted) full.add(`${service}/${reserve}`);
     });
   }
 
+  /** Servers where no burst runs. */
+  #getOpenServers(servers: ReadonlySet<string>): ReadonlySet<string> {
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    return new Set(
+      [...servers].filter((server) => this.#gate.isOpen(server, nowMs)),
+    );
+  }
+
+  #getRemainingMs({ job, progress }: QueuedJob, item: JobItem): number {
+    const last = this.#progress.tryGet(getItemKey(job.id, item.id))?.last ??
+      progress.get(item.id)?.last ?? 0;
+    return this.#estimate.getRemainingMs(job.route, last);
+  }
+
   #tryGetService({ queued, item }: ItemCandidate): string | undefined {
     const { view, context } = this.#options;
     const route = view.routes?.tryMatch(queued.job.host, getPath(item.path));
@@ -243,8 +265,10 @@
   #getWaiting(jobs: readonly QueuedJob[]): ItemCandidate[] {
     return this.#queue.getWaiting(jobs, {
       nowMs: this.#options.context.clock.getMonotonicMs(),
+      wallMs: this.#options.context.clock.getWallMs(),
+      getRemainingMs: (queued, item) => this.#getRemainingMs(queued, item),
       isTaken: ({ key, queued, item }) =>
-        this.#runs.has(key) ||
+        this.#runs.has(key) || !this.#options.shares.mayStart(key) ||
         this.#recorder.hasEnded(queued.job.id, item.id),
     });
   }
@@ -252,8 +276,7 @@
   /** Starts an item; false when its service has no room. */
   #tryStart(
     candidate: ItemCandidate,
-    service: string,
-    isUrgent: boolean,
+    where: Pick<PlaceRequest, "service" | "allowed" | "reserve">,
   ): boolean {
     const { queued, item, key } = candidate;
     const { pool, dialects, context } = this.#options;
@@ -262,23 +285,28 @@
     );
     const stop = new AbortController();
     const place = pool.tryTake({
-      service,
+      ...where,
       kind: LoadKind.batch,
       prefix: dialects.caller.readCall(headers).prefix,
       excluded: new Set(),
-      reserve: getReserve(isUrgent),
       onSilent: () => stop.abort(),
     });
     if (place === undefined) return false;
-    const run: Run = {
+    const getRemainingMs = () => this.#getRemainingMs(queued, item);
+    const run: ItemRun = {
+      job: queued.job.id,
       item: item.id,
       server: place.server.id,
       stop,
       startedMs: context.clock.getMonotonicMs(),
       dueMs: candidate.dueMs,
       urgentFromMs: candidate.urgentFromMs,
+      // It needs less and less while it runs.
+      get remainingMs() {
+        return getRemainingMs();
+      },
     };
-    this.#runs.set(key, run);
+    this.#runs.add(key, run);
     this.#run(candidate, place, run).catch((error) =>
       context.log.error("item_run_failed", {
         job: queued.job.id,
@@ -295,9 +323,21 @@
   async #run(
     { queued, item }: ItemCandidate,
     place: Place,
-    run: Run,
+    run: ItemRun,
   ): Promise<void> {
     const progress = this.#progress.open(queued, item);
+    this.#options.context.log.info("item_started", {
+      job: run.job,
+      item: run.item,
+      server: run.server,
+      after_event: progress.last ?? 0,
+      busy: place.server.busy,
+      slots: place.server.slots,
+      due_in_ms: Math.round(
+        run.dueMs - this.#options.context.clock.getWallMs(),
+      ),
+    });
+    const before = progress.last ?? 0;
     const ending = await runItemAttempt({
       caller: this.#options.caller,
       request: createItemRequest(
@@ -310,7 +350,13 @@
       progress,
       signal: run.stop.signal,
     });
-    this.#settle(queued, item, ending, place.server.id);
+    const last = progress.last ?? 0;
+    const ranMs = this.#options.context.clock.getMonotonicMs() - run.startedMs;
+    this.#estimate.noteRun(queued.job.route, last - before, ranMs);
+    if (ending.kind === "done") {
+      this.#estimate.noteWhole(queued.job.route, last);
+    }
+    this.#settler.settle(queued, item, ending, place.server.id);
   }
 
   #getLeftMs({ submittedMs, job }: QueuedJob): number {
@@ -318,64 +364,6 @@
       this.#options.context.clock.getWallMs();
   }
 
-  #settle(
-    queued: QueuedJob,
-    item: JobItem,
-    ending: ItemEnding,
-    server: string,
-  ): void {
-    const key = getKey(queued, item.id);
-    const { context, pool } = this.#options;
-    switch (ending.kind) {
-      case "done": {
-        const text = this.#progress.tryGet(key)?.text ?? "";
-        const result = { id: item.id, end: ItemEnd.DONE, text: encode(text) };
-        this.#finish(queued, item, result, "done");
-        return;
-      }
-      case "impossible":
-        this.#finish(queued, item, createDeadLetter(item.id), ending.reason);
-        return;
-      case "stopped":
-        return;
-      case "failed":
-        this.#progress.tryGet(key)?.reset();
-        this.#recorder.fail(queued.job.id, item.id);
-        break;
-      case "broken":
-        pool.avoid(server);
-        break;
-      case "notRun":
-        break;
-    }
-    this.#queue.pause(key, context.clock.getMonotonicMs());
-    context.log.info("item_attempt_ended", {
-      job: queued.job.id,
-      item: item.id,
-      server,
-      ending: ending.kind,
-      reason: ending.reason,
-      event: this.#progress.tryGet(key)?.last ?? -1,
-    });
-  }
-
-  #finish(
-    queued: QueuedJob,
-    item: JobItem,
-    result: EndedItem,
-    reason: string,
-  ): void {
-    this.#options.context.metrics.count(MetricName.batchItems);
-    if (result.end !== ItemEnd.DONE) {
-      this.#options.context.log.info("item_given_up", {
-        job: queued.job.id,
-        item: item.id,
-        reason,
-      });
-    }
-    this.#recorder.finish(queued.job.id, result);
-  }
-
   /** Says once an interval how full the servers are, while items are open. */
   #noteFill(): void {
     const jobs = this.#options.getOpenJobs();
@@ -415,7 +403,3 @@
 function getKey(queued: QueuedJob, item: string): string {
   return getItemKey(queued.job.id, item);
 }
-
-function encode(text: string): Uint8Array {
-  return Buffer.from(text, "utf8");
-}
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -21,7 +21,7 @@
   /** Makes records durable; rejects when that failed or isn't known. */
   readonly record: (runs: RecordRuns) => Promise<void>;
   /** Whether this process may still record. */
-  readonly isLeading: () => boolean;
+  readonly mayRecord: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -47,7 +47,7 @@
 /** Records of one process. */
 export class RunRecorder {
   readonly #options: RunRecorderOptions;
-  /** Items whose results are not recorded yet; they don't start again. */
+  /** Items whose results this process may not have seen recorded yet. */
   readonly #ended = new Set<string>();
   #finished: FinishedRun[] = [];
   #failed: FailedRun[] = [];
@@ -57,11 +57,17 @@
     this.#options = options;
   }
 
-  /** Whether an item has ended here and its record is under way. */
+  /** Whether an item has ended here, so that it must not start again. */
   hasEnded(job: string, item: string): boolean {
     return this.#ended.has(getItemKey(job, item));
   }
 
+  /** Forgets items that are open no more: their records have arrived. */
+  keepOnly(open: ReadonlySet<string>): void {
+    [...this.#ended].filter((key) => !open.has(key))
+      .forEach((key) => this.#ended.delete(key));
+  }
+
   /** An item has its result. */
   finish(job: string, result: EndedItem): void {
     this.#ended.add(getItemKey(job, result.id));
@@ -69,9 +75,9 @@
     this.#schedule();
   }
 
-  /** A backend server ran an item and failed. */
-  fail(job: string, item: string): void {
-    this.#failed.push(create(FailedRunSchema, { job, item }));
+  /** A backend server ran an item and failed, as the `count`th time. */
+  fail(job: string, item: string, count: number): void {
+    this.#failed.push(create(FailedRunSchema, { job, item, count }));
     this.#schedule();
   }
 
@@ -87,13 +93,14 @@
   }
 
   async #recordAll(): Promise<void> {
-    const { record, isLeading, clock, log } = this.#options;
+    const { record, mayRecord, clock, log } = this.#options;
     const finished = this.#finished;
     const failed = this.#failed;
     this.#finished = [];
     this.#failed = [];
     try {
       await record(create(RecordRunsSchema, { finished, failed }));
+      return;
     } catch (error) {
       log.warn("results_not_recorded", {
         finished: finished.length,
@@ -101,12 +108,12 @@
         reason: getReason(error),
       });
       await clock.delay(RETRY_MS);
-      // A result that was recorded after all is dropped the second time; a
-      // failure would count twice, so it is not offered again.
-      if (isLeading()) {
-        this.#finished.unshift(...finished);
-        return;
-      }
+    }
+    // What was recorded after all is dropped the second time.
+    if (mayRecord()) {
+      this.#finished.unshift(...finished);
+      this.#failed.unshift(...failed);
+      return;
     }
     finished.forEach(({ job, result }) =>
       this.#ended.delete(getItemKey(job, result?.id ?? ""))
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -28,6 +28,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Slots that it must leave free. */
   readonly reserve?: number;
+  /** Servers to choose from; all of the service without. */
+  readonly allowed?: ReadonlySet<string>;
   /** Called once when the server it went to has fallen silent. */
   readonly onSilent?: () => void;
 }
@@ -83,6 +85,7 @@
   /** Something arrived from a server. */
   noteHeard(server: string): void {
     this.#silence.noteHeard(server, this.#options.clock.getMonotonicMs());
+    this.#options.view.book.noteAnswered(server);
   }
 
   /** Servers that say nothing lose the requests that may run elsewhere. */
@@ -92,7 +95,7 @@
     this.#silence.giveUp(nowMs).forEach((server) => {
       if (view.book.isAvoided(server, nowMs)) return;
       log.info("backend_server_silent", { server });
-      view.book.avoid(server, nowMs, SILENT_AVOID_MS);
+      view.book.avoidSilent(server, nowMs, SILENT_AVOID_MS);
     });
   }
 
@@ -170,7 +173,7 @@
 
   #getCandidates(req: PlaceRequest): PoolServer[] {
     return this.getServers(req.service).filter((server) =>
-      !req.excluded.has(server.id)
+      !req.excluded.has(server.id) && req.allowed?.has(server.id) !== false
     );
   }
 
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -1,6 +1,6 @@
 /**
  * A store host: a replica of the store's group, which holds the jobs. The
- * group's leader answers reads of jobs and runs their items.
+ * group's leader answers reads of jobs; each member runs a share of the items.
  */
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
@@ -17,7 +17,8 @@
   StoreMembersSchema,
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
-import type { StateClient } from "../services/common/state_client.ts";
+import { StateClient } from "../services/common/state_client.ts";
+import { tryPlanRunners } from "../policy/mod.ts";
 import { JobMachine, type QueuedJob } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
@@ -33,11 +34,21 @@
   writeFirstMembers,
 } from "./host_identity.ts";
 import { ItemRunner } from "./item_runner.ts";
+import { RunShares } from "./run_shares.ts";
 import { encodeFleetCommand, StateProcess } from "./state_process.ts";
 
 /** Time between two looks at whether the members are known, in milliseconds. */
 const REPORT_INTERVAL_MS = 250;
 
+/**
+ * Time for which items go on when no leader is known, in milliseconds: about
+ * an election. An ended job runs nothing after 3 s, also where nobody says so.
+ */
+const RUN_ON_MS = 1_000;
+
+/** Longest wait for a record of runs, in milliseconds. */
+const RECORD_TIMEOUT_MS = 2_000;
+
 /** Most bytes of results in one page, half of what callers may get. */
 const MAX_PAGE_BYTES = 512 * 1024;
 
@@ -50,10 +61,15 @@
   readonly #side: BackendSide;
   readonly #runner: ItemRunner;
   readonly #client: StateClient;
+  /** To the leader of this host's own group. */
+  readonly #storeClient: StateClient;
   readonly #readers = new Set<() => void>();
   #member: GroupMember | undefined;
   #reportTimer: Timer | undefined;
   #isReporting = false;
+  #isPlanning = false;
+  /** When a leader was known last. */
+  #ledMs = -Infinity;
   #stopping = false;
   /** Called once when the replica can't go on. */
   onFailure: (error: unknown) => void = () => {};
@@ -80,15 +96,23 @@
       onReport: () => this.#runner.noteChange(),
     });
     const { view, pool, caller, follower } = this.#side;
+    this.#storeClient = new StateClient({
+      getAddresses: () => view.getStoreAddresses(),
+      credentials: this.#process.credentials,
+      clock: context.clock,
+    });
     this.#client = this.#process.createFleetClient(() =>
       follower.getAddresses()
     );
     this.#runner = new ItemRunner({
       getOpenJobs: () => this.#getOpenJobs(),
-      getLeadTerm: () => {
-        const replica = this.#member?.replica;
-        return replica?.isLeader === true ? replica.term : undefined;
-      },
+      shares: new RunShares({
+        getId: () => this.#member?.replica.id ?? "",
+        getRunners: () => this.#machine.runners,
+        getDataCentre: (id) => this.#getDataCentre(id),
+        clock: context.clock,
+      }),
+      mayRecord: () => this.#isInTouch(),
       record: (runs) => this.#record(runs),
       view,
       pool,
@@ -120,7 +144,10 @@
     this.#runner.start();
     this.#reportTimer = this.#context.clock.startInterval(
       REPORT_INTERVAL_MS,
-      () => this.#reportMembers(),
+      () => {
+        this.#reportMembers();
+        this.#planRunners();
+      },
     );
     const known = await tryReadFirstMembers(folder);
     if (known !== undefined) await this.#startMember(folder, id, known);
@@ -142,6 +169,7 @@
     this.#reportTimer?.cancel();
     this.#side.close();
     this.#client.close();
+    this.#storeClient.close();
     this.#process.server.close();
   }
 
@@ -221,18 +249,63 @@
     this.#member = member;
   }
 
-  /** Items run where the group's leader is, and nowhere else. */
+  /** Items run at members that hear of every end, and nowhere else. */
   #getOpenJobs(): readonly QueuedJob[] {
-    return this.#member?.replica.canServe() === true
-      ? this.#machine.getOpenJobs()
-      : [];
+    return this.#isInTouch() ? this.#machine.getOpenJobs() : [];
+  }
+
+  /** The group's leader is known, or was until a moment ago. */
+  #isInTouch(): boolean {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    const hasLeader = (this.#member?.replica.leader ?? "") !== "";
+    if (hasLeader) this.#ledMs = nowMs;
+    return hasLeader || nowMs - this.#ledMs < RUN_ON_MS;
+  }
+
+  /** On the leader: agrees on who runs items, when that has to change. */
+  #planRunners(): void {
+    const replica = this.#member?.replica;
+    if (replica?.canServe() !== true || this.#isPlanning) return;
+    const members = replica.getMemberHealth().map(({ member, silentMs }) => ({
+      id: member.id,
+      isLearner: member.learner,
+      silentMs,
+    }));
+    const ids = tryPlanRunners({
+      members,
+      leader: replica.id,
+      retired: new Set(this.#side.view.hosts.retired),
+      inForce: this.#machine.runners,
+      serverCount: this.#side.view.book.getAll().length,
+    });
+    if (ids === undefined) return;
+    this.#context.log.info("runners_change", {
+      runners: ids.join(),
+      before: this.#machine.runners.join(),
+    });
+    const command = create(JobCommandSchema, {
+      command: { case: "setRunners", value: { ids } },
+    });
+    this.#isPlanning = true;
+    replica.propose(toBinary(JobCommandSchema, command))
+      .catch((error) =>
+        this.#context.log.warn("runners_not_changed", {
+          reason: getReason(error),
+        })
+      )
+      .finally(() => {
+        this.#isPlanning = false;
+      });
   }
 
   async #record(runs: RecordRuns): Promise<void> {
     const command = create(JobCommandSchema, {
       command: { case: "recordRuns", value: runs },
     });
-    await this.#member?.replica.propose(toBinary(JobCommandSchema, command));
+    const bytes = toBinary(JobCommandSchema, command);
+    const replica = this.#member?.replica;
+    if (replica?.isLeader === true) await replica.propose(bytes);
+    else await this.#storeClient.propose(STORE_GROUP, bytes, RECORD_TIMEOUT_MS);
   }
 
   async #readResults(req: ReadJobRequest) {
--- a/src/policy/batch_fill.ts
+++ b/src/policy/batch_fill.ts
@@ -14,6 +14,8 @@
   readonly dueMs: number;
   /** Time from which it is urgent, on the same clock. */
   readonly urgentFromMs: number;
+  /** Time that it still needs, in milliseconds. */
+  readonly remainingMs: number;
 }
 
 /**
@@ -35,9 +37,25 @@
   return submittedMs + (dueMs - submittedMs) * PATIENT_SHARE;
 }
 
+/** What an item's time goes by. */
+export type ItemTimes = Pick<
+  BatchRun,
+  "dueMs" | "urgentFromMs" | "remainingMs"
+>;
+
+/** Whether an item can't be done in time any more. */
+export function isHopeless(item: ItemTimes, wallMs: number): boolean {
+  return wallMs + item.remainingMs > item.dueMs;
+}
+
+/** Whether an item must run now to be in time. */
+export function isUrgent(item: ItemTimes, wallMs: number): boolean {
+  return item.urgentFromMs <= wallMs && !isHopeless(item, wallMs);
+}
+
 /** Slots of a server that an item must leave free when it starts. */
-export function getReserve(isUrgent: boolean): number {
-  return isUrgent ? 0 : PATIENT_RESERVE;
+export function getReserve(item: ItemTimes, wallMs: number): number {
+  return isUrgent(item, wallMs) ? 0 : PATIENT_RESERVE;
 }
 
 /**
@@ -54,24 +72,38 @@
   return Math.max(0, forReserve, forQueue);
 }
 
-/** Those that give way: the latest due, of these the youngest. */
+/**
+ * Those that give way: first what can't be in time, then the latest due, of
+ * these the youngest.
+ */
 export function selectYielding<R extends BatchRun>(
   runs: readonly R[],
   count: number,
+  wallMs: number,
 ): R[] {
   return [...runs]
-    .sort((a, b) => b.dueMs - a.dueMs || b.startedMs - a.startedMs)
+    .sort((a, b) =>
+      Number(isHopeless(b, wallMs)) - Number(isHopeless(a, wallMs)) ||
+      b.dueMs - a.dueMs || b.startedMs - a.startedMs
+    )
     .slice(0, count);
 }
 
 /** A waiting item of a job. */
-export interface WaitingItem {
-  readonly dueMs: number;
+export interface WaitingItem extends ItemTimes {
   /** Items of its job that still have to run. */
   readonly jobOpen: number;
 }
 
-/** Order of waiting items: the earliest due, whole jobs before new ones. */
-export function compareWaiting(a: WaitingItem, b: WaitingItem): number {
-  return a.dueMs - b.dueMs || a.jobOpen - b.jobOpen;
+/**
+ * Order of waiting items: those that can be in time, the earliest due first,
+ * whole jobs before new ones; then the others.
+ */
+export function compareWaiting(
+  a: WaitingItem,
+  b: WaitingItem,
+  wallMs: number,
+): number {
+  return Number(isHopeless(a, wallMs)) - Number(isHopeless(b, wallMs)) ||
+    a.dueMs - b.dueMs || a.jobOpen - b.jobOpen;
 }
--- /dev/null
+++ b/src/policy/run_estimate.ts
@@ -0,0 +1,54 @@
+/**
+ * How long an item still needs, from runs that were measured. Answers the load
+ * pattern of more items than can be done in time: taken by their due times
+ * alone, all of them come a little late (uzpilde-lv scale-1, 178 of 521). So
+ * items that can't be in time any more stand behind those that can.
+ */
+
+/** Weight of the newest measurement in the moving means. */
+const NEWEST_WEIGHT = 0.05;
+
+interface Means {
+  /** Events of a whole item. */
+  events: number | undefined;
+  /** Time from one event to the next, in milliseconds. */
+  eventMs: number | undefined;
+}
+
+/** Estimates by the kind of item. */
+export class RunEstimate {
+  readonly #means = new Map<string, Means>();
+
+  /** A run of `ms` milliseconds made some events. */
+  noteRun(kind: string, events: number, ms: number): void {
+    if (events <= 0) return;
+    const means = this.#open(kind);
+    means.eventMs = mix(means.eventMs, ms / events);
+  }
+
+  /** A whole item has so many events. */
+  noteWhole(kind: string, events: number): void {
+    const means = this.#open(kind);
+    means.events = mix(means.events, events);
+  }
+
+  /** Time on a slot that an item needs after an event; 0 when not known. */
+  getRemainingMs(kind: string, lastEvent: number): number {
+    const { events, eventMs } = this.#open(kind);
+    if (events === undefined || eventMs === undefined) return 0;
+    return Math.max(0, events - lastEvent) * eventMs;
+  }
+
+  #open(kind: string): Means {
+    const means = this.#means.get(kind) ??
+      { events: undefined, eventMs: undefined };
+    this.#means.set(kind, means);
+    return means;
+  }
+}
+
+function mix(known: number | undefined, newest: number): number {
+  return known === undefined
+    ? newest
+    : known + (newest - known) * NEWEST_WEIGHT;
+}
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -174,6 +174,10 @@
   }
 
   /** The leader this replica knows of; empty when it knows none. */
+  get id(): string {
+    return this.#options.id;
+  }
+
   get leader(): string {
     return this.#core?.leader ?? "";
   }
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -13,6 +13,7 @@
   type JobItem,
   MessageCode,
   type RecordRuns,
+  RunnerListSchema,
   type RunProgress,
   type StoredJob,
   StoredJobSchema,
@@ -60,6 +61,7 @@
   readonly #keptMs: number;
   readonly #jobs = new Map<string, QueuedJob>();
   readonly #waitingTokens = new Map<string, bigint>();
+  #runners: readonly string[] = [];
 
   constructor(options: JobMachineOptions = {}) {
     super();
@@ -71,6 +73,11 @@
     return this.#jobs.get(id);
   }
 
+  /** Members of the group that run items, by id. */
+  get runners(): readonly string[] {
+    return this.#runners;
+  }
+
   /** Jobs with items that still have to run, oldest first. */
   getOpenJobs(): QueuedJob[] {
     return [...this.#jobs.values()].filter((queued) =>
@@ -90,6 +97,7 @@
       : 0;
     if (body.case === "recordRuns") this.#recordRuns(body.value);
     if (body.case === "end") this.#end(body.value.id);
+    if (body.case === "setRunners") this.#runners = body.value.ids;
     return toBinary(
       JobCommandReplySchema,
       create(JobCommandReplySchema, { code }),
@@ -99,12 +107,15 @@
   override *capture(): Iterable<Uint8Array> {
     // Later commands replace nothing in a stored job: results only grow.
     const stored = [...this.#jobs.values()].map(createStoredJob);
+    const runners = create(RunnerListSchema, { ids: [...this.#runners] });
+    yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
     for (const job of stored) yield toBinary(StoredJobSchema, job);
   }
 
   override restore(parts: readonly Uint8Array[]): void {
     this.#jobs.clear();
     this.#waitingTokens.clear();
+    this.#runners = [];
     parts.map((part) => fromBinary(StoredJobSchema, part))
       .forEach((stored) => this.#restoreJob(stored));
   }
@@ -128,10 +139,12 @@
       this.#finishItem(queued, result);
     });
     runs.progress.forEach((part) => this.#recordProgress(part));
-    runs.failed.forEach(({ job, item }) => {
+    runs.failed.forEach(({ job, item, count }) => {
       const queued = this.#jobs.get(job);
       if (queued === undefined || !queued.open.has(item)) return;
       const failures = (queued.failures.get(item) ?? 0) + 1;
+      // It was recorded before: who records it may have had no answer.
+      if (count !== failures) return;
       queued.failures.set(item, failures);
       queued.progress.delete(item);
       const isSpent = failures >= queued.job.maxAttempts;
@@ -191,6 +204,7 @@
 
   #restoreJob(stored: StoredJob): void {
     const { job } = stored;
+    if (stored.runners !== undefined) this.#runners = stored.runners.ids;
     if (job === undefined) return;
     const queued = createQueuedJob(job, Number(stored.submittedMs));
     queued.isEnded = stored.ended;
--- a/src/test/batch_fill_test.ts
+++ b/src/test/batch_fill_test.ts
@@ -6,10 +6,13 @@
  */
 import { expect } from "chai";
 import {
+  BurstGate,
+  compareWaiting,
   countToYield,
   decideAdmission,
   getReserve,
   getUrgentFrom,
+  RunEstimate,
   selectYielding,
   tryGetLeastBusy,
   trySelectServer,
@@ -78,14 +81,18 @@
   });
 
 describe("batch in the gaps", () => {
+  const times = { dueMs: 10_000, urgentFromMs: 4_000, remainingMs: 3_000 };
+
   it("leaves a slot of each server alone until items are urgent", () => {
     const server = createServer("s", 3, 4);
-    expect(
-      trySelectServer([server], { ...OPTIONS, reserve: getReserve(false) }),
-    )
-      .equal(undefined);
-    expect(trySelectServer([server], { ...OPTIONS, reserve: getReserve(true) }))
-      .equal(server);
+    const select = (wallMs: number) =>
+      trySelectServer([server], {
+        ...OPTIONS,
+        reserve: getReserve(times, wallMs),
+      });
+    expect(select(3_999)).equal(undefined);
+    expect(select(4_000)).equal(server);
+    expect(select(7_001), "too late to be in time").equal(undefined);
     const full = createServer("s", 4, 4);
     expect(countToYield(full, { patient: 3, urgent: 1 })).equal(1);
     expect(countToYield(full, { patient: 0, urgent: 4 })).equal(0);
@@ -138,13 +145,106 @@
     expect(tryGetLeastBusy(servers, OPTIONS)?.id).equal("b");
   });
 
+  it("starts nothing for a while where a burst drove an item out", () => {
+    const gate = new BurstGate();
+    gate.noteGaveWay("s", 2_000, 10_000);
+    expect(gate.isOpen("s", 10_000)).equal(true);
+    gate.noteGaveWay("s", 50, 10_000);
+    expect(gate.isOpen("s", 10_100)).equal(false);
+    expect(gate.isOpen("other", 10_100)).equal(true);
+    expect(gate.isOpen("s", 10_350)).equal(true);
+    // In a burst of 2.4 s each slot that frees is taken within 50 ms.
+    const starts = range(48).filter((step) => {
+      const nowMs = 20_000 + step * 50;
+      if (!gate.isOpen("s", nowMs)) return false;
+      gate.noteGaveWay("s", 50, nowMs + 50);
+      return true;
+    });
+    expect(starts).length(6);
+  });
+
+  it("puts items that can't be in time behind those that can", () => {
+    const item = (dueMs: number, remainingMs: number) => ({
+      dueMs,
+      urgentFromMs: 0,
+      remainingMs,
+      jobOpen: 1,
+    });
+    const late = item(5_000, 4_000);
+    const nearlyDone = item(5_000, 100);
+    const next = item(9_000, 4_000);
+    const order = [late, next, nearlyDone]
+      .sort((a, b) => compareWaiting(a, b, 2_000));
+    expect(order).deep.equal([nearlyDone, next, late]);
+  });
+
+  it("does as many in time as fit when more come than can be done", () => {
+    // One slot, 2 s an item, one item each 1.5 s, due 6 s after it came.
+    const runAll = (compare: typeof compareWaiting) => {
+      let nowMs = 0;
+      let inTime = 0;
+      const waiting = range(200).map((index) => ({
+        dueMs: index * 1_500 + 6_000,
+        urgentFromMs: 0,
+        remainingMs: 2_000,
+        jobOpen: 1,
+      }));
+      while (waiting.length > 0) {
+        const here = waiting.filter((one) => one.dueMs - 6_000 <= nowMs)
+          .sort((a, b) => compare(a, b, nowMs));
+        const one = here[0];
+        nowMs += one === undefined ? 100 : one.remainingMs;
+        if (one === undefined) continue;
+        waiting.splice(waiting.indexOf(one), 1);
+        if (nowMs <= one.dueMs) inTime += 1;
+      }
+      return inTime;
+    };
+    const byDueTime = runAll((a, b) => a.dueMs - b.dueMs);
+    expect(byDueTime).below(20);
+    expect(runAll(compareWaiting)).above(140);
+  });
+
+  it("learns how long an item needs", () => {
+    const estimate = new RunEstimate();
+    expect(estimate.getRemainingMs("r", 0)).equal(0);
+    estimate.noteRun("r", 50, 1_000);
+    expect(estimate.getRemainingMs("r", 0)).equal(0);
+    estimate.noteWhole("r", 200);
+    expect(estimate.getRemainingMs("r", 0)).equal(4_000);
+    expect(estimate.getRemainingMs("r", 150)).equal(1_000);
+    expect(estimate.getRemainingMs("r", 250)).equal(0);
+    estimate.noteRun("r", 0, 5_000);
+    expect(estimate.getRemainingMs("r", 0)).equal(4_000);
+  });
+
   it("stops the item that is due last, of these the youngest", () => {
     const runs = [
-      { item: "early", startedMs: 5, dueMs: 100, urgentFromMs: 0 },
-      { item: "old", startedMs: 1, dueMs: 200, urgentFromMs: 0 },
-      { item: "young", startedMs: 9, dueMs: 200, urgentFromMs: 0 },
+      {
+        item: "early",
+        startedMs: 5,
+        dueMs: 100,
+        urgentFromMs: 0,
+        remainingMs: 0,
+      },
+      {
+        item: "old",
+        startedMs: 1,
+        dueMs: 200,
+        urgentFromMs: 0,
+        remainingMs: 0,
+      },
+      {
+        item: "young",
+        startedMs: 9,
+        dueMs: 200,
+        urgentFromMs: 0,
+        remainingMs: 0,
+      },
     ];
-    expect(selectYielding(runs, 1).map((run) => run.item))
+    expect(selectYielding(runs, 1, 50).map((run) => run.item))
       .deep.equal(["young"]);
+    expect(selectYielding(runs, 1, 150).map((run) => run.item), "too late")
+      .deep.equal(["early"]);
   });
 });
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -75,10 +75,10 @@
   });
 }
 
-const fail = (machine: JobMachine, job: string, item: string) =>
+const fail = (machine: JobMachine, job: string, item: string, count: number) =>
   runJob(machine, {
     case: "recordRuns",
-    value: { finished: [], failed: [{ job, item }] },
+    value: { finished: [], failed: [{ job, item, count }] },
   });
 
 function getTexts(machine: JobMachine, job: string): string[] {
@@ -212,13 +212,33 @@
   it("makes a dead letter after as many failures as the route allows", () => {
     const machine = new JobMachine();
     submit(machine, "j", ["a"]);
-    fail(machine, "j", "a");
-    fail(machine, "j", "a");
+    fail(machine, "j", "a", 1);
+    fail(machine, "j", "a", 2);
     expect(getTexts(machine, "j")).deep.equal([]);
-    fail(machine, "j", "a");
+    fail(machine, "j", "a", 3);
     expect(getTexts(machine, "j")).deep.equal(["a=DEAD_LETTER:"]);
   });
 
+  it("counts a failure once, however often it is recorded", () => {
+    const machine = new JobMachine();
+    submit(machine, "j", ["a"]);
+    [1, 1, 1, 2, 1, 2].forEach((count) => fail(machine, "j", "a", count));
+    expect(getTexts(machine, "j")).deep.equal([]);
+    fail(machine, "j", "a", 3);
+    expect(getTexts(machine, "j")).deep.equal(["a=DEAD_LETTER:"]);
+  });
+
+  it("keeps the agreed list of runners over a snapshot", () => {
+    const machine = new JobMachine();
+    const set = (ids: string[]) =>
+      runJob(machine, { case: "setRunners", value: { ids } });
+    set(["a", "b"]);
+    submit(machine, "j", ["x"]);
+    set(["b"]);
+    expect(copy(machine, new JobMachine()).runners).deep.equal(["b"]);
+    expect(copy(new JobMachine(), machine).runners).deep.equal([]);
+  });
+
   it("keeps what a run has produced, and drops parts that don't follow", () => {
     const machine = new JobMachine();
     submit(machine, "j", ["a"]);
@@ -241,7 +261,7 @@
     record(2n, 3n, "3");
     expect(read(machine)).equal("3:1\n2\n3");
     expect(read(copy(machine, new JobMachine()))).equal("3:1\n2\n3");
-    fail(machine, "j", "a");
+    fail(machine, "j", "a", 1);
     expect(machine.tryGetJob("j")?.progress.size).equal(0);
   });
 
@@ -275,7 +295,10 @@
         const { kind, job, item } = one;
         if (kind === "submit") submit(target, job, ["a", "b", "c"]);
         if (kind === "finish") finish(target, job, item, `${job}${item}`);
-        if (kind === "fail") fail(target, job, item);
+        if (kind === "fail") {
+          const known = target.tryGetJob(job)?.failures.get(item) ?? 0;
+          fail(target, job, item, known + 1);
+        }
         if (kind === "end") {
           runJob(target, { case: "end", value: { id: job } });
         }
--- a/src/test/run_recorder_test.ts
+++ b/src/test/run_recorder_test.ts
@@ -11,7 +11,7 @@
 
 function createRecorder() {
   const clock = new ManualClock();
-  const state = { isLeading: true, isBroken: false };
+  const state = { mayRecord: true, isBroken: false };
   const records: RecordRuns[] = [];
   const recorder = new RunRecorder({
     record: (runs) => {
@@ -20,7 +20,7 @@
         ? Promise.reject(new Error("no quorum"))
         : Promise.resolve();
     },
-    isLeading: () => state.isLeading,
+    mayRecord: () => state.mayRecord,
     clock,
     log: createSilentLog(),
   });
@@ -45,28 +45,34 @@
     expect(recorder.hasEnded("j", "a")).equal(true);
     await pass(50);
     expect(getFinished()).deep.equal(["a,b"]);
+    // This process may not have applied the record yet.
+    expect(recorder.hasEnded("j", "a")).equal(true);
+    recorder.keepOnly(new Set(["j/b"]));
     expect(recorder.hasEnded("j", "a")).equal(false);
+    expect(recorder.hasEnded("j", "b")).equal(true);
   });
 
-  it("offers results again while it leads, and failures never", async () => {
+  it("offers what could not be recorded again while it may", async () => {
     const { recorder, state, records, pass, finish, getFinished } =
       createRecorder();
     state.isBroken = true;
     finish("a");
-    recorder.fail("j", "f");
+    recorder.fail("j", "f", 1);
     await pass(60);
     expect(recorder.hasEnded("j", "a")).equal(true);
     state.isBroken = false;
     await pass(300);
     expect(getFinished()).deep.equal(["a", "a"]);
-    expect(records.map((one) => one.failed.length)).deep.equal([1, 0]);
+    expect(records.map((one) => one.failed.map((run) => run.count)))
+      .deep.equal([[1], [1]]);
+    recorder.keepOnly(new Set());
     expect(recorder.hasEnded("j", "a")).equal(false);
   });
 
-  it("lets go of results once another leads", async () => {
+  it("lets go of results once another runs the items", async () => {
     const { recorder, state, pass, finish, getFinished } = createRecorder();
     state.isBroken = true;
-    state.isLeading = false;
+    state.mayRecord = false;
     finish("a");
     await pass(300);
     expect(getFinished()).deep.equal(["a"]);
