A server that fails again is left alone longer, a silent one until it registers

A crashed one was tried by up to 37 items at once, twice a second.

Change: the time doubles with each failure until something comes from the server, up to 8 s; failures that come together are one. A silent server gets nothing before it has registered again, while others' registrations arrive. A new start has failed nothing. Tests first; both failed on the code before.

--- a/src/membership/server_book.ts
+++ b/src/membership/server_book.ts
@@ -11,6 +11,10 @@
   heardMs: number;
   /** Requests are kept away until then, after a failure to reach it. */
   avoidUntilMs: number;
+  /** Times that it was avoided since something came from it. */
+  failures: number;
+  /** When it was found silent, until something comes from it. */
+  silentSinceMs: number | undefined;
   /** Another server answered at its address; a new registration clears it. */
   isMisplaced: boolean;
 }
@@ -34,6 +38,12 @@
 /** Time for which a server that left is remembered, in milliseconds. */
 const TOMBSTONE_MS = 120_000;
 
+/**
+ * Longest time for which a server is avoided at once, in milliseconds: longer
+ * than the cuts of the platform, whose length is 5 to 6 s.
+ */
+const MAX_AVOID_MS = 8_000;
+
 /** Registrations that a server may miss before it counts as silent. */
 const MISSED_BEATS = 4;
 
@@ -69,6 +79,8 @@
       registration,
       heardMs: nowMs,
       avoidUntilMs: isSameStart ? known.avoidUntilMs : -Infinity,
+      failures: isSameStart ? known.failures : 0,
+      silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
       isMisplaced: false,
     });
     if (!isSameStart) return RegistrationEffect.added;
@@ -81,15 +93,38 @@
     if (known !== undefined) known.heardMs = nowMs;
   }
 
-  /** Keeps requests away from a server for `ms` milliseconds. */
+  /**
+   * Keeps requests away from a server for `ms` milliseconds, and twice as long
+   * each time again until something comes from it.
+   */
   avoid(id: string, nowMs: number, ms: number): void {
     const known = this.#servers.get(id);
-    if (known !== undefined) known.avoidUntilMs = nowMs + ms;
+    // What fails together is one failure.
+    if (known === undefined || nowMs < known.avoidUntilMs) return;
+    const times = 2 ** known.failures;
+    known.avoidUntilMs = nowMs + Math.min(MAX_AVOID_MS, ms * times);
+    known.failures += 1;
+  }
+
+  /** The same for a server that says nothing: it has to be heard first. */
+  avoidSilent(id: string, nowMs: number, ms: number): void {
+    this.avoid(id, nowMs, ms);
+    const known = this.#servers.get(id);
+    if (known !== undefined) known.silentSinceMs = nowMs;
+  }
+
+  /** Something came from a server. */
+  noteAnswered(id: string): void {
+    const known = this.#servers.get(id);
+    if (known === undefined) return;
+    known.failures = 0;
+    known.silentSinceMs = undefined;
   }
 
   /** Whether requests are kept away from a server now. */
   isAvoided(id: string, nowMs: number): boolean {
-    return (this.#servers.get(id)?.avoidUntilMs ?? -Infinity) > nowMs;
+    const known = this.#servers.get(id);
+    return known !== undefined && this.#isAvoided(known, nowMs);
   }
 
   /** Another server answered at the address of this one. */
@@ -116,12 +151,23 @@
       known.registration.state === ServerState.READY &&
       !known.isMisplaced && !this.#isSilent(known)
     );
-    const sound = ready.filter((known) => known.avoidUntilMs <= nowMs);
+    const sound = ready.filter((known) => !this.#isAvoided(known, nowMs));
     return (sound.length > 0 ? sound : ready).map((known) =>
       known.registration
     );
   }
 
+  /**
+   * A server that was silent is left alone until it has registered again, as
+   * long as others' registrations arrive meanwhile.
+   */
+  #isAvoided(known: KnownServer, nowMs: number): boolean {
+    if (known.avoidUntilMs > nowMs) return true;
+    const { silentSinceMs } = known;
+    return silentSinceMs !== undefined && known.heardMs <= silentSinceMs &&
+      this.#controlHeardMs > silentSinceMs + this.#beatMs;
+  }
+
   /** Silence counts only while control hosts are heard themselves. */
   #isSilent(known: KnownServer): boolean {
     return this.#controlHeardMs - known.heardMs > this.#beatMs * MISSED_BEATS;
--- a/src/test/server_book_test.ts
+++ b/src/test/server_book_test.ts
@@ -81,6 +81,48 @@
     expect(getUsable(10 * BEAT_MS)).deep.equal(["a"]);
   });
 
+  it("leaves a server alone longer each time it fails again", () => {
+    const { book, accept, getUsable } = createBook();
+    accept({ id: "b", address: "10.0.0.2:80" });
+    accept({});
+    const isLeftAlone = (nowMs: number) => !getUsable(nowMs).includes("a");
+    // Requests that fail together are one failure.
+    [0, 10, 400].forEach((nowMs) => book.avoid("a", nowMs, 500));
+    expect(isLeftAlone(499)).equal(true);
+    expect(isLeftAlone(500)).equal(false);
+    book.avoid("a", 600, 500);
+    expect(isLeftAlone(1_599)).equal(true);
+    expect(isLeftAlone(1_600)).equal(false);
+    book.avoid("a", 2_000, 500);
+    expect(isLeftAlone(3_999)).equal(true);
+    book.noteAnswered("a");
+    book.avoid("a", 5_000, 500);
+    expect(isLeftAlone(5_500)).equal(false);
+    for (let nowMs = 6_000; nowMs < 60_000; nowMs += 9_000) {
+      book.avoid("a", nowMs, 500);
+      expect(isLeftAlone(nowMs + 8_000)).equal(false);
+    }
+    book.avoid("a", 70_000, 500);
+    // A new start has failed nothing.
+    accept({ bornMs: 20n }, 70_001);
+    expect(isLeftAlone(70_002)).equal(false);
+  });
+
+  it("sends a silent server nothing before it has registered again", () => {
+    const { book, accept, getUsable } = createBook();
+    accept({ id: "b", address: "10.0.0.2:80" });
+    accept({});
+    book.noteControlHeard(0);
+    book.avoidSilent("a", 0, 500);
+    expect(getUsable(600), "no news of anybody").include("a");
+    book.noteControlHeard(2 * BEAT_MS);
+    book.noteHeard("b", 2 * BEAT_MS);
+    expect(getUsable(2 * BEAT_MS), "news, and not of this one")
+      .not.include("a");
+    book.noteHeard("a", 2 * BEAT_MS + 1);
+    expect(getUsable(2 * BEAT_MS + 2)).include("a");
+  });
+
   it("leaves a server alone after a failure, and a misplaced one for good", () => {
     const { book, accept, getUsable } = createBook();
     accept({});
