--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -1,12 +1,13 @@
 /**
  * Exchange of loads by datagrams. Gateways report their own requests to every
- * member of the store's group, and so does its leader, which runs the requests
- * of jobs; each member answers with what all others have under way. So a lost
- * leader leaves nobody blind. A report that is lost is made good by the next;
+ * member of the store's group, and so do those that run the requests of jobs;
+ * the one member that a gateway asks answers with what all others have under
+ * way, and another when that one is silent. So a lost leader leaves nobody
+ * blind. A report that is lost is made good by the next;
  * without any, a process goes by its own counts and by what servers say.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { LoadBook } from "../membership/mod.ts";
+import { type LoadBook, MergerChoice } from "../membership/mod.ts";
 import {
   type LoadReport,
   LoadReportSchema,
@@ -61,6 +62,7 @@
 /** One process's part of the exchange. */
 export class LoadExchange {
   readonly #options: LoadExchangeOptions;
+  readonly #choice: MergerChoice;
   readonly #reporters = new Map<string, { name: string; heardMs: number }>();
   readonly #sent = new Map<string, { text: string; atMs: number }>();
   #socket: DatagramSocket | undefined;
@@ -70,6 +72,7 @@
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
+    this.#choice = new MergerChoice({ name: options.name });
   }
 
   async start(): Promise<void> {
@@ -107,10 +110,17 @@
     }
     // Mergers count each report themselves; a merged one holds it again.
     if (report.merged === this.#options.isMerger) return;
-    if (!report.merged) {
+    if (report.merged) this.#choice.noteAnswer(from, nowMs);
+    else this.#noteReporter(report, from, nowMs);
+    if (loads.acceptReport(report, nowMs)) this.#options.onReport();
+  }
+
+  #noteReporter(report: LoadReport, from: string, nowMs: number): void {
+    if (report.wantsAnswer) {
       this.#reporters.set(from, { name: report.sender, heardMs: nowMs });
+    } else if (this.#reporters.delete(from)) {
+      this.#sent.delete(`${from}/true`);
     }
-    if (loads.acceptReport(report, nowMs)) this.#options.onReport();
   }
 
   #report(): void {
@@ -122,9 +132,12 @@
       server,
       ...count,
     }));
-    getMergers().filter((merger) => merger !== address).forEach((merger) =>
-      this.#send(merger, { loads: own, merged: false }, nowMs)
-    );
+    const mergers = getMergers();
+    const asked = isMerger ? "" : this.#choice.choose(mergers, nowMs);
+    mergers.filter((merger) => merger !== address).forEach((merger) => {
+      const wantsAnswer = merger === asked;
+      this.#send(merger, { loads: own, merged: false, wantsAnswer }, nowMs);
+    });
     if (isMerger) this.#answerAll(nowMs);
   }
 
@@ -136,19 +149,20 @@
         return;
       }
       const loads = this.#options.loads.getMerged(nowMs, name);
-      this.#send(address, { loads, merged: true }, nowMs);
+      this.#send(address, { loads, merged: true, wantsAnswer: false }, nowMs);
     });
   }
 
   /** Sends what has changed, and now and then what has not. */
   #send(
     to: string,
-    body: { loads: ServerLoad[]; merged: boolean },
+    body: { loads: ServerLoad[]; merged: boolean; wantsAnswer: boolean },
     nowMs: number,
   ): void {
-    const text = body.loads.map((load) =>
+    const rows = body.loads.map((load) =>
       `${load.server}:${load.online}:${load.batch}`
-    ).join();
+    );
+    const text = [body.wantsAnswer, ...rows].join();
     const key = `${to}/${body.merged}`;
     const sent = this.#sent.get(key);
     const isRepeat = sent?.text === text;
@@ -159,6 +173,7 @@
       const report = create(LoadReportSchema, {
         loads,
         merged: body.merged,
+        wantsAnswer: body.wantsAnswer,
         sender: this.#options.name,
         sequence: this.#sequence,
         part,
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -5,4 +5,5 @@
 export * from "./suspicions.ts";
 export * from "./server_book.ts";
 export * from "./load_book.ts";
+export * from "./merger_choice.ts";
 export * from "./silence_watch.ts";
