--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -111,11 +111,15 @@
 const get = (line: LogLine, field: string) => line.fields.get(field) ?? "?";
 
 /** What happened before the end, for sentences that name it. */
-function describeAttempts(own: readonly LogLine[]): string {
+function describeAttempts(end: LogLine, own: readonly LogLine[]): string {
   const attempts = own.filter((line) =>
     line.event.startsWith("attempt_") || line.event === "answer_broken"
   );
-  if (attempts.length === 0) return "It reached no server.";
+  if (attempts.length === 0) {
+    return get(end, "runs") === "0"
+      ? "It reached no server."
+      : "A server had it; no line tells which.";
+  }
   const parts = attempts.map((line) =>
     `${get(line, "server")} (${line.event.replaceAll("_", " ")}: ${
       get(line, "reason")
@@ -131,7 +135,7 @@
     (line, own) =>
       `Gateway ${line.process} gave it up after ${get(line, "after_ms")} ms ` +
       `with ${get(line, "code")} (${get(line, "verdict")}): ` +
-      `${get(line, "reason")}. ${describeAttempts(own)}`,
+      `${get(line, "reason")}. ${describeAttempts(line, own)}`,
   ],
   [
     "request_refused",
--- a/src/test/explain_test.ts
+++ b/src/test/explain_test.ts
@@ -55,6 +55,16 @@
     expect(cause).include("It reached no server.");
   });
 
+  it("owns that a server had it when no line names one", () => {
+    const left = line(
+      4,
+      "gateway-1",
+      'event=request_failed request=r3 code=caller_left verdict=MAY_HAVE_RUN reason="the caller closed the connection" runs=1 after_ms=900',
+    );
+    expect(explain([...LOGS, left], "r3").cause)
+      .include("A server had it; no line tells which.");
+  });
+
   it("tells an item's way through several processes", () => {
     const { lines, cause } = explain([...LOGS].reverse(), "j1-a");
     expect(lines.map((one) => one.process)).deep.equal([
