Count backend servers that are ready when runners are planned

Cause: the book remembers servers that left for two minutes, so a small site whose servers are replaced would have got a second runner. Found by reading; the test of the book counts what is ready.

--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -276,7 +276,7 @@
       leader: replica.id,
       retired: new Set(this.#side.view.hosts.retired),
       inForce: this.#machine.runners,
-      serverCount: this.#side.view.book.getAll().length,
+      serverCount: this.#side.view.book.getReadyCount(),
     });
     if (ids === undefined) return;
     this.#context.log.info("runners_change", {
--- a/src/membership/server_book.ts
+++ b/src/membership/server_book.ts
@@ -141,6 +141,12 @@
     return [...this.#servers.values()].map((known) => known.registration);
   }
 
+  /** Servers that take requests; those that left are remembered longer. */
+  getReadyCount(): number {
+    return this.getAll().filter((one) => one.state === ServerState.READY)
+      .length;
+  }
+
   /**
    * Servers of a service that take new requests. Those that failed lately are
    * left out as long as others remain: a doubtful server is better than none.
--- a/src/test/server_book_test.ts
+++ b/src/test/server_book_test.ts
@@ -40,13 +40,15 @@
 
 describe("server book", () => {
   it("keeps a leaving server out whatever arrives late", () => {
-    const { accept, getUsable } = createBook();
+    const { book, accept, getUsable } = createBook();
     expect(accept({})).equal("added");
+    expect(book.getReadyCount()).equal(1);
     expect(accept({ state: ServerState.DRAINING, sequence: 3n }))
       .equal("changed");
     expect(accept({ sequence: 2n })).equal("old");
     expect(accept({ sequence: 9n })).equal("old");
     expect(getUsable()).deep.equal([]);
+    expect(book.getReadyCount()).equal(0);
     expect(accept({ state: ServerState.GONE, sequence: 0n })).equal("changed");
     expect(accept({ state: ServerState.DRAINING, sequence: 10n }))
       .equal("old");
