Items run in slices of 2 s

Cause: when the host that runs the items is lost (replaced, without power, cut off), its servers don't know and go on, up to 5 s.

Ruled out: the election and the gateways' view (the loads of the lost host run out after 2 s, but the servers are full in fact: 117 busy of 106).

Change: a run is given 2.2 s, and stopped and taken up again after 2 s.

Also: only members that run items say how full the servers are.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -61,6 +61,16 @@
  */
 const PROGRESS_INTERVAL_MS = 1_000;
 
+/**
+ * Time after which a run is stopped and goes on in another one, in
+ * milliseconds. When this host is lost, its servers go on unseen, and take the
+ * slots of a burst, no longer than that.
+ */
+const SLICE_MS = 2_000;
+
+/** What a server is given beyond that, in milliseconds: it stops by itself. */
+const SLICE_MARGIN_MS = 200;
+
 /** Time between two looks at what waits and what must give way. */
 const LOOK_INTERVAL_MS = 40;
 
@@ -307,6 +317,7 @@
       },
     };
     this.#runs.add(key, run);
+    const sliceTimer = context.clock.startTimer(SLICE_MS, () => stop.abort());
     this.#run(candidate, place, run).catch((error) =>
       context.log.error("item_run_failed", {
         job: queued.job.id,
@@ -314,6 +325,7 @@
         reason: getReason(error),
       })
     ).finally(() => {
+      sliceTimer.cancel();
       place.release();
       this.#runs.delete(key);
     });
@@ -346,7 +358,10 @@
         this.#options.dialects.backend,
       ),
       place,
-      leftMs: this.#getLeftMs(queued),
+      leftMs: Math.min(
+        this.#getLeftMs(queued),
+        SLICE_MS + SLICE_MARGIN_MS,
+      ),
       progress,
       signal: run.stop.signal,
     });
@@ -367,7 +382,7 @@
   /** Says once an interval how full the servers are, while items are open. */
   #noteFill(): void {
     const jobs = this.#options.getOpenJobs();
-    if (jobs.length === 0) return;
+    if (jobs.length === 0 || !this.#options.shares.isRunner) return;
     const servers = this.#getServers();
     this.#options.context.log.info("items_under_way", {
       jobs: jobs.length,
--- a/src/fleet/run_shares.ts
+++ b/src/fleet/run_shares.ts
@@ -35,6 +35,11 @@
     this.#options = options;
   }
 
+  /** Whether this process runs items at all. */
+  get isRunner(): boolean {
+    return this.#runners.includes(this.#options.getId());
+  }
+
   /** Takes the list of runners in force; to be called before a look. */
   update(): void {
     const runners = this.#options.getRunners();
