--- a/src/policy/batch_fill.ts
+++ b/src/policy/batch_fill.ts
@@ -19,11 +19,10 @@
 }
 
 /**
- * Share of the time to a job's results after which its items are urgent. A run
- * of 5 s that a burst of 2.4 s in 5.8 s interrupts takes half of the 18 s that
- * the platform's jobs have.
+ * Share of the time to a job's results after which its items are urgent: half
+ * of a burst's interval, of the 18 s that the platform's jobs have.
  */
-const PATIENT_SHARE = 0.4;
+const PATIENT_SHARE = 0.15;
 
 /**
  * Slots of each server that items which are not urgent leave to online
