A signal to reload no longer ends a process that is starting

A module that is imported first takes the signal; the settings are read after it anyway. Test: a process that loads only this module survives; it does not without.

--- a/src/daemons/entry_main.ts
+++ b/src/daemons/entry_main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The entry daemon. */
+import "./early_signals.ts";
 import { EntrySettingsSchema } from "../schema/mod.ts";
 import { EntryHost } from "../services/mod.ts";
 import { runDaemon } from "./daemon.ts";
--- a/src/daemons/state_main.ts
+++ b/src/daemons/state_main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The state daemon. */
+import "./early_signals.ts";
 import { StateSettingsSchema } from "../schema/mod.ts";
 import { type HttpListener, listenHttp } from "../sys/http.ts";
 import { addStateOperators, StateHost } from "../services/mod.ts";
