--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -210,4 +210,96 @@
     group.heal(200);
     expect(group.tryGetLeader()?.id).not.equal(old?.id);
   });
+
+  /** Steps until something holds; a run that never gets there fails. */
+  function stepUntil(group: SimulatedGroup, test: () => boolean): void {
+    for (let step = 0; step < 20_000; step += 1) {
+      if (test()) return;
+      group.step();
+    }
+    throw new Error("it did not come to that");
+  }
+
+  function cut(group: SimulatedGroup, from: string[], to: string[]): void {
+    from.forEach((a) => to.forEach((b) => group.cuts.add(`${a}>${b}`)));
+  }
+
+  it("commits no entry of an older term by counting its copies", () => {
+    [21, 22, 23, 24].forEach((seed) => {
+      const group = new SimulatedGroup(seed, 5);
+      const ids = group.hosts.map((host) => host.id);
+      group.heal(CALM_MS);
+      const isolate = (kept: string[]) => {
+        group.cuts.clear();
+        const others = ids.filter((id) => !kept.includes(id));
+        cut(group, kept, others);
+        cut(group, others, kept);
+      };
+      const first = group.tryGetLeader();
+      const second = group.hosts.find((host) => host !== first);
+      if (first === undefined || second === undefined) throw new Error("none");
+      // An entry so large that it travels alone reaches one other host.
+      isolate([first.id, second.id]);
+      const index = first.core.lastIndex + 1;
+      group.propose(first, 1 << 20);
+      stepUntil(group, () => second.core.lastIndex >= index);
+      group.run(20);
+      [first, second].forEach((host) => group.crash(host));
+      // Another leader has an entry at that index, and nobody gets it.
+      group.cuts.clear();
+      stepUntil(group, () => group.tryGetLeader() !== undefined);
+      const third = group.tryGetLeader();
+      if (third === undefined) throw new Error("none");
+      cut(group, [third.id], ids);
+      cut(group, ids, [third.id]);
+      group.run(20);
+      group.crash(third);
+      const rest = group.hosts.filter((host) =>
+        ![first, second, third].includes(host)
+      );
+      const [fourth] = rest;
+      if (fourth === undefined) throw new Error("none");
+      // The large entry comes to a third host, and nothing of the new term.
+      [first, second].forEach((host) => group.restart(host));
+      isolate([first.id, second.id, fourth.id]);
+      stepUntil(group, () => fourth.core.lastIndex >= index);
+      const successor = group.tryGetLeader();
+      if (successor === undefined) throw new Error("none");
+      cut(group, [successor.id], ids);
+      group.run(20);
+      // The one with the other entry, of a later term, is elected now.
+      [first, second].forEach((host) => group.crash(host));
+      group.cuts.clear();
+      group.restart(third);
+      stepUntil(group, () => third.core.role === Role.leader);
+      group.run(CALM_MS);
+      group.heal(CALM_MS);
+    });
+  });
+
+  it("trusts no lease once it has asked another to lead", () => {
+    Array.from({ length: 10 }, (_, seed) => seed + 100).forEach((seed) => {
+      const group = new SimulatedGroup(seed, 3);
+      group.heal(CALM_MS);
+      // The lease must last while the other takes over.
+      group.maxStepMs = 2;
+      const leader = group.tryGetLeader();
+      if (leader === undefined) throw new Error("none");
+      const others = group.hosts.filter((host) => host !== leader);
+      const ids = others.map((host) => host.id);
+      leader.core.transferLeadership();
+      const tryGetNext = () =>
+        others.find((host) => host.core.term > leader.core.term);
+      stepUntil(group, () => tryGetNext() !== undefined);
+      cut(group, [leader.id], ids);
+      cut(group, ids, [leader.id]);
+      const next = tryGetNext();
+      if (next === undefined) throw new Error("none");
+      // The simulation itself notices a leader that would answer stale reads.
+      stepUntil(group, () => group.propose(next));
+      const { lastIndex } = next.core;
+      stepUntil(group, () => next.core.commitIndex >= lastIndex);
+      group.heal(CALM_MS);
+    });
+  });
 });
