--- a/src/sys/line_writer.ts
+++ b/src/sys/line_writer.ts
@@ -78,8 +78,8 @@
   #waiting: string[] = [];
   #waitingBytes = 0;
   #isWriting = false;
-  #allowance: number;
-  #allowedMs: number;
+  #bucket: number;
+  #filledMs: number;
   #dropped = 0;
   #droppedSaidMs = -Infinity;
 
@@ -90,8 +90,8 @@
     this.#maxWaitingBytes = options.maxWaitingBytes ??
       DEFAULT_MAX_WAITING_BYTES;
     this.#createDroppedLine = options.createDroppedLine;
-    this.#allowance = this.#linesPerS * BURST_S;
-    this.#allowedMs = this.#clock.getMonotonicMs();
+    this.#bucket = this.#linesPerS * BURST_S;
+    this.#filledMs = this.#clock.getMonotonicMs();
   }
 
   /** Takes a line without its end; importance 1 is dropped last. */
@@ -102,7 +102,7 @@
       this.#dropped += 1;
       return;
     }
-    this.#allowance -= 1;
+    this.#bucket -= 1;
     this.#sayDropped(nowMs);
     this.#add(line);
   }
@@ -114,17 +114,17 @@
   }
 
   #refill(nowMs: number): void {
-    const added = (nowMs - this.#allowedMs) * this.#linesPerS / MS_PER_S;
+    const added = (nowMs - this.#filledMs) * this.#linesPerS / MS_PER_S;
     const most = this.#linesPerS * BURST_S;
-    this.#allowance = Math.min(most, this.#allowance + added);
-    this.#allowedMs = nowMs;
+    this.#bucket = Math.min(most, this.#bucket + added);
+    this.#filledMs = nowMs;
   }
 
   /** What is more important may overdraw as much again. */
   #hasRoom(importance: 0 | 1): boolean {
     const least = -importance * this.#linesPerS * BURST_S;
     const mostBytes = (1 + importance) * this.#maxWaitingBytes;
-    return this.#allowance > least && this.#waitingBytes < mostBytes;
+    return this.#bucket > least && this.#waitingBytes < mostBytes;
   }
 
   #sayDropped(nowMs: number): void {
