Log what a start of an item goes by, and how long records take

The logs could not tell them apart.

Change: item_started shows the applied failure count and the applied index; item_attempt_ended the failure count; runs_recorded and results_not_recorded how long a record took; runners_applied and store_leader when a store host goes by a new list of runners or sees the leader change. Metrics item_failures, record_ms.

Tests: run_recorder, item_ownership and platform_fleet pass (30 passed). No change of logic.

--- a/src/fleet/attempt_outcome_handler.ts
+++ b/src/fleet/attempt_outcome_handler.ts
@@ -54,6 +54,7 @@
       case "failed": {
         const failureCount = queued.failures.get(item.id) ?? 0;
         progress.tryGet(key)?.reset();
+        context.metrics.count(MetricName.itemFailures);
         recorder.addFailure(queued.job.id, item.id, failureCount + 1);
         break;
       }
@@ -70,6 +71,7 @@
       server,
       ending: outcome.kind,
       reason: outcome.reason,
+      failures: queued.failures.get(item.id) ?? 0,
       event: progress.tryGet(key)?.last ?? -1,
     });
   }
--- a/src/fleet/item_ownership.ts
+++ b/src/fleet/item_ownership.ts
@@ -40,19 +40,28 @@
     this.#options = options;
   }
 
+  /** Ids of the current runners. */
+  get runners(): readonly string[] {
+    return this.#runners;
+  }
+
   /** Whether this process is a runner. */
   get isRunner(): boolean {
     return this.#runners.includes(this.#options.getId());
   }
 
-  /** Applies the current list of runners; must precede a scheduling pass. */
-  updateRunners(): void {
+  /**
+   * Applies the current list of runners; must precede a scheduling pass. Returns
+   * whether the list has changed.
+   */
+  updateRunners(): boolean {
     const runners = this.#options.getRunners();
-    if (runners.join() === this.#runners.join()) return;
+    if (runners.join() === this.#runners.join()) return false;
     this.#previousRunners = this.#runners;
     this.#runners = runners;
     this.#changedMs = this.#options.clock.getMonotonicMs();
     this.#items.clear();
+    return true;
   }
 
   /** Whether this process owns an item. */
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -44,6 +44,8 @@
 export interface ItemRunnerOptions {
   /** Jobs with open items; empty while this process must not run any. */
   readonly getOpenJobs: () => readonly QueuedJob[];
+  /** Log index up to which the state of the jobs has been applied. */
+  readonly getAppliedIndex: () => number;
   readonly ownership: ItemOwnership;
   /** Whether this process may still record the output of its runs. */
   readonly canRecord: () => boolean;
@@ -118,6 +120,7 @@
       canRecord: options.canRecord,
       clock: options.context.clock,
       log: options.context.log,
+      metrics: options.context.metrics,
     });
     this.#outcomeHandler = new AttemptOutcomeHandler({
       recorder: this.#recorder,
@@ -177,13 +180,23 @@
     this.#pendingPass = undefined;
     this.#lastPassMs = this.#options.context.clock.getMonotonicMs();
     const jobs = this.#options.getOpenJobs();
-    this.#options.ownership.updateRunners();
+    this.#updateRunners();
     this.#stopClosedRuns(jobs);
     this.#preemptRuns();
     this.#expireItems(jobs);
     this.#startWaitingItems(jobs);
   }
 
+  #updateRunners(): void {
+    const { ownership, getAppliedIndex, context } = this.#options;
+    if (!ownership.updateRunners()) return;
+    context.log.info("runners_applied", {
+      runners: ownership.runners.join(),
+      is_runner: ownership.isRunner,
+      applied: getAppliedIndex(),
+    });
+  }
+
   /** Stops runs whose item is closed or no longer owned by this process. */
   #stopClosedRuns(jobs: readonly QueuedJob[]): void {
     const { ownership } = this.#options;
@@ -382,6 +395,8 @@
       item: run.item,
       server: run.server,
       after_event: progress.last ?? 0,
+      failures: queued.failures.get(run.item) ?? 0,
+      applied: this.#options.getAppliedIndex(),
       busy: permit.server.busy,
       slots: permit.server.slots,
       due_in_ms: Math.round(
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -15,6 +15,7 @@
 import type { Clock } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
 
 /** Options of a {@linkcode RunRecorder}. */
 export interface RunRecorderOptions {
@@ -24,6 +25,7 @@
   readonly canRecord: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
 }
 
 /** The final outcome of an item, in the form that is recorded. */
@@ -93,18 +95,28 @@
   }
 
   async #recordPending(): Promise<void> {
-    const { record, canRecord, clock, log } = this.#options;
+    const { record, canRecord, clock, log, metrics } = this.#options;
+    const startMs = clock.getMonotonicMs();
+    const getElapsedMs = () => clock.getMonotonicMs() - startMs;
     const finished = this.#finished;
     const failed = this.#failed;
     this.#finished = [];
     this.#failed = [];
     try {
       await record(create(RecordRunsSchema, { finished, failed }));
+      metrics.time(MetricName.recordMs, getElapsedMs());
+      log.info("runs_recorded", {
+        finished: finished.length,
+        failed: failed.length,
+        took_ms: Math.round(getElapsedMs()),
+      });
       return;
     } catch (error) {
       log.warn("results_not_recorded", {
         finished: finished.length,
         failed: failed.length,
+        took_ms: Math.round(getElapsedMs()),
+        can_record: canRecord(),
         reason: getReason(error),
       });
       await clock.delay(RETRY_DELAY_MS);
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -72,6 +72,8 @@
   #isChangingRunners = false;
   /** Monotonic time at which a leader was last known. */
   #leaderSeenMs = -Infinity;
+  /** The leader that was last logged; empty if none was known. */
+  #loggedLeader = "";
   #stopping = false;
   /** Called once if the replica fails and cannot continue. */
   onFailure: (error: unknown) => void = () => {};
@@ -108,6 +110,7 @@
     );
     this.#itemRunner = new ItemRunner({
       getOpenJobs: () => this.#getOpenJobs(),
+      getAppliedIndex: () => this.#member?.replica.appliedIndex ?? 0,
       ownership: new ItemOwnership({
         getId: () => this.#member?.replica.id ?? "",
         getRunners: () => this.#machine.runners,
@@ -270,11 +273,23 @@
   /** Whether the group's leader is known or was known recently. */
   #hasRecentLeader(): boolean {
     const nowMs = this.#context.clock.getMonotonicMs();
-    const hasLeader = (this.#member?.replica.leader ?? "") !== "";
+    const leader = this.#member?.replica.leader ?? "";
+    const hasLeader = leader !== "";
     if (hasLeader) this.#leaderSeenMs = nowMs;
+    if (leader !== this.#loggedLeader) this.#logLeader(leader);
     return hasLeader || nowMs - this.#leaderSeenMs < LEADER_LOSS_GRACE_MS;
   }
 
+  #logLeader(leader: string): void {
+    this.#loggedLeader = leader;
+    const replica = this.#member?.replica;
+    this.#context.log.info("store_leader", {
+      leader,
+      term: replica?.term ?? 0,
+      applied: replica?.appliedIndex ?? 0,
+    });
+  }
+
   /** On the leader: proposes a new list of runners if it has to change. */
   #updateRunners(): void {
     const replica = this.#member?.replica;
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -209,6 +209,11 @@
     return this.#core?.term ?? 0;
   }
 
+  /** Log index up to which the state machine has applied the entries. */
+  get appliedIndex(): number {
+    return this.#appliedIndex;
+  }
+
   /** Whether the local state may answer linearizable reads. */
   canRead(): boolean {
     const core = this.#core;
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -29,6 +29,8 @@
   sessionsEnded: "sessions_ended",
   placeWaitMs: "place_wait_ms",
   ownAnswers: "own_answers",
+  itemFailures: "item_failures",
+  recordMs: "record_ms",
 } as const;
 
 /** Name of a metric. */
--- a/src/test/run_recorder_test.ts
+++ b/src/test/run_recorder_test.ts
@@ -4,6 +4,7 @@
 import { ItemEnd, type RecordRuns } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
+import { Metrics } from "../sys/metrics.ts";
 
 function flushPromises(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
@@ -23,6 +24,7 @@
     canRecord: () => state.canRecord,
     clock,
     log: createSilentLog(),
+    metrics: new Metrics({ prefix: "test" }),
   });
   const advanceClock = async (ms: number) => {
     for (let passed = 0; passed < ms; passed += 5) {
