Failing tests: items repeated beyond the limit by old local state

The real ItemRunner, job machine and server pool run over a simulated log, on a clock of their own; records may be slow, lost or committed without a reply.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -94,7 +94,7 @@
 
 /** Runs one attempt and returns its outcome. */
 export async function runItemAttempt(options: {
-  readonly backendClient: BackendClient;
+  readonly backendClient: Pick<BackendClient, "send">;
   readonly request: BackendRequest;
   readonly permit: ServerPermit;
   readonly timeoutMs: number;
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -52,7 +52,7 @@
   readonly record: (runs: RecordRuns) => Promise<void>;
   readonly view: RoutingView;
   readonly pool: ServerPool;
-  readonly backendClient: BackendClient;
+  readonly backendClient: Pick<BackendClient, "send">;
   readonly dialects: { caller: CallerDialect; backend: BackendDialect };
   readonly context: ProcessContext;
 }
--- /dev/null
+++ b/src/test/item_runner_test.ts
@@ -0,0 +1,167 @@
+/**
+ * Runners of job items whose records are slow, lost or applied late. A process
+ * must not start an item again on state that lacks the outcome of its last run.
+ */
+import { expect } from "chai";
+import { type Random, SeededRandom } from "../sys/random.ts";
+import { range } from "./fleet_helpers.ts";
+import {
+  RecordFate,
+  RunnerSimulation,
+  type SimulatedRunner,
+} from "./runner_simulation.ts";
+
+const MAX_ATTEMPTS = 3;
+
+/** Limits of the users' rule on items that fail at each run. */
+const MAX_FAILED_ANSWERS = 3 * MAX_ATTEMPTS;
+const MAX_INVALID_ANSWERS = 3;
+
+const FATES = Object.values(RecordFate);
+
+/** Disturbs a runner in one random way, or restores it. */
+function disturb(runner: SimulatedRunner, random: Random): void {
+  const actions = [
+    () => restore(runner),
+    () => {
+      runner.recordDelayMs = random.getIntegerBelow(1_500);
+    },
+    () => {
+      runner.applyLagMs = random.getIntegerBelow(1_500);
+    },
+    () => {
+      runner.recordFate = FATES[random.getIntegerBelow(FATES.length)] ??
+        RecordFate.confirmed;
+    },
+    () => {
+      runner.hasLeader = false;
+    },
+    () => {
+      runner.isFrozen = true;
+    },
+  ];
+  actions[random.getIntegerBelow(actions.length)]?.();
+}
+
+function restore(runner: SimulatedRunner): void {
+  runner.recordDelayMs = 10;
+  runner.applyLagMs = 10;
+  runner.recordFate = RecordFate.confirmed;
+  runner.hasLeader = true;
+  runner.isFrozen = false;
+}
+
+describe("item runner", () => {
+  let simulation: RunnerSimulation;
+  const create = (ids: string[]) => {
+    simulation = new RunnerSimulation(ids);
+    return simulation;
+  };
+  afterEach(() => simulation.close());
+
+  it("gives an item up after as many failures as its route allows", async () => {
+    const { runner } = create(["a"]);
+    const [failing = "", invalid = "", sound = ""] = simulation.submit("j", [
+      500,
+      422,
+      200,
+    ]);
+    await simulation.advance(5_000);
+    expect(simulation.countAnswers(failing, 500)).equal(MAX_ATTEMPTS);
+    expect(simulation.countAnswers(invalid, 422)).equal(1);
+    expect(simulation.countAnswers(sound, 200)).equal(1);
+    expect(runner.machine.getOpenJobs()).deep.equal([]);
+    const starts = runner.log.lines.filter((line) =>
+      line.includes("event=item_started") && line.includes(`item=${failing}`)
+    ).map((line) => /failures=(\d+)/.exec(line)?.[1]);
+    expect(starts).deep.equal(["0", "1", "2"]);
+  });
+
+  // Guards against repeats of a failing item while the record of its last
+  // failure is under way: all of them were recorded as one failure.
+  it("does not repeat a failing item before its failure is recorded", async () => {
+    const { runner } = create(["a"]);
+    runner.recordDelayMs = 1_900;
+    const [item = ""] = simulation.submit("j", [500]);
+    await simulation.advance(30_000);
+    expect(simulation.countAnswers(item, 500)).equal(MAX_ATTEMPTS);
+    expect(simulation.committed.getOpenJobs()).deep.equal([]);
+  });
+
+  // Guards against repeats by a runner that applies the log late.
+  it("does not repeat a failing item before its failure is applied", async () => {
+    const { runner } = create(["a"]);
+    const [item = ""] = simulation.submit("j", [500]);
+    runner.applyLagMs = 4_000;
+    await simulation.advance(30_000);
+    expect(simulation.countAnswers(item, 500)).equal(MAX_ATTEMPTS);
+    expect(simulation.committed.getOpenJobs()).deep.equal([]);
+  });
+
+  // Guards against outcomes that were dropped when no leader was known, so that
+  // each loss of a leader gave all failing and invalid items another run.
+  it("keeps outcomes over the loss of the leader", async () => {
+    const { runner } = create(["a"]);
+    const [failing = "", invalid = "", sound = ""] = simulation.submit("j", [
+      500,
+      422,
+      200,
+    ]);
+    for (let loss = 0; loss < 6; loss += 1) {
+      runner.recordFate = RecordFate.lost;
+      await simulation.advance(300);
+      runner.hasLeader = false;
+      await simulation.advance(4_000);
+      runner.hasLeader = true;
+    }
+    expect(simulation.countAnswers(failing, 500)).most(MAX_ATTEMPTS);
+    expect(simulation.countAnswers(invalid, 422)).equal(1);
+    expect(simulation.countAnswers(sound, 200)).equal(1);
+    runner.recordFate = RecordFate.confirmed;
+    await simulation.advance(10_000);
+    expect(simulation.committed.getOpenJobs()).deep.equal([]);
+    expect(simulation.countAnswers(failing, 500)).equal(MAX_ATTEMPTS);
+    expect(simulation.countAnswers(sound, 200)).equal(1);
+  });
+
+  // Guards against a failure that is counted twice: it was committed, its reply
+  // was lost, and it is offered again.
+  it("counts a failure once whose record is offered again", async () => {
+    const { runner } = create(["a"]);
+    runner.recordFate = RecordFate.unconfirmed;
+    const [item = ""] = simulation.submit("j", [500]);
+    await simulation.advance(20_000);
+    expect(simulation.countAnswers(item, 500)).equal(MAX_ATTEMPTS);
+    expect(simulation.committed.getOpenJobs()).deep.equal([]);
+  });
+
+  // Guards against repeats that add up over slow and lost records, losses of
+  // the leader, frozen runners and changes of the runners.
+  range(30).forEach((seed) => {
+    it(`keeps the limits of repeats under random troubles, seed ${seed}`, async () => {
+      const random = new SeededRandom(seed);
+      const { runners } = create(["a", "b", "c"]);
+      const ids = runners.map(({ id }) => id);
+      const items = simulation.submit("j", [500, 422, 200, 500, 422, 200]);
+      for (const _ of range(60)) {
+        runners.forEach((runner) => {
+          if (random.getFraction() < 0.4) disturb(runner, random);
+        });
+        if (random.getFraction() < 0.2) {
+          const chosen = ids.filter(() => random.getFraction() < 0.6);
+          simulation.setRunners(chosen.length > 0 ? chosen : ids);
+        }
+        await simulation.advance(500);
+      }
+      runners.forEach(restore);
+      await simulation.advance(20_000);
+      items.forEach((item) => {
+        expect(simulation.countAnswers(item, 500), item)
+          .most(MAX_FAILED_ANSWERS);
+        expect(simulation.countAnswers(item, 422), item)
+          .most(MAX_INVALID_ANSWERS);
+      });
+      expect(simulation.committed.getOpenJobs()).deep.equal([]);
+    });
+  });
+});
--- /dev/null
+++ b/src/test/runner_simulation.ts
@@ -0,0 +1,302 @@
+/**
+ * Simulated runners of one store group. Each has its own clock, which stands
+ * still while it is frozen, and its own copy of the replicated state, which may
+ * lag behind the log. Records may be slow, be lost, or be committed without a
+ * reply. Backend servers are simulated too and count the runs of each item.
+ */
+import { create, toBinary } from "@bufbuild/protobuf";
+import { IncomingMessage } from "node:http";
+import { Socket } from "node:net";
+import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
+import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
+import type { AttemptOptions, AttemptResult } from "../fleet/backend_client.ts";
+import { ItemOwnership } from "../fleet/item_ownership.ts";
+import { ItemRunner } from "../fleet/item_runner.ts";
+import { RoutingView } from "../fleet/routing_view.ts";
+import { ServerPool } from "../fleet/server_pool.ts";
+import {
+  FleetUpdateSchema,
+  JobCommandSchema,
+  RequestKind,
+  ServerState,
+} from "../schema/mod.ts";
+import { createProcessContext } from "../services/mod.ts";
+import { JobMachine } from "../state/mod.ts";
+import { ManualClock } from "../sys/clock.ts";
+import { MemoryLog } from "../sys/log.ts";
+import { SeededRandom } from "../sys/random.ts";
+import { range } from "./fleet_helpers.ts";
+
+/** What becomes of the records that a runner offers. */
+export const RecordFate = {
+  /** Committed and confirmed. */
+  confirmed: "confirmed",
+  /** Never committed; the runner gets an error after the timeout. */
+  lost: "lost",
+  /** Committed; the runner gets an error after the timeout. */
+  unconfirmed: "unconfirmed",
+} as const;
+
+/** One of {@linkcode RecordFate}. */
+export type RecordFate = typeof RecordFate[keyof typeof RecordFate];
+
+/** Statuses that a server answers an item with: always the same one. */
+export type ItemStatus = 200 | 422 | 500;
+
+const STEP_MS = 5;
+const RUN_MS = 20;
+const RECORD_TIMEOUT_MS = 2_000;
+const LEADER_LOSS_GRACE_MS = 1_000;
+const SERVER_COUNT = 4;
+const HOST = "a.example";
+const START_WALL_MS = 1_000_000;
+const MAX_ATTEMPTS = 3;
+
+const DIALECTS = {
+  caller: new PlatformCallerDialect(),
+  backend: new PlatformBackendDialect(),
+};
+
+/** A run of an item that a server has answered. */
+export interface AnsweredRun {
+  readonly item: string;
+  readonly runner: string;
+  readonly status: ItemStatus;
+  readonly atMs: number;
+}
+
+type JobCommandInit = Parameters<typeof create<typeof JobCommandSchema>>[1];
+
+/** One simulated runner. */
+export class SimulatedRunner {
+  readonly id: string;
+  readonly machine = new JobMachine();
+  readonly clock = new ManualClock(START_WALL_MS);
+  readonly log = new MemoryLog();
+  readonly itemRunner: ItemRunner;
+  readonly #simulation: RunnerSimulation;
+  appliedIndex = 0;
+  /** Entries are applied this long after their commit, in milliseconds. */
+  applyLagMs = 10;
+  /** Time from the offer of a record to its commit, in milliseconds. */
+  recordDelayMs = 10;
+  recordFate: RecordFate = RecordFate.confirmed;
+  hasLeader = true;
+  isFrozen = false;
+  #leaderSeenMs = -Infinity;
+
+  constructor(id: string, simulation: RunnerSimulation) {
+    this.id = id;
+    this.#simulation = simulation;
+    const context = createProcessContext({
+      name: id,
+      clock: this.clock,
+      log: this.log,
+      random: new SeededRandom(7),
+    });
+    const view = createView(this.clock, this.log);
+    this.itemRunner = new ItemRunner({
+      getOpenJobs: () =>
+        this.#hasRecentLeader() ? this.machine.getOpenJobs() : [],
+      getAppliedIndex: () => this.appliedIndex,
+      ownership: new ItemOwnership({
+        getId: () => id,
+        getRunners: () => this.machine.runners,
+        getDataCentre: () => "dc-1",
+        clock: this.clock,
+      }),
+      canRecord: () => this.#hasRecentLeader(),
+      record: (runs) => this.#record({ case: "recordRuns", value: runs }),
+      view,
+      pool: new ServerPool({
+        dataCentre: "dc-1",
+        view,
+        clock: this.clock,
+        random: context.random,
+        log: this.log,
+      }),
+      backendClient: { send: (options) => this.#send(options) },
+      dialects: DIALECTS,
+      context,
+    });
+    this.itemRunner.start();
+  }
+
+  /** Advances this runner's time and applies what has reached it. */
+  advance(ms: number): void {
+    if (this.isFrozen) return;
+    this.clock.advance(ms);
+    if (this.hasLeader) this.#applyCommitted();
+  }
+
+  #applyCommitted(): void {
+    const dueMs = this.#simulation.nowMs - this.applyLagMs;
+    const entries = this.#simulation.entries.slice(this.appliedIndex)
+      .filter((entry) => entry.committedMs <= dueMs);
+    entries.forEach(({ command }) => {
+      this.appliedIndex += 1;
+      this.machine.apply(command, {
+        index: this.appliedIndex,
+        term: 1,
+        timeMs: START_WALL_MS,
+      });
+    });
+    if (entries.length > 0) this.itemRunner.requestScheduling();
+  }
+
+  #hasRecentLeader(): boolean {
+    const nowMs = this.clock.getMonotonicMs();
+    if (this.hasLeader) this.#leaderSeenMs = nowMs;
+    return nowMs - this.#leaderSeenMs < LEADER_LOSS_GRACE_MS;
+  }
+
+  async #record(command: NonNullable<JobCommandInit>["command"]) {
+    const fate = this.hasLeader ? this.recordFate : RecordFate.lost;
+    await this.clock.delay(this.recordDelayMs);
+    if (fate !== RecordFate.lost) this.#simulation.commit(command);
+    if (fate === RecordFate.confirmed) return;
+    await this.clock.delay(RECORD_TIMEOUT_MS);
+    throw new Error("no answer in time");
+  }
+
+  async #send({ request, signal }: AttemptOptions): Promise<AttemptResult> {
+    const item = request.requestId;
+    await this.clock.delay(RUN_MS);
+    const status = this.#simulation.statuses.get(item) ?? 200;
+    this.#simulation.answered.push({
+      item,
+      runner: this.id,
+      status,
+      atMs: this.#simulation.nowMs,
+    });
+    if (signal.aborted) return { kind: "aborted" };
+    return { kind: "response", response: createResponse(status) };
+  }
+}
+
+/** Several runners over one replicated log. */
+export class RunnerSimulation {
+  readonly runners: readonly SimulatedRunner[];
+  readonly entries: { command: Uint8Array; committedMs: number }[] = [];
+  /** Status of each item; 200 by default. */
+  readonly statuses = new Map<string, ItemStatus>();
+  readonly answered: AnsweredRun[] = [];
+  /** State with all committed entries applied. */
+  readonly committed = new JobMachine();
+  nowMs = 0;
+
+  constructor(ids: readonly string[]) {
+    this.runners = ids.map((id) => new SimulatedRunner(id, this));
+    this.setRunners(ids);
+  }
+
+  get runner(): SimulatedRunner {
+    return this.runners[0] as SimulatedRunner;
+  }
+
+  commit(command: NonNullable<JobCommandInit>["command"]): void {
+    const bytes = toBinary(
+      JobCommandSchema,
+      create(JobCommandSchema, { command }),
+    );
+    this.entries.push({ command: bytes, committedMs: this.nowMs });
+    this.committed.apply(bytes, {
+      index: this.entries.length,
+      term: 1,
+      timeMs: START_WALL_MS,
+    });
+  }
+
+  setRunners(ids: readonly string[]): void {
+    this.commit({ case: "setRunners", value: { ids: [...ids] } } as never);
+  }
+
+  /** Submits a job of one item per status; their ids are `JOB-POSITION`. */
+  submit(job: string, statuses: readonly ItemStatus[]): string[] {
+    const ids = statuses.map((status, index) => {
+      this.statuses.set(`${job}-${index}`, status);
+      return `${job}-${index}`;
+    });
+    this.commit(
+      {
+        case: "submit",
+        value: {
+          id: job,
+          route: "jobs",
+          host: HOST,
+          dueMs: 600_000,
+          retentionMs: 600_000,
+          maxAttempts: MAX_ATTEMPTS,
+          items: ids.map((id) => ({ id, path: "/b/x", tokens: 1n })),
+        },
+      } as never,
+    );
+    return ids;
+  }
+
+  async advance(ms: number): Promise<void> {
+    for (const _ of range(Math.ceil(ms / STEP_MS))) {
+      this.nowMs += STEP_MS;
+      this.runners.forEach((runner) => runner.advance(STEP_MS));
+      await flushPromises();
+    }
+  }
+
+  /** Number of answers with `status` that an item has got. */
+  countAnswers(item: string, status: ItemStatus): number {
+    return this.answered.filter((run) =>
+      run.item === item && run.status === status
+    ).length;
+  }
+
+  close(): void {
+    this.runners.forEach((runner) => runner.itemRunner.close());
+  }
+}
+
+function flushPromises(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function createView(clock: ManualClock, log: MemoryLog): RoutingView {
+  const view = new RoutingView({
+    registrationIntervalMs: 600_000,
+    clock,
+    log,
+  });
+  const update = create(FleetUpdateSchema, {
+    routes: {
+      version: 1n,
+      routes: [{
+        name: "jobs",
+        host: HOST,
+        pathPrefix: "/b/",
+        kind: RequestKind.BATCH,
+        timeoutMs: 5_000,
+        targets: [{ service: "s", weight: 1 }],
+        maxAttempts: MAX_ATTEMPTS,
+      }],
+      services: [{ name: "s" }],
+    },
+    servers: range(SERVER_COUNT).map((index) => ({
+      id: `s-${index}`,
+      bornMs: 1n,
+      sequence: 1n,
+      service: "s",
+      address: `10.0.0.${index}:80`,
+      dataCentre: "dc-1",
+      state: ServerState.READY,
+      slots: 8,
+    })),
+  });
+  view.applyUpdate(update, "test");
+  return view;
+}
+
+function createResponse(status: ItemStatus) {
+  const body = new IncomingMessage(new Socket());
+  body.complete = true;
+  if (status === 200) body.push("id: 1\ndata: text\n\n");
+  body.push(null);
+  return { status, headers: {}, body, chunks: body };
+}
