Hold an item until the outcome of its last run is applied

Cause: the runner decided on the next start of an item, and on the number of its failure, by the replicated state that it had applied, though it knew of outcomes that this state lacked. While the record of a failure was under way the item started again every 400 ms, and each of these failures was recorded under the same number and counted once. And when no leader was known for a second, the runner took all items as closed, dropped what it held against a second start, and after a failed record the outcomes too: failures, answers of 422, whole results.

Change: RunRecorder keeps each outcome, offers it again whenever it may record, and lets its item start only when the applied state contains it. The applied state and the question whether this process may run items are two options now, so that a lost leader no longer looks like closed items.

The test 'drops outcomes once it may no longer record' asked for the fault. It is replaced by three: outcomes are kept and offered afterwards, an item starts again only when its failure is applied, and what was applied meanwhile is not offered.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -42,13 +42,13 @@
 
 /** Options of an {@linkcode ItemRunner}. */
 export interface ItemRunnerOptions {
-  /** Jobs with open items; empty while this process must not run any. */
+  /** Jobs with open items, by the applied state. */
   readonly getOpenJobs: () => readonly QueuedJob[];
+  /** Whether this process may run items and record their outcomes now. */
+  readonly canRun: () => boolean;
   /** Log index up to which the state of the jobs has been applied. */
   readonly getAppliedIndex: () => number;
   readonly ownership: ItemOwnership;
-  /** Whether this process may still record the output of its runs. */
-  readonly canRecord: () => boolean;
   readonly record: (runs: RecordRuns) => Promise<void>;
   readonly view: RoutingView;
   readonly pool: ServerPool;
@@ -117,7 +117,7 @@
     this.#options = options;
     this.#recorder = new RunRecorder({
       record: options.record,
-      canRecord: options.canRecord,
+      canRecord: options.canRun,
       clock: options.context.clock,
       log: options.context.log,
       metrics: options.context.metrics,
@@ -156,6 +156,7 @@
     this.#pendingPass?.cancel();
     this.#progressTimer?.cancel();
     this.#activeRuns.stopAll();
+    this.#recorder.close();
   }
 
   /** Requests a scheduling pass after a change; requests are coalesced. */
@@ -179,7 +180,10 @@
     this.#pendingPass?.cancel();
     this.#pendingPass = undefined;
     this.#lastPassMs = this.#options.context.clock.getMonotonicMs();
-    const jobs = this.#options.getOpenJobs();
+    // Outcomes are kept while no items may run, so that the items don't start
+    // again on a state without them.
+    this.#recorder.removeApplied(this.#options.getOpenJobs());
+    const jobs = this.#getRunnableJobs();
     this.#updateRunners();
     this.#stopClosedRuns(jobs);
     this.#preemptRuns();
@@ -187,6 +191,10 @@
     this.#startWaitingItems(jobs);
   }
 
+  #getRunnableJobs(): readonly QueuedJob[] {
+    return this.#options.canRun() ? this.#options.getOpenJobs() : [];
+  }
+
   #updateRunners(): void {
     const { ownership, getAppliedIndex, context } = this.#options;
     if (!ownership.updateRunners()) return;
@@ -207,7 +215,6 @@
     );
     const owned = new Set([...open].filter((key) => ownership.isOwned(key)));
     ownership.retainOnly(open);
-    this.#recorder.retainOnly(open);
     this.#activeRuns.stopAllExcept(owned);
     this.#progress.retainOnly(owned);
     this.#queue.retainOnly(owned);
@@ -328,7 +335,7 @@
       getRemainingMs: (queued, item) => this.#getRemainingMs(queued, item),
       isExcluded: ({ key, queued, item }) =>
         this.#activeRuns.has(key) || !this.#options.ownership.canStart(key) ||
-        this.#recorder.hasOutcome(queued.job.id, item.id),
+        !this.#recorder.mayStart(queued.job.id, item.id),
     });
   }
 
@@ -439,7 +446,7 @@
 
   /** Logs the utilization of the backend servers while items are open. */
   #logUtilization(): void {
-    const jobs = this.#options.getOpenJobs();
+    const jobs = this.#getRunnableJobs();
     if (jobs.length === 0 || !this.#options.ownership.isRunner) return;
     const servers = this.#getServers();
     this.#options.context.log.info("items_under_way", {
@@ -459,7 +466,7 @@
    */
   #recordProgress(): void {
     const progress = this.#progress.takeUnrecorded(
-      this.#options.getOpenJobs(),
+      this.#getRunnableJobs(),
       (job, item) => this.#recorder.hasOutcome(job, item),
     );
     if (progress.length === 0) return;
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -1,6 +1,8 @@
 /**
  * Records the outcomes of item runs in batches. Results and failures that arrive
- * while a record is in progress go into the next one.
+ * while a record is in progress go into the next one. An outcome is kept, and
+ * its item is not started again here, until the replicated state that this
+ * process has applied contains it.
  */
 import { create } from "@bufbuild/protobuf";
 import {
@@ -12,6 +14,7 @@
   type RecordRuns,
   RecordRunsSchema,
 } from "../schema/mod.ts";
+import type { QueuedJob } from "../state/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
@@ -21,7 +24,7 @@
 export interface RunRecorderOptions {
   /** Makes a record durable; rejects if that failed or is unknown. */
   readonly record: (runs: RecordRuns) => Promise<void>;
-  /** Whether this process may still record. */
+  /** Whether a failed record may be retried now. */
   readonly canRecord: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
@@ -38,7 +41,7 @@
 /** Time for which outcomes are batched before a record, in milliseconds. */
 const BATCH_WINDOW_MS = 15;
 
-/** Delay after a record has failed, in milliseconds. */
+/** Delay before a failed record is retried, in milliseconds. */
 const RETRY_DELAY_MS = 100;
 
 /** Key of an item, unique across all jobs. */
@@ -46,39 +49,73 @@
   return `${job}/${item}`;
 }
 
+/** Applied state of a job, as far as outcomes are concerned. */
+export type AppliedJob = Pick<QueuedJob, "open" | "failures"> & {
+  readonly job: { readonly id: string };
+};
+
+/** Value for items with a final outcome; no applied failure count reaches it. */
+const FINAL = Infinity;
+
 /** Batches and records the outcomes of one process. */
 export class RunRecorder {
   readonly #options: RunRecorderOptions;
-  /** Items with an outcome that this process may not have applied yet. */
-  readonly #unconfirmedKeys = new Set<string>();
+  /**
+   * Items with an outcome that this process has not applied yet. The value is the
+   * failure count that contains it, or {@linkcode FINAL}.
+   */
+  readonly #unapplied = new Map<string, number>();
   #finished: FinishedRun[] = [];
   #failed: FailedRun[] = [];
   #isRecording = false;
+  #isClosed = false;
 
   constructor(options: RunRecorderOptions) {
     this.#options = options;
   }
 
-  /** Whether an item has an outcome here and must not start again. */
+  /** Whether an item has a final outcome here that is not applied yet. */
   hasOutcome(job: string, item: string): boolean {
-    return this.#unconfirmedKeys.has(getItemKey(job, item));
+    return this.#unapplied.get(getItemKey(job, item)) === FINAL;
+  }
+
+  /**
+   * Whether the applied state contains every outcome of an item that this process
+   * has seen. Without them the state shows too many attempts as left.
+   */
+  mayStart(job: string, item: string): boolean {
+    return !this.#unapplied.has(getItemKey(job, item));
   }
 
-  /** Drops items that are no longer open, because their records were applied. */
-  retainOnly(open: ReadonlySet<string>): void {
-    [...this.#unconfirmedKeys].filter((key) => !open.has(key))
-      .forEach((key) => this.#unconfirmedKeys.delete(key));
+  /** Drops the outcomes that the applied state contains. */
+  removeApplied(jobs: readonly AppliedJob[]): void {
+    const applied = new Map(
+      jobs.flatMap(({ job, open, failures }) =>
+        [...open.keys()].map((item) =>
+          [getItemKey(job.id, item), failures.get(item) ?? 0] as const
+        )
+      ),
+    );
+    this.#unapplied.forEach((count, key) => {
+      if ((applied.get(key) ?? FINAL) >= count) this.#unapplied.delete(key);
+    });
+  }
+
+  /** Stops retrying failed records. */
+  close(): void {
+    this.#isClosed = true;
   }
 
   /** Queues the final outcome of an item. */
   addOutcome(job: string, result: ItemOutcome): void {
-    this.#unconfirmedKeys.add(getItemKey(job, result.id));
+    this.#unapplied.set(getItemKey(job, result.id), FINAL);
     this.#finished.push(create(FinishedRunSchema, { job, result }));
     this.#schedule();
   }
 
   /** Queues the `count`th failure of a backend server that ran an item. */
   addFailure(job: string, item: string, count: number): void {
+    this.#unapplied.set(getItemKey(job, item), count);
     this.#failed.push(create(FailedRunSchema, { job, item, count }));
     this.#schedule();
   }
@@ -90,7 +127,8 @@
       .then(() => this.#recordPending())
       .finally(() => {
         this.#isRecording = false;
-        if (this.#finished.length + this.#failed.length > 0) this.#schedule();
+        const hasPending = this.#finished.length + this.#failed.length > 0;
+        if (hasPending && !this.#isClosed) this.#schedule();
       });
   }
 
@@ -98,10 +136,15 @@
     const { record, canRecord, clock, log, metrics } = this.#options;
     const startMs = clock.getMonotonicMs();
     const getElapsedMs = () => clock.getMonotonicMs() - startMs;
-    const finished = this.#finished;
-    const failed = this.#failed;
+    const finished = this.#finished.filter(({ job, result }) =>
+      this.hasOutcome(job, result?.id ?? "")
+    );
+    const failed = this.#failed.filter(({ job, item, count }) =>
+      this.#unapplied.get(getItemKey(job, item)) === count
+    );
     this.#finished = [];
     this.#failed = [];
+    if (finished.length + failed.length === 0) return;
     try {
       await record(create(RecordRunsSchema, { finished, failed }));
       metrics.time(MetricName.recordMs, getElapsedMs());
@@ -119,16 +162,12 @@
         can_record: canRecord(),
         reason: getReason(error),
       });
-      await clock.delay(RETRY_DELAY_MS);
     }
     // If the record was committed despite the error, the repetition is ignored.
-    if (canRecord()) {
-      this.#finished.unshift(...finished);
-      this.#failed.unshift(...failed);
-      return;
-    }
-    finished.forEach(({ job, result }) =>
-      this.#unconfirmedKeys.delete(getItemKey(job, result?.id ?? ""))
+    this.#finished.unshift(...finished);
+    this.#failed.unshift(...failed);
+    do await clock.delay(RETRY_DELAY_MS); while (
+      !canRecord() && !this.#isClosed
     );
   }
 }
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -109,7 +109,9 @@
       follower.getAddresses()
     );
     this.#itemRunner = new ItemRunner({
-      getOpenJobs: () => this.#getOpenJobs(),
+      getOpenJobs: () => this.#machine.getOpenJobs(),
+      // Without a leader this member would not learn that a job has ended.
+      canRun: () => this.#hasRecentLeader(),
       getAppliedIndex: () => this.#member?.replica.appliedIndex ?? 0,
       ownership: new ItemOwnership({
         getId: () => this.#member?.replica.id ?? "",
@@ -117,7 +119,6 @@
         getDataCentre: (id) => this.#getDataCentre(id),
         clock: context.clock,
       }),
-      canRecord: () => this.#hasRecentLeader(),
       record: (runs) => this.#recordRuns(runs),
       view,
       pool,
@@ -262,14 +263,6 @@
     this.#member = member;
   }
 
-  /**
-   * Returns no jobs without a recent leader, because this member would not learn
-   * that a job has ended.
-   */
-  #getOpenJobs(): readonly QueuedJob[] {
-    return this.#hasRecentLeader() ? this.#machine.getOpenJobs() : [];
-  }
-
   /** Whether the group's leader is known or was known recently. */
   #hasRecentLeader(): boolean {
     const nowMs = this.#context.clock.getMonotonicMs();
--- a/src/test/run_recorder_test.ts
+++ b/src/test/run_recorder_test.ts
@@ -1,7 +1,8 @@
 /** Batching of item outcomes, and retries after a record has failed. */
 import { expect } from "chai";
-import { RunRecorder } from "../fleet/run_recorder.ts";
-import { ItemEnd, type RecordRuns } from "../schema/mod.ts";
+import { create } from "@bufbuild/protobuf";
+import { type AppliedJob, RunRecorder } from "../fleet/run_recorder.ts";
+import { ItemEnd, JobItemSchema, type RecordRuns } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
@@ -10,6 +11,18 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
+/** Applied state of job `j` with the given open items and failure counts. */
+function createJob(
+  open: string[],
+  failures: Record<string, number> = {},
+): AppliedJob {
+  return {
+    job: { id: "j" },
+    open: new Map(open.map((id) => [id, create(JobItemSchema, { id })])),
+    failures: new Map(Object.entries(failures)),
+  };
+}
+
 function createRecorder() {
   const clock = new ManualClock();
   const state = { canRecord: true, isFailing: false };
@@ -51,7 +64,7 @@
     expect(getFinished()).deep.equal(["a,b"]);
     // The outcome is kept, because the record may not be applied here yet.
     expect(recorder.hasOutcome("j", "a")).equal(true);
-    recorder.retainOnly(new Set(["j/b"]));
+    recorder.removeApplied([createJob(["b"])]);
     expect(recorder.hasOutcome("j", "a")).equal(false);
     expect(recorder.hasOutcome("j", "b")).equal(true);
   });
@@ -69,18 +82,48 @@
     expect(getFinished()).deep.equal(["a", "a"]);
     expect(records.map((record) => record.failed.map((run) => run.count)))
       .deep.equal([[1], [1]]);
-    recorder.retainOnly(new Set());
+    recorder.removeApplied([]);
     expect(recorder.hasOutcome("j", "a")).equal(false);
   });
 
-  it("drops outcomes once it may no longer record", async () => {
-    const { recorder, state, advanceClock, finish, getFinished } =
+  it("keeps outcomes while it may not record, and offers them afterwards", async () => {
+    const { recorder, state, records, advanceClock, finish, getFinished } =
       createRecorder();
     state.isFailing = true;
     state.canRecord = false;
     finish("a");
+    recorder.addFailure("j", "f", 2);
+    await advanceClock(300);
+    expect(getFinished()).deep.equal(["a"]);
+    expect(recorder.hasOutcome("j", "a")).equal(true);
+    expect(recorder.mayStart("j", "a")).equal(false);
+    expect(recorder.mayStart("j", "f")).equal(false);
+    state.isFailing = false;
+    state.canRecord = true;
+    await advanceClock(300);
+    expect(getFinished()).deep.equal(["a", "a"]);
+    expect(records.map((record) => record.failed.map((run) => run.count)))
+      .deep.equal([[2], [2]]);
+  });
+
+  it("lets an item start again once its failure is applied", async () => {
+    const { recorder, advanceClock } = createRecorder();
+    recorder.addFailure("j", "f", 2);
+    await advanceClock(50);
+    recorder.removeApplied([createJob(["f"], { f: 1 })]);
+    expect(recorder.mayStart("j", "f")).equal(false);
+    recorder.removeApplied([createJob(["f"], { f: 2 })]);
+    expect(recorder.mayStart("j", "f")).equal(true);
+  });
+
+  it("doesn't offer an outcome again that was applied meanwhile", async () => {
+    const { recorder, state, advanceClock, finish, getFinished } =
+      createRecorder();
+    state.isFailing = true;
+    finish("a");
+    await advanceClock(50);
+    recorder.removeApplied([]);
     await advanceClock(300);
     expect(getFinished()).deep.equal(["a"]);
-    expect(recorder.hasOutcome("j", "a")).equal(false);
   });
 });
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -96,8 +96,8 @@
     });
     const view = createView(this.clock, this.log);
     this.itemRunner = new ItemRunner({
-      getOpenJobs: () =>
-        this.#hasRecentLeader() ? this.machine.getOpenJobs() : [],
+      getOpenJobs: () => this.machine.getOpenJobs(),
+      canRun: () => this.#hasRecentLeader(),
       getAppliedIndex: () => this.appliedIndex,
       ownership: new ItemOwnership({
         getId: () => id,
@@ -105,7 +105,6 @@
         getDataCentre: () => "dc-1",
         clock: this.clock,
       }),
-      canRecord: () => this.#hasRecentLeader(),
       record: (runs) => this.#record({ case: "recordRuns", value: runs }),
       view,
       pool: new ServerPool({
