Count a server's answer to an item also when the run is stopped meanwhile

Cause: a run that was preempted, or whose time slice ended, while the body of a 500 or 422 was being read was taken as stopped. The server had counted the run; the runner had not.

Change: the status of the answer decides; the body is still read, but an interruption of it changes nothing. Other statuses and streams stop as before.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -110,10 +110,11 @@
     useNewConnection: false,
     signal,
   });
+  if (result.kind === "response") {
+    return await readResponse(result.response, progress, signal);
+  }
   if (signal.aborted) return { kind: "stopped" };
   switch (result.kind) {
-    case "response":
-      return await readResponse(result.response, progress, signal);
     case "notRun":
       return { kind: "notRun", reason: result.reason };
     case "lost":
@@ -130,11 +131,15 @@
 ): Promise<AttemptOutcome> {
   const destroyBody = () => response.body.destroy();
   signal.addEventListener("abort", destroyBody);
+  if (signal.aborted) destroyBody();
   try {
     return response.status === 200
       ? await readEventStream(response, progress)
       : await readErrorResponse(response);
   } catch (error) {
+    // The server has counted the run, whether or not the body was read.
+    const answer = tryClassifyStatus(response.status);
+    if (answer !== undefined) return answer;
     return signal.aborted
       ? { kind: "stopped" }
       : { kind: "broken", reason: getReason(error) };
@@ -167,14 +172,21 @@
 async function readErrorResponse(
   response: BackendResponse,
 ): Promise<AttemptOutcome> {
-  const reason = `the server responded with status ${response.status}`;
   await readBody(response.body, MAX_ERROR_BODY_BYTES);
-  if (response.status === ITEM_INVALID_STATUS) {
-    return { kind: "invalid", reason };
-  }
-  return response.status === ITEM_FAILED_STATUS
-    ? { kind: "failed", reason }
-    : { kind: "broken", reason };
+  return tryClassifyStatus(response.status) ??
+    { kind: "broken", reason: describeStatus(response.status) };
+}
+
+/** Returns the outcome that a status states; undefined if it states none. */
+function tryClassifyStatus(status: number): AttemptOutcome | undefined {
+  const reason = describeStatus(status);
+  if (status === ITEM_INVALID_STATUS) return { kind: "invalid", reason };
+  if (status === ITEM_FAILED_STATUS) return { kind: "failed", reason };
+  return undefined;
+}
+
+function describeStatus(status: number): string {
+  return `the server responded with status ${status}`;
 }
 
 /** Creates the backend request of an item. */
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -5,7 +5,10 @@
 import { expect } from "chai";
 import { type Random, SeededRandom } from "../sys/random.ts";
 import { range } from "./fleet_helpers.ts";
+import { ItemProgress, runItemAttempt } from "../fleet/item_attempt.ts";
+import type { PoolServer } from "../fleet/server_pool.ts";
 import {
+  createResponse,
   RecordFate,
   RunnerSimulation,
   type SimulatedRunner,
@@ -57,7 +60,6 @@
     simulation = new RunnerSimulation(ids);
     return simulation;
   };
-  afterEach(() => simulation.close());
 
   it("gives an item up after as many failures as its route allows", async () => {
     const { runner } = create(["a"]);
@@ -135,6 +137,36 @@
     expect(simulation.committed.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against answers that were forgotten because the run was preempted or
+  // its time slice ended while the body of the answer was being read.
+  it("counts an answer whose run is stopped before its body has ended", async () => {
+    const outcomes = await Promise.all(
+      ([500, 422, 200] as const).map(async (status) => {
+        const abortController = new AbortController();
+        const response = createResponse(status, { isEnded: false });
+        const outcome = runItemAttempt({
+          backendClient: {
+            send: () => Promise.resolve({ kind: "response", response }),
+          },
+          request: {
+            requestId: "i",
+            method: "POST",
+            target: "/",
+            headers: [],
+            body: Buffer.alloc(0),
+          },
+          permit: { server: {} as PoolServer, release: () => {} },
+          timeoutMs: 1_000,
+          progress: new ItemProgress(),
+          signal: abortController.signal,
+        });
+        setImmediate(() => abortController.abort());
+        return (await outcome).kind;
+      }),
+    );
+    expect(outcomes).deep.equal(["failed", "invalid", "stopped"]);
+  });
+
   // Guards against repeats that add up over slow and lost records, losses of
   // the leader, frozen runners and changes of the runners.
   range(30).forEach((seed) => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -169,7 +169,8 @@
       atMs: this.#simulation.nowMs,
     });
     if (signal.aborted) return { kind: "aborted" };
-    return { kind: "response", response: createResponse(status) };
+    const response = createResponse(status, { isEnded: true });
+    return { kind: "response", response };
   }
 }
 
@@ -247,10 +248,6 @@
       run.item === item && run.status === status
     ).length;
   }
-
-  close(): void {
-    this.runners.forEach((runner) => runner.itemRunner.close());
-  }
 }
 
 function flushPromises(): Promise<void> {
@@ -292,10 +289,14 @@
   return view;
 }
 
-function createResponse(status: ItemStatus) {
+/** Creates a server's response, whose body never ends unless `isEnded`. */
+export function createResponse(
+  status: ItemStatus,
+  { isEnded }: { isEnded: boolean },
+) {
   const body = new IncomingMessage(new Socket());
-  body.complete = true;
+  body.complete = isEnded;
   if (status === 200) body.push("id: 1\ndata: text\n\n");
-  body.push(null);
+  if (isEnded) body.push(null);
   return { status, headers: {}, body, chunks: body };
 }
