Record the outcomes of items before a store host stops

Cause: a stop ended the runner at once. Outcomes that waited for a record in progress were dropped.

Change: ItemRunner.stop ends the runs, then waits up to 1 s for the outcomes that are queued, before the host hands over its lead and stops.

Evidence: 'records the outcomes that it has before it stops' asks for a stop that the code before doesn't have (close dropped them; it does not compile there).

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -149,14 +149,17 @@
     );
   }
 
-  /** Stops all runs. The other runners of the group resume the items. */
-  close(): void {
+  /**
+   * Stops all runs and records the outcomes of earlier ones, within `limitMs`.
+   * The other runners of the group resume the items.
+   */
+  async stop(limitMs: number): Promise<void> {
     this.#stopped = true;
     this.#schedulingTimer?.cancel();
     this.#pendingPass?.cancel();
     this.#progressTimer?.cancel();
     this.#activeRuns.stopAll();
-    this.#recorder.close();
+    await this.#recorder.close(limitMs);
   }
 
   /** Requests a scheduling pass after a change; requests are coalesced. */
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -101,8 +101,13 @@
     });
   }
 
-  /** Stops retrying failed records. */
-  close(): void {
+  /** Records the queued outcomes within `limitMs`, and stops recording. */
+  async close(limitMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const endMs = clock.getMonotonicMs() + limitMs;
+    while (this.#isRecording && clock.getMonotonicMs() < endMs) {
+      await clock.delay(BATCH_WINDOW_MS);
+    }
     this.#isClosed = true;
   }
 
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -48,6 +48,9 @@
  */
 const LEADER_LOSS_GRACE_MS = 1_000;
 
+/** Limit for recording the outcomes of runs at a stop, in milliseconds. */
+const STOP_RECORD_LIMIT_MS = 1_000;
+
 /** Timeout for recording the outcomes of runs, in milliseconds. */
 const RECORD_TIMEOUT_MS = 2_000;
 
@@ -170,7 +173,7 @@
   async stop(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
-    this.#itemRunner.close();
+    await this.#itemRunner.stop(STOP_RECORD_LIMIT_MS);
     await this.#member?.stop();
     this.#membershipTimer?.cancel();
     this.#backends.close();
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -20,6 +20,9 @@
 const MAX_FAILED_ANSWERS = 3 * MAX_ATTEMPTS;
 const MAX_INVALID_ANSWERS = 3;
 
+/** Time after which the first runs have been answered, in milliseconds. */
+const FIRST_RUNS_MS = 600;
+
 const FATES = Object.values(RecordFate);
 
 /** Disturbs a runner in one random way, or restores it. */
@@ -137,6 +140,38 @@
     expect(simulation.committed.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against outcomes that were lost at each planned stop of a host, so
+  // that other runners ran their items once more.
+  it("records the outcomes that it has before it stops", async () => {
+    const { runner } = create(["a"]);
+    runner.recordDelayMs = 200;
+    simulation.submit("j", [500, 422, 200]);
+    await simulation.advance(FIRST_RUNS_MS);
+    expect(simulation.answered).length(3);
+    const stopped = runner.itemRunner.stop(1_000);
+    await simulation.advance(500);
+    await stopped;
+    const [job] = simulation.committed.getOpenJobs();
+    expect([...job?.open.keys() ?? []]).deep.equal(["j-0"]);
+    expect(job?.failures.get("j-0")).equal(1);
+  });
+
+  it("stops in time although its outcomes can't be recorded", async () => {
+    const { runner } = create(["a"]);
+    runner.recordFate = RecordFate.lost;
+    simulation.submit("j", [200]);
+    await simulation.advance(FIRST_RUNS_MS);
+    expect(simulation.answered).length(1);
+    let hasStopped = false;
+    runner.itemRunner.stop(1_000).then(() => {
+      hasStopped = true;
+    });
+    await simulation.advance(900);
+    expect(hasStopped).equal(false);
+    await simulation.advance(200);
+    expect(hasStopped).equal(true);
+  });
+
   // Guards against answers that were forgotten because the run was preempted or
   // its time slice ended while the body of the answer was being read.
   it("counts an answer whose run is stopped before its body has ended", async () => {
