Count a member as caught up only when it has what its leader had committed

Cause: 'a leader is known' stood for 'what I have applied is current'. A member that was restarted, cut off, suspended or removed may hear of a leader long before it has the entries.

Change: ReplicaCore.isCaughtUp compares the applied index with the highest commit index that a leader has sent, and its term with the current one. Heartbeats to a member whose log can't be matched yet carry the commit index too. A state host is ready once each of its replicas has been caught up since its start.

--- a/src/services/hosts/state_host.ts
+++ b/src/services/hosts/state_host.ts
@@ -115,7 +115,9 @@
    */
   get isReady(): boolean {
     return this.#isReady && !this.#stopping &&
-      this.#getReplicas().every((replica) => replica.leader !== "");
+      this.#getReplicas().every((replica) =>
+        replica.leader !== "" && replica.hasCaughtUp
+      );
   }
 
   /** Opens the port and returns the address that was bound. */
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -134,6 +134,7 @@
     | undefined;
   #stopped = false;
   #reportedRole: Role = Role.follower;
+  #hasCaughtUp = false;
   /** Bytes of log segments that were read on start. */
   recoveredBytes = 0;
 
@@ -214,6 +215,20 @@
     return this.#appliedIndex;
   }
 
+  /**
+   * Whether the local state holds everything that was committed when the known
+   * leader sent its last message.
+   */
+  isCaughtUp(): boolean {
+    return !this.#stopped &&
+      this.#core?.isCaughtUp(this.#appliedIndex) === true;
+  }
+
+  /** Whether the replica has been caught up since its start. */
+  get hasCaughtUp(): boolean {
+    return this.#hasCaughtUp;
+  }
+
   /** Whether the local state may answer linearizable reads. */
   canRead(): boolean {
     const core = this.#core;
@@ -358,6 +373,7 @@
 
   #tick(): void {
     this.#core?.tick(this.#options.clock.getMonotonicMs());
+    this.#hasCaughtUp ||= this.isCaughtUp();
     this.#wake();
   }
 
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -88,6 +88,8 @@
   #role: Role = Role.follower;
   #leader = "";
   #commitIndex: number;
+  /** Highest commit index that a leader has sent; entries may be missing here. */
+  #leaderCommitIndex = 0;
   /** Index of the last entry that was output to be applied. */
   #applyingIndex: number;
   /** Index up to which this replica's own log is durable. */
@@ -156,6 +158,18 @@
     return this.#commitIndex;
   }
 
+  /**
+   * Whether a state with the entries up to `appliedIndex` holds everything that
+   * was committed when the known leader sent its last message. A leader alone
+   * proves nothing about that state: a member that was cut off, suspended or
+   * removed may hear of a leader long before it has the entries.
+   */
+  isCaughtUp(appliedIndex: number): boolean {
+    return this.#leader !== "" &&
+      appliedIndex >= Math.max(this.#commitIndex, this.#leaderCommitIndex) &&
+      this.#log.tryGetTerm(appliedIndex) === this.term;
+  }
+
   get lastIndex(): number {
     return this.#log.lastIndex;
   }
@@ -688,7 +702,11 @@
   #sendEmptyAppend(id: string): void {
     this.#sendImmediately(id, {
       case: "appendRequest",
-      value: { previousIndex: 0n, round: BigInt(this.#progressTracker.round) },
+      value: {
+        previousIndex: 0n,
+        commitIndex: BigInt(this.#commitIndex),
+        round: BigInt(this.#progressTracker.round),
+      },
     });
   }
 
@@ -702,6 +720,10 @@
   #receiveAppend(message: ReplicaMessage, request: AppendRequest): void {
     assert(this.#role !== Role.leader, "a term must have a single leader");
     this.#recordLeaderContact(message.from);
+    this.#leaderCommitIndex = Math.max(
+      this.#leaderCommitIndex,
+      Number(request.commitIndex),
+    );
     const previousIndex = Number(request.previousIndex);
     const localTerm = this.#log.tryGetTerm(previousIndex);
     const isBeforeBase = previousIndex < this.#log.baseIndex;
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -32,6 +32,10 @@
   return group;
 }
 
+function getAppliedIndex(host: SimulatedGroup["hosts"][number]): number {
+  return Number(host.applied.at(-1)?.index ?? 0n);
+}
+
 describe("agreement", () => {
   it("elects one leader and commits", () => {
     const group = new SimulatedGroup(1, 3);
@@ -113,6 +117,32 @@
     });
   });
 
+  // Guards against a member that acts on old state because it knows a leader:
+  // readiness after a restart, and runs of items by a host that was cut off.
+  it("does not count a member as caught up before it has the leader's entries", () => {
+    [21, 22, 23].forEach((seed) => {
+      const { group, leader: old, others } = partitionLeader(seed);
+      group.run(STABILIZATION_MS);
+      const successor = others.find((host) => host.core.role === Role.leader);
+      if (successor === undefined) throw new Error("no successor");
+      for (let count = 0; count < 500; count += 1) {
+        group.propose(successor, 10_000);
+      }
+      group.run(STABILIZATION_MS);
+      const { commitIndex } = successor.core;
+      const isCaughtUp = () => old.core.isCaughtUp(getAppliedIndex(old));
+      expect(isCaughtUp()).equal(false);
+      group.blockedLinks.clear();
+      let knewLeaderBefore = 0;
+      while (!isCaughtUp()) {
+        if (old.core.leader !== "") knewLeaderBefore += 1;
+        group.step();
+      }
+      expect(getAppliedIndex(old)).least(commitIndex);
+      expect(knewLeaderBefore).above(0);
+    });
+  });
+
   it("bounds the unacknowledged bytes of an unreachable member", () => {
     const group = new SimulatedGroup(14, 3);
     group.heal(STABILIZATION_MS);
