Follow the seeds always, not only while few control hosts are known

Cause: a process followed its seeds only while it knew fewer control hosts than there are seeds. On a first start the list of hosts grows by registrations in any order.

'follows the seeds although as many other hosts are registered' failed on the code before.

Change: the seeds are always followed. A seed that isn't registered though other control hosts are is tried again after 2 s instead of 0.2 s, since it may be gone.

Tests: fleet_follower and platform_fleet, 21 passed.

--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -45,6 +45,12 @@
 /** Delay before a stream is reopened, in milliseconds. */
 const REOPEN_MS = 200;
 
+/**
+ * The same delay for a seed that is not registered although other control hosts
+ * are, in milliseconds. It may have been replaced for good.
+ */
+const UNREGISTERED_SEED_REOPEN_MS = 2_000;
+
 /** Events buffered for one routine; the oldest are dropped on overflow. */
 const EVENT_BUFFER_SIZE = 8;
 
@@ -79,14 +85,23 @@
   }
 
   /**
-   * Returns the addresses to follow: the registered control hosts, and also the
-   * seeds while fewer hosts are registered than there are seeds.
+   * Returns the addresses to follow: the registered control hosts and the seeds.
+   * An early list of hosts may lack every member of the group, and only members
+   * know the group's state.
    */
   getAddresses(): string[] {
-    const known = this.#options.view.getAddresses(HostRole.CONTROL);
-    return known.length < this.#seeds.length
-      ? [...new Set([...known, ...this.#seeds])]
-      : known;
+    return [...new Set([...this.#getRegisteredAddresses(), ...this.#seeds])];
+  }
+
+  #getRegisteredAddresses(): string[] {
+    return this.#options.view.getAddresses(HostRole.CONTROL);
+  }
+
+  #getReopenMs(address: string): number {
+    const registered = this.#getRegisteredAddresses();
+    return registered.length === 0 || registered.includes(address)
+      ? REOPEN_MS
+      : UNREGISTERED_SEED_REOPEN_MS;
   }
 
   #followAll(): void {
@@ -114,7 +129,9 @@
       const client = new RpcClient(address, this.#options.credentials);
       yield* this.#readStream(address, client);
       client.close();
-      if (this.#isWanted(address)) yield* sleep(this.#options.clock, REOPEN_MS);
+      if (this.#isWanted(address)) {
+        yield* sleep(this.#options.clock, this.#getReopenMs(address));
+      }
     }
     this.#followedAddresses.delete(address);
     // The host may have rejoined the fleet while its stream was being closed.
