Run items only on a state that is caught up with the leader

Cause: a store host ran items while it knew a leader. A host that was cut off, frozen or removed may hear of a new leader and never get its entries.

Change: LeaderContact asks whether the replica is caught up, and allows a second after the last time that it was. It leaves store_host, logs each change of leader and of its answer, and is tested in the simulation of runners.

Evidence: 'starts nothing on a state that lacks what its leader committed' fails when a known leader suffices, as before; item_runner and platform_fleet: 58 passed.

--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -36,18 +36,12 @@
 } from "./host_identity.ts";
 import { ItemRunner } from "./item_runner.ts";
 import { ItemOwnership } from "./item_ownership.ts";
+import { LeaderContact } from "./leader_contact.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
 /** Interval between checks of the members and the runners, in milliseconds. */
 const MEMBERSHIP_CHECK_INTERVAL_MS = 250;
 
-/**
- * Time for which items keep running after the leader is lost, in milliseconds:
- * about the duration of an election. No item may run more than 3 s after its job
- * has ended, not even on a host that has not learned of the end.
- */
-const LEADER_LOSS_GRACE_MS = 1_000;
-
 /** Limit for recording the outcomes of runs at a stop, in milliseconds. */
 const STOP_RECORD_LIMIT_MS = 1_000;
 
@@ -73,10 +67,6 @@
   #membershipTimer: Timer | undefined;
   #isReportingMembers = false;
   #isChangingRunners = false;
-  /** Monotonic time at which a leader was last known. */
-  #leaderSeenMs = -Infinity;
-  /** The leader that was last logged; empty if none was known. */
-  #loggedLeader = "";
   #stopping = false;
   /** Called once if the replica fails and cannot continue. */
   onFailure: (error: unknown) => void = () => {};
@@ -111,10 +101,14 @@
     this.#fleetClient = this.#process.createFleetClient(() =>
       follower.getAddresses()
     );
+    const leaderContact = new LeaderContact({
+      getReplica: () => this.#member?.replica,
+      clock: context.clock,
+      log: context.log,
+    });
     this.#itemRunner = new ItemRunner({
       getOpenJobs: () => this.#machine.getOpenJobs(),
-      // Without a leader this member would not learn that a job has ended.
-      canRun: () => this.#hasRecentLeader(),
+      canRun: () => leaderContact.isCurrent(),
       getAppliedIndex: () => this.#member?.replica.appliedIndex ?? 0,
       ownership: new ItemOwnership({
         getId: () => this.#member?.replica.id ?? "",
@@ -266,26 +260,6 @@
     this.#member = member;
   }
 
-  /** Whether the group's leader is known or was known recently. */
-  #hasRecentLeader(): boolean {
-    const nowMs = this.#context.clock.getMonotonicMs();
-    const leader = this.#member?.replica.leader ?? "";
-    const hasLeader = leader !== "";
-    if (hasLeader) this.#leaderSeenMs = nowMs;
-    if (leader !== this.#loggedLeader) this.#logLeader(leader);
-    return hasLeader || nowMs - this.#leaderSeenMs < LEADER_LOSS_GRACE_MS;
-  }
-
-  #logLeader(leader: string): void {
-    this.#loggedLeader = leader;
-    const replica = this.#member?.replica;
-    this.#context.log.info("store_leader", {
-      leader,
-      term: replica?.term ?? 0,
-      applied: replica?.appliedIndex ?? 0,
-    });
-  }
-
   /** On the leader: proposes a new list of runners if it has to change. */
   #updateRunners(): void {
     const replica = this.#member?.replica;
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -42,6 +42,9 @@
     () => {
       runner.hasLeader = false;
     },
+    () => {
+      runner.getsEntries = false;
+    },
     () => {
       runner.isFrozen = true;
     },
@@ -54,6 +57,7 @@
   runner.applyLagMs = 10;
   runner.recordFate = RecordFate.confirmed;
   runner.hasLeader = true;
+  runner.getsEntries = true;
   runner.isFrozen = false;
 }
 
@@ -140,6 +144,31 @@
     expect(simulation.committed.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against items of ended jobs that were started by a host which knew a
+  // leader and had not applied the end: after a freeze, a cut or its removal.
+  it("starts nothing on a state that lacks what its leader committed", async () => {
+    const { runner } = create(["a"]);
+    await simulation.advance(FIRST_RUNS_MS);
+    runner.getsEntries = false;
+    await simulation.advance(1_000);
+    simulation.submit("j", [200, 500]);
+    runner.appliedIndex += 1;
+    runner.machine.apply(
+      simulation.entries.at(-1)?.command ?? Buffer.alloc(0),
+      {
+        index: runner.appliedIndex,
+        term: 1,
+        timeMs: 1_000_000,
+      },
+    );
+    simulation.commit({ case: "end", value: { id: "j" } } as never);
+    await simulation.advance(20_000);
+    expect(simulation.answered).deep.equal([]);
+    runner.getsEntries = true;
+    await simulation.advance(5_000);
+    expect(simulation.answered).deep.equal([]);
+  });
+
   // Guards against outcomes that were lost at each planned stop of a host, so
   // that other runners ran their items once more.
   it("records the outcomes that it has before it stops", async () => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -12,6 +12,7 @@
 import type { AttemptOptions, AttemptResult } from "../fleet/backend_client.ts";
 import { ItemOwnership } from "../fleet/item_ownership.ts";
 import { ItemRunner } from "../fleet/item_runner.ts";
+import { LeaderContact } from "../fleet/leader_contact.ts";
 import { RoutingView } from "../fleet/routing_view.ts";
 import { ServerPool } from "../fleet/server_pool.ts";
 import {
@@ -46,7 +47,6 @@
 const STEP_MS = 5;
 const RUN_MS = 20;
 const RECORD_TIMEOUT_MS = 2_000;
-const LEADER_LOSS_GRACE_MS = 1_000;
 const SERVER_COUNT = 4;
 const HOST = "a.example";
 const START_WALL_MS = 1_000_000;
@@ -82,8 +82,9 @@
   recordDelayMs = 10;
   recordFate: RecordFate = RecordFate.confirmed;
   hasLeader = true;
+  /** Whether committed entries reach this runner while it knows a leader. */
+  getsEntries = true;
   isFrozen = false;
-  #leaderSeenMs = -Infinity;
 
   constructor(id: string, simulation: RunnerSimulation) {
     this.id = id;
@@ -95,9 +96,19 @@
       random: new SeededRandom(7),
     });
     const view = createView(this.clock, this.log);
+    const leaderContact = new LeaderContact({
+      getReplica: () => ({
+        leader: this.hasLeader ? "leader" : "",
+        term: 1,
+        appliedIndex: this.appliedIndex,
+        isCaughtUp: () => this.hasLeader && this.getsEntries,
+      }),
+      clock: this.clock,
+      log: this.log,
+    });
     this.itemRunner = new ItemRunner({
       getOpenJobs: () => this.machine.getOpenJobs(),
-      canRun: () => this.#hasRecentLeader(),
+      canRun: () => leaderContact.isCurrent(),
       getAppliedIndex: () => this.appliedIndex,
       ownership: new ItemOwnership({
         getId: () => id,
@@ -125,7 +136,7 @@
   advance(ms: number): void {
     if (this.isFrozen) return;
     this.clock.advance(ms);
-    if (this.hasLeader) this.#applyCommitted();
+    if (this.hasLeader && this.getsEntries) this.#applyCommitted();
   }
 
   #applyCommitted(): void {
@@ -143,12 +154,6 @@
     if (entries.length > 0) this.itemRunner.requestScheduling();
   }
 
-  #hasRecentLeader(): boolean {
-    const nowMs = this.clock.getMonotonicMs();
-    if (this.hasLeader) this.#leaderSeenMs = nowMs;
-    return nowMs - this.#leaderSeenMs < LEADER_LOSS_GRACE_MS;
-  }
-
   async #record(command: NonNullable<JobCommandInit>["command"]) {
     const fate = this.hasLeader ? this.recordFate : RecordFate.lost;
     await this.clock.delay(this.recordDelayMs);
