--- a/src/fleet/item_queue.ts
+++ b/src/fleet/item_queue.ts
@@ -47,31 +47,27 @@
       /** Estimated slot time that an item still needs, in milliseconds. */
       getRemainingMs: (queued: QueuedJob, item: JobItem) => number;
       /** Whether an item is running, has an outcome or may not start here yet. */
-      isExcluded: (candidate: ItemCandidate) => boolean;
+      isExcluded: (key: string, queued: QueuedJob, item: JobItem) => boolean;
     },
   ): ItemCandidate[] {
     const { nowMs, wallMs, getRemainingMs, isExcluded } = options;
-    return jobs.flatMap((queued) => createCandidates(queued, getRemainingMs))
-      .filter((candidate) =>
-        (this.#retryAfterMs.get(candidate.key) ?? 0) <= nowMs &&
-        !isExcluded(candidate)
-      ).sort((a, b) => compareWaitingItems(a, b, wallMs));
+    return jobs.flatMap((queued) => {
+      const dueMs = queued.submittedMs + queued.job.dueMs;
+      const urgentFromMs = getUrgentFromMs(queued.submittedMs, dueMs);
+      return [...queued.open.values()].flatMap((item): ItemCandidate[] => {
+        const key = getItemKey(queued.job.id, item.id);
+        const mayStart = (this.#retryAfterMs.get(key) ?? 0) <= nowMs &&
+          !isExcluded(key, queued, item);
+        return !mayStart ? [] : [{
+          queued,
+          item,
+          key,
+          dueMs,
+          urgentFromMs,
+          remainingMs: getRemainingMs(queued, item),
+          openJobItems: queued.open.size,
+        }];
+      });
+    }).sort((a, b) => compareWaitingItems(a, b, wallMs));
   }
 }
-
-function createCandidates(
-  queued: QueuedJob,
-  getRemainingMs: (queued: QueuedJob, item: JobItem) => number,
-): ItemCandidate[] {
-  const dueMs = queued.submittedMs + queued.job.dueMs;
-  const urgentFromMs = getUrgentFromMs(queued.submittedMs, dueMs);
-  return [...queued.open.values()].map((item) => ({
-    queued,
-    item,
-    key: getItemKey(queued.job.id, item.id),
-    dueMs,
-    urgentFromMs,
-    remainingMs: getRemainingMs(queued, item),
-    openJobItems: queued.open.size,
-  }));
-}
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -108,6 +108,8 @@
   readonly #recorder: RunRecorder;
   readonly #outcomeHandler: AttemptOutcomeHandler;
   #lastPassMs = -Infinity;
+  /** Applied index of the open items seen last; undefined if none might run. */
+  #openItemsIndex: number | undefined;
   #schedulingTimer: Timer | undefined;
   #pendingPass: Timer | undefined;
   #progressTimer: Timer | undefined;
@@ -187,8 +189,7 @@
     // again on a state without them.
     this.#recorder.removeApplied(this.#options.getOpenJobs());
     const jobs = this.#getRunnableJobs();
-    this.#updateRunners();
-    this.#stopClosedRuns(jobs);
+    this.#applyOwnership(jobs);
     this.#preemptRuns();
     this.#expireItems(jobs);
     this.#startWaitingItems(jobs);
@@ -198,14 +199,24 @@
     return this.#options.canRun() ? this.#options.getOpenJobs() : [];
   }
 
-  #updateRunners(): void {
-    const { ownership, getAppliedIndex, context } = this.#options;
-    if (!ownership.updateRunners()) return;
-    context.log.info("runners_applied", {
-      runners: ownership.runners.join(),
-      is_runner: ownership.isRunner,
-      applied: getAppliedIndex(),
-    });
+  /** Applies changes of the runners and of the open items. */
+  #applyOwnership(jobs: readonly QueuedJob[]): void {
+    const { ownership, getAppliedIndex, canRun, context } = this.#options;
+    const appliedIndex = getAppliedIndex();
+    const haveRunnersChanged = ownership.updateRunners();
+    if (haveRunnersChanged) {
+      context.log.info("runners_applied", {
+        runners: ownership.runners.join(),
+        is_runner: ownership.isRunner,
+        applied: appliedIndex,
+      });
+    }
+    const openItemsIndex = canRun() ? appliedIndex : undefined;
+    const isUnchanged = openItemsIndex !== undefined &&
+      openItemsIndex === this.#openItemsIndex;
+    if (isUnchanged && !haveRunnersChanged) return;
+    this.#openItemsIndex = openItemsIndex;
+    this.#stopClosedRuns(jobs);
   }
 
   /** Stops runs whose item is closed or no longer owned by this process. */
@@ -336,7 +347,7 @@
       nowMs: this.#options.context.clock.getMonotonicMs(),
       wallMs: this.#options.context.clock.getWallMs(),
       getRemainingMs: (queued, item) => this.#getRemainingMs(queued, item),
-      isExcluded: ({ key, queued, item }) =>
+      isExcluded: (key, queued, item) =>
         this.#activeRuns.has(key) || !this.#options.ownership.canStart(key) ||
         !this.#recorder.mayStart(queued.job.id, item.id),
     });
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -54,17 +54,22 @@
   readonly job: { readonly id: string };
 };
 
-/** Value for items with a final outcome; no applied failure count reaches it. */
+/** Count of a final outcome; no applied failure count reaches it. */
 const FINAL = Infinity;
 
+/** An outcome of an item that the applied state lacks. */
+interface UnappliedOutcome {
+  readonly job: string;
+  readonly item: string;
+  /** Failure count that contains the outcome, or {@linkcode FINAL}. */
+  readonly count: number;
+}
+
 /** Batches and records the outcomes of one process. */
 export class RunRecorder {
   readonly #options: RunRecorderOptions;
-  /**
-   * Items with an outcome that this process has not applied yet. The value is the
-   * failure count that contains it, or {@linkcode FINAL}.
-   */
-  readonly #unapplied = new Map<string, number>();
+  /** Outcomes that this process has not applied yet, by the key of their item. */
+  readonly #unapplied = new Map<string, UnappliedOutcome>();
   #finished: FinishedRun[] = [];
   #failed: FailedRun[] = [];
   #isRecording = false;
@@ -76,7 +81,7 @@
 
   /** Whether an item has a final outcome here that is not applied yet. */
   hasOutcome(job: string, item: string): boolean {
-    return this.#unapplied.get(getItemKey(job, item)) === FINAL;
+    return this.#unapplied.get(getItemKey(job, item))?.count === FINAL;
   }
 
   /**
@@ -89,15 +94,14 @@
 
   /** Drops the outcomes that the applied state contains. */
   removeApplied(jobs: readonly AppliedJob[]): void {
-    const applied = new Map(
-      jobs.flatMap(({ job, open, failures }) =>
-        [...open.keys()].map((item) =>
-          [getItemKey(job.id, item), failures.get(item) ?? 0] as const
-        )
-      ),
-    );
-    this.#unapplied.forEach((count, key) => {
-      if ((applied.get(key) ?? FINAL) >= count) this.#unapplied.delete(key);
+    if (this.#unapplied.size === 0) return;
+    const jobsById = new Map(jobs.map((queued) => [queued.job.id, queued]));
+    this.#unapplied.forEach(({ job, item, count }, key) => {
+      const queued = jobsById.get(job);
+      const applied = queued?.open.has(item) === true
+        ? queued.failures.get(item) ?? 0
+        : FINAL;
+      if (applied >= count) this.#unapplied.delete(key);
     });
   }
 
@@ -113,14 +117,17 @@
 
   /** Queues the final outcome of an item. */
   addOutcome(job: string, result: ItemOutcome): void {
-    this.#unapplied.set(getItemKey(job, result.id), FINAL);
+    this.#unapplied.set(
+      getItemKey(job, result.id),
+      { job, item: result.id, count: FINAL },
+    );
     this.#finished.push(create(FinishedRunSchema, { job, result }));
     this.#schedule();
   }
 
   /** Queues the `count`th failure of a backend server that ran an item. */
   addFailure(job: string, item: string, count: number): void {
-    this.#unapplied.set(getItemKey(job, item), count);
+    this.#unapplied.set(getItemKey(job, item), { job, item, count });
     this.#failed.push(create(FailedRunSchema, { job, item, count }));
     this.#schedule();
   }
@@ -145,7 +152,7 @@
       this.hasOutcome(job, result?.id ?? "")
     );
     const failed = this.#failed.filter(({ job, item, count }) =>
-      this.#unapplied.get(getItemKey(job, item)) === count
+      this.#unapplied.get(getItemKey(job, item))?.count === count
     );
     this.#finished = [];
     this.#failed = [];
