Read an answer that has arrived before its run is stopped

Cause: a run is stopped by a timer or after a change of state, and on a busy host timers are served before connections. The answer lay unread in the connection when the request was aborted. The server had counted it; no runner ever knew.

Change: a run is marked as stopped at once; its request is aborted one turn of the event loop later.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -363,7 +363,15 @@
     const headers = Object.fromEntries(
       item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
     );
+    const { clock } = context;
     const abortController = new AbortController();
+    const requestAbort = new AbortController();
+    // The request is aborted one turn of the event loop later, so that an answer
+    // which has already arrived is read and counted.
+    abortController.signal.addEventListener(
+      "abort",
+      () => clock.startTimer(0, () => requestAbort.abort()),
+    );
     const permit = pool.tryAcquire({
       ...placement,
       kind: LoadKind.batch,
@@ -378,7 +386,7 @@
       item: item.id,
       server: permit.server.id,
       abortController,
-      startedMs: context.clock.getMonotonicMs(),
+      startedMs: clock.getMonotonicMs(),
       dueMs: candidate.dueMs,
       urgentFromMs: candidate.urgentFromMs,
       // A getter, because the remaining time decreases while the item runs.
@@ -387,11 +395,11 @@
       },
     };
     this.#activeRuns.add(key, run);
-    const sliceTimer = context.clock.startTimer(
+    const sliceTimer = clock.startTimer(
       TIME_SLICE_MS,
       () => abortController.abort(),
     );
-    this.#run(candidate, permit, run).catch((error) =>
+    this.#run(candidate, permit, run, requestAbort.signal).catch((error) =>
       context.log.error("item_run_failed", {
         job: queued.job.id,
         item: item.id,
@@ -409,6 +417,7 @@
     { queued, item }: ItemCandidate,
     permit: ServerPermit,
     run: ActiveRun,
+    signal: AbortSignal,
   ): Promise<void> {
     const progress = this.#progress.getOrCreate(queued, item);
     this.#options.context.log.info("item_started", {
@@ -438,7 +447,7 @@
         TIME_SLICE_MS + TIME_SLICE_MARGIN_MS,
       ),
       progress,
-      signal: run.abortController.signal,
+      signal,
     });
     const lastEvent = progress.last ?? 0;
     const ranMs = this.#options.context.clock.getMonotonicMs() - run.startedMs;
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -178,8 +178,7 @@
     // If the record was committed despite the error, the repetition is ignored.
     this.#finished.unshift(...finished);
     this.#failed.unshift(...failed);
-    do await clock.delay(RETRY_DELAY_MS); while (
-      !canRecord() && !this.#isClosed
-    );
+    await clock.delay(RETRY_DELAY_MS);
+    while (!canRecord() && !this.#isClosed) await clock.delay(RETRY_DELAY_MS);
   }
 }
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -20,6 +20,9 @@
 const MAX_FAILED_ANSWERS = 3 * MAX_ATTEMPTS;
 const MAX_INVALID_ANSWERS = 3;
 
+/** Longest run of an item before it is interrupted, in milliseconds. */
+const TIME_SLICE_MS = 2_000;
+
 /** Time after which the first runs have been answered, in milliseconds. */
 const FIRST_RUNS_MS = 600;
 
@@ -231,6 +234,17 @@
     expect(outcomes).deep.equal(["failed", "invalid", "stopped"]);
   });
 
+  // Guards against answers that had arrived but were not read before the run was
+  // stopped: on a busy host timers are served before connections.
+  it("counts an answer that arrives when the run is being stopped", async () => {
+    const { runner } = create(["a"]);
+    runner.runMs = TIME_SLICE_MS;
+    const [item = ""] = simulation.submit("j", [500]);
+    await simulation.advance(20_000);
+    expect(simulation.countAnswers(item, 500)).equal(MAX_ATTEMPTS);
+    expect(simulation.committed.getOpenJobs()).deep.equal([]);
+  });
+
   // Guards against repeats that add up over slow and lost records, losses of
   // the leader, frozen runners and changes of the runners.
   range(30).forEach((seed) => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -45,7 +45,7 @@
 export type ItemStatus = 200 | 422 | 500;
 
 const STEP_MS = 5;
-const RUN_MS = 20;
+const DATA_INTERVAL_MS = 500;
 const RECORD_TIMEOUT_MS = 2_000;
 const SERVER_COUNT = 4;
 const HOST = "a.example";
@@ -75,12 +75,15 @@
   readonly log = new MemoryLog();
   readonly itemRunner: ItemRunner;
   readonly #simulation: RunnerSimulation;
+  readonly #pool: ServerPool;
   appliedIndex = 0;
   /** Entries are applied this long after their commit, in milliseconds. */
   applyLagMs = 10;
   /** Time from the offer of a record to its commit, in milliseconds. */
   recordDelayMs = 10;
   recordFate: RecordFate = RecordFate.confirmed;
+  /** Time after which a server answers a run, in milliseconds. */
+  runMs = 20;
   hasLeader = true;
   /** Whether committed entries reach this runner while it knows a leader. */
   getsEntries = true;
@@ -96,6 +99,13 @@
       random: new SeededRandom(7),
     });
     const view = createView(this.clock, this.log);
+    this.#pool = new ServerPool({
+      dataCentre: "dc-1",
+      view,
+      clock: this.clock,
+      random: context.random,
+      log: this.log,
+    });
     const leaderContact = new LeaderContact({
       getReplica: () => ({
         leader: this.hasLeader ? "leader" : "",
@@ -118,13 +128,7 @@
       }),
       record: (runs) => this.#record({ case: "recordRuns", value: runs }),
       view,
-      pool: new ServerPool({
-        dataCentre: "dc-1",
-        view,
-        clock: this.clock,
-        random: context.random,
-        log: this.log,
-      }),
+      pool: this.#pool,
       backendClient: { send: (options) => this.#send(options) },
       dialects: DIALECTS,
       context,
@@ -163,19 +167,32 @@
     throw new Error("no answer in time");
   }
 
-  async #send({ request, signal }: AttemptOptions): Promise<AttemptResult> {
-    const item = request.requestId;
-    await this.clock.delay(RUN_MS);
-    const status = this.#simulation.statuses.get(item) ?? 200;
-    this.#simulation.answered.push({
-      item,
-      runner: this.id,
-      status,
-      atMs: this.#simulation.nowMs,
-    });
-    if (signal.aborted) return { kind: "aborted" };
-    const response = createResponse(status, { isEnded: true });
-    return { kind: "response", response };
+  #send(
+    { request, permit, signal }: AttemptOptions,
+  ): Promise<AttemptResult> {
+    // Data from the server, without which it would count as silent.
+    for (let ms = DATA_INTERVAL_MS; ms < this.runMs; ms += DATA_INTERVAL_MS) {
+      this.clock.startTimer(
+        ms,
+        () => this.#pool.recordActivity(permit.server.id),
+      );
+    }
+    return new Promise((resolve) =>
+      this.clock.startTimer(this.runMs, () => {
+        const item = request.requestId;
+        const status = this.#simulation.statuses.get(item) ?? 200;
+        this.#simulation.answered.push({
+          item,
+          runner: this.id,
+          status,
+          atMs: this.#simulation.nowMs,
+        });
+        const response = createResponse(status, { isEnded: true });
+        resolve(
+          signal.aborted ? { kind: "aborted" } : { kind: "response", response },
+        );
+      })
+    );
   }
 }
 
