--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -3,10 +3,10 @@
  * must not start an item again on state that lacks the outcome of its last run.
  */
 import { expect } from "chai";
-import { type Random, SeededRandom } from "../sys/random.ts";
-import { range } from "./fleet_helpers.ts";
 import { ItemProgress, runItemAttempt } from "../fleet/item_attempt.ts";
 import type { PoolServer } from "../fleet/server_pool.ts";
+import { type Random, SeededRandom } from "../sys/random.ts";
+import { range } from "./fleet_helpers.ts";
 import {
   createResponse,
   RecordFate,
@@ -155,16 +155,8 @@
     runner.getsEntries = false;
     await simulation.advance(1_000);
     simulation.submit("j", [200, 500]);
-    runner.appliedIndex += 1;
-    runner.machine.apply(
-      simulation.entries.at(-1)?.command ?? Buffer.alloc(0),
-      {
-        index: runner.appliedIndex,
-        term: 1,
-        timeMs: 1_000_000,
-      },
-    );
-    simulation.commit({ case: "end", value: { id: "j" } } as never);
+    runner.applyUntil(simulation.nowMs);
+    simulation.commit({ case: "end", value: { id: "j" } });
     await simulation.advance(20_000);
     expect(simulation.answered).deep.equal([]);
     runner.getsEntries = true;
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -4,7 +4,7 @@
  * lag behind the log. Records may be slow, be lost, or be committed without a
  * reply. Backend servers are simulated too and count the runs of each item.
  */
-import { create, toBinary } from "@bufbuild/protobuf";
+import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
 import { IncomingMessage } from "node:http";
 import { Socket } from "node:net";
 import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
@@ -65,7 +65,7 @@
   readonly atMs: number;
 }
 
-type JobCommandInit = Parameters<typeof create<typeof JobCommandSchema>>[1];
+type JobCommandInit = MessageInitShape<typeof JobCommandSchema>["command"];
 
 /** One simulated runner. */
 export class SimulatedRunner {
@@ -140,13 +140,14 @@
   advance(ms: number): void {
     if (this.isFrozen) return;
     this.clock.advance(ms);
-    if (this.hasLeader && this.getsEntries) this.#applyCommitted();
+    if (!this.hasLeader || !this.getsEntries) return;
+    this.applyUntil(this.#simulation.nowMs - this.applyLagMs);
   }
 
-  #applyCommitted(): void {
-    const dueMs = this.#simulation.nowMs - this.applyLagMs;
+  /** Applies the entries that were committed up to `committedMs`. */
+  applyUntil(committedMs: number): void {
     const entries = this.#simulation.entries.slice(this.appliedIndex)
-      .filter((entry) => entry.committedMs <= dueMs);
+      .filter((entry) => entry.committedMs <= committedMs);
     entries.forEach(({ command }) => {
       this.appliedIndex += 1;
       this.machine.apply(command, {
@@ -158,7 +159,7 @@
     if (entries.length > 0) this.itemRunner.requestScheduling();
   }
 
-  async #record(command: NonNullable<JobCommandInit>["command"]) {
+  async #record(command: JobCommandInit) {
     const fate = this.hasLeader ? this.recordFate : RecordFate.lost;
     await this.clock.delay(this.recordDelayMs);
     if (fate !== RecordFate.lost) this.#simulation.commit(command);
@@ -216,7 +217,7 @@
     return this.runners[0] as SimulatedRunner;
   }
 
-  commit(command: NonNullable<JobCommandInit>["command"]): void {
+  commit(command: JobCommandInit): void {
     const bytes = toBinary(
       JobCommandSchema,
       create(JobCommandSchema, { command }),
@@ -230,7 +231,7 @@
   }
 
   setRunners(ids: readonly string[]): void {
-    this.commit({ case: "setRunners", value: { ids: [...ids] } } as never);
+    this.commit({ case: "setRunners", value: { ids: [...ids] } });
   }
 
   /** Submits a job of one item per status; their ids are `JOB-POSITION`. */
@@ -251,7 +252,7 @@
           maxAttempts: MAX_ATTEMPTS,
           items: ids.map((id) => ({ id, path: "/b/x", tokens: 1n })),
         },
-      } as never,
+      },
     );
     return ids;
   }
