The leader of the store runs items only where the others don't suffice

Cause: the leader was the first runner. Where processor time is short the events of the runs take it from the heartbeats; the leader loses its lead, its runs are stopped, and the next leader does the same.

Change: members that don't lead run the items, current runners first; the leader only if there are too few others. The loss of a leader no longer stops runs.

--- a/src/policy/runner_assignment.ts
+++ b/src/policy/runner_assignment.ts
@@ -136,9 +136,11 @@
 const SERVERS_PER_RUNNER = 24;
 
 /**
- * Plans the list of runners that the leader proposes to the group: itself, and
- * as many others as the size of the fleet requires, current runners first.
- * Returns undefined if the current list needs no change.
+ * Plans the list of runners that the leader proposes to the group: as many
+ * members as the size of the fleet requires, current runners first and the leader
+ * last. Running items delays the heartbeats of a host that has little processor
+ * time, and a leader would lose its lead by it. Returns undefined if the current
+ * list needs no change.
  */
 export function tryPlanRunners(input: RunnerPlanInput): string[] | undefined {
   const healthy = input.members
@@ -153,7 +155,7 @@
     Math.ceil(input.serverCount / SERVERS_PER_RUNNER),
   );
   const rank = (id: string) =>
-    id === input.leader ? 0 : input.current.includes(id) ? 1 : 2;
+    id === input.leader ? 2 : input.current.includes(id) ? 0 : 1;
   const ids = [...healthy]
     .sort((a, b) => rank(a) - rank(b) || (a < b ? -1 : 1))
     .slice(0, runnerCount)
--- a/src/test/item_ownership_test.ts
+++ b/src/test/item_ownership_test.ts
@@ -152,18 +152,24 @@
     expect(tryPlanRunners(createPlanInput({ members: [] }))).equal(undefined);
   });
 
-  it("selects only the leader for a small fleet and more members for a large one", () => {
+  // Guards against leaders that followed one another every few seconds: each one
+  // ran the items on the processor time that its heartbeats needed.
+  it("selects the leader only if the other members are too few", () => {
     const members = ["a", "b", "c", "d", "e"]
       .map((id) => ({ id, isLearner: false, silentMs: 0 }));
     const plan = (serverCount: number, currentRunners: string[]) =>
       tryPlanRunners(
         createPlanInput({ members, serverCount, current: currentRunners }),
       );
-    expect(plan(0, [])).deep.equal(["d"]);
-    expect(plan(21, ["a"])).deep.equal(["d"]);
-    expect(plan(66, ["d"])).deep.equal(["a", "b", "d"]);
+    expect(plan(0, [])).deep.equal(["a"]);
+    expect(plan(21, ["b"]), "a current runner stays").equal(undefined);
+    expect(plan(21, ["d"]), "a new leader hands over").deep.equal(["a"]);
+    expect(plan(66, ["d"])).deep.equal(["a", "b", "c"]);
     // Current runners are preferred.
-    expect(plan(66, ["c", "e"])).deep.equal(["c", "d", "e"]);
-    expect(plan(1_000, [])).length(5);
+    expect(plan(66, ["c", "e"])).deep.equal(["a", "c", "e"]);
+    expect(plan(1_000, [])).deep.equal(["a", "b", "c", "d", "e"]);
+    const alone = [{ id: "d", isLearner: false, silentMs: 0 }];
+    expect(tryPlanRunners(createPlanInput({ members: alone })))
+      .deep.equal(["d"]);
   });
 });
