An attempt's result is the text of its own progress

Cause: an outcome was recorded with the progress that the runner kept under the item's key. Since a run may still end in the turn in which it is stopped; if its item had changed owner, that progress was dropped, and the text was empty.

Change: the attempt hands over the progress that it wrote to. Failures reset that one too.

'records the text of a run whose item was dropped meanwhile' does not compile on the code before, where the handler asked the tracker. item_runner and platform_fleet: 60 passed.

--- a/src/fleet/attempt_outcome_handler.ts
+++ b/src/fleet/attempt_outcome_handler.ts
@@ -3,9 +3,8 @@
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { createDeadLetterResult, type QueuedJob } from "../state/mod.ts";
 import { MetricName } from "../sys/metrics.ts";
-import type { AttemptOutcome } from "./item_attempt.ts";
+import type { AttemptOutcome, ItemProgress } from "./item_attempt.ts";
 import type { ItemQueue } from "./item_queue.ts";
-import type { ProgressTracker } from "./progress_tracker.ts";
 import {
   getItemKey,
   type ItemOutcome,
@@ -15,13 +14,25 @@
 
 /** Options of an {@linkcode AttemptOutcomeHandler}. */
 export interface AttemptOutcomeHandlerOptions {
-  readonly recorder: RunRecorder;
-  readonly progress: ProgressTracker;
-  readonly queue: ItemQueue;
-  readonly pool: ServerPool;
+  readonly recorder: Pick<RunRecorder, "addOutcome" | "addFailure">;
+  readonly queue: Pick<ItemQueue, "delayRetry">;
+  readonly pool: Pick<ServerPool, "recordFailure">;
   readonly context: ProcessContext;
 }
 
+/** An attempt that has ended. */
+export interface EndedAttempt {
+  readonly queued: QueuedJob;
+  readonly item: JobItem;
+  readonly outcome: AttemptOutcome;
+  readonly server: string;
+  /**
+   * Output of the item, the attempt's own included. The runner may have dropped
+   * it meanwhile, or begun another.
+   */
+  readonly progress: ItemProgress;
+}
+
 /** Handles the outcomes of the attempts that one process makes. */
 export class AttemptOutcomeHandler {
   readonly #options: AttemptOutcomeHandlerOptions;
@@ -31,17 +42,12 @@
   }
 
   /** Records a final result, or delays the retry of an unfinished item. */
-  handle(
-    queued: QueuedJob,
-    item: JobItem,
-    outcome: AttemptOutcome,
-    server: string,
-  ): void {
-    const { progress, recorder, pool, queue, context } = this.#options;
+  handle({ queued, item, outcome, server, progress }: EndedAttempt): void {
+    const { recorder, pool, queue, context } = this.#options;
     const key = getItemKey(queued.job.id, item.id);
     switch (outcome.kind) {
       case "done": {
-        const text = Buffer.from(progress.tryGet(key)?.text ?? "", "utf8");
+        const text = Buffer.from(progress.text, "utf8");
         const result = { id: item.id, end: ItemEnd.DONE, text };
         this.#recordResult(queued, result, "done");
         return;
@@ -53,7 +59,7 @@
         return;
       case "failed": {
         const failureCount = queued.failures.get(item.id) ?? 0;
-        progress.tryGet(key)?.reset();
+        progress.reset();
         context.metrics.count(MetricName.itemFailures);
         recorder.addFailure(queued.job.id, item.id, failureCount + 1);
         break;
@@ -72,7 +78,7 @@
       ending: outcome.kind,
       reason: outcome.reason,
       failures: queued.failures.get(item.id) ?? 0,
-      event: progress.tryGet(key)?.last ?? -1,
+      event: progress.last ?? -1,
     });
   }
 
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -126,7 +126,6 @@
     });
     this.#outcomeHandler = new AttemptOutcomeHandler({
       recorder: this.#recorder,
-      progress: this.#progress,
       queue: this.#queue,
       pool: options.pool,
       context: options.context,
@@ -459,7 +458,13 @@
     if (outcome.kind === "done") {
       this.#runTimeEstimator.recordItemEvents(queued.job.route, lastEvent);
     }
-    this.#outcomeHandler.handle(queued, item, outcome, permit.server.id);
+    this.#outcomeHandler.handle({
+      queued,
+      item,
+      outcome,
+      server: permit.server.id,
+      progress,
+    });
   }
 
   #getTimeToExpiryMs({ submittedMs, job }: QueuedJob): number {
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -3,8 +3,12 @@
  * must not start an item again on state that lacks the outcome of its last run.
  */
 import { expect } from "chai";
+import { AttemptOutcomeHandler } from "../fleet/attempt_outcome_handler.ts";
 import { ItemProgress, runItemAttempt } from "../fleet/item_attempt.ts";
+import { ItemQueue } from "../fleet/item_queue.ts";
+import type { ItemOutcome } from "../fleet/run_recorder.ts";
 import type { PoolServer } from "../fleet/server_pool.ts";
+import { createProcessContext } from "../services/mod.ts";
 import { type Random, SeededRandom } from "../sys/random.ts";
 import { range } from "./fleet_helpers.ts";
 import {
@@ -237,6 +241,40 @@
     expect(simulation.committed.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against results with an empty text: the run ended while it was being
+  // stopped, after its host had dropped the item's progress.
+  it("records the text of a run whose item was dropped meanwhile", () => {
+    const { runner } = create(["a"]);
+    const [item = ""] = simulation.submit("j", [200]);
+    runner.applyUntil(simulation.nowMs);
+    const [queued] = runner.machine.getOpenJobs();
+    const jobItem = queued?.open.get(item);
+    if (queued === undefined || jobItem === undefined) {
+      throw new Error("no item");
+    }
+    const results: ItemOutcome[] = [];
+    const handler = new AttemptOutcomeHandler({
+      recorder: {
+        addOutcome: (_job, result) => results.push(result),
+        addFailure: () => {},
+      },
+      queue: new ItemQueue(),
+      pool: { recordFailure: () => {} },
+      context: createProcessContext({ name: "test", clock: runner.clock }),
+    });
+    const progress = new ItemProgress();
+    progress.appendEvents(Buffer.from("id: 1\ndata: text\n\n"));
+    handler.handle({
+      queued,
+      item: jobItem,
+      outcome: { kind: "done" },
+      server: "s-0",
+      progress,
+    });
+    expect(results.map(({ text }) => Buffer.from(text).toString()))
+      .deep.equal(["text"]);
+  });
+
   // Guards against repeats that add up over slow and lost records, losses of
   // the leader, frozen runners and changes of the runners.
   range(30).forEach((seed) => {
