Failing test: a thawed runner starts items of a job that has ended

The state of a runner counts as current while its replica knows a leader and has applied what that leader had committed when last heard. A host that was suspended under the same leader meets both conditions as soon as it thaws, though the job may have ended meanwhile.

The simulation can now thaw a runner some time before the first message reaches it. No product code changes.

--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -30,6 +30,9 @@
 /** Time after which the first runs have been answered, in milliseconds. */
 const FIRST_RUNS_MS = 600;
 
+/** Time from the thaw of a host to the first message, in milliseconds. */
+const MESSAGE_DELAY_MS = 200;
+
 const FATES = Object.values(RecordFate);
 
 /** Disturbs a runner in one random way, or restores it. */
@@ -68,6 +71,11 @@
   runner.isFrozen = false;
 }
 
+function getStartedItems(runner: SimulatedRunner): string[] {
+  return runner.log.lines.filter((line) => line.includes("event=item_started"))
+    .map((line) => /item=(\S+)/.exec(line)?.[1] ?? "");
+}
+
 describe("item runner", () => {
   let simulation: RunnerSimulation;
   const create = (ids: string[]) => {
@@ -114,6 +122,25 @@
     expect(simulation.committed.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against items of ended jobs on a host that was suspended: until the
+  // first message reaches it, it still knows its leader and the jobs of before.
+  it("starts nothing of a job that ended while its host was frozen", async () => {
+    const { runner } = create(["a"]);
+    // The first runs are answered after the thaw, before the first message.
+    runner.runMs = 400;
+    simulation.submit("j", range(200).map(() => 200));
+    await simulation.advance(FIRST_RUNS_MS + 300);
+    runner.isFrozen = true;
+    simulation.commit({ case: "end", value: { id: "j" } });
+    await simulation.advance(6_000);
+    const startedBefore = getStartedItems(runner);
+    expect(startedBefore).not.deep.equal([]);
+    runner.thaw(MESSAGE_DELAY_MS);
+    await simulation.advance(1_000);
+    expect(getStartedItems(runner)).deep.equal(startedBefore);
+    expect(runner.machine.getOpenJobs()).deep.equal([]);
+  });
+
   // Guards against outcomes that were dropped when no leader was known, so that
   // each loss of a leader gave all failing and invalid items another run.
   it("keeps outcomes over the loss of the leader", async () => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -88,6 +88,8 @@
   /** Whether committed entries reach this runner while it knows a leader. */
   getsEntries = true;
   isFrozen = false;
+  /** Time on its own clock before which nothing reaches it. */
+  #unreachableUntilMs = 0;
 
   constructor(id: string, simulation: RunnerSimulation) {
     this.id = id;
@@ -140,10 +142,17 @@
   advance(ms: number): void {
     if (this.isFrozen) return;
     this.clock.advance(ms);
+    if (this.clock.getMonotonicMs() < this.#unreachableUntilMs) return;
     if (!this.hasLeader || !this.getsEntries) return;
     this.applyUntil(this.#simulation.nowMs - this.applyLagMs);
   }
 
+  /** Continues after a freeze; the first message arrives `messageDelayMs` later. */
+  thaw(messageDelayMs: number): void {
+    this.isFrozen = false;
+    this.#unreachableUntilMs = this.clock.getMonotonicMs() + messageDelayMs;
+  }
+
   /** Applies the entries that were committed up to `committedMs`. */
   applyUntil(committedMs: number): void {
     const entries = this.#simulation.entries.slice(this.appliedIndex)
