Learners and removed members lose their leader after a silence

Cause: when a replica hears nothing for an election timeout, it forgot its leader only if it was a voter, on its way to an election. A member that has applied its own removal, and a learner that is cut off, knew their last leader for ever. LeaderContact took their state as current for ever too, so that an old list of runners and jobs that had ended since stayed in force on them.

Change: any replica forgets its leader after an election timeout without contact. Voters do what they did. A redirect of such a host names no leader then, and the client asks the others.

The harness can freeze hosts now; its check of leases throws as before unless a test asks for the result.

--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -473,9 +473,10 @@
 
   #startPreVote(): void {
     this.#resetElectionTimer();
+    // Learners and removed members lose contact with the leader too.
+    this.#leader = "";
     if (!isVoter(this.#membership, this.#id)) return;
     this.#role = Role.preCandidate;
-    this.#leader = "";
     this.#votes = new Set([this.#id]);
     if (this.#hasMajority()) {
       this.#startElection(false);
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -29,6 +29,11 @@
   pending: DurableOutput | undefined;
   applied: LogEntry[];
   isUp: boolean;
+  /** While it is frozen, its clock stands still and messages to it wait. */
+  isFrozen: boolean;
+  /** Time for which it has been frozen, in milliseconds. */
+  frozenMs: number;
+  waiting: ReplicaMessage[];
 }
 
 /** Probabilities with which the network loses and duplicates a message. */
@@ -48,13 +53,21 @@
   #messages: ReplicaMessage[] = [];
   #nowMs = 1_000;
   #proposalCount = 0;
+  /** Newest index that any host has applied. */
+  #newestIndex = 0;
   /** Bytes of commands sent to each host, whether delivered or not. */
   readonly sentBytes = new Map<string, number>();
   faults: NetworkFaults = { loss: 0, duplication: 0 };
+  /** Whether a stale lease is an error; {@linkcode hasStaleLease} tells of it. */
+  checksLease = true;
+  /** Whether a lease holder lacked committed entries at some time. */
+  hasStaleLease = false;
   /** Maximum time that one event advances the clock by, in milliseconds. */
   maxStepMs = 10;
   /** Committed entries as `term:content`, by index. */
   readonly committed = new Map<number, string>();
+  /** Time at which each index was first committed, in milliseconds. */
+  readonly committedMs = new Map<number, number>();
 
   constructor(seed: number, size: number) {
     this.random = new SeededRandom(seed);
@@ -87,6 +100,22 @@
     host.pending = undefined;
   }
 
+  freeze(host: SimulatedHost): void {
+    host.isFrozen = true;
+  }
+
+  /** Continues a frozen host; the messages that waited for it may be lost. */
+  thaw(host: SimulatedHost, { losesMessages }: { losesMessages: boolean }) {
+    host.isFrozen = false;
+    if (!losesMessages) this.#messages.push(...host.waiting);
+    host.waiting = [];
+  }
+
+  /** Time on a host's own clock, in milliseconds. */
+  getHostMs(host: SimulatedHost): number {
+    return (this.#nowMs - host.frozenMs) * host.clockRate;
+  }
+
   restart(host: SimulatedHost): void {
     const isMember = this.#membership.members.some((one) => one.id === host.id);
     const restarted = this.#createHost(
@@ -131,7 +160,8 @@
       this.#passTime(5);
       this.drainOutputs();
       while (
-        this.#messages.length > 0 || this.hosts.some((host) => host.pending)
+        this.#messages.length > 0 ||
+        this.#getRunning().some((host) => host.pending)
       ) {
         this.hosts.forEach((host) => this.#sync(host));
         if (this.#messages.length > 0) this.#deliverOne();
@@ -142,7 +172,7 @@
 
   /** Takes the outputs of all cores and checks the invariants. */
   drainOutputs(): void {
-    this.hosts.filter((host) => host.isUp).forEach((host) => {
+    this.#getRunning().forEach((host) => {
       const prompt = host.core.tryTakeImmediateOutput();
       this.#enqueue(prompt?.messages ?? []);
       (prompt?.committed ?? []).forEach((entry) => this.#apply(host, entry));
@@ -160,7 +190,16 @@
     durable: LogRecord[] = [],
   ): SimulatedHost {
     const clockRate = 1 + (this.random.getFraction() * 2 - 1) * MAX_CLOCK_DRIFT;
-    const host = { id, clockRate, durable, applied: [], isUp: true };
+    const host = {
+      id,
+      clockRate,
+      durable,
+      applied: [],
+      isUp: true,
+      isFrozen: false,
+      frozenMs: 0,
+      waiting: [],
+    };
     const core = new ReplicaCore({
       id,
       group: 1,
@@ -175,9 +214,14 @@
 
   #passTime(ms: number): void {
     this.#nowMs += ms;
-    this.hosts.filter((host) => host.isUp).forEach((host) =>
-      host.core.tick(this.#nowMs * host.clockRate)
-    );
+    this.hosts.filter((host) => host.isFrozen).forEach((host) => {
+      host.frozenMs += ms;
+    });
+    this.#getRunning().forEach((host) => host.core.tick(this.getHostMs(host)));
+  }
+
+  #getRunning(): SimulatedHost[] {
+    return this.hosts.filter((host) => host.isUp && !host.isFrozen);
   }
 
   #enqueue(messages: readonly ReplicaMessage[]): void {
@@ -207,11 +251,14 @@
     if (this.blockedLinks.has(`${message.from}>${message.to}`)) return;
     const host = this.hosts.find((one) => one.id === message.to);
     if (host?.isUp !== true) return;
-    host.core.receive(message, this.#nowMs * host.clockRate);
+    if (host.isFrozen) host.waiting.push(message);
+    else host.core.receive(message, this.getHostMs(host));
   }
 
   #syncOne(): void {
-    const unsynced = this.hosts.filter((host) => host.pending !== undefined);
+    const unsynced = this.#getRunning().filter((host) =>
+      host.pending !== undefined
+    );
     const host =
       unsynced[this.random.getIntegerBelow(Math.max(1, unsynced.length))];
     if (host !== undefined) this.#sync(host);
@@ -219,7 +266,7 @@
 
   #sync(host: SimulatedHost): void {
     const output = host.pending;
-    if (output === undefined || !host.isUp) return;
+    if (output === undefined || !host.isUp || host.isFrozen) return;
     host.pending = undefined;
     host.durable.push(...output.records);
     if (output.records.length > 0) {
@@ -238,6 +285,8 @@
       );
     }
     this.committed.set(index, text);
+    this.#newestIndex = Math.max(this.#newestIndex, index);
+    if (!this.committedMs.has(index)) this.committedMs.set(index, this.#nowMs);
     host.applied.push(entry);
   }
 
@@ -252,12 +301,14 @@
 
   /** Checks that a lease holder knows all committed entries. */
   #checkLease(): void {
-    const newest = Math.max(0, ...this.committed.keys());
-    this.hosts.filter((host) => host.isUp).forEach((host) => {
-      const nowMs = this.#nowMs * host.clockRate;
-      if (host.core.holdsLease(nowMs) && host.core.commitIndex < newest) {
+    const newest = this.#newestIndex;
+    this.#getRunning().forEach((host) => {
+      const isStale = host.core.holdsLease(this.getHostMs(host)) &&
+        host.core.commitIndex < newest;
+      if (isStale && this.checksLease) {
         throw new Error(`${host.id} would answer a stale read`);
       }
+      this.hasStaleLease ||= isStale;
     });
   }
 }
