Simulated group: comments of the freeze, and a return type

The comments on the new members said too little about a host that is frozen and about a run whose lease check is off. No test changes: leader_contact_test and agreement_test give 14 passed and the same 2 listed failures as before.

--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -29,10 +29,11 @@
   pending: DurableOutput | undefined;
   applied: LogEntry[];
   isUp: boolean;
-  /** While it is frozen, its clock stands still and messages to it wait. */
+  /** While a host is frozen, its clock stands still and messages to it wait. */
   isFrozen: boolean;
-  /** Time for which it has been frozen, in milliseconds. */
+  /** Total time for which it has been frozen, in milliseconds. */
   frozenMs: number;
+  /** Messages that wait for the end of the freeze. */
   waiting: ReplicaMessage[];
 }
 
@@ -58,9 +59,9 @@
   /** Bytes of commands sent to each host, whether delivered or not. */
   readonly sentBytes = new Map<string, number>();
   faults: NetworkFaults = { loss: 0, duplication: 0 };
-  /** Whether a stale lease is an error; {@linkcode hasStaleLease} tells of it. */
+  /** Whether a lease holder that lacks committed entries ends the run. */
   checksLease = true;
-  /** Whether a lease holder lacked committed entries at some time. */
+  /** Whether a lease holder has lacked committed entries at any time. */
   hasStaleLease = false;
   /** Maximum time that one event advances the clock by, in milliseconds. */
   maxStepMs = 10;
@@ -105,7 +106,10 @@
   }
 
   /** Continues a frozen host; the messages that waited for it may be lost. */
-  thaw(host: SimulatedHost, { losesMessages }: { losesMessages: boolean }) {
+  thaw(
+    host: SimulatedHost,
+    { losesMessages }: { losesMessages: boolean },
+  ): void {
     host.isFrozen = false;
     if (!losesMessages) this.#messages.push(...host.waiting);
     host.waiting = [];
