Confirm contact after a suspension before acting on old state

Ruled out: a quorum round for each read and start (an exchange for each), and CLOCK_BOOTTIME (no call for it in Node).

Change: SuspensionDetector compares the wall clock with the monotonic one; the answer may only make a process check again. A leader then holds no lease until a quorum has answered a later round. A follower is caught up only once the leader has returned a number that it sent since; requests of older builds lack the field and count as before. LeaderContact ends its grace period.

The simulated runner's wall clock goes on during a freeze now, as the platform's does, and its replica needs a message before it counts as caught up again. New: a step of the wall clock ends no lead and costs less than two heartbeats.

--- a/src/fleet/leader_contact.ts
+++ b/src/fleet/leader_contact.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
+import { SuspensionDetector } from "../sys/suspension_detector.ts";
 
 /** The part of a replica that shows its contact with the leader. */
 export interface ContactReplica {
@@ -34,6 +35,7 @@
 /** Tracks the contact of one replica with its leader. */
 export class LeaderContact {
   readonly #options: LeaderContactOptions;
+  readonly #suspensionDetector: SuspensionDetector;
   /** Monotonic time at which the replica was last caught up. */
   #caughtUpMs = -Infinity;
   #loggedLeader = "";
@@ -41,12 +43,14 @@
 
   constructor(options: LeaderContactOptions) {
     this.#options = options;
+    this.#suspensionDetector = new SuspensionDetector(options.clock);
   }
 
   /** Whether the applied state is caught up with the leader, or was recently. */
   isCurrent(): boolean {
     const replica = this.#options.getReplica();
     const nowMs = this.#options.clock.getMonotonicMs();
+    if (this.#suspensionDetector.check()) this.#caughtUpMs = -Infinity;
     if (replica?.isCaughtUp() === true) this.#caughtUpMs = nowMs;
     const isCurrent = nowMs - this.#caughtUpMs < CONTACT_GRACE_MS;
     if (replica !== undefined) this.#logChange(replica, isCurrent);
--- a/src/state/agreement/follower_progress.ts
+++ b/src/state/agreement/follower_progress.ts
@@ -5,6 +5,7 @@
  * proves contact only at the time when the round was sent, from which the lease
  * counts, not when the reply arrived.
  */
+import type { AppendReply } from "../../schema/mod.ts";
 import { MAX_APPEND_BYTES } from "./timing.ts";
 
 /** Entries of an append request that is not acknowledged yet. */
@@ -33,6 +34,8 @@
   sent: InflightEntries[];
   /** Time of the last snapshot transfer; -Infinity if none is pending. */
   snapshotSentMs: number;
+  /** Contact check that the member sent last, which is sent back to it. */
+  contactCheck: bigint;
 }
 
 /**
@@ -80,6 +83,7 @@
         probeSentMs: -Infinity,
         sent: [],
         snapshotSentMs: -Infinity,
+        contactCheck: 0n,
       })
     );
   }
@@ -91,10 +95,11 @@
     this.#sentMsByRound.delete(this.#round - MAX_TRACKED_ROUNDS);
   }
 
-  /** Records that a member replied to a message of `round`. */
-  recordReply(progress: Progress, round: number): void {
-    const sentMs = this.#sentMsByRound.get(round) ?? -Infinity;
+  /** Records that a member replied to a message of a round. */
+  recordReply(progress: Progress, reply: AppendReply): void {
+    const sentMs = this.#sentMsByRound.get(Number(reply.round)) ?? -Infinity;
     progress.lastContactMs = Math.max(progress.lastContactMs, sentMs);
+    progress.contactCheck = reply.contactCheck;
   }
 
   /** Records entries as in flight and advances `nextIndex` past them. */
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -20,6 +20,7 @@
 import type { Folder } from "../../sys/files.ts";
 import type { Random } from "../../sys/random.ts";
 import { getReason, ServingError } from "../../sys/errors.ts";
+import { SuspensionDetector } from "../../sys/suspension_detector.ts";
 import type { Log } from "../../sys/log.ts";
 import { MetricName, type Metrics } from "../../sys/metrics.ts";
 import {
@@ -132,6 +133,7 @@
   #pendingInstall:
     | { image: SnapshotImage; from: string; round: bigint }
     | undefined;
+  readonly #suspensionDetector: SuspensionDetector;
   #stopped = false;
   #reportedRole: Role = Role.follower;
   #hasCaughtUp = false;
@@ -142,6 +144,7 @@
     this.#options = options;
     this.#timing = options.timing ?? DEFAULT_TIMING;
     this.#store = new ReplicaStore(options.folder);
+    this.#suspensionDetector = new SuspensionDetector(options.clock);
   }
 
   /** Recovers the durable state and joins the group. */
@@ -220,6 +223,7 @@
    * leader sent its last message.
    */
   isCaughtUp(): boolean {
+    this.#checkSuspension();
     return !this.#stopped &&
       this.#core?.isCaughtUp(this.#appliedIndex) === true;
   }
@@ -231,6 +235,7 @@
 
   /** Whether the local state may answer linearizable reads. */
   canRead(): boolean {
+    this.#checkSuspension();
     const core = this.#core;
     return core !== undefined && !this.#stopped &&
       this.#appliedIndex >= core.commitIndex &&
@@ -243,6 +248,7 @@
    * applying them, so its state is never behind a reply that it sent.
    */
   canServe(): boolean {
+    this.#checkSuspension();
     const core = this.#core;
     return core !== undefined && !this.#stopped &&
       this.#appliedIndex >= core.termStartIndex &&
@@ -263,6 +269,7 @@
     // A host that lost its disk comes back under a new id at its old address.
     // Messages for the old id still arrive there while it is a member.
     if (message.to !== this.#options.id) return;
+    this.#checkSuspension();
     core.receive(message, this.#options.clock.getMonotonicMs());
     if (message.body.case === "snapshotRequest") {
       this.#receiveSnapshot(core, message, message.body.value);
@@ -371,7 +378,20 @@
     send(this.#diskWake, true);
   }
 
+  /** Must precede each use of the core that depends on its clock. */
+  #checkSuspension(): void {
+    if (!this.#suspensionDetector.check()) return;
+    this.#core?.recordSuspension(this.#options.clock.getMonotonicMs());
+    this.#options.log.info("contact_checked", {
+      group: this.#options.group,
+      leader: this.leader,
+      term: this.term,
+      reason: "the wall clock and the monotonic clock disagree",
+    });
+  }
+
   #tick(): void {
+    this.#checkSuspension();
     this.#core?.tick(this.#options.clock.getMonotonicMs());
     this.#hasCaughtUp ||= this.isCaughtUp();
     this.#wake();
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -116,6 +116,12 @@
   #broadcastDue = false;
   /** Whether this leader has sent TimeoutNow in its term. */
   #timeoutNowSent = false;
+  /** Time of the last possible suspension, on the clock that it doesn't count. */
+  #suspendedMs = -Infinity;
+  /** Number of possible suspensions, which replies to the leader carry. */
+  #contactCheck = 0n;
+  /** Contact check that a leader sent back last. */
+  #confirmedContactCheck = 0n;
 
   constructor(options: ReplicaCoreOptions) {
     const { recovered } = options;
@@ -162,10 +168,11 @@
    * Whether a state with the entries up to `appliedIndex` holds everything that
    * was committed when the known leader sent its last message. A leader alone
    * proves nothing about that state: a member that was cut off, suspended or
-   * removed may hear of a leader long before it has the entries.
+   * removed may hear of a leader long before it has the entries. After a
+   * suspension, the messages that waited meanwhile prove nothing either.
    */
   isCaughtUp(appliedIndex: number): boolean {
-    return this.#leader !== "" &&
+    return this.#leader !== "" && this.#isContactConfirmed() &&
       appliedIndex >= Math.max(this.#commitIndex, this.#leaderCommitIndex) &&
       this.#log.tryGetTerm(appliedIndex) === this.term;
   }
@@ -220,9 +227,26 @@
     const canHoldLease = this.#role === Role.leader &&
       this.#transferTo === "" &&
       this.#commitIndex >= this.#termStartIndex;
-    if (!canHoldLease) return 0;
+    const contactMs = this.#getQuorumContactMs(nowMs);
+    if (!canHoldLease || contactMs <= this.#suspendedMs) return 0;
     const leaseMs = this.#timing.electionTimeoutMs * (1 - CLOCK_DRIFT_BOUND);
-    return this.#getQuorumContactMs(nowMs) + leaseMs - nowMs;
+    return contactMs + leaseMs - nowMs;
+  }
+
+  /**
+   * Records that this replica may have been suspended, which its clock did not
+   * count. Until an exchange of messages that begins now is complete, a leader
+   * holds no lease, and no replica counts as caught up.
+   */
+  recordSuspension(nowMs: number): void {
+    this.#suspendedMs = nowMs;
+    this.#contactCheck += 1n;
+  }
+
+  #isContactConfirmed(): boolean {
+    return this.#role === Role.leader
+      ? this.#getQuorumContactMs() > this.#suspendedMs
+      : this.#confirmedContactCheck === this.#contactCheck;
   }
 
   /** Advances the clock; fires the election and heartbeat timers. */
@@ -675,6 +699,7 @@
         commitIndex: BigInt(this.#commitIndex),
         entries,
         round: BigInt(this.#progressTracker.round),
+        contactCheck: progress.contactCheck,
       },
     });
   }
@@ -692,7 +717,7 @@
     const waitMs = this.#timing.electionTimeoutMs *
       SNAPSHOT_RETRY_ELECTION_TIMEOUTS;
     if (this.#nowMs < progress.snapshotSentMs + waitMs) {
-      this.#sendEmptyAppend(id);
+      this.#sendEmptyAppend(id, progress);
       return;
     }
     progress.snapshotSentMs = this.#nowMs;
@@ -700,13 +725,14 @@
   }
 
   /** Sends a heartbeat to a member whose log cannot be matched yet. */
-  #sendEmptyAppend(id: string): void {
+  #sendEmptyAppend(id: string, progress: Progress): void {
     this.#sendImmediately(id, {
       case: "appendRequest",
       value: {
         previousIndex: 0n,
         commitIndex: BigInt(this.#commitIndex),
         round: BigInt(this.#progressTracker.round),
+        contactCheck: progress.contactCheck,
       },
     });
   }
@@ -721,6 +747,7 @@
   #receiveAppend(message: ReplicaMessage, request: AppendRequest): void {
     assert(this.#role !== Role.leader, "a term must have a single leader");
     this.#recordLeaderContact(message.from);
+    this.#confirmedContactCheck = request.contactCheck ?? this.#contactCheck;
     this.#leaderCommitIndex = Math.max(
       this.#leaderCommitIndex,
       Number(request.commitIndex),
@@ -779,14 +806,19 @@
   ): void {
     this.#sendAfterSync(to, {
       case: "appendReply",
-      value: { accepted, matchIndex: BigInt(matchIndex), round },
+      value: {
+        accepted,
+        matchIndex: BigInt(matchIndex),
+        round,
+        contactCheck: this.#contactCheck,
+      },
     }, this.term);
   }
 
   #receiveAppendReply(message: ReplicaMessage, reply: AppendReply): void {
     const progress = this.#progressTracker.tryGet(message.from);
     if (this.#role !== Role.leader || progress === undefined) return;
-    this.#progressTracker.recordReply(progress, Number(reply.round));
+    this.#progressTracker.recordReply(progress, reply);
     const matchIndex = Number(reply.matchIndex);
     if (!reply.accepted) {
       const { round } = reply;
--- a/src/sys/clock.ts
+++ b/src/sys/clock.ts
@@ -69,6 +69,7 @@
 /** A clock that advances only on request, for tests and embedding. */
 export class ManualClock extends Clock {
   #nowMs: number;
+  #wallOffsetMs = 0;
   #nextOrder = 0;
   #pending: PendingTimer[] = [];
 
@@ -78,13 +79,18 @@
   }
 
   override getWallMs(): number {
-    return this.#nowMs;
+    return this.#nowMs + this.#wallOffsetMs;
   }
 
   override getMonotonicMs(): number {
     return this.#nowMs;
   }
 
+  /** Steps the wall clock only, as a suspension or an adjustment does. */
+  stepWall(ms: number): void {
+    this.#wallOffsetMs += ms;
+  }
+
   override startTimer(ms: number, action: () => void): Timer {
     const timer = { dueMs: this.#nowMs + ms, order: this.#nextOrder++, action };
     this.#pending.push(timer);
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -15,8 +15,12 @@
 } from "../schema/mod.ts";
 import { type DurableOutput, ReplicaCore, Role } from "../state/mod.ts";
 import { SeededRandom } from "../sys/random.ts";
+import { SuspensionDetector } from "../sys/suspension_detector.ts";
 
-const TIMING = { heartbeatMs: 50, electionTimeoutMs: 300 };
+/** Interval between the heartbeats of a leader, in milliseconds. */
+export const HEARTBEAT_MS = 50;
+
+const TIMING = { heartbeatMs: HEARTBEAT_MS, electionTimeoutMs: 300 };
 
 /** Maximum relative deviation of a host's clock rate from real time. */
 const MAX_CLOCK_DRIFT = 0.02;
@@ -51,6 +55,7 @@
   readonly #leaderByTerm = new Map<number, string>();
   /** Directed links that drop all messages, as `from>to`. */
   readonly blockedLinks = new Set<string>();
+  readonly #suspensionDetectors = new Map<string, SuspensionDetector>();
   #messages: ReplicaMessage[] = [];
   #nowMs = 1_000;
   #proposalCount = 0;
@@ -121,6 +126,7 @@
   }
 
   restart(host: SimulatedHost): void {
+    this.#suspensionDetectors.delete(host.id);
     const isMember = this.#membership.members.some((one) => one.id === host.id);
     const restarted = this.#createHost(
       host.id,
@@ -177,6 +183,7 @@
   /** Takes the outputs of all cores and checks the invariants. */
   drainOutputs(): void {
     this.#getRunning().forEach((host) => {
+      this.#checkSuspension(host);
       const prompt = host.core.tryTakeImmediateOutput();
       this.#enqueue(prompt?.messages ?? []);
       (prompt?.committed ?? []).forEach((entry) => this.#apply(host, entry));
@@ -221,7 +228,20 @@
     this.hosts.filter((host) => host.isFrozen).forEach((host) => {
       host.frozenMs += ms;
     });
-    this.#getRunning().forEach((host) => host.core.tick(this.getHostMs(host)));
+    this.#getRunning().forEach((host) => {
+      this.#checkSuspension(host);
+      host.core.tick(this.getHostMs(host));
+    });
+  }
+
+  #checkSuspension(host: SimulatedHost): void {
+    const detector = this.#suspensionDetectors.get(host.id) ??
+      new SuspensionDetector({
+        getWallMs: () => this.#nowMs,
+        getMonotonicMs: () => this.getHostMs(host),
+      });
+    this.#suspensionDetectors.set(host.id, detector);
+    if (detector.check()) host.core.recordSuspension(this.getHostMs(host));
   }
 
   #getRunning(): SimulatedHost[] {
@@ -255,8 +275,12 @@
     if (this.blockedLinks.has(`${message.from}>${message.to}`)) return;
     const host = this.hosts.find((one) => one.id === message.to);
     if (host?.isUp !== true) return;
-    if (host.isFrozen) host.waiting.push(message);
-    else host.core.receive(message, this.getHostMs(host));
+    if (host.isFrozen) {
+      host.waiting.push(message);
+      return;
+    }
+    this.#checkSuspension(host);
+    host.core.receive(message, this.getHostMs(host));
   }
 
   #syncOne(): void {
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -4,9 +4,9 @@
  */
 import { expect } from "chai";
 import { create } from "@bufbuild/protobuf";
-import { MemberSchema } from "../schema/mod.ts";
+import { MemberSchema, ReplicaMessageSchema } from "../schema/mod.ts";
 import { Role } from "../state/mod.ts";
-import { SimulatedGroup } from "./agreement_harness.ts";
+import { HEARTBEAT_MS, SimulatedGroup } from "./agreement_harness.ts";
 
 const STABILIZATION_MS = 3_000;
 
@@ -143,6 +143,51 @@
     });
   });
 
+  // Guards against a step of the wall clock that ends a sound leader's lead, or
+  // keeps a sound member from acting for longer than an exchange of messages.
+  it("confirms contact within a heartbeat after a step of the wall clock", () => {
+    const group = new SimulatedGroup(15, 3);
+    group.heal(STABILIZATION_MS);
+    const leader = group.tryGetLeader();
+    if (leader === undefined) throw new Error("no leader");
+    const { term } = leader.core;
+    const isSound = (host: typeof leader) =>
+      host === leader
+        ? host.core.holdsLease(group.getHostMs(host))
+        : host.core.isCaughtUp(getAppliedIndex(host));
+    expect(group.hosts.map(isSound)).deep.equal([true, true, true]);
+    group.hosts.forEach((host) =>
+      host.core.recordSuspension(group.getHostMs(host))
+    );
+    expect(group.hosts.map(isSound)).deep.equal([false, false, false]);
+    group.run(2 * HEARTBEAT_MS);
+    expect(group.hosts.map(isSound)).deep.equal([true, true, true]);
+    expect(leader.core.term).equal(term);
+  });
+
+  // A leader of an older build returns no contact check.
+  it("accepts the contact of a leader that returns no contact check", () => {
+    const group = new SimulatedGroup(15, 3);
+    group.heal(STABILIZATION_MS);
+    const leader = group.tryGetLeader();
+    const follower = group.hosts.find((host) => host !== leader);
+    if (leader === undefined || follower === undefined) {
+      throw new Error("no leader");
+    }
+    const nowMs = group.getHostMs(follower);
+    follower.core.recordSuspension(nowMs);
+    follower.core.receive(
+      create(ReplicaMessageSchema, {
+        from: leader.id,
+        to: follower.id,
+        term: BigInt(leader.core.term),
+        body: { case: "appendRequest", value: {} },
+      }),
+      nowMs,
+    );
+    expect(follower.core.isCaughtUp(getAppliedIndex(follower))).equal(true);
+  });
+
   it("bounds the unacknowledged bytes of an unreachable member", () => {
     const group = new SimulatedGroup(14, 3);
     group.heal(STABILIZATION_MS);
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -1,6 +1,6 @@
 /**
- * Simulated runners of one store group. Each has its own clock, which stands
- * still while it is frozen, and its own copy of the replicated state, which may
+ * Simulated runners of one store group. Each has its own clocks, of which only
+ * the wall clock goes on while it is frozen, and its own copy of the replicated state, which may
  * lag behind the log. Records may be slow, be lost, or be committed without a
  * reply. Backend servers are simulated too and count the runs of each item.
  */
@@ -90,6 +90,8 @@
   isFrozen = false;
   /** Time on its own clock before which nothing reaches it. */
   #unreachableUntilMs = 0;
+  /** Whether a message has reached it since the last freeze. */
+  #isContactConfirmed = true;
 
   constructor(id: string, simulation: RunnerSimulation) {
     this.id = id;
@@ -113,7 +115,8 @@
         leader: this.hasLeader ? "leader" : "",
         term: 1,
         appliedIndex: this.appliedIndex,
-        isCaughtUp: () => this.hasLeader && this.getsEntries,
+        isCaughtUp: () =>
+          this.hasLeader && this.getsEntries && this.#isContactConfirmed,
       }),
       clock: this.clock,
       log: this.log,
@@ -140,10 +143,15 @@
 
   /** Advances this runner's time and applies what has reached it. */
   advance(ms: number): void {
-    if (this.isFrozen) return;
+    if (this.isFrozen) {
+      this.clock.stepWall(ms);
+      this.#isContactConfirmed = false;
+      return;
+    }
     this.clock.advance(ms);
     if (this.clock.getMonotonicMs() < this.#unreachableUntilMs) return;
     if (!this.hasLeader || !this.getsEntries) return;
+    this.#isContactConfirmed = true;
     this.applyUntil(this.#simulation.nowMs - this.applyLagMs);
   }
 
