--- a/src/fleet/attempt_outcome_handler.ts
+++ b/src/fleet/attempt_outcome_handler.ts
@@ -3,7 +3,8 @@
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { createDeadLetterResult, type QueuedJob } from "../state/mod.ts";
 import { MetricName } from "../sys/metrics.ts";
-import type { AttemptOutcome, ItemProgress } from "./item_attempt.ts";
+import type { AttemptOutcome } from "./item_attempt.ts";
+import type { ItemProgress } from "./item_progress.ts";
 import type { ItemQueue } from "./item_queue.ts";
 import {
   getItemKey,
@@ -58,10 +59,11 @@
       case "stopped":
         return;
       case "failed": {
-        const failureCount = queued.failures.get(item.id) ?? 0;
+        const count = (queued.failures.get(item.id) ?? 0) + 1;
+        const { chain } = progress;
         progress.reset();
         context.metrics.count(MetricName.itemFailures);
-        recorder.addFailure(queued.job.id, item.id, failureCount + 1);
+        recorder.addFailure(queued.job.id, item.id, { count, chain });
         break;
       }
       case "broken":
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -4,7 +4,7 @@
  * last complete event.
  */
 import type { JobItem } from "../schema/mod.ts";
-import { EventSequence, EventSplitter, parseEvents } from "../relay/mod.ts";
+import { EventSplitter } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import { readBody } from "../sys/http.ts";
 import type {
@@ -13,64 +13,9 @@
   BackendResponse,
 } from "./backend_client.ts";
 import type { BackendDialect } from "./dialects.ts";
+import type { ItemProgress } from "./item_progress.ts";
 import type { ServerPermit } from "./server_pool.ts";
 
-/** Output that an item has produced so far. */
-export class ItemProgress {
-  #sequence: EventSequence;
-  readonly #eventData: string[] = [];
-  /** Number of the last recorded event, and count of recorded data chunks. */
-  #recorded: { last: number; count: number };
-
-  /** Starts from recorded output; empty if there is none. */
-  constructor(recorded?: { last: number; text: string }) {
-    this.#sequence = new EventSequence(recorded?.last);
-    if (recorded !== undefined) this.#eventData.push(recorded.text);
-    this.#recorded = {
-      last: recorded?.last ?? 0,
-      count: this.#eventData.length,
-    };
-  }
-
-  /** Output since the previous call; undefined if there is none. */
-  tryTakeUnrecorded():
-    | { after: number; last: number; text: string }
-    | undefined {
-    const { last: after, count } = this.#recorded;
-    const last = this.#sequence.last ?? 0;
-    if (last <= after || this.#eventData.length <= count) return undefined;
-    const text = this.#eventData.slice(count).join("\n");
-    this.#recorded = { last, count: this.#eventData.length };
-    return { after, last, text };
-  }
-
-  /** Number of the last event; undefined before the first event. */
-  get last(): number | undefined {
-    return this.#sequence.last;
-  }
-
-  /** Data of all events in order, separated by line feeds. */
-  get text(): string {
-    return this.#eventData.join("\n");
-  }
-
-  /** Appends complete events; returns false on a gap or a repeated event. */
-  appendEvents(bytes: Buffer): boolean {
-    return parseEvents(bytes).every((event) => {
-      if (!this.#sequence.accept(event.id)) return false;
-      this.#eventData.push(event.data);
-      return true;
-    });
-  }
-
-  /** Discards all output, so that the item restarts from its first event. */
-  reset(): void {
-    this.#sequence = new EventSequence(undefined);
-    this.#eventData.length = 0;
-    this.#recorded = { last: 0, count: 0 };
-  }
-}
-
 /** Outcome of one attempt to run an item. */
 export type AttemptOutcome =
   | { readonly kind: "done" }
--- /dev/null
+++ b/src/fleet/item_progress.ts
@@ -0,0 +1,117 @@
+/**
+ * Output of one item in one process, across the attempts of a chain: each
+ * attempt continues after the last event of the one before. The number of the
+ * chain tells its parts in the log from those of other processes, whose text
+ * differs although the events have the same numbers.
+ */
+import { EventSequence, parseEvents } from "../relay/mod.ts";
+import { type ItemProgressRecord, joinProgressParts } from "../state/mod.ts";
+import type { Random } from "../sys/random.ts";
+
+/** Data of an event. */
+interface EventData {
+  /** Number of the event, or of the next one if it has none. */
+  readonly event: number;
+  readonly data: string;
+}
+
+/** Output that continues what is recorded. */
+export interface UnrecordedOutput {
+  readonly after: number;
+  readonly last: number;
+  readonly text: string;
+}
+
+/** Exclusive limit of the numbers of chains. */
+const CHAIN_LIMIT = Number.MAX_SAFE_INTEGER;
+
+/** Options of an {@linkcode ItemProgress}. */
+export interface ItemProgressOptions {
+  readonly random: Random;
+  /** Recorded output that the chain continues; by default it starts anew. */
+  readonly recorded?: ItemProgressRecord;
+}
+
+/** Output that an item has produced so far. */
+export class ItemProgress {
+  readonly #random: Random;
+  #sequence: EventSequence;
+  #chain: bigint;
+  /** Number of the event after which the chain began. */
+  #chainAfter: number;
+  /** Output up to that event. */
+  #restored: string | undefined;
+  readonly #events: EventData[] = [];
+
+  constructor({ random, recorded }: ItemProgressOptions) {
+    this.#random = random;
+    this.#chain = createChain(random);
+    this.#sequence = new EventSequence(recorded?.last);
+    this.#chainAfter = recorded?.last ?? 0;
+    this.#restored = recorded === undefined
+      ? undefined
+      : Buffer.from(joinProgressParts(recorded.parts)).toString("utf8");
+  }
+
+  /** Number of the chain. */
+  get chain(): bigint {
+    return this.#chain;
+  }
+
+  /** Number of the event after which the chain began; 0 for the first event. */
+  get chainAfter(): number {
+    return this.#chainAfter;
+  }
+
+  /** Number of the last event; undefined before the first event. */
+  get last(): number | undefined {
+    return this.#sequence.last;
+  }
+
+  /** Data of all events in order, separated by line feeds. */
+  get text(): string {
+    const own = this.#events.map(({ data }) => data);
+    return [...this.#restored === undefined ? [] : [this.#restored], ...own]
+      .join("\n");
+  }
+
+  /**
+   * Output that the recorded output lacks; undefined if there is none, or if the
+   * recorded output belongs to another chain that this one doesn't continue.
+   */
+  tryGetUnrecorded(
+    recorded: Pick<ItemProgressRecord, "last" | "chain"> | undefined,
+  ): UnrecordedOutput | undefined {
+    const after = recorded?.last ?? 0;
+    const last = this.#sequence.last ?? 0;
+    const isOwn = recorded?.chain === this.#chain || after === this.#chainAfter;
+    if (!isOwn || last <= after) return undefined;
+    const text = this.#events
+      .filter(({ event }) => event > after && event <= last)
+      .map(({ data }) => data).join("\n");
+    return { after, last, text };
+  }
+
+  /** Appends complete events; returns false on a gap or a repeated event. */
+  appendEvents(bytes: Buffer): boolean {
+    return parseEvents(bytes).every(({ id, data }) => {
+      if (!this.#sequence.accept(id)) return false;
+      this.#events.push({ event: id ?? (this.last ?? 0) + 1, data });
+      return true;
+    });
+  }
+
+  /** Discards all output and begins a chain with the first event. */
+  reset(): void {
+    this.#chain = createChain(this.#random);
+    this.#sequence = new EventSequence(undefined);
+    this.#chainAfter = 0;
+    this.#restored = undefined;
+    this.#events.length = 0;
+  }
+}
+
+/** Creates the number of a new chain; never 0. */
+function createChain(random: Random): bigint {
+  return BigInt(random.getIntegerBelow(CHAIN_LIMIT) + 1);
+}
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -46,6 +46,8 @@
   readonly getOpenJobs: () => readonly QueuedJob[];
   /** Whether this process may run items and record their outcomes now. */
   readonly canRun: () => boolean;
+  /** Whether the replicated state tells recorded runs apart by their chains. */
+  readonly identifiesChains: () => boolean;
   /** Log index up to which the state of the jobs has been applied. */
   readonly getAppliedIndex: () => number;
   readonly ownership: ItemOwnership;
@@ -101,7 +103,7 @@
 export class ItemRunner {
   readonly #options: ItemRunnerOptions;
   readonly #activeRuns = new ActiveRuns();
-  readonly #progress = new ProgressTracker();
+  readonly #progress: ProgressTracker;
   readonly #queue = new ItemQueue();
   readonly #preemptionCooldown = new PreemptionCooldown();
   readonly #runTimeEstimator = new RunTimeEstimator();
@@ -110,6 +112,7 @@
   #lastPassMs = -Infinity;
   /** Applied index of the open items seen last; undefined if none might run. */
   #openItemsIndex: number | undefined;
+  #isRecordingProgress = false;
   #schedulingTimer: Timer | undefined;
   #pendingPass: Timer | undefined;
   #progressTimer: Timer | undefined;
@@ -117,6 +120,7 @@
 
   constructor(options: ItemRunnerOptions) {
     this.#options = options;
+    this.#progress = new ProgressTracker(options.context.random);
     this.#recorder = new RunRecorder({
       record: options.record,
       canRecord: options.canRun,
@@ -144,15 +148,15 @@
     this.#progressTimer = this.#options.context.clock.startInterval(
       PROGRESS_INTERVAL_MS,
       () => {
-        this.#recordProgress();
+        if (!this.#isRecordingProgress) this.#recordProgress();
         this.#logUtilization();
       },
     );
   }
 
   /**
-   * Stops all runs and records the outcomes of earlier ones, within `limitMs`.
-   * The other runners of the group resume the items.
+   * Stops all runs and records their output and outcomes, within `limitMs`. The
+   * other runners of the group resume the items.
    */
   async stop(limitMs: number): Promise<void> {
     this.#stopped = true;
@@ -160,7 +164,11 @@
     this.#pendingPass?.cancel();
     this.#progressTimer?.cancel();
     this.#activeRuns.stopAll();
-    await this.#recorder.close(limitMs);
+    const { clock } = this.#options.context;
+    await Promise.all([
+      Promise.race([this.#recordProgress(), clock.delay(limitMs)]),
+      this.#recorder.close(limitMs),
+    ]);
   }
 
   /** Requests a scheduling pass after a change; requests are coalesced. */
@@ -186,7 +194,9 @@
     this.#lastPassMs = this.#options.context.clock.getMonotonicMs();
     // Outcomes are kept while no items may run, so that the items don't start
     // again on a state without them.
-    this.#recorder.removeApplied(this.#options.getOpenJobs());
+    this.#recorder.removeApplied(this.#options.getOpenJobs(), {
+      identifiesChains: this.#options.identifiesChains(),
+    });
     const jobs = this.#getRunnableJobs();
     this.#applyOwnership(jobs);
     this.#preemptRuns();
@@ -209,6 +219,8 @@
         is_runner: ownership.isRunner,
         applied: appliedIndex,
       });
+      // The next owners of items continue after their recorded output.
+      this.#recordProgress();
     }
     const openItemsIndex = canRun() ? appliedIndex : undefined;
     const isUnchanged = openItemsIndex !== undefined &&
@@ -423,6 +435,7 @@
       job: run.job,
       item: run.item,
       server: run.server,
+      chain: String(progress.chain),
       after_event: progress.last ?? 0,
       failures: queued.failures.get(run.item) ?? 0,
       applied: this.#options.getAppliedIndex(),
@@ -487,24 +500,24 @@
     });
   }
 
-  /**
-   * Records the output that running items have produced since the last call.
-   * If one record is lost, the later ones of that item are dropped, because they
-   * don't continue the recorded output. The final result is always complete.
-   */
-  #recordProgress(): void {
-    const progress = this.#progress.takeUnrecorded(
+  /** Records the output of running items that the applied state lacks. */
+  async #recordProgress(): Promise<void> {
+    const progress = this.#progress.getUnrecorded(
       this.#getRunnableJobs(),
       (job, item) => this.#recorder.hasOutcome(job, item),
     );
     if (progress.length === 0) return;
-    this.#options.record(create(RecordRunsSchema, { progress })).catch(
-      (error) =>
-        this.#options.context.log.warn("progress_not_recorded", {
-          items: progress.length,
-          reason: getReason(error),
-        }),
-    );
+    this.#isRecordingProgress = true;
+    try {
+      await this.#options.record(create(RecordRunsSchema, { progress }));
+    } catch (error) {
+      this.#options.context.log.warn("progress_not_recorded", {
+        items: progress.length,
+        reason: getReason(error),
+      });
+    } finally {
+      this.#isRecordingProgress = false;
+    }
   }
 }
 
--- a/src/fleet/progress_tracker.ts
+++ b/src/fleet/progress_tracker.ts
@@ -9,25 +9,35 @@
   type RunProgress,
   RunProgressSchema,
 } from "../schema/mod.ts";
-import { joinProgressParts, type QueuedJob } from "../state/mod.ts";
-import { ItemProgress } from "./item_attempt.ts";
+import type { QueuedJob } from "../state/mod.ts";
+import type { Random } from "../sys/random.ts";
+import { ItemProgress } from "./item_progress.ts";
 import { getItemKey } from "./run_recorder.ts";
 
 /** Partial output of the items that one process has run. */
 export class ProgressTracker {
+  readonly #random: Random;
   readonly #progressByKey = new Map<string, ItemProgress>();
 
+  constructor(random: Random) {
+    this.#random = random;
+  }
+
   tryGet(key: string): ItemProgress | undefined {
     return this.#progressByKey.get(key);
   }
 
   /** Returns an item's progress, restored from recorded output on first use. */
-  getOrCreate(queued: QueuedJob, item: JobItem): ItemProgress {
-    const key = getItemKey(queued.job.id, item.id);
-    const progress = this.#progressByKey.get(key) ??
-      restoreProgress(queued, item);
-    this.#progressByKey.set(key, progress);
-    return progress;
+  getOrCreate({ job, progress }: QueuedJob, item: JobItem): ItemProgress {
+    const key = getItemKey(job.id, item.id);
+    const recorded = progress.get(item.id);
+    const itemProgress = this.#progressByKey.get(key) ??
+      new ItemProgress({
+        random: this.#random,
+        ...recorded === undefined ? {} : { recorded },
+      });
+    this.#progressByKey.set(key, itemProgress);
+    return itemProgress;
   }
 
   /** Drops the progress of all items except the given ones. */
@@ -36,31 +46,28 @@
       .forEach((key) => this.#progressByKey.delete(key));
   }
 
-  /** Returns the output since the last call of items without an outcome. */
-  takeUnrecorded(
+  /** Returns what the applied state lacks of items without an outcome. */
+  getUnrecorded(
     jobs: readonly QueuedJob[],
     hasOutcome: (job: string, item: string) => boolean,
   ): RunProgress[] {
-    return jobs.flatMap(({ job, open }) =>
+    return jobs.flatMap(({ job, open, progress }) =>
       [...open.keys()].filter((item) => !hasOutcome(job.id, item))
         .flatMap((item) => {
-          const part = this.#progressByKey.get(getItemKey(job.id, item))
-            ?.tryTakeUnrecorded();
-          return part === undefined ? [] : [create(RunProgressSchema, {
-            job: job.id,
-            item,
-            after: BigInt(part.after),
-            last: BigInt(part.last),
-            text: Buffer.from(part.text, "utf8"),
-          })];
+          const own = this.#progressByKey.get(getItemKey(job.id, item));
+          const output = own?.tryGetUnrecorded(progress.get(item));
+          return own === undefined || output === undefined
+            ? []
+            : [create(RunProgressSchema, {
+              job: job.id,
+              item,
+              after: BigInt(output.after),
+              last: BigInt(output.last),
+              text: Buffer.from(output.text, "utf8"),
+              chain: own.chain,
+              chainAfter: BigInt(own.chainAfter),
+            })];
         })
     );
   }
 }
-
-function restoreProgress(queued: QueuedJob, item: JobItem): ItemProgress {
-  const recorded = queued.progress.get(item.id);
-  if (recorded === undefined) return new ItemProgress();
-  const text = Buffer.from(joinProgressParts(recorded.parts)).toString("utf8");
-  return new ItemProgress({ last: recorded.last, text });
-}
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -50,19 +50,24 @@
 }
 
 /** Applied state of a job, as far as outcomes are concerned. */
-export type AppliedJob = Pick<QueuedJob, "open" | "failures"> & {
-  readonly job: { readonly id: string };
-};
+export type AppliedJob =
+  & Pick<QueuedJob, "open" | "failures" | "failedChains">
+  & { readonly job: { readonly id: string } };
 
-/** Count of a final outcome; no applied failure count reaches it. */
-const FINAL = Infinity;
+/** A failure of a backend server that ran an item. */
+export interface ItemFailure {
+  /** Number of failures of the item that this process knows, this one included. */
+  readonly count: number;
+  /** Chain of attempts that ended with the failure. */
+  readonly chain: bigint;
+}
 
 /** An outcome of an item that the applied state lacks. */
 interface UnappliedOutcome {
   readonly job: string;
   readonly item: string;
-  /** Failure count that contains the outcome, or {@linkcode FINAL}. */
-  readonly count: number;
+  /** Undefined if the outcome is final. */
+  readonly failure: ItemFailure | undefined;
 }
 
 /** Batches and records the outcomes of one process. */
@@ -81,7 +86,8 @@
 
   /** Whether an item has a final outcome here that is not applied yet. */
   hasOutcome(job: string, item: string): boolean {
-    return this.#unapplied.get(getItemKey(job, item))?.count === FINAL;
+    const outcome = this.#unapplied.get(getItemKey(job, item));
+    return outcome !== undefined && outcome.failure === undefined;
   }
 
   /**
@@ -92,16 +98,25 @@
     return !this.#unapplied.has(getItemKey(job, item));
   }
 
-  /** Drops the outcomes that the applied state contains. */
-  removeApplied(jobs: readonly AppliedJob[]): void {
+  /**
+   * Drops the outcomes that the applied state contains. While the state does not
+   * tell chains apart, it may count another runner's failure instead of this one.
+   */
+  removeApplied(
+    jobs: readonly AppliedJob[],
+    options: { identifiesChains: boolean },
+  ): void {
     if (this.#unapplied.size === 0) return;
     const jobsById = new Map(jobs.map((queued) => [queued.job.id, queued]));
-    this.#unapplied.forEach(({ job, item, count }, key) => {
+    this.#unapplied.forEach(({ job, item, failure }, key) => {
       const queued = jobsById.get(job);
-      const applied = queued?.open.has(item) === true
-        ? queued.failures.get(item) ?? 0
-        : FINAL;
-      if (applied >= count) this.#unapplied.delete(key);
+      const isOpen = queued?.open.has(item) === true;
+      const isApplied = !isOpen || failure !== undefined && (
+            queued.failedChains.get(item)?.includes(failure.chain) === true ||
+            !options.identifiesChains &&
+              (queued.failures.get(item) ?? 0) >= failure.count
+          );
+      if (isApplied) this.#unapplied.delete(key);
     });
   }
 
@@ -119,16 +134,16 @@
   addOutcome(job: string, result: ItemOutcome): void {
     this.#unapplied.set(
       getItemKey(job, result.id),
-      { job, item: result.id, count: FINAL },
+      { job, item: result.id, failure: undefined },
     );
     this.#finished.push(create(FinishedRunSchema, { job, result }));
     this.#schedule();
   }
 
-  /** Queues the `count`th failure of a backend server that ran an item. */
-  addFailure(job: string, item: string, count: number): void {
-    this.#unapplied.set(getItemKey(job, item), { job, item, count });
-    this.#failed.push(create(FailedRunSchema, { job, item, count }));
+  /** Queues a failure of a backend server that ran an item. */
+  addFailure(job: string, item: string, failure: ItemFailure): void {
+    this.#unapplied.set(getItemKey(job, item), { job, item, failure });
+    this.#failed.push(create(FailedRunSchema, { job, item, ...failure }));
     this.#schedule();
   }
 
@@ -151,8 +166,8 @@
     const finished = this.#finished.filter(({ job, result }) =>
       this.hasOutcome(job, result?.id ?? "")
     );
-    const failed = this.#failed.filter(({ job, item, count }) =>
-      this.#unapplied.get(getItemKey(job, item))?.count === count
+    const failed = this.#failed.filter(({ job, item, chain }) =>
+      this.#unapplied.get(getItemKey(job, item))?.failure?.chain === chain
     );
     this.#finished = [];
     this.#failed = [];
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -109,6 +109,7 @@
     this.#itemRunner = new ItemRunner({
       getOpenJobs: () => this.#machine.getOpenJobs(),
       canRun: () => leaderContact.isCurrent(),
+      identifiesChains: () => this.#machine.identifiesChains,
       getAppliedIndex: () => this.#member?.replica.appliedIndex ?? 0,
       ownership: new ItemOwnership({
         getId: () => this.#member?.replica.id ?? "",
@@ -183,6 +184,7 @@
       dataCentre: this.#settings.dataCentre,
       ready: this.isReady,
       openJobs: this.#machine.getOpenJobs().length,
+      commandVersion: this.#machine.activeVersion,
       runs: this.#itemRunner.runCount,
       replica: this.#member?.getDump(),
       metrics: this.#context.metrics.getSums(),
@@ -260,29 +262,39 @@
     this.#member = member;
   }
 
-  /** On the leader: proposes a new list of runners if it has to change. */
+  /**
+   * On the leader: proposes a new list of runners, or a newer version of commands
+   * that all members apply, if either has to change.
+   */
   #updateRunners(): void {
     const replica = this.#member?.replica;
     if (replica?.canServe() !== true || this.#isChangingRunners) return;
-    const members = replica.getMemberHealth().map(({ member, silentMs }) => ({
+    const health = replica.getMemberHealth();
+    const members = health.map(({ member, silentMs }) => ({
       id: member.id,
       isLearner: member.learner,
       silentMs,
     }));
-    const ids = tryPlanRunners({
+    const plannedIds = tryPlanRunners({
       members,
       leader: replica.id,
       retired: new Set(this.#backends.view.hosts.retired),
       current: this.#machine.runners,
       serverCount: this.#backends.view.servers.getReadyCount(),
     });
-    if (ids === undefined) return;
+    const commandVersion = Math.min(
+      ...health.map((member) => member.commandVersion),
+    );
+    const isUpgrade = commandVersion > this.#machine.activeVersion;
+    if (plannedIds === undefined && !isUpgrade) return;
+    const ids = plannedIds ?? [...this.#machine.runners];
     this.#context.log.info("runners_change", {
       runners: ids.join(),
       before: this.#machine.runners.join(),
+      command_version: commandVersion,
     });
     const command = create(JobCommandSchema, {
-      command: { case: "setRunners", value: { ids } },
+      command: { case: "setRunners", value: { ids, commandVersion } },
     });
     this.#isChangingRunners = true;
     replica.propose(toBinary(JobCommandSchema, command))
--- a/src/state/agreement/follower_progress.ts
+++ b/src/state/agreement/follower_progress.ts
@@ -36,6 +36,8 @@
   snapshotSentMs: number;
   /** Contact check that the member sent last, which is sent back to it. */
   contactCheck: bigint;
+  /** Newest version of commands that the member applies; 0 until it replies. */
+  commandVersion: number;
 }
 
 /**
@@ -84,6 +86,7 @@
         sent: [],
         snapshotSentMs: -Infinity,
         contactCheck: 0n,
+        commandVersion: 0,
       })
     );
   }
@@ -100,6 +103,7 @@
     const sentMs = this.#sentMsByRound.get(Number(reply.round)) ?? -Infinity;
     progress.lastContactMs = Math.max(progress.lastContactMs, sentMs);
     progress.contactCheck = reply.contactCheck;
+    progress.commandVersion = reply.commandVersion;
   }
 
   /** Records entries as in flight and advances `nextIndex` past them. */
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -98,6 +98,8 @@
   readonly silentMs: number;
   /** Whether it holds every committed entry. */
   readonly isCurrent: boolean;
+  /** Newest version of commands that it applies; 0 until it has replied. */
+  readonly commandVersion: number;
 }
 
 /** State of a replica as shown in a dump. */
@@ -161,6 +163,7 @@
       random: this.#options.random,
       nowMs: this.#options.clock.getMonotonicMs(),
       timing: this.#timing,
+      commandVersion: this.#options.machine.commandVersion,
     });
     const tickMs = this.#timing.heartbeatMs / TICKS_PER_HEARTBEAT;
     this.#timer = this.#options.clock.startInterval(tickMs, () => this.#tick());
@@ -339,6 +342,7 @@
       member,
       silentMs: Math.max(0, nowMs - core.getLastContactMs(member.id)),
       isCurrent: core.getMatchIndex(member.id) >= core.commitIndex,
+      commandVersion: core.getCommandVersion(member.id),
     }));
   }
 
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -70,6 +70,8 @@
   readonly random: Random;
   readonly nowMs: number;
   readonly timing?: AgreementTiming;
+  /** Newest version of the group's commands that this replica applies. */
+  readonly commandVersion?: number;
 }
 
 /** Raft state of one replica. */
@@ -78,6 +80,7 @@
   readonly #group: number;
   readonly #random: Random;
   readonly #timing: AgreementTiming;
+  readonly #commandVersion: number;
   readonly #log: EntryLog;
   readonly #initialMembership: Membership;
   /** Membership at the base index of the log. */
@@ -129,6 +132,7 @@
     this.#group = options.group;
     this.#random = options.random;
     this.#timing = options.timing ?? DEFAULT_TIMING;
+    this.#commandVersion = options.commandVersion ?? 0;
     this.#log = new EntryLog(recovered.mark, recovered.entries);
     this.#hardState = recovered.hardState;
     this.#initialMembership = options.initialMembership;
@@ -206,6 +210,13 @@
       : this.#progressTracker.tryGet(id)?.matchIndex ?? 0;
   }
 
+  /** Version of commands that `id` applies; valid on the leader only. */
+  getCommandVersion(id: string): number {
+    return id === this.#id
+      ? this.#commandVersion
+      : this.#progressTracker.tryGet(id)?.commandVersion ?? 0;
+  }
+
   /** Time at which `id` was last in contact; valid on the leader only. */
   getLastContactMs(id: string): number {
     return id === this.#id
@@ -811,6 +822,7 @@
         matchIndex: BigInt(matchIndex),
         round,
         contactCheck: this.#contactCheck,
+        commandVersion: this.#commandVersion,
       },
     }, this.term);
   }
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -2,10 +2,13 @@
  * State machine of the store group, which gateways and runners use: jobs of
  * opaque requests. Submitting a job is idempotent, results are append-only, and
  * an item has at most one result. The state includes the list of runners, but
- * not which runner runs an item.
+ * not which runner runs an item. What two runners record for one item is told
+ * apart by the chains that their attempts belong to.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import {
+  type FailedRun,
+  FailedRunSchema,
   ItemEnd,
   type ItemResult,
   ItemResultSchema,
@@ -14,6 +17,7 @@
   type JobItem,
   MessageCode,
   type RecordRuns,
+  type RunnerList,
   RunnerListSchema,
   type RunProgress,
   type StoredJob,
@@ -28,6 +32,8 @@
   readonly last: number;
   /** Data of the events up to `last`; line feeds separate the events. */
   readonly parts: readonly Uint8Array[];
+  /** Chain of the last part; 0n if a build that knows no chains recorded it. */
+  readonly chain: bigint;
 }
 
 /** A submitted job and the state of its items. */
@@ -42,6 +48,8 @@
   readonly progress: Map<string, ItemProgressRecord>;
   /** Number of failed attempts of the open items, by item id. */
   readonly failures: Map<string, number>;
+  /** Chains of these attempts, by item id. */
+  readonly failedChains: Map<string, readonly bigint[]>;
   /** Items without a result by id, in submission order. */
   readonly open: Map<string, JobItem>;
 }
@@ -60,12 +68,17 @@
 
 const EMPTY_BYTES = new Uint8Array();
 
+/** First version of the commands that tells runs apart by their chains. */
+const CHAIN_COMMAND_VERSION = 1;
+
 /** Replicated state of the store group. */
 export class JobMachine extends StateMachine {
   readonly #endedJobTtlMs: number;
   readonly #jobs = new Map<string, QueuedJob>();
   readonly #waitingTokens = new Map<string, bigint>();
   #runners: readonly string[] = [];
+  #activeVersion = 0;
+  override readonly commandVersion = CHAIN_COMMAND_VERSION;
 
   constructor(options: JobMachineOptions = {}) {
     super();
@@ -82,6 +95,16 @@
     return this.#runners;
   }
 
+  /** Version of the rules by which commands are applied now. */
+  get activeVersion(): number {
+    return this.#activeVersion;
+  }
+
+  /** Whether recorded runs are told apart by their chains. */
+  get identifiesChains(): boolean {
+    return this.#activeVersion >= CHAIN_COMMAND_VERSION;
+  }
+
   /** Jobs that have open items and were not ended, oldest first. */
   getOpenJobs(): QueuedJob[] {
     return [...this.#jobs.values()].filter((queued) =>
@@ -101,7 +124,7 @@
       : 0;
     if (body.case === "recordRuns") this.#recordRuns(body.value);
     if (body.case === "end") this.#endJob(body.value.id);
-    if (body.case === "setRunners") this.#runners = body.value.ids;
+    if (body.case === "setRunners") this.#setRunners(body.value);
     return toBinary(
       JobCommandReplySchema,
       create(JobCommandReplySchema, { code }),
@@ -112,7 +135,10 @@
     // Copies the lists of all jobs before the first part. Later commands append
     // results, but don't change recorded ones.
     const stored = [...this.#jobs.values()].map(createStoredJob);
-    const runners = create(RunnerListSchema, { ids: [...this.#runners] });
+    const runners = create(RunnerListSchema, {
+      ids: [...this.#runners],
+      commandVersion: this.#activeVersion,
+    });
     yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
     for (const job of stored) yield toBinary(StoredJobSchema, job);
   }
@@ -121,10 +147,16 @@
     this.#jobs.clear();
     this.#waitingTokens.clear();
     this.#runners = [];
+    this.#activeVersion = 0;
     parts.map((part) => fromBinary(StoredJobSchema, part))
       .forEach((stored) => this.#restoreJob(stored));
   }
 
+  #setRunners({ ids, commandVersion }: RunnerList): void {
+    this.#runners = ids;
+    this.#activeVersion = Math.max(this.#activeVersion, commandVersion);
+  }
+
   #submitJob(job: SubmitJob, timeMs: number): MessageCode | 0 {
     if (this.#jobs.has(job.id)) return 0;
     this.#removeExpiredJobs(timeMs);
@@ -144,18 +176,25 @@
       this.#finishItem(queued, result);
     });
     runs.progress.forEach((part) => this.#recordProgress(part));
-    runs.failed.forEach(({ job, item, count }) => {
-      const queued = this.#jobs.get(job);
-      if (queued === undefined || !queued.open.has(item)) return;
-      const failures = (queued.failures.get(item) ?? 0) + 1;
-      // The failure is recorded already: the command may have been resent
-      // because its reply was lost.
-      if (count !== failures) return;
-      queued.failures.set(item, failures);
-      queued.progress.delete(item);
-      const attemptsSpent = failures >= queued.job.maxAttempts;
-      if (attemptsSpent) this.#finishItem(queued, createDeadLetterResult(item));
-    });
+    runs.failed.forEach((failed) => this.#recordFailure(failed));
+  }
+
+  #recordFailure(failed: FailedRun): void {
+    const { item, chain } = failed;
+    const queued = this.#jobs.get(failed.job);
+    if (queued === undefined || !queued.open.has(item)) return;
+    const failures = (queued.failures.get(item) ?? 0) + 1;
+    const chains = queued.failedChains.get(item) ?? [];
+    // A command may have been resent because its reply was lost.
+    const isCounted = this.identifiesChains && chain !== 0n
+      ? chains.includes(chain)
+      : failed.count !== failures;
+    if (isCounted) return;
+    queued.failures.set(item, failures);
+    queued.failedChains.set(item, [...chains, chain]);
+    queued.progress.delete(item);
+    const attemptsSpent = failures >= queued.job.maxAttempts;
+    if (attemptsSpent) this.#finishItem(queued, createDeadLetterResult(item));
   }
 
   /**
@@ -167,9 +206,13 @@
     if (queued === undefined || !queued.open.has(part.item)) return;
     const recorded = queued.progress.get(part.item);
     if (Number(part.after) !== (recorded?.last ?? 0)) return;
+    const continuesChain = part.chain !== 0n &&
+      (part.chain === recorded?.chain || part.chainAfter === part.after);
+    if (this.identifiesChains && !continuesChain) return;
     queued.progress.set(part.item, {
       last: Number(part.last),
       parts: [...recorded?.parts ?? [], part.text],
+      chain: part.chain,
     });
   }
 
@@ -182,6 +225,7 @@
     if (item === undefined) return;
     queued.open.delete(result.id);
     queued.failures.delete(result.id);
+    queued.failedChains.delete(result.id);
     queued.progress.delete(result.id);
     queued.results.push(result);
     // Frees the memory of the body. A snapshot that is still being encoded may
@@ -217,7 +261,7 @@
 
   #restoreJob(stored: StoredJob): void {
     const { job } = stored;
-    if (stored.runners !== undefined) this.#runners = stored.runners.ids;
+    if (stored.runners !== undefined) this.#setRunners(stored.runners);
     if (job === undefined) return;
     const queued = createQueuedJob(job, Number(stored.submittedMs));
     queued.isEnded = stored.ended;
@@ -229,10 +273,17 @@
       const failures = stored.failures[position] ?? 0;
       if (failures > 0) queued.failures.set(item.id, failures);
     });
+    stored.failedRuns.forEach(({ item, chain }) =>
+      queued.failedChains.set(item, [
+        ...queued.failedChains.get(item) ?? [],
+        chain,
+      ])
+    );
     stored.progress.forEach((part) =>
       queued.progress.set(part.item, {
         last: Number(part.last),
         parts: [part.text],
+        chain: part.chain,
       })
     );
     this.#jobs.set(job.id, queued);
@@ -262,6 +313,7 @@
     isEnded: false,
     results: [],
     failures: new Map(),
+    failedChains: new Map(),
     progress: new Map(),
     open: new Map(job.items.map((item) => [item.id, item])),
   };
@@ -275,11 +327,15 @@
     ended: queued.isEnded,
     results: [...queued.results],
     failures: job.items.map((item) => queued.failures.get(item.id) ?? 0),
-    progress: [...queued.progress].map(([item, { last, parts }]) => ({
+    progress: [...queued.progress].map(([item, { last, parts, chain }]) => ({
       job: job.id,
       item,
       last: BigInt(last),
       text: joinProgressParts(parts),
+      chain,
     })),
+    failedRuns: [...queued.failedChains].flatMap(([item, chains]) =>
+      chains.map((chain) => create(FailedRunSchema, { item, chain }))
+    ),
   });
 }
--- a/src/state/machines/state_machine.ts
+++ b/src/state/machines/state_machine.ts
@@ -17,6 +17,9 @@
  * the same replies.
  */
 export abstract class StateMachine {
+  /** Newest version of the commands that this build applies. */
+  readonly commandVersion: number = 0;
+
   /** Applies a committed command and returns the reply to its proposer. */
   abstract apply(command: Uint8Array, context: CommandContext): Uint8Array;
 
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -106,6 +106,12 @@
   ) ?? [];
 }
 
+/** Recorded output of a job's items as `item:last:chain`. */
+function readRecorded(machine: JobMachine, job: string): string[] {
+  return [...machine.tryGetJob(job)?.progress ?? []]
+    .map(([item, { last, chain }]) => `${item}:${last}:${chain}`);
+}
+
 function restoreFromSnapshot<M extends StateMachine>(from: M, to: M): M {
   to.restore([...from.capture()]);
   return to;
@@ -309,6 +315,100 @@
     expect(machine.tryGetJob("j")?.progress.size).equal(0);
   });
 
+  /** Tells the members to go by chains from now on. */
+  const applyChains = (machine: JobMachine) =>
+    applyJobCommand(machine, {
+      case: "setRunners",
+      value: { ids: ["r"], commandVersion: 1 },
+    });
+
+  /** Records a part of the output of item `a` of job `j`. */
+  const recordPart = (
+    machine: JobMachine,
+    part: { chain: bigint; chainAfter?: bigint; after: bigint; last: bigint },
+  ) =>
+    applyJobCommand(machine, {
+      case: "recordRuns",
+      value: {
+        progress: [{
+          job: "j",
+          item: "a",
+          chainAfter: 0n,
+          text: encodeText(`${part.chain}`),
+          ...part,
+        }],
+      },
+    });
+
+  const readProgress = (machine: JobMachine) => {
+    const progress = machine.tryGetJob("j")?.progress.get("a");
+    const text = Buffer.from(joinProgressParts(progress?.parts ?? []));
+    return `${progress?.last}:${text.toString().replaceAll("\n", ",")}`;
+  };
+
+  // Guards against texts that join the output of two runners whose records have
+  // the same event numbers.
+  it("joins only parts of one chain, or of one that continues it", () => {
+    const machine = new JobMachine();
+    applyChains(machine);
+    submitJob(machine, "j", ["a"]);
+    recordPart(machine, { chain: 1n, after: 0n, last: 5n });
+    recordPart(machine, { chain: 2n, after: 0n, last: 5n });
+    recordPart(machine, { chain: 2n, after: 5n, last: 8n });
+    expect(readProgress(machine)).equal("5:1");
+    recordPart(machine, { chain: 1n, after: 5n, last: 8n });
+    expect(readProgress(machine)).equal("8:1,1");
+    // Another runner continues after event 8 and takes over.
+    recordPart(machine, { chain: 3n, chainAfter: 8n, after: 8n, last: 9n });
+    recordPart(machine, { chain: 1n, after: 8n, last: 9n });
+    recordPart(machine, { chain: 1n, after: 9n, last: 12n });
+    const restored = restoreFromSnapshot(machine, new JobMachine());
+    [machine, restored].forEach((target) => {
+      expect(readProgress(target)).equal("9:1,1,3");
+      recordPart(target, { chain: 3n, chainAfter: 8n, after: 9n, last: 10n });
+      recordPart(target, { chain: 0n, after: 10n, last: 11n });
+      expect(readProgress(target)).equal("10:1,1,3,3");
+    });
+  });
+
+  const failChain = (machine: JobMachine, chain: bigint) =>
+    applyJobCommand(machine, {
+      case: "recordRuns",
+      value: { failed: [{ job: "j", item: "a", count: 1, chain }] },
+    });
+
+  // Guards against failures of two runners that were counted as one, because
+  // each had the same number, so that the item ran more often than allowed.
+  it("counts the failure of each chain once", () => {
+    const machine = new JobMachine();
+    applyChains(machine);
+    submitJob(machine, "j", ["a"]);
+    [1n, 2n, 1n].forEach((chain) => failChain(machine, chain));
+    const restored = restoreFromSnapshot(machine, new JobMachine());
+    [machine, restored].forEach((target) => {
+      failChain(target, 2n);
+      expect(target.tryGetJob("j")?.failures.get("a")).equal(2);
+      failChain(target, 3n);
+      expect(formatResults(target, "j")).deep.equal(["a=DEAD_LETTER:"]);
+    });
+  });
+
+  it("goes by numbers until all members know chains", () => {
+    const machine = new JobMachine();
+    submitJob(machine, "j", ["a"]);
+    [1n, 2n].forEach((chain) => failChain(machine, chain));
+    expect(machine.tryGetJob("j")?.failures.get("a")).equal(1);
+    recordPart(machine, { chain: 0n, after: 0n, last: 5n });
+    recordPart(machine, { chain: 2n, after: 5n, last: 8n });
+    expect(readProgress(machine)).equal("8:0,2");
+    expect(machine.identifiesChains).equal(false);
+    applyChains(machine);
+    // A leader of an older build doesn't name a version.
+    applyJobCommand(machine, { case: "setRunners", value: { ids: ["r"] } });
+    [machine, restoreFromSnapshot(machine, new JobMachine())]
+      .forEach((target) => expect(target.identifiesChains).equal(true));
+  });
+
   it("counts waiting tokens of open items in jobs that were not ended", () => {
     const machine = new JobMachine();
     const limit = { waitingTokens: 30n };
@@ -330,9 +430,19 @@
   it("restores an equivalent state from a snapshot after random commands", () => {
     const names = fc.constantFrom("a", "b", "c");
     const step = fc.record({
-      kind: fc.constantFrom("submit", "finish", "fail", "end"),
+      kind: fc.constantFrom(
+        "submit",
+        "finish",
+        "fail",
+        "failChain",
+        "part",
+        "end",
+        "upgrade",
+      ),
       job: names,
       item: names,
+      chain: fc.bigInt(0n, 3n),
+      after: fc.bigInt(0n, 3n),
     });
     fc.assert(fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
       const machine = new JobMachine();
@@ -347,6 +457,17 @@
         if (kind === "end") {
           applyJobCommand(target, { case: "end", value: { id: job } });
         }
+        if (kind === "upgrade") applyChains(target);
+        const { chain, after } = step;
+        const failed = [{ job, item, count: 1, chain }];
+        if (kind === "failChain") {
+          applyJobCommand(target, { case: "recordRuns", value: { failed } });
+        }
+        const last = after + 1n;
+        const progress = [{ job, item, chain, after, last, chainAfter: after }];
+        if (kind === "part") {
+          applyJobCommand(target, { case: "recordRuns", value: { progress } });
+        }
       };
       const half = Math.floor(steps.length / 2);
       steps.slice(0, half).forEach((one) => applyStep(machine, one));
@@ -361,6 +482,10 @@
         );
         expect([...restored.tryGetJob(job)?.open.keys() ?? []])
           .deep.equal([...machine.tryGetJob(job)?.open.keys() ?? []]);
+        expect(restored.tryGetJob(job)?.failedChains)
+          .deep.equal(machine.tryGetJob(job)?.failedChains);
+        expect(readRecorded(restored, job))
+          .deep.equal(readRecorded(machine, job));
       });
       expect(restored.getWaitingTokens("r"))
         .equal(machine.getWaitingTokens("r"));
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -4,7 +4,8 @@
  */
 import { expect } from "chai";
 import { AttemptOutcomeHandler } from "../fleet/attempt_outcome_handler.ts";
-import { ItemProgress, runItemAttempt } from "../fleet/item_attempt.ts";
+import { runItemAttempt } from "../fleet/item_attempt.ts";
+import { ItemProgress } from "../fleet/item_progress.ts";
 import { ItemQueue } from "../fleet/item_queue.ts";
 import type { ItemOutcome } from "../fleet/run_recorder.ts";
 import type { PoolServer } from "../fleet/server_pool.ts";
@@ -247,7 +248,7 @@
           },
           permit: { server: {} as PoolServer, release: () => {} },
           timeoutMs: 1_000,
-          progress: new ItemProgress(),
+          progress: new ItemProgress({ random: new SeededRandom(1) }),
           signal: abortController.signal,
         });
         setImmediate(() => abortController.abort());
@@ -289,7 +290,7 @@
       pool: { recordFailure: () => {} },
       context: createProcessContext({ name: "test", clock: runner.clock }),
     });
-    const progress = new ItemProgress();
+    const progress = new ItemProgress({ random: new SeededRandom(1) });
     progress.appendEvents(Buffer.from("id: 1\ndata: text\n\n"));
     handler.handle({
       queued,
--- a/src/test/platform_fleet_test.ts
+++ b/src/test/platform_fleet_test.ts
@@ -305,6 +305,13 @@
     expect(read).include({ status: 200, text: document });
   });
 
+  it("tells runs apart by their chains once all store hosts know them", () =>
+    fleet.waitUntil(
+      "all store hosts to apply commands of version 1",
+      () =>
+        fleet.stores.every((store) => store.getDump()["commandVersion"] === 1),
+    ));
+
   it("refuses to retire a store host when too few would remain", async () => {
     const retire = (method: string, name: string) =>
       sendHttpRequest(
--- a/src/test/run_recorder_test.ts
+++ b/src/test/run_recorder_test.ts
@@ -7,6 +7,8 @@
 import { createSilentLog } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 
+const CHAINS = { identifiesChains: true };
+
 function flushPromises(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
@@ -15,11 +17,13 @@
 function createJob(
   open: string[],
   failures: Record<string, number> = {},
+  failedChains: Record<string, bigint[]> = {},
 ): AppliedJob {
   return {
     job: { id: "j" },
     open: new Map(open.map((id) => [id, create(JobItemSchema, { id })])),
     failures: new Map(Object.entries(failures)),
+    failedChains: new Map(Object.entries(failedChains)),
   };
 }
 
@@ -64,7 +68,7 @@
     expect(getFinished()).deep.equal(["a,b"]);
     // The outcome is kept, because the record may not be applied here yet.
     expect(recorder.hasOutcome("j", "a")).equal(true);
-    recorder.removeApplied([createJob(["b"])]);
+    recorder.removeApplied([createJob(["b"])], CHAINS);
     expect(recorder.hasOutcome("j", "a")).equal(false);
     expect(recorder.hasOutcome("j", "b")).equal(true);
   });
@@ -74,7 +78,7 @@
       createRecorder();
     state.isFailing = true;
     finish("a");
-    recorder.addFailure("j", "f", 1);
+    recorder.addFailure("j", "f", { count: 1, chain: 7n });
     await advanceClock(60);
     expect(recorder.hasOutcome("j", "a")).equal(true);
     state.isFailing = false;
@@ -82,7 +86,7 @@
     expect(getFinished()).deep.equal(["a", "a"]);
     expect(records.map((record) => record.failed.map((run) => run.count)))
       .deep.equal([[1], [1]]);
-    recorder.removeApplied([]);
+    recorder.removeApplied([], CHAINS);
     expect(recorder.hasOutcome("j", "a")).equal(false);
   });
 
@@ -92,7 +96,7 @@
     state.isFailing = true;
     state.canRecord = false;
     finish("a");
-    recorder.addFailure("j", "f", 2);
+    recorder.addFailure("j", "f", { count: 2, chain: 7n });
     await advanceClock(300);
     expect(getFinished()).deep.equal(["a"]);
     expect(recorder.hasOutcome("j", "a")).equal(true);
@@ -108,11 +112,26 @@
 
   it("lets an item start again once its failure is applied", async () => {
     const { recorder, advanceClock } = createRecorder();
-    recorder.addFailure("j", "f", 2);
+    recorder.addFailure("j", "f", { count: 2, chain: 7n });
+    await advanceClock(50);
+    // Another runner's failure got the same number.
+    recorder.removeApplied([createJob(["f"], { f: 2 }, { f: [8n] })], CHAINS);
+    expect(recorder.mayStart("j", "f")).equal(false);
+    recorder.removeApplied(
+      [createJob(["f"], { f: 3 }, { f: [8n, 7n] })],
+      CHAINS,
+    );
+    expect(recorder.mayStart("j", "f")).equal(true);
+  });
+
+  it("goes by the number of a failure until chains are told apart", async () => {
+    const { recorder, advanceClock } = createRecorder();
+    const numbers = { identifiesChains: false };
+    recorder.addFailure("j", "f", { count: 2, chain: 7n });
     await advanceClock(50);
-    recorder.removeApplied([createJob(["f"], { f: 1 })]);
+    recorder.removeApplied([createJob(["f"], { f: 1 })], numbers);
     expect(recorder.mayStart("j", "f")).equal(false);
-    recorder.removeApplied([createJob(["f"], { f: 2 })]);
+    recorder.removeApplied([createJob(["f"], { f: 2 }, { f: [8n] })], numbers);
     expect(recorder.mayStart("j", "f")).equal(true);
   });
 
@@ -122,7 +141,7 @@
     state.isFailing = true;
     finish("a");
     await advanceClock(50);
-    recorder.removeApplied([]);
+    recorder.removeApplied([], CHAINS);
     await advanceClock(300);
     expect(getFinished()).deep.equal(["a"]);
   });
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -1,8 +1,10 @@
 /**
  * Simulated runners of one store group. Each has its own clocks, of which only
  * the wall clock goes on while it is frozen, and its own copy of the replicated state, which may
- * lag behind the log. Records may be slow, be lost, or be committed without a
- * reply. Backend servers are simulated too and count the runs of each item.
+ * lag behind the log. Records may be slow, be lost, be committed twice, or be
+ * committed without a reply; those under way outlive a killed runner. Backend
+ * servers are simulated too. They count the runs of each item, and each event of
+ * a stream names the run that made it.
  */
 import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
 import { IncomingMessage } from "node:http";
@@ -52,6 +54,9 @@
 const START_WALL_MS = 1_000_000;
 const MAX_ATTEMPTS = 3;
 
+/** Interval between the events of a stream, in milliseconds. */
+const EVENT_INTERVAL_MS = 40;
+
 const DIALECTS = {
   caller: new PlatformCallerDialect(),
   backend: new PlatformBackendDialect(),
@@ -65,13 +70,30 @@
   readonly atMs: number;
 }
 
+/** A run that a server has started as a stream. */
+export interface StreamRun {
+  readonly item: string;
+  readonly runner: string;
+  /** Number of the event after which it was asked to continue. */
+  readonly resumeAfter: number;
+  readonly atMs: number;
+}
+
+/** Options of a {@linkcode RunnerSimulation}. */
+export interface RunnerSimulationOptions {
+  /** Events of an item with status 200; by default one that comes at the end. */
+  readonly eventCount?: number;
+  /** Rules by which the replicated state tells runs apart. */
+  readonly commandVersion?: number;
+}
+
 type JobCommandInit = MessageInitShape<typeof JobCommandSchema>["command"];
 
 /** One simulated runner. */
 export class SimulatedRunner {
   readonly id: string;
   readonly machine = new JobMachine();
-  readonly clock = new ManualClock(START_WALL_MS);
+  readonly clock: ManualClock;
   readonly log = new MemoryLog();
   readonly itemRunner: ItemRunner;
   readonly #simulation: RunnerSimulation;
@@ -82,6 +104,8 @@
   /** Time from the offer of a record to its commit, in milliseconds. */
   recordDelayMs = 10;
   recordFate: RecordFate = RecordFate.confirmed;
+  /** Time after which a record is committed once more; undefined for never. */
+  repeatRecordMs: number | undefined;
   /** Time after which a server answers a run, in milliseconds. */
   runMs = 20;
   hasLeader = true;
@@ -96,11 +120,12 @@
   constructor(id: string, simulation: RunnerSimulation) {
     this.id = id;
     this.#simulation = simulation;
+    this.clock = new ManualClock(START_WALL_MS + simulation.nowMs);
     const context = createProcessContext({
       name: id,
       clock: this.clock,
       log: this.log,
-      random: new SeededRandom(7),
+      random: new SeededRandom(simulation.createSeed()),
     });
     const view = createView(this.clock, this.log);
     this.#pool = new ServerPool({
@@ -124,6 +149,7 @@
     this.itemRunner = new ItemRunner({
       getOpenJobs: () => this.machine.getOpenJobs(),
       canRun: () => leaderContact.isCurrent(),
+      identifiesChains: () => this.machine.identifiesChains,
       getAppliedIndex: () => this.appliedIndex,
       ownership: new ItemOwnership({
         getId: () => id,
@@ -178,14 +204,57 @@
 
   async #record(command: JobCommandInit) {
     const fate = this.hasLeader ? this.recordFate : RecordFate.lost;
+    const { network } = this.#simulation;
+    const commit = () => this.#simulation.commit(command);
+    if (fate !== RecordFate.lost) {
+      network.startTimer(this.recordDelayMs, commit);
+      if (this.repeatRecordMs !== undefined) {
+        network.startTimer(this.recordDelayMs + this.repeatRecordMs, commit);
+      }
+    }
     await this.clock.delay(this.recordDelayMs);
-    if (fate !== RecordFate.lost) this.#simulation.commit(command);
     if (fate === RecordFate.confirmed) return;
     await this.clock.delay(RECORD_TIMEOUT_MS);
     throw new Error("no answer in time");
   }
 
-  #send(
+  #send(options: AttemptOptions): Promise<AttemptResult> {
+    const item = options.request.requestId;
+    const isStream = this.#simulation.eventCount > 0 &&
+      this.#simulation.getStatus(item) === 200;
+    return isStream ? this.#sendStream(options) : this.#sendPlain(options);
+  }
+
+  /** Streams events, each with the number of the run and its own as data. */
+  #sendStream(
+    { request, permit, resumeAfter = 0 }: AttemptOptions,
+  ): Promise<AttemptResult> {
+    const { streamRuns, eventCount, nowMs } = this.#simulation;
+    const item = request.requestId;
+    const run = streamRuns.push({
+      item,
+      runner: this.id,
+      resumeAfter,
+      atMs: nowMs,
+    }) - 1;
+    const body = new IncomingMessage(new Socket());
+    const pushEvent = (event: number) => {
+      if (body.destroyed) return;
+      this.#pool.recordActivity(permit.server.id);
+      if (event <= eventCount) {
+        body.push(`id: ${event}\ndata: ${run}.${event}\n\n`);
+        this.clock.startTimer(EVENT_INTERVAL_MS, () => pushEvent(event + 1));
+        return;
+      }
+      body.complete = true;
+      body.push(null);
+    };
+    this.clock.startTimer(EVENT_INTERVAL_MS, () => pushEvent(resumeAfter + 1));
+    const response = { status: 200, headers: {}, body, chunks: body };
+    return Promise.resolve({ kind: "response", response });
+  }
+
+  #sendPlain(
     { request, permit, signal }: AttemptOptions,
   ): Promise<AttemptResult> {
     // Data from the server, without which it would count as silent.
@@ -198,7 +267,7 @@
     return new Promise((resolve) =>
       this.clock.startTimer(this.runMs, () => {
         const item = request.requestId;
-        const status = this.#simulation.statuses.get(item) ?? 200;
+        const status = this.#simulation.getStatus(item);
         this.#simulation.answered.push({
           item,
           runner: this.id,
@@ -216,7 +285,14 @@
 
 /** Several runners over one replicated log. */
 export class RunnerSimulation {
-  readonly runners: readonly SimulatedRunner[];
+  readonly #runners: SimulatedRunner[];
+  readonly #commandVersion: number;
+  #startCount = 0;
+  /** Number of events of an item with status 200; 0 without streams. */
+  readonly eventCount: number;
+  /** Clock of the messages under way. */
+  readonly network = new ManualClock(0);
+  readonly streamRuns: StreamRun[] = [];
   readonly entries: { command: Uint8Array; committedMs: number }[] = [];
   /** Status of each item; 200 by default. */
   readonly statuses = new Map<string, ItemStatus>();
@@ -225,15 +301,38 @@
   readonly committed = new JobMachine();
   nowMs = 0;
 
-  constructor(ids: readonly string[]) {
-    this.runners = ids.map((id) => new SimulatedRunner(id, this));
+  constructor(ids: readonly string[], options: RunnerSimulationOptions = {}) {
+    this.eventCount = options.eventCount ?? 0;
+    this.#commandVersion = options.commandVersion ?? 1;
+    this.#runners = ids.map((id) => new SimulatedRunner(id, this));
     this.setRunners(ids);
   }
 
+  get runners(): readonly SimulatedRunner[] {
+    return this.#runners;
+  }
+
   get runner(): SimulatedRunner {
     return this.runners[0] as SimulatedRunner;
   }
 
+  /** Returns another seed for each start of a runner. */
+  createSeed(): number {
+    this.#startCount += 1;
+    return this.#startCount;
+  }
+
+  /** Status with which servers answer an item. */
+  getStatus(item: string): ItemStatus {
+    return this.statuses.get(item) ?? 200;
+  }
+
+  /** Kills a runner and starts it again with only the log. */
+  restart(runner: SimulatedRunner): void {
+    const position = this.#runners.indexOf(runner);
+    this.#runners[position] = new SimulatedRunner(runner.id, this);
+  }
+
   commit(command: JobCommandInit): void {
     const bytes = toBinary(
       JobCommandSchema,
@@ -248,7 +347,10 @@
   }
 
   setRunners(ids: readonly string[]): void {
-    this.commit({ case: "setRunners", value: { ids: [...ids] } });
+    this.commit({
+      case: "setRunners",
+      value: { ids: [...ids], commandVersion: this.#commandVersion },
+    });
   }
 
   /** Submits a job of one item per status; their ids are `JOB-POSITION`. */
@@ -277,6 +379,7 @@
   async advance(ms: number): Promise<void> {
     for (const _ of range(Math.ceil(ms / STEP_MS))) {
       this.nowMs += STEP_MS;
+      this.network.advance(STEP_MS);
       this.runners.forEach((runner) => runner.advance(STEP_MS));
       await flushPromises();
     }
