Keep running items over a short suspension or a step of the wall clock

Seen: since contact is confirmed after a suspension, a host that was suspended for 300 ms, or whose wall clock was stepped, stopped all items that it ran: 8 of 8 in the simulated runner, all started again.

Cause: whether a host may act on its state stood also for whether its runs may go on.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -44,8 +44,10 @@
 export interface ItemRunnerOptions {
   /** Jobs with open items, by the applied state. */
   readonly getOpenJobs: () => readonly QueuedJob[];
-  /** Whether this process may run items and record their outcomes now. */
-  readonly canRun: () => boolean;
+  /** Whether this process may start items and record their outcomes now. */
+  readonly canStart: () => boolean;
+  /** Whether it may continue the runs that it has in progress. */
+  readonly canContinue: () => boolean;
   /** Whether the replicated state tells recorded runs apart by their chains. */
   readonly identifiesChains: () => boolean;
   /** Log index up to which the state of the jobs has been applied. */
@@ -123,7 +125,7 @@
     this.#progress = new ProgressTracker(options.context.random);
     this.#recorder = new RunRecorder({
       record: options.record,
-      canRecord: options.canRun,
+      canRecord: options.canStart,
       clock: options.context.clock,
       log: options.context.log,
       metrics: options.context.metrics,
@@ -201,16 +203,16 @@
     this.#applyOwnership(jobs);
     this.#preemptRuns();
     this.#expireItems(jobs);
-    this.#startWaitingItems(jobs);
+    if (this.#options.canStart()) this.#startWaitingItems(jobs);
   }
 
   #getRunnableJobs(): readonly QueuedJob[] {
-    return this.#options.canRun() ? this.#options.getOpenJobs() : [];
+    return this.#options.canContinue() ? this.#options.getOpenJobs() : [];
   }
 
   /** Applies changes of the runners and of the open items. */
   #applyOwnership(jobs: readonly QueuedJob[]): void {
-    const { ownership, getAppliedIndex, canRun, context } = this.#options;
+    const { ownership, getAppliedIndex, canContinue, context } = this.#options;
     const appliedIndex = getAppliedIndex();
     const haveRunnersChanged = ownership.updateRunners();
     if (haveRunnersChanged) {
@@ -222,7 +224,7 @@
       // The next owners of items continue after their recorded output.
       this.#recordProgress();
     }
-    const openItemsIndex = canRun() ? appliedIndex : undefined;
+    const openItemsIndex = canContinue() ? appliedIndex : undefined;
     const isUnchanged = openItemsIndex !== undefined &&
       openItemsIndex === this.#openItemsIndex;
     if (isUnchanged && !haveRunnersChanged) return;
--- a/src/fleet/leader_contact.ts
+++ b/src/fleet/leader_contact.ts
@@ -38,6 +38,8 @@
   readonly #suspensionDetector: SuspensionDetector;
   /** Monotonic time at which the replica was last caught up. */
   #caughtUpMs = -Infinity;
+  /** Whether it has been caught up since the last possible suspension. */
+  #isConfirmed = false;
   #loggedLeader = "";
   #wasCurrent = false;
 
@@ -46,17 +48,33 @@
     this.#suspensionDetector = new SuspensionDetector(options.clock);
   }
 
-  /** Whether the applied state is caught up with the leader, or was recently. */
+  /**
+   * Whether the applied state is caught up with the leader, or was recently, so
+   * that this host may act on it.
+   */
   isCurrent(): boolean {
+    const wasRecently = this.wasCurrentRecently();
+    const isCurrent = this.#isConfirmed && wasRecently;
     const replica = this.#options.getReplica();
-    const nowMs = this.#options.clock.getMonotonicMs();
-    if (this.#suspensionDetector.check()) this.#caughtUpMs = -Infinity;
-    if (replica?.isCaughtUp() === true) this.#caughtUpMs = nowMs;
-    const isCurrent = nowMs - this.#caughtUpMs < CONTACT_GRACE_MS;
     if (replica !== undefined) this.#logChange(replica, isCurrent);
     return isCurrent;
   }
 
+  /**
+   * Whether the state was current recently by this host's clock, which does not
+   * count suspensions. Suffices to continue what runs already: after a short
+   * suspension or a step of the wall clock nobody else has taken it over.
+   */
+  wasCurrentRecently(): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    if (this.#suspensionDetector.check()) this.#isConfirmed = false;
+    if (this.#options.getReplica()?.isCaughtUp() === true) {
+      this.#caughtUpMs = nowMs;
+      this.#isConfirmed = true;
+    }
+    return nowMs - this.#caughtUpMs < CONTACT_GRACE_MS;
+  }
+
   #logChange(replica: ContactReplica, isCurrent: boolean): void {
     const { leader, term, appliedIndex } = replica;
     if (leader === this.#loggedLeader && isCurrent === this.#wasCurrent) return;
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -108,7 +108,8 @@
     });
     this.#itemRunner = new ItemRunner({
       getOpenJobs: () => this.#machine.getOpenJobs(),
-      canRun: () => leaderContact.isCurrent(),
+      canStart: () => leaderContact.isCurrent(),
+      canContinue: () => leaderContact.wasCurrentRecently(),
       identifiesChains: () => this.#machine.identifiesChains,
       getAppliedIndex: () => this.#member?.replica.appliedIndex ?? 0,
       ownership: new ItemOwnership({
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -142,6 +142,38 @@
     expect(runner.machine.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against runs that were given up by a host that was suspended for less
+  // time than it takes others to replace it, or whose wall clock was stepped.
+  [
+    {
+      trouble: "a short freeze",
+      cause: async (runner: SimulatedRunner) => {
+        runner.isFrozen = true;
+        await simulation.advance(300);
+        runner.thaw(MESSAGE_DELAY_MS);
+      },
+    },
+    {
+      trouble: "a step of the wall clock",
+      cause: (runner: SimulatedRunner) => {
+        runner.clock.stepWall(-5_000);
+        runner.confirmContactIn(MESSAGE_DELAY_MS);
+        return Promise.resolve();
+      },
+    },
+  ].forEach(({ trouble, cause }) => {
+    it(`keeps its runs over ${trouble}`, async () => {
+      simulation = new RunnerSimulation(["a"], { eventCount: 40 });
+      const items = simulation.submit("j", range(8).map(() => 200));
+      await simulation.advance(FIRST_RUNS_MS + 400);
+      expect(simulation.streamRuns).length(items.length);
+      await cause(simulation.runner);
+      await simulation.advance(3_000);
+      expect(simulation.streamRuns).length(items.length);
+      expect(simulation.committed.getOpenJobs()).deep.equal([]);
+    });
+  });
+
   // Guards against outcomes that were dropped when no leader was known, so that
   // each loss of a leader gave all failing and invalid items another run.
   it("keeps outcomes over the loss of the leader", async () => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -148,7 +148,8 @@
     });
     this.itemRunner = new ItemRunner({
       getOpenJobs: () => this.machine.getOpenJobs(),
-      canRun: () => leaderContact.isCurrent(),
+      canStart: () => leaderContact.isCurrent(),
+      canContinue: () => leaderContact.wasCurrentRecently(),
       identifiesChains: () => this.machine.identifiesChains,
       getAppliedIndex: () => this.appliedIndex,
       ownership: new ItemOwnership({
@@ -184,7 +185,13 @@
   /** Continues after a freeze; the first message arrives `messageDelayMs` later. */
   thaw(messageDelayMs: number): void {
     this.isFrozen = false;
-    this.#unreachableUntilMs = this.clock.getMonotonicMs() + messageDelayMs;
+    this.confirmContactIn(messageDelayMs);
+  }
+
+  /** Doubts its contact, as after a suspension, until a message in `ms`. */
+  confirmContactIn(ms: number): void {
+    this.#isContactConfirmed = false;
+    this.#unreachableUntilMs = this.clock.getMonotonicMs() + ms;
   }
 
   /** Applies the entries that were committed up to `committedMs`. */
