Ask other hosts while the leader that a process knows is silent

A control host is frozen from 2.57 to 9.77 s; the group has a new leader at 3.27 s. Orders of 5.02, 5.37 and 6.02 s at the two sound hosts are refused after 900 ms each, "no answer in time", also at the new leader itself.

Cause: an operator's order goes through StateClient to the leader that its process was answered by last, here the frozen host. One attempt may take 1.5 s, an order has 0.9 s, so each process spends an order on learning that the host is silent, and the round of all hosts comes to the silent one again. All commands of the process to that group wait behind the attempt. The leader was free all the time: it had been offered nothing.

Ruled out: the replicas' links. Each has its own queue and connection, and drops what a host doesn't read.

Change: after 250 ms without a reply another host is asked too, without giving up the first call; no host is called twice at a time, so a slow leader isn't sent a command again. A member goes to the leader that its own replica knows. This holds for all groups and callers: orders, registrations, jobs, results, records of runs.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -97,8 +97,9 @@
       clock: context.clock,
       log: context.log,
     });
-    this.#fleetClient = this.#process.createFleetClient(() =>
-      this.#getControlAddresses()
+    this.#fleetClient = this.#process.createFleetClient(
+      () => this.#getControlAddresses(),
+      () => this.#member?.getLeaderAddress(),
     );
   }
 
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -10,7 +10,10 @@
   type SubmitJob,
   Verdict,
 } from "../schema/mod.ts";
-import type { StateClient } from "../services/common/state_client.ts";
+import {
+  SILENCE_MS,
+  type StateClient,
+} from "../services/common/state_client.ts";
 import { ServingError } from "../sys/errors.ts";
 import type { JobPage } from "./dialects.ts";
 import { STORE_GROUP } from "./groups.ts";
@@ -62,6 +65,7 @@
         client.call(Jobs.method.readResults, { job, after, waitMs }, {
           timeoutMs: timeoutMs + waitMs,
         }),
+      waitMs + SILENCE_MS,
     );
     throwIfError(reply.code, job);
     return {
--- a/src/fleet/state_process.ts
+++ b/src/fleet/state_process.ts
@@ -74,9 +74,13 @@
   }
 
   /** Creates a client that sends commands to the leader of the fleet group. */
-  createFleetClient(getAddresses: () => readonly string[]): StateClient {
+  createFleetClient(
+    getAddresses: () => readonly string[],
+    tryGetLeader?: () => string | undefined,
+  ): StateClient {
     return new StateClient({
       getAddresses,
+      ...tryGetLeader === undefined ? {} : { tryGetLeader },
       credentials: this.credentials,
       clock: this.context.clock,
     });
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -95,6 +95,7 @@
     const { view, pool, backendClient, follower } = this.#backends;
     this.#storeClient = new StateClient({
       getAddresses: () => view.getStoreAddresses(),
+      tryGetLeader: () => this.#member?.getLeaderAddress(),
       credentials: this.#process.credentials,
       clock: context.clock,
     });
--- a/src/services/common/state_client.ts
+++ b/src/services/common/state_client.ts
@@ -18,7 +18,7 @@
   Verdict,
   type ViewUpdate,
 } from "../../schema/mod.ts";
-import type { Clock } from "../../sys/clock.ts";
+import type { Clock, Timer } from "../../sys/clock.ts";
 import { getReason, ServingError } from "../../sys/errors.ts";
 import {
   type RpcClient,
@@ -33,14 +33,33 @@
 export interface StateClientOptions {
   /** Returns the addresses of the state hosts, which may change over time. */
   readonly getAddresses: () => readonly string[];
+  /** Returns the leader's address if this process knows it by other means. */
+  readonly tryGetLeader?: () => string | undefined;
   readonly credentials: RpcCredentials;
   readonly clock: Clock;
 }
 
+/** Calls one host; rejects if there is no reply within `callMs`. */
+export type LeaderCall<R> = (client: RpcClient, callMs: number) => Promise<R>;
+
+/** A call that has ended. */
+interface EndedCall<R> {
+  readonly address: string;
+  /** Undefined if the call failed. */
+  readonly reply: R | undefined;
+  readonly reason: string;
+}
+
 const DEFAULT_TIMEOUT_MS = 5_000;
 const ATTEMPT_TIMEOUT_MS = 1_500;
 const RETRY_DELAY_MS = 30;
 
+/**
+ * Time without a reply after which another host is asked too, in milliseconds:
+ * several times as long as a commit.
+ */
+export const SILENCE_MS = 250;
+
 type QueryInit = NonNullable<
   MessageInitShape<typeof State.method.query.input>["query"]
 >;
@@ -190,38 +209,53 @@
   }
 
   /**
-   * Calls a group's leader, retrying until it replies. Throws STATE_UNREACHABLE
-   * (may have run) if there is no reply within the timeout or the client is
-   * closed.
+   * Calls a group's leader, retrying until it replies. While a host does not
+   * reply, others are asked too, so that a silent host delays a call by
+   * `silenceMs` only. Throws STATE_UNREACHABLE (may have run) if there is no
+   * reply within the timeout or the client is closed.
    */
   async callLeader<R extends RedirectableReply>(
     group: number,
     timeoutMs: number | undefined,
-    call: (client: RpcClient, callMs: number) => Promise<R>,
+    call: LeaderCall<R>,
+    silenceMs = SILENCE_MS,
   ): Promise<R> {
     const { clock } = this.#options;
     const deadlineMs = clock.getMonotonicMs() +
       (timeoutMs ?? DEFAULT_TIMEOUT_MS);
+    /** Calls without a reply so far, by address. */
+    const pending = new Map<string, Promise<EndedCall<R>>>();
     let reason = "no leader is known";
+    let previous: EndedCall<R> | undefined;
     while (!this.#closed) {
       const remainingMs = deadlineMs - clock.getMonotonicMs();
       if (remainingMs <= 0) break;
-      const address = this.#leaders.get(group) || this.#getNextAddress();
-      const callMs = Math.min(remainingMs, ATTEMPT_TIMEOUT_MS);
-      try {
-        const reply = await call(this.#clients.get(address), callMs);
-        if (!isRedirect(reply.code)) {
-          this.#leaders.set(group, address);
-          return reply;
-        }
-        reason = reply.detail || `the leader of group ${group} is not known`;
-        this.#updateLeader(group, address, reply.leader);
-      } catch (error) {
-        reason = getReason(error);
-        this.#leaders.delete(group);
+      const address = this.#trySelectAddress(group, pending, previous);
+      if (address !== undefined) {
+        const callMs = Math.min(remainingMs, ATTEMPT_TIMEOUT_MS);
+        pending.set(address, this.#call(address, call, callMs));
+      }
+      const ended = await this.#waitForReply(
+        pending,
+        Math.min(remainingMs, silenceMs),
+      );
+      if (ended === undefined) continue;
+      pending.delete(ended.address);
+      previous = ended;
+      const { reply } = ended;
+      if (reply !== undefined && !isRedirect(reply.code)) {
+        this.#leaders.set(group, ended.address);
+        return reply;
+      }
+      reason = reply === undefined
+        ? ended.reason
+        : reply.detail || `the leader of group ${group} is not known`;
+      this.#updateLeader(group, ended.address, reply?.leader ?? "");
+      const leader = this.#leaders.get(group);
+      if (leader === undefined) await clock.delay(RETRY_DELAY_MS);
+      else if (pending.has(leader)) {
+        await this.#waitForReply(pending, silenceMs);
       }
-      const delayMs = this.#leaders.has(group) ? 0 : RETRY_DELAY_MS;
-      if (delayMs > 0) await clock.delay(delayMs);
     }
     throw new ServingError(MessageCode.STATE_UNREACHABLE, {
       verdict: Verdict.MAY_HAVE_RUN,
@@ -230,6 +264,62 @@
     });
   }
 
+  async #call<R extends RedirectableReply>(
+    address: string,
+    call: LeaderCall<R>,
+    callMs: number,
+  ): Promise<EndedCall<R>> {
+    try {
+      const reply = await call(this.#clients.get(address), callMs);
+      return { address, reply, reason: "" };
+    } catch (error) {
+      return { address, reply: undefined, reason: getReason(error) };
+    }
+  }
+
+  /** Resolves with the first call that ends; undefined after `ms`. */
+  async #waitForReply<R>(
+    pending: ReadonlyMap<string, Promise<EndedCall<R>>>,
+    ms: number,
+  ): Promise<EndedCall<R> | undefined> {
+    let timer: Timer | undefined;
+    const timeout = new Promise<undefined>((resolve) => {
+      timer = this.#options.clock.startTimer(ms, () => resolve(undefined));
+    });
+    try {
+      return await Promise.race([...pending.values(), timeout]);
+    } finally {
+      timer?.cancel();
+    }
+  }
+
+  /**
+   * Address to call next: a known leader, or else the next one; last the host
+   * whose call has just ended. Undefined if all of them are being called.
+   */
+  #trySelectAddress(
+    group: number,
+    pending: ReadonlyMap<string, unknown>,
+    previous: EndedCall<RedirectableReply> | undefined,
+  ): string | undefined {
+    const leaders = [
+      previous?.reply?.leader ?? "",
+      this.#options.tryGetLeader?.() ?? "",
+      this.#leaders.get(group) ?? "",
+    ].filter((address) => address !== "");
+    const addresses = this.#options.getAddresses();
+    const start = this.#nextAddressIndex % Math.max(1, addresses.length);
+    const others = [...addresses.slice(start), ...addresses.slice(0, start)];
+    const candidates = [...leaders, ...others]
+      .filter((address) => !pending.has(address));
+    const address =
+      candidates.find((candidate) => candidate !== previous?.address) ??
+        candidates[0];
+    const index = addresses.indexOf(address ?? "");
+    if (index >= 0) this.#nextAddressIndex = index + 1;
+    return address;
+  }
+
   #updateLeader(group: number, calledAddress: string, leader: string): void {
     if (leader === "" || leader === calledAddress) this.#leaders.delete(group);
     else this.#leaders.set(group, leader);
