Failing test: requests that end every server that runs them

Callers saw price-lookup fail for seconds, again and again, while one request ended all servers of its service each time that it came.

Three gateways and six stand-in servers on loopback, which end under one body and are back after 250 ms under a new id: 24 sends later than 3 s after the third end (3 allowed), 2 for each client attempt, at each gateway alike; a gateway that starts later sends on too.

--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -191,6 +191,17 @@
     return server;
   }
 
+  /** Starts another gateway and waits until it is ready. */
+  async addGateway(): Promise<number> {
+    const index = this.gateways.length;
+    await this.#startGateway(index, await findFreePorts(3));
+    await this.waitUntil(
+      "the new gateway to be ready",
+      () => this.gateways[index]?.isReady === true,
+    );
+    return index;
+  }
+
   /** Starts a control host in addition to the members of the group. */
   async addControl(): Promise<string> {
     const index = this.controls.length;
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -63,6 +63,10 @@
   readonly #sharedBehaviours: Behaviour[];
   /** Time between two events of a response, in milliseconds. */
   eventIntervalMs = 2;
+  /** Text in a request's body that ends the server; undefined for none. */
+  crashText: string | undefined;
+  /** Called when a request has ended the server. */
+  onCrash: () => void = () => {};
   #server: http.Server | undefined;
   #sequence = 0;
   #runningCount = 0;
@@ -77,11 +81,12 @@
     return this.#runningCount;
   }
 
-  async start(): Promise<void> {
+  /** Starts on `port`, or on a free port if it is 0. */
+  async start(port = 0): Promise<void> {
     const server = http.createServer((req, res) => this.#serve(req, res));
     this.#server = server;
     await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", () => resolve())
+      server.listen(port, "127.0.0.1", () => resolve())
     );
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   }
@@ -126,6 +131,12 @@
         this.#runningCount -= 1;
         if (!res.writableFinished) request.left = true;
       });
+      if (this.crashText && request.body.includes(this.crashText)) {
+        request.ran = true;
+        this.close();
+        this.onCrash();
+        return;
+      }
       const behaviour = this.behaviours.shift() ??
         this.#sharedBehaviours.shift();
       this.#respond(request, res, behaviour);
