Refuse requests during which several backend servers crashed

Callers saw a plain service of three servers fail for seconds, again and again: one request ended each server that ran it, came again under a new id at any gateway, and took all three servers with it each time (16 ended under one).

Cause: a gateway counts the servers of one client attempt. Nothing of what it learns outlives the attempt, and no gateway tells another.

Change: requests are known by a fingerprint of method, host, target and body. A crash is told from a lost answer, a cut or a planned end by the server's address (nothing listens, or another start does), its registration and its next heartbeat. Gateways report crashes to all control hosts, which pass them on; so one that starts later knows. Suspicions, which the product's own entries use already, are shared, bounded, say when they lapse, and don't count a crash against a request if another was present at it and at more. Items of jobs are never refused for this.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -116,6 +116,10 @@
     this.#member = await this.#createMember(folder, id, members);
     server.addService(Fleet, {
       follow: (req, stream) => this.#registrationHub.serve(req, stream),
+      reportSuspicions: ({ suspicions }) => {
+        this.#registrationHub.acceptSuspicions(suspicions);
+        return Promise.resolve({});
+      },
     });
     await this.#process.listen();
     await this.#member.start();
--- /dev/null
+++ b/src/fleet/crash_detector.ts
@@ -0,0 +1,194 @@
+/**
+ * Detects whether a backend server crashed while it ran a request, and records
+ * a suspicion against the request. A lost connection alone does not tell:
+ * answers are lost and networks partitioned while the server runs on, and
+ * servers end as planned. A server has crashed if nothing listens on its address
+ * or if it has been started again, although it had not announced that it leaves.
+ */
+import { type Registration, ServerState } from "../schema/mod.ts";
+import type { Suspicion } from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { ConnectProbe, ProbeResult } from "../sys/connect_probe.ts";
+import type { Log } from "../sys/log.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
+import { getDigestHex } from "../sys/random.ts";
+import type { BackendRequest } from "./backend_client.ts";
+import { getServerStart, type RoutingView } from "./routing_view.ts";
+import type { PoolServer } from "./server_pool.ts";
+
+/** Options of a {@linkcode CrashDetector}. */
+export interface CrashDetectorOptions {
+  readonly view: RoutingView;
+  /** Sends a suspicion to the other processes. */
+  readonly onSuspicionChange: (suspicion: Suspicion) => void;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Time for which a lost request waits for proof that its server has crashed, in
+ * milliseconds: a server is back some seconds after a crash.
+ */
+const PENDING_TTL_MS = 15_000;
+
+/**
+ * Maximum wait for the result of a probe before a suspect request is retried,
+ * in milliseconds: several round trips between data centres.
+ */
+const MAX_PROBE_WAIT_MS = 20;
+
+/** Maximum number of lost requests that wait; the oldest are dropped. */
+const MAX_PENDING = 1_024;
+
+interface LostRequest {
+  readonly req: BackendRequest;
+  readonly server: PoolServer;
+  readonly lostMs: number;
+}
+
+/** Detects crashes of backend servers on behalf of one gateway. */
+export class CrashDetector {
+  readonly #options: CrashDetectorOptions;
+  readonly #probe: ConnectProbe;
+  /** Requests whose server can't be reached and may have crashed. */
+  #pending: LostRequest[] = [];
+
+  constructor(options: CrashDetectorOptions) {
+    this.#options = options;
+    this.#probe = new ConnectProbe(options.clock);
+    options.view.onServerChange((registration, isStart) => {
+      if (registration.state !== ServerState.READY) {
+        this.#dropPending(registration);
+      } else if (isStart) this.#handleServerStart(registration);
+    });
+  }
+
+  /**
+   * Time until the request may run again because servers crashed while they ran
+   * it, in milliseconds; 0 if it may run.
+   */
+  getRejectionMs(req: BackendRequest): number {
+    const { view, clock } = this.#options;
+    if (view.suspicions.isEmpty) return 0;
+    return view.suspicions.getRejectionMs(
+      getFingerprint(req),
+      clock.getMonotonicMs(),
+    );
+  }
+
+  /** Number of servers that crashed while running the request. */
+  getCrashCount(req: BackendRequest): number {
+    const { suspicions } = this.#options.view;
+    return suspicions.getServerFailureCount(getFingerprint(req));
+  }
+
+  /**
+   * Records that the connection to a server was lost during a request. Resolves
+   * when the request may be retried: for a request that is suspect already, once
+   * it is known whether this server crashed too, or after a short wait.
+   */
+  async recordConnectionLoss(
+    req: BackendRequest,
+    server: PoolServer,
+  ): Promise<void> {
+    const { clock, view: { suspicions } } = this.#options;
+    const isRecorded = this.#probeServer(req, server);
+    if (suspicions.isEmpty || !suspicions.isSuspect(getFingerprint(req))) {
+      return;
+    }
+    await Promise.race([isRecorded, clock.delay(MAX_PROBE_WAIT_MS)]);
+  }
+
+  async #probeServer(req: BackendRequest, server: PoolServer): Promise<void> {
+    const lostMs = this.#options.clock.getMonotonicMs();
+    const result = await this.#probe.probe(server.address);
+    if (result === ProbeResult.refused) this.#suspect(req, server);
+    if (result === ProbeResult.silent) {
+      this.#addPending({ req, server, lostMs });
+    }
+  }
+
+  /** Records that a request was abandoned because its server fell silent. */
+  recordSilence(req: BackendRequest, server: PoolServer): void {
+    const lostMs = this.#options.clock.getMonotonicMs();
+    this.#addPending({ req, server, lostMs });
+  }
+
+  /** Clears a suspicion: the request finished without crashing its server. */
+  recordSuccess(req: BackendRequest): void {
+    const { view, clock, onSuspicionChange, log } = this.#options;
+    if (view.suspicions.isEmpty) return;
+    const update = view.suspicions.tryClearAccepted(
+      getFingerprint(req),
+      clock.getMonotonicMs(),
+    );
+    if (update === undefined) return;
+    log.info("suspicion_cleared", {
+      request: req.requestId,
+      fingerprint: update.fingerprint,
+    });
+    onSuspicionChange(update);
+  }
+
+  #addPending(lost: LostRequest): void {
+    const earliestMs = lost.lostMs - PENDING_TTL_MS;
+    this.#pending = [...this.#pending, lost]
+      .filter(({ lostMs }) => lostMs >= earliestMs)
+      .slice(-MAX_PENDING);
+  }
+
+  /** Drops the requests of a server that ends as planned. */
+  #dropPending({ id }: Registration): void {
+    this.#pending = this.#pending.filter(({ server }) => server.id !== id);
+  }
+
+  /** A server at the same address or with the same id proves the crash. */
+  #handleServerStart({ id, address }: Registration): void {
+    const isReplaced = ({ server }: LostRequest) =>
+      server.id === id || server.address === address;
+    const replaced = this.#pending.filter(isReplaced);
+    if (replaced.length === 0) return;
+    this.#pending = this.#pending.filter((lost) => !isReplaced(lost));
+    const earliestMs = this.#options.clock.getMonotonicMs() - PENDING_TTL_MS;
+    replaced.filter(({ lostMs }) => lostMs >= earliestMs)
+      .forEach(({ req, server }) => this.#suspect(req, server));
+  }
+
+  #suspect(req: BackendRequest, server: PoolServer): void {
+    const { view, clock, log, metrics, onSuspicionChange } = this.#options;
+    const known = view.servers.tryGet(server.id);
+    const hasLeft = known?.bornMs === server.bornMs &&
+      known.state !== ServerState.READY;
+    if (hasLeft) return;
+    const fingerprint = getFingerprint(req);
+    const nowMs = clock.getMonotonicMs();
+    const update = view.suspicions.record(
+      fingerprint,
+      getServerStart(server),
+      nowMs,
+    );
+    metrics.count(MetricName.suspicions);
+    log.info("request_suspected", {
+      request: req.requestId,
+      fingerprint,
+      server: server.id,
+      born: Number(server.bornMs),
+      crashes: update.servers.length,
+      rejected_ms: view.suspicions.getRejectionMs(fingerprint, nowMs),
+    });
+    onSuspicionChange(update);
+  }
+}
+
+/**
+ * Returns a fingerprint of what makes a request the same as another, whoever
+ * sends it and under whichever id.
+ */
+export function getFingerprint(req: BackendRequest): string {
+  const hostIndex = req.headers.findIndex((name, index) =>
+    index % 2 === 0 && name.toLowerCase() === "host"
+  );
+  const host = hostIndex < 0 ? "" : req.headers[hostIndex + 1] ?? "";
+  return getDigestHex(req.method, host, req.target, req.body);
+}
--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -4,8 +4,13 @@
  * reopens it when it ends or times out, and stops when the host has left the
  * fleet.
  */
-import { Fleet, type FleetUpdate, HostRole } from "../schema/mod.ts";
-import type { Clock } from "../sys/clock.ts";
+import {
+  Fleet,
+  type FleetUpdate,
+  HostRole,
+  type Suspicion,
+} from "../schema/mod.ts";
+import type { Clock, Timer } from "../sys/clock.ts";
 import { getReason, type ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import {
@@ -54,13 +59,33 @@
 /** Events buffered for one routine; the oldest are dropped on overflow. */
 const EVENT_BUFFER_SIZE = 8;
 
+/**
+ * Time for which suspicions are collected before they are sent, in
+ * milliseconds: all requests of a crashed server fail at once.
+ */
+const SUSPICION_DELAY_MS = 10;
+
+/** Timeout of a report of suspicions, in milliseconds. */
+const REPORT_TIMEOUT_MS = 1_000;
+
 type StreamEvent = "update" | "ended";
 
+/** A control host whose stream is open. */
+interface FollowedHost {
+  readonly client: RpcClient;
+  /** Whether it has been sent every suspicion that this process knows. */
+  hasAllSuspicions: boolean;
+}
+
 /** Follows the updates of all control hosts. */
 export class FleetFollower {
   readonly #options: FleetFollowerOptions;
   readonly #followedAddresses = new Set<string>();
   readonly #lostAddresses = new Set<string>();
+  /** Hosts that have sent an update on their current stream, by address. */
+  readonly #connectedHosts = new Map<string, FollowedHost>();
+  readonly #pendingSuspicions = new Map<string, Suspicion>();
+  #suspicionTimer: Timer | undefined;
   #seeds: readonly string[];
   #closed = false;
 
@@ -82,6 +107,51 @@
 
   close(): void {
     this.#closed = true;
+    this.#suspicionTimer?.cancel();
+  }
+
+  /** Sends a suspicion to all control hosts, which pass it on. */
+  reportSuspicion(suspicion: Suspicion): void {
+    this.#pendingSuspicions.set(suspicion.fingerprint, suspicion);
+    this.#suspicionTimer ??= this.#options.clock.startTimer(
+      SUSPICION_DELAY_MS,
+      () => this.#sendPendingSuspicions(),
+    );
+  }
+
+  #sendPendingSuspicions(): void {
+    this.#suspicionTimer = undefined;
+    const suspicions = [...this.#pendingSuspicions.values()];
+    this.#pendingSuspicions.clear();
+    this.#connectedHosts.forEach((host, address) =>
+      this.#sendSuspicions(address, host, suspicions)
+    );
+  }
+
+  /** Sends a host what this process learned while the host was not connected. */
+  #sendAllSuspicions(address: string, host: FollowedHost): void {
+    const { view, clock } = this.#options;
+    host.hasAllSuspicions = true;
+    if (view.suspicions.isEmpty) return;
+    const suspicions = view.suspicions.getAll(clock.getMonotonicMs());
+    this.#sendSuspicions(address, host, suspicions);
+  }
+
+  #sendSuspicions(
+    address: string,
+    host: FollowedHost,
+    suspicions: Suspicion[],
+  ): void {
+    host.client.call(Fleet.method.reportSuspicions, { suspicions }, {
+      timeoutMs: REPORT_TIMEOUT_MS,
+    }).catch((error) => {
+      host.hasAllSuspicions = false;
+      this.#options.log.warn("suspicions_not_reported", {
+        address,
+        suspicions: suspicions.length,
+        reason: getReason(error),
+      });
+    });
   }
 
   /**
@@ -142,6 +212,7 @@
   *#readStream(address: string, client: RpcClient): Routine<void> {
     const { view, clock } = this.#options;
     const events = createSlidingChannel<StreamEvent>(EVENT_BUFFER_SIZE);
+    const host: FollowedHost = { client, hasAllSuspicions: false };
     let reason = "silent";
     const stream = client.openStream(Fleet.method.follow, {
       routesVersion: view.routesVersion,
@@ -164,7 +235,10 @@
       );
       if (event !== "update") break;
       this.#markRegained(address);
+      this.#connectedHosts.set(address, host);
+      if (!host.hasAllSuspicions) this.#sendAllSuspicions(address, host);
     }
+    this.#connectedHosts.delete(address);
     stream.cancel();
     events.close();
     if (this.#isWanted(address)) this.#markLost(address, reason);
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -26,6 +26,7 @@
 import { createCredentials } from "../sys/rpc.ts";
 import { BackendAccess } from "./backend_access.ts";
 import { CallerResponse } from "./caller_response.ts";
+import { CrashDetector } from "./crash_detector.ts";
 import type {
   BackendDialect,
   CallerDialect,
@@ -96,6 +97,14 @@
     this.#relay = new OnlineRelay({
       pool: backends.pool,
       backendClient: backends.backendClient,
+      crashDetector: new CrashDetector({
+        view: backends.view,
+        onSuspicionChange: (suspicion) =>
+          backends.follower.reportSuspicion(suspicion),
+        clock,
+        log,
+        metrics,
+      }),
       dialect: this.#dialect,
       serviceTimes: new ServiceTimes(),
       clock,
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -33,6 +33,7 @@
   BackendResponse,
 } from "./backend_client.ts";
 import type { CallerResponse } from "./caller_response.ts";
+import type { CrashDetector } from "./crash_detector.ts";
 import type { CallerDialect } from "./dialects.ts";
 import type { PermitRequest, ServerPermit, ServerPool } from "./server_pool.ts";
 import type { ServiceTimes } from "./service_times.ts";
@@ -56,6 +57,7 @@
 export interface OnlineRelayOptions {
   readonly pool: ServerPool;
   readonly backendClient: BackendClient;
+  readonly crashDetector: CrashDetector;
   readonly dialect: CallerDialect;
   readonly serviceTimes: ServiceTimes;
   readonly clock: Clock;
@@ -169,7 +171,8 @@
    * if it failed and must not be.
    */
   async #attempt(permit: ServerPermit): Promise<boolean> {
-    const { clock, serviceTimes, backendClient, metrics } = this.#options;
+    const { clock, serviceTimes, backendClient, metrics, crashDetector } =
+      this.#options;
     const startMs = clock.getMonotonicMs();
     this.#attemptAbort = new AbortController();
     const result = await backendClient.send({
@@ -181,11 +184,12 @@
       signal: this.#attemptAbort.signal,
     });
     if (result.kind !== "response") {
-      this.#handleNoResponse(result, permit);
+      await this.#handleNoResponse(result, permit);
       return false;
     }
     const isDone = await this.#forwardResponse(result.response, permit);
     if (isDone) {
+      crashDetector.recordSuccess(this.#req.request);
       const tookMs = clock.getMonotonicMs() - startMs;
       serviceTimes.record(this.#req.service, tookMs);
       metrics.time(MetricName.requestMs, tookMs);
@@ -216,6 +220,10 @@
     if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
     this.#options.pool.recordFailure(permit.server.id);
     this.#logAttemptFailure("answer_broken", permit, result.reason);
+    await this.#options.crashDetector.recordConnectionLoss(
+      this.#req.request,
+      permit.server,
+    );
     if (!this.#canRetry()) throw this.#createLostError(result.reason);
     return false;
   }
@@ -224,12 +232,16 @@
    * Records an attempt that ended without a response. Throws if the request
    * must not be retried.
    */
-  #handleNoResponse(
+  async #handleNoResponse(
     result: Exclude<AttemptResult, { kind: "response" }>,
     permit: ServerPermit,
-  ): void {
+  ): Promise<void> {
+    const { crashDetector } = this.#options;
     if (result.kind === "aborted") {
       this.#possibleRuns += 1;
+      if (!this.#callerResponse.disconnected.aborted) {
+        crashDetector.recordSilence(this.#req.request, permit.server);
+      }
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
       this.#logAttemptFailure(
         "attempt_silent",
@@ -247,6 +259,7 @@
       throw this.#createNoCapacityError(result.reason, result.retryAfterMs);
     }
     this.#possibleRuns += 1;
+    await crashDetector.recordConnectionLoss(this.#req.request, permit.server);
     if (!this.#canRetry()) throw this.#createLostError(result.reason);
   }
 
@@ -278,6 +291,7 @@
     const startMs = clock.getMonotonicMs();
     for (;;) {
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
+      this.#throwIfPoisoned();
       const permit = pool.tryAcquire(this.#createPermitRequest());
       const waitedMs = clock.getMonotonicMs() - startMs;
       if (permit !== undefined) {
@@ -347,6 +361,19 @@
     await pool.waitForChange(decision.ms);
   }
 
+  /** Throws REQUEST_POISONED if too many servers crashed during the request. */
+  #throwIfPoisoned(): void {
+    const { crashDetector } = this.#options;
+    const rejectionMs = crashDetector.getRejectionMs(this.#req.request);
+    if (rejectionMs === 0) return;
+    const mayHaveRun = this.#possibleRuns > 0;
+    throw new ServingError(MessageCode.REQUEST_POISONED, {
+      verdict: mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
+      parameters: { servers: crashDetector.getCrashCount(this.#req.request) },
+      retryAfterS: mayHaveRun ? undefined : rejectionMs / 1_000,
+    });
+  }
+
   #createPermitRequest(): PermitRequest {
     return {
       service: this.#req.service,
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -12,11 +12,13 @@
   type HostList,
   type Registration,
   type RouteTable,
+  type Suspicion,
 } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
 import type { RpcStream } from "../sys/rpc.ts";
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
+import { createSuspicions, getServerStart } from "./routing_view.ts";
 
 type Stream = RpcStream<FleetUpdate>;
 
@@ -30,6 +32,8 @@
   pendingServers: Map<string, Registration>;
   /** Ids of servers that registered again without changes. */
   pendingHeardIds: Set<string>;
+  /** Suspicions to send, by fingerprint. */
+  pendingSuspicions: Map<string, Suspicion>;
 }
 
 /** State that followers receive in addition to backend servers. */
@@ -54,6 +58,7 @@
 export class RegistrationHub {
   readonly #options: RegistrationHubOptions;
   readonly #serverRegistry: ServerRegistry;
+  readonly #suspicions = createSuspicions();
   readonly #followers = new Set<Follower>();
   #updateTimer: Timer | undefined;
 
@@ -95,6 +100,7 @@
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
     if (effect === RegistrationEffect.heard) {
+      this.#suspicions.recordHeartbeat(getServerStart(registration), nowMs);
       this.#followers.forEach((follower) =>
         follower.pendingHeardIds.add(registration.id)
       );
@@ -114,6 +120,22 @@
     });
   }
 
+  /** Accepts what a gateway knows of crashes, and passes changes on. */
+  acceptSuspicions(suspicions: readonly Suspicion[]): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#suspicions.removeExpired(nowMs);
+    const changes = suspicions.filter((update) =>
+      this.#suspicions.merge(update, nowMs)
+    );
+    if (changes.length === 0) return;
+    this.#followers.forEach((follower) => {
+      changes.forEach((update) =>
+        follower.pendingSuspicions.set(update.fingerprint, update)
+      );
+      this.#sendUpdate(follower, false);
+    });
+  }
+
   /** Sends pending changes to all followers. */
   sendChanges(): void {
     this.#followers.forEach((follower) => this.#sendUpdate(follower, false));
@@ -131,6 +153,10 @@
         this.#serverRegistry.getAll().map((server) => [server.id, server]),
       ),
       pendingHeardIds: new Set(),
+      pendingSuspicions: new Map(
+        this.#suspicions.getAll(this.#options.clock.getMonotonicMs())
+          .map((suspicion) => [suspicion.fingerprint, suspicion]),
+      ),
     };
     this.#followers.add(follower);
     this.#sendUpdate(follower, true);
@@ -156,6 +182,7 @@
   #hasPendingUpdate(follower: Follower): boolean {
     const { routes, hosts } = this.#options.getState();
     return follower.pendingServers.size > 0 ||
+      follower.pendingSuspicions.size > 0 ||
       follower.routesVersion < routes.version ||
       follower.hostsVersion < hosts.version;
   }
@@ -169,11 +196,13 @@
       hosts: hasHosts ? hosts : undefined,
       servers: [...follower.pendingServers.values()],
       heard: [...follower.pendingHeardIds],
+      suspicions: [...follower.pendingSuspicions.values()],
     });
     if (hasRoutes) follower.routesVersion = routes.version;
     if (hasHosts) follower.hostsVersion = hosts.version;
     follower.pendingServers.clear();
     follower.pendingHeardIds.clear();
+    follower.pendingSuspicions.clear();
     return update;
   }
 }
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -4,14 +4,20 @@
  * ignored, so it never reverts to an earlier version.
  */
 import { create } from "@bufbuild/protobuf";
-import { RegistrationEffect, ServerRegistry } from "../membership/mod.ts";
+import {
+  RegistrationEffect,
+  ServerRegistry,
+  Suspicions,
+} from "../membership/mod.ts";
 import { RouteIndex } from "../policy/mod.ts";
 import {
   type FleetUpdate,
   type HostList,
   HostListSchema,
   HostRole,
+  type Registration,
   ServerState,
+  type Suspicion,
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
@@ -25,11 +31,49 @@
   readonly log: Log;
 }
 
+/**
+ * Time for which a suspicion is kept after the last crash, in milliseconds. It
+ * exceeds the longest time for which a request is rejected.
+ */
+const SUSPICION_RETENTION_MS = 15 * 60_000;
+
+/**
+ * Crashes at which a request is rejected while other servers crash too: more
+ * than a caller's first try and its attempts are likely to meet by chance.
+ */
+const MAX_CORRELATED_CRASHES = 4;
+
+/** Creates the record of the requests during which servers crashed. */
+export function createSuspicions(): Suspicions {
+  return new Suspicions({
+    retentionMs: SUSPICION_RETENTION_MS,
+    maxCorrelatedFailures: MAX_CORRELATED_CRASHES,
+  });
+}
+
+/**
+ * Called after a change of a backend server. `isStart` is true if the server, or
+ * this start of it, was not known before.
+ */
+export type ServerChangeListener = (
+  server: Registration,
+  isStart: boolean,
+) => void;
+
+/** Identifies one start of a backend server. */
+export function getServerStart(
+  server: { readonly id: string; readonly bornMs: bigint },
+): string {
+  return `${server.id}/${server.bornMs}`;
+}
+
 /** Routes, hosts and backend servers as one process knows them. */
 export class RoutingView {
   readonly #options: RoutingViewOptions;
   readonly servers: ServerRegistry;
+  readonly suspicions = createSuspicions();
   readonly #listeners = new Set<() => void>();
+  readonly #serverListeners = new Set<ServerChangeListener>();
   #routes: RouteIndex | undefined;
   #hosts: HostList = create(HostListSchema);
 
@@ -75,11 +119,17 @@
     this.#listeners.add(listener);
   }
 
+  /** Calls `listener` after each change of a backend server. */
+  onServerChange(listener: ServerChangeListener): void {
+    this.#serverListeners.add(listener);
+  }
+
   /** Applies an update from the control host at address `from`. */
   applyUpdate(update: FleetUpdate, from: string): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.servers.recordControlContact(nowMs);
-    update.heard.forEach((id) => this.servers.recordHeartbeat(id, nowMs));
+    update.heard.forEach((id) => this.#recordHeartbeat(id, nowMs));
+    this.#applySuspicions(update.suspicions, from, nowMs);
     const changes = [
       this.#applyRoutes(update, from),
       this.#applyHosts(update),
@@ -88,6 +138,31 @@
     if (changes.includes(true)) this.#notify();
   }
 
+  #recordHeartbeat(id: string, nowMs: number): void {
+    this.servers.recordHeartbeat(id, nowMs);
+    const known = this.servers.tryGet(id);
+    if (known === undefined || this.suspicions.isEmpty) return;
+    this.suspicions.recordHeartbeat(getServerStart(known), nowMs);
+  }
+
+  #applySuspicions(
+    suspicions: readonly Suspicion[],
+    from: string,
+    nowMs: number,
+  ): void {
+    this.suspicions.removeExpired(nowMs);
+    suspicions.filter((update) => this.suspicions.merge(update, nowMs))
+      .forEach(({ fingerprint, cleared }) =>
+        this.#options.log.info("suspicion_received", {
+          fingerprint,
+          cleared,
+          crashes: this.suspicions.getServerFailureCount(fingerprint),
+          rejected_ms: this.suspicions.getRejectionMs(fingerprint, nowMs),
+          from,
+        })
+      );
+  }
+
   #notify(): void {
     this.#listeners.forEach((listener) => listener());
   }
@@ -129,6 +204,8 @@
     const hasChanged = effect === RegistrationEffect.added ||
       effect === RegistrationEffect.changed;
     if (!hasChanged) return false;
+    const isStart = effect === RegistrationEffect.added;
+    this.#serverListeners.forEach((listener) => listener(server, isStart));
     this.#options.log.info("backend_server", {
       server: server.id,
       state: ServerState[server.state] ?? server.state,
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -22,6 +22,8 @@
 /** A backend server and its current load. */
 export interface PoolServer extends ServerCandidate {
   readonly address: string;
+  /** Start time of the server by its own wall clock, in milliseconds. */
+  readonly bornMs: bigint;
 }
 
 /** Which servers a request may use, and with which constraints. */
@@ -202,10 +204,10 @@
   }
 
   #createPoolServer(registration: Registration, nowMs: number): PoolServer {
-    const { id, address, dataCentre, slots } = registration;
+    const { id, address, bornMs, dataCentre, slots } = registration;
     const busy = this.loads.getBusyCount(id, nowMs);
     const batch = this.loads.getBatchCount(id, nowMs);
-    return { id, address, dataCentre, slots, busy, batch };
+    return { id, address, bornMs, dataCentre, slots, busy, batch };
   }
 
   #createPermit(
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -337,7 +337,7 @@
         sequenceTarget: server.sequenceTarget,
         failures: server.failures,
       })),
-      suspicions: suspicions.getAll().map((suspicion) => ({
+      suspicions: suspicions.getAll(nowMs).map((suspicion) => ({
         fingerprint: suspicion.fingerprint,
         servers: suspicion.servers,
       })),
@@ -398,7 +398,9 @@
       entries: hasNewerEntries ? [...entries] : [],
       entriesVersion: BigInt(entriesVersion),
       announcements: req.whole ? servers : [],
-      suspicions: req.whole ? this.view.suspicions.getAll() : [],
+      suspicions: req.whole
+        ? this.view.suspicions.getAll(this.#context.clock.getMonotonicMs())
+        : [],
     });
   }
 
--- a/src/services/online/crash_detector.ts
+++ b/src/services/online/crash_detector.ts
@@ -3,27 +3,17 @@
  * a suspicion against the requests that were in flight.
  */
 import type { FleetView } from "../../membership/mod.ts";
-import { type Suspicion, Verdict } from "../../schema/mod.ts";
+import type { Suspicion } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
-import { HttpSendError, sendHttp } from "../../sys/http.ts";
+import { ConnectProbe, ProbeResult } from "../../sys/connect_probe.ts";
 import type { Placement } from "./placement.ts";
 
-const PROBE_TIMEOUT_MS = 300;
-
-/** Time during which the result of a probe is reused, in milliseconds. */
-const PROBE_TTL_MS = 200;
-
-interface Probe {
-  readonly sentMs: number;
-  readonly isDown: Promise<boolean>;
-}
-
 /** Detects crashes of backend servers on behalf of one entry. */
 export class CrashDetector {
   readonly #view: FleetView;
   readonly #clock: Clock;
   readonly #onSuspicionChange: (suspicion: Suspicion) => void;
-  readonly #probes = new Map<string, Probe>();
+  readonly #probe: ConnectProbe;
 
   constructor(options: {
     view: FleetView;
@@ -32,6 +22,7 @@
   }) {
     this.#view = options.view;
     this.#clock = options.clock;
+    this.#probe = new ConnectProbe(options.clock);
     this.#onSuspicionChange = options.onSuspicionChange;
   }
 
@@ -61,34 +52,9 @@
     if (update !== undefined) this.#onSuspicionChange(update);
   }
 
-  #isServerDown(name: string): Promise<boolean> {
-    const nowMs = this.#clock.getMonotonicMs();
-    const known = this.#probes.get(name);
-    if (known !== undefined && nowMs - known.sentMs < PROBE_TTL_MS) {
-      return known.isDown;
-    }
+  async #isServerDown(name: string): Promise<boolean> {
     const address = this.#view.backends.tryGet(name)?.announcement.address;
-    const isDown = address === undefined
-      ? Promise.resolve(false)
-      : isUnreachable(address);
-    this.#probes.set(name, { sentMs: nowMs, isDown });
-    return isDown;
-  }
-}
-
-/** Whether no connection to the address could be made for a health check. */
-async function isUnreachable(address: string): Promise<boolean> {
-  try {
-    const response = await sendHttp({
-      address,
-      method: "GET",
-      path: "/health",
-      usesNewConnection: true,
-      headersTimeoutMs: PROBE_TIMEOUT_MS,
-    });
-    response.body.resume();
-    return false;
-  } catch (error) {
-    return error instanceof HttpSendError && error.verdict === Verdict.NOT_RUN;
+    return address !== undefined &&
+      await this.#probe.probe(address) !== ProbeResult.connected;
   }
 }
--- /dev/null
+++ b/src/sys/connect_probe.ts
@@ -0,0 +1,71 @@
+/**
+ * Tests whether a process listens on an address, by opening a connection and
+ * closing it at once.
+ */
+import { connect } from "node:net";
+import type { Clock } from "./clock.ts";
+import { parseAddress } from "./http.ts";
+
+/** Results of a probe. */
+export const ProbeResult = {
+  connected: "connected",
+  /** No process listens on the address. */
+  refused: "refused",
+  /** Nothing answered: the host may be down, or the network partitioned. */
+  silent: "silent",
+} as const;
+
+/** One of {@linkcode ProbeResult}. */
+export type ProbeResult = typeof ProbeResult[keyof typeof ProbeResult];
+
+const PROBE_TIMEOUT_MS = 300;
+
+/** Time during which the result of a probe is reused, in milliseconds. */
+const PROBE_TTL_MS = 200;
+
+interface Probe {
+  readonly sentMs: number;
+  readonly result: Promise<ProbeResult>;
+}
+
+/** Probes addresses, each at most once at a time. */
+export class ConnectProbe {
+  readonly #clock: Clock;
+  readonly #probes = new Map<string, Probe>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  probe(address: string): Promise<ProbeResult> {
+    const nowMs = this.#clock.getMonotonicMs();
+    this.#probes.forEach((probe, key) => {
+      if (nowMs - probe.sentMs >= PROBE_TTL_MS) this.#probes.delete(key);
+    });
+    const known = this.#probes.get(address);
+    if (known !== undefined) return known.result;
+    const result = this.#connect(address);
+    this.#probes.set(address, { sentMs: nowMs, result });
+    return result;
+  }
+
+  #connect(address: string): Promise<ProbeResult> {
+    return new Promise((resolve) => {
+      const socket = connect(parseAddress(address));
+      const settle = (result: ProbeResult) => {
+        timer.cancel();
+        socket.destroy();
+        resolve(result);
+      };
+      const timer = this.#clock.startTimer(
+        PROBE_TIMEOUT_MS,
+        () => settle(ProbeResult.silent),
+      );
+      socket.on("connect", () => settle(ProbeResult.connected));
+      socket.on("error", (error: NodeJS.ErrnoException) => {
+        const isRefused = error.code === "ECONNREFUSED";
+        settle(isRefused ? ProbeResult.refused : ProbeResult.silent);
+      });
+    });
+  }
+}
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -31,6 +31,7 @@
   ownAnswers: "own_answers",
   itemFailures: "item_failures",
   recordMs: "record_ms",
+  suspicions: "suspicions",
 } as const;
 
 /** Name of a metric. */
