--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -236,8 +236,12 @@
   sendRequest(
     id: string,
     target: string,
-    options: { body?: string; gatewayIndex?: number; signal?: AbortSignal } =
-      {},
+    options: {
+      body?: string;
+      gatewayIndex?: number;
+      signal?: AbortSignal;
+      headers?: Record<string, string>;
+    } = {},
   ): Promise<ReceivedResponse> {
     return sendHttpRequest(
       this.gatewayAddresses[options.gatewayIndex ?? 0] ?? "",
@@ -248,6 +252,7 @@
           Host: "a.example",
           "X-Request-Id": id,
           "X-Deadline-Ms": "2500",
+          ...options.headers,
         },
         body: options.body ?? `body of ${id}`,
         signal: options.signal,
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -63,6 +63,10 @@
   readonly #sharedBehaviours: Behaviour[];
   /** Time between two events of a response, in milliseconds. */
   eventIntervalMs = 2;
+  /** Version of the server's software. */
+  version = "v1";
+  /** Whether each event names the version that made it. */
+  marksEvents = false;
   /** Text in a request's body that ends the server; undefined for none. */
   crashText: string | undefined;
   /** Called when a request has ended the server. */
@@ -103,7 +107,7 @@
       Service: "s",
       Address: this.address,
       Zone: "dc-1",
-      Version: "v1",
+      Version: this.version,
       Slots: 4,
       State: "ready",
       ColdLeftMs: 0,
@@ -191,9 +195,9 @@
     });
     const send = (number: number) => {
       if (res.destroyed) return;
-      const event = `id: ${number}\ndata: ${
-        getEventData(request.id, number)
-      }\n\n`;
+      const mark = this.marksEvents ? `@${this.version}` : "";
+      const data = `${getEventData(request.id, number)}${mark}`;
+      const event = `id: ${number}\ndata: ${data}\n\n`;
       if (resetsMidStream && number === lastEventNumber + 2) {
         res.write(event.slice(0, event.length / 2));
         setTimeout(() => res.socket?.resetAndDestroy(), this.eventIntervalMs);
