Bind resumable streams to the software version that began them

Cause: no process knew the version of a server's software; a gateway continued a broken stream at any server, and placed a stream that a caller took up again like a new request. What had begun it was known to one gateway, in one request.

Change: a registration's software version is decoded. A stream's service and version are kept by the caller's attempt that brought its first event, at its gateway and, with the load reports, at all mergers, which a gateway asks when a caller takes a stream up. Without an answer it goes on only if the service has had one version for longer than a stream lasts; else it is refused at once. A server to which no connection could be made continues no stream until it is heard of again, since it may be back under its id with other software.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -3,7 +3,7 @@
  * the view of the fleet, the server pool, the client of the servers, and the
  * exchange of loads with other processes.
  */
-import type { FleetSettings } from "../schema/mod.ts";
+import type { FleetSettings, StreamOrigin } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { createHttpAgent } from "../sys/http.ts";
 import type { RpcCredentials } from "../sys/rpc.ts";
@@ -25,6 +25,8 @@
   readonly isMerger: boolean;
   /** Called after a load report from another process was accepted. */
   readonly onReport: () => void;
+  /** Called with the origins of streams that gateways report. */
+  readonly onOrigins?: (origins: readonly StreamOrigin[]) => void;
 }
 
 /**
@@ -83,11 +85,22 @@
       getMergers: () => view.getStoreAddresses(),
       isMerger: options.isMerger,
       onReport: options.onReport,
+      onOrigins: options.onOrigins ?? (() => {}),
       clock,
       log,
     });
   }
 
+  /** Sends the origin of a stream to the mergers with the next load report. */
+  reportOrigin(origin: StreamOrigin): void {
+    this.#exchange.reportOrigin(origin);
+  }
+
+  /** Sends waiting origins at once. */
+  flushOrigins(): void {
+    this.#exchange.flushOrigins();
+  }
+
   async start(): Promise<void> {
     this.follower.start();
     await this.#exchange.start();
--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -103,6 +103,9 @@
   async #probeServer(req: BackendRequest, server: PoolServer): Promise<void> {
     const lostMs = this.#options.clock.getMonotonicMs();
     const result = await this.#probe.probe(server.address);
+    if (result !== ProbeResult.connected) {
+      this.#options.view.servers.recordUnreachable(server.id, lostMs);
+    }
     if (result === ProbeResult.refused) this.#suspect(req, server);
     if (result === ProbeResult.silent) {
       this.#addPending({ req, server, lostMs });
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -20,6 +20,11 @@
    * from the beginning.
    */
   readonly resumeAfter: number | undefined;
+  /**
+   * Id of the attempt that brought the stream's first event, if the caller takes
+   * a stream up again; otherwise empty.
+   */
+  readonly resumedRequest: string;
 }
 
 /** A request for a job's results or an item's body, or to end a job. */
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -36,6 +36,7 @@
 import { JobClient } from "./job_client.ts";
 import { OnlineRelay, type OnlineRequest } from "./online_relay.ts";
 import { ServiceTimes } from "./service_times.ts";
+import { StreamOriginFinder } from "./stream_origin_finder.ts";
 
 /** Maximum body size if the route table sets no limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1 << 20;
@@ -68,6 +69,7 @@
   readonly #relay: OnlineRelay;
   readonly #state: StateClient;
   readonly #jobs: JobClient;
+  readonly #streamOrigins: StreamOriginFinder;
   readonly #reservedHeaders: ReadonlySet<string>;
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
@@ -94,7 +96,15 @@
       onReport: () => backends.pool.wakeWaiters(),
     });
     this.#backends = backends;
+    this.#streamOrigins = new StreamOriginFinder({
+      getMergers: () => backends.view.getStoreAddresses(),
+      report: (origin) => backends.reportOrigin(origin),
+      credentials,
+      clock,
+      log,
+    });
     this.#relay = new OnlineRelay({
+      view: backends.view,
       pool: backends.pool,
       backendClient: backends.backendClient,
       crashDetector: new CrashDetector({
@@ -105,6 +115,8 @@
         log,
         metrics,
       }),
+      streamOrigins: this.#streamOrigins,
+      flushOrigins: () => backends.flushOrigins(),
       dialect: this.#dialect,
       serviceTimes: new ServiceTimes(),
       clock,
@@ -174,6 +186,7 @@
     this.#listener?.close();
     this.#readyListener?.close();
     this.#backends.close();
+    this.#streamOrigins.close();
     this.#state.close();
   }
 
@@ -287,6 +300,7 @@
       },
       prefix: metadata.prefix,
       resumeAfter: metadata.resumeAfter,
+      resumedRequest: metadata.resumedRequest,
       arrivedMs,
       timeoutMs: metadata.timeoutMs,
     };
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -1,5 +1,6 @@
 /**
- * Exchanges the loads of backend servers between processes over UDP. Every
+ * Exchanges the loads of backend servers between processes over UDP, and sends
+ * mergers the origins of streams with them. Every
  * gateway and every process that runs job items reports its own in-flight
  * requests to all members of the store group. One of these members, selected by
  * each gateway, replies with the merged load of all other processes; if it stops
@@ -13,6 +14,7 @@
   type LoadReport,
   LoadReportSchema,
   type ServerLoad,
+  type StreamOrigin,
 } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
 import { type DatagramSocket, openDatagramSocket } from "../sys/datagrams.ts";
@@ -32,6 +34,8 @@
   /** Whether this process merges the reports of the other processes. */
   readonly isMerger: boolean;
   readonly onReport: () => void;
+  /** Called with the origins of streams that other processes report. */
+  readonly onOrigins: (origins: readonly StreamOrigin[]) => void;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -66,6 +70,15 @@
  */
 const REPORTER_TIMEOUT_MS = 700;
 
+/**
+ * Maximum number of origins in a datagram. Each takes about 40 bytes, which also
+ * fit into the largest part.
+ */
+const MAX_ORIGINS_PER_PART = 8;
+
+/** Origins that wait to be sent; the oldest are dropped. */
+const MAX_PENDING_ORIGINS = 1_024;
+
 /** Sends and receives the load reports of one process. */
 export class LoadExchange {
   readonly #options: LoadExchangeOptions;
@@ -74,6 +87,7 @@
   readonly #lastSent = new Map<string, { text: string; sentMs: number }>();
   #socket: DatagramSocket | undefined;
   #reportTimer: Timer | undefined;
+  #pendingOrigins: StreamOrigin[] = [];
   #sequence = 0n;
   #lastReportMs = -Infinity;
 
@@ -112,6 +126,19 @@
     if (isDue) this.#sendReports();
   }
 
+  /** Sends an origin to all mergers with the next report. */
+  reportOrigin(origin: StreamOrigin): void {
+    this.#pendingOrigins.push(origin);
+    if (this.#pendingOrigins.length > MAX_PENDING_ORIGINS) {
+      this.#pendingOrigins.shift();
+    }
+  }
+
+  /** Sends waiting origins without waiting for the next interval. */
+  flushOrigins(): void {
+    if (this.#pendingOrigins.length > 0) this.tryReportNow();
+  }
+
   #receive(bytes: Uint8Array, from: string): void {
     const { clock, log, loads } = this.#options;
     const nowMs = clock.getMonotonicMs();
@@ -126,6 +153,7 @@
     // also receive directly, which would be counted twice. Other processes accept
     // only merged reports.
     if (report.merged === this.#options.isMerger) return;
+    if (report.origins.length > 0) this.#options.onOrigins(report.origins);
     if (report.merged) this.#mergerSelector.recordAnswer(from, nowMs);
     else this.#updateReporter(report, from, nowMs);
     if (loads.acceptReport(report, nowMs)) this.#options.onReport();
@@ -149,6 +177,10 @@
       ...count,
     }));
     const mergers = getMergers();
+    const parts = splitLoads(ownLoads).length;
+    const origins = mergers.length === 0
+      ? []
+      : this.#pendingOrigins.splice(0, parts * MAX_ORIGINS_PER_PART);
     const selectedMerger = isMerger
       ? ""
       : this.#mergerSelector.select(mergers, nowMs);
@@ -156,7 +188,7 @@
       const wantsAnswer = merger === selectedMerger;
       this.#send(
         merger,
-        { loads: ownLoads, merged: false, wantsAnswer },
+        { loads: ownLoads, merged: false, wantsAnswer, origins },
         nowMs,
       );
     });
@@ -171,14 +203,20 @@
         return;
       }
       const loads = this.#options.loads.getMerged(nowMs, name);
-      this.#send(address, { loads, merged: true, wantsAnswer: false }, nowMs);
+      const body = { loads, merged: true, wantsAnswer: false, origins: [] };
+      this.#send(address, body, nowMs);
     });
   }
 
   /** Sends a report; skips it if an identical one was sent recently. */
   #send(
     to: string,
-    body: { loads: ServerLoad[]; merged: boolean; wantsAnswer: boolean },
+    body: {
+      loads: ServerLoad[];
+      merged: boolean;
+      wantsAnswer: boolean;
+      origins: readonly StreamOrigin[];
+    },
     nowMs: number,
   ): void {
     const rows = body.loads.map((load) =>
@@ -187,7 +225,7 @@
     const text = [body.wantsAnswer, ...rows].join();
     const key = `${to}/${body.merged}`;
     const sent = this.#lastSent.get(key);
-    const isRepeat = sent?.text === text;
+    const isRepeat = sent?.text === text && body.origins.length === 0;
     if (isRepeat && nowMs - sent.sentMs < UNCHANGED_REPORT_INTERVAL_MS) return;
     this.#lastSent.set(key, { text, sentMs: nowMs });
     splitLoads(body.loads).forEach((loads, part, all) => {
@@ -200,6 +238,10 @@
         sequence: this.#sequence,
         part,
         parts: all.length,
+        origins: body.origins.slice(
+          part * MAX_ORIGINS_PER_PART,
+          (part + 1) * MAX_ORIGINS_PER_PART,
+        ),
       });
       this.#socket?.send(toBinary(LoadReportSchema, report), to);
     });
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -35,16 +35,27 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import type { CallerDialect } from "./dialects.ts";
-import type { PermitRequest, ServerPermit, ServerPool } from "./server_pool.ts";
+import type {
+  PermitRequest,
+  PoolServer,
+  ServerPermit,
+  ServerPool,
+} from "./server_pool.ts";
+import type { RoutingView } from "./routing_view.ts";
 import type { ServiceTimes } from "./service_times.ts";
+import type { StreamOriginFinder } from "./stream_origin_finder.ts";
+import { VersionPin } from "./version_pin.ts";
 
 /** A request that has been matched to a route and read completely. */
 export interface OnlineRequest {
   readonly route: Route;
+  /** Service that was selected among the targets of the route. */
   readonly service: string;
   readonly request: BackendRequest;
   readonly prefix: readonly string[];
   readonly resumeAfter: number | undefined;
+  /** Attempt that brought the first event of a stream that is taken up. */
+  readonly resumedRequest: string;
   readonly arrivedMs: number;
   /**
    * Timeout that the caller set, in milliseconds from `arrivedMs`; undefined
@@ -55,9 +66,13 @@
 
 /** Options of an {@linkcode OnlineRelay}. */
 export interface OnlineRelayOptions {
+  readonly view: RoutingView;
   readonly pool: ServerPool;
   readonly backendClient: BackendClient;
   readonly crashDetector: CrashDetector;
+  readonly streamOrigins: StreamOriginFinder;
+  /** Sends the origins of streams that have not been sent yet. */
+  readonly flushOrigins: () => void;
   readonly dialect: CallerDialect;
   readonly serviceTimes: ServiceTimes;
   readonly clock: Clock;
@@ -103,7 +118,10 @@
   readonly #req: OnlineRequest;
   readonly #callerResponse: CallerResponse;
   readonly #options: OnlineRelayOptions;
+  readonly #pin: VersionPin;
   readonly #forwarder: ResponseForwarder;
+  /** Server of the current attempt. */
+  #server: PoolServer | undefined;
   readonly #excluded = new Set<string>();
   readonly #requestAbort = new AbortController();
   /** Aborts the current attempt without aborting the request. */
@@ -121,7 +139,13 @@
     this.#req = req;
     this.#callerResponse = callerResponse;
     this.#options = options;
-    this.#forwarder = createForwarder(req, callerResponse);
+    this.#pin = new VersionPin(
+      { ...req, requestId: req.request.requestId },
+      options,
+    );
+    this.#forwarder = createForwarder(req, callerResponse, () => {
+      if (this.#server !== undefined) this.#pin.recordEvents(this.#server);
+    });
   }
 
   get #deadlineMs(): number {
@@ -155,6 +179,7 @@
   }
 
   async #retryUntilDone(): Promise<void> {
+    if (this.#pin.isTakenUp) await this.#pin.resolve();
     for (;;) {
       const permit = await this.#acquirePermit();
       const isDone = await this.#attempt(permit).finally(() =>
@@ -175,6 +200,7 @@
       this.#options;
     const startMs = clock.getMonotonicMs();
     this.#attemptAbort = new AbortController();
+    this.#server = permit.server;
     const result = await backendClient.send({
       request: this.#req.request,
       permit,
@@ -191,7 +217,7 @@
     if (isDone) {
       crashDetector.recordSuccess(this.#req.request);
       const tookMs = clock.getMonotonicMs() - startMs;
-      serviceTimes.record(this.#req.service, tookMs);
+      serviceTimes.record(this.#pin.service, tookMs);
       metrics.time(MetricName.requestMs, tookMs);
     }
     return isDone;
@@ -219,6 +245,8 @@
     if (result.kind === "done") return true;
     if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
     this.#options.pool.recordFailure(permit.server.id);
+    // The caller may take the stream up elsewhere as soon as it is broken.
+    this.#options.flushOrigins();
     this.#logAttemptFailure("answer_broken", permit, result.reason);
     await this.#options.crashDetector.recordConnectionLoss(
       this.#req.request,
@@ -309,7 +337,8 @@
    */
   async #waitOrQueue(waitedMs: number): Promise<ServerPermit | undefined> {
     const { pool, serviceTimes } = this.#options;
-    const { service, route } = this.#req;
+    const { route } = this.#req;
+    const { service } = this.#pin;
     const leastBusy = pool.tryGetLeastBusy(this.#createPermitRequest());
     if (leastBusy === undefined) return this.#waitForServer(waitedMs);
     const decision = decideAdmission({
@@ -326,6 +355,11 @@
         await pool.waitForChange(decision.ms);
         return undefined;
       case "refuse":
+        // A stream that has begun can only go on at servers of its version, and
+        // is worth more than one that may begin later.
+        if (this.#pin.softwareVersion !== undefined) {
+          return pool.tryAcquireQueued(this.#createPermitRequest());
+        }
         throw this.#createNoCapacityError(
           `${leastBusy.busy} requests, ${leastBusy.batch} of jobs, on ${leastBusy.slots} ` +
             "slots at the least busy",
@@ -340,11 +374,19 @@
    */
   async #waitForServer(waitedMs: number): Promise<undefined> {
     const { pool } = this.#options;
-    const { route, service } = this.#req;
-    if (this.#excluded.size > 0 && pool.getServers(service).length > 0) {
+    const { route } = this.#req;
+    const { service, softwareVersion } = this.#pin;
+    const servers = pool.getServers(service, softwareVersion);
+    if (this.#excluded.size > 0 && servers.length > 0) {
       this.#excluded.clear();
       return;
     }
+    if (softwareVersion !== undefined) {
+      const mayHaveRun = this.#possibleRuns > 0;
+      throw this.#pin.createVersionGoneError(
+        mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
+      );
+    }
     const decision = decideAdmission({
       busy: 1,
       slots: 1,
@@ -376,7 +418,8 @@
 
   #createPermitRequest(): PermitRequest {
     return {
-      service: this.#req.service,
+      service: this.#pin.service,
+      softwareVersion: this.#pin.softwareVersion,
       kind: LoadKind.online,
       prefix: this.#req.prefix,
       excluded: this.#excluded,
@@ -393,7 +436,7 @@
     );
     return new ServingError(MessageCode.NO_ROOM, {
       verdict: Verdict.NOT_RUN,
-      parameters: { service: this.#req.service, reason },
+      parameters: { service: this.#pin.service, reason },
       retryAfterS: waitMs / 1_000,
     });
   }
@@ -445,6 +488,7 @@
     this.#options.log.info(event, {
       request: this.#req.request.requestId,
       server: permit.server.id,
+      version: permit.server.softwareVersion,
       busy: permit.server.busy,
       slots: permit.server.slots,
       reason,
@@ -456,10 +500,11 @@
 function createForwarder(
   req: OnlineRequest,
   callerResponse: CallerResponse,
+  onEvents: () => void,
 ): ResponseForwarder {
   if (req.route.kind === RequestKind.STREAM) {
     return req.route.resumable
-      ? new EventForwarder(callerResponse, req.resumeAfter)
+      ? new EventForwarder(callerResponse, req.resumeAfter, onEvents)
       : new StreamForwarder(callerResponse, req.resumeAfter);
   }
   return isRetryable(req.route)
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -110,6 +110,7 @@
       server: registration.id,
       state: registration.state,
       service: registration.service,
+      version: registration.softwareVersion,
       address: registration.address,
       followers: this.#followers.size,
     });
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -145,10 +145,17 @@
  */
 export class EventForwarder extends ResponseForwarder {
   #sequence: EventSequence;
-
-  constructor(caller: CallerResponse, resumeAfter: number | undefined) {
+  readonly #onEvents: () => void;
+
+  /** `onEvents` is called before events of a response are sent to the caller. */
+  constructor(
+    caller: CallerResponse,
+    resumeAfter: number | undefined,
+    onEvents: () => void = () => {},
+  ) {
     super(caller);
     this.#sequence = new EventSequence(resumeAfter);
+    this.#onEvents = onEvents;
   }
 
   override get resumeAfter(): number | undefined {
@@ -187,6 +194,7 @@
           reason: "an event is missing",
         };
       }
+      this.#onEvents();
       if (!this.caller.headSent) this.sendHead(response);
       await this.caller.write(events.bytes);
     }
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -210,6 +210,7 @@
       server: server.id,
       state: ServerState[server.state] ?? server.state,
       service: server.service,
+      version: server.softwareVersion,
       address: server.address,
       sequence: Number(server.sequence),
       from,
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -24,6 +24,7 @@
   readonly address: string;
   /** Start time of the server by its own wall clock, in milliseconds. */
   readonly bornMs: bigint;
+  readonly softwareVersion: string;
 }
 
 /** Which servers a request may use, and with which constraints. */
@@ -37,6 +38,8 @@
   readonly reserve?: number;
   /** Ids of the servers to select from; all servers of the service by default. */
   readonly allowed?: ReadonlySet<string>;
+  /** Software version that the server must have; any by default. */
+  readonly softwareVersion?: string;
   /** Called at each check that finds the selected server silent. */
   readonly onSilent?: () => void;
 }
@@ -115,11 +118,15 @@
   /**
    * Returns the servers of a service that accept requests, with their loads.
    * Servers that haven't responded for a while are included only if the service
-   * has no others.
+   * has no others. With `softwareVersion`, only servers of this version.
    */
-  getServers(service: string): PoolServer[] {
+  getServers(service: string, softwareVersion?: string): PoolServer[] {
     const nowMs = this.#options.clock.getMonotonicMs();
-    const usable = this.#options.view.servers.getAvailable(service, nowMs);
+    const usable = this.#options.view.servers.getAvailable(
+      service,
+      nowMs,
+      softwareVersion,
+    );
     const responsive = usable.filter((server) =>
       !this.#silenceDetector.isSuspect(server.id, nowMs)
     );
@@ -198,16 +205,26 @@
   }
 
   #getCandidates(req: PermitRequest): PoolServer[] {
-    return this.getServers(req.service).filter((server) =>
+    return this.getServers(req.service, req.softwareVersion).filter((server) =>
       !req.excluded.has(server.id) && req.allowed?.has(server.id) !== false
     );
   }
 
   #createPoolServer(registration: Registration, nowMs: number): PoolServer {
-    const { id, address, bornMs, dataCentre, slots } = registration;
+    const { id, address, bornMs, softwareVersion, dataCentre, slots } =
+      registration;
     const busy = this.loads.getBusyCount(id, nowMs);
     const batch = this.loads.getBatchCount(id, nowMs);
-    return { id, address, bornMs, dataCentre, slots, busy, batch };
+    return {
+      id,
+      address,
+      bornMs,
+      softwareVersion,
+      dataCentre,
+      slots,
+      busy,
+      batch,
+    };
   }
 
   #createPermit(
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -16,7 +16,9 @@
   type ReadJobRequest,
   type RecordRuns,
   StoreMembersSchema,
+  Streams,
 } from "../schema/mod.ts";
+import { StreamOrigins } from "../membership/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { StateClient } from "../services/common/state_client.ts";
 import { tryPlanRunners } from "../policy/mod.ts";
@@ -63,6 +65,7 @@
   /** Client of the leader of the store group. */
   readonly #storeClient: StateClient;
   readonly #waitingReaders = new Set<() => void>();
+  readonly #streamOrigins = new StreamOrigins();
   #member: GroupMember | undefined;
   #membershipTimer: Timer | undefined;
   #isReportingMembers = false;
@@ -91,6 +94,10 @@
       dialect: dialects.backend,
       isMerger: true,
       onReport: () => this.#itemRunner.requestScheduling(),
+      onOrigins: (origins) => {
+        const nowMs = context.clock.getMonotonicMs();
+        origins.forEach((origin) => this.#streamOrigins.add(origin, nowMs));
+      },
     });
     const { view, pool, backendClient, follower } = this.#backends;
     this.#storeClient = new StateClient({
@@ -145,6 +152,10 @@
       readResults: (req) => this.#readResults(req),
       readBody: (req) => Promise.resolve(this.#readBody(req)),
     });
+    server.addService(Streams, {
+      findOrigin: ({ request }) =>
+        Promise.resolve({ origin: this.#streamOrigins.tryGet(request) }),
+    });
     await this.#process.listen();
     await this.#backends.start();
     this.#itemRunner.start();
@@ -188,6 +199,7 @@
       openJobs: this.#machine.getOpenJobs().length,
       commandVersion: this.#machine.activeVersion,
       runs: this.#itemRunner.runCount,
+      streamOrigins: this.#streamOrigins.size,
       replica: this.#member?.getDump(),
       metrics: this.#context.metrics.getSums(),
     };
--- /dev/null
+++ b/src/fleet/version_pin.ts
@@ -0,0 +1,159 @@
+/**
+ * Pins a resumable stream to the service and the software version that began it:
+ * what servers of two versions generate must not be joined, neither inside one
+ * response nor over the tries of a caller that takes a stream up again.
+ */
+import {
+  MessageCode,
+  type Route,
+  type StreamOrigin,
+  StreamOriginSchema,
+  Verdict,
+} from "../schema/mod.ts";
+import { create } from "@bufbuild/protobuf";
+import type { Clock } from "../sys/clock.ts";
+import { ServingError } from "../sys/errors.ts";
+import type { Log } from "../sys/log.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
+import type { RoutingView } from "./routing_view.ts";
+import type { PoolServer } from "./server_pool.ts";
+import type { StreamOriginFinder } from "./stream_origin_finder.ts";
+
+/** A request whose stream may be pinned. */
+export interface PinnedRequest {
+  readonly route: Route;
+  readonly requestId: string;
+  /** Service that was selected for a new stream. */
+  readonly service: string;
+  readonly resumeAfter: number | undefined;
+  readonly resumedRequest: string;
+}
+
+/** Options of a {@linkcode VersionPin}. */
+export interface VersionPinOptions {
+  readonly view: Pick<RoutingView, "servers">;
+  readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Retry-After if a stream can't go on, in seconds. A server that crashed is back
+ * after about this time, and so is a host that knows the stream.
+ */
+const RETRY_AFTER_S = 1;
+
+/** Service and software version of one request's stream. */
+export class VersionPin {
+  readonly #req: PinnedRequest;
+  readonly #options: VersionPinOptions;
+  #service: string;
+  #softwareVersion: string | undefined;
+
+  constructor(req: PinnedRequest, options: VersionPinOptions) {
+    this.#req = req;
+    this.#options = options;
+    this.#service = req.service;
+  }
+
+  get service(): string {
+    return this.#service;
+  }
+
+  /** Version that servers must have; undefined while any may begin the stream. */
+  get softwareVersion(): string | undefined {
+    return this.#softwareVersion;
+  }
+
+  /** Whether the caller takes up a stream of which it has events. */
+  get isTakenUp(): boolean {
+    return this.#req.route.resumable && (this.#req.resumeAfter ?? 0) > 0;
+  }
+
+  /**
+   * Finds out which version began a stream that the caller takes up. Throws
+   * STREAM_ORIGIN_UNKNOWN or STREAM_VERSION_GONE (not run).
+   */
+  async resolve(): Promise<void> {
+    const { log, metrics, clock } = this.#options;
+    const { requestId, resumedRequest } = this.#req;
+    const startMs = clock.getMonotonicMs();
+    const found = await this.#tryFind();
+    const origin = found ?? this.#tryGetOnlyOrigin();
+    const how = found !== undefined
+      ? "found"
+      : origin === undefined
+      ? "unknown"
+      : "only_version";
+    metrics.count(MetricName.streamsTakenUp, 1, { origin: how });
+    log.info("stream_taken_up", {
+      request: requestId,
+      resumes: resumedRequest,
+      after_event: this.#req.resumeAfter ?? 0,
+      origin: how,
+      service: origin?.service ?? "",
+      version: origin?.softwareVersion ?? "",
+      took_ms: Math.round(clock.getMonotonicMs() - startMs),
+    });
+    if (origin === undefined) {
+      throw new ServingError(MessageCode.STREAM_ORIGIN_UNKNOWN, {
+        verdict: Verdict.NOT_RUN,
+        parameters: { request: resumedRequest },
+        retryAfterS: RETRY_AFTER_S,
+      });
+    }
+    this.#service = origin.service;
+    this.#softwareVersion = origin.softwareVersion;
+    const isRouted = this.#req.route.targets.some(({ service, weight }) =>
+      service === origin.service && weight > 0
+    );
+    if (!isRouted) throw this.createVersionGoneError(Verdict.NOT_RUN);
+  }
+
+  /** Records that events of a server are about to be sent to the caller. */
+  recordEvents(server: PoolServer): void {
+    if (this.#softwareVersion !== undefined) return;
+    this.#softwareVersion = server.softwareVersion;
+    this.#options.streamOrigins.record(create(StreamOriginSchema, {
+      request: this.#req.requestId,
+      service: this.#service,
+      softwareVersion: server.softwareVersion,
+    }));
+  }
+
+  /** Creates the error of a stream whose version no server has any more. */
+  createVersionGoneError(verdict: Verdict): ServingError {
+    return new ServingError(MessageCode.STREAM_VERSION_GONE, {
+      verdict,
+      parameters: {
+        service: this.#service,
+        version: this.#softwareVersion ?? "",
+      },
+      retryAfterS: verdict === Verdict.NOT_RUN ? RETRY_AFTER_S : undefined,
+    });
+  }
+
+  async #tryFind(): Promise<StreamOrigin | undefined> {
+    const { resumedRequest } = this.#req;
+    if (resumedRequest === "") return undefined;
+    return await this.#options.streamOrigins.find(resumedRequest);
+  }
+
+  /** Origin of any stream if only one version can have begun it. */
+  #tryGetOnlyOrigin(): StreamOrigin | undefined {
+    const { view, clock } = this.#options;
+    const [target, ...others] = this.#req.route.targets;
+    if (target === undefined || others.length > 0) return undefined;
+    const softwareVersion = view.servers.tryGetOnlyVersion(
+      target.service,
+      clock.getMonotonicMs(),
+    );
+    if (softwareVersion === undefined) return undefined;
+    return create(StreamOriginSchema, {
+      request: this.#req.resumedRequest,
+      service: target.service,
+      softwareVersion,
+    });
+  }
+}
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -11,3 +11,4 @@
 export * from "./load_tracker.ts";
 export * from "./merger_selector.ts";
 export * from "./silence_detector.ts";
+export * from "./stream_origins.ts";
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -18,6 +18,11 @@
   failures: number;
   /** Time at which it was found silent; cleared by its next response. */
   silentSinceMs: number | undefined;
+  /**
+   * Time at which no connection to it could be made in this start; undefined if
+   * there was none.
+   */
+  unreachableMs: number | undefined;
   /** Another server answered at its address; cleared on registration. */
   hasIdentityMismatch: boolean;
 }
@@ -50,11 +55,20 @@
 /** Heartbeats that a server may miss before it counts as silent. */
 const MAX_MISSED_HEARTBEATS = 4;
 
+/**
+ * Time for which a software version is remembered after its last registration or
+ * heartbeat, in milliseconds. It exceeds the duration of a stream.
+ */
+const VERSION_TTL_MS = 60_000;
+
 /** Registry of one process. */
 export class ServerRegistry {
   readonly #servers = new Map<string, KnownServer>();
   readonly #heartbeatMs: number;
-  /** Time of the last message from any control host. */
+  /** Last contact with any server of a software version, by service. */
+  readonly #versions = new Map<string, Map<string, number>>();
+  /** Time of the first and of the last message from any control host. */
+  #firstControlContactMs: number | undefined;
   #lastControlContactMs = -Infinity;
 
   constructor(options: { heartbeatMs: number }) {
@@ -66,6 +80,7 @@
    * so a heartbeat counts as missed only while such messages arrive.
    */
   recordControlContact(nowMs: number): void {
+    this.#firstControlContactMs ??= nowMs;
     this.#lastControlContactMs = nowMs;
   }
 
@@ -78,6 +93,7 @@
     }
     if (this.#isSuperseded(registration)) return RegistrationEffect.old;
     this.#removePredecessors(registration);
+    this.#recordVersion(registration, nowMs);
     const isSameStart = known !== undefined &&
       known.registration.bornMs === registration.bornMs;
     const isRepeat = isSameStart &&
@@ -88,6 +104,7 @@
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
       failures: isSameStart ? known.failures : 0,
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
+      unreachableMs: isSameStart ? known.unreachableMs : undefined,
       hasIdentityMismatch: false,
     });
     if (!isSameStart) return RegistrationEffect.added;
@@ -97,7 +114,9 @@
   /** Records a heartbeat of a server whose registration is unchanged. */
   recordHeartbeat(id: string, nowMs: number): void {
     const known = this.#servers.get(id);
-    if (known !== undefined) known.lastContactMs = nowMs;
+    if (known === undefined) return;
+    known.lastContactMs = nowMs;
+    this.#recordVersion(known.registration, nowMs);
   }
 
   /**
@@ -123,6 +142,12 @@
     if (known !== undefined) known.silentSinceMs = nowMs;
   }
 
+  /** Records that no connection to a server could be made. */
+  recordUnreachable(id: string, nowMs: number): void {
+    const known = this.#servers.get(id);
+    if (known !== undefined) known.unreachableMs = nowMs;
+  }
+
   /** Records a response of a server, which resets its back-off. */
   recordResponse(id: string): void {
     const known = this.#servers.get(id);
@@ -162,12 +187,21 @@
   /**
    * Servers of a service that accept new requests. Servers in back-off are
    * excluded unless no others remain: a suspect server is better than none.
+   *
+   * With `softwareVersion`, only servers that have this version for certain: one
+   * that was unreachable may have been started again with another version under
+   * its id, until it is heard of again.
    */
-  getAvailable(service: string, nowMs: number): Registration[] {
+  getAvailable(
+    service: string,
+    nowMs: number,
+    softwareVersion?: string,
+  ): Registration[] {
     const ready = [...this.#servers.values()].filter((known) =>
       known.registration.service === service &&
       known.registration.state === ServerState.READY &&
-      !known.hasIdentityMismatch && !this.#isSilent(known)
+      !known.hasIdentityMismatch && !this.#isSilent(known) &&
+      (softwareVersion === undefined || hasVersion(known, softwareVersion))
     );
     const healthy = ready.filter((known) => !this.#isBackingOff(known, nowMs));
     return (healthy.length > 0 ? healthy : ready).map((known) =>
@@ -175,6 +209,29 @@
     );
   }
 
+  /**
+   * Returns the software version of a service's servers if none had another one
+   * for longer than a stream lasts; otherwise undefined.
+   */
+  tryGetOnlyVersion(service: string, nowMs: number): string | undefined {
+    const firstMs = this.#firstControlContactMs ?? nowMs;
+    if (nowMs - firstMs < VERSION_TTL_MS) return undefined;
+    const versions = [...this.#versions.get(service) ?? []]
+      .filter(([, contactMs]) => nowMs - contactMs < VERSION_TTL_MS)
+      .map(([version]) => version);
+    return versions.length === 1 ? versions[0] : undefined;
+  }
+
+  #recordVersion(registration: Registration, nowMs: number): void {
+    const { service, softwareVersion } = registration;
+    const versions = this.#versions.get(service) ?? new Map<string, number>();
+    versions.set(softwareVersion, nowMs);
+    versions.forEach((contactMs, version) => {
+      if (nowMs - contactMs >= VERSION_TTL_MS) versions.delete(version);
+    });
+    this.#versions.set(service, versions);
+  }
+
   /**
    * A server that was found silent stays in back-off until its next
    * registration or heartbeat, unless messages of the control hosts are missing
@@ -225,6 +282,12 @@
   }
 }
 
+function hasVersion(known: KnownServer, softwareVersion: string): boolean {
+  return known.registration.softwareVersion === softwareVersion &&
+    (known.unreachableMs === undefined ||
+      known.lastContactMs > known.unreachableMs);
+}
+
 function isOlder(update: Registration, known: Registration): boolean {
   if (update.bornMs !== known.bornMs) return update.bornMs < known.bornMs;
   // Within one start the state only advances.
@@ -234,5 +297,6 @@
 
 function isUnchanged(a: Registration, b: Registration): boolean {
   return a.state === b.state && a.address === b.address &&
-    a.service === b.service && a.slots === b.slots;
+    a.service === b.service && a.slots === b.slots &&
+    a.softwareVersion === b.softwareVersion;
 }
--- a/src/test/platform_codec_test.ts
+++ b/src/test/platform_codec_test.ts
@@ -158,6 +158,7 @@
       dataCentre: "dc-a",
       state: ServerState.READY,
       slots: 8,
+      softwareVersion: REGISTRATION.Version,
     });
   });
 
@@ -168,6 +169,7 @@
       { ...REGISTRATION, Slots: 1.5 },
       { ...REGISTRATION, Address: "elsewhere" },
       { ...REGISTRATION, Zone: undefined },
+      { ...REGISTRATION, Version: 1 },
       { ...REGISTRATION, born: "yesterday" },
     ];
     faults.forEach((fault) =>
@@ -206,7 +208,13 @@
       timeoutMs: 2_500,
       prefix: ["5c", "91"],
       resumeAfter: undefined,
+      resumedRequest: "",
     });
+    expect(caller.readRequestMetadata({
+      "x-request-id": "r2",
+      "last-event-id": "7",
+      "resumes": "r1",
+    })).include({ resumeAfter: 7, resumedRequest: "r1" });
     expect(caller.readRequestMetadata({ "x-deadline-ms": "soon" }).timeoutMs)
       .equal(undefined);
   });
--- a/src/test/server_registry_test.ts
+++ b/src/test/server_registry_test.ts
@@ -2,13 +2,19 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { splitLoads } from "../fleet/load_exchange.ts";
-import { LoadTracker, ServerRegistry } from "../membership/mod.ts";
+import {
+  LoadTracker,
+  ServerRegistry,
+  StreamOrigins,
+} from "../membership/mod.ts";
 import {
   LoadReportSchema,
   type Registration,
   RegistrationSchema,
   ServerState,
+  StreamOriginSchema,
 } from "../schema/mod.ts";
+import { range } from "./fleet_helpers.ts";
 
 const HEARTBEAT_MS = 1_000;
 
@@ -140,6 +146,67 @@
   });
 });
 
+describe("software versions", () => {
+  it("of a service are one only after longer than a stream lasts", () => {
+    const { registry, accept } = createRegistry();
+    registry.recordControlContact(0);
+    accept({ softwareVersion: "v1" });
+    expect(registry.tryGetOnlyVersion("s", 59_000)).equal(undefined);
+    registry.recordHeartbeat("a", 60_000);
+    expect(registry.tryGetOnlyVersion("s", 61_000)).equal("v1");
+    accept({ id: "b", address: "10.0.0.2:80", softwareVersion: "v2" }, 62_000);
+    expect(registry.tryGetOnlyVersion("s", 62_000)).equal(undefined);
+    registry.recordHeartbeat("a", 120_000);
+    accept({
+      id: "b",
+      address: "10.0.0.2:80",
+      softwareVersion: "v2",
+      state: ServerState.GONE,
+    }, 63_000);
+    expect(registry.tryGetOnlyVersion("s", 122_000)).equal(undefined);
+    expect(registry.tryGetOnlyVersion("s", 124_000)).equal("v1");
+  });
+
+  // Guards against a stream going on at a server that was started again with
+  // other software under its id.
+  it("are not relied upon for an unreachable server until it is heard of", () => {
+    const { registry, accept } = createRegistry();
+    accept({ softwareVersion: "v1" });
+    const getIds = (version: string) =>
+      registry.getAvailable("s", 10, version).map(({ id }) => id);
+    registry.recordUnreachable("a", 5);
+    expect(getIds("v1")).deep.equal([]);
+    accept({ bornMs: 20n, softwareVersion: "v2" }, 8);
+    expect(getIds("v1")).deep.equal([]);
+    expect(getIds("v2")).deep.equal(["a"]);
+    registry.recordUnreachable("a", 9);
+    registry.recordHeartbeat("a", 10);
+    expect(getIds("v2")).deep.equal(["a"]);
+  });
+});
+
+describe("stream origins", () => {
+  const createOrigin = (request: string, softwareVersion = "v1") =>
+    create(StreamOriginSchema, { request, service: "s", softwareVersion });
+
+  it("keep the first origin of a request, for a time", () => {
+    const origins = new StreamOrigins();
+    origins.add(createOrigin("a"), 0);
+    origins.add(createOrigin("a", "v2"), 10);
+    expect(origins.tryGet("a")?.softwareVersion).equal("v1");
+    origins.add(createOrigin("b"), 200_000);
+    expect(origins.tryGet("a")).equal(undefined);
+  });
+
+  it("are bounded in number, and drop the oldest", () => {
+    const origins = new StreamOrigins();
+    range(50_010).forEach((index) => origins.add(createOrigin(`r${index}`), 0));
+    expect(origins.size).equal(50_000);
+    expect(origins.tryGet("r9")).equal(undefined);
+    expect(origins.tryGet("r50009")).not.equal(undefined);
+  });
+});
+
 describe("load tracker", () => {
   const report = (sender: string, sequence: bigint, online: number) =>
     create(LoadReportSchema, {
