Continue an item only at servers of the software version of its output

Callers of jobs could get texts whose parts two software versions made.

Evidence: stream_versions_test, 'are not joined in the text of a job's item', fails before at the first item and passes now; 'are started anew in an item whose version no server has any more' guards the other side.

Change: the output of an item carries the software version that made it, in the log too. An item waits for a server of this version, and discards its output and starts anew if none is registered any more.

--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -41,6 +41,8 @@
   #chainAfter: number;
   /** Output up to that event. */
   #restored: string | undefined;
+  /** Software version of the servers that made the output; empty if unknown. */
+  #softwareVersion: string;
   readonly #events: EventData[] = [];
 
   constructor({ random, recorded }: ItemProgressOptions) {
@@ -48,6 +50,7 @@
     this.#chain = createChain(random);
     this.#sequence = new EventSequence(recorded?.last);
     this.#chainAfter = recorded?.last ?? 0;
+    this.#softwareVersion = recorded?.softwareVersion ?? "";
     this.#restored = recorded === undefined
       ? undefined
       : Buffer.from(joinProgressParts(recorded.parts)).toString("utf8");
@@ -63,6 +66,24 @@
     return this.#chainAfter;
   }
 
+  /**
+   * Software version of the servers that made the output; empty if it is unknown
+   * because another build recorded the output.
+   */
+  get softwareVersion(): string {
+    return this.#softwareVersion;
+  }
+
+  /** Whether there is output, which only certain servers may continue. */
+  get hasEvents(): boolean {
+    return (this.last ?? 0) > 0;
+  }
+
+  /** Records the version of the server at which the next attempt starts. */
+  startAt(softwareVersion: string): void {
+    if (!this.hasEvents) this.#softwareVersion = softwareVersion;
+  }
+
   /** Number of the last event; undefined before the first event. */
   get last(): number | undefined {
     return this.#sequence.last;
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -303,7 +303,8 @@
 
   /**
    * Starts waiting items in order. Once a service has no free slot beyond a given
-   * reserve, its remaining items with that reserve are skipped in this pass.
+   * reserve, its remaining items with that reserve are skipped in this pass. The
+   * same holds for the servers of each software version.
    */
   #startWaitingItems(jobs: readonly QueuedJob[]): void {
     const { pool, ownership, context } = this.#options;
@@ -315,7 +316,9 @@
         const service = this.#tryGetService(candidate);
         if (service === undefined) return;
         const reserve = getReservedSlots(candidate, nowMs);
-        if (exhausted.has(`${service}/${reserve}`)) return;
+        const softwareVersion = this.#getRequiredVersion(candidate, service);
+        const slotPool = `${service}/${softwareVersion ?? ""}/${reserve}`;
+        if (exhausted.has(slotPool)) return;
         const servers = allowedByService.get(service) ??
           this.#excludeBurstingServers(
             ownership.getAllowedServers(pool.getServers(service)),
@@ -323,14 +326,46 @@
         allowedByService.set(service, servers);
         const isStarted = this.#tryStart(candidate, {
           service,
+          softwareVersion,
           allowed: servers,
           reserve,
         });
-        if (!isStarted) exhausted.add(`${service}/${reserve}`);
+        if (!isStarted) exhausted.add(slotPool);
       },
     );
   }
 
+  /**
+   * Software version that servers must have to continue an item; undefined if any
+   * may run it. Output that no server can continue any more is discarded.
+   */
+  #getRequiredVersion(
+    { queued, item, key }: ItemCandidate,
+    service: string,
+  ): string | undefined {
+    const hasOutput = this.#progress.tryGet(key)?.hasEvents ??
+      queued.progress.has(item.id);
+    if (!hasOutput) return undefined;
+    const progress = this.#progress.getOrCreate(queued, item);
+    const { view, pool, context } = this.#options;
+    const { softwareVersion } = progress;
+    if (view.servers.hasReadyVersion(service, softwareVersion)) {
+      return softwareVersion;
+    }
+    const nowMs = context.clock.getMonotonicMs();
+    const onlyVersion = view.servers.tryGetOnlyVersion(service, nowMs);
+    if (softwareVersion === "" && onlyVersion !== undefined) return onlyVersion;
+    if (pool.getServers(service).length === 0) return softwareVersion;
+    context.log.info("item_output_discarded", {
+      job: queued.job.id,
+      item: item.id,
+      events: progress.last ?? 0,
+      version: softwareVersion,
+    });
+    progress.reset();
+    return undefined;
+  }
+
   /** Filters out servers on which a burst of online requests preempted items. */
   #excludeBurstingServers(servers: ReadonlySet<string>): ReadonlySet<string> {
     const nowMs = this.#options.context.clock.getMonotonicMs();
@@ -369,7 +404,10 @@
   /** Starts an item; returns false if its service has no free slot. */
   #tryStart(
     candidate: ItemCandidate,
-    placement: Pick<PermitRequest, "service" | "allowed" | "reserve">,
+    placement: Pick<
+      PermitRequest,
+      "service" | "softwareVersion" | "allowed" | "reserve"
+    >,
   ): boolean {
     const { queued, item, key } = candidate;
     const { pool, dialects, context } = this.#options;
@@ -433,10 +471,12 @@
     signal: AbortSignal,
   ): Promise<void> {
     const progress = this.#progress.getOrCreate(queued, item);
+    progress.startAt(permit.server.softwareVersion);
     this.#options.context.log.info("item_started", {
       job: run.job,
       item: run.item,
       server: run.server,
+      version: permit.server.softwareVersion,
       chain: String(progress.chain),
       after_event: progress.last ?? 0,
       failures: queued.failures.get(run.item) ?? 0,
--- a/src/fleet/progress_tracker.ts
+++ b/src/fleet/progress_tracker.ts
@@ -66,6 +66,7 @@
               text: Buffer.from(output.text, "utf8"),
               chain: own.chain,
               chainAfter: BigInt(own.chainAfter),
+              softwareVersion: own.softwareVersion,
             })];
         })
     );
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -209,6 +209,19 @@
     );
   }
 
+  /**
+   * Whether a registered server of a service that is not silent has a software
+   * version, available or not.
+   */
+  hasReadyVersion(service: string, softwareVersion: string): boolean {
+    return [...this.#servers.values()].some((known) =>
+      known.registration.service === service &&
+      known.registration.state === ServerState.READY &&
+      known.registration.softwareVersion === softwareVersion &&
+      !this.#isSilent(known)
+    );
+  }
+
   /**
    * Returns the software version of a service's servers if none had another one
    * for longer than a stream lasts; otherwise undefined.
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -34,6 +34,8 @@
   readonly parts: readonly Uint8Array[];
   /** Chain of the last part; 0n if a build that knows no chains recorded it. */
   readonly chain: bigint;
+  /** Software version of the servers that made it; empty if unknown. */
+  readonly softwareVersion: string;
 }
 
 /** A submitted job and the state of its items. */
@@ -213,6 +215,7 @@
       last: Number(part.last),
       parts: [...recorded?.parts ?? [], part.text],
       chain: part.chain,
+      softwareVersion: part.softwareVersion,
     });
   }
 
@@ -284,6 +287,7 @@
         last: Number(part.last),
         parts: [part.text],
         chain: part.chain,
+        softwareVersion: part.softwareVersion,
       })
     );
     this.#jobs.set(job.id, queued);
@@ -327,12 +331,13 @@
     ended: queued.isEnded,
     results: [...queued.results],
     failures: job.items.map((item) => queued.failures.get(item.id) ?? 0),
-    progress: [...queued.progress].map(([item, { last, parts, chain }]) => ({
+    progress: [...queued.progress].map(([item, record]) => ({
       job: job.id,
       item,
-      last: BigInt(last),
-      text: joinProgressParts(parts),
-      chain,
+      last: BigInt(record.last),
+      text: joinProgressParts(record.parts),
+      chain: record.chain,
+      softwareVersion: record.softwareVersion,
     })),
     failedRuns: [...queued.failedChains].flatMap(([item, chains]) =>
       chains.map((chain) => create(FailedRunSchema, { item, chain }))
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -335,6 +335,7 @@
           item: "a",
           chainAfter: 0n,
           text: encodeText(`${part.chain}`),
+          softwareVersion: "v1",
           ...part,
         }],
       },
@@ -365,6 +366,8 @@
     const restored = restoreFromSnapshot(machine, new JobMachine());
     [machine, restored].forEach((target) => {
       expect(readProgress(target)).equal("9:1,1,3");
+      expect(target.tryGetJob("j")?.progress.get("a")?.softwareVersion)
+        .equal("v1");
       recordPart(target, { chain: 3n, chainAfter: 8n, after: 9n, last: 10n });
       recordPart(target, { chain: 0n, after: 10n, last: 11n });
       expect(readProgress(target)).equal("10:1,1,3,3");
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -167,18 +167,7 @@
     const begun = new Map(
       [...await beginAll()].filter(([, { versions }]) => versions[0] === "v1"),
     );
-    const leaving = fleet.servers.filter(({ version }) => version === "v1");
-    for (const server of leaving) {
-      await fleet.registerServer(server, { State: "draining" });
-    }
-    await fleet.waitUntil(
-      "the gateways to see the servers as draining",
-      () =>
-        leaving.every(({ id }) =>
-          JSON.stringify(fleet.gateways[1]?.getDump())
-            .includes(`"id":"${id}","service":"s","state":2`)
-        ),
-    );
+    await drainServers("v1");
     for (const [id, { lastEvent }] of begun) {
       expect((await takeUpStream(id, lastEvent)).status, id).equal(503);
       expect(fleet.getReceivedRequests(`${id}-again`), id).length(0);
@@ -193,10 +182,7 @@
     expect(fleet.getReceivedRequests("never-begun-again")).length(0);
   });
 
-  // Guards against the text of a job's item joining two versions.
-  it("are not joined in the text of a job's item", async () => {
-    const items = Array.from({ length: 24 }, (_, index) => `item-${index}`);
-    fleet.behaviours.push(...items.map(() => "break" as const));
+  const submitJob = async (items: readonly string[]) => {
     const submitted = await fleet.sendRequest("job-1", "/b/", {
       body: JSON.stringify({
         Items: items.map((id) => ({
@@ -209,17 +195,71 @@
       }),
     });
     expect(submitted.status).equal(202);
+  };
+
+  /** Waits for all results; returns the versions that made each text. */
+  const getItemVersions = async (count: number) => {
     let results: { Id: string; State: string; Text: string }[] = [];
     await fleet.waitUntil("all results of the job", async () => {
       const page = await fleet.sendJobRequest("GET", "/-/lots/job-1?After=0");
       if (page.status !== 200) return false;
       results = JSON.parse(page.text).Results;
-      return results.length === items.length;
+      return results.length === count;
     });
-    results.forEach(({ Id, State, Text }) => {
+    return results.map(({ Id, State, Text }) => {
       expect(State, Id).equal("done");
-      const versions = Text.split("\n").map((line) => line.split("@")[1]);
-      expect([...new Set(versions)], Id).length(1);
+      const lines = Text.split("\n");
+      expect(lines, Id).length(EVENT_COUNT);
+      return [...new Set(lines.map((line) => line.split("@")[1]))];
     });
+  };
+
+  const drainServers = async (version: string) => {
+    const leaving = fleet.servers.filter((server) =>
+      server.version === version
+    );
+    for (const server of leaving) {
+      await fleet.registerServer(server, { State: "draining" });
+    }
+    await fleet.waitUntil(
+      "the gateways to see the servers as draining",
+      () =>
+        fleet.gateways.every((gateway) =>
+          leaving.every(({ id }) =>
+            JSON.stringify(gateway.getDump())
+              .includes(`"id":"${id}","service":"s","state":2`)
+          )
+        ),
+    );
+  };
+
+  // Guards against the text of a job's item joining two versions.
+  it("are not joined in the text of a job's item", async () => {
+    const items = Array.from({ length: 24 }, (_, index) => `item-${index}`);
+    fleet.behaviours.push(...items.map(() => "break" as const));
+    await submitJob(items);
+    (await getItemVersions(items.length)).forEach((versions) =>
+      expect(versions).length(1)
+    );
+  });
+
+  // Guards against an item waiting for ever for a version that is gone.
+  it("are started anew in an item whose version no server has any more", async () => {
+    await drainServers("v2");
+    const items = ["anew-1", "anew-2", "anew-3"];
+    fleet.behaviours.push(...items.map(() => "break" as const));
+    fleet.behaviours.push(
+      ...Array.from({ length: 200 }, () => "full" as const),
+    );
+    await submitJob(items);
+    await fleet.waitUntil(
+      "the items to break",
+      () => items.every((id) => fleet.getReceivedRequests(id).length > 1),
+    );
+    await drainServers("v1");
+    fleet.behaviours.length = 0;
+    await startServer("v3");
+    const versions = await getItemVersions(items.length);
+    expect(versions).deep.equal(items.map(() => ["v3"]));
   });
 });
