Test: an item under which many servers crashed is still run

The users report of another system an item that is never placed again after a burst of crashes. Gateways' and store hosts' path: not here. An attempt that broke off is no failure of its item (attempt_outcome_handler), and suspicions are only asked for online requests. The test ends eight servers or more under two items and expects both to be done.

--- a/src/test/crashing_requests_test.ts
+++ b/src/test/crashing_requests_test.ts
@@ -26,11 +26,12 @@
   let fleet: PlatformFleet;
   const endTimesMs: number[] = [];
   let serverCount = 0;
+  let crashText: string | undefined = CRASH_TEXT;
 
   const startServer = async (port: number) => {
     serverCount += 1;
     const server = new PlatformServer(`i-${serverCount}`, fleet.behaviours);
-    server.crashText = CRASH_TEXT;
+    server.crashText = crashText;
     server.onCrash = () => {
       endTimesMs.push(fleet.clock.getMonotonicMs());
       const address = server.address.split(":");
@@ -117,6 +118,41 @@
     );
   });
 
+  // Guards against an item that is never placed again because several servers
+  // crashed while they ran it.
+  it("are not looked for among the items of jobs, which are still owed", async () => {
+    const items = ["unlucky-1", "unlucky-2"];
+    const submitted = await fleet.sendRequest("job-unlucky", "/b/", {
+      body: JSON.stringify({
+        Items: items.map((id) => ({
+          Id: id,
+          Path: `/b/${id}`,
+          Headers: { "X-Model": "m" },
+          Body: Buffer.from(`${CRASH_TEXT} by chance`).toString("base64"),
+          Tokens: 10,
+        })),
+      }),
+    });
+    expect(submitted.status).equal(202);
+    await fleet.waitUntil("many ends", () => endTimesMs.length >= 8);
+    crashText = undefined;
+    fleet.servers.forEach((server) => server.crashText = undefined);
+    let states: string[] = [];
+    await fleet.waitUntil("the results", async () => {
+      const page = await fleet.sendJobRequest(
+        "GET",
+        "/-/lots/job-unlucky?After=0",
+      );
+      if (page.status !== 200) return false;
+      states = JSON.parse(page.text).Results
+        .map(({ State }: { State: string }) => State);
+      return states.length === items.length;
+    });
+    expect(states).deep.equal(["done", "done"]);
+    crashText = CRASH_TEXT;
+    fleet.servers.forEach((server) => server.crashText = CRASH_TEXT);
+  });
+
   // Guards against a restarted gateway sending a request that others refuse.
   it("are not sent by a gateway that starts later", async () => {
     const target = "/p/later";
