Entries: run items again under which servers crashed

Callers of jobs could get a sound item as failed: after a burst of crashes its outcome was 'the request ended 2 backend servers and is refused', or its attempts were spent, while servers had room.

Cause: entries judged items by the suspicions that are made for online requests, which a caller sends again and again, and charged a lost server to the item that ran there.

Evidence: leaving_test, 'runs an item of a job although four servers crashed under it': failed after two crashes before.

Change: an item under which several servers crashed waits for two seconds after the last one and runs again, alone on its server as before. A lost connection is not charged to an item of an engine.

--- a/src/bench/stand_in_engine.ts
+++ b/src/bench/stand_in_engine.ts
@@ -116,11 +116,14 @@
   requestCount = 0;
   /** Action and subject of each accepted order. */
   readonly receivedOrders: string[] = [];
+  /** Text in a prompt that crashes the server; undefined for none. */
+  crashTrigger: string | undefined;
   /** Called after a prompt with the trigger has crashed the server. */
   onCrash: () => void = () => {};
 
   constructor(options: StandInEngineOptions) {
     this.#options = { ...DEFAULTS, ...options };
+    this.crashTrigger = options.crashTrigger;
     const { clock, announceMs, entries, incarnation } = this.#options;
     const currentIncarnation = incarnation ?? Math.floor(clock.getWallMs());
     this.#announcer = new Announcer({
@@ -248,8 +251,7 @@
   #handleRequest(body: RequestBody, res: ServerResponse): void {
     const prompt = JSON.stringify(body.prompt ?? body.messages ?? "");
     this.requestCount += 1;
-    const crashTrigger = this.#options.crashTrigger;
-    if (crashTrigger !== undefined && prompt.includes(crashTrigger)) {
+    if (this.crashTrigger !== undefined && prompt.includes(this.crashTrigger)) {
       this.crash();
       this.onCrash();
       return;
--- a/src/membership/suspicions.ts
+++ b/src/membership/suspicions.ts
@@ -116,6 +116,14 @@
     return Math.max(0, record.updatedMs + rejectionMs - nowMs);
   }
 
+  /**
+   * Time since a server failed last while running the request, in milliseconds;
+   * infinite if none did.
+   */
+  getIdleMs(fingerprint: string, nowMs: number): number {
+    return nowMs - (this.#records.get(fingerprint)?.updatedMs ?? -Infinity);
+  }
+
   /** Whether a server failed while running the request. */
   isSuspect(fingerprint: string): boolean {
     return this.#records.has(fingerprint);
--- a/src/services/batch/batch_item.ts
+++ b/src/services/batch/batch_item.ts
@@ -1,6 +1,5 @@
 /** Items claimed by an entry: their requests, progress and outcomes. */
 import { create } from "@bufbuild/protobuf";
-import type { FleetView } from "../../membership/mod.ts";
 import { EventLog, type Progress } from "../../relay/mod.ts";
 import {
   type ClaimedItem,
@@ -10,14 +9,12 @@
   Verdict,
   type Workload,
 } from "../../schema/mod.ts";
-import { ServingError } from "../../sys/errors.ts";
 import {
   createCompletionResponse,
   getFingerprint,
   getPromptText,
   parseCompletion,
 } from "../online/completion_service.ts";
-import { createFailureOutcome } from "../common/outcomes.ts";
 import type {
   CompletionRequest,
   CompletionSink,
@@ -141,18 +138,3 @@
     contentType: "application/json",
   });
 }
-
-/** Creates the outcome of an item that ran during too many server crashes. */
-export function createPoisonedOutcome(
-  view: FleetView,
-  fingerprint: string,
-): Outcome {
-  return createFailureOutcome(
-    new ServingError(MessageCode.REQUEST_POISONED, {
-      verdict: Verdict.MAY_HAVE_RUN,
-      parameters: {
-        servers: view.suspicions.getServerFailureCount(fingerprint),
-      },
-    }),
-  );
-}
--- a/src/services/batch/batch_runner.ts
+++ b/src/services/batch/batch_runner.ts
@@ -36,7 +36,6 @@
   createCompletionRequest,
   createErrorResponseOutcome,
   createItemSink,
-  createPoisonedOutcome,
   createSuccessOutcome,
   encodeProgress,
   getDispatchKey,
@@ -91,6 +90,12 @@
 const MIN_PREFETCH_ITEMS = 4;
 const PREFETCH_RATIO = 0.2;
 
+/**
+ * Minimum time between two tries of an item under which several servers crashed,
+ * in milliseconds. If it is the cause, it crashes one server at a time.
+ */
+const CRASH_RETRY_DELAY_MS = 2_000;
+
 /**
  * Time that a claimed item waits for capacity before it is returned to its
  * group, in milliseconds.
@@ -365,10 +370,8 @@
     const request = item.run ?? this.#tryCreateRequest(item, workload);
     if (request === undefined) return true;
     item.run = request;
-    if (view.suspicions.isPoisoned(request.fingerprint)) {
-      this.#finishItem(item, {
-        outcome: createPoisonedOutcome(view, request.fingerprint),
-      });
+    if (this.#isHeldBack(request.fingerprint)) {
+      if (this.#mustReturn(item)) this.#finishItem(item, {});
       return true;
     }
     const placement = pool.tryPlaceBatch({
@@ -413,9 +416,25 @@
     return true;
   }
 
+  /**
+   * Whether an item waits because servers crashed while they ran it. It is still
+   * owed, since they may have crashed for another reason.
+   */
+  #isHeldBack(fingerprint: string): boolean {
+    const { view, clock } = this.#options;
+    const { suspicions } = view;
+    return suspicions.isPoisoned(fingerprint) &&
+      suspicions.getIdleMs(fingerprint, clock.getMonotonicMs()) <
+        CRASH_RETRY_DELAY_MS;
+  }
+
   #handleBrokenAttempt(
     item: HeldItem,
-    attemptOutcome: { verdict: Verdict; reason: string },
+    attemptOutcome: {
+      verdict: Verdict;
+      reason: string;
+      isConnectionLost: boolean;
+    },
   ): void {
     if (
       item.claimed.nonIdempotent && attemptOutcome.verdict !== Verdict.NOT_RUN
@@ -427,8 +446,10 @@
       this.#finishItem(item, { outcome: createFailureOutcome(answerLost) });
       return;
     }
+    // A lost server is no failure of the item.
     this.#finishItem(item, {
-      charged: attemptOutcome.verdict !== Verdict.NOT_RUN,
+      charged: attemptOutcome.verdict !== Verdict.NOT_RUN &&
+        !attemptOutcome.isConnectionLost,
     });
   }
 
@@ -455,6 +476,11 @@
       0,
     );
     const bodyText = JSON.stringify(body);
+    const fingerprint = getDigestHex(workload.name, bodyText);
+    if (this.#isHeldBack(fingerprint)) {
+      if (this.#mustReturn(item)) this.#finishItem(item, {});
+      return true;
+    }
     item.isRunning = true;
     plainService.runToCompletion({
       requestId: getDispatchKey(item),
@@ -464,8 +490,9 @@
       body: new TextEncoder().encode(bodyText),
       deployment: workload.deployment,
       caller: item.claimed.caller,
-      fingerprint: getDigestHex(workload.name, bodyText),
+      fingerprint,
       isNonIdempotent: item.claimed.nonIdempotent,
+      isOwed: true,
       deadlineMs: clock.getMonotonicMs() +
         (workload.timeoutMs || ITEM_TIMEOUT_MS),
       signal: item.abortController.signal,
@@ -481,10 +508,9 @@
     item.isRunning = false;
     const isAnswerLost = item.claimed.nonIdempotent &&
       failure.verdict !== Verdict.NOT_RUN;
-    const isPoisoned = failure.code === MessageCode.REQUEST_POISONED;
     this.#finishItem(
       item,
-      isAnswerLost || isPoisoned
+      isAnswerLost
         ? { outcome: createFailureOutcome(failure) }
         : { charged: failure.verdict !== Verdict.NOT_RUN },
     );
--- a/src/services/online/engine_runner.ts
+++ b/src/services/online/engine_runner.ts
@@ -188,7 +188,7 @@
       kind: "broken",
       reason: "the backend server is gone",
       verdict: Verdict.MAY_HAVE_RUN,
-      isConnectionLost: false,
+      isConnectionLost: true,
     };
   }
 
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -55,6 +55,8 @@
   readonly caller: string;
   readonly fingerprint: string;
   readonly isNonIdempotent: boolean;
+  /** Whether it must run in the end, even if servers crashed while they ran it. */
+  readonly isOwed: boolean;
   /** Monotonic milliseconds. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
@@ -145,6 +147,7 @@
       fingerprint: getDigestHex(workload.name, method, path, body),
       isNonIdempotent: workload.nonIdempotent || call.isMarkedNonIdempotent ||
         !IDEMPOTENT_METHODS.includes(method),
+      isOwed: false,
       deadlineMs: getDeadlineMs(call, workload),
       signal: call.signal,
     };
@@ -227,7 +230,7 @@
     verdict: Verdict,
   ): Promise<Placement> {
     const { suspicions } = this.#view;
-    if (suspicions.isPoisoned(request.fingerprint)) {
+    if (!request.isOwed && suspicions.isPoisoned(request.fingerprint)) {
       throw new ServingError(MessageCode.REQUEST_POISONED, {
         verdict,
         parameters: {
--- a/src/test/leaving_test.ts
+++ b/src/test/leaving_test.ts
@@ -149,6 +149,31 @@
       );
     }));
 
+  // Guards against an item that fails for good because servers crashed while
+  // they ran it.
+  it("runs an item of a job although four servers crashed under it", () =>
+    withFleet({
+      engines: 6,
+      entries: 2,
+      engine: { ...QUICK_ENGINE, crashTrigger: "unlucky" },
+    }, async (fleet) => {
+      let crashCount = 0;
+      fleet.engines.forEach((engine) => {
+        engine.onCrash = () => {
+          crashCount += 1;
+          if (crashCount < 4) return;
+          fleet.engines.forEach((other) => other.crashTrigger = undefined);
+        };
+      });
+      const [address] = fleet.getEntryAddresses();
+      const job = await submitJob(address ?? "", [
+        { prompt: "unlucky", max_tokens: 8 },
+      ]);
+      const done = await waitForJob(fleet, address ?? "", job.id);
+      expect(crashCount).equal(4);
+      expect(done).include({ finished: 1, failed: 0 });
+    }));
+
   it("completes all requests when three servers crash at once", () =>
     withFleet({
       engines: 5,
