Don't take a cut response without a length for a whole one

Callers could get a part of an answer as the whole, and an item could be done with the part that it had when its run was stopped.

Cause: a body without a length ends with its connection. When the connection is reset, or this process aborts the request, node:http finishes the parser, which takes this for the end of the body, and reports the message as complete.

Change: a response tells whether it is whole. Without a length it is not, if the request failed after the head. Plain services of entries go by it too.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -79,7 +79,7 @@
   if (signal.aborted) destroyBody();
   try {
     return response.status === 200
-      ? await readEventStream(response, progress)
+      ? await readEventStream(response, progress, signal)
       : await readErrorResponse(response);
   } catch (error) {
     // The server has counted the run, whether or not the body was read.
@@ -96,6 +96,7 @@
 async function readEventStream(
   response: BackendResponse,
   progress: ItemProgress,
+  signal: AbortSignal,
 ): Promise<AttemptOutcome> {
   const splitter = new EventSplitter();
   for await (const chunk of response.chunks) {
@@ -108,9 +109,11 @@
       reason: "the response skipped or repeated an event",
     };
   }
-  const isComplete = response.body.complete && splitter.rest.length === 0;
-  return isComplete
-    ? { kind: "done" }
+  if (response.isComplete() && splitter.rest.length === 0) {
+    return { kind: "done" };
+  }
+  return signal.aborted
+    ? { kind: "stopped" }
     : { kind: "broken", reason: "the response ended prematurely" };
 }
 
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -96,7 +96,7 @@
   ): Promise<ForwardResult> {
     this.sendHead(response);
     for await (const chunk of response.chunks) await this.caller.write(chunk);
-    if (!response.body.complete) return createTruncatedResult();
+    if (!response.isComplete()) return createTruncatedResult();
     this.caller.end();
     return DONE;
   }
@@ -126,7 +126,7 @@
       else buffered.push(chunk);
       if (bytes > MAX_BUFFERED_BYTES) await this.#flush(response, buffered);
     }
-    if (!response.body.complete) return createTruncatedResult();
+    if (!response.isComplete()) return createTruncatedResult();
     await this.#flush(response, buffered);
     this.caller.end();
     return DONE;
@@ -198,7 +198,7 @@
       if (!this.caller.headSent) this.sendHead(response);
       await this.caller.write(events.bytes);
     }
-    if (!response.body.complete) return createTruncatedResult();
+    if (!response.isComplete()) return createTruncatedResult();
     if (!this.caller.headSent) this.sendHead(response);
     if (splitter.rest.length > 0) await this.caller.write(splitter.rest);
     this.caller.end();
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -116,6 +116,7 @@
     const { response, placement } = await this.#sendUntilAnswered(request);
     try {
       const body = await readBody(response.body, MAX_STORED_BODY_BYTES);
+      if (!response.isComplete()) throw new Error("the answer was cut short");
       placement.release({ isServerFailure: false });
       return create(OutcomeSchema, {
         verdict: Verdict.RAN,
@@ -288,11 +289,14 @@
 ): void {
   const { res } = call;
   res.writeHead(response.status, removeHopByHopHeaders(response.headers));
-  response.body.pipe(res);
+  response.body.pipe(res, { end: false });
   response.body.on("error", () => res.destroy());
+  response.body.on("end", () => {
+    if (response.isComplete()) res.end();
+  });
   response.body.on("close", () => {
-    placement.release({ isServerFailure: !response.body.complete });
-    if (!response.body.complete) res.destroy();
+    placement.release({ isServerFailure: !response.isComplete() });
+    if (!response.isComplete()) res.destroy();
   });
   res.on("close", () => response.body.destroy());
 }
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -139,6 +139,12 @@
   readonly status: number;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: http.IncomingMessage;
+  /**
+   * Whether the whole body has arrived. A body without a length ends with its
+   * connection, whole or not, so it is whole only if the connection did not fail
+   * and was not closed by this process.
+   */
+  isComplete(): boolean;
 }
 
 /** A request that failed before its response headers arrived. */
@@ -187,6 +193,7 @@
   return new Promise((resolve, reject) => {
     let isConnected = false;
     let hasTimedOut = false;
+    let hasFailedInBody = false;
     const req = http.request({
       host,
       port,
@@ -221,11 +228,17 @@
     req.on("response", (response) => {
       clearTimers();
       // After the headers, a failed connection is reported by the body alone.
-      req.on("error", () => {});
+      req.on("error", () => {
+        hasFailedInBody = true;
+      });
+      const { headers } = response;
+      const isFramed = headers["content-length"] !== undefined ||
+        headers["transfer-encoding"] !== undefined;
       resolve({
         status: response.statusCode ?? 0,
-        headers: response.headers,
+        headers,
         body: response,
+        isComplete: () => response.complete && (isFramed || !hasFailedInBody),
       });
     });
     req.on("error", (error) => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -257,7 +257,13 @@
       body.push(null);
     };
     this.clock.startTimer(EVENT_INTERVAL_MS, () => pushEvent(resumeAfter + 1));
-    const response = { status: 200, headers: {}, body, chunks: body };
+    const response = {
+      status: 200,
+      headers: {},
+      body,
+      chunks: body,
+      isComplete: () => body.complete,
+    };
     return Promise.resolve({ kind: "response", response });
   }
 
@@ -448,5 +454,11 @@
   body.complete = isEnded;
   if (status === 200) body.push("id: 1\ndata: text\n\n");
   if (isEnded) body.push(null);
-  return { status, headers: {}, body, chunks: body };
+  return {
+    status,
+    headers: {},
+    body,
+    chunks: body,
+    isComplete: () => body.complete,
+  };
 }
