Cut off answers of servers that never end

A server that sends bytes without end, which are no answer, could end a gateway or an entry for memory, and keep a connection and the processor busy for ever.

Cause: the bytes of an event that is not complete were collected without a bound, and with a copy for each chunk; bodies that nobody needs (of a request that did not run, or that goes on elsewhere) were read to an end that does not come; the output of an item had no bound but its time slice.

Change: events above 1 MiB and output above 1 MiB end the attempt; a discarded body is read for 64 KiB or a second.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -5,6 +5,7 @@
 import { Verdict } from "../schema/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import {
+  discardBody,
   type HttpAgent,
   type HttpResponse,
   HttpSendError,
@@ -150,7 +151,7 @@
       const chunks = readChunks(response.body, () => this.#onActivity(id));
       return { kind: "response", response: { ...response, chunks } };
     }
-    response.body.resume();
+    discardBody(response.body);
     return {
       kind: "notRun",
       reason: `the server answered ${response.status} and did not run it`,
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -106,7 +106,7 @@
     progress.reset();
     return {
       kind: "broken",
-      reason: "the response skipped or repeated an event",
+      reason: "the response skipped or repeated an event, or is too long",
     };
   }
   if (response.isComplete() && splitter.rest.length === 0) {
--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -25,6 +25,12 @@
 /** Exclusive limit of the numbers of chains. */
 const CHAIN_LIMIT = Number.MAX_SAFE_INTEGER;
 
+/**
+ * Maximum size of the output that an item may produce here, in bytes. A larger
+ * text would not fit into a page of results.
+ */
+const MAX_TEXT_BYTES = 1 << 20;
+
 /** Options of an {@linkcode ItemProgress}. */
 export interface ItemProgressOptions {
   readonly random: Random;
@@ -44,6 +50,7 @@
   /** Software version of the servers that made the output; empty if unknown. */
   #softwareVersion: string;
   readonly #events: EventData[] = [];
+  #eventBytes = 0;
 
   constructor({ random, recorded }: ItemProgressOptions) {
     this.#random = random;
@@ -113,8 +120,13 @@
     return { after, last, text };
   }
 
-  /** Appends complete events; returns false on a gap or a repeated event. */
+  /**
+   * Appends complete events; returns false on a gap, a repeated event or too much
+   * output.
+   */
   appendEvents(bytes: Buffer): boolean {
+    this.#eventBytes += bytes.length;
+    if (this.#eventBytes > MAX_TEXT_BYTES) return false;
     return parseEvents(bytes).every(({ id, data }) => {
       if (!this.#sequence.accept(id)) return false;
       this.#events.push({ event: id ?? (this.last ?? 0) + 1, data });
@@ -129,6 +141,7 @@
     this.#chainAfter = 0;
     this.#restored = undefined;
     this.#events.length = 0;
+    this.#eventBytes = 0;
   }
 }
 
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -17,6 +17,7 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getCodeName, ServingError } from "../sys/errors.ts";
+import { discardBody } from "../sys/http.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { Random } from "../sys/random.ts";
@@ -230,7 +231,7 @@
     this.#possibleRuns += 1;
     const isServerFailure = response.status >= 500 || response.status === 429;
     if (isServerFailure && this.#canRetry()) {
-      response.body.resume();
+      discardBody(response.body);
       this.#logAttemptFailure(
         "attempt_failed",
         permit,
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -5,7 +5,7 @@
  */
 import { EventSequence, EventSplitter, parseEvents } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
-import { removeRawHopByHopHeaders } from "../sys/http.ts";
+import { discardBody, removeRawHopByHopHeaders } from "../sys/http.ts";
 import type { BackendResponse } from "./backend_client.ts";
 import type { CallerResponse } from "./caller_response.ts";
 
@@ -175,7 +175,7 @@
   ): Promise<ForwardResult> {
     const isContinuation = this.caller.headSent;
     if (isContinuation && response.status !== 200) {
-      response.body.resume();
+      discardBody(response.body);
       return { kind: "broken", reason: `status ${response.status}` };
     }
     const splitter = new EventSplitter();
--- a/src/relay/engine_stream.ts
+++ b/src/relay/engine_stream.ts
@@ -13,7 +13,7 @@
 } from "../sys/http.ts";
 
 import type { Progress } from "./event_log.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { type CompleteEvents, EventSplitter } from "./event_splitter.ts";
 
 /** Request body of a completion, as callers send it and engines accept it. */
 export interface CompletionBody {
@@ -129,6 +129,7 @@
     let isDone = false;
     let isStalled = false;
     let isPaused = false;
+    let isTooLarge = false;
     setIdleTimeout(body, attempt.stallTimeoutMs, () => {
       // While a slow sink has paused the stream, silence is not the engine's
       // failure.
@@ -142,9 +143,13 @@
       else {
         resolve({
           kind: "broken",
-          reason: isStalled ? "the stream stalled" : "the stream broke off",
+          reason: isStalled
+            ? "the stream stalled"
+            : isTooLarge
+            ? "an event is too large"
+            : "the stream broke off",
           verdict: Verdict.MAY_HAVE_RUN,
-          isConnectionLost: !isStalled,
+          isConnectionLost: !isStalled && !isTooLarge,
         });
       }
     };
@@ -159,7 +164,12 @@
     };
     const splitter = new EventSplitter();
     body.on("data", (chunk: Buffer) => {
-      const events = splitter.push(chunk);
+      const events = tryPush(splitter, chunk);
+      if (events === "tooLarge") {
+        isTooLarge = true;
+        body.destroy();
+        return;
+      }
       if (events === undefined) return;
       isDone ||= events.isDone;
       if (!sink.onEvents(events.bytes, events.count)) pause();
@@ -169,3 +179,15 @@
     body.on("close", finish);
   });
 }
+
+/** Pushes a chunk within an event handler, where nothing catches an error. */
+function tryPush(
+  splitter: EventSplitter,
+  chunk: Buffer,
+): CompleteEvents | undefined | "tooLarge" {
+  try {
+    return splitter.push(chunk);
+  } catch {
+    return "tooLarge";
+  }
+}
--- a/src/relay/event_splitter.ts
+++ b/src/relay/event_splitter.ts
@@ -12,6 +12,12 @@
   readonly isDone: boolean;
 }
 
+/**
+ * Maximum size of an event, in bytes. A server that sends more without the end of
+ * the event sends no events.
+ */
+const MAX_EVENT_BYTES = 1 << 20;
+
 const EVENT_DELIMITER = Buffer.from("\n\n");
 const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
 
@@ -26,7 +32,7 @@
 
   /**
    * Adds a chunk and returns the events that are complete with it, or undefined
-   * if there are none.
+   * if there are none. Throws if an event is too large.
    */
   push(chunk: Buffer): CompleteEvents | undefined {
     // Lines of an event stream may also end with carriage returns. They can all
@@ -39,6 +45,9 @@
       : Buffer.concat([this.#rest, normalized]);
     const end = buffered.lastIndexOf(EVENT_DELIMITER) + EVENT_DELIMITER.length;
     if (end < EVENT_DELIMITER.length) {
+      if (buffered.length > MAX_EVENT_BYTES) {
+        throw new Error(`an event is larger than ${MAX_EVENT_BYTES} bytes`);
+      }
       this.#rest = buffered;
       return undefined;
     }
--- a/src/services/control/backend_order_sender.ts
+++ b/src/services/control/backend_order_sender.ts
@@ -15,7 +15,7 @@
 import { CLOCK_DRIFT_BOUND, type ControlMachine } from "../../state/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
 import { getReason } from "../../sys/errors.ts";
-import { sendHttp } from "../../sys/http.ts";
+import { discardBody, sendHttp } from "../../sys/http.ts";
 import type { Log } from "../../sys/log.ts";
 import {
   type Routine,
@@ -184,7 +184,7 @@
       usesNewConnection: true,
       headersTimeoutMs: getLeaseLeftMs(),
     }).then((response) => {
-      response.body.resume();
+      discardBody(response.body);
       // Server errors are retried: the server may be overloaded or failing.
       if (response.status >= 500) return;
       const outcome = response.status < 300
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -254,6 +254,27 @@
   });
 }
 
+/** Maximum size of a body that is discarded before its connection is closed. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+
+/** Maximum time for the rest of a discarded body to arrive, in milliseconds. */
+const DISCARD_TIMEOUT_MS = 1_000;
+
+/**
+ * Discards a body that nobody needs, so that its connection can be reused. The
+ * connection is closed if the body is large or does not end soon.
+ */
+export function discardBody(body: http.IncomingMessage): void {
+  let bytes = 0;
+  const timer = setTimeout(() => body.destroy(), DISCARD_TIMEOUT_MS);
+  body.on("data", (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MAX_DISCARDED_BYTES) body.destroy();
+  });
+  body.on("error", () => {});
+  body.on("close", () => clearTimeout(timer));
+}
+
 /** Reads a complete body; fails with BODY_TOO_LARGE above `limit` bytes. */
 export async function readBody(
   body: http.IncomingMessage,
