Send nothing to a server that says in a response that it leaves

Callers' requests reached servers that had said in their answers that they leave, and were cut off when these ended. No code read the header.

Change: the header is decoded with the others of a response, at the one place where answers to requests, streams and items arrive. A start of a server that said so is no longer available to any of them; this rests on nothing that other hosts say, and ends only with another start, not with a late registration as ready. Control hosts pass it on as a hint. The header goes to callers unchanged, since it is the server's and not the connection's.

Not done: the soak doesn't send the header.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -74,6 +74,10 @@
       agent: createHttpAgent({ idleTimeoutMs: BACKEND_IDLE_TIMEOUT_MS }),
       onLoad: (server, total) => pool.recordReportedLoad(server, total),
       onWrongServer: (server) => pool.recordWrongServer(server),
+      onLeaving: (server) => {
+        const isNew = view.recordLeaving(server, "response");
+        if (isNew) this.follower.reportLeaving(server);
+      },
       onUnreachable: (server) => pool.recordFailure(server),
       onActivity: (server) => pool.recordActivity(server),
     });
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -12,7 +12,7 @@
   sendHttp,
 } from "../sys/http.ts";
 import type { BackendDialect } from "./dialects.ts";
-import type { ServerPermit } from "./server_pool.ts";
+import type { PoolServer, ServerPermit } from "./server_pool.ts";
 
 /** A request to be sent to a backend server. */
 export interface BackendRequest {
@@ -68,6 +68,7 @@
   readonly #agent: HttpAgent;
   readonly #onLoad: (server: string, total: number) => void;
   readonly #onWrongServer: (server: string) => void;
+  readonly #onLeaving: (server: PoolServer) => void;
   readonly #onUnreachable: (server: string) => void;
   readonly #onActivity: (server: string) => void;
 
@@ -76,6 +77,7 @@
     agent: HttpAgent;
     onLoad: (server: string, total: number) => void;
     onWrongServer: (server: string) => void;
+    onLeaving: (server: PoolServer) => void;
     onUnreachable: (server: string) => void;
     onActivity: (server: string) => void;
   }) {
@@ -83,6 +85,7 @@
     this.#agent = options.agent;
     this.#onLoad = options.onLoad;
     this.#onWrongServer = options.onWrongServer;
+    this.#onLeaving = options.onLeaving;
     this.#onUnreachable = options.onUnreachable;
     this.#onActivity = options.onActivity;
   }
@@ -133,6 +136,9 @@
       response.status,
       response.headers,
     );
+    // Also if the response is for another request or its body never ends: what
+    // the server says of itself holds for all that follow.
+    if (meta.isLeaving) this.#onLeaving(permit.server);
     const isMismatched = meta.requestId !== "" &&
       meta.requestId !== request.requestId;
     if (isMismatched) {
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -116,8 +116,8 @@
     this.#member = await this.#createMember(folder, id, members);
     server.addService(Fleet, {
       follow: (req, stream) => this.#registrationHub.serve(req, stream),
-      reportSuspicions: ({ suspicions }) => {
-        this.#registrationHub.acceptSuspicions(suspicions);
+      report: (report) => {
+        this.#registrationHub.acceptReport(report);
         return Promise.resolve({});
       },
     });
--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -13,7 +13,8 @@
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import { getDigestHex } from "../sys/random.ts";
 import type { BackendRequest } from "./backend_client.ts";
-import { getServerStart, type RoutingView } from "./routing_view.ts";
+import { getServerStart } from "../membership/mod.ts";
+import type { RoutingView } from "./routing_view.ts";
 import type { PoolServer } from "./server_pool.ts";
 
 /** Options of a {@linkcode CrashDetector}. */
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -104,6 +104,8 @@
   readonly isNotRun: boolean;
   /** The response comes from a server other than the one addressed. */
   readonly isWrongServer: boolean;
+  /** The server leaves and must get no further requests. */
+  readonly isLeaving: boolean;
   /** Id of the request that it responds to; empty if the server sent none. */
   readonly requestId: string;
   /** Requests running and queued there; undefined if the server sent none. */
--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -4,10 +4,13 @@
  * reopens it when it ends or times out, and stops when the host has left the
  * fleet.
  */
+import { create } from "@bufbuild/protobuf";
 import {
   Fleet,
   type FleetUpdate,
   HostRole,
+  type ServerStart,
+  ServerStartSchema,
   type Suspicion,
 } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
@@ -60,12 +63,12 @@
 const EVENT_BUFFER_SIZE = 8;
 
 /**
- * Time for which suspicions are collected before they are sent, in
- * milliseconds: all requests of a crashed server fail at once.
+ * Time for which findings are collected before they are sent, in milliseconds:
+ * all requests of a crashed server fail at once.
  */
-const SUSPICION_DELAY_MS = 10;
+const REPORT_DELAY_MS = 10;
 
-/** Timeout of a report of suspicions, in milliseconds. */
+/** Timeout of a report, in milliseconds. */
 const REPORT_TIMEOUT_MS = 1_000;
 
 type StreamEvent = "update" | "ended";
@@ -73,8 +76,8 @@
 /** A control host whose stream is open. */
 interface FollowedHost {
   readonly client: RpcClient;
-  /** Whether it has been sent every suspicion that this process knows. */
-  hasAllSuspicions: boolean;
+  /** Whether it has been sent all that this process has found out. */
+  isInformed: boolean;
 }
 
 /** Follows the updates of all control hosts. */
@@ -85,7 +88,8 @@
   /** Hosts that have sent an update on their current stream, by address. */
   readonly #connectedHosts = new Map<string, FollowedHost>();
   readonly #pendingSuspicions = new Map<string, Suspicion>();
-  #suspicionTimer: Timer | undefined;
+  #pendingLeaving: ServerStart[] = [];
+  #reportTimer: Timer | undefined;
   #seeds: readonly string[];
   #closed = false;
 
@@ -107,48 +111,64 @@
 
   close(): void {
     this.#closed = true;
-    this.#suspicionTimer?.cancel();
+    this.#reportTimer?.cancel();
   }
 
   /** Sends a suspicion to all control hosts, which pass it on. */
   reportSuspicion(suspicion: Suspicion): void {
     this.#pendingSuspicions.set(suspicion.fingerprint, suspicion);
-    this.#suspicionTimer ??= this.#options.clock.startTimer(
-      SUSPICION_DELAY_MS,
-      () => this.#sendPendingSuspicions(),
-    );
+    this.#scheduleReport();
+  }
+
+  /** Sends to all control hosts that a server leaves; they pass it on. */
+  reportLeaving({ id, bornMs }: { id: string; bornMs: bigint }): void {
+    this.#pendingLeaving.push(create(ServerStartSchema, { id, bornMs }));
+    this.#scheduleReport();
   }
 
-  #sendPendingSuspicions(): void {
-    this.#suspicionTimer = undefined;
-    const suspicions = [...this.#pendingSuspicions.values()];
-    this.#pendingSuspicions.clear();
-    this.#connectedHosts.forEach((host, address) =>
-      this.#sendSuspicions(address, host, suspicions)
+  #scheduleReport(): void {
+    this.#reportTimer ??= this.#options.clock.startTimer(
+      REPORT_DELAY_MS,
+      () => {
+        this.#reportTimer = undefined;
+        const report = {
+          suspicions: [...this.#pendingSuspicions.values()],
+          leaving: this.#pendingLeaving,
+        };
+        this.#pendingSuspicions.clear();
+        this.#pendingLeaving = [];
+        this.#connectedHosts.forEach((host, address) =>
+          this.#sendReport(address, host, report)
+        );
+      },
     );
   }
 
-  /** Sends a host what this process learned while the host was not connected. */
-  #sendAllSuspicions(address: string, host: FollowedHost): void {
+  /** Sends a host what this process found out while it was not connected. */
+  #sendAll(address: string, host: FollowedHost): void {
     const { view, clock } = this.#options;
-    host.hasAllSuspicions = true;
-    if (view.suspicions.isEmpty) return;
+    host.isInformed = true;
+    const leaving = view.servers.getAll()
+      .filter((server) => view.servers.isLeaving(server))
+      .map(({ id, bornMs }) => create(ServerStartSchema, { id, bornMs }));
     const suspicions = view.suspicions.getAll(clock.getMonotonicMs());
-    this.#sendSuspicions(address, host, suspicions);
+    if (suspicions.length + leaving.length === 0) return;
+    this.#sendReport(address, host, { suspicions, leaving });
   }
 
-  #sendSuspicions(
+  #sendReport(
     address: string,
     host: FollowedHost,
-    suspicions: Suspicion[],
+    report: { suspicions: Suspicion[]; leaving: ServerStart[] },
   ): void {
-    host.client.call(Fleet.method.reportSuspicions, { suspicions }, {
+    host.client.call(Fleet.method.report, report, {
       timeoutMs: REPORT_TIMEOUT_MS,
     }).catch((error) => {
-      host.hasAllSuspicions = false;
-      this.#options.log.warn("suspicions_not_reported", {
+      host.isInformed = false;
+      this.#options.log.warn("findings_not_reported", {
         address,
-        suspicions: suspicions.length,
+        suspicions: report.suspicions.length,
+        leaving: report.leaving.length,
         reason: getReason(error),
       });
     });
@@ -212,7 +232,7 @@
   *#readStream(address: string, client: RpcClient): Routine<void> {
     const { view, clock } = this.#options;
     const events = createSlidingChannel<StreamEvent>(EVENT_BUFFER_SIZE);
-    const host: FollowedHost = { client, hasAllSuspicions: false };
+    const host: FollowedHost = { client, isInformed: false };
     let reason = "silent";
     const stream = client.openStream(Fleet.method.follow, {
       routesVersion: view.routesVersion,
@@ -236,7 +256,7 @@
       if (event !== "update") break;
       this.#markRegained(address);
       this.#connectedHosts.set(address, host);
-      if (!host.hasAllSuspicions) this.#sendAllSuspicions(address, host);
+      if (!host.isInformed) this.#sendAll(address, host);
     }
     this.#connectedHosts.delete(address);
     stream.cancel();
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -204,6 +204,7 @@
         id: server.id,
         service: server.service,
         state: server.state,
+        leaving: this.#backends.view.servers.isLeaving(server),
         slots: server.slots,
         busy: this.#backends.pool.loads.getBusyCount(server.id, nowMs),
       })),
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -4,21 +4,28 @@
  * servers' ids are sent, once per interval.
  */
 import { create } from "@bufbuild/protobuf";
-import { RegistrationEffect, ServerRegistry } from "../membership/mod.ts";
+import {
+  getServerStart,
+  RegistrationEffect,
+  ServerRegistry,
+} from "../membership/mod.ts";
 import {
   type FleetUpdate,
   FleetUpdateSchema,
   type FollowRequest,
+  type GatewayReport,
   type HostList,
   type Registration,
   type RouteTable,
+  type ServerStart,
+  ServerStartSchema,
   type Suspicion,
 } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
 import type { RpcStream } from "../sys/rpc.ts";
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
-import { createSuspicions, getServerStart } from "./routing_view.ts";
+import { createSuspicions } from "./routing_view.ts";
 
 type Stream = RpcStream<FleetUpdate>;
 
@@ -34,6 +41,8 @@
   pendingHeardIds: Set<string>;
   /** Suspicions to send, by fingerprint. */
   pendingSuspicions: Map<string, Suspicion>;
+  /** Servers that leave, by start. */
+  pendingLeaving: Map<string, ServerStart>;
 }
 
 /** State that followers receive in addition to backend servers. */
@@ -121,18 +130,24 @@
     });
   }
 
-  /** Accepts what a gateway knows of crashes, and passes changes on. */
-  acceptSuspicions(suspicions: readonly Suspicion[]): void {
+  /** Accepts what another process found out, and passes on what is new. */
+  acceptReport(report: Pick<GatewayReport, "suspicions" | "leaving">): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#suspicions.removeExpired(nowMs);
-    const changes = suspicions.filter((update) =>
+    const suspicions = report.suspicions.filter((update) =>
       this.#suspicions.merge(update, nowMs)
     );
-    if (changes.length === 0) return;
+    const leaving = report.leaving.filter((server) =>
+      this.#serverRegistry.recordLeaving(server)
+    );
+    if (suspicions.length + leaving.length === 0) return;
     this.#followers.forEach((follower) => {
-      changes.forEach((update) =>
+      suspicions.forEach((update) =>
         follower.pendingSuspicions.set(update.fingerprint, update)
       );
+      leaving.forEach((server) =>
+        follower.pendingLeaving.set(getServerStart(server), server)
+      );
       this.#sendUpdate(follower, false);
     });
   }
@@ -158,6 +173,12 @@
         this.#suspicions.getAll(this.#options.clock.getMonotonicMs())
           .map((suspicion) => [suspicion.fingerprint, suspicion]),
       ),
+      pendingLeaving: new Map(
+        this.#serverRegistry.getAll()
+          .filter((server) => this.#serverRegistry.isLeaving(server))
+          .map(({ id, bornMs }) => create(ServerStartSchema, { id, bornMs }))
+          .map((server) => [getServerStart(server), server]),
+      ),
     };
     this.#followers.add(follower);
     this.#sendUpdate(follower, true);
@@ -184,6 +205,7 @@
     const { routes, hosts } = this.#options.getState();
     return follower.pendingServers.size > 0 ||
       follower.pendingSuspicions.size > 0 ||
+      follower.pendingLeaving.size > 0 ||
       follower.routesVersion < routes.version ||
       follower.hostsVersion < hosts.version;
   }
@@ -198,12 +220,14 @@
       servers: [...follower.pendingServers.values()],
       heard: [...follower.pendingHeardIds],
       suspicions: [...follower.pendingSuspicions.values()],
+      leaving: [...follower.pendingLeaving.values()],
     });
     if (hasRoutes) follower.routesVersion = routes.version;
     if (hasHosts) follower.hostsVersion = hosts.version;
     follower.pendingServers.clear();
     follower.pendingHeardIds.clear();
     follower.pendingSuspicions.clear();
+    follower.pendingLeaving.clear();
     return update;
   }
 }
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -5,6 +5,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import {
+  getServerStart,
   RegistrationEffect,
   ServerRegistry,
   Suspicions,
@@ -60,13 +61,6 @@
   isStart: boolean,
 ) => void;
 
-/** Identifies one start of a backend server. */
-export function getServerStart(
-  server: { readonly id: string; readonly bornMs: bigint },
-): string {
-  return `${server.id}/${server.bornMs}`;
-}
-
 /** Routes, hosts and backend servers as one process knows them. */
 export class RoutingView {
   readonly #options: RoutingViewOptions;
@@ -124,12 +118,28 @@
     this.#serverListeners.add(listener);
   }
 
+  /**
+   * Records that a server said in a response that it leaves; returns whether
+   * this was not known. `from` is where this was heard.
+   */
+  recordLeaving(server: { id: string; bornMs: bigint }, from: string): boolean {
+    if (!this.servers.recordLeaving(server)) return false;
+    this.#options.log.info("backend_server_leaves", {
+      server: server.id,
+      born: Number(server.bornMs),
+      from,
+    });
+    this.#notify();
+    return true;
+  }
+
   /** Applies an update from the control host at address `from`. */
   applyUpdate(update: FleetUpdate, from: string): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.servers.recordControlContact(nowMs);
     update.heard.forEach((id) => this.#recordHeartbeat(id, nowMs));
     this.#applySuspicions(update.suspicions, from, nowMs);
+    update.leaving.forEach((server) => this.recordLeaving(server, from));
     const changes = [
       this.#applyRoutes(update, from),
       this.#applyHosts(update),
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -61,10 +61,25 @@
  */
 const VERSION_TTL_MS = 60_000;
 
+/** Maximum number of starts known to leave; the oldest are dropped. */
+const MAX_LEAVING_STARTS = 4_096;
+
+/** Identifies one start of a backend server. */
+export function getServerStart(
+  server: { readonly id: string; readonly bornMs: bigint },
+): string {
+  return `${server.id}/${server.bornMs}`;
+}
+
 /** Registry of one process. */
 export class ServerRegistry {
   readonly #servers = new Map<string, KnownServer>();
   readonly #heartbeatMs: number;
+  /**
+   * Starts of servers that said in a response that they leave. They are kept
+   * apart from the servers, because a late registration may add a server again.
+   */
+  readonly #leavingStarts = new Set<string>();
   /** Last contact with any server of a software version, by service. */
   readonly #versions = new Map<string, Map<string, number>>();
   /** Time of the first and of the last message from any control host. */
@@ -142,6 +157,26 @@
     if (known !== undefined) known.silentSinceMs = nowMs;
   }
 
+  /**
+   * Records that a server said in a response that it leaves. Only another start
+   * of it accepts requests again. Returns whether this was not known.
+   */
+  recordLeaving(server: { id: string; bornMs: bigint }): boolean {
+    const start = getServerStart(server);
+    if (this.#leavingStarts.has(start)) return false;
+    this.#leavingStarts.add(start);
+    if (this.#leavingStarts.size > MAX_LEAVING_STARTS) {
+      const [oldest] = this.#leavingStarts;
+      this.#leavingStarts.delete(oldest ?? "");
+    }
+    return true;
+  }
+
+  /** Whether a server said in a response that it leaves, in this start. */
+  isLeaving(server: { id: string; bornMs: bigint }): boolean {
+    return this.#leavingStarts.has(getServerStart(server));
+  }
+
   /** Records that no connection to a server could be made. */
   recordUnreachable(id: string, nowMs: number): void {
     const known = this.#servers.get(id);
@@ -198,8 +233,7 @@
     softwareVersion?: string,
   ): Registration[] {
     const ready = [...this.#servers.values()].filter((known) =>
-      known.registration.service === service &&
-      known.registration.state === ServerState.READY &&
+      known.registration.service === service && this.#isReady(known) &&
       !known.hasIdentityMismatch && !this.#isSilent(known) &&
       (softwareVersion === undefined || hasVersion(known, softwareVersion))
     );
@@ -215,8 +249,7 @@
    */
   hasReadyVersion(service: string, softwareVersion: string): boolean {
     return [...this.#servers.values()].some((known) =>
-      known.registration.service === service &&
-      known.registration.state === ServerState.READY &&
+      known.registration.service === service && this.#isReady(known) &&
       known.registration.softwareVersion === softwareVersion &&
       !this.#isSilent(known)
     );
@@ -245,6 +278,12 @@
     this.#versions.set(service, versions);
   }
 
+  /** Whether a server accepts requests, by what it said of itself. */
+  #isReady({ registration }: KnownServer): boolean {
+    return registration.state === ServerState.READY &&
+      !this.isLeaving(registration);
+  }
+
   /**
    * A server that was found silent stays in back-off until its next
    * registration or heartbeat, unless messages of the control hosts are missing
--- a/src/test/endless_answers_test.ts
+++ b/src/test/endless_answers_test.ts
@@ -97,6 +97,7 @@
       agent,
       onLoad: () => {},
       onWrongServer: () => {},
+      onLeaving: () => {},
       onUnreachable: () => {},
       onActivity: () => {},
     });
--- a/src/test/late_answers_test.ts
+++ b/src/test/late_answers_test.ts
@@ -86,6 +86,7 @@
       agent,
       onLoad: () => {},
       onWrongServer: () => {},
+      onLeaving: () => {},
       onUnreachable: () => {},
       onActivity: () => {},
     });
--- a/src/test/platform_codec_test.ts
+++ b/src/test/platform_codec_test.ts
@@ -310,5 +310,8 @@
     expect(read(421, {})).include({ isNotRun: true, isWrongServer: true });
     expect(read(200, { "x-server-load": "3,2,8" }).load).equal(5);
     expect(read(200, { "x-server-load": "x" }).load).equal(undefined);
+    expect(read(500, { "server-leaving": "1" }).isLeaving).equal(true);
+    expect(read(200, { "server-leaving": "0" }).isLeaving).equal(false);
+    expect(read(200, {}).isLeaving).equal(false);
   });
 });
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -67,6 +67,8 @@
   version = "v1";
   /** Whether each event names the version that made it. */
   marksEvents = false;
+  /** Whether each response says that the server leaves. */
+  leaves = false;
   /** Text in a request's body that ends the server; undefined for none. */
   crashText: string | undefined;
   /** Called when a request has ended the server. */
@@ -152,7 +154,11 @@
     res: http.ServerResponse,
     behaviour: Behaviour | undefined,
   ): void {
-    const headers = { "x-request-id": request.id, "x-server-load": "1,0,4" };
+    const headers = {
+      "x-request-id": request.id,
+      "x-server-load": "1,0,4",
+      ...this.#createLeavingHeaders(),
+    };
     request.ran = behaviour !== "full" && behaviour !== "other";
     switch (behaviour) {
       case "full":
@@ -173,7 +179,10 @@
         res.writeHead(422, { ...headers, "x-server-stamp": "st" }).end("never");
         return;
       case "mixed":
-        res.writeHead(200, { "x-request-id": "somebody-else" }).end("theirs");
+        res.writeHead(200, {
+          "x-request-id": "somebody-else",
+          ...this.#createLeavingHeaders(),
+        }).end("theirs");
         return;
       case "silent":
         return;
@@ -182,6 +191,10 @@
     }
   }
 
+  #createLeavingHeaders(): Record<string, string> {
+    return this.leaves ? { "server-leaving": "1" } : {};
+  }
+
   #streamEvents(
     request: ReceivedRequest,
     res: http.ServerResponse,
@@ -191,6 +204,7 @@
     res.writeHead(200, {
       "x-request-id": request.id,
       "x-server-stamp": `stamp-${this.id}`,
+      ...this.#createLeavingHeaders(),
       "content-type": "text/event-stream",
     });
     const send = (number: number) => {
--- a/src/test/server_registry_test.ts
+++ b/src/test/server_registry_test.ts
@@ -14,6 +14,7 @@
   ServerState,
   StreamOriginSchema,
 } from "../schema/mod.ts";
+import { SeededRandom } from "../sys/random.ts";
 import { range } from "./fleet_helpers.ts";
 
 const HEARTBEAT_MS = 1_000;
@@ -146,6 +147,56 @@
   });
 });
 
+describe("servers that say in a response that they leave", () => {
+  const SEEDS = 20;
+
+  // Guards against a late or repeated registration that brings one back.
+  it("accept requests again only in another start, in whichever order registrations arrive", () => {
+    range(SEEDS).forEach((seed) => {
+      const random = new SeededRandom(seed);
+      const { registry, accept, getAvailable } = createRegistry();
+      const leaving = new Map<string, bigint>();
+      range(300).forEach((step) => {
+        const id = `s${random.getIntegerBelow(3)}`;
+        const bornMs = BigInt(1 + random.getIntegerBelow(1 + step / 60));
+        const start = registry.tryGet(id);
+        if (random.getFraction() < 0.1 && start !== undefined) {
+          registry.recordLeaving(start);
+          leaving.set(`${id}/${start.bornMs}`, start.bornMs);
+        } else {
+          const state = random.getFraction() < 0.9
+            ? ServerState.READY
+            : ServerState.GONE;
+          accept({
+            id,
+            bornMs,
+            sequence: BigInt(random.getIntegerBelow(100)),
+            address: `10.0.0.${random.getIntegerBelow(4)}:80`,
+            state,
+          }, step * 500);
+        }
+        getAvailable(step * 500).forEach((available) => {
+          const known = registry.tryGet(available);
+          expect(leaving.has(`${available}/${known?.bornMs}`), `seed ${seed}`)
+            .equal(false);
+        });
+      });
+      accept({ id: "s0", bornMs: 1_000n, address: "10.0.0.9:80" }, 200_000);
+      expect(getAvailable(200_000), `seed ${seed}`).include("s0");
+    });
+  });
+
+  it("are remembered for a bounded number of starts", () => {
+    const { registry } = createRegistry();
+    range(5_000).forEach((index) =>
+      registry.recordLeaving({ id: `s${index}`, bornMs: 1n })
+    );
+    expect(registry.isLeaving({ id: "s0", bornMs: 1n })).equal(false);
+    expect(registry.isLeaving({ id: "s4999", bornMs: 1n })).equal(true);
+    expect(registry.recordLeaving({ id: "s4999", bornMs: 1n })).equal(false);
+  });
+});
+
 describe("software versions", () => {
   it("of a service are one only after longer than a stream lasts", () => {
     const { registry, accept } = createRegistry();
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -73,6 +73,7 @@
       agent,
       onLoad: () => {},
       onWrongServer: () => {},
+      onLeaving: () => {},
       onUnreachable: () => {},
       onActivity: () => {},
     });
