Pass on all crashes that gateways report of one request

If two gateways reported crashes during one request before a control host had sent the first report on, its followers got only the second, and a request that had to be refused was not.

Cause: what waits for a follower was kept by request, and the later report replaced the earlier one; each holds only what its gateway knows. Read, not seen in a run.

Change: the control host passes on all that it knows of the request. Test: suspicions_test, 'are passed on with the crashes that all processes reported'.

--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -141,8 +141,12 @@
       this.#serverRegistry.recordLeaving(server)
     );
     if (suspicions.length + leaving.length === 0) return;
+    // Several gateways may have reported crashes during the same request.
+    const merged = suspicions.map(({ fingerprint }) =>
+      this.#suspicions.getUpdate(fingerprint, nowMs)
+    );
     this.#followers.forEach((follower) => {
-      suspicions.forEach((update) =>
+      merged.forEach((update) =>
         follower.pendingSuspicions.set(update.fingerprint, update)
       );
       leaving.forEach((server) =>
--- a/src/membership/suspicions.ts
+++ b/src/membership/suspicions.ts
@@ -132,7 +132,20 @@
   /** Records a server failure; returns the update to send to other processes. */
   record(fingerprint: string, server: string, nowMs: number): Suspicion {
     this.#addFailure(fingerprint, server, nowMs);
-    return this.#createUpdate(fingerprint, nowMs);
+    return this.getUpdate(fingerprint, nowMs);
+  }
+
+  /** Returns all that is known of a request, to send to other processes. */
+  getUpdate(fingerprint: string, nowMs: number): Suspicion {
+    const record = this.#records.get(fingerprint);
+    if (record === undefined) {
+      return create(SuspicionSchema, { fingerprint, cleared: true });
+    }
+    return create(SuspicionSchema, {
+      fingerprint,
+      servers: [...record.servers.keys()],
+      idleMs: Math.max(0, Math.floor(nowMs - record.updatedMs)),
+    });
   }
 
   /**
@@ -178,7 +191,7 @@
   /** All suspicions, to send to a process that starts. */
   getAll(nowMs: number): Suspicion[] {
     return [...this.#records.keys()].map((fingerprint) =>
-      this.#createUpdate(fingerprint, nowMs)
+      this.getUpdate(fingerprint, nowMs)
     );
   }
 
@@ -211,15 +224,6 @@
     return create(SuspicionSchema, { fingerprint, cleared: true });
   }
 
-  #createUpdate(fingerprint: string, nowMs: number): Suspicion {
-    const record = this.#records.get(fingerprint);
-    return create(SuspicionSchema, {
-      fingerprint,
-      servers: [...record?.servers.keys() ?? []],
-      idleMs: Math.max(0, Math.floor(nowMs - (record?.updatedMs ?? nowMs))),
-    });
-  }
-
   /** Number of attributed failures at which a request counts as poison. */
   #getLimit(record: FailureRecord): number {
     if (this.#hasCorrelatedFailure(record)) return this.#maxCorrelatedFailures;
--- a/src/test/suspicions_test.ts
+++ b/src/test/suspicions_test.ts
@@ -84,6 +84,18 @@
     });
   });
 
+  // Guards against a report that replaces what another gateway reported.
+  it("are passed on with the crashes that all processes reported", () => {
+    const hub = new Suspicions();
+    ["a", "b"].forEach((server) =>
+      hub.merge(new Suspicions().record(POISON, server, 0), 0)
+    );
+    const other = new Suspicions();
+    other.merge(hub.getUpdate(POISON, 0), 0);
+    expect(other.getServerFailureCount(POISON)).equal(2);
+    expect(hub.getUpdate("unknown", 0).cleared).equal(true);
+  });
+
   it("lapse, later after each further crash, and end with a success", () => {
     const suspicions = new Suspicions();
     ["a", "b"].forEach((server) => suspicions.record(POISON, server, 1_000));
