Don't take the end of a leaving server for a crash

A request that was in flight when a server ended which had said in its responses that it leaves was suspected of a crash, since such a server need not deregister.

Read in the diff, not seen in a run. The fingerprint of a request is also computed once now, since a body may be large and a waiting request asks for it often.

--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -5,15 +5,18 @@
  * servers end as planned. A server has crashed if nothing listens on its address
  * or if it has been started again, although it had not announced that it leaves.
  */
-import { type Registration, ServerState } from "../schema/mod.ts";
-import type { Suspicion } from "../schema/mod.ts";
+import { getServerStart } from "../membership/mod.ts";
+import {
+  type Registration,
+  ServerState,
+  type Suspicion,
+} from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { ConnectProbe, ProbeResult } from "../sys/connect_probe.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import { getDigestHex } from "../sys/random.ts";
 import type { BackendRequest } from "./backend_client.ts";
-import { getServerStart } from "../membership/mod.ts";
 import type { RoutingView } from "./routing_view.ts";
 import type { PoolServer } from "./server_pool.ts";
 
@@ -162,9 +165,9 @@
   #suspect(req: BackendRequest, server: PoolServer): void {
     const { view, clock, log, metrics, onSuspicionChange } = this.#options;
     const known = view.servers.tryGet(server.id);
-    const hasLeft = known?.bornMs === server.bornMs &&
+    const hasDeregistered = known?.bornMs === server.bornMs &&
       known.state !== ServerState.READY;
-    if (hasLeft) return;
+    if (hasDeregistered || view.servers.isLeaving(server)) return;
     const fingerprint = getFingerprint(req);
     const nowMs = clock.getMonotonicMs();
     const update = view.suspicions.record(
@@ -185,14 +188,21 @@
   }
 }
 
+/** Fingerprints that have been computed; a body may be large. */
+const fingerprints = new WeakMap<BackendRequest, string>();
+
 /**
  * Returns a fingerprint of what makes a request the same as another, whoever
  * sends it and under whichever id.
  */
 export function getFingerprint(req: BackendRequest): string {
+  const known = fingerprints.get(req);
+  if (known !== undefined) return known;
   const hostIndex = req.headers.findIndex((name, index) =>
     index % 2 === 0 && name.toLowerCase() === "host"
   );
   const host = hostIndex < 0 ? "" : req.headers[hostIndex + 1] ?? "";
-  return getDigestHex(req.method, host, req.target, req.body);
+  const fingerprint = getDigestHex(req.method, host, req.target, req.body);
+  fingerprints.set(req, fingerprint);
+  return fingerprint;
 }
