Items don't wait for a full software version while another is free

An item could wait for ever, or come late, where a release left its version with few servers: all begun items queued there while the servers of the new version were idle.

Cause: let an item wait as long as any server of its version is registered.

Change: after 3 s of waiting while other servers have free slots its output is discarded and it starts anew. Evidence: item_runner_test, 'starts an item anew if its version is full for long while another is free', fails without the limit.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -95,12 +95,28 @@
  */
 const CLOCK_SKEW_MARGIN_MS = 7_000;
 
+/**
+ * Time for which an item waits for a slot at servers of its software version
+ * while those of another have free ones, in milliseconds: less than the time in
+ * which an item of usual length runs anew.
+ */
+const VERSION_WAIT_MS = 3_000;
+
 /**
  * Maximum number of waiting items examined in one scheduling pass; exceeds the
  * total number of slots of a large fleet.
  */
 const MAX_CANDIDATES_PER_PASS = 512;
 
+/** Servers of a service that an item may use. */
+interface ItemPlacement {
+  readonly service: string;
+  /** Ids of the servers. */
+  readonly allowed: ReadonlySet<string>;
+  /** Slots of each server that the item must leave free. */
+  readonly reserve: number;
+}
+
 /** Schedules and runs the items that one process owns. */
 export class ItemRunner {
   readonly #options: ItemRunnerOptions;
@@ -111,6 +127,8 @@
   readonly #runTimeEstimator = new RunTimeEstimator();
   readonly #recorder: RunRecorder;
   readonly #outcomeHandler: AttemptOutcomeHandler;
+  /** Start of the wait for a slot at a software version, by item key. */
+  readonly #versionWaits = new Map<string, number>();
   #lastPassMs = -Infinity;
   /** Applied index of the open items seen last; undefined if none might run. */
   #openItemsIndex: number | undefined;
@@ -245,6 +263,8 @@
     this.#activeRuns.stopAllExcept(owned);
     this.#progress.retainOnly(owned);
     this.#queue.retainOnly(owned);
+    [...this.#versionWaits.keys()].filter((key) => !owned.has(key))
+      .forEach((key) => this.#versionWaits.delete(key));
   }
 
   #getServers(): PoolServer[] {
@@ -309,7 +329,8 @@
   #startWaitingItems(jobs: readonly QueuedJob[]): void {
     const { pool, ownership, context } = this.#options;
     const nowMs = context.clock.getWallMs();
-    const exhausted = new Set<string>();
+    /** Whether other servers have free slots, by exhausted slots. */
+    const exhausted = new Map<string, boolean>();
     const allowedByService = new Map<string, ReadonlySet<string>>();
     this.#getWaiting(jobs).slice(0, MAX_CANDIDATES_PER_PASS).forEach(
       (candidate) => {
@@ -317,20 +338,28 @@
         if (service === undefined) return;
         const reserve = getReservedSlots(candidate, nowMs);
         const softwareVersion = this.#getRequiredVersion(candidate, service);
-        const slotPool = `${service}/${softwareVersion ?? ""}/${reserve}`;
-        if (exhausted.has(slotPool)) return;
-        const servers = allowedByService.get(service) ??
+        const slotsKey = `${service}/${softwareVersion ?? ""}/${reserve}`;
+        const allowed = allowedByService.get(service) ??
           this.#excludeBurstingServers(
             ownership.getAllowedServers(pool.getServers(service)),
           );
-        allowedByService.set(service, servers);
-        const isStarted = this.#tryStart(candidate, {
-          service,
-          softwareVersion,
-          allowed: servers,
-          reserve,
-        });
-        if (!isStarted) exhausted.add(slotPool);
+        allowedByService.set(service, allowed);
+        const placement = { service, allowed, reserve };
+        if (!exhausted.has(slotsKey)) {
+          const isStarted = this.#tryStart(candidate, {
+            ...placement,
+            softwareVersion,
+          });
+          if (isStarted) return;
+          exhausted.set(
+            slotsKey,
+            softwareVersion !== undefined && this.#hasFreeSlot(placement),
+          );
+        }
+        const isFreeElsewhere = exhausted.get(slotsKey) === true;
+        if (!this.#hasWaitedTooLong(candidate.key, isFreeElsewhere)) return;
+        this.#discardOutput(candidate);
+        this.#tryStart(candidate, placement);
       },
     );
   }
@@ -340,9 +369,10 @@
    * may run it. Output that no server can continue any more is discarded.
    */
   #getRequiredVersion(
-    { queued, item, key }: ItemCandidate,
+    candidate: ItemCandidate,
     service: string,
   ): string | undefined {
+    const { queued, item, key } = candidate;
     const hasOutput = this.#progress.tryGet(key)?.hasEvents ??
       queued.progress.has(item.id);
     if (!hasOutput) return undefined;
@@ -356,14 +386,42 @@
     const onlyVersion = view.servers.tryGetOnlyVersion(service, nowMs);
     if (softwareVersion === "" && onlyVersion !== undefined) return onlyVersion;
     if (pool.getServers(service).length === 0) return softwareVersion;
-    context.log.info("item_output_discarded", {
+    this.#discardOutput(candidate);
+    return undefined;
+  }
+
+  #hasFreeSlot({ service, allowed, reserve }: ItemPlacement): boolean {
+    return this.#options.pool.getServers(service).some(({ id, busy, slots }) =>
+      allowed.has(id) && busy + reserve < slots
+    );
+  }
+
+  /**
+   * Whether an item has waited too long for its software version while servers of
+   * another version have free slots.
+   */
+  #hasWaitedTooLong(key: string, isFreeElsewhere: boolean): boolean {
+    if (!isFreeElsewhere) {
+      this.#versionWaits.delete(key);
+      return false;
+    }
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    const sinceMs = this.#versionWaits.get(key) ?? nowMs;
+    this.#versionWaits.set(key, sinceMs);
+    return nowMs - sinceMs >= VERSION_WAIT_MS;
+  }
+
+  /** Discards the output of an item, so that any server may run it anew. */
+  #discardOutput({ queued, item, key }: ItemCandidate): void {
+    const progress = this.#progress.getOrCreate(queued, item);
+    this.#options.context.log.info("item_output_discarded", {
       job: queued.job.id,
       item: item.id,
       events: progress.last ?? 0,
-      version: softwareVersion,
+      version: progress.softwareVersion,
     });
     progress.reset();
-    return undefined;
+    this.#versionWaits.delete(key);
   }
 
   /** Filters out servers on which a burst of online requests preempted items. */
@@ -404,10 +462,7 @@
   /** Starts an item; returns false if its service has no free slot. */
   #tryStart(
     candidate: ItemCandidate,
-    placement: Pick<
-      PermitRequest,
-      "service" | "softwareVersion" | "allowed" | "reserve"
-    >,
+    placement: ItemPlacement & Pick<PermitRequest, "softwareVersion">,
   ): boolean {
     const { queued, item, key } = candidate;
     const { pool, dialects, context } = this.#options;
@@ -431,6 +486,7 @@
       onSilent: () => abortController.abort(),
     });
     if (permit === undefined) return false;
+    this.#versionWaits.delete(key);
     const getRemainingMs = () => this.#getRemainingMs(queued, item);
     const run: ActiveRun = {
       job: queued.job.id,
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -9,12 +9,14 @@
 import { ItemQueue } from "../fleet/item_queue.ts";
 import type { ItemOutcome } from "../fleet/run_recorder.ts";
 import type { PoolServer } from "../fleet/server_pool.ts";
+import { LoadKind } from "../membership/mod.ts";
 import { createProcessContext } from "../services/mod.ts";
 import { type Random, SeededRandom } from "../sys/random.ts";
 import { range } from "./fleet_helpers.ts";
 import {
   createResponse,
   RecordFate,
+  registerVersions,
   RunnerSimulation,
   type SimulatedRunner,
 } from "./runner_simulation.ts";
@@ -335,6 +337,39 @@
       .deep.equal(["text"]);
   });
 
+  // Guards against items that wait for the last servers of a software version
+  // while others are idle.
+  it("starts an item anew if its version is full for long while another is free", async () => {
+    simulation = new RunnerSimulation(["a"], { eventCount: 10 });
+    const { runner } = simulation;
+    registerVersions(runner.view, [
+      { version: "v2", slots: 8 },
+      { version: "v1", slots: 1 },
+    ]);
+    const full = runner.pool.getServers("s", "v1");
+    full.forEach(({ id }) => runner.pool.loads.begin(id, LoadKind.online));
+    const [item = ""] = simulation.submit("j", [200]);
+    simulation.commit({
+      case: "recordRuns",
+      value: {
+        progress: [{
+          job: "j",
+          item,
+          last: 3n,
+          chain: 7n,
+          text: Buffer.from("1\n2\n3"),
+          softwareVersion: "v1",
+        }],
+      },
+    });
+    await simulation.advance(2_500);
+    expect(simulation.streamRuns).deep.equal([]);
+    await simulation.advance(5_000);
+    expect(simulation.streamRuns.map(({ resumeAfter }) => resumeAfter))
+      .deep.equal([0]);
+    expect(simulation.committed.getOpenJobs()).deep.equal([]);
+  });
+
   // Guards against repeats that add up over slow and lost records, losses of
   // the leader, frozen runners and changes of the runners.
   range(30).forEach((seed) => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -97,7 +97,8 @@
   readonly log = new MemoryLog();
   readonly itemRunner: ItemRunner;
   readonly #simulation: RunnerSimulation;
-  readonly #pool: ServerPool;
+  readonly pool: ServerPool;
+  readonly view: RoutingView;
   appliedIndex = 0;
   /** Entries are applied this long after their commit, in milliseconds. */
   applyLagMs = 10;
@@ -128,7 +129,8 @@
       random: new SeededRandom(simulation.createSeed()),
     });
     const view = createView(this.clock, this.log);
-    this.#pool = new ServerPool({
+    this.view = view;
+    this.pool = new ServerPool({
       dataCentre: "dc-1",
       view,
       clock: this.clock,
@@ -160,7 +162,7 @@
       }),
       record: (runs) => this.#record({ case: "recordRuns", value: runs }),
       view,
-      pool: this.#pool,
+      pool: this.pool,
       backendClient: { send: (options) => this.#send(options) },
       dialects: DIALECTS,
       context,
@@ -247,7 +249,7 @@
     const body = new IncomingMessage(new Socket());
     const pushEvent = (event: number) => {
       if (body.destroyed) return;
-      this.#pool.recordActivity(permit.server.id);
+      this.pool.recordActivity(permit.server.id);
       if (event <= eventCount) {
         body.push(`id: ${event}\ndata: ${run}.${event}\n\n`);
         this.clock.startTimer(EVENT_INTERVAL_MS, () => pushEvent(event + 1));
@@ -274,7 +276,7 @@
     for (let ms = DATA_INTERVAL_MS; ms < this.runMs; ms += DATA_INTERVAL_MS) {
       this.clock.startTimer(
         ms,
-        () => this.#pool.recordActivity(permit.server.id),
+        () => this.pool.recordActivity(permit.server.id),
       );
     }
     return new Promise((resolve) =>
@@ -410,6 +412,29 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
+/** Registers servers anew, each with its software version and slots. */
+export function registerVersions(
+  view: RoutingView,
+  servers: readonly { version: string; slots: number }[],
+): void {
+  view.applyUpdate(
+    create(FleetUpdateSchema, {
+      servers: range(SERVER_COUNT).map((index) => ({
+        id: `s-${index}`,
+        bornMs: 2n,
+        sequence: 1n,
+        service: "s",
+        address: `10.0.0.${index}:80`,
+        dataCentre: "dc-1",
+        state: ServerState.READY,
+        slots: servers[index % servers.length]?.slots ?? 0,
+        softwareVersion: servers[index % servers.length]?.version ?? "",
+      })),
+    }),
+    "test",
+  );
+}
+
 function createView(clock: ManualClock, log: MemoryLog): RoutingView {
   const view = new RoutingView({
     registrationIntervalMs: 600_000,
