Soak: servers of two software versions, and streams that callers take up

The soak could not see a stream or a text that joins two versions: all servers had one, and a caller never took up a stream that had broken.

Half of the servers have another version now, each event names it, and a broken stream is taken up once at any gateway; joined versions, in one answer, over a caller's tries or in an item's text, are a violation.

--- a/src/test/soak/run_history.ts
+++ b/src/test/soak/run_history.ts
@@ -37,6 +37,41 @@
   isComplete: boolean;
   /** Whether the request ended at or after its deadline. */
   isPastDeadline: boolean;
+  /** Part of the stream that the caller had before it took the stream up. */
+  readonly before: StreamPart;
+}
+
+/** What a caller has of a stream. */
+export interface StreamPart {
+  /** Attempt that brought the first event; empty if there was none. */
+  readonly request: string;
+  readonly lastEvent: number;
+  /** Software versions of the servers that made the events. */
+  readonly versions: readonly string[];
+}
+
+export const NO_STREAM_PART: StreamPart = {
+  request: "",
+  lastEvent: 0,
+  versions: [],
+};
+
+/** Returns what a caller has after an attempt, with what it had before. */
+export function getStreamPart(attempt: CallerAttempt): StreamPart {
+  const { id, before } = attempt;
+  const whole = attempt.text.slice(0, attempt.text.lastIndexOf("\n\n") + 1);
+  const lines = getDataLines(whole);
+  const versions = lines.map((line) => line.split("@")[1] ?? "");
+  return {
+    request: before.request || (lines.length > 0 ? id : ""),
+    lastEvent: before.lastEvent + lines.length,
+    versions: [...new Set([...before.versions, ...versions])],
+  };
+}
+
+function getDataLines(text: string): string[] {
+  return text.split("\n").filter((line) => line.startsWith("data: "))
+    .map((line) => line.slice("data: ".length));
 }
 
 /** An accepted job. */
@@ -136,16 +171,20 @@
     violations.push(`${label} was answered with ${status} although it ran`);
   }
   if (status !== 200) return violations;
-  const lines = attempt.text.split("\n")
-    .filter((line) => line.startsWith("data: "))
-    .map((line) => line.slice("data: ".length));
-  const isPrefix = lines.every((line, index) =>
-    index === lines.length - 1 && !attempt.isComplete
-      ? getEventData(id, index + 1).startsWith(line)
-      : line === getEventData(id, index + 1)
-  );
+  const { lastEvent } = attempt.before;
+  const lines = getDataLines(attempt.text);
+  const isPrefix = lines.map((line) => line.split("@")[0] ?? "")
+    .every((line, index) =>
+      index === lines.length - 1 && !attempt.isComplete
+        ? getEventData(id, lastEvent + index + 1).startsWith(line)
+        : line === getEventData(id, lastEvent + index + 1)
+    );
+  const { versions } = getStreamPart(attempt);
+  if (versions.length > 1 && SoakRequestKind[kind].isStream) {
+    violations.push(`${label} joins versions ${versions.join()}`);
+  }
   if (!isPrefix) violations.push(`${label} got wrong events: ${lines.join()}`);
-  if (attempt.isComplete && lines.length !== EVENT_COUNT) {
+  if (attempt.isComplete && lastEvent + lines.length !== EVENT_COUNT) {
     violations.push(
       `${label} received ${lines.length} events in a complete response`,
     );
@@ -163,7 +202,9 @@
     ...ids.filter((id, index) => ids.indexOf(id) !== index)
       .map((id) => `job ${job.id}: item ${id} has two results`),
     ...job.results.filter((result) =>
-      result.state !== "done" || result.text !== getCompleteText(result.id)
+      result.state !== "done" ||
+      result.text.replace(/@\w+$/gm, "") !== getCompleteText(result.id) ||
+      new Set(result.text.match(/@\w+$/gm)).size !== 1
     ).map((result) =>
       `job ${job.id}: item ${result.id} is ${result.state}: ${result.text}`
     ),
--- a/src/test/soak/soak_fleet.ts
+++ b/src/test/soak/soak_fleet.ts
@@ -234,6 +234,8 @@
     await link.start({ forwardsDatagrams: false });
     server.address = `127.3.0.${index}:${port}`;
     server.eventIntervalMs = 5 + 10 * index;
+    server.version = index % 2 === 0 ? "v1" : "v2";
+    server.marksEvents = true;
     this.servers.push(server);
     this.#serverLinks.set(server.id, link);
   }
--- a/src/test/soak/soak_load.ts
+++ b/src/test/soak/soak_load.ts
@@ -13,9 +13,12 @@
 } from "../platform_fleet.ts";
 import {
   type CallerAttempt,
+  getStreamPart,
+  NO_STREAM_PART,
   type RunHistory,
   SoakRequestKind,
   type SoakRequestKindName,
+  type StreamPart,
 } from "./run_history.ts";
 import type { PlatformServer } from "../platform_server.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
@@ -118,6 +121,23 @@
   async sendRequest(
     kind: SoakRequestKindName,
     gateway = this.#pickRandom(this.#fleet.targets.gateways),
+  ): Promise<CallerAttempt> {
+    const attempt = await this.#sendAttempt(kind, gateway, NO_STREAM_PART);
+    const part = getStreamPart(attempt);
+    const isBroken = kind === "stream" && attempt.status === 200 &&
+      !attempt.isComplete && part.lastEvent > 0;
+    if (isBroken) {
+      const other = this.#pickRandom(this.#fleet.targets.gateways);
+      await this.#sendAttempt(kind, other, part);
+    }
+    return attempt;
+  }
+
+  /** Sends one attempt of a caller, which may take up a broken stream. */
+  async #sendAttempt(
+    kind: SoakRequestKindName,
+    gateway: string,
+    before: StreamPart,
   ): Promise<CallerAttempt> {
     this.#sentCount += 1;
     const id = `r${this.#sentCount}`;
@@ -133,6 +153,7 @@
       text: "",
       isComplete: false,
       isPastDeadline: false,
+      before,
     };
     this.#history.attempts.push(attempt);
     const response = await this.#sendHttpRequest(
@@ -142,6 +163,10 @@
       {
         "X-Request-Id": id,
         "X-Deadline-Ms": String(DEADLINE_MS),
+        ...before.lastEvent === 0 ? {} : {
+          "Last-Event-Id": String(before.lastEvent),
+          "Resumes": before.request,
+        },
       },
       body,
     );
--- a/src/test/soak/soak_main.ts
+++ b/src/test/soak/soak_main.ts
@@ -26,11 +26,12 @@
   .parse();
 
 async function printReport(report: SoakReport): Promise<void> {
-  const { seed, requests, served, jobs, faultCount } = report;
+  const { seed, requests, served, jobs, takenUp, continued, faultCount } =
+    report;
   const verdict = report.faults.length === 0 ? "kept" : "BROKEN";
   process.stdout.write(
     `seed=${seed} ${verdict} requests=${requests} served=${served} ` +
-      `jobs=${jobs} faults=${faultCount}\n`,
+      `jobs=${jobs} taken_up=${takenUp} continued=${continued} faults=${faultCount}\n`,
   );
   if (report.faults.length === 0) {
     await rm(report.folder, { recursive: true, force: true });
--- a/src/test/soak/soak_run.ts
+++ b/src/test/soak/soak_run.ts
@@ -25,6 +25,9 @@
   readonly requests: number;
   readonly served: number;
   readonly jobs: number;
+  /** Broken streams that callers took up, and those of them that were completed. */
+  readonly takenUp: number;
+  readonly continued: number;
   /** Number of injected faults. */
   readonly faultCount: number;
   /** Folder with settings and logs; callers keep it if there are `faults`. */
@@ -92,6 +95,7 @@
     server.receivedRequests
   );
   const { attempts, jobs } = history;
+  const takenUp = attempts.filter(({ before }) => before.lastEvent > 0);
   return {
     seed: options.seed,
     faults: history.getViolations(receivedRequests),
@@ -100,6 +104,8 @@
       attempts.filter((attempt) => attempt.status === 200 && attempt.isComplete)
         .length,
     jobs: jobs.length,
+    takenUp: takenUp.length,
+    continued: takenUp.filter(({ isComplete }) => isComplete).length,
     faultCount,
     folder: fleet.folder,
   };
