Give no answer a framing that its server did not give

Cause: an answer with neither a length nor chunks ends with its connection, so its end says nothing; we took it for the end of the answer, dropped the hop-by-hop headers, and Node framed what was written in chunks, with a last chunk. The hypotheses that a reset or something of ours ends such answers are ruled out by the loopback cases.

Change: a response knows whether it is delimited; an answer that isn't reaches its caller without a framing either and ends with its connection, and is reset if it breaks off, also for a caller of HTTP/1.0, and when a gateway closes its connections. A stream that ends inside an event has been broken off, whatever its framing. An answer that was begun with chunks isn't completed by one without.

--- a/src/fleet/caller_response.ts
+++ b/src/fleet/caller_response.ts
@@ -6,6 +6,7 @@
 export class CallerResponse {
   readonly #res: ServerResponse;
   readonly #disconnected = new AbortController();
+  #isDelimited = true;
 
   constructor(res: ServerResponse) {
     this.#res = res;
@@ -24,9 +25,30 @@
     return this.#res.headersSent;
   }
 
-  /** Sends status and headers; `headers` are alternating names and values. */
-  sendHead(status: number, headers: readonly string[]): void {
+  /**
+   * Whether a length or chunks tell the caller where the response ends. Otherwise
+   * it ends with its connection.
+   */
+  get isDelimited(): boolean {
+    return this.#isDelimited;
+  }
+
+  /**
+   * Sends status and headers; `headers` are alternating names and values. A
+   * response that is not to be delimited ends with its connection.
+   */
+  sendHead(
+    status: number,
+    headers: readonly string[],
+    options: { isDelimited: boolean },
+  ): void {
+    if (!options.isDelimited) this.#res.useChunkedEncodingByDefault = false;
     this.#res.writeHead(status, headers as string[]);
+    const hasLength = headers.some((name, index) =>
+      index % 2 === 0 && name.toLowerCase() === "content-length"
+    );
+    // HTTP/1.0 knows no chunks.
+    this.#isDelimited = hasLength || this.#res.chunkedEncoding;
   }
 
   /**
@@ -50,8 +72,12 @@
     this.#res.end();
   }
 
-  /** Closes the connection, so the caller can detect that data is missing. */
+  /**
+   * Closes the connection, so the caller can detect that data is missing. If the
+   * response ends with its connection, only a reset tells this.
+   */
   abort(): void {
+    if (!this.#isDelimited) this.#res.socket?.resetAndDestroy();
     this.#res.destroy();
   }
 
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -73,7 +73,7 @@
   readonly #reservedHeaders: ReadonlySet<string>;
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
-  #openRequests = 0;
+  readonly #openResponses = new Set<CallerResponse>();
   #stopping = false;
 
   constructor(
@@ -168,21 +168,22 @@
     const { clock, log } = this.#context;
     const endMs = clock.getMonotonicMs() + (this.#settings.graceMs ?? 0) -
       EXIT_MARGIN_MS;
-    log.info("stopping", { open: this.#openRequests });
+    log.info("stopping", { open: this.#openResponses.size });
     await clock.delay(PRE_DRAIN_DELAY_MS);
     const drained = this.#listener?.drain() ?? Promise.resolve();
     const remainingMs = Math.max(0, endMs - clock.getMonotonicMs());
     await Promise.race([drained, clock.delay(remainingMs)]);
-    while (this.#openRequests > 0 && clock.getMonotonicMs() < endMs) {
+    while (this.#openResponses.size > 0 && clock.getMonotonicMs() < endMs) {
       await clock.delay(DRAIN_POLL_MS);
     }
-    log.info("stopped", { open: this.#openRequests });
+    log.info("stopped", { open: this.#openResponses.size });
     this.halt();
   }
 
-  /** Closes all connections immediately, as a crash would. */
+  /** Closes all connections immediately; no open response looks complete. */
   halt(): void {
     this.#stopping = true;
+    this.#openResponses.forEach((response) => response.abort());
     this.#listener?.close();
     this.#readyListener?.close();
     this.#backends.close();
@@ -198,7 +199,7 @@
       dataCentre: this.#settings.dataCentre,
       ready: this.isReady,
       routesVersion: Number(this.#backends.view.routesVersion),
-      open: this.#openRequests,
+      open: this.#openResponses.size,
       hosts: this.#backends.view.hosts.hosts.map((host) => host.id),
       backendServers: this.#backends.view.servers.getAll().map((server) => ({
         id: server.id,
@@ -215,11 +216,11 @@
   #serve(req: IncomingMessage, res: ServerResponse): void {
     const response = new CallerResponse(res);
     if (this.#stopping) res.shouldKeepAlive = false;
-    this.#openRequests += 1;
+    this.#openResponses.add(response);
     this.#handle(req, response)
       .catch((thrown) => this.#sendError(req, response, asServingError(thrown)))
       .finally(() => {
-        this.#openRequests -= 1;
+        this.#openResponses.delete(response);
       });
   }
 
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -23,6 +23,7 @@
 import type { Random } from "../sys/random.ts";
 import {
   BufferedForwarder,
+  ChunkForwarder,
   EventForwarder,
   type ResponseForwarder,
   StreamForwarder,
@@ -510,5 +511,5 @@
   }
   return isRetryable(req.route)
     ? new BufferedForwarder(callerResponse)
-    : new StreamForwarder(callerResponse, undefined);
+    : new ChunkForwarder(callerResponse);
 }
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -3,7 +3,12 @@
  * buffered until it is complete, or split at event boundaries so that another
  * server can continue it.
  */
-import { EventSequence, EventSplitter, parseEvents } from "../relay/mod.ts";
+import {
+  EventBoundaryDetector,
+  EventSequence,
+  EventSplitter,
+  parseEvents,
+} from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import { discardBody, removeRawHopByHopHeaders } from "../sys/http.ts";
 import type { BackendResponse } from "./backend_client.ts";
@@ -70,12 +75,34 @@
     this.caller.sendHead(
       response.status,
       removeRawHopByHopHeaders(response.body.rawHeaders),
+      { isDelimited: response.isDelimited },
     );
   }
 }
 
 /** Forwards each chunk as it arrives. */
-export class StreamForwarder extends ResponseForwarder {
+export class ChunkForwarder extends ResponseForwarder {
+  override get resumeAfter(): number | undefined {
+    return undefined;
+  }
+
+  override get canContinue(): boolean {
+    return !this.caller.headSent;
+  }
+
+  protected override async forwardBody(
+    response: BackendResponse,
+  ): Promise<ForwardResult> {
+    this.sendHead(response);
+    for await (const chunk of response.chunks) await this.caller.write(chunk);
+    if (!response.isComplete()) return createTruncatedResult();
+    this.caller.end();
+    return DONE;
+  }
+}
+
+/** Forwards the chunks of a stream of events that no other server continues. */
+export class StreamForwarder extends ChunkForwarder {
   readonly #resumeAfter: number | undefined;
 
   constructor(caller: CallerResponse, resumeAfter: number | undefined) {
@@ -87,16 +114,18 @@
     return this.#resumeAfter;
   }
 
-  override get canContinue(): boolean {
-    return !this.caller.headSent;
-  }
-
   protected override async forwardBody(
     response: BackendResponse,
   ): Promise<ForwardResult> {
+    if (!isEventStream(response)) return await super.forwardBody(response);
     this.sendHead(response);
-    for await (const chunk of response.chunks) await this.caller.write(chunk);
+    const boundaryDetector = new EventBoundaryDetector();
+    for await (const chunk of response.chunks) {
+      boundaryDetector.push(chunk);
+      await this.caller.write(chunk);
+    }
     if (!response.isComplete()) return createTruncatedResult();
+    if (boundaryDetector.isInsideEvent) return ENDED_INSIDE_EVENT;
     this.caller.end();
     return DONE;
   }
@@ -199,13 +228,36 @@
       await this.caller.write(events.bytes);
     }
     if (!response.isComplete()) return createTruncatedResult();
+    if (splitter.isInsideEvent && isEventStream(response)) {
+      return ENDED_INSIDE_EVENT;
+    }
     if (!this.caller.headSent) this.sendHead(response);
+    if (this.caller.isDelimited && !response.isDelimited) {
+      return {
+        kind: "broken",
+        reason: "the end of the answer is not marked, unlike its beginning",
+      };
+    }
     if (splitter.rest.length > 0) await this.caller.write(splitter.rest);
     this.caller.end();
     return DONE;
   }
 }
 
+const ENDED_INSIDE_EVENT: ForwardResult = {
+  kind: "broken",
+  reason: "the stream ended inside an event",
+};
+
+const EVENT_STREAM_TYPE = /^text\/event-stream\b/i;
+
+/** Whether the body of a response to a streaming request consists of events. */
+function isEventStream({ status, headers }: BackendResponse): boolean {
+  const isSuccess = status >= 200 && status < 300;
+  const type = headers["content-type"];
+  return isSuccess && (type === undefined || EVENT_STREAM_TYPE.test(type));
+}
+
 function createTruncatedResult(): ForwardResult {
   return { kind: "broken", reason: "the answer was cut short" };
 }
--- a/src/relay/event_splitter.ts
+++ b/src/relay/event_splitter.ts
@@ -18,6 +18,8 @@
  */
 const MAX_EVENT_BYTES = 1 << 20;
 
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const EVENT_DELIMITER = Buffer.from("\n\n");
 const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
 
@@ -30,6 +32,11 @@
     return this.#rest;
   }
 
+  /** Whether more than line ends between two events has arrived since the last. */
+  get isInsideEvent(): boolean {
+    return this.#rest.some((byte) => byte !== LINE_FEED);
+  }
+
   /**
    * Adds a chunk and returns the events that are complete with it, or undefined
    * if there are none. Throws if an event is too large.
@@ -61,6 +68,30 @@
   }
 }
 
+/** Tells whether a stream of events has stopped inside an event, unbuffered. */
+export class EventBoundaryDetector {
+  #isEmpty = true;
+  /** Line feeds at the end of the stream so far. */
+  #trailingLineFeeds = 0;
+
+  /** Whether the last byte so far belongs to an event that has not ended. */
+  get isInsideEvent(): boolean {
+    return !this.#isEmpty &&
+      this.#trailingLineFeeds < EVENT_DELIMITER.length;
+  }
+
+  push(chunk: Buffer): void {
+    const contentEnd =
+      chunk.findLastIndex((byte) =>
+        byte !== LINE_FEED && byte !== CARRIAGE_RETURN
+      ) + 1;
+    if (contentEnd > 0) this.#trailingLineFeeds = 0;
+    this.#isEmpty &&= contentEnd === 0;
+    this.#trailingLineFeeds += chunk.subarray(contentEnd)
+      .filter((byte) => byte === LINE_FEED).length;
+  }
+}
+
 function countEvents(bytes: Buffer): number {
   let count = 0;
   let position = bytes.indexOf(EVENT_DELIMITER);
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -140,9 +140,14 @@
   readonly headers: http.IncomingHttpHeaders;
   readonly body: http.IncomingMessage;
   /**
-   * Whether the whole body has arrived. A body without a length ends with its
-   * connection, whole or not, so it is whole only if the connection did not fail
-   * and was not closed by this process.
+   * Whether a length or chunks tell where the body ends. Otherwise it ends with
+   * its connection, whole or not, and must not be passed on with a framing that
+   * says that it is whole.
+   */
+  readonly isDelimited: boolean;
+  /**
+   * Whether the whole body has arrived, or, of a body that is not delimited, all
+   * that the server sent before it closed the connection in an orderly way.
    */
   isComplete(): boolean;
 }
@@ -231,14 +236,15 @@
       req.on("error", () => {
         hasFailedInBody = true;
       });
-      const { headers } = response;
-      const isFramed = headers["content-length"] !== undefined ||
-        headers["transfer-encoding"] !== undefined;
+      const { headers, statusCode: status = 0 } = response;
+      const isDelimited = hasDelimitedBody(request.method, status, headers);
       resolve({
-        status: response.statusCode ?? 0,
+        status,
         headers,
         body: response,
-        isComplete: () => response.complete && (isFramed || !hasFailedInBody),
+        isDelimited,
+        isComplete: () =>
+          response.complete && (isDelimited || !hasFailedInBody),
       });
     });
     req.on("error", (error) => {
@@ -254,6 +260,20 @@
   });
 }
 
+/** Whether a response tells where its body ends (RFC 9112, section 6.3). */
+function hasDelimitedBody(
+  method: string,
+  status: number,
+  headers: http.IncomingHttpHeaders,
+): boolean {
+  const hasNoBody = method === "HEAD" || status === 204 || status === 304;
+  const codings = headers["transfer-encoding"];
+  if (hasNoBody) return true;
+  return codings === undefined
+    ? headers["content-length"] !== undefined
+    : /(^|,)\s*chunked\s*$/i.test(codings);
+}
+
 /** Maximum size of a body that is discarded before its connection is closed. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -54,15 +54,17 @@
       signal: options.signal,
     });
     const noResponse = { status: 0, headers: {}, text: "", isComplete: false };
-    req.on("error", () => resolve(noResponse));
+    let hasResponse = false;
+    // An answer that ends with its connection counts as complete for Node even if
+    // the connection was reset.
+    let hasFailed = false;
+    req.on("error", () => {
+      hasFailed = true;
+      if (!hasResponse) resolve(noResponse);
+    });
     req.on("response", (res) => {
+      hasResponse = true;
       const chunks: Buffer[] = [];
-      // An answer that ends with its connection counts as complete for Node even
-      // if the connection was reset.
-      let hasFailed = false;
-      req.on("error", () => {
-        hasFailed = true;
-      });
       res.on("data", (chunk) => chunks.push(chunk));
       res.on("error", () => {
         hasFailed = true;
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -67,6 +67,8 @@
   version = "v1";
   /** Whether each event names the version that made it. */
   marksEvents = false;
+  /** Whether chunks tell where a stream ends, rather than the connection. */
+  delimitsStreams = true;
   /** Whether each response says that the server leaves. */
   leaves = false;
   /** Text in a request's body that ends the server; undefined for none. */
@@ -201,6 +203,7 @@
     resetsMidStream: boolean,
   ): void {
     const lastEventNumber = Number(request.headers["last-event-id"] ?? 0);
+    if (!this.delimitsStreams) res.useChunkedEncodingByDefault = false;
     res.writeHead(200, {
       "x-request-id": request.id,
       "x-server-stamp": `stamp-${this.id}`,
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -264,6 +264,7 @@
       headers: {},
       body,
       chunks: body,
+      isDelimited: true,
       isComplete: () => body.complete,
     };
     return Promise.resolve({ kind: "response", response });
@@ -484,6 +485,7 @@
     headers: {},
     body,
     chunks: body,
+    isDelimited: true,
     isComplete: () => body.complete,
   };
 }
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -19,7 +19,9 @@
 import type { PoolServer } from "../fleet/server_pool.ts";
 import { createHttpAgent, type HttpAgent, listenHttp } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
-import { sendHttpRequest } from "./platform_fleet.ts";
+import { EventBoundaryDetector } from "../relay/mod.ts";
+import { range } from "./fleet_helpers.ts";
+import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
 
 const REQUEST_TIMEOUT_MS = 5_000;
 
@@ -264,4 +266,94 @@
       }
     })
   );
+
+  // Guards against a stream that one server began with chunks and another, whose
+  // answer has none, ends as whole.
+  it("don't complete an answer that another server began with chunks", async () => {
+    const answers = [
+      `${HEAD}Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n`,
+      `${HEAD}\r\nid: 2\ndata: b\n\n`,
+    ];
+    answer = answers[0] ?? "";
+    endConnection = (socket) => {
+      socket.end();
+      answer = answers[1] ?? "";
+    };
+    const forwardBoth = async (caller: CallerResponse) => {
+      const forwarder = new EventForwarder(caller, undefined);
+      const kinds: string[] = [];
+      for (const _ of answers) {
+        const result = await createClient().send({
+          ...createAttempt(never()),
+          remainingMs: REQUEST_TIMEOUT_MS,
+          resumeAfter: forwarder.resumeAfter,
+          useNewConnection: true,
+        });
+        if (result.kind !== "response") throw new Error(result.kind);
+        const { kind } = await forwarder.forward(result.response, never());
+        kinds.push(kind);
+      }
+      caller.abort();
+      return kinds;
+    };
+    const kinds: string[] = [];
+    const gateway = await listenHttp("127.0.0.1:0", async (_, res) => {
+      kinds.push(...await forwardBoth(new CallerResponse(res)));
+    });
+    const received = await sendHttpRequest(gateway.address, "GET", "/");
+    gateway.close();
+    expect(kinds).deep.equal(["broken", "broken"]);
+    expect(received).include({ text: EVENTS, isComplete: false });
+  });
+
+  // Guards against taking a body of another type for a stream that broke off.
+  it("are whole if they are no streams of events", async () => {
+    answer = `${HEAD}Content-Type: application/json\r\n\r\n{"error":"none"}`;
+    endConnection = (socket) => socket.end();
+    for (const { name, create } of forwarders) {
+      expect(await forward(create, never()), name)
+        .deep.equal({ kind: "done", isComplete: true });
+    }
+  });
+});
+
+describe("a stream without a length", () => {
+  const fleet = new PlatformFleet();
+
+  before(() => fleet.start({ servers: 1, gateways: 1 }));
+
+  after(() => fleet.close());
+
+  // Guards against an answer that looks whole because its gateway stops.
+  it("is reset by a gateway that closes its connections", async () => {
+    fleet.servers.forEach((server) => {
+      server.delimitsStreams = false;
+      server.eventIntervalMs = 300;
+    });
+    const pending = fleet.sendRequest("stopped", "/l/");
+    await fleet.clock.delay(450);
+    fleet.gateways[0]?.halt();
+    const received = await pending;
+    expect(received.text).include("stopped-1");
+    expect(received.isComplete).equal(false);
+  });
+});
+
+describe("the boundary of events", () => {
+  it("is found at any split of a stream, whatever its line ends", () => {
+    ["\n", "\r\n"].forEach((end) => {
+      const event = `id: 1${end}data: a${end}${end}`;
+      const stream = `${event}${event}`;
+      range(stream.length + 1).forEach((length) => {
+        range(length + 1).forEach((split) => {
+          const detector = new EventBoundaryDetector();
+          detector.push(Buffer.from(stream.slice(0, split)));
+          detector.push(Buffer.from(stream.slice(split, length)));
+          const isBoundary = length % event.length === 0;
+          expect(detector.isInsideEvent, `${length} ${split}`)
+            .equal(!isBoundary);
+        });
+      });
+    });
+  });
 });
