Ask for the rest of an item whose answer has no length

Such an item could have been listed as done with a part of its output.

Evidence: the two new tests failed before: done after the first answer, four times of four. One assertion is replaced: it wanted an item done after such an answer, which is the fault; what stands in its place is stricter.

Change: such an attempt ends unconfirmed, and the item goes on after its last event. It is done once a delimited answer, or two in a row without a length, bring nothing more.

--- a/src/fleet/attempt_outcome_handler.ts
+++ b/src/fleet/attempt_outcome_handler.ts
@@ -69,6 +69,7 @@
       case "broken":
         pool.recordFailure(server);
         break;
+      case "unconfirmed":
       case "notRun":
         break;
     }
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -27,6 +27,11 @@
   | { readonly kind: "notRun"; readonly reason: string }
   /** The attempt was interrupted; the item can resume on another server. */
   | { readonly kind: "broken"; readonly reason: string }
+  /**
+   * The response ended with its connection, so it is not known whether output
+   * follows; the item asks for it on another server.
+   */
+  | { readonly kind: "unconfirmed"; readonly reason: string }
   /** This process stopped the attempt. */
   | { readonly kind: "stopped" };
 
@@ -99,6 +104,7 @@
   signal: AbortSignal,
 ): Promise<AttemptOutcome> {
   const splitter = new EventSplitter();
+  const startEvent = progress.last;
   for await (const chunk of response.chunks) {
     const events = splitter.push(chunk);
     if (events === undefined || progress.appendEvents(events.bytes)) continue;
@@ -110,7 +116,12 @@
     };
   }
   if (response.isComplete() && splitter.rest.length === 0) {
-    return { kind: "done" };
+    const isWhole = response.isDelimited ||
+      progress.recordUndelimitedEnd(startEvent);
+    return isWhole ? { kind: "done" } : {
+      kind: "unconfirmed",
+      reason: "the response has no length and may have been cut off",
+    };
   }
   return signal.aborted
     ? { kind: "stopped" }
--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -31,6 +31,12 @@
  */
 const MAX_TEXT_BYTES = 1 << 20;
 
+/**
+ * Number of successive responses that end with their connection and bring no
+ * output after which there is none. One alone may have been cut off at once.
+ */
+const MIN_EMPTY_UNDELIMITED_ENDS = 2;
+
 /** Options of an {@linkcode ItemProgress}. */
 export interface ItemProgressOptions {
   readonly random: Random;
@@ -51,6 +57,8 @@
   #softwareVersion: string;
   readonly #events: EventData[] = [];
   #eventBytes = 0;
+  /** Successive responses without output that ended with their connection. */
+  #emptyUndelimitedEnds = 0;
 
   constructor({ random, recorded }: ItemProgressOptions) {
     this.#random = random;
@@ -134,6 +142,18 @@
     });
   }
 
+  /**
+   * Records a response that ended between two events together with its
+   * connection, and was asked for the output after event `startEvent`. Returns
+   * whether it is known now that no output follows.
+   */
+  recordUndelimitedEnd(startEvent: number | undefined): boolean {
+    this.#emptyUndelimitedEnds = this.last === startEvent
+      ? this.#emptyUndelimitedEnds + 1
+      : 0;
+    return this.#emptyUndelimitedEnds >= MIN_EMPTY_UNDELIMITED_ENDS;
+  }
+
   /** Discards all output and begins a chain with the first event. */
   reset(): void {
     this.#chain = createChain(this.#random);
@@ -142,6 +162,7 @@
     this.#restored = undefined;
     this.#events.length = 0;
     this.#eventBytes = 0;
+    this.#emptyUndelimitedEnds = 0;
   }
 }
 
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -116,12 +116,15 @@
       onActivity: () => {},
     });
 
-  const runItem = (signal: AbortSignal) =>
+  const createProgress = () =>
+    new ItemProgress({ random: new SeededRandom(1) });
+
+  const runItem = (signal: AbortSignal, progress = createProgress()) =>
     runItemAttempt({
       ...createAttempt(signal),
       backendClient: createClient(),
       timeoutMs: REQUEST_TIMEOUT_MS,
-      progress: new ItemProgress({ random: new SeededRandom(1) }),
+      progress,
     });
 
   /** Starts a gateway that forwards the answer to its callers. */
@@ -182,13 +185,47 @@
 
   it("are whole if the server closes the connection", async () => {
     endConnection = (socket) => socket.end();
-    expect((await runItem(never())).kind).equal("done");
     for (const { name, create } of forwarders) {
       expect(await forward(create, never()), name)
         .deep.equal({ kind: "done", isComplete: true });
     }
   });
 
+  /** Runs an item on servers that give these answers, one after the other. */
+  const runItemTo = async (answers: readonly string[]) => {
+    endConnection = (socket) => socket.end();
+    const progress = createProgress();
+    const kinds: string[] = [];
+    for (const next of answers) {
+      answer = next;
+      kinds.push((await runItem(never(), progress)).kind);
+    }
+    return { kinds, text: progress.text };
+  };
+
+  // Guards against an item that is done with a part of its output, since its
+  // answer looks whole wherever it ended.
+  it("finish an item only once nothing follows them", async () => {
+    const rest = `${HEAD}\r\nid: 3\ndata: c\n\n`;
+    const nothing = `${HEAD}\r\n`;
+    expect(await runItemTo([ANSWER, rest, nothing, nothing])).deep.equal({
+      kinds: ["unconfirmed", "unconfirmed", "unconfirmed", "done"],
+      text: "a\nb\nc",
+    });
+    expect(await runItemTo([ANSWER, nothing, rest, nothing])).deep.equal({
+      kinds: ["unconfirmed", "unconfirmed", "unconfirmed", "unconfirmed"],
+      text: "a\nb\nc",
+    });
+  });
+
+  it("finish an item at once if a delimited answer says that nothing follows", async () => {
+    const nothing = `${HEAD}Content-Length: 0\r\n\r\n`;
+    expect(await runItemTo([ANSWER, nothing])).deep.equal({
+      kinds: ["unconfirmed", "done"],
+      text: "a\nb",
+    });
+  });
+
   // Guards against a part of an answer that is given to a caller as the whole.
   it("are not whole if the connection is reset", async () => {
     endConnection = (socket) => socket.resetAndDestroy();
