Pass plain answers without a length on without one at entries

Evidence: the new test failed before: 'connection' of 'close', but got 'keep-alive'.

Change: entries and gateways share the two functions that send a head and abort a response; an outcome that is kept under a key records that its answer was not delimited, and is sent again without a framing. Records of older builds count as delimited, as before.

--- a/src/bench/stand_in_service.ts
+++ b/src/bench/stand_in_service.ts
@@ -7,6 +7,7 @@
   type HttpListener,
   listenHttp,
   readBody,
+  sendResponseHead,
   type ServerResponse,
 } from "../sys/http.ts";
 import { Announcer } from "./announcer.ts";
@@ -29,6 +30,8 @@
   none: "none",
   /** The request runs, but the connection is closed before the response. */
   loseAnswer: "lose answer",
+  /** The answer has neither a length nor chunks. */
+  omitLength: "omit length",
 } as const;
 
 /** A value of {@linkcode ServiceFault}. */
@@ -103,7 +106,12 @@
       res.destroy();
       return;
     }
-    res.writeHead(200, { "content-type": "application/json" });
+    sendResponseHead(
+      res,
+      200,
+      { "content-type": "application/json" },
+      { isDelimited: this.fault !== ServiceFault.omitLength },
+    );
     res.end(JSON.stringify({ receipt, count, server: this.#options.name }));
   }
 }
--- a/src/fleet/caller_response.ts
+++ b/src/fleet/caller_response.ts
@@ -1,5 +1,9 @@
 /** The HTTP response to a caller, which is either completed or aborted. */
-import type { ServerResponse } from "../sys/http.ts";
+import {
+  abortResponse,
+  sendResponseHead,
+  type ServerResponse,
+} from "../sys/http.ts";
 import type { LocalResponse } from "./dialects.ts";
 
 /** A response to a caller in progress. */
@@ -25,10 +29,7 @@
     return this.#res.headersSent;
   }
 
-  /**
-   * Whether a length or chunks tell the caller where the response ends. Otherwise
-   * it ends with its connection.
-   */
+  /** Whether the response does not end with its connection. */
   get isDelimited(): boolean {
     return this.#isDelimited;
   }
@@ -42,13 +43,8 @@
     headers: readonly string[],
     options: { isDelimited: boolean },
   ): void {
-    if (!options.isDelimited) this.#res.useChunkedEncodingByDefault = false;
-    this.#res.writeHead(status, headers as string[]);
-    const hasLength = headers.some((name, index) =>
-      index % 2 === 0 && name.toLowerCase() === "content-length"
-    );
-    // HTTP/1.0 knows no chunks.
-    this.#isDelimited = hasLength || this.#res.chunkedEncoding;
+    this.#isDelimited = options.isDelimited;
+    sendResponseHead(this.#res, status, headers, options);
   }
 
   /**
@@ -72,13 +68,9 @@
     this.#res.end();
   }
 
-  /**
-   * Closes the connection, so the caller can detect that data is missing. If the
-   * response ends with its connection, only a reset tells this.
-   */
+  /** Closes the connection, so the caller can detect that data is missing. */
   abort(): void {
-    if (!this.#isDelimited) this.#res.socket?.resetAndDestroy();
-    this.#res.destroy();
+    abortResponse(this.#res);
   }
 
   /** Sends a response that was generated here rather than by a server. */
--- a/src/services/common/outcomes.ts
+++ b/src/services/common/outcomes.ts
@@ -2,7 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { type Outcome, OutcomeSchema } from "../../schema/mod.ts";
 import { ServingError } from "../../sys/errors.ts";
-import type { ServerResponse } from "../../sys/http.ts";
+import { sendResponseHead, type ServerResponse } from "../../sys/http.ts";
 import { sendJson } from "./responses.ts";
 
 /**
@@ -20,7 +20,12 @@
     sendJson(res, outcome.status, {});
     return;
   }
-  res.writeHead(outcome.status, { "content-type": outcome.contentType });
+  sendResponseHead(
+    res,
+    outcome.status,
+    { "content-type": outcome.contentType },
+    { isDelimited: !outcome.isUndelimited },
+  );
   res.end(outcome.body);
 }
 
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -16,10 +16,12 @@
 import type { Clock } from "../../sys/clock.ts";
 import { asServingError, ServingError } from "../../sys/errors.ts";
 import {
+  abortResponse,
   type HttpResponse,
   type IncomingHttpHeaders,
   readBody,
   removeHopByHopHeaders,
+  sendResponseHead,
 } from "../../sys/http.ts";
 import { getDigest, getDigestHex } from "../../sys/random.ts";
 import type { BackendPool } from "./backend_pool.ts";
@@ -123,6 +125,7 @@
         status: response.status,
         body,
         contentType: response.headers["content-type"] ?? "",
+        isUndelimited: !response.isDelimited,
       });
     } catch (error) {
       placement.release({ isServerFailure: true });
@@ -288,15 +291,20 @@
   placement: Placement,
 ): void {
   const { res } = call;
-  res.writeHead(response.status, removeHopByHopHeaders(response.headers));
+  sendResponseHead(
+    res,
+    response.status,
+    removeHopByHopHeaders(response.headers),
+    response,
+  );
   response.body.pipe(res, { end: false });
-  response.body.on("error", () => res.destroy());
+  response.body.on("error", () => abortResponse(res));
   response.body.on("end", () => {
     if (response.isComplete()) res.end();
   });
   response.body.on("close", () => {
     placement.release({ isServerFailure: !response.isComplete() });
-    if (!response.isComplete()) res.destroy();
+    if (!response.isComplete()) abortResponse(res);
   });
   res.on("close", () => response.body.destroy());
 }
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -274,6 +274,30 @@
     : /(^|,)\s*chunked\s*$/i.test(codings);
 }
 
+/**
+ * Sends status and headers of a response to a caller; a list of headers holds
+ * alternating names and values. A response that is not to be delimited ends with
+ * its connection.
+ */
+export function sendResponseHead(
+  res: http.ServerResponse,
+  status: number,
+  headers: http.OutgoingHttpHeaders | readonly string[],
+  options: { isDelimited: boolean },
+): void {
+  if (!options.isDelimited) res.useChunkedEncodingByDefault = false;
+  res.writeHead(status, headers as http.OutgoingHttpHeaders);
+}
+
+/**
+ * Closes the connection of a response that broke off. If it has no chunks, only a
+ * reset tells the caller reliably that data is missing.
+ */
+export function abortResponse(res: http.ServerResponse): void {
+  if (res.headersSent && !res.chunkedEncoding) res.socket?.resetAndDestroy();
+  res.destroy();
+}
+
 /** Maximum size of a body that is discarded before its connection is closed. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -20,7 +20,8 @@
 import { createHttpAgent, type HttpAgent, listenHttp } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { EventBoundaryDetector } from "../relay/mod.ts";
-import { range } from "./fleet_helpers.ts";
+import { sendRequest, ServiceFault } from "../bench/mod.ts";
+import { range, withFleet } from "./fleet_helpers.ts";
 import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
 
 const REQUEST_TIMEOUT_MS = 5_000;
@@ -376,6 +377,28 @@
   });
 });
 
+describe("a plain answer without a length", () => {
+  // Guards against an entry that gives it a framing which the service did not.
+  it("reaches callers of entries without a framing, also when it is sent again", () =>
+    withFleet({ engines: 0 }, async (fleet) => {
+      fleet.services.forEach((service) => {
+        service.fault = ServiceFault.omitLength;
+      });
+      const [address = ""] = fleet.getEntryAddresses();
+      const send = (headers: Record<string, string>) =>
+        sendRequest(address, "/receipts", { receipt: "a" }, { headers });
+      const key = { "idempotency-key": "a" };
+      for (const headers of [{}, key, key]) {
+        const received = await send(headers);
+        expect(received).include({ status: 200 });
+        expect(received.headers).include({ connection: "close" });
+        expect(received.headers)
+          .not.have.any.keys("content-length", "transfer-encoding");
+      }
+      expect(fleet.receiptCounts.get("a")).equal(2);
+    }));
+});
+
 describe("the boundary of events", () => {
   it("is found at any split of a stream, whatever its line ends", () => {
     ["\n", "\r\n"].forEach((end) => {
