Tell an answer without a length from one whose server ended

A stream without a length or chunks whose server ends between two events reached its caller with an ordinary end, as its system closes the connections of a process that ends in an orderly way; a resumable one did not go on elsewhere.

Evidence: the new test failed before, isComplete true instead of false.

--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -116,6 +116,14 @@
     }
   }
 
+  /** Whether nothing listens on the server's address, or another start of it. */
+  async hasServerEnded(server: PoolServer): Promise<boolean> {
+    const result = await this.#probe.probe(server.address);
+    const known = this.#options.view.servers.tryGet(server.id);
+    return result === ProbeResult.refused ||
+      (known !== undefined && known.bornMs > server.bornMs);
+  }
+
   /** Records that a request was abandoned because its server fell silent. */
   recordSilence(req: BackendRequest, server: PoolServer): void {
     const lostMs = this.#options.clock.getMonotonicMs();
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -243,6 +243,7 @@
     const result = await this.#forwarder.forward(
       response,
       this.#attemptAbort.signal,
+      () => this.#options.crashDetector.hasServerEnded(permit.server),
     );
     if (result.kind === "done") return true;
     if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -34,6 +34,7 @@
  */
 export abstract class ResponseForwarder {
   protected readonly caller: CallerResponse;
+  #hasServerEnded: () => Promise<boolean> = () => Promise.resolve(false);
 
   constructor(caller: CallerResponse) {
     this.caller = caller;
@@ -50,12 +51,15 @@
 
   /**
    * Forwards a response until it ends or `signal` is aborted. Errors are
-   * returned as a "broken" result.
+   * returned as a "broken" result. `hasServerEnded` tells whether the server of
+   * the response is gone.
    */
   async forward(
     response: BackendResponse,
     signal: AbortSignal,
+    hasServerEnded: () => Promise<boolean> = () => Promise.resolve(false),
   ): Promise<ForwardResult> {
+    this.#hasServerEnded = hasServerEnded;
     const abort = () => response.body.destroy();
     signal.addEventListener("abort", abort);
     try {
@@ -71,6 +75,15 @@
     response: BackendResponse,
   ): Promise<ForwardResult>;
 
+  /**
+   * Whether all of a response has arrived, as far as it can be known: one that
+   * ends with its connection breaks off if its server ended too.
+   */
+  protected async isWhole(response: BackendResponse): Promise<boolean> {
+    return response.isComplete() &&
+      (response.isDelimited || !(await this.#hasServerEnded()));
+  }
+
   protected sendHead(response: BackendResponse): void {
     this.caller.sendHead(
       response.status,
@@ -95,7 +108,7 @@
   ): Promise<ForwardResult> {
     this.sendHead(response);
     for await (const chunk of response.chunks) await this.caller.write(chunk);
-    if (!response.isComplete()) return createTruncatedResult();
+    if (!(await this.isWhole(response))) return createTruncatedResult();
     this.caller.end();
     return DONE;
   }
@@ -124,7 +137,7 @@
       boundaryDetector.push(chunk);
       await this.caller.write(chunk);
     }
-    if (!response.isComplete()) return createTruncatedResult();
+    if (!(await this.isWhole(response))) return createTruncatedResult();
     if (boundaryDetector.isInsideEvent) return ENDED_INSIDE_EVENT;
     this.caller.end();
     return DONE;
@@ -155,7 +168,7 @@
       else buffered.push(chunk);
       if (bytes > MAX_BUFFERED_BYTES) await this.#flush(response, buffered);
     }
-    if (!response.isComplete()) return createTruncatedResult();
+    if (!(await this.isWhole(response))) return createTruncatedResult();
     await this.#flush(response, buffered);
     this.caller.end();
     return DONE;
@@ -227,7 +240,7 @@
       if (!this.caller.headSent) this.sendHead(response);
       await this.caller.write(events.bytes);
     }
-    if (!response.isComplete()) return createTruncatedResult();
+    if (!(await this.isWhole(response))) return createTruncatedResult();
     if (splitter.isInsideEvent && isEventStream(response)) {
       return ENDED_INSIDE_EVENT;
     }
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -16,6 +16,8 @@
   | "reset"
   /** Resets the connection within the second event of the response. */
   | "break"
+  /** Ends together with all its connections between the second and third event. */
+  | "end"
   /** Runs the request and responds 500. */
   | "fail"
   /** Responds 422: no retry can succeed. */
@@ -189,7 +191,7 @@
       case "silent":
         return;
       default:
-        this.#streamEvents(request, res, behaviour === "break");
+        this.#streamEvents(request, res, behaviour);
     }
   }
 
@@ -200,7 +202,7 @@
   #streamEvents(
     request: ReceivedRequest,
     res: http.ServerResponse,
-    resetsMidStream: boolean,
+    behaviour: Behaviour | undefined,
   ): void {
     const lastEventNumber = Number(request.headers["last-event-id"] ?? 0);
     if (!this.delimitsStreams) res.useChunkedEncodingByDefault = false;
@@ -215,11 +217,16 @@
       const mark = this.marksEvents ? `@${this.version}` : "";
       const data = `${getEventData(request.id, number)}${mark}`;
       const event = `id: ${number}\ndata: ${data}\n\n`;
-      if (resetsMidStream && number === lastEventNumber + 2) {
+      if (behaviour === "break" && number === lastEventNumber + 2) {
         res.write(event.slice(0, event.length / 2));
         setTimeout(() => res.socket?.resetAndDestroy(), this.eventIntervalMs);
         return;
       }
+      if (behaviour === "end" && number === lastEventNumber + 3) {
+        this.close();
+        this.onCrash();
+        return;
+      }
       res.write(event);
       if (number === EVENT_COUNT) res.end();
       else setTimeout(() => send(number + 1), this.eventIntervalMs);
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -23,6 +23,7 @@
 import { sendRequest, ServiceFault } from "../bench/mod.ts";
 import { range, withFleet } from "./fleet_helpers.ts";
 import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
+import { EVENT_COUNT, getEventData } from "./platform_server.ts";
 
 const REQUEST_TIMEOUT_MS = 5_000;
 
@@ -358,14 +359,36 @@
 describe("a stream without a length", () => {
   const fleet = new PlatformFleet();
 
-  before(() => fleet.start({ servers: 1, gateways: 1 }));
+  before(async () => {
+    await fleet.start({ servers: 4, gateways: 1 });
+    fleet.servers.forEach((server) => {
+      server.delimitsStreams = false;
+    });
+  });
 
   after(() => fleet.close());
 
+  // Guards against a stream that looks whole because its server ended between two
+  // events.
+  it("is broken off if its server ends, and goes on elsewhere if it may", async () => {
+    for (
+      const [target, isComplete] of [["/l/", false], ["/s/", true]] as const
+    ) {
+      fleet.behaviours.push("end");
+      const id = `ended${target}`;
+      const received = await fleet.sendRequest(id, target);
+      expect(received, target).include({ status: 200, isComplete });
+      expect(received.headers, target).include({ connection: "close" });
+      const data = received.text.match(/(?<=data: ).*/g) ?? [];
+      const events = range(isComplete ? EVENT_COUNT : 2);
+      expect(data, target)
+        .deep.equal(events.map((index) => getEventData(id, index + 1)));
+    }
+  });
+
   // Guards against an answer that looks whole because its gateway stops.
   it("is reset by a gateway that closes its connections", async () => {
     fleet.servers.forEach((server) => {
-      server.delimitsStreams = false;
       server.eventIntervalMs = 300;
     });
     const pending = fleet.sendRequest("stopped", "/l/");
