--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -75,6 +75,10 @@
   leaves = false;
   /** Text in a request's body that ends the server; undefined for none. */
   crashText: string | undefined;
+  /** Part of a prompt that ends the server before it answers; undefined for none. */
+  crashPart: string | undefined;
+  /** Time until the first event of a stream, in milliseconds. */
+  firstEventMs = 0;
   /** Called when a request has ended the server. */
   onCrash: () => void = () => {};
   #server: http.Server | undefined;
@@ -106,6 +110,13 @@
     this.#server?.closeAllConnections();
   }
 
+  /** Ends at once with all connections, unless it has ended already. */
+  crash(): void {
+    if (this.#server?.listening !== true) return;
+    this.close();
+    this.onCrash();
+  }
+
   /** Returns the body of a registration, with the next sequence number. */
   createRegistration(overrides: Record<string, unknown> = {}): string {
     this.#sequence += 1;
@@ -141,10 +152,9 @@
         this.#runningCount -= 1;
         if (!res.writableFinished) request.left = true;
       });
-      if (this.crashText && request.body.includes(this.crashText)) {
+      if (this.#isCrashing(request)) {
         request.ran = true;
-        this.close();
-        this.onCrash();
+        setTimeout(() => this.crash(), this.firstEventMs);
         return;
       }
       const behaviour = this.behaviours.shift() ??
@@ -153,6 +163,13 @@
     });
   }
 
+  #isCrashing({ body, headers }: ReceivedRequest): boolean {
+    const parts = String(headers["x-prompt-prefix"] ?? "").split(",")
+      .map((part) => part.split(":")[0]);
+    return (this.crashText !== undefined && body.includes(this.crashText)) ||
+      (this.crashPart !== undefined && parts.includes(this.crashPart));
+  }
+
   #respond(
     request: ReceivedRequest,
     res: http.ServerResponse,
@@ -223,14 +240,13 @@
         return;
       }
       if (behaviour === "end" && number === lastEventNumber + 3) {
-        this.close();
-        this.onCrash();
+        this.crash();
         return;
       }
       res.write(event);
       if (number === EVENT_COUNT) res.end();
       else setTimeout(() => send(number + 1), this.eventIntervalMs);
     };
-    send(lastEventNumber + 1);
+    setTimeout(() => send(lastEventNumber + 1), this.firstEventMs);
   }
 }
