Refuse parts of prompts under which servers crash

Change: a server crashes under such a part before it answers, so a lost request whose answer had not begun makes the parts of its prompt suspect, and an answer that begins proves its parts sound, everywhere. After two crashes (three while servers crash for other reasons, five for a part that was proven before) requests with the part are refused, items with it wait; one request tries it again after 30 s. Processes exchange crashes and proofs through all control hosts and merge them in any order. All is bounded: 2,048 suspect and 8,192 proven parts.

--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -1,12 +1,14 @@
 /**
  * Detects whether a backend server crashed while it ran a request, and records
- * a suspicion against the request. A lost connection alone does not tell:
+ * a suspicion against the request and, if its answer had not begun, against the
+ * parts of its prompt. A lost connection alone does not tell:
  * answers are lost and networks partitioned while the server runs on, and
  * servers end as planned. A server has crashed if nothing listens on its address
  * or if it has been started again, although it had not announced that it leaves.
  */
 import { getServerStart } from "../membership/mod.ts";
 import {
+  type PromptPartSuspicion,
   type Registration,
   ServerState,
   type Suspicion,
@@ -25,6 +27,8 @@
   readonly view: RoutingView;
   /** Sends a suspicion to the other processes. */
   readonly onSuspicionChange: (suspicion: Suspicion) => void;
+  /** Sends what is known of a part of prompts to the other processes. */
+  readonly onPromptPartChange: (suspicion: PromptPartSuspicion) => void;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -42,21 +46,32 @@
  */
 const MAX_PROBE_WAIT_MS = 20;
 
-/** Maximum number of lost requests that wait; the oldest are dropped. */
+/** Maximum number of lost runs that wait; the oldest are dropped. */
 const MAX_PENDING = 1_024;
 
-interface LostRequest {
+/** A request, or an item of a job, at a backend server. */
+export interface ServerRun {
   readonly req: BackendRequest;
   readonly server: PoolServer;
+  /** Keys of the parts of its prompt, if its answer has not begun. */
+  readonly unprovenParts: readonly string[];
+  /**
+   * Whether it must run in the end, even if servers crash under it. The request is
+   * not suspected then, only the parts of its prompt.
+   */
+  readonly isOwed: boolean;
+}
+
+interface LostRun extends ServerRun {
   readonly lostMs: number;
 }
 
-/** Detects crashes of backend servers on behalf of one gateway. */
+/** Detects crashes of backend servers on behalf of one process. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   readonly #probe: ConnectProbe;
-  /** Requests whose server can't be reached and may have crashed. */
-  #pending: LostRequest[] = [];
+  /** Runs whose server can't be reached and may have crashed. */
+  #pending: LostRun[] = [];
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
@@ -92,28 +107,24 @@
    * when the request may be retried: for a request that is suspect already, once
    * it is known whether this server crashed too, or after a short wait.
    */
-  async recordConnectionLoss(
-    req: BackendRequest,
-    server: PoolServer,
-  ): Promise<void> {
-    const { clock, view: { suspicions } } = this.#options;
-    const isRecorded = this.#probeServer(req, server);
-    if (suspicions.isEmpty || !suspicions.isSuspect(getFingerprint(req))) {
-      return;
-    }
+  async recordConnectionLoss(run: ServerRun): Promise<void> {
+    const { clock, view: { suspicions, promptParts } } = this.#options;
+    const isRecorded = this.#probeServer(run);
+    const isSuspect =
+      !suspicions.isEmpty && suspicions.isSuspect(getFingerprint(run.req)) ||
+      run.unprovenParts.some((part) => promptParts.getCrashCount(part) > 0);
+    if (!isSuspect) return;
     await Promise.race([isRecorded, clock.delay(MAX_PROBE_WAIT_MS)]);
   }
 
-  async #probeServer(req: BackendRequest, server: PoolServer): Promise<void> {
+  async #probeServer(run: ServerRun): Promise<void> {
     const lostMs = this.#options.clock.getMonotonicMs();
-    const result = await this.#probe.probe(server.address);
+    const result = await this.#probe.probe(run.server.address);
     if (result !== ProbeResult.connected) {
-      this.#options.view.servers.recordUnreachable(server.id, lostMs);
-    }
-    if (result === ProbeResult.refused) this.#suspect(req, server);
-    if (result === ProbeResult.silent) {
-      this.#addPending({ req, server, lostMs });
+      this.#options.view.servers.recordUnreachable(run.server.id, lostMs);
     }
+    if (result === ProbeResult.refused) this.#suspect(run);
+    if (result === ProbeResult.silent) this.#addPending({ ...run, lostMs });
   }
 
   /** Whether nothing listens on the server's address, or another start of it. */
@@ -124,10 +135,53 @@
       (known !== undefined && known.bornMs > server.bornMs);
   }
 
-  /** Records that a request was abandoned because its server fell silent. */
-  recordSilence(req: BackendRequest, server: PoolServer): void {
+  /** Records that a run was abandoned because its server fell silent. */
+  recordSilence(run: ServerRun): void {
     const lostMs = this.#options.clock.getMonotonicMs();
-    this.#addPending({ req, server, lostMs });
+    this.#addPending({ ...run, lostMs });
+  }
+
+  /**
+   * Time until a request with these parts in its prompt may run, because servers
+   * crashed under one of them, in milliseconds; 0 if it may.
+   */
+  getPartRejectionMs(parts: readonly string[]): number {
+    const { view: { promptParts }, clock } = this.#options;
+    if (promptParts.isEmpty) return 0;
+    return promptParts.getRejectionMs(parts, clock.getMonotonicMs());
+  }
+
+  /** Number of servers that crashed under the part for which it is rejected. */
+  getPartCrashCount(parts: readonly string[]): number {
+    const { promptParts } = this.#options.view;
+    return promptParts.getCrashCount(
+      promptParts.tryGetRejectedPart(parts) ?? "",
+    );
+  }
+
+  /**
+   * Records that a request with these parts is sent, so that no other tries a
+   * rejected part at the same time.
+   */
+  recordStart(parts: readonly string[]): void {
+    const { view: { promptParts }, clock, log } = this.#options;
+    if (promptParts.isEmpty) return;
+    promptParts.recordStart(parts, clock.getMonotonicMs()).forEach((update) => {
+      log.info("prompt_part_tried", {
+        part: update.part,
+        crashes: update.crashes.length,
+      });
+      this.#options.onPromptPartChange(update);
+    });
+  }
+
+  /** Records that an answer has begun, which proves its parts sound. */
+  recordAnswerBegun(parts: readonly string[]): void {
+    const { view: { promptParts }, clock, log } = this.#options;
+    promptParts.recordProof(parts, clock.getMonotonicMs()).forEach((update) => {
+      log.info("prompt_part_cleared", { part: update.part });
+      this.#options.onPromptPartChange(update);
+    });
   }
 
   /** Clears a suspicion: the request finished without crashing its server. */
@@ -146,7 +200,7 @@
     onSuspicionChange(update);
   }
 
-  #addPending(lost: LostRequest): void {
+  #addPending(lost: LostRun): void {
     const earliestMs = lost.lostMs - PENDING_TTL_MS;
     this.#pending = [...this.#pending, lost]
       .filter(({ lostMs }) => lostMs >= earliestMs)
@@ -160,22 +214,47 @@
 
   /** A server at the same address or with the same id proves the crash. */
   #handleServerStart({ id, address }: Registration): void {
-    const isReplaced = ({ server }: LostRequest) =>
+    const isReplaced = ({ server }: LostRun) =>
       server.id === id || server.address === address;
     const replaced = this.#pending.filter(isReplaced);
     if (replaced.length === 0) return;
     this.#pending = this.#pending.filter((lost) => !isReplaced(lost));
     const earliestMs = this.#options.clock.getMonotonicMs() - PENDING_TTL_MS;
     replaced.filter(({ lostMs }) => lostMs >= earliestMs)
-      .forEach(({ req, server }) => this.#suspect(req, server));
+      .forEach((lost) => this.#suspect(lost));
   }
 
-  #suspect(req: BackendRequest, server: PoolServer): void {
-    const { view, clock, log, metrics, onSuspicionChange } = this.#options;
-    const known = view.servers.tryGet(server.id);
+  #suspect(run: ServerRun): void {
+    const { view: { servers } } = this.#options;
+    const { server } = run;
+    const known = servers.tryGet(server.id);
     const hasDeregistered = known?.bornMs === server.bornMs &&
       known.state !== ServerState.READY;
-    if (hasDeregistered || view.servers.isLeaving(server)) return;
+    if (hasDeregistered || servers.isLeaving(server)) return;
+    if (!run.isOwed) this.#suspectRequest(run);
+    this.#suspectParts(run);
+  }
+
+  #suspectParts({ req, server, unprovenParts }: ServerRun): void {
+    const { view: { promptParts }, clock, log, metrics } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const start = getServerStart(server);
+    promptParts.recordCrash(unprovenParts, start, nowMs).forEach((update) => {
+      metrics.count(MetricName.promptPartSuspicions);
+      log.info("prompt_part_suspected", {
+        request: req.requestId,
+        part: update.part,
+        server: server.id,
+        born: Number(server.bornMs),
+        crashes: update.crashes.length,
+        rejected_ms: promptParts.getRejectionMs(unprovenParts, nowMs),
+      });
+      this.#options.onPromptPartChange(update);
+    });
+  }
+
+  #suspectRequest({ req, server }: ServerRun): void {
+    const { view, clock, log, metrics, onSuspicionChange } = this.#options;
     const fingerprint = getFingerprint(req);
     const nowMs = clock.getMonotonicMs();
     const update = view.suspicions.record(
--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -9,6 +9,7 @@
   Fleet,
   type FleetUpdate,
   HostRole,
+  type PromptPartSuspicion,
   type ServerStart,
   ServerStartSchema,
   type Suspicion,
@@ -88,6 +89,7 @@
   /** Hosts that have sent an update on their current stream, by address. */
   readonly #connectedHosts = new Map<string, FollowedHost>();
   readonly #pendingSuspicions = new Map<string, Suspicion>();
+  readonly #pendingPromptParts = new Map<string, PromptPartSuspicion>();
   #pendingLeaving: ServerStart[] = [];
   #reportTimer: Timer | undefined;
   #seeds: readonly string[];
@@ -120,6 +122,12 @@
     this.#scheduleReport();
   }
 
+  /** Sends what is known of a part of prompts to all control hosts. */
+  reportPromptPart(suspicion: PromptPartSuspicion): void {
+    this.#pendingPromptParts.set(suspicion.part, suspicion);
+    this.#scheduleReport();
+  }
+
   /** Sends to all control hosts that a server leaves; they pass it on. */
   reportLeaving({ id, bornMs }: { id: string; bornMs: bigint }): void {
     this.#pendingLeaving.push(create(ServerStartSchema, { id, bornMs }));
@@ -134,8 +142,10 @@
         const report = {
           suspicions: [...this.#pendingSuspicions.values()],
           leaving: this.#pendingLeaving,
+          promptParts: [...this.#pendingPromptParts.values()],
         };
         this.#pendingSuspicions.clear();
+        this.#pendingPromptParts.clear();
         this.#pendingLeaving = [];
         this.#connectedHosts.forEach((host, address) =>
           this.#sendReport(address, host, report)
@@ -151,15 +161,21 @@
     const leaving = view.servers.getAll()
       .filter((server) => view.servers.isLeaving(server))
       .map(({ id, bornMs }) => create(ServerStartSchema, { id, bornMs }));
-    const suspicions = view.suspicions.getAll(clock.getMonotonicMs());
-    if (suspicions.length + leaving.length === 0) return;
-    this.#sendReport(address, host, { suspicions, leaving });
+    const nowMs = clock.getMonotonicMs();
+    const suspicions = view.suspicions.getAll(nowMs);
+    const promptParts = view.promptParts.getAll(nowMs);
+    if (suspicions.length + leaving.length + promptParts.length === 0) return;
+    this.#sendReport(address, host, { suspicions, leaving, promptParts });
   }
 
   #sendReport(
     address: string,
     host: FollowedHost,
-    report: { suspicions: Suspicion[]; leaving: ServerStart[] },
+    report: {
+      suspicions: Suspicion[];
+      leaving: ServerStart[];
+      promptParts: PromptPartSuspicion[];
+    },
   ): void {
     host.client.call(Fleet.method.report, report, {
       timeoutMs: REPORT_TIMEOUT_MS,
@@ -169,6 +185,7 @@
         address,
         suspicions: report.suspicions.length,
         leaving: report.leaving.length,
+        prompt_parts: report.promptParts.length,
         reason: getReason(error),
       });
     });
@@ -239,7 +256,8 @@
       follower: this.#options.name,
     }, {
       message: (update: FleetUpdate) => {
-        view.applyUpdate(update, address);
+        view.applyUpdate(update, address)
+          .forEach((suspicion) => this.reportPromptPart(suspicion));
         send(events, "update");
       },
       end: (error?: ServingError) => {
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -111,6 +111,8 @@
         view: backends.view,
         onSuspicionChange: (suspicion) =>
           backends.follower.reportSuspicion(suspicion),
+        onPromptPartChange: (suspicion) =>
+          backends.follower.reportPromptPart(suspicion),
         clock,
         log,
         metrics,
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -6,6 +6,7 @@
 import type { JobItem } from "../schema/mod.ts";
 import { EventSplitter } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
+import { observeFirst } from "../sys/routines.ts";
 import { readBody } from "../sys/http.ts";
 import type {
   BackendClient,
@@ -50,8 +51,10 @@
   readonly timeoutMs: number;
   readonly progress: ItemProgress;
   readonly signal: AbortSignal;
+  /** Called when the first bytes of the output arrive. */
+  readonly onBegin?: () => void;
 }): Promise<AttemptOutcome> {
-  const { signal, progress } = options;
+  const { signal, progress, onBegin = () => {} } = options;
   const result = await options.backendClient.send({
     request: options.request,
     permit: options.permit,
@@ -61,7 +64,9 @@
     signal,
   });
   if (result.kind === "response") {
-    return await readResponse(result.response, progress, signal);
+    const { response } = result;
+    const chunks = observeFirst(response.chunks, onBegin);
+    return await readResponse({ ...response, chunks }, progress, signal);
   }
   if (signal.aborted) return { kind: "stopped" };
   switch (result.kind) {
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -5,7 +5,7 @@
  * recorded periodically, so that another member can resume the item.
  */
 import { create } from "@bufbuild/protobuf";
-import { LoadKind } from "../membership/mod.ts";
+import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   getReservedSlots,
   PreemptionCooldown,
@@ -24,6 +24,7 @@
 import { getReason } from "../sys/errors.ts";
 import { MetricName } from "../sys/metrics.ts";
 import type { BackendClient } from "./backend_client.ts";
+import type { CrashDetector } from "./crash_detector.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
 import { createItemRequest, runItemAttempt } from "./item_attempt.ts";
 import { type ItemCandidate, ItemQueue } from "./item_queue.ts";
@@ -57,6 +58,13 @@
   readonly view: RoutingView;
   readonly pool: ServerPool;
   readonly backendClient: Pick<BackendClient, "send">;
+  readonly crashDetector: Pick<
+    CrashDetector,
+    | "getPartRejectionMs"
+    | "recordStart"
+    | "recordAnswerBegun"
+    | "recordConnectionLoss"
+  >;
   readonly dialects: { caller: CallerDialect; backend: BackendDialect };
   readonly context: ProcessContext;
 }
@@ -129,6 +137,8 @@
   readonly #outcomeHandler: AttemptOutcomeHandler;
   /** Start of the wait for a slot at a software version, by item key. */
   readonly #versionWaits = new Map<string, number>();
+  /** Parts of the prompts that items share with others. */
+  readonly #prefixes = new WeakMap<JobItem, readonly string[]>();
   #lastPassMs = -Infinity;
   /** Applied index of the open items seen last; undefined if none might run. */
   #openItemsIndex: number | undefined;
@@ -336,6 +346,9 @@
       (candidate) => {
         const service = this.#tryGetService(candidate);
         if (service === undefined) return;
+        const parts = this.#getPromptParts(candidate.item, service);
+        // The item stays owed: the part is tried again after some time.
+        if (this.#options.crashDetector.getPartRejectionMs(parts) > 0) return;
         const reserve = getReservedSlots(candidate, nowMs);
         const softwareVersion = this.#getRequiredVersion(candidate, service);
         const slotsKey = `${service}/${softwareVersion ?? ""}/${reserve}`;
@@ -411,6 +424,23 @@
     return nowMs - sinceMs >= VERSION_WAIT_MS;
   }
 
+  #getPrefix(item: JobItem): readonly string[] {
+    const known = this.#prefixes.get(item);
+    if (known !== undefined) return known;
+    const headers = Object.fromEntries(
+      item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
+    );
+    const { caller } = this.#options.dialects;
+    const { prefix } = caller.readRequestMetadata(headers);
+    this.#prefixes.set(item, prefix);
+    return prefix;
+  }
+
+  /** Keys of the parts of an item's prompt at a service. */
+  #getPromptParts(item: JobItem, service: string): string[] {
+    return this.#getPrefix(item).map((part) => getPromptPartKey(service, part));
+  }
+
   /** Discards the output of an item, so that any server may run it anew. */
   #discardOutput({ queued, item, key }: ItemCandidate): void {
     const progress = this.#progress.getOrCreate(queued, item);
@@ -465,10 +495,7 @@
     placement: ItemPlacement & Pick<PermitRequest, "softwareVersion">,
   ): boolean {
     const { queued, item, key } = candidate;
-    const { pool, dialects, context } = this.#options;
-    const headers = Object.fromEntries(
-      item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
-    );
+    const { pool, context, crashDetector } = this.#options;
     const { clock } = context;
     const abortController = new AbortController();
     const requestAbort = new AbortController();
@@ -481,12 +508,14 @@
     const permit = pool.tryAcquire({
       ...placement,
       kind: LoadKind.batch,
-      prefix: dialects.caller.readRequestMetadata(headers).prefix,
+      prefix: this.#getPrefix(item),
       excluded: new Set(),
       onSilent: () => abortController.abort(),
     });
     if (permit === undefined) return false;
     this.#versionWaits.delete(key);
+    const promptParts = this.#getPromptParts(item, placement.service);
+    crashDetector.recordStart(promptParts);
     const getRemainingMs = () => this.#getRemainingMs(queued, item);
     const run: ActiveRun = {
       job: queued.job.id,
@@ -506,7 +535,12 @@
       TIME_SLICE_MS,
       () => abortController.abort(),
     );
-    this.#run(candidate, permit, run, requestAbort.signal).catch((error) =>
+    this.#run(candidate, {
+      permit,
+      run,
+      promptParts,
+      signal: requestAbort.signal,
+    }).catch((error) =>
       context.log.error("item_run_failed", {
         job: queued.job.id,
         item: item.id,
@@ -522,10 +556,14 @@
 
   async #run(
     { queued, item }: ItemCandidate,
-    permit: ServerPermit,
-    run: ActiveRun,
-    signal: AbortSignal,
+    { permit, run, promptParts, signal }: {
+      permit: ServerPermit;
+      run: ActiveRun;
+      promptParts: readonly string[];
+      signal: AbortSignal;
+    },
   ): Promise<void> {
+    const { crashDetector } = this.#options;
     const progress = this.#progress.getOrCreate(queued, item);
     progress.startAt(permit.server.softwareVersion);
     this.#options.context.log.info("item_started", {
@@ -544,13 +582,15 @@
       ),
     });
     const startEvent = progress.last ?? 0;
+    const request = createItemRequest(
+      queued.job.host,
+      item,
+      this.#options.dialects.backend,
+    );
+    let hasBegun = false;
     const outcome = await runItemAttempt({
       backendClient: this.#options.backendClient,
-      request: createItemRequest(
-        queued.job.host,
-        item,
-        this.#options.dialects.backend,
-      ),
+      request,
       permit,
       timeoutMs: Math.min(
         this.#getTimeToExpiryMs(queued),
@@ -558,7 +598,19 @@
       ),
       progress,
       signal,
+      onBegin: () => {
+        hasBegun = true;
+        crashDetector.recordAnswerBegun(promptParts);
+      },
     });
+    if (outcome.kind === "broken" && !hasBegun) {
+      await crashDetector.recordConnectionLoss({
+        req: request,
+        server: permit.server,
+        unprovenParts: promptParts,
+        isOwed: true,
+      });
+    }
     const lastEvent = progress.last ?? 0;
     const ranMs = this.#options.context.clock.getMonotonicMs() - run.startedMs;
     this.#runTimeEstimator.recordRun(
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -3,7 +3,7 @@
  * response, retries on another server where the route allows it, and rejects
  * requests that can't be served in time.
  */
-import { LoadKind } from "../membership/mod.ts";
+import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   decideAdmission,
   isRetryable,
@@ -21,6 +21,7 @@
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { Random } from "../sys/random.ts";
+import { observeFirst } from "../sys/routines.ts";
 import {
   BufferedForwarder,
   ChunkForwarder,
@@ -35,7 +36,7 @@
   BackendResponse,
 } from "./backend_client.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import type { CrashDetector } from "./crash_detector.ts";
+import type { CrashDetector, ServerRun } from "./crash_detector.ts";
 import type { CallerDialect } from "./dialects.ts";
 import type {
   PermitRequest,
@@ -124,6 +125,8 @@
   readonly #forwarder: ResponseForwarder;
   /** Server of the current attempt. */
   #server: PoolServer | undefined;
+  /** Whether the answer of the current attempt has begun. */
+  #hasAnswerBegun = false;
   readonly #excluded = new Set<string>();
   readonly #requestAbort = new AbortController();
   /** Aborts the current attempt without aborting the request. */
@@ -203,6 +206,7 @@
     const startMs = clock.getMonotonicMs();
     this.#attemptAbort = new AbortController();
     this.#server = permit.server;
+    this.#hasAnswerBegun = false;
     const result = await backendClient.send({
       request: this.#req.request,
       permit,
@@ -240,8 +244,9 @@
       );
       return false;
     }
+    const isSuccess = response.status >= 200 && response.status < 300;
     const result = await this.#forwarder.forward(
-      response,
+      isSuccess ? this.#observeBegin(response) : response,
       this.#attemptAbort.signal,
       () => this.#options.crashDetector.hasServerEnded(permit.server),
     );
@@ -252,13 +257,37 @@
     this.#options.flushOrigins();
     this.#logAttemptFailure("answer_broken", permit, result.reason);
     await this.#options.crashDetector.recordConnectionLoss(
-      this.#req.request,
-      permit.server,
+      this.#createServerRun(permit),
     );
     if (!this.#canRetry()) throw this.#createLostError(result.reason);
     return false;
   }
 
+  /** Keys of the parts of the prompt that requests share. */
+  get #promptParts(): string[] {
+    return this.#req.prefix.map((part) =>
+      getPromptPartKey(this.#pin.service, part)
+    );
+  }
+
+  /** Passes a response on, and records when its body begins. */
+  #observeBegin(response: BackendResponse): BackendResponse {
+    const onBegin = () => {
+      this.#hasAnswerBegun = true;
+      this.#options.crashDetector.recordAnswerBegun(this.#promptParts);
+    };
+    return { ...response, chunks: observeFirst(response.chunks, onBegin) };
+  }
+
+  #createServerRun({ server }: ServerPermit): ServerRun {
+    return {
+      req: this.#req.request,
+      server,
+      unprovenParts: this.#hasAnswerBegun ? [] : this.#promptParts,
+      isOwed: false,
+    };
+  }
+
   /**
    * Records an attempt that ended without a response. Throws if the request
    * must not be retried.
@@ -271,7 +300,7 @@
     if (result.kind === "aborted") {
       this.#possibleRuns += 1;
       if (!this.#callerResponse.disconnected.aborted) {
-        crashDetector.recordSilence(this.#req.request, permit.server);
+        crashDetector.recordSilence(this.#createServerRun(permit));
       }
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
       this.#logAttemptFailure(
@@ -290,7 +319,7 @@
       throw this.#createNoCapacityError(result.reason, result.retryAfterMs);
     }
     this.#possibleRuns += 1;
-    await crashDetector.recordConnectionLoss(this.#req.request, permit.server);
+    await crashDetector.recordConnectionLoss(this.#createServerRun(permit));
     if (!this.#canRetry()) throw this.#createLostError(result.reason);
   }
 
@@ -318,7 +347,7 @@
   }
 
   async #acquirePermit(): Promise<ServerPermit> {
-    const { pool, clock, metrics } = this.#options;
+    const { pool, clock, metrics, crashDetector } = this.#options;
     const startMs = clock.getMonotonicMs();
     for (;;) {
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
@@ -327,10 +356,14 @@
       const waitedMs = clock.getMonotonicMs() - startMs;
       if (permit !== undefined) {
         metrics.time(MetricName.placeWaitMs, waitedMs);
+        crashDetector.recordStart(this.#promptParts);
         return permit;
       }
       const queued = await this.#waitOrQueue(waitedMs);
-      if (queued !== undefined) return queued;
+      if (queued !== undefined) {
+        crashDetector.recordStart(this.#promptParts);
+        return queued;
+      }
     }
   }
 
@@ -406,15 +439,40 @@
     await pool.waitForChange(decision.ms);
   }
 
-  /** Throws REQUEST_POISONED if too many servers crashed during the request. */
+  /**
+   * Throws REQUEST_POISONED or PROMPT_PART_POISONED if too many servers crashed
+   * during the request, or under a part of its prompt.
+   */
   #throwIfPoisoned(): void {
     const { crashDetector } = this.#options;
-    const rejectionMs = crashDetector.getRejectionMs(this.#req.request);
-    if (rejectionMs === 0) return;
+    const { request } = this.#req;
+    const rejectionMs = crashDetector.getRejectionMs(request);
+    if (rejectionMs > 0) {
+      throw this.#createPoisonedError(
+        MessageCode.REQUEST_POISONED,
+        crashDetector.getCrashCount(request),
+        rejectionMs,
+      );
+    }
+    const partRejectionMs = crashDetector.getPartRejectionMs(this.#promptParts);
+    if (partRejectionMs > 0) {
+      throw this.#createPoisonedError(
+        MessageCode.PROMPT_PART_POISONED,
+        crashDetector.getPartCrashCount(this.#promptParts),
+        partRejectionMs,
+      );
+    }
+  }
+
+  #createPoisonedError(
+    code: MessageCode,
+    servers: number,
+    rejectionMs: number,
+  ): ServingError {
     const mayHaveRun = this.#possibleRuns > 0;
-    throw new ServingError(MessageCode.REQUEST_POISONED, {
+    return new ServingError(code, {
       verdict: mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
-      parameters: { servers: crashDetector.getCrashCount(this.#req.request) },
+      parameters: { servers },
       retryAfterS: mayHaveRun ? undefined : rejectionMs / 1_000,
     });
   }
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -6,6 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import {
   getServerStart,
+  PromptPartSuspicions,
   RegistrationEffect,
   ServerRegistry,
 } from "../membership/mod.ts";
@@ -15,6 +16,7 @@
   type FollowRequest,
   type GatewayReport,
   type HostList,
+  type PromptPartSuspicion,
   type Registration,
   type RouteTable,
   type ServerStart,
@@ -41,6 +43,8 @@
   pendingHeardIds: Set<string>;
   /** Suspicions to send, by fingerprint. */
   pendingSuspicions: Map<string, Suspicion>;
+  /** Suspect parts of prompts to send, by key. */
+  pendingPromptParts: Map<string, PromptPartSuspicion>;
   /** Servers that leave, by start. */
   pendingLeaving: Map<string, ServerStart>;
 }
@@ -68,6 +72,7 @@
   readonly #options: RegistrationHubOptions;
   readonly #serverRegistry: ServerRegistry;
   readonly #suspicions = createSuspicions();
+  readonly #promptParts = new PromptPartSuspicions();
   readonly #followers = new Set<Follower>();
   #updateTimer: Timer | undefined;
 
@@ -109,7 +114,9 @@
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
     if (effect === RegistrationEffect.heard) {
-      this.#suspicions.recordHeartbeat(getServerStart(registration), nowMs);
+      const start = getServerStart(registration);
+      this.#suspicions.recordHeartbeat(start, nowMs);
+      this.#promptParts.recordHeartbeat(start, nowMs);
       this.#followers.forEach((follower) =>
         follower.pendingHeardIds.add(registration.id)
       );
@@ -131,16 +138,22 @@
   }
 
   /** Accepts what another process found out, and passes on what is new. */
-  acceptReport(report: Pick<GatewayReport, "suspicions" | "leaving">): void {
+  acceptReport(
+    report: Pick<GatewayReport, "suspicions" | "leaving" | "promptParts">,
+  ): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#suspicions.removeExpired(nowMs);
+    this.#promptParts.removeExpired(nowMs);
     const suspicions = report.suspicions.filter((update) =>
       this.#suspicions.merge(update, nowMs)
     );
     const leaving = report.leaving.filter((server) =>
       this.#serverRegistry.recordLeaving(server)
     );
-    if (suspicions.length + leaving.length === 0) return;
+    const promptParts = report.promptParts.filter((update) =>
+      this.#promptParts.merge(update, nowMs)
+    ).map(({ part }) => this.#promptParts.getUpdate(part, nowMs));
+    if (suspicions.length + leaving.length + promptParts.length === 0) return;
     // Several gateways may have reported crashes during the same request.
     const merged = suspicions.map(({ fingerprint }) =>
       this.#suspicions.getUpdate(fingerprint, nowMs)
@@ -149,6 +162,9 @@
       merged.forEach((update) =>
         follower.pendingSuspicions.set(update.fingerprint, update)
       );
+      promptParts.forEach((update) =>
+        follower.pendingPromptParts.set(update.part, update)
+      );
       leaving.forEach((server) =>
         follower.pendingLeaving.set(getServerStart(server), server)
       );
@@ -163,6 +179,7 @@
 
   /** Serves one follower until its stream closes. */
   serve(req: FollowRequest, stream: Stream): Promise<void> {
+    const nowMs = this.#options.clock.getMonotonicMs();
     const follower: Follower = {
       name: req.follower,
       stream,
@@ -174,9 +191,12 @@
       ),
       pendingHeardIds: new Set(),
       pendingSuspicions: new Map(
-        this.#suspicions.getAll(this.#options.clock.getMonotonicMs())
+        this.#suspicions.getAll(nowMs)
           .map((suspicion) => [suspicion.fingerprint, suspicion]),
       ),
+      pendingPromptParts: new Map(
+        this.#promptParts.getAll(nowMs).map((update) => [update.part, update]),
+      ),
       pendingLeaving: new Map(
         this.#serverRegistry.getAll()
           .filter((server) => this.#serverRegistry.isLeaving(server))
@@ -209,6 +229,7 @@
     const { routes, hosts } = this.#options.getState();
     return follower.pendingServers.size > 0 ||
       follower.pendingSuspicions.size > 0 ||
+      follower.pendingPromptParts.size > 0 ||
       follower.pendingLeaving.size > 0 ||
       follower.routesVersion < routes.version ||
       follower.hostsVersion < hosts.version;
@@ -225,12 +246,14 @@
       heard: [...follower.pendingHeardIds],
       suspicions: [...follower.pendingSuspicions.values()],
       leaving: [...follower.pendingLeaving.values()],
+      promptParts: [...follower.pendingPromptParts.values()],
     });
     if (hasRoutes) follower.routesVersion = routes.version;
     if (hasHosts) follower.hostsVersion = hosts.version;
     follower.pendingServers.clear();
     follower.pendingHeardIds.clear();
     follower.pendingSuspicions.clear();
+    follower.pendingPromptParts.clear();
     follower.pendingLeaving.clear();
     return update;
   }
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -6,6 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import {
   getServerStart,
+  PromptPartSuspicions,
   RegistrationEffect,
   ServerRegistry,
   Suspicions,
@@ -16,6 +17,7 @@
   type HostList,
   HostListSchema,
   HostRole,
+  type PromptPartSuspicion,
   type Registration,
   ServerState,
   type Suspicion,
@@ -66,6 +68,7 @@
   readonly #options: RoutingViewOptions;
   readonly servers: ServerRegistry;
   readonly suspicions = createSuspicions();
+  readonly promptParts = new PromptPartSuspicions();
   readonly #listeners = new Set<() => void>();
   readonly #serverListeners = new Set<ServerChangeListener>();
   #routes: RouteIndex | undefined;
@@ -133,12 +136,16 @@
     return true;
   }
 
-  /** Applies an update from the control host at address `from`. */
-  applyUpdate(update: FleetUpdate, from: string): void {
+  /**
+   * Applies an update from the control host at address `from`. Returns what this
+   * process knows against suspicions in it.
+   */
+  applyUpdate(update: FleetUpdate, from: string): PromptPartSuspicion[] {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.servers.recordControlContact(nowMs);
     update.heard.forEach((id) => this.#recordHeartbeat(id, nowMs));
     this.#applySuspicions(update.suspicions, from, nowMs);
+    const refutations = this.#applyPromptParts(update.promptParts, from, nowMs);
     update.leaving.forEach((server) => this.recordLeaving(server, from));
     const changes = [
       this.#applyRoutes(update, from),
@@ -146,13 +153,39 @@
       ...update.servers.map((server) => this.#applyServer(server, from, nowMs)),
     ];
     if (changes.includes(true)) this.#notify();
+    return refutations;
   }
 
   #recordHeartbeat(id: string, nowMs: number): void {
     this.servers.recordHeartbeat(id, nowMs);
     const known = this.servers.tryGet(id);
-    if (known === undefined || this.suspicions.isEmpty) return;
-    this.suspicions.recordHeartbeat(getServerStart(known), nowMs);
+    if (known === undefined) return;
+    const start = getServerStart(known);
+    if (!this.suspicions.isEmpty) this.suspicions.recordHeartbeat(start, nowMs);
+    if (!this.promptParts.isEmpty) {
+      this.promptParts.recordHeartbeat(start, nowMs);
+    }
+  }
+
+  #applyPromptParts(
+    updates: readonly PromptPartSuspicion[],
+    from: string,
+    nowMs: number,
+  ): PromptPartSuspicion[] {
+    this.promptParts.removeExpired(nowMs);
+    return updates.flatMap((update) => {
+      const canRefute = this.promptParts.canRefute(update, nowMs);
+      if (this.promptParts.merge(update, nowMs)) {
+        this.#options.log.info("prompt_part_received", {
+          part: update.part,
+          crashes: this.promptParts.getCrashCount(update.part),
+          proof_idle_ms: update.proofIdleMs ?? -1,
+          rejected_ms: this.promptParts.getRejectionMs([update.part], nowMs),
+          from,
+        });
+      }
+      return canRefute ? [this.promptParts.getUpdate(update.part, nowMs)] : [];
+    });
   }
 
   #applySuspicions(
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -27,6 +27,7 @@
 import { getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
 import { BackendAccess } from "./backend_access.ts";
+import { CrashDetector } from "./crash_detector.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
 import { FLEET_GROUP, STORE_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
@@ -130,6 +131,15 @@
       view,
       pool,
       backendClient,
+      crashDetector: new CrashDetector({
+        view,
+        // Items are owed, so they are not suspected themselves.
+        onSuspicionChange: () => {},
+        onPromptPartChange: (suspicion) => follower.reportPromptPart(suspicion),
+        clock: context.clock,
+        log: context.log,
+        metrics: context.metrics,
+      }),
       dialects,
       context,
     });
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -32,6 +32,7 @@
   itemFailures: "item_failures",
   recordMs: "record_ms",
   suspicions: "suspicions",
+  promptPartSuspicions: "prompt_part_suspicions",
   streamsTakenUp: "streams_taken_up",
 } as const;
 
--- a/src/sys/routines.ts
+++ b/src/sys/routines.ts
@@ -95,3 +95,16 @@
   }
   return result.value as T;
 }
+
+/** Passes values on, and calls `onFirst` before the first one. */
+export async function* observeFirst<T>(
+  values: AsyncIterable<T>,
+  onFirst: () => void,
+): AsyncIterable<T> {
+  let isFirst = true;
+  for await (const value of values) {
+    if (isFirst) onFirst();
+    isFirst = false;
+    yield value;
+  }
+}
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -164,6 +164,12 @@
       view,
       pool: this.pool,
       backendClient: { send: (options) => this.#send(options) },
+      crashDetector: {
+        getPartRejectionMs: () => 0,
+        recordStart: () => {},
+        recordAnswerBegun: () => {},
+        recordConnectionLoss: () => Promise.resolve(),
+      },
       dialects: DIALECTS,
       context,
     });
