Move what guards servers against parts of prompts into a class

The gateways' crash detector detected crashes and also decided on parts of prompts; the entries of the product need the second without the first. No change of behaviour: the tests of crashing_prompt_parts, crashing_requests and item_runner pass as before. The log line of a suspected part names the start of the server in one field.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -5,6 +5,7 @@
  */
 import type { FleetSettings, StreamOrigin } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
+import { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import { createHttpAgent } from "../sys/http.ts";
 import type { RpcCredentials } from "../sys/rpc.ts";
 import { BackendClient } from "./backend_client.ts";
@@ -41,11 +42,12 @@
   readonly follower: FleetFollower;
   readonly pool: ServerPool;
   readonly backendClient: BackendClient;
+  readonly promptPartGuard: PromptPartGuard;
   readonly #exchange: LoadExchange;
 
   constructor(options: BackendAccessOptions) {
     const { settings, credentials } = options;
-    const { clock, log, random } = options.context;
+    const { clock, log, random, metrics } = options.context;
     const view = new RoutingView({
       registrationIntervalMs: settings.beatMs ?? 0,
       clock,
@@ -60,6 +62,13 @@
       clock,
       log,
     });
+    this.promptPartGuard = new PromptPartGuard({
+      suspicions: view.promptParts,
+      onChange: (suspicion) => this.follower.reportPromptPart(suspicion),
+      clock,
+      log,
+      metrics,
+    });
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       view,
--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -8,11 +8,11 @@
  */
 import { getServerStart } from "../membership/mod.ts";
 import {
-  type PromptPartSuspicion,
   type Registration,
   ServerState,
   type Suspicion,
 } from "../schema/mod.ts";
+import type { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import type { Clock } from "../sys/clock.ts";
 import { ConnectProbe, ProbeResult } from "../sys/connect_probe.ts";
 import type { Log } from "../sys/log.ts";
@@ -27,8 +27,7 @@
   readonly view: RoutingView;
   /** Sends a suspicion to the other processes. */
   readonly onSuspicionChange: (suspicion: Suspicion) => void;
-  /** Sends what is known of a part of prompts to the other processes. */
-  readonly onPromptPartChange: (suspicion: PromptPartSuspicion) => void;
+  readonly promptPartGuard: PromptPartGuard;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -108,11 +107,11 @@
    * it is known whether this server crashed too, or after a short wait.
    */
   async recordConnectionLoss(run: ServerRun): Promise<void> {
-    const { clock, view: { suspicions, promptParts } } = this.#options;
+    const { clock, view: { suspicions }, promptPartGuard } = this.#options;
     const isRecorded = this.#probeServer(run);
     const isSuspect =
       !suspicions.isEmpty && suspicions.isSuspect(getFingerprint(run.req)) ||
-      run.unprovenParts.some((part) => promptParts.getCrashCount(part) > 0);
+      promptPartGuard.isSuspect(run.unprovenParts);
     if (!isSuspect) return;
     await Promise.race([isRecorded, clock.delay(MAX_PROBE_WAIT_MS)]);
   }
@@ -141,49 +140,6 @@
     this.#addPending({ ...run, lostMs });
   }
 
-  /**
-   * Time until a request with these parts in its prompt may run, because servers
-   * crashed under one of them, in milliseconds; 0 if it may.
-   */
-  getPartRejectionMs(parts: readonly string[]): number {
-    const { view: { promptParts }, clock } = this.#options;
-    if (promptParts.isEmpty) return 0;
-    return promptParts.getRejectionMs(parts, clock.getMonotonicMs());
-  }
-
-  /** Number of servers that crashed under the part for which it is rejected. */
-  getPartCrashCount(parts: readonly string[]): number {
-    const { promptParts } = this.#options.view;
-    return promptParts.getCrashCount(
-      promptParts.tryGetRejectedPart(parts) ?? "",
-    );
-  }
-
-  /**
-   * Records that a request with these parts is sent, so that no other tries a
-   * rejected part at the same time.
-   */
-  recordStart(parts: readonly string[]): void {
-    const { view: { promptParts }, clock, log } = this.#options;
-    if (promptParts.isEmpty) return;
-    promptParts.recordStart(parts, clock.getMonotonicMs()).forEach((update) => {
-      log.info("prompt_part_tried", {
-        part: update.part,
-        crashes: update.crashes.length,
-      });
-      this.#options.onPromptPartChange(update);
-    });
-  }
-
-  /** Records that an answer has begun, which proves its parts sound. */
-  recordAnswerBegun(parts: readonly string[]): void {
-    const { view: { promptParts }, clock, log } = this.#options;
-    promptParts.recordProof(parts, clock.getMonotonicMs()).forEach((update) => {
-      log.info("prompt_part_cleared", { part: update.part });
-      this.#options.onPromptPartChange(update);
-    });
-  }
-
   /** Clears a suspicion: the request finished without crashing its server. */
   recordSuccess(req: BackendRequest): void {
     const { view, clock, onSuspicionChange, log } = this.#options;
@@ -225,31 +181,16 @@
   }
 
   #suspect(run: ServerRun): void {
-    const { view: { servers } } = this.#options;
+    const { view: { servers }, promptPartGuard } = this.#options;
     const { server } = run;
     const known = servers.tryGet(server.id);
     const hasDeregistered = known?.bornMs === server.bornMs &&
       known.state !== ServerState.READY;
     if (hasDeregistered || servers.isLeaving(server)) return;
     if (!run.isOwed) this.#suspectRequest(run);
-    this.#suspectParts(run);
-  }
-
-  #suspectParts({ req, server, unprovenParts }: ServerRun): void {
-    const { view: { promptParts }, clock, log, metrics } = this.#options;
-    const nowMs = clock.getMonotonicMs();
-    const start = getServerStart(server);
-    promptParts.recordCrash(unprovenParts, start, nowMs).forEach((update) => {
-      metrics.count(MetricName.promptPartSuspicions);
-      log.info("prompt_part_suspected", {
-        request: req.requestId,
-        part: update.part,
-        server: server.id,
-        born: Number(server.bornMs),
-        crashes: update.crashes.length,
-        rejected_ms: promptParts.getRejectionMs(unprovenParts, nowMs),
-      });
-      this.#options.onPromptPartChange(update);
+    promptPartGuard.recordCrash(run.unprovenParts, {
+      serverStart: getServerStart(server),
+      request: run.req.requestId,
     });
   }
 
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -111,12 +111,12 @@
         view: backends.view,
         onSuspicionChange: (suspicion) =>
           backends.follower.reportSuspicion(suspicion),
-        onPromptPartChange: (suspicion) =>
-          backends.follower.reportPromptPart(suspicion),
+        promptPartGuard: backends.promptPartGuard,
         clock,
         log,
         metrics,
       }),
+      promptPartGuard: backends.promptPartGuard,
       streamOrigins: this.#streamOrigins,
       flushOrigins: () => backends.flushOrigins(),
       dialect: this.#dialect,
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -20,6 +20,7 @@
 } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
+import type { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import { MetricName } from "../sys/metrics.ts";
@@ -58,13 +59,8 @@
   readonly view: RoutingView;
   readonly pool: ServerPool;
   readonly backendClient: Pick<BackendClient, "send">;
-  readonly crashDetector: Pick<
-    CrashDetector,
-    | "getPartRejectionMs"
-    | "recordStart"
-    | "recordAnswerBegun"
-    | "recordConnectionLoss"
-  >;
+  readonly crashDetector: Pick<CrashDetector, "recordConnectionLoss">;
+  readonly promptPartGuard: PromptPartGuard;
   readonly dialects: { caller: CallerDialect; backend: BackendDialect };
   readonly context: ProcessContext;
 }
@@ -348,7 +344,7 @@
         if (service === undefined) return;
         const parts = this.#getPromptParts(candidate.item, service);
         // The item stays owed: the part is tried again after some time.
-        if (this.#options.crashDetector.getPartRejectionMs(parts) > 0) return;
+        if (this.#options.promptPartGuard.getRejectionMs(parts) > 0) return;
         const reserve = getReservedSlots(candidate, nowMs);
         const softwareVersion = this.#getRequiredVersion(candidate, service);
         const slotsKey = `${service}/${softwareVersion ?? ""}/${reserve}`;
@@ -495,7 +491,7 @@
     placement: ItemPlacement & Pick<PermitRequest, "softwareVersion">,
   ): boolean {
     const { queued, item, key } = candidate;
-    const { pool, context, crashDetector } = this.#options;
+    const { pool, context, promptPartGuard } = this.#options;
     const { clock } = context;
     const abortController = new AbortController();
     const requestAbort = new AbortController();
@@ -515,7 +511,7 @@
     if (permit === undefined) return false;
     this.#versionWaits.delete(key);
     const promptParts = this.#getPromptParts(item, placement.service);
-    crashDetector.recordStart(promptParts);
+    promptPartGuard.recordStart(promptParts);
     const getRemainingMs = () => this.#getRemainingMs(queued, item);
     const run: ActiveRun = {
       job: queued.job.id,
@@ -563,7 +559,7 @@
       signal: AbortSignal;
     },
   ): Promise<void> {
-    const { crashDetector } = this.#options;
+    const { crashDetector, promptPartGuard } = this.#options;
     const progress = this.#progress.getOrCreate(queued, item);
     progress.startAt(permit.server.softwareVersion);
     this.#options.context.log.info("item_started", {
@@ -600,7 +596,7 @@
       signal,
       onBegin: () => {
         hasBegun = true;
-        crashDetector.recordAnswerBegun(promptParts);
+        promptPartGuard.recordAnswerBegun(promptParts);
       },
     });
     if (outcome.kind === "broken" && !hasBegun) {
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -15,6 +15,7 @@
   type Route,
   Verdict,
 } from "../schema/mod.ts";
+import type { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getCodeName, ServingError } from "../sys/errors.ts";
 import { discardBody } from "../sys/http.ts";
@@ -73,6 +74,7 @@
   readonly pool: ServerPool;
   readonly backendClient: BackendClient;
   readonly crashDetector: CrashDetector;
+  readonly promptPartGuard: PromptPartGuard;
   readonly streamOrigins: StreamOriginFinder;
   /** Sends the origins of streams that have not been sent yet. */
   readonly flushOrigins: () => void;
@@ -274,7 +276,7 @@
   #observeBegin(response: BackendResponse): BackendResponse {
     const onBegin = () => {
       this.#hasAnswerBegun = true;
-      this.#options.crashDetector.recordAnswerBegun(this.#promptParts);
+      this.#options.promptPartGuard.recordAnswerBegun(this.#promptParts);
     };
     return { ...response, chunks: observeFirst(response.chunks, onBegin) };
   }
@@ -347,7 +349,7 @@
   }
 
   async #acquirePermit(): Promise<ServerPermit> {
-    const { pool, clock, metrics, crashDetector } = this.#options;
+    const { pool, clock, metrics, promptPartGuard } = this.#options;
     const startMs = clock.getMonotonicMs();
     for (;;) {
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
@@ -356,12 +358,12 @@
       const waitedMs = clock.getMonotonicMs() - startMs;
       if (permit !== undefined) {
         metrics.time(MetricName.placeWaitMs, waitedMs);
-        crashDetector.recordStart(this.#promptParts);
+        promptPartGuard.recordStart(this.#promptParts);
         return permit;
       }
       const queued = await this.#waitOrQueue(waitedMs);
       if (queued !== undefined) {
-        crashDetector.recordStart(this.#promptParts);
+        promptPartGuard.recordStart(this.#promptParts);
         return queued;
       }
     }
@@ -444,35 +446,19 @@
    * during the request, or under a part of its prompt.
    */
   #throwIfPoisoned(): void {
-    const { crashDetector } = this.#options;
+    const { crashDetector, promptPartGuard } = this.#options;
     const { request } = this.#req;
-    const rejectionMs = crashDetector.getRejectionMs(request);
-    if (rejectionMs > 0) {
-      throw this.#createPoisonedError(
-        MessageCode.REQUEST_POISONED,
-        crashDetector.getCrashCount(request),
-        rejectionMs,
-      );
-    }
-    const partRejectionMs = crashDetector.getPartRejectionMs(this.#promptParts);
-    if (partRejectionMs > 0) {
-      throw this.#createPoisonedError(
-        MessageCode.PROMPT_PART_POISONED,
-        crashDetector.getPartCrashCount(this.#promptParts),
-        partRejectionMs,
-      );
-    }
-  }
-
-  #createPoisonedError(
-    code: MessageCode,
-    servers: number,
-    rejectionMs: number,
-  ): ServingError {
     const mayHaveRun = this.#possibleRuns > 0;
-    return new ServingError(code, {
-      verdict: mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
-      parameters: { servers },
+    const verdict = mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    promptPartGuard.throwIfRejected(this.#promptParts, {
+      verdict,
+      hasRetryAfter: !mayHaveRun,
+    });
+    const rejectionMs = crashDetector.getRejectionMs(request);
+    if (rejectionMs === 0) return;
+    throw new ServingError(MessageCode.REQUEST_POISONED, {
+      verdict,
+      parameters: { servers: crashDetector.getCrashCount(request) },
       retryAfterS: mayHaveRun ? undefined : rejectionMs / 1_000,
     });
   }
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -100,7 +100,8 @@
         origins.forEach((origin) => this.#streamOrigins.add(origin, nowMs));
       },
     });
-    const { view, pool, backendClient, follower } = this.#backends;
+    const { view, pool, backendClient, follower, promptPartGuard } =
+      this.#backends;
     this.#storeClient = new StateClient({
       getAddresses: () => view.getStoreAddresses(),
       tryGetLeader: () => this.#member?.getLeaderAddress(),
@@ -131,11 +132,12 @@
       view,
       pool,
       backendClient,
+      promptPartGuard,
       crashDetector: new CrashDetector({
         view,
         // Items are owed, so they are not suspected themselves.
         onSuspicionChange: () => {},
-        onPromptPartChange: (suspicion) => follower.reportPromptPart(suspicion),
+        promptPartGuard,
         clock: context.clock,
         log: context.log,
         metrics: context.metrics,
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -23,6 +23,7 @@
   RequestKind,
   ServerState,
 } from "../schema/mod.ts";
+import { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import { createProcessContext } from "../services/mod.ts";
 import { JobMachine } from "../state/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
@@ -164,12 +165,12 @@
       view,
       pool: this.pool,
       backendClient: { send: (options) => this.#send(options) },
-      crashDetector: {
-        getPartRejectionMs: () => 0,
-        recordStart: () => {},
-        recordAnswerBegun: () => {},
-        recordConnectionLoss: () => Promise.resolve(),
-      },
+      crashDetector: { recordConnectionLoss: () => Promise.resolve() },
+      promptPartGuard: new PromptPartGuard({
+        ...context,
+        suspicions: view.promptParts,
+        onChange: () => {},
+      }),
       dialects: DIALECTS,
       context,
     });
