Read what arrived during a stall before an election timer fires

In a stall of the harness the clock runs on and messages wait; the timers fire first at its end.

A second test checks that a leader that was lost meanwhile is still replaced.

--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -109,6 +109,8 @@
   #electionDueMs = 0;
   #heartbeatDueMs = 0;
   #nowMs: number;
+  /** Time of the last tick. */
+  #tickedMs: number;
   #immediateMessages: ReplicaMessage[] = [];
   #messagesAfterSync: ReplicaMessage[] = [];
   #records: LogRecord[] = [];
@@ -143,6 +145,7 @@
     this.#applyingIndex = this.#log.baseIndex;
     this.#durableIndex = this.#log.lastIndex;
     this.#nowMs = options.nowMs;
+    this.#tickedMs = options.nowMs;
     // This replica may have acknowledged a leader before a restart, and its
     // lease may not have ended. Until an election timeout has passed, it must
     // not grant votes.
@@ -260,9 +263,16 @@
       : this.#confirmedContactCheck === this.#contactCheck;
   }
 
-  /** Advances the clock; fires the election and heartbeat timers. */
+  /**
+   * Advances the clock; fires the election and heartbeat timers. After a stall of
+   * the process the timers wait for the next tick, since messages that arrived
+   * meanwhile are read only after this one.
+   */
   tick(nowMs: number): void {
+    const hasStalled = nowMs - this.#tickedMs > this.#timing.heartbeatMs;
     this.#nowMs = nowMs;
+    this.#tickedMs = nowMs;
+    if (hasStalled) return;
     if (this.#role === Role.leader) {
       this.#tickLeader();
       return;
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -35,9 +35,11 @@
   isUp: boolean;
   /** While a host is frozen, its clock stands still and messages to it wait. */
   isFrozen: boolean;
+  /** While a host's process stalls, its clock runs on and messages to it wait. */
+  isStalled: boolean;
   /** Total time for which it has been frozen, in milliseconds. */
   frozenMs: number;
-  /** Messages that wait for the end of the freeze. */
+  /** Messages that wait for the end of the freeze or stall. */
   waiting: ReplicaMessage[];
 }
 
@@ -63,6 +65,8 @@
   #newestIndex = 0;
   /** Bytes of commands sent to each host, whether delivered or not. */
   readonly sentBytes = new Map<string, number>();
+  /** Number of requests for votes and pre-votes that were sent. */
+  voteRequestCount = 0;
   faults: NetworkFaults = { loss: 0, duplication: 0 };
   /** Whether a lease holder that lacks committed entries ends the run. */
   checksLease = true;
@@ -110,6 +114,21 @@
     host.isFrozen = true;
   }
 
+  stall(host: SimulatedHost): void {
+    host.isStalled = true;
+  }
+
+  /** Continues a stalled host, whose timers fire before it reads messages. */
+  endStall(host: SimulatedHost): void {
+    host.isStalled = false;
+    host.core.tick(this.getHostMs(host));
+    this.drainOutputs();
+    host.waiting.splice(0).forEach((message) =>
+      host.core.receive(message, this.getHostMs(host))
+    );
+    this.drainOutputs();
+  }
+
   /** Continues a frozen host; the messages that waited for it may be lost. */
   thaw(
     host: SimulatedHost,
@@ -171,7 +190,7 @@
       this.drainOutputs();
       while (
         this.#messages.length > 0 ||
-        this.#getRunning().some((host) => host.pending)
+        this.#getRunning().some((host) => host.pending !== undefined)
       ) {
         this.hosts.forEach((host) => this.#sync(host));
         if (this.#messages.length > 0) this.#deliverOne();
@@ -208,6 +227,7 @@
       applied: [],
       isUp: true,
       isFrozen: false,
+      isStalled: false,
       frozenMs: 0,
       waiting: [],
     };
@@ -245,12 +265,15 @@
   }
 
   #getRunning(): SimulatedHost[] {
-    return this.hosts.filter((host) => host.isUp && !host.isFrozen);
+    return this.hosts.filter((host) =>
+      host.isUp && !host.isFrozen && !host.isStalled
+    );
   }
 
   #enqueue(messages: readonly ReplicaMessage[]): void {
     messages.forEach((message) => {
       this.#countSentBytes(message);
+      if (message.body.case === "voteRequest") this.voteRequestCount += 1;
       if (this.random.getFraction() < this.faults.loss) return;
       this.#messages.push(message);
       const isDuplicated = this.random.getFraction() < this.faults.duplication;
@@ -275,7 +298,7 @@
     if (this.blockedLinks.has(`${message.from}>${message.to}`)) return;
     const host = this.hosts.find((one) => one.id === message.to);
     if (host?.isUp !== true) return;
-    if (host.isFrozen) {
+    if (host.isFrozen || host.isStalled) {
       host.waiting.push(message);
       return;
     }
@@ -294,7 +317,8 @@
 
   #sync(host: SimulatedHost): void {
     const output = host.pending;
-    if (output === undefined || !host.isUp || host.isFrozen) return;
+    const isRunning = host.isUp && !host.isFrozen && !host.isStalled;
+    if (output === undefined || !isRunning) return;
     host.pending = undefined;
     host.durable.push(...output.records);
     if (output.records.length > 0) {
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -385,4 +385,40 @@
       group.heal(STABILIZATION_MS);
     });
   });
+
+  // Guards against a follower that gives up its leader after a stall of its
+  // process, although the leader's messages wait to be read.
+  it("asks for no votes after a stall during which the leader went on", () => {
+    Array.from({ length: 50 }, (_, seed) => seed).forEach((seed) => {
+      const group = new SimulatedGroup(seed, 3);
+      group.heal(STABILIZATION_MS);
+      const leader = group.tryGetLeader();
+      if (leader === undefined) throw new Error("none");
+      const follower = group.hosts.find((host) => host !== leader);
+      if (follower === undefined) throw new Error("none");
+      const before = group.voteRequestCount;
+      group.stall(follower);
+      group.run(1_000);
+      group.endStall(follower);
+      expect(follower.core.leader, `seed ${seed}`).equal(leader.id);
+      group.run(STABILIZATION_MS);
+      expect(group.voteRequestCount, `seed ${seed}`).equal(before);
+    });
+  });
+
+  it("elects a leader after a stall during which the leader was lost", () => {
+    Array.from({ length: 50 }, (_, seed) => seed).forEach((seed) => {
+      const group = new SimulatedGroup(seed, 3);
+      group.heal(STABILIZATION_MS);
+      const leader = group.tryGetLeader();
+      if (leader === undefined) throw new Error("none");
+      const others = group.hosts.filter((host) => host !== leader);
+      others.forEach((host) => group.stall(host));
+      group.crash(leader);
+      group.run(1_000);
+      others.forEach((host) => group.endStall(host));
+      group.run(STABILIZATION_MS);
+      expect(others).include(group.tryGetLeader());
+    });
+  });
 });
