Entries: refuse messages under which servers crash

Entries of the product knew a crashing request by the digest of its whole prompt, so conversations with one crashing message crashed one engine after the other (the cause of the change for parts of prompts, looked for in src/services/).

Change: the messages before the last are the parts of a prompt here; entries use the same guard as gateways, tell each other with the other updates of peers, and items with such a message wait. Prompts of plain text have no parts.

--- a/src/membership/fleet_view.ts
+++ b/src/membership/fleet_view.ts
@@ -15,12 +15,14 @@
 } from "../schema/mod.ts";
 import { BackendView } from "./backend_view.ts";
 import { selectEntriesForServer, type ServerLocation } from "./subsets.ts";
+import { PromptPartSuspicions } from "./prompt_part_suspicions.ts";
 import { Suspicions } from "./suspicions.ts";
 
 /** Fleet state as known to one entry host. */
 export class FleetView {
   readonly backends = new BackendView();
   readonly suspicions = new Suspicions();
+  readonly promptParts = new PromptPartSuspicions();
   #configuration: Configuration = create(ConfigurationSchema);
   #entries: EntryRegistration[] = [];
   #entriesVersion = 0;
--- a/src/services/batch/batch_item.ts
+++ b/src/services/batch/batch_item.ts
@@ -12,6 +12,7 @@
 import {
   createCompletionResponse,
   getFingerprint,
+  getPromptParts,
   getPromptText,
   parseCompletion,
 } from "../online/completion_service.ts";
@@ -80,6 +81,7 @@
     adapter: "",
     caller: claimed.caller,
     fingerprint: getFingerprint(workload.name, body),
+    promptParts: getPromptParts(workload.deployment, body),
     affinity: getPromptText(body),
     isNonIdempotent: claimed.nonIdempotent,
     deadlineMs,
--- a/src/services/batch/batch_runner.ts
+++ b/src/services/batch/batch_runner.ts
@@ -51,6 +51,7 @@
 import { getItemGroups } from "../common/groups.ts";
 import { isStaleEpoch, type ItemSessions } from "../common/item_sessions.ts";
 import { parseItemLine } from "../common/item_line.ts";
+import type { PromptPartGuard } from "../common/prompt_part_guard.ts";
 import type { PlainService } from "../online/plain_service.ts";
 import type { StateClient } from "../common/state_client.ts";
 
@@ -60,6 +61,7 @@
   readonly pool: BackendPool;
   readonly engineRunner: EngineRunner;
   readonly plainService: PlainService;
+  readonly promptPartGuard: PromptPartGuard;
   readonly state: StateClient;
   readonly sessions: ItemSessions;
   readonly groupCount: number;
@@ -370,7 +372,7 @@
     const request = item.run ?? this.#tryCreateRequest(item, workload);
     if (request === undefined) return true;
     item.run = request;
-    if (this.#isHeldBack(request.fingerprint)) {
+    if (this.#isHeldBack(request)) {
       if (this.#mustReturn(item)) this.#finishItem(item, {});
       return true;
     }
@@ -417,12 +419,19 @@
   }
 
   /**
-   * Whether an item waits because servers crashed while they ran it. It is still
-   * owed, since they may have crashed for another reason.
+   * Whether an item waits because servers crashed while they ran it, or requests
+   * with a part of its prompt. It is still owed, since they may have crashed for
+   * another reason.
    */
-  #isHeldBack(fingerprint: string): boolean {
-    const { view, clock } = this.#options;
+  #isHeldBack(
+    { fingerprint, promptParts }: Pick<
+      CompletionRequest,
+      "fingerprint" | "promptParts"
+    >,
+  ): boolean {
+    const { view, clock, promptPartGuard } = this.#options;
     const { suspicions } = view;
+    if (promptPartGuard.getRejectionMs(promptParts) > 0) return true;
     return suspicions.isPoisoned(fingerprint) &&
       suspicions.getIdleMs(fingerprint, clock.getMonotonicMs()) <
         CRASH_RETRY_DELAY_MS;
@@ -477,7 +486,7 @@
     );
     const bodyText = JSON.stringify(body);
     const fingerprint = getDigestHex(workload.name, bodyText);
-    if (this.#isHeldBack(fingerprint)) {
+    if (this.#isHeldBack({ fingerprint, promptParts: [] })) {
       if (this.#mustReturn(item)) this.#finishItem(item, {});
       return true;
     }
--- a/src/services/control/peer_update_sender.ts
+++ b/src/services/control/peer_update_sender.ts
@@ -1,7 +1,7 @@
 /**
  * Sends updates from one entry to others: announcements and batch loads to the
- * entries that use a backend server, suspicions to all entries, and requests to
- * preempt batch sequences to the server's owner, the one entry that runs batch
+ * entries that use a backend server, suspicions of requests and parts of prompts
+ * to all entries, and requests to preempt batch sequences to the server's owner, the one entry that runs batch
  * items there. Updates to an entry within a short time share a batch.
  */
 import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
@@ -10,6 +10,7 @@
   type Announcement,
   Entries,
   type EntryRegistration,
+  type PromptPartSuspicion,
   SpreadBatchSchema,
   type Suspicion,
 } from "../../schema/mod.ts";
@@ -20,6 +21,7 @@
 interface PendingUpdates {
   announcements: Map<string, Announcement>;
   suspicions: Map<string, Suspicion>;
+  promptParts: Map<string, PromptPartSuspicion>;
   yields: Map<string, number>;
   batchLoads: Map<string, number>;
 }
@@ -40,6 +42,7 @@
   return {
     announcements: new Map(),
     suspicions: new Map(),
+    promptParts: new Map(),
     yields: new Map(),
     batchLoads: new Map(),
   };
@@ -79,6 +82,13 @@
     );
   }
 
+  /** Sends what is known of a part of prompts to all other entries. */
+  sendPromptPart(suspicion: PromptPartSuspicion): void {
+    this.#excludeSelf(this.#options.view.entries).forEach((entry) =>
+      this.#getPendingUpdates(entry).promptParts.set(suspicion.part, suspicion)
+    );
+  }
+
   /**
    * Sends the batch load of each server that this entry owns to the other
    * entries that use it.
@@ -166,6 +176,7 @@
   return {
     announcements: [...pending.announcements.values()],
     suspicions: [...pending.suspicions.values()],
+    promptParts: [...pending.promptParts.values()],
     yields: [...pending.yields].map(toSequenceCount),
     batchLoads: [...pending.batchLoads].map(toSequenceCount),
   };
--- a/src/services/control/view_follower.ts
+++ b/src/services/control/view_follower.ts
@@ -145,6 +145,9 @@
     reply.suspicions.forEach((suspicion) =>
       view.suspicions.merge(suspicion, nowMs)
     );
+    reply.promptParts.forEach((suspicion) =>
+      view.promptParts.merge(suspicion, nowMs)
+    );
   }
 
   #applyUpdate(update: ViewUpdate): void {
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -40,6 +40,7 @@
 import { addOperatorService } from "../control/operator_service.ts";
 import { PlainService } from "../online/plain_service.ts";
 import type { ProcessContext } from "../common/process_context.ts";
+import { PromptPartGuard } from "../common/prompt_part_guard.ts";
 import { PeerUpdateSender } from "../control/peer_update_sender.ts";
 import { StateClient } from "../common/state_client.ts";
 import { SuspectLeases } from "../online/suspect_leases.ts";
@@ -116,9 +117,17 @@
       requestPreemption: (owner, server, count) =>
         this.#peerUpdateSender.sendPreemptionRequest(owner, server, count),
     });
+    const promptPartGuard = new PromptPartGuard({
+      suspicions: view.promptParts,
+      onChange: (suspicion) => this.#peerUpdateSender.sendPromptPart(suspicion),
+      clock,
+      log,
+      metrics,
+    });
     const crashDetector = new CrashDetector({
       view,
       clock,
+      promptPartGuard,
       onSuspicionChange: (suspicion) =>
         this.#peerUpdateSender.sendSuspicion(suspicion),
     });
@@ -128,6 +137,7 @@
       view,
       pool,
       crashDetector,
+      promptPartGuard,
       retryBudget,
       clock,
       metrics,
@@ -188,6 +198,7 @@
       pool,
       engineRunner: this.#engineRunner,
       plainService: this.#plainService,
+      promptPartGuard,
       state,
       sessions,
       groupCount,
@@ -391,6 +402,7 @@
     const { configuration, entries, entriesVersion, backends } = this.view;
     const hasNewerEntries = entriesVersion > Number(req.entriesVersion);
     const servers = backends.getAll().map((server) => server.announcement);
+    const nowMs = this.#context.clock.getMonotonicMs();
     return create(EntryViewSchema, {
       configuration: configuration.version > req.version
         ? configuration
@@ -398,9 +410,8 @@
       entries: hasNewerEntries ? [...entries] : [],
       entriesVersion: BigInt(entriesVersion),
       announcements: req.whole ? servers : [],
-      suspicions: req.whole
-        ? this.view.suspicions.getAll(this.#context.clock.getMonotonicMs())
-        : [],
+      suspicions: req.whole ? this.view.suspicions.getAll(nowMs) : [],
+      promptParts: req.whole ? this.view.promptParts.getAll(nowMs) : [],
     });
   }
 
@@ -424,6 +435,15 @@
     batch.suspicions.forEach((suspicion) =>
       this.view.suspicions.merge(suspicion, nowMs)
     );
+    this.view.promptParts.removeExpired(nowMs);
+    batch.promptParts.forEach((suspicion) => {
+      const canRefute = this.view.promptParts.canRefute(suspicion, nowMs);
+      this.view.promptParts.merge(suspicion, nowMs);
+      if (!canRefute) return;
+      this.#peerUpdateSender.sendPromptPart(
+        this.view.promptParts.getUpdate(suspicion.part, nowMs),
+      );
+    });
     batch.yields.forEach((request) =>
       this.pool.preemptBatch(request.backendServer, request.sequences)
     );
--- a/src/services/online/completion_service.ts
+++ b/src/services/online/completion_service.ts
@@ -1,6 +1,6 @@
 /** Serves completions, streamed or whole, with or without idempotency keys. */
 import { create } from "@bufbuild/protobuf";
-import type { FleetView } from "../../membership/mod.ts";
+import { type FleetView, getPromptPartKey } from "../../membership/mod.ts";
 import { type CompletionBody, EventLog } from "../../relay/mod.ts";
 import {
   MessageCode,
@@ -130,6 +130,20 @@
   return getDigestHex(workload, body.model, getPromptText(body));
 }
 
+/**
+ * Returns the keys of the messages of a conversation before the last one, which
+ * other requests may share; none for a prompt without messages.
+ */
+export function getPromptParts(
+  deployment: string,
+  { messages }: CompletionBody,
+): string[] {
+  if (!Array.isArray(messages)) return [];
+  return messages.slice(0, -1).map((message) =>
+    getPromptPartKey(deployment, getDigestHex(JSON.stringify(message)))
+  );
+}
+
 /** Serves completions of callers. */
 export class CompletionService {
   readonly #view: FleetView;
@@ -189,6 +203,7 @@
       adapter: typeof body.adapter === "string" ? body.adapter : "",
       caller: call.caller,
       fingerprint: getFingerprint(workload.name, body),
+      promptParts: getPromptParts(workload.deployment, body),
       affinity: getPromptText(body).slice(0, AFFINITY_PREFIX_LENGTH),
       isNonIdempotent: workload.nonIdempotent || call.isMarkedNonIdempotent,
       deadlineMs: getDeadlineMs(call, workload),
--- a/src/services/online/crash_detector.ts
+++ b/src/services/online/crash_detector.ts
@@ -1,11 +1,13 @@
 /**
  * Detects whether a backend server crashed while it ran a request, and records
- * a suspicion against the requests that were in flight.
+ * a suspicion against the requests that were in flight and, if an answer had not
+ * begun, against the parts of its prompt.
  */
 import type { FleetView } from "../../membership/mod.ts";
 import type { Suspicion } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
 import { ConnectProbe, ProbeResult } from "../../sys/connect_probe.ts";
+import type { PromptPartGuard } from "../common/prompt_part_guard.ts";
 import type { Placement } from "./placement.ts";
 
 /** Detects crashes of backend servers on behalf of one entry. */
@@ -13,26 +15,32 @@
   readonly #view: FleetView;
   readonly #clock: Clock;
   readonly #onSuspicionChange: (suspicion: Suspicion) => void;
+  readonly #promptPartGuard: PromptPartGuard;
   readonly #probe: ConnectProbe;
 
   constructor(options: {
     view: FleetView;
     clock: Clock;
     onSuspicionChange: (suspicion: Suspicion) => void;
+    promptPartGuard: PromptPartGuard;
   }) {
     this.#view = options.view;
     this.#clock = options.clock;
+    this.#promptPartGuard = options.promptPartGuard;
     this.#probe = new ConnectProbe(options.clock);
     this.#onSuspicionChange = options.onSuspicionChange;
   }
 
   /**
    * Records that the connection to a server was lost during a request. If the
-   * server is down or has restarted, the request becomes a suspect.
+   * server is down or has restarted, the request becomes a suspect, and so do the
+   * parts of its prompt in `unproven`.
    */
   async recordConnectionLoss(
     fingerprint: string,
     placement: Placement,
+    unproven: { request: string; parts: readonly string[] } | undefined =
+      undefined,
   ): Promise<void> {
     const { server, incarnation } = placement;
     const isDown = await this.#isServerDown(server.name);
@@ -43,6 +51,10 @@
     this.#onSuspicionChange(
       this.#view.suspicions.record(fingerprint, crashId, nowMs),
     );
+    this.#promptPartGuard.recordCrash(unproven?.parts ?? [], {
+      serverStart: crashId,
+      request: unproven?.request ?? "",
+    });
   }
 
   /** Clears a suspicion: the request finished without crashing its server. */
--- a/src/services/online/engine_runner.ts
+++ b/src/services/online/engine_runner.ts
@@ -19,6 +19,7 @@
   ServingError,
 } from "../../sys/errors.ts";
 import { MetricName, type Metrics } from "../../sys/metrics.ts";
+import type { PromptPartGuard } from "../common/prompt_part_guard.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { Placement } from "./placement.ts";
 import type { CrashDetector } from "./crash_detector.ts";
@@ -33,6 +34,8 @@
   readonly caller: string;
   /** Identifies repetitions of the request. */
   readonly fingerprint: string;
+  /** Keys of the parts of the prompt that other requests may share. */
+  readonly promptParts: readonly string[];
   /** Text of the prompt; online requests that share it prefer the same server. */
   readonly affinity: string;
   readonly isNonIdempotent: boolean;
@@ -73,6 +76,7 @@
   readonly #view: FleetView;
   readonly #pool: BackendPool;
   readonly #detector: CrashDetector;
+  readonly #promptPartGuard: PromptPartGuard;
   readonly #retryBudget: RetryBudget;
   readonly #clock: Clock;
   readonly #metrics: Metrics;
@@ -81,6 +85,7 @@
     view: FleetView;
     pool: BackendPool;
     crashDetector: CrashDetector;
+    promptPartGuard: PromptPartGuard;
     retryBudget: RetryBudget;
     clock: Clock;
     metrics: Metrics;
@@ -88,6 +93,7 @@
     this.#view = options.view;
     this.#pool = options.pool;
     this.#detector = options.crashDetector;
+    this.#promptPartGuard = options.promptPartGuard;
     this.#retryBudget = options.retryBudget;
     this.#clock = options.clock;
     this.#metrics = options.metrics;
@@ -150,6 +156,8 @@
       placement.signal,
       deadlineAbort.signal,
     ]);
+    let hasBegun = false;
+    this.#promptPartGuard.recordStart(request.promptParts);
     const end = await runEngineAttempt({
       address: placement.server.announcement.address,
       path: request.path,
@@ -164,6 +172,10 @@
       signal,
     }, {
       onEvents: (events, count) => {
+        if (!hasBegun) {
+          this.#promptPartGuard.recordAnswerBegun(request.promptParts);
+        }
+        hasBegun = true;
         gapMeter.recordEvents(count);
         return sink.onEvents(events, count);
       },
@@ -177,6 +189,10 @@
       await this.#detector.recordConnectionLoss(
         request.fingerprint,
         placement,
+        {
+          request: request.requestId,
+          parts: hasBegun ? [] : request.promptParts,
+        },
       );
     }
     placement.release({ isServerFailure });
@@ -207,6 +223,10 @@
     excluded: ReadonlySet<string>,
     verdict: Verdict,
   ): Promise<Placement> {
+    this.#promptPartGuard.throwIfRejected(request.promptParts, {
+      verdict,
+      hasRetryAfter: verdict === Verdict.NOT_RUN,
+    });
     this.throwIfPoisoned(request.fingerprint, verdict);
     try {
       return await this.#pool.place({
--- a/src/test/leaving_test.ts
+++ b/src/test/leaving_test.ts
@@ -149,6 +149,43 @@
       );
     }));
 
+  // Guards against requests with one message ending one server after the other,
+  // since no two of them are alike.
+  it("refuses messages at every entry under which servers crashed", () =>
+    withFleet({
+      engines: 14,
+      entries: 3,
+      engine: { ...QUICK_ENGINE, crashTrigger: "poison" },
+    }, async (fleet) => {
+      const addresses = fleet.getEntryAddresses();
+      let crashCount = 0;
+      fleet.engines.forEach((engine) => {
+        engine.onCrash = () => {
+          crashCount += 1;
+        };
+      });
+      const send = (index: number, contents: readonly string[]) =>
+        sendRequest(addresses[index % 3] ?? "", "/v1/chat/completions", {
+          model,
+          messages: ["you are a clerk", ...contents, `question ${index}`]
+            .map((content) => ({ role: "user", content })),
+        }, { headers: { "idempotency-key": `chat-${index}` } });
+      const first = await Promise.all(range(6).map((index) => send(index, [])));
+      expect(first.map(({ status }) => status)).deep.equal(
+        range(6).map(() => 200),
+      );
+      for (const index of range(9)) await send(100 + index, ["poison", "a"]);
+      expect(crashCount).at.most(5);
+      const refused = await send(200, ["b", "poison"]);
+      expect(JSON.parse(refused.text).code).equal("PT3021");
+      const sound = await Promise.all(
+        range(6).map((index) => send(300 + index, ["a"])),
+      );
+      expect(sound.map(({ status }) => status)).deep.equal(
+        range(6).map(() => 200),
+      );
+    }));
+
   // Guards against an item that fails for good because servers crashed while
   // they ran it.
   it("runs an item of a job although four servers crashed under it", () =>
