Soak: servers say in their responses that they leave

After the gateways were restarted each server in turn leaves, says so in its responses only, and starts again; no request may reach it later than 2 s after. Requests, items, streams and job results of the same run are checked as before.

--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -69,6 +69,8 @@
   version = "v1";
   /** Whether each event names the version that made it. */
   marksEvents = false;
+  /** Time of its start that its registrations give, in milliseconds. */
+  bornMs = 1_000;
   /** Whether chunks tell where a stream ends, rather than the connection. */
   delimitsStreams = true;
   /** Whether each response says that the server leaves. */
@@ -129,7 +131,7 @@
       State: "ready",
       ColdLeftMs: 0,
       Seq: this.#sequence,
-      born: 1_000,
+      born: this.bornMs,
       ...overrides,
     });
   }
--- a/src/test/soak/soak_run.ts
+++ b/src/test/soak/soak_run.ts
@@ -38,6 +38,12 @@
 const MAX_POLLS = 2_500;
 const POLL_INTERVAL_MS = 200;
 
+/** Time in which all hosts know that a server leaves, in milliseconds. */
+const LEAVING_KNOWN_MS = 2_000;
+
+/** Time for which a leaving server is watched then, in milliseconds. */
+const LEAVING_CHECK_MS = 500;
+
 /** Runs the soak for one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const history = new RunHistory();
@@ -55,6 +61,7 @@
     load.start();
     await waitUntilServed(fleet, load, history, "after the start");
     await stopEachGateway(fleet, history);
+    await leaveEachServer(fleet, history);
     const plan = createFaultPlan(
       options.seed,
       fleet.targets,
@@ -166,6 +173,37 @@
     );
 }
 
+/**
+ * Lets the servers leave one after the other, which they say in their responses
+ * only, and start again. A server that has said so gets no further requests.
+ */
+async function leaveEachServer(
+  fleet: SoakFleet,
+  history: RunHistory,
+): Promise<void> {
+  for (const server of fleet.servers) {
+    const countRequests = () => server.receivedRequests.length;
+    const before = countRequests();
+    server.leaves = true;
+    await waitUntil(
+      `a request to reach ${server.id}, which leaves`,
+      history,
+      () => Promise.resolve(countRequests() > before),
+    );
+    await delay(LEAVING_KNOWN_MS);
+    const known = countRequests();
+    await delay(LEAVING_CHECK_MS);
+    const late = countRequests() - known;
+    if (late > 0) {
+      history.faults.push(
+        `${late} requests reached ${server.id} after it said that it leaves`,
+      );
+    }
+    server.bornMs += 1;
+    server.leaves = false;
+  }
+}
+
 /** Waits until every gateway serves a request. */
 async function waitUntilServed(
   fleet: SoakFleet,
