Wording of comments and pages about parts of prompts

A newcomer's reading of the diff: what a list of parts holds once an answer has begun, why an item waits, and what the soak does with servers that leave. Text only; tsc and the formatter pass.

--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -52,7 +52,7 @@
 export interface ServerRun {
   readonly req: BackendRequest;
   readonly server: PoolServer;
-  /** Keys of the parts of its prompt, if its answer has not begun. */
+  /** Keys of the parts of its prompt; empty once its answer has begun. */
   readonly unprovenParts: readonly string[];
   /**
    * Whether it must run in the end, even if servers crash under it. The request is
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -343,7 +343,7 @@
         const service = this.#tryGetService(candidate);
         if (service === undefined) return;
         const parts = this.#getPromptParts(candidate.item, service);
-        // The item stays owed: the part is tried again after some time.
+        // The item stays owed and waits until its part may be tried again.
         if (this.#options.promptPartGuard.getRejectionMs(parts) > 0) return;
         const reserve = getReservedSlots(candidate, nowMs);
         const softwareVersion = this.#getRequiredVersion(candidate, service);
--- a/src/membership/prompt_part_suspicions.ts
+++ b/src/membership/prompt_part_suspicions.ts
@@ -108,7 +108,7 @@
    */
   readonly #crashes = new Map<string, Map<string, number>>();
   readonly #partsByServer = new Map<string, Set<string>>();
-  /** Time of the last proof, by part, in the order of the proofs. */
+  /** Time at which an answer last began, by part; the latest last. */
   readonly #proofs = new Map<string, number>();
   /** Start of the last trial, by part. */
   readonly #trials = new Map<string, number>();
