Defer elections for one tick only, and no heartbeats

 let all timers wait after a late tick. On a host whose ticks always come late none fired any more: no leader was elected.

Change: after a stall only the loss of contact waits (a follower's election, a leader's stepping down), heartbeats go out at once, and never two ticks in a row.

--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -111,6 +111,8 @@
   #nowMs: number;
   /** Time of the last tick. */
   #tickedMs: number;
+  /** Whether no contact counts as lost at the last tick because of a stall. */
+  #defersElection = false;
   #immediateMessages: ReplicaMessage[] = [];
   #messagesAfterSync: ReplicaMessage[] = [];
   #records: LogRecord[] = [];
@@ -265,19 +267,21 @@
 
   /**
    * Advances the clock; fires the election and heartbeat timers. After a stall of
-   * the process the timers wait for the next tick, since messages that arrived
-   * meanwhile are read only after this one.
+   * the process no contact counts as lost before the next tick, since messages that
+   * arrived meanwhile are read only after this one. This holds for one tick only: on
+   * a slow host each may come late.
    */
   tick(nowMs: number): void {
     const hasStalled = nowMs - this.#tickedMs > this.#timing.heartbeatMs;
     this.#nowMs = nowMs;
     this.#tickedMs = nowMs;
-    if (hasStalled) return;
+    this.#defersElection = hasStalled && !this.#defersElection;
     if (this.#role === Role.leader) {
       this.#tickLeader();
       return;
     }
-    if (nowMs >= this.#electionDueMs) this.#startPreVote();
+    const isDue = nowMs >= this.#electionDueMs && !this.#defersElection;
+    if (isDue) this.#startPreVote();
   }
 
   /** Appends a command; undefined unless leader without a pending transfer. */
@@ -487,7 +491,9 @@
 
   #tickLeader(): void {
     const sinceQuorumMs = this.#nowMs - this.#getQuorumContactMs();
-    if (sinceQuorumMs > this.#timing.electionTimeoutMs) {
+    const hasLostQuorum = !this.#defersElection &&
+      sinceQuorumMs > this.#timing.electionTimeoutMs;
+    if (hasLostQuorum) {
       this.#becomeFollower(this.term, "");
       return;
     }
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -182,11 +182,14 @@
     this.run(ms);
   }
 
-  /** Runs for `ms`, delivering messages at once except on blocked links. */
-  run(ms: number): void {
+  /**
+   * Runs for `ms`, delivering messages at once except on blocked links. The clock
+   * advances by `stepMs` at a time.
+   */
+  run(ms: number, stepMs = 5): void {
     const endMs = this.#nowMs + ms;
     while (this.#nowMs < endMs) {
-      this.#passTime(5);
+      this.#passTime(stepMs);
       this.drainOutputs();
       while (
         this.#messages.length > 0 ||
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -8,6 +8,9 @@
 import { Role } from "../state/mod.ts";
 import { HEARTBEAT_MS, SimulatedGroup } from "./agreement_harness.ts";
 
+/** Interval between late ticks, in milliseconds: longer than a heartbeat. */
+const LATE_TICK_MS = 160;
+
 const STABILIZATION_MS = 3_000;
 
 function runFaults(seed: number, size: number, steps: number): SimulatedGroup {
@@ -421,4 +424,17 @@
       expect(others).include(group.tryGetLeader());
     });
   });
+
+  // Guards against timers that never fire on a host that is always slow.
+  it("elects and keeps a leader although each tick comes late", () => {
+    Array.from({ length: 50 }, (_, seed) => seed).forEach((seed) => {
+      const group = new SimulatedGroup(seed, 3);
+      group.run(20 * STABILIZATION_MS, LATE_TICK_MS);
+      const leader = group.tryGetLeader();
+      expect(leader, `seed ${seed}`).not.equal(undefined);
+      const { term } = leader?.core ?? {};
+      group.run(10 * STABILIZATION_MS, LATE_TICK_MS);
+      expect(group.tryGetLeader()?.core.term, `seed ${seed}`).equal(term);
+    });
+  });
 });
