Failing test: servers that name a limit

What callers' servers saw: far more requests than the limit that they named. On loopback with three gateways, 133 to 205 requests in 4 s at a server that takes 2 a second (17 allowed), from callers and from items alike; 150 where 11 are allowed if all servers name a limit.

--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -37,6 +37,8 @@
   ran: boolean;
   /** Whether the connection closed before the response was complete. */
   left: boolean;
+  /** Monotonic time at which it had arrived completely, in milliseconds. */
+  readonly receivedMs: number;
 }
 
 /** Number of events in a complete response. */
@@ -75,6 +77,11 @@
   delimitsStreams = true;
   /** Whether each response says that the server leaves. */
   leaves = false;
+  /**
+   * Requests a second that each response says the server takes from all hosts
+   * together; undefined for no limit.
+   */
+  limitPerS: number | undefined;
   /** Text in a request's body that ends the server; undefined for none. */
   crashText: string | undefined;
   /** Part of a prompt that ends the server before it answers; undefined for none. */
@@ -147,6 +154,7 @@
         body: Buffer.concat(chunks).toString("latin1"),
         ran: false,
         left: false,
+        receivedMs: performance.now(),
       };
       this.receivedRequests.push(request);
       this.#runningCount += 1;
@@ -180,7 +188,7 @@
     const headers = {
       "x-request-id": request.id,
       "x-server-load": "1,0,4",
-      ...this.#createLeavingHeaders(),
+      ...this.#createStateHeaders(),
     };
     request.ran = behaviour !== "full" && behaviour !== "other";
     switch (behaviour) {
@@ -204,7 +212,7 @@
       case "mixed":
         res.writeHead(200, {
           "x-request-id": "somebody-else",
-          ...this.#createLeavingHeaders(),
+          ...this.#createStateHeaders(),
         }).end("theirs");
         return;
       case "silent":
@@ -214,8 +222,13 @@
     }
   }
 
-  #createLeavingHeaders(): Record<string, string> {
-    return this.leaves ? { "server-leaving": "1" } : {};
+  #createStateHeaders(): Record<string, string> {
+    return {
+      ...this.leaves ? { "server-leaving": "1" } : {},
+      ...this.limitPerS === undefined
+        ? {}
+        : { "server-limit": String(this.limitPerS) },
+    };
   }
 
   #streamEvents(
@@ -228,7 +241,7 @@
     res.writeHead(200, {
       "x-request-id": request.id,
       "x-server-stamp": `stamp-${this.id}`,
-      ...this.#createLeavingHeaders(),
+      ...this.#createStateHeaders(),
       "content-type": "text/event-stream",
     });
     const send = (number: number) => {
