Divide the limits that servers name among all processes

Cause: nobody read the header. Class: something that a server says of itself in its answers and that holds for all processes together, like Server-Leaving.

Evidence: server_limits_test failed on the code before (133 to 205 requests in 4 s at a server that takes 2 a second).

Change: each process keeps the limit for this start of the server and passes it on through the control hosts. A request to such a server needs a permission of the store host that rendezvous hashing names for it, which paces them with a token bucket. It may wait for a token for half of its objective; otherwise it is refused at once with the time. Items go to these servers first, in longer runs, online requests last.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -12,6 +12,7 @@
 import type { BackendDialect } from "./dialects.ts";
 import { FleetFollower } from "./fleet_follower.ts";
 import { LoadExchange } from "./load_exchange.ts";
+import { RateLimitClient } from "./rate_limit_client.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
 import { getBindAddress } from "./state_process.ts";
@@ -44,6 +45,7 @@
   readonly backendClient: BackendClient;
   readonly promptPartGuard: PromptPartGuard;
   readonly #exchange: LoadExchange;
+  readonly #rateLimits: RateLimitClient;
 
   constructor(options: BackendAccessOptions) {
     const { settings, credentials } = options;
@@ -69,12 +71,22 @@
       log,
       metrics,
     });
+    this.#rateLimits = new RateLimitClient({
+      name: settings.id,
+      limits: view.limits,
+      getGranters: () => view.getStoreAddresses(),
+      credentials,
+      clock,
+      log,
+      metrics,
+    });
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       view,
       clock,
       random,
       log,
+      rateLimits: this.#rateLimits,
       onQueued: () => this.#exchange.tryReportNow(),
     });
     this.pool = pool;
@@ -87,6 +99,10 @@
         const isNew = view.recordLeaving(server, "response");
         if (isNew) this.follower.reportLeaving(server);
       },
+      onLimit: ({ server, startedMs }, limitPerS) => {
+        const isNew = view.recordLimit(server, limitPerS, startedMs);
+        if (isNew) this.follower.reportLimit(server);
+      },
       onUnreachable: (server) => pool.recordFailure(server),
       onActivity: (server) => pool.recordActivity(server),
     });
@@ -121,6 +137,7 @@
 
   close(): void {
     this.#exchange.close();
+    this.#rateLimits.close();
     this.pool.close();
     this.follower.close();
   }
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -69,6 +69,10 @@
   readonly #onLoad: (server: string, total: number) => void;
   readonly #onWrongServer: (server: string) => void;
   readonly #onLeaving: (server: PoolServer) => void;
+  readonly #onLimit: (
+    permit: ServerPermit,
+    limitPerS: number | undefined,
+  ) => void;
   readonly #onUnreachable: (server: string) => void;
   readonly #onActivity: (server: string) => void;
 
@@ -78,6 +82,7 @@
     onLoad: (server: string, total: number) => void;
     onWrongServer: (server: string) => void;
     onLeaving: (server: PoolServer) => void;
+    onLimit: (permit: ServerPermit, limitPerS: number | undefined) => void;
     onUnreachable: (server: string) => void;
     onActivity: (server: string) => void;
   }) {
@@ -86,6 +91,7 @@
     this.#onLoad = options.onLoad;
     this.#onWrongServer = options.onWrongServer;
     this.#onLeaving = options.onLeaving;
+    this.#onLimit = options.onLimit;
     this.#onUnreachable = options.onUnreachable;
     this.#onActivity = options.onActivity;
   }
@@ -141,6 +147,11 @@
     if (meta.isLeaving) this.#onLeaving(permit.server);
     const isMismatched = meta.requestId !== "" &&
       meta.requestId !== request.requestId;
+    // Only the response to this request says that the server has no limit now.
+    const isLimitKnown = !isMismatched || meta.limitPerS !== undefined;
+    if (isLimitKnown && !meta.isWrongServer) {
+      this.#onLimit(permit, meta.limitPerS);
+    }
     if (isMismatched) {
       // The response belongs to another request, so responses on this connection
       // can no longer be matched to requests. Destroying the body closes the
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -106,6 +106,11 @@
   readonly isWrongServer: boolean;
   /** The server leaves and must get no further requests. */
   readonly isLeaving: boolean;
+  /**
+   * Requests a second that the server takes from all processes together;
+   * undefined if it names no limit.
+   */
+  readonly limitPerS: number | undefined;
   /** Id of the request that it responds to; empty if the server sent none. */
   readonly requestId: string;
   /** Requests running and queued there; undefined if the server sent none. */
--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -10,10 +10,12 @@
   type FleetUpdate,
   HostRole,
   type PromptPartSuspicion,
+  type ServerLimit,
   type ServerStart,
   ServerStartSchema,
   type Suspicion,
 } from "../schema/mod.ts";
+import { getServerStart } from "../membership/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
 import { getReason, type ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
@@ -91,6 +93,8 @@
   readonly #pendingSuspicions = new Map<string, Suspicion>();
   readonly #pendingPromptParts = new Map<string, PromptPartSuspicion>();
   #pendingLeaving: ServerStart[] = [];
+  /** Servers whose limit has changed, by start. */
+  readonly #pendingLimits = new Map<string, ServerStart>();
   #reportTimer: Timer | undefined;
   #seeds: readonly string[];
   #closed = false;
@@ -134,6 +138,13 @@
     this.#scheduleReport();
   }
 
+  /** Sends the limit that a server named, or that it names none any more. */
+  reportLimit({ id, bornMs }: { id: string; bornMs: bigint }): void {
+    const server = create(ServerStartSchema, { id, bornMs });
+    this.#pendingLimits.set(getServerStart(server), server);
+    this.#scheduleReport();
+  }
+
   #scheduleReport(): void {
     this.#reportTimer ??= this.#options.clock.startTimer(
       REPORT_DELAY_MS,
@@ -143,9 +154,11 @@
           suspicions: [...this.#pendingSuspicions.values()],
           leaving: this.#pendingLeaving,
           promptParts: [...this.#pendingPromptParts.values()],
+          limits: this.#getPendingLimits(),
         };
         this.#pendingSuspicions.clear();
         this.#pendingPromptParts.clear();
+        this.#pendingLimits.clear();
         this.#pendingLeaving = [];
         this.#connectedHosts.forEach((host, address) =>
           this.#sendReport(address, host, report)
@@ -154,6 +167,13 @@
     );
   }
 
+  #getPendingLimits(): ServerLimit[] {
+    const { view, clock } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    return [...this.#pendingLimits.values()]
+      .map((server) => view.limits.getUpdate(server, nowMs));
+  }
+
   /** Sends a host what this process found out while it was not connected. */
   #sendAll(address: string, host: FollowedHost): void {
     const { view, clock } = this.#options;
@@ -164,8 +184,10 @@
     const nowMs = clock.getMonotonicMs();
     const suspicions = view.suspicions.getAll(nowMs);
     const promptParts = view.promptParts.getAll(nowMs);
-    if (suspicions.length + leaving.length + promptParts.length === 0) return;
-    this.#sendReport(address, host, { suspicions, leaving, promptParts });
+    const limits = view.limits.getAll(nowMs);
+    const report = { suspicions, leaving, promptParts, limits };
+    if (Object.values(report).every((list) => list.length === 0)) return;
+    this.#sendReport(address, host, report);
   }
 
   #sendReport(
@@ -175,6 +197,7 @@
       suspicions: Suspicion[];
       leaving: ServerStart[];
       promptParts: PromptPartSuspicion[];
+      limits: ServerLimit[];
     },
   ): void {
     host.client.call(Fleet.method.report, report, {
@@ -186,6 +209,7 @@
         suspicions: report.suspicions.length,
         leaving: report.leaving.length,
         prompt_parts: report.promptParts.length,
+        limits: report.limits.length,
         reason: getReason(error),
       });
     });
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -80,6 +80,12 @@
  */
 const TIME_SLICE_MS = 2_000;
 
+/**
+ * The same at a server with a limit, in milliseconds: each attempt is one of the
+ * few requests that it takes, so an item of usual length runs in one.
+ */
+const LIMITED_TIME_SLICE_MS = 6_000;
+
 /**
  * Added to the time slice to get the timeout that is sent to the server, in
  * milliseconds. The server stops the run itself after that timeout.
@@ -400,8 +406,9 @@
   }
 
   #hasFreeSlot({ service, allowed, reserve }: ItemPlacement): boolean {
-    return this.#options.pool.getServers(service).some(({ id, busy, slots }) =>
-      allowed.has(id) && busy + reserve < slots
+    return this.#options.pool.getServers(service).some((server) =>
+      !server.isLimited && allowed.has(server.id) &&
+      server.busy + reserve < server.slots
     );
   }
 
@@ -528,7 +535,7 @@
     };
     this.#activeRuns.add(key, run);
     const sliceTimer = clock.startTimer(
-      TIME_SLICE_MS,
+      getTimeSliceMs(permit.server),
       () => abortController.abort(),
     );
     this.#run(candidate, {
@@ -590,7 +597,7 @@
       permit,
       timeoutMs: Math.min(
         this.#getTimeToExpiryMs(queued),
-        TIME_SLICE_MS + TIME_SLICE_MARGIN_MS,
+        getTimeSliceMs(permit.server) + TIME_SLICE_MARGIN_MS,
       ),
       progress,
       signal,
@@ -667,6 +674,10 @@
   }
 }
 
+function getTimeSliceMs(server: PoolServer): number {
+  return server.isLimited ? LIMITED_TIME_SLICE_MS : TIME_SLICE_MS;
+}
+
 function getKey(queued: QueuedJob, item: string): string {
   return getItemKey(queued.job.id, item);
 }
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -6,6 +6,7 @@
 import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   decideAdmission,
+  getLimitedWaitMs,
   isRetryable,
   jitterRetryAfter,
 } from "../policy/mod.ts";
@@ -100,6 +101,12 @@
  */
 const NO_SERVER_RETRY_AFTER_MS = 1_000;
 
+/**
+ * Time after which servers with a limit are tried again if all of their slots are
+ * occupied, and shortest Retry-After of a request for them, in milliseconds.
+ */
+const LIMITED_RETRY_MS = 50;
+
 /** Relays the online requests of this process. */
 export class OnlineRelay {
   readonly #options: OnlineRelayOptions;
@@ -354,9 +361,17 @@
     for (;;) {
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
       this.#throwIfPoisoned();
-      const permit = pool.tryAcquire(this.#createPermitRequest());
+      const maxWaitMs = getLimitedWaitMs({
+        targetMs: this.#req.route.latencyTargetMs,
+        waitedMs: clock.getMonotonicMs() - startMs,
+      });
+      const permit = await pool.acquire(this.#createPermitRequest(), maxWaitMs);
       const waitedMs = clock.getMonotonicMs() - startMs;
       if (permit !== undefined) {
+        if (this.#requestAbort.signal.aborted) {
+          permit.release();
+          throw this.#createAbortedError();
+        }
         metrics.time(MetricName.placeWaitMs, waitedMs);
         promptPartGuard.recordStart(this.#promptParts);
         return permit;
@@ -378,7 +393,9 @@
     const { route } = this.#req;
     const { service } = this.#pin;
     const leastBusy = pool.tryGetLeastBusy(this.#createPermitRequest());
-    if (leastBusy === undefined) return this.#waitForServer(waitedMs);
+    if (leastBusy === undefined) {
+      return this.#waitForLimited(waitedMs);
+    }
     const decision = decideAdmission({
       busy: leastBusy.busy - leastBusy.batch,
       slots: leastBusy.slots,
@@ -406,6 +423,25 @@
     }
   }
 
+  /**
+   * Called when no server without a limit is known. Throws if the others take no
+   * request in time.
+   */
+  async #waitForLimited(waitedMs: number): Promise<undefined> {
+    const { pool } = this.#options;
+    const refusedMs = pool.tryGetLimitedMs(this.#createPermitRequest());
+    if (refusedMs === undefined) return this.#waitForServer(waitedMs);
+    const targetMs = this.#req.route.latencyTargetMs;
+    if (refusedMs === 0 && getLimitedWaitMs({ targetMs, waitedMs }) > 0) {
+      await pool.waitForChange(LIMITED_RETRY_MS);
+      return;
+    }
+    throw this.#createNoCapacityError(
+      "all of its servers take as much as they allow",
+      Math.max(LIMITED_RETRY_MS, refusedMs),
+    );
+  }
+
   /**
    * Called when no server is known or all of them have been tried. In the
    * latter case, allows them again; otherwise waits for a server to register.
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -8,6 +8,7 @@
   getServerStart,
   PromptPartSuspicions,
   RegistrationEffect,
+  ServerLimits,
   ServerRegistry,
 } from "../membership/mod.ts";
 import {
@@ -47,6 +48,8 @@
   pendingPromptParts: Map<string, PromptPartSuspicion>;
   /** Servers that leave, by start. */
   pendingLeaving: Map<string, ServerStart>;
+  /** Servers whose limit has changed, by start. */
+  pendingLimits: Map<string, ServerStart>;
 }
 
 /** State that followers receive in addition to backend servers. */
@@ -73,6 +76,7 @@
   readonly #serverRegistry: ServerRegistry;
   readonly #suspicions = createSuspicions();
   readonly #promptParts = new PromptPartSuspicions();
+  readonly #limits = new ServerLimits();
   readonly #followers = new Set<Follower>();
   #updateTimer: Timer | undefined;
 
@@ -139,7 +143,10 @@
 
   /** Accepts what another process found out, and passes on what is new. */
   acceptReport(
-    report: Pick<GatewayReport, "suspicions" | "leaving" | "promptParts">,
+    report: Pick<
+      GatewayReport,
+      "suspicions" | "leaving" | "promptParts" | "limits"
+    >,
   ): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#suspicions.removeExpired(nowMs);
@@ -153,7 +160,11 @@
     const promptParts = report.promptParts.filter((update) =>
       this.#promptParts.merge(update, nowMs)
     ).map(({ part }) => this.#promptParts.getUpdate(part, nowMs));
-    if (suspicions.length + leaving.length + promptParts.length === 0) return;
+    const limited = report.limits
+      .filter((update) => this.#limits.merge(update, nowMs))
+      .flatMap(({ server }) => server === undefined ? [] : [server]);
+    const findings = [suspicions, leaving, promptParts, limited];
+    if (findings.every((list) => list.length === 0)) return;
     // Several gateways may have reported crashes during the same request.
     const merged = suspicions.map(({ fingerprint }) =>
       this.#suspicions.getUpdate(fingerprint, nowMs)
@@ -168,6 +179,9 @@
       leaving.forEach((server) =>
         follower.pendingLeaving.set(getServerStart(server), server)
       );
+      limited.forEach((server) =>
+        follower.pendingLimits.set(getServerStart(server), server)
+      );
       this.#sendUpdate(follower, false);
     });
   }
@@ -203,6 +217,11 @@
           .map(({ id, bornMs }) => create(ServerStartSchema, { id, bornMs }))
           .map((server) => [getServerStart(server), server]),
       ),
+      pendingLimits: new Map(
+        this.#limits.getAll(nowMs)
+          .flatMap(({ server }) => server === undefined ? [] : [server])
+          .map((server) => [getServerStart(server), server]),
+      ),
     };
     this.#followers.add(follower);
     this.#sendUpdate(follower, true);
@@ -231,12 +250,14 @@
       follower.pendingSuspicions.size > 0 ||
       follower.pendingPromptParts.size > 0 ||
       follower.pendingLeaving.size > 0 ||
+      follower.pendingLimits.size > 0 ||
       follower.routesVersion < routes.version ||
       follower.hostsVersion < hosts.version;
   }
 
   #takePendingUpdate(follower: Follower): FleetUpdate {
     const { routes, hosts } = this.#options.getState();
+    const nowMs = this.#options.clock.getMonotonicMs();
     const hasRoutes = routes.version > follower.routesVersion;
     const hasHosts = hosts.version > follower.hostsVersion;
     const update = create(FleetUpdateSchema, {
@@ -247,6 +268,8 @@
       suspicions: [...follower.pendingSuspicions.values()],
       leaving: [...follower.pendingLeaving.values()],
       promptParts: [...follower.pendingPromptParts.values()],
+      limits: [...follower.pendingLimits.values()]
+        .map((server) => this.#limits.getUpdate(server, nowMs)),
     });
     if (hasRoutes) follower.routesVersion = routes.version;
     if (hasHosts) follower.hostsVersion = hosts.version;
@@ -255,6 +278,7 @@
     follower.pendingSuspicions.clear();
     follower.pendingPromptParts.clear();
     follower.pendingLeaving.clear();
+    follower.pendingLimits.clear();
     return update;
   }
 }
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -8,6 +8,7 @@
   getServerStart,
   PromptPartSuspicions,
   RegistrationEffect,
+  ServerLimits,
   ServerRegistry,
   Suspicions,
 } from "../membership/mod.ts";
@@ -19,6 +20,7 @@
   HostRole,
   type PromptPartSuspicion,
   type Registration,
+  type ServerLimit,
   ServerState,
   type Suspicion,
 } from "../schema/mod.ts";
@@ -69,6 +71,7 @@
   readonly servers: ServerRegistry;
   readonly suspicions = createSuspicions();
   readonly promptParts = new PromptPartSuspicions();
+  readonly limits = new ServerLimits();
   readonly #listeners = new Set<() => void>();
   readonly #serverListeners = new Set<ServerChangeListener>();
   #routes: RouteIndex | undefined;
@@ -136,6 +139,37 @@
     return true;
   }
 
+  /**
+   * Records the limit in a response to a request sent at `sentMs`; undefined if it
+   * named none. Returns whether other processes should be told.
+   */
+  recordLimit(
+    server: { id: string; bornMs: bigint },
+    limitPerS: number | undefined,
+    sentMs: number,
+  ): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const times = { sentMs, nowMs };
+    if (!this.limits.recordResponse(server, limitPerS, times)) return false;
+    this.#logLimit(server, "response");
+    return true;
+  }
+
+  #applyLimit(update: ServerLimit, from: string, nowMs: number): void {
+    if (update.server === undefined) return;
+    if (this.limits.merge(update, nowMs)) this.#logLimit(update.server, from);
+  }
+
+  #logLimit(server: { id: string; bornMs: bigint }, from: string): void {
+    this.#options.log.info("backend_server_limit", {
+      server: server.id,
+      born: Number(server.bornMs),
+      limit_per_s: this.limits.tryGet(server) ?? "none",
+      from,
+    });
+    this.#notify();
+  }
+
   /**
    * Applies an update from the control host at address `from`. Returns what this
    * process knows against suspicions in it.
@@ -147,6 +181,7 @@
     this.#applySuspicions(update.suspicions, from, nowMs);
     const refutations = this.#applyPromptParts(update.promptParts, from, nowMs);
     update.leaving.forEach((server) => this.recordLeaving(server, from));
+    update.limits.forEach((limit) => this.#applyLimit(limit, from, nowMs));
     const changes = [
       this.#applyRoutes(update, from),
       this.#applyHosts(update),
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -3,11 +3,7 @@
  * acquires a permit before it is sent to a server, and releases it when it has
  * ended.
  */
-import {
-  type LoadKind,
-  LoadTracker,
-  SilenceDetector,
-} from "../membership/mod.ts";
+import { LoadKind, LoadTracker, SilenceDetector } from "../membership/mod.ts";
 import {
   type ServerCandidate,
   tryGetLeastLoaded,
@@ -17,6 +13,7 @@
 import type { Clock, Timer } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
 import type { Random } from "../sys/random.ts";
+import type { RateLimitClient } from "./rate_limit_client.ts";
 import type { RoutingView } from "./routing_view.ts";
 
 /** A backend server and its current load. */
@@ -25,6 +22,8 @@
   /** Start time of the server by its own wall clock, in milliseconds. */
   readonly bornMs: bigint;
   readonly softwareVersion: string;
+  /** Whether each request needs a permission, as the server named a limit. */
+  readonly isLimited: boolean;
 }
 
 /** Which servers a request may use, and with which constraints. */
@@ -47,6 +46,8 @@
 /** Permission to send one request to a server; counted in its load. */
 export interface ServerPermit {
   readonly server: PoolServer;
+  /** Monotonic time at which it was acquired, in milliseconds. */
+  readonly startedMs: number;
   /** Releases the permit. Further calls have no effect. */
   release(): void;
 }
@@ -58,6 +59,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  /** Permissions for servers with a limit; without it, limits are not kept. */
+  readonly rateLimits?: RateLimitClient;
   /** Called when a request is sent to a server that has no free slot. */
   readonly onQueued?: () => void;
 }
@@ -71,6 +74,15 @@
 /** Initial backoff after a connection failure, in milliseconds. */
 const FAILURE_BACKOFF_MS = 500;
 
+/**
+ * Fraction of occupied slots up to which servers without a limit are preferred to
+ * those with one.
+ */
+const UNLIMITED_MAX_LOAD = 1;
+
+/** Servers with a limit that are asked for one request. */
+const MAX_ASKED_SERVERS = 8;
+
 /** The backend servers that one process sends requests to, and their loads. */
 export class ServerPool {
   readonly #options: ServerPoolOptions;
@@ -134,23 +146,72 @@
       .map((server) => this.#createPoolServer(server, nowMs));
   }
 
-  /** Acquires a permit for a free slot; undefined if no slot is free. */
+  /**
+   * Acquires a permit for a free slot without waiting; undefined if no slot is
+   * free. At a server with a limit, only a permission that was asked for in
+   * advance counts; for a request of a job, one is asked for.
+   */
   tryAcquire(req: PermitRequest): ServerPermit | undefined {
-    const server = trySelectServer(this.#getCandidates(req), {
-      dataCentre: this.#options.dataCentre,
-      prefix: req.prefix,
-      reserve: req.reserve,
-      getFraction: () => this.#options.random.getFraction(),
-    });
+    const candidates = this.#getCandidates(req);
+    const permitted = this.#trySelect(
+      candidates.filter((server) => this.#hasPermission(server)),
+      req,
+    );
+    if (permitted !== undefined) {
+      this.#options.rateLimits?.takePrefetched(permitted);
+      return this.#createPermit(permitted, req);
+    }
+    if (req.kind === LoadKind.batch) this.#prefetch(candidates, req);
+    const server = this.#trySelect(
+      candidates.filter((candidate) => !candidate.isLimited),
+      req,
+    );
     return server === undefined ? undefined : this.#createPermit(server, req);
   }
 
   /**
-   * Returns the least busy server, even if it has no free slot; undefined if
-   * there is no server.
+   * Acquires a permit for a free slot; undefined if no slot is free. Permission is
+   * asked for at servers with a limit if the others are more than half full, and
+   * may be waited for.
+   */
+  async acquire(
+    req: PermitRequest,
+    maxWaitMs: number,
+  ): Promise<ServerPermit | undefined> {
+    const asked = new Set<string>();
+    while (asked.size < MAX_ASKED_SERVERS) {
+      const server = this.#trySelectLimited(req, asked);
+      if (server === undefined) break;
+      asked.add(server.id);
+      const isGranted = await this.#options.rateLimits?.acquire(server, {
+        isBatch: false,
+        maxWaitMs,
+      });
+      if (isGranted === true) return this.#createPermit(server, req);
+    }
+    return this.tryAcquire(req);
+  }
+
+  /**
+   * Time until a server with a limit may take a request, in milliseconds;
+   * undefined if no server for the request has one.
+   */
+  tryGetLimitedMs(req: PermitRequest): number | undefined {
+    const waits = this.#getCandidates(req).filter((server) => server.isLimited)
+      .map((server) =>
+        this.#options.rateLimits?.getRefusedMs(server, false) ?? 0
+      );
+    return waits.length === 0 ? undefined : Math.min(...waits);
+  }
+
+  /**
+   * Returns the least busy server without a limit, even if it has no free slot;
+   * undefined if there is none.
    */
   tryGetLeastBusy(req: PermitRequest): PoolServer | undefined {
-    return tryGetLeastLoaded(this.#getCandidates(req), {
+    const unlimited = this.#getCandidates(req)
+      .filter((server) => !server.isLimited);
+    return tryGetLeastLoaded(unlimited, {
       dataCentre: this.#options.dataCentre,
       prefix: req.prefix,
       getFraction: () => this.#options.random.getFraction(),
@@ -158,8 +219,8 @@
   }
 
   /**
-   * Acquires a permit for the least busy server, where the request queues if
-   * no slot is free; undefined if there is no server.
+   * Acquires a permit for the least busy server without a limit, where the request
+   * queues if no slot is free; undefined if there is none.
    */
   tryAcquireQueued(req: PermitRequest): ServerPermit | undefined {
     const server = this.tryGetLeastBusy(req);
@@ -210,6 +271,54 @@
     );
   }
 
+  #trySelect(
+    candidates: readonly PoolServer[],
+    req: PermitRequest,
+  ): PoolServer | undefined {
+    return trySelectServer(candidates, {
+      dataCentre: this.#options.dataCentre,
+      prefix: req.prefix,
+      reserve: req.reserve,
+      getFraction: () => this.#options.random.getFraction(),
+    });
+  }
+
+  #hasPermission(server: PoolServer): boolean {
+    return server.isLimited &&
+      this.#options.rateLimits?.hasPrefetched(server) === true;
+  }
+
+  /**
+   * Selects a server with a limit to ask for permission; undefined if a server
+   * without one has enough free slots, or if no permission can be had now.
+   */
+  #trySelectLimited(
+    req: PermitRequest,
+    asked: ReadonlySet<string>,
+  ): PoolServer | undefined {
+    const candidates = this.#getCandidates(req);
+    const hasSpareServer = candidates.some((server) =>
+      !server.isLimited && server.busy < server.slots * UNLIMITED_MAX_LOAD
+    );
+    if (hasSpareServer) return undefined;
+    const askable = candidates.filter((server) =>
+      server.isLimited && !asked.has(server.id) &&
+      this.#options.rateLimits?.mayAsk(server, false) === true
+    );
+    return this.#trySelect(askable, req);
+  }
+
+  /** Asks in advance for permission for a request of a job. */
+  #prefetch(candidates: readonly PoolServer[], req: PermitRequest): void {
+    const limited = candidates.filter((server) =>
+      server.isLimited &&
+      this.#options.rateLimits?.mayAsk(server, true) === true
+    );
+    const server = this.#trySelect(limited, req);
+    if (server === undefined) return;
+    this.#options.rateLimits?.prefetchBatch(server, () => this.wakeWaiters());
+  }
+
   #createPoolServer(registration: Registration, nowMs: number): PoolServer {
     const { id, address, bornMs, softwareVersion, dataCentre, slots } =
       registration;
@@ -224,6 +333,7 @@
       slots,
       busy,
       batch,
+      isLimited: this.#options.rateLimits?.isLimited(registration) === true,
     };
   }
 
@@ -231,16 +341,15 @@
     server: PoolServer,
     { kind, onSilent }: PermitRequest,
   ): ServerPermit {
+    const startedMs = this.#options.clock.getMonotonicMs();
     const watchedRequest = { server: server.id, onSilent };
     this.loads.begin(server.id, kind);
     if (server.busy >= server.slots) this.#options.onQueued?.();
-    this.#silenceDetector.begin(
-      watchedRequest,
-      this.#options.clock.getMonotonicMs(),
-    );
+    this.#silenceDetector.begin(watchedRequest, startedMs);
     let isHeld = true;
     return {
       server,
+      startedMs,
       release: () => {
         if (!isHeld) return;
         isHeld = false;
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -12,6 +12,7 @@
   type Membership,
   MembershipSchema,
   MessageCode,
+  RateLimits,
   type ReadBodyRequest,
   type ReadJobRequest,
   type RecordRuns,
@@ -40,6 +41,7 @@
 import { ItemRunner } from "./item_runner.ts";
 import { ItemOwnership } from "./item_ownership.ts";
 import { LeaderContact } from "./leader_contact.ts";
+import { RateLimitService } from "./rate_limit_service.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
 /** Interval between checks of the members and the runners, in milliseconds. */
@@ -168,6 +170,10 @@
       findOrigin: ({ request }) =>
         Promise.resolve({ origin: this.#streamOrigins.tryGet(request) }),
     });
+    const rateLimits = new RateLimitService(this.#context.clock);
+    server.addService(RateLimits, {
+      acquire: (req) => Promise.resolve(rateLimits.acquire(req)),
+    });
     await this.#process.listen();
     await this.#backends.start();
     this.#itemRunner.start();
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -9,6 +9,7 @@
 export * from "./subsets.ts";
 export * from "./suspicions.ts";
 export * from "./server_registry.ts";
+export * from "./server_limits.ts";
 export * from "./load_tracker.ts";
 export * from "./merger_selector.ts";
 export * from "./silence_detector.ts";
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -52,6 +52,22 @@
   return ahead * input.serviceMs / Math.max(1, input.slots);
 }
 
+/**
+ * Fraction of the latency objective for which a request may wait for a server with
+ * a limit. The wait is certain, unlike that for a free slot.
+ */
+const MAX_LIMITED_WAIT_FRACTION = 0.5;
+
+/**
+ * Time for which a request may still wait for a server with a limit, in
+ * milliseconds.
+ */
+export function getLimitedWaitMs(
+  { targetMs, waitedMs }: Pick<AdmissionInput, "targetMs" | "waitedMs">,
+): number {
+  return Math.max(0, targetMs * MAX_LIMITED_WAIT_FRACTION - waitedMs);
+}
+
 /** Decides on a request that finds all slots occupied. */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const queueMs = predictQueueMs(input);
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -18,3 +18,4 @@
 export * from "./routes.ts";
 export * from "./server_selection.ts";
 export * from "./admission.ts";
+export * from "./request_pacer.ts";
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -34,6 +34,7 @@
   suspicions: "suspicions",
   promptPartSuspicions: "prompt_part_suspicions",
   streamsTakenUp: "streams_taken_up",
+  limitedSends: "limited_sends",
 } as const;
 
 /** Name of a metric. */
--- a/src/test/endless_answers_test.ts
+++ b/src/test/endless_answers_test.ts
@@ -98,12 +98,14 @@
       onLoad: () => {},
       onWrongServer: () => {},
       onLeaving: () => {},
+      onLimit: () => {},
       onUnreachable: () => {},
       onActivity: () => {},
     });
 
   const createPermit = (): ServerPermit => ({
     server: { id: "s", address: server.address } as PoolServer,
+    startedMs: 0,
     release: () => {},
   });
 
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -280,7 +280,7 @@
             headers: [],
             body: Buffer.alloc(0),
           },
-          permit: { server: {} as PoolServer, release: () => {} },
+          permit: { server: {} as PoolServer, startedMs: 0, release: () => {} },
           timeoutMs: 1_000,
           progress: new ItemProgress({ random: new SeededRandom(1) }),
           signal: abortController.signal,
--- a/src/test/late_answers_test.ts
+++ b/src/test/late_answers_test.ts
@@ -87,6 +87,7 @@
       onLoad: () => {},
       onWrongServer: () => {},
       onLeaving: () => {},
+      onLimit: () => {},
       onUnreachable: () => {},
       onActivity: () => {},
     });
@@ -100,6 +101,7 @@
       },
       permit: {
         server: { id: "s", address: server.address } as PoolServer,
+        startedMs: 0,
         release: () => {},
       },
       remainingMs: REQUEST_TIMEOUT_MS,
--- a/src/test/server_limits_test.ts
+++ b/src/test/server_limits_test.ts
@@ -120,4 +120,60 @@
       expect(Number(headers["retry-after"])).greaterThan(0)
     );
   });
+
+  // Guards against a limit that only those who heard it from the server keep.
+  it("are known to gateways and store hosts that got no response from them", async () => {
+    await addServer("i-limited", 2);
+    await fleet.sendRequest("first", "/p/x", { gatewayIndex: 0 });
+    await fleet.waitUntil(
+      "all processes to know the limit",
+      () =>
+        fleet.log.lines.filter((line) =>
+          line.includes("event=backend_server_limit") &&
+          line.includes("limit_per_s=2 ")
+        ).length === fleet.gateways.length + fleet.stores.length,
+    );
+  });
+
+  // Guards against a limit that holds only as long as the store hosts reply.
+  it("get no more than they take while no store host replies", async () => {
+    const limited = await addServer("i-limited", 4);
+    await addServer("i-other", undefined);
+    await sendFor(300, 30, "/p/x");
+    await Promise.all(fleet.stores.map((store) => store.stop()));
+    const fromMs = performance.now() + REACTION_MS;
+    // Without the exchange of loads, each gateway has to fill the other server.
+    await sendFor(WINDOW_MS + 1_000, 10, "/p/x");
+    expect(getMaxCount(limited, fromMs)).within(1, getAllowedCount(4));
+  });
+
+  // Guards against a limit that is kept although the server names none any more.
+  it("get as many requests as before once they name none any more", async () => {
+    const limited = await addServer("i-limited", 2);
+    await sendFor(300, 30, "/p/x");
+    limited.limitPerS = undefined;
+    await fleet.waitUntil("requests without a refusal", async () => {
+      const responses = await sendFor(100, 20, "/p/x");
+      return responses.every(({ status }) => status === 200);
+    });
+  });
+
+  // Guards against a limit that is taken for that of the server asked for.
+  it("are not meant by the response of another server at their address", async () => {
+    const server = await addServer("i-reused", 0);
+    server.behaviours.push("other");
+    await fleet.sendRequest("first", "/p/x", { gatewayIndex: 0 });
+    expect(
+      fleet.log.lines.some((line) =>
+        line.includes("event=backend_server_limit")
+      ),
+    ).equal(false);
+  });
+
+  // The header is the server's, not the connection's, so callers get it.
+  it("pass the header on to the caller", async () => {
+    await addServer("i-limited", 2.5);
+    const { headers } = await fleet.sendRequest("first", "/p/x");
+    expect(headers["server-limit"]).equal("2.5");
+  });
 });
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -103,7 +103,11 @@
       headers: ["Host", "a.example", "X-Request-Id", "r"],
       body: Buffer.alloc(0),
     },
-    permit: { server: { id: "s", address } as PoolServer, release: () => {} },
+    permit: {
+      server: { id: "s", address } as PoolServer,
+      startedMs: 0,
+      release: () => {},
+    },
     signal,
   });
 
@@ -114,6 +118,7 @@
       onLoad: () => {},
       onWrongServer: () => {},
       onLeaving: () => {},
+      onLimit: () => {},
       onUnreachable: () => {},
       onActivity: () => {},
     });
