--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -105,6 +105,7 @@
       },
       onUnreachable: (server) => pool.recordFailure(server),
       onActivity: (server) => pool.recordActivity(server),
+      isPartitioned: options.context.isPartitioned,
     });
     this.#exchange = new LoadExchange({
       name: settings.id,
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -75,6 +75,7 @@
   ) => void;
   readonly #onUnreachable: (server: string) => void;
   readonly #onActivity: (server: string) => void;
+  readonly #isPartitioned: (address: string) => boolean;
 
   constructor(options: {
     dialect: BackendDialect;
@@ -85,6 +86,8 @@
     onLimit: (permit: ServerPermit, limitPerS: number | undefined) => void;
     onUnreachable: (server: string) => void;
     onActivity: (server: string) => void;
+    /** Whether nothing reaches an address; simulates a network partition. */
+    isPartitioned?: (address: string) => boolean;
   }) {
     this.#dialect = options.dialect;
     this.#agent = options.agent;
@@ -94,6 +97,7 @@
     this.#onLimit = options.onLimit;
     this.#onUnreachable = options.onUnreachable;
     this.#onActivity = options.onActivity;
+    this.#isPartitioned = options.isPartitioned ?? (() => false);
   }
 
   /** Sends a request and waits for the head of the response. */
@@ -109,6 +113,7 @@
         usesNewConnection: options.useNewConnection,
         agent: this.#agent,
         signal: options.signal,
+        isPartitioned: this.#isPartitioned(permit.server.address),
       });
       return this.#classifyResponse(response, options);
     } catch (error) {
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -132,6 +132,8 @@
   /** Maximum wait for the response headers, in milliseconds. */
   readonly headersTimeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Whether nothing reaches the address; simulates a network partition. */
+  readonly isPartitioned?: boolean;
 }
 
 /** Status and headers of a response; the body follows as a stream. */
@@ -194,6 +196,7 @@
 
 /** Sends a request and resolves with the status and headers of the response. */
 export function sendHttp(request: HttpRequest): Promise<HttpResponse> {
+  if (request.isPartitioned === true) return failAsUnreachable(request);
   const { host, port } = parseAddress(request.address);
   return new Promise((resolve, reject) => {
     let isConnected = false;
@@ -260,6 +263,24 @@
   });
 }
 
+/** Fails as a connection does that nothing answers. */
+function failAsUnreachable({ signal }: HttpRequest): Promise<never> {
+  return new Promise((_, reject) => {
+    const fail = () => {
+      clearTimeout(timer);
+      reject(
+        new HttpSendError("no answer in time", {
+          verdict: Verdict.NOT_RUN,
+          isConnectionLost: false,
+        }),
+      );
+    };
+    const timer = setTimeout(fail, CONNECT_TIMEOUT_MS);
+    signal?.addEventListener("abort", fail);
+    if (signal?.aborted === true) fail();
+  });
+}
+
 /** Whether a response tells where its body ends (RFC 9112, section 6.3). */
 function hasDelimitedBody(
   method: string,
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -147,6 +147,8 @@
   readonly controlAddresses: string[] = [];
   readonly gatewayAddresses: string[] = [];
   readonly readyAddresses: string[] = [];
+  /** Indexes of gateways that reach no server; connections there hang. */
+  readonly cutOffGateways = new Set<number>();
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
   #seeds: string[] = [];
@@ -373,7 +375,14 @@
       listen: `127.0.0.1:${listen}`,
       ready_listen: `127.0.0.1:${ready}`,
     });
-    const host = new GatewayHost(settings, this.#createContext(id), DIALECTS);
+    const context = createProcessContext({
+      name: id,
+      log: this.log,
+      isPartitioned: (address) =>
+        this.cutOffGateways.has(index) &&
+        this.servers.some((server) => server.address === address),
+    });
+    const host = new GatewayHost(settings, context, DIALECTS);
     this.gateways[index] = host;
     this.gatewayAddresses[index] = `127.0.0.1:${listen}`;
     this.readyAddresses[index] = `127.0.0.1:${ready}`;
