Pass requests of gateways that reach no server on to other gateways

Requests ended as callers left, as deadlines passed, or with 503 after four attempts of a second.

Cause: a gateway took each server for itself and never itself for the one cut off, and had no other way to serve. Class: a failure is charged to each of many others where what they have in common is this host.

Change: failures at several servers and no new connection since start probes; if none reaches a server, requests go to a gateway that does, found at the store hosts, which serves them as its own and never passes them on. Probes end it and reset the back-offs.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -3,9 +3,11 @@
  * the view of the fleet, the server pool, the client of the servers, and the
  * exchange of loads with other processes.
  */
+import type { GatewayState } from "../membership/mod.ts";
 import type { FleetSettings, StreamOrigin } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
+import { ConnectProbe } from "../sys/connect_probe.ts";
 import { createHttpAgent } from "../sys/http.ts";
 import type { RpcCredentials } from "../sys/rpc.ts";
 import { BackendClient } from "./backend_client.ts";
@@ -15,6 +17,7 @@
 import { RateLimitClient } from "./rate_limit_client.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
+import { ServerReachability } from "./server_reachability.ts";
 import { getBindAddress } from "./state_process.ts";
 
 /** Options of a {@linkcode BackendAccess}. */
@@ -29,6 +32,10 @@
   readonly onReport: () => void;
   /** Called with the origins of streams that gateways report. */
   readonly onOrigins?: (origins: readonly StreamOrigin[]) => void;
+  /** Called with what load reports say of the gateways that send them. */
+  readonly onGateway?: (gateway: GatewayState) => void;
+  /** Whether this process serves requests of gateways that reach no server. */
+  readonly acceptsRelayed?: () => boolean;
 }
 
 /**
@@ -44,6 +51,7 @@
   readonly pool: ServerPool;
   readonly backendClient: BackendClient;
   readonly promptPartGuard: PromptPartGuard;
+  readonly reachability: ServerReachability;
   readonly #exchange: LoadExchange;
   readonly #rateLimits: RateLimitClient;
 
@@ -80,6 +88,17 @@
       log,
       metrics,
     });
+    this.reachability = new ServerReachability({
+      getServers: () => view.servers.getReady(),
+      probe: new ConnectProbe(clock, options.context.isPartitioned),
+      clock,
+      log,
+      onChange: (isCutOff) => {
+        if (!isCutOff) view.servers.resetBackoffs();
+        pool.wakeWaiters();
+        this.#exchange.tryReportNow();
+      },
+    });
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       view,
@@ -87,6 +106,7 @@
       random,
       log,
       rateLimits: this.#rateLimits,
+      onSuspect: (server) => this.reachability.recordUnreachable(server),
       onQueued: () => this.#exchange.tryReportNow(),
     });
     this.pool = pool;
@@ -105,6 +125,7 @@
       },
       onUnreachable: (server) => pool.recordFailure(server),
       onActivity: (server) => pool.recordActivity(server),
+      reachability: this.reachability,
       isPartitioned: options.context.isPartitioned,
     });
     this.#exchange = new LoadExchange({
@@ -116,6 +137,9 @@
       isMerger: options.isMerger,
       onReport: options.onReport,
       onOrigins: options.onOrigins ?? (() => {}),
+      dataCentre: settings.dataCentre,
+      onGateway: options.onGateway ?? (() => {}),
+      acceptsRelayed: options.acceptsRelayed ?? (() => false),
       clock,
       log,
     });
@@ -139,6 +163,7 @@
   close(): void {
     this.#exchange.close();
     this.#rateLimits.close();
+    this.reachability.close();
     this.pool.close();
     this.follower.close();
   }
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -13,6 +13,7 @@
 } from "../sys/http.ts";
 import type { BackendDialect } from "./dialects.ts";
 import type { PoolServer, ServerPermit } from "./server_pool.ts";
+import type { ServerReachability } from "./server_reachability.ts";
 
 /** A request to be sent to a backend server. */
 export interface BackendRequest {
@@ -60,6 +61,12 @@
   /** The signal was aborted. */
   | { readonly kind: "aborted" };
 
+/** What a client of the servers reports about its connections. */
+type BackendClientReachability = Pick<
+  ServerReachability,
+  "recordConnected" | "recordUnreachable"
+>;
+
 const MS_PER_S = 1_000;
 
 /** Sends requests to backend servers. */
@@ -75,6 +82,7 @@
   ) => void;
   readonly #onUnreachable: (server: string) => void;
   readonly #onActivity: (server: string) => void;
+  readonly #reachability: BackendClientReachability | undefined;
   readonly #isPartitioned: (address: string) => boolean;
 
   constructor(options: {
@@ -86,6 +94,7 @@
     onLimit: (permit: ServerPermit, limitPerS: number | undefined) => void;
     onUnreachable: (server: string) => void;
     onActivity: (server: string) => void;
+    reachability?: BackendClientReachability;
     /** Whether nothing reaches an address; simulates a network partition. */
     isPartitioned?: (address: string) => boolean;
   }) {
@@ -97,6 +106,7 @@
     this.#onLimit = options.onLimit;
     this.#onUnreachable = options.onUnreachable;
     this.#onActivity = options.onActivity;
+    this.#reachability = options.reachability;
     this.#isPartitioned = options.isPartitioned ?? (() => false);
   }
 
@@ -113,6 +123,7 @@
         usesNewConnection: options.useNewConnection,
         agent: this.#agent,
         signal: options.signal,
+        onConnect: () => this.#reachability?.recordConnected(),
         isPartitioned: this.#isPartitioned(permit.server.address),
       });
       return this.#classifyResponse(response, options);
@@ -187,6 +198,9 @@
     this.#onUnreachable(options.permit.server.id);
     const isNotRun = error instanceof HttpSendError &&
       error.verdict === Verdict.NOT_RUN;
+    if (isNotRun) {
+      this.#reachability?.recordUnreachable(options.permit.server.id);
+    }
     return isNotRun
       ? { kind: "notRun", reason, retryAfterMs: undefined }
       : { kind: "lost", reason };
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -33,9 +33,15 @@
   JobRequest,
   LocalResponse,
 } from "./dialects.ts";
+import {
+  GatewayRelay,
+  NOT_RELAYED_HEADER,
+  ROUTES_VERSION_HEADER,
+} from "./gateway_relay.ts";
 import { JobClient } from "./job_client.ts";
 import { OnlineRelay, type OnlineRequest } from "./online_relay.ts";
 import { ServiceTimes } from "./service_times.ts";
+import { getBindAddress } from "./state_process.ts";
 import { StreamOriginFinder } from "./stream_origin_finder.ts";
 
 /** Maximum body size if the route table sets no limit, in bytes. */
@@ -60,6 +66,13 @@
 /** Interval between checks for open requests while stopping, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 
+/** Response to a gateway that passed a request on and goes by newer routes. */
+const ROUTES_TOO_OLD: LocalResponse = {
+  status: 503,
+  headers: [NOT_RELAYED_HEADER, "its routes are older"],
+  body: "",
+};
+
 /** Runs a gateway in this process. */
 export class GatewayHost {
   readonly #settings: FleetSettings;
@@ -70,9 +83,12 @@
   readonly #state: StateClient;
   readonly #jobs: JobClient;
   readonly #streamOrigins: StreamOriginFinder;
+  readonly #gatewayRelay: GatewayRelay;
   readonly #reservedHeaders: ReadonlySet<string>;
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
+  /** Accepts requests of gateways that reach no server. */
+  #relayListener: HttpListener | undefined;
   readonly #openResponses = new Set<CallerResponse>();
   #stopping = false;
 
@@ -84,7 +100,10 @@
     this.#settings = settings;
     this.#context = context;
     this.#dialect = dialects.caller;
-    this.#reservedHeaders = dialects.backend.reservedHeaders;
+    this.#reservedHeaders = new Set([
+      ...dialects.backend.reservedHeaders,
+      ROUTES_VERSION_HEADER,
+    ]);
     const { clock, log, random, metrics } = context;
     const credentials = createCredentials(undefined, context.isPartitioned);
     const backends = new BackendAccess({
@@ -94,6 +113,7 @@
       dialect: dialects.backend,
       isMerger: false,
       onReport: () => backends.pool.wakeWaiters(),
+      acceptsRelayed: () => this.isReady && !backends.reachability.isCutOff,
     });
     this.#backends = backends;
     this.#streamOrigins = new StreamOriginFinder({
@@ -103,6 +123,17 @@
       clock,
       log,
     });
+    this.#gatewayRelay = new GatewayRelay({
+      name: settings.id,
+      dataCentre: settings.dataCentre,
+      getMergers: () => backends.view.getStoreAddresses(),
+      getRoutesVersion: () => backends.view.routesVersion,
+      dialect: dialects.backend,
+      credentials,
+      clock,
+      random,
+      log,
+    });
     this.#relay = new OnlineRelay({
       view: backends.view,
       pool: backends.pool,
@@ -117,6 +148,8 @@
         metrics,
       }),
       promptPartGuard: backends.promptPartGuard,
+      reachability: backends.reachability,
+      gatewayRelay: this.#gatewayRelay,
       streamOrigins: this.#streamOrigins,
       flushOrigins: () => backends.flushOrigins(),
       dialect: this.#dialect,
@@ -147,9 +180,13 @@
         res.writeHead(this.isReady ? 200 : 503).end();
       },
     );
+    this.#relayListener = await listenHttp(
+      getBindAddress(this.#settings),
+      (req, res) => this.#serve(req, res, { isRelayed: true }),
+    );
     this.#listener = await listenHttp(
       this.#settings.listen ?? "",
-      (req, res) => this.#serve(req, res),
+      (req, res) => this.#serve(req, res, { isRelayed: false }),
       { getBounds: () => this.#backends.view.routes?.table.bounds },
     );
   }
@@ -188,6 +225,8 @@
     this.#openResponses.forEach((response) => response.abort());
     this.#listener?.close();
     this.#readyListener?.close();
+    this.#relayListener?.close();
+    this.#gatewayRelay.close();
     this.#backends.close();
     this.#streamOrigins.close();
     this.#state.close();
@@ -215,11 +254,15 @@
     };
   }
 
-  #serve(req: IncomingMessage, res: ServerResponse): void {
+  #serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    origin: { readonly isRelayed: boolean },
+  ): void {
     const response = new CallerResponse(res);
     if (this.#stopping) res.shouldKeepAlive = false;
     this.#openResponses.add(response);
-    this.#handle(req, response)
+    this.#handle(req, response, origin)
       .catch((thrown) => this.#sendError(req, response, asServingError(thrown)))
       .finally(() => {
         this.#openResponses.delete(response);
@@ -249,8 +292,16 @@
     else response.sendLocal(this.#dialect.createErrorResponse(error));
   }
 
-  async #handle(req: IncomingMessage, response: CallerResponse): Promise<void> {
+  async #handle(
+    req: IncomingMessage,
+    response: CallerResponse,
+    { isRelayed }: { readonly isRelayed: boolean },
+  ): Promise<void> {
     const arrivedMs = this.#context.clock.getMonotonicMs();
+    if (isRelayed && this.#hasOlderRoutes(req)) {
+      response.sendLocal(ROUTES_TOO_OLD);
+      return;
+    }
     const target = req.url ?? "/";
     const method = req.method ?? "GET";
     const jobRequest = this.#dialect.tryDecodeJobRequest(
@@ -277,16 +328,25 @@
       response.sendLocal(await this.#submitJob(req, body, route));
       return;
     }
-    const online = this.#createOnlineRequest(req, body, route, arrivedMs);
+    const online = {
+      ...this.#createOnlineRequest(req, body, route),
+      arrivedMs,
+      isRelayed,
+    };
     await this.#relay.serve(online, response);
   }
 
+  /** Whether the gateway that passed a request on goes by newer routes. */
+  #hasOlderRoutes(req: IncomingMessage): boolean {
+    const version = Number(req.headers[ROUTES_VERSION_HEADER] ?? 0);
+    return Number(this.#backends.view.routesVersion) < version;
+  }
+
   #createOnlineRequest(
     req: IncomingMessage,
     body: Buffer,
     route: Route,
-    arrivedMs: number,
-  ): OnlineRequest {
+  ): Omit<OnlineRequest, "arrivedMs" | "isRelayed"> {
     const metadata = this.#dialect.readRequestMetadata(req.headers);
     const fraction = this.#context.random.getFraction();
     return {
@@ -305,7 +365,6 @@
       prefix: metadata.prefix,
       resumeAfter: metadata.resumeAfter,
       resumedRequest: metadata.resumedRequest,
-      arrivedMs,
       timeoutMs: metadata.timeoutMs,
     };
   }
--- /dev/null
+++ b/src/fleet/gateway_relay.ts
@@ -0,0 +1,219 @@
+/**
+ * Sends requests that this gateway can't bring to a backend server to another
+ * gateway, which serves them as its own. A request is passed on once: the other
+ * gateway serves it itself or says that it didn't. What gateways say to each other
+ * about a request goes into headers of their own.
+ */
+import { Gateways } from "../schema/mod.ts";
+import { type KnownGateway } from "../membership/mod.ts";
+import { Verdict } from "../schema/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
+import {
+  createHttpAgent,
+  discardBody,
+  type HttpAgent,
+  HttpSendError,
+  sendHttp,
+} from "../sys/http.ts";
+import type { Log } from "../sys/log.ts";
+import type { Random } from "../sys/random.ts";
+import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
+import type {
+  AttemptResult,
+  BackendRequest,
+  BackendResponse,
+} from "./backend_client.ts";
+import type { BackendDialect } from "./dialects.ts";
+
+/**
+ * Header of a request that another gateway passed on: the version of the routes by
+ * which that gateway goes.
+ */
+export const ROUTES_VERSION_HEADER = "papayatally-routes-version";
+
+/** Header of a response by which a gateway says that it serves no such requests. */
+export const NOT_RELAYED_HEADER = "papayatally-not-relayed";
+
+/** Options of a {@linkcode GatewayRelay}. */
+export interface GatewayRelayOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Returns the addresses of the hosts that know other gateways. */
+  readonly getMergers: () => readonly string[];
+  readonly getRoutesVersion: () => bigint;
+  readonly dialect: BackendDialect;
+  readonly credentials: RpcCredentials;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+}
+
+/** A request to be passed on. */
+export interface RelayOptions {
+  readonly request: BackendRequest;
+  readonly remainingMs: number;
+  readonly resumeAfter: number | undefined;
+  /** Opens a new connection instead of reusing an idle one. */
+  readonly useNewConnection: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** Timeout of a search for gateways, in milliseconds. */
+const FIND_TIMEOUT_MS = 200;
+
+/** Time for which found gateways are used, in milliseconds. */
+const FOUND_TTL_MS = 500;
+
+/** Time for which a gateway that took no request is not asked, in milliseconds. */
+const GATEWAY_BACKOFF_MS = 1_000;
+
+/** Gateways that are tried for one request. */
+const MAX_TRIED_GATEWAYS = 3;
+
+/** Idle timeout of connections between gateways, in milliseconds. */
+const RELAY_IDLE_TIMEOUT_MS = 4_000;
+
+/** Passes on the requests of one gateway. */
+export class GatewayRelay {
+  readonly #options: GatewayRelayOptions;
+  readonly #clients: RpcClientPool;
+  readonly #agent: HttpAgent = createHttpAgent({
+    idleTimeoutMs: RELAY_IDLE_TIMEOUT_MS,
+  });
+  readonly #backoffs = new Map<string, number>();
+  #found: readonly KnownGateway[] = [];
+  #foundMs = -Infinity;
+  #search: Promise<void> | undefined;
+
+  constructor(options: GatewayRelayOptions) {
+    this.#options = options;
+    this.#clients = new RpcClientPool(options.credentials);
+  }
+
+  close(): void {
+    this.#clients.close();
+    this.#agent.destroy();
+  }
+
+  /**
+   * Passes a request on and waits for the head of the response. "notRun" means that
+   * no gateway took it.
+   */
+  async send(options: RelayOptions): Promise<AttemptResult> {
+    const tried = new Set<string>();
+    let reason = "no other gateway that reaches backend servers is known";
+    while (tried.size < MAX_TRIED_GATEWAYS) {
+      const gateway = await this.#select(tried);
+      if (options.signal.aborted) return { kind: "aborted" };
+      if (gateway === undefined) break;
+      tried.add(gateway);
+      const result = await this.#sendTo(gateway, options);
+      if (result.kind !== "notRun") return result;
+      reason = `gateway ${gateway}: ${result.reason}`;
+      this.#backoffs.set(
+        gateway,
+        this.#options.clock.getMonotonicMs() + GATEWAY_BACKOFF_MS,
+      );
+    }
+    return { kind: "notRun", reason, retryAfterMs: undefined };
+  }
+
+  async #sendTo(
+    address: string,
+    options: RelayOptions,
+  ): Promise<AttemptResult> {
+    const { request, remainingMs, resumeAfter, signal } = options;
+    const { dialect, getRoutesVersion, log } = this.#options;
+    try {
+      const response = await sendHttp({
+        address,
+        method: request.method,
+        path: request.target,
+        headers: [
+          ...request.headers,
+          ...dialect.createHeaders({
+            server: address,
+            remainingMs: Math.max(1, Math.floor(remainingMs)),
+            resumeAfter,
+          }),
+          ROUTES_VERSION_HEADER,
+          String(getRoutesVersion()),
+          "Content-Length",
+          String(request.body.length),
+        ],
+        body: request.body,
+        usesNewConnection: options.useNewConnection,
+        agent: this.#agent,
+        signal,
+      });
+      const refusal = response.headers[NOT_RELAYED_HEADER];
+      if (refusal !== undefined) {
+        discardBody(response.body);
+        return {
+          kind: "notRun",
+          reason: String(refusal),
+          retryAfterMs: undefined,
+        };
+      }
+      log.info("request_relayed", {
+        request: request.requestId,
+        to: address,
+        status: response.status,
+      });
+      return {
+        kind: "response",
+        response: { ...response, chunks: response.body } as BackendResponse,
+      };
+    } catch (error) {
+      if (signal.aborted) return { kind: "aborted" };
+      const reason = getReason(error);
+      const isNotRun = error instanceof HttpSendError &&
+        error.verdict === Verdict.NOT_RUN;
+      return isNotRun
+        ? { kind: "notRun", reason, retryAfterMs: undefined }
+        : { kind: "lost", reason };
+    }
+  }
+
+  /** Selects a gateway, of this data centre if there is one. */
+  async #select(tried: ReadonlySet<string>): Promise<string | undefined> {
+    const { clock, dataCentre, random } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    if (nowMs - this.#foundMs > FOUND_TTL_MS) {
+      this.#search ??= this.#find().finally(() => {
+        this.#search = undefined;
+      });
+      // Known gateways are used meanwhile.
+      if (this.#found.length === 0) await this.#search;
+    }
+    const usable = this.#found.filter(({ address }) =>
+      !tried.has(address) && (this.#backoffs.get(address) ?? -Infinity) <= nowMs
+    );
+    const local = usable.filter((gateway) => gateway.dataCentre === dataCentre);
+    const candidates = local.length > 0 ? local : usable;
+    return candidates[random.getIntegerBelow(candidates.length)]?.address;
+  }
+
+  /** Asks all mergers; the first reply counts. */
+  async #find(): Promise<void> {
+    const { getMergers, name, log, clock } = this.#options;
+    const replies = getMergers().map((address) =>
+      this.#clients.get(address).call(
+        Gateways.method.find,
+        { sender: name },
+        { timeoutMs: FIND_TIMEOUT_MS },
+      )
+    );
+    try {
+      const { gateways } = await Promise.any(replies);
+      this.#found = gateways;
+      this.#foundMs = clock.getMonotonicMs();
+      this.#backoffs.forEach((untilMs, address) => {
+        if (untilMs <= this.#foundMs) this.#backoffs.delete(address);
+      });
+    } catch (error) {
+      log.warn("gateways_not_found", { reason: getReason(error) });
+    }
+  }
+}
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -9,7 +9,11 @@
  * a process uses its own counts and the loads that servers report themselves.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { type LoadTracker, MergerSelector } from "../membership/mod.ts";
+import {
+  type GatewayState,
+  type LoadTracker,
+  MergerSelector,
+} from "../membership/mod.ts";
 import {
   type LoadReport,
   LoadReportSchema,
@@ -36,6 +40,11 @@
   readonly onReport: () => void;
   /** Called with the origins of streams that other processes report. */
   readonly onOrigins: (origins: readonly StreamOrigin[]) => void;
+  readonly dataCentre: string;
+  /** Called on mergers with what a report says of the gateway that sent it. */
+  readonly onGateway: (gateway: GatewayState) => void;
+  /** Whether this process serves requests of gateways that reach no server. */
+  readonly acceptsRelayed: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -160,6 +169,13 @@
   }
 
   #updateReporter(report: LoadReport, from: string, nowMs: number): void {
+    const { sender: name, acceptsRelayed, dataCentre } = report;
+    this.#options.onGateway({
+      name,
+      address: from,
+      dataCentre,
+      acceptsRelayed,
+    });
     if (report.wantsAnswer) {
       this.#reporters.set(from, { name: report.sender, receivedMs: nowMs });
     } else if (this.#reporters.delete(from)) {
@@ -222,7 +238,8 @@
     const rows = body.loads.map((load) =>
       `${load.server}:${load.online}:${load.batch}`
     );
-    const text = [body.wantsAnswer, ...rows].join();
+    const acceptsRelayed = this.#options.acceptsRelayed();
+    const text = [body.wantsAnswer, acceptsRelayed, ...rows].join();
     const key = `${to}/${body.merged}`;
     const sent = this.#lastSent.get(key);
     const isRepeat = sent?.text === text && body.origins.length === 0;
@@ -238,6 +255,8 @@
         sequence: this.#sequence,
         part,
         parts: all.length,
+        acceptsRelayed,
+        dataCentre: acceptsRelayed ? this.#options.dataCentre : "",
         origins: body.origins.slice(
           part * MAX_ORIGINS_PER_PART,
           (part + 1) * MAX_ORIGINS_PER_PART,
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -40,6 +40,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashDetector, ServerRun } from "./crash_detector.ts";
 import type { CallerDialect } from "./dialects.ts";
+import { type GatewayRelay, NOT_RELAYED_HEADER } from "./gateway_relay.ts";
 import type {
   PermitRequest,
   PoolServer,
@@ -47,6 +48,7 @@
   ServerPool,
 } from "./server_pool.ts";
 import type { RoutingView } from "./routing_view.ts";
+import type { ServerReachability } from "./server_reachability.ts";
 import type { ServiceTimes } from "./service_times.ts";
 import type { StreamOriginFinder } from "./stream_origin_finder.ts";
 import { VersionPin } from "./version_pin.ts";
@@ -62,6 +64,8 @@
   /** Attempt that brought the first event of a stream that is taken up. */
   readonly resumedRequest: string;
   readonly arrivedMs: number;
+  /** Whether another gateway, which reaches no server, passed the request on. */
+  readonly isRelayed: boolean;
   /**
    * Timeout that the caller set, in milliseconds from `arrivedMs`; undefined
    * if it set none.
@@ -76,6 +80,8 @@
   readonly backendClient: BackendClient;
   readonly crashDetector: CrashDetector;
   readonly promptPartGuard: PromptPartGuard;
+  readonly reachability: Pick<ServerReachability, "isCutOff">;
+  readonly gatewayRelay: Pick<GatewayRelay, "send">;
   readonly streamOrigins: StreamOriginFinder;
   /** Sends the origins of streams that have not been sent yet. */
   readonly flushOrigins: () => void;
@@ -107,6 +113,16 @@
  */
 const LIMITED_RETRY_MS = 50;
 
+/**
+ * Response to a gateway that passed a request on although this one reaches no server
+ * either.
+ */
+const CANNOT_SERVE_RELAYED = {
+  status: 503,
+  headers: [NOT_RELAYED_HEADER, "it reaches no backend server either"],
+  body: "",
+};
+
 /** Relays the online requests of this process. */
 export class OnlineRelay {
   readonly #options: OnlineRelayOptions;
@@ -196,6 +212,10 @@
     if (this.#pin.isTakenUp) await this.#pin.resolve();
     for (;;) {
       const permit = await this.#acquirePermit();
+      if (permit === undefined) {
+        if (await this.#relayToGateway()) return;
+        continue;
+      }
       const isDone = await this.#attempt(permit).finally(() =>
         permit.release()
       );
@@ -355,11 +375,72 @@
     if (canRetryElsewhere) this.#attemptAbort.abort();
   }
 
-  async #acquirePermit(): Promise<ServerPermit> {
+  /**
+   * Whether another gateway may serve the request, because this one reaches no
+   * server. An answer that has begun can't be continued there.
+   */
+  get #mustRelay(): boolean {
+    const { reachability } = this.#options;
+    return reachability.isCutOff && !this.#callerResponse.headSent &&
+      (this.#possibleRuns === 0 || this.#canRetry());
+  }
+
+  /**
+   * Passes the request on to another gateway. Returns false if the request should be
+   * retried here, because servers are within reach again.
+   */
+  async #relayToGateway(): Promise<boolean> {
+    const { gatewayRelay, reachability, metrics } = this.#options;
+    if (this.#req.isRelayed) {
+      this.#callerResponse.sendLocal(CANNOT_SERVE_RELAYED);
+      return true;
+    }
+    const result = await gatewayRelay.send({
+      request: this.#req.request,
+      remainingMs: this.#remainingMs,
+      resumeAfter: this.#req.resumeAfter,
+      useNewConnection: this.#req.route.kind === RequestKind.NON_IDEMPOTENT,
+      signal: this.#requestAbort.signal,
+    });
+    metrics.count(MetricName.relayedRequests, 1, { outcome: result.kind });
+    switch (result.kind) {
+      case "aborted":
+        this.#possibleRuns += 1;
+        throw this.#createAbortedError();
+      case "lost":
+        this.#possibleRuns += 1;
+        throw this.#createLostError(result.reason);
+      case "notRun":
+        if (!reachability.isCutOff) return false;
+        throw this.#createNoCapacityError(
+          `this gateway reaches none, ${result.reason}`,
+          NO_SERVER_RETRY_AFTER_MS,
+        );
+      case "response":
+        this.#possibleRuns += 1;
+        await this.#forwardRelayed(result.response);
+        return true;
+    }
+  }
+
+  async #forwardRelayed(response: BackendResponse): Promise<void> {
+    const forwarder = new ChunkForwarder(this.#callerResponse);
+    const result = await forwarder.forward(
+      response,
+      this.#requestAbort.signal,
+    );
+    if (result.kind === "done") return;
+    if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
+    throw this.#createLostError(result.reason);
+  }
+
+  /** Acquires a permit; undefined if this gateway reaches no server. */
+  async #acquirePermit(): Promise<ServerPermit | undefined> {
     const { pool, clock, metrics, promptPartGuard } = this.#options;
     const startMs = clock.getMonotonicMs();
     for (;;) {
       if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
+      if (this.#mustRelay) return undefined;
       this.#throwIfPoisoned();
       const maxWaitMs = getLimitedWaitMs({
         targetMs: this.#req.route.latencyTargetMs,
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -61,6 +61,8 @@
   readonly log: Log;
   /** Permissions for servers with a limit; without it, limits are not kept. */
   readonly rateLimits?: RateLimitClient;
+  /** Called with a server that sends no data although requests wait there. */
+  readonly onSuspect?: (server: string) => void;
   /** Called when a request is sent to a server that has no free slot. */
   readonly onQueued?: () => void;
 }
@@ -120,6 +122,8 @@
   #handleSilentServers(): void {
     const { clock, view, log } = this.#options;
     const nowMs = clock.getMonotonicMs();
+    const { onSuspect = () => {} } = this.#options;
+    this.#silenceDetector.getSuspects(nowMs).forEach(onSuspect);
     this.#silenceDetector.failSilentServers(nowMs).forEach((server) => {
       if (view.servers.isBackingOff(server, nowMs)) return;
       log.info("backend_server_silent", { server });
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -6,6 +6,7 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
   type FleetSettings,
+  Gateways,
   HostRole,
   JobCommandSchema,
   Jobs,
@@ -19,7 +20,7 @@
   StoreMembersSchema,
   Streams,
 } from "../schema/mod.ts";
-import { StreamOrigins } from "../membership/mod.ts";
+import { GatewayRegistry, StreamOrigins } from "../membership/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { StateClient } from "../services/common/state_client.ts";
 import { tryPlanRunners } from "../policy/mod.ts";
@@ -69,6 +70,7 @@
   readonly #storeClient: StateClient;
   readonly #waitingReaders = new Set<() => void>();
   readonly #streamOrigins = new StreamOrigins();
+  readonly #gateways = new GatewayRegistry();
   #member: GroupMember | undefined;
   #membershipTimer: Timer | undefined;
   #isReportingMembers = false;
@@ -101,6 +103,8 @@
         const nowMs = context.clock.getMonotonicMs();
         origins.forEach((origin) => this.#streamOrigins.add(origin, nowMs));
       },
+      onGateway: (gateway) =>
+        this.#gateways.record(gateway, context.clock.getMonotonicMs()),
     });
     const { view, pool, backendClient, follower, promptPartGuard } =
       this.#backends;
@@ -170,6 +174,15 @@
       findOrigin: ({ request }) =>
         Promise.resolve({ origin: this.#streamOrigins.tryGet(request) }),
     });
+    server.addService(Gateways, {
+      find: ({ sender }) =>
+        Promise.resolve({
+          gateways: this.#gateways.find(
+            sender,
+            this.#context.clock.getMonotonicMs(),
+          ),
+        }),
+    });
     const rateLimits = new RateLimitService(this.#context.clock);
     server.addService(RateLimits, {
       acquire: (req) => Promise.resolve(rateLimits.acquire(req)),
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./backend_view.ts";
 export * from "./fleet_view.ts";
+export * from "./gateway_registry.ts";
 export * from "./prompt_part_suspicions.ts";
 export * from "./subsets.ts";
 export * from "./suspicions.ts";
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -191,6 +191,21 @@
     known.silentSinceMs = undefined;
   }
 
+  /** Ends all back-offs, after a cut that had nothing to do with the servers. */
+  resetBackoffs(): void {
+    this.#servers.forEach((known) => {
+      known.backoffUntilMs = -Infinity;
+      known.failures = 0;
+      known.silentSinceMs = undefined;
+    });
+  }
+
+  /** Servers that accept requests, by what they said of themselves. */
+  getReady(): Registration[] {
+    return [...this.#servers.values()].filter((known) => this.#isReady(known))
+      .map((known) => known.registration);
+  }
+
   /** Whether no requests should be sent to a server now. */
   isBackingOff(id: string, nowMs: number): boolean {
     const known = this.#servers.get(id);
--- a/src/membership/silence_detector.ts
+++ b/src/membership/silence_detector.ts
@@ -74,6 +74,13 @@
     return this.#getSilentMs(server, nowMs) > this.#timeouts.suspectAfterMs;
   }
 
+  /** Servers that new requests should avoid. */
+  getSuspects(nowMs: number): string[] {
+    return [...this.#servers.keys()].filter((server) =>
+      this.isSuspect(server, nowMs)
+    );
+  }
+
   /**
    * Calls `onSilent` of all requests at servers that have been silent for too
    * long; returns those servers.
--- a/src/sys/connect_probe.ts
+++ b/src/sys/connect_probe.ts
@@ -31,10 +31,16 @@
 /** Probes addresses, each at most once at a time. */
 export class ConnectProbe {
   readonly #clock: Clock;
+  readonly #isPartitioned: (address: string) => boolean;
   readonly #probes = new Map<string, Probe>();
 
-  constructor(clock: Clock) {
+  /** `isPartitioned` simulates addresses that nothing reaches. */
+  constructor(
+    clock: Clock,
+    isPartitioned: (address: string) => boolean = () => false,
+  ) {
     this.#clock = clock;
+    this.#isPartitioned = isPartitioned;
   }
 
   probe(address: string): Promise<ProbeResult> {
@@ -50,6 +56,9 @@
   }
 
   #connect(address: string): Promise<ProbeResult> {
+    if (this.#isPartitioned(address)) {
+      return this.#clock.delay(PROBE_TIMEOUT_MS).then(() => ProbeResult.silent);
+    }
     return new Promise((resolve) => {
       const socket = connect(parseAddress(address));
       const settle = (result: ProbeResult) => {
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -132,6 +132,8 @@
   /** Maximum wait for the response headers, in milliseconds. */
   readonly headersTimeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Called when a new connection has been made for the request. */
+  readonly onConnect?: () => void;
   /** Whether nothing reaches the address; simulates a network partition. */
   readonly isPartitioned?: boolean;
 }
@@ -231,6 +233,7 @@
       if (!socket.connecting) isConnected = true;
       else {socket.once("connect", () => {
           isConnected = true;
+          request.onConnect?.();
         });}
     });
     req.on("response", (response) => {
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -35,6 +35,7 @@
   promptPartSuspicions: "prompt_part_suspicions",
   streamsTakenUp: "streams_taken_up",
   limitedSends: "limited_sends",
+  relayedRequests: "relayed_requests",
 } as const;
 
 /** Name of a metric. */
--- a/src/test/cut_off_gateways_test.ts
+++ b/src/test/cut_off_gateways_test.ts
@@ -4,7 +4,7 @@
  */
 import { expect } from "chai";
 import { EVENT_COUNT, getEventData } from "./platform_server.ts";
-import { PlatformFleet } from "./platform_fleet.ts";
+import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
 
 /** Time from a cut on in which a gateway need not serve, in milliseconds. */
 const REACTION_MS = 3_000;
@@ -65,4 +65,137 @@
     expect(fleet.getReceivedRequests(id).length).equal(1);
     expect(fleet.getReceivedRequests(id)[0]?.body).equal(`body of ${id}`);
   });
+
+  // Guards against a request that gateways without servers pass to each other.
+  it("refuse at once, with a time, if no gateway reaches a server", async () => {
+    await cutOff(0, 1, 2);
+    const responses = await sendFor(300, [0, 1, 2], "/n/x");
+    responses.forEach(({ status, headers }) => {
+      expect(status).equal(503);
+      expect(Number(headers["retry-after"])).greaterThan(0);
+    });
+    expect(fleet.log.lines.some((line) => line.includes("request_relayed")))
+      .equal(false);
+  });
+
+  // Guards against a request that is passed on twice.
+  it("say to each other that they serve nothing, and pass nothing on", async () => {
+    await cutOff(0);
+    const peer = fleet.getPeerAddress(0);
+    const response = await sendHttpRequest(peer, "POST", "/n/x", {
+      headers: { Host: "a.example", "X-Request-Id": "passed-on" },
+      body: "x",
+    });
+    expect(response.status).equal(503);
+    expect(response.headers["papayatally-not-relayed"]).contain("no backend");
+    expect(fleet.getReceivedRequests("passed-on").length).equal(0);
+  });
+
+  // Guards against a helper that goes by routes that are out of force.
+  it("are not served by gateways whose routes are older", async () => {
+    const response = await sendHttpRequest(
+      fleet.getPeerAddress(1),
+      "POST",
+      "/n/x",
+      {
+        headers: {
+          Host: "a.example",
+          "X-Request-Id": "newer",
+          "papayatally-routes-version": "2",
+        },
+        body: "x",
+      },
+    );
+    expect(response.headers["papayatally-not-relayed"]).contain("older");
+    expect(fleet.getReceivedRequests("newer").length).equal(0);
+  });
+
+  // Guards against work that goes on at a server after the caller has left.
+  it("end the work at the server when the caller leaves", async () => {
+    await cutOff(0);
+    fleet.servers.forEach((server) => {
+      server.eventIntervalMs = 60_000;
+    });
+    const abort = new AbortController();
+    const sent = fleet.sendRequest("leaves", "/l/x", { signal: abort.signal });
+    await fleet.waitUntil(
+      "the request at a server",
+      () => fleet.getReceivedRequests("leaves").length === 1,
+    );
+    abort.abort();
+    await sent;
+    await fleet.waitUntil(
+      "the end of the work",
+      () => fleet.getReceivedRequests("leaves")[0]?.left === true,
+    );
+  });
+
+  // Guards against an answer whose end is taken for complete at either gateway.
+  it("break off an answer that the server breaks off", async () => {
+    await cutOff(0);
+    fleet.behaviours.push("break");
+    const response = await fleet.sendRequest("broken", "/l/x");
+    expect(response.isComplete).equal(false);
+    fleet.servers.forEach((server) => {
+      server.delimitsStreams = false;
+    });
+    fleet.behaviours.push("break");
+    const unframed = await fleet.sendRequest("unframed", "/l/x");
+    expect(unframed.isComplete).equal(false);
+    expect(unframed.headers["transfer-encoding"]).equal(undefined);
+  });
+
+  // Guards against a request that runs again after its answer was lost.
+  it("run no request twice whose answer is lost between gateways", async () => {
+    await cutOff(0);
+    fleet.servers.forEach((server) => {
+      server.firstEventMs = 500;
+    });
+    const sent = fleet.sendRequest("lost", "/n/x");
+    await fleet.waitUntil(
+      "the request at a server",
+      () => fleet.getReceivedRequests("lost").length === 1,
+    );
+    [1, 2].forEach((index) => fleet.gateways[index]?.halt());
+    const { status } = await sent;
+    // The statuses that promise nothing, or a whole answer.
+    expect([200, 502, 504]).contain(status);
+    expect(fleet.getReceivedRequests("lost").length).equal(1);
+  });
+
+  // Guards against the planned stop of a helper that cuts what it serves.
+  it("lose no answer when the gateway that serves them stops", async () => {
+    await cutOff(0);
+    fleet.servers.forEach((server) => {
+      server.eventIntervalMs = 100;
+    });
+    const sent = sendFor(600, [0], "/l/x");
+    await fleet.clock.delay(200);
+    const stopped = fleet.gateways[1]?.stop();
+    const responses = await sent;
+    await stopped;
+    responses.forEach(({ status, isComplete }) => {
+      expect(status).equal(200);
+      expect(isComplete).equal(true);
+    });
+  });
+
+  // Guards against a gateway that never goes back, or loses requests to find out.
+  it("send requests to servers themselves again after the cut", async () => {
+    await cutOff(0);
+    fleet.cutOffGateways.delete(0);
+    await fleet.waitUntil(
+      "the end of the cut to be noticed",
+      () =>
+        fleet.log.lines.some((line) =>
+          line.includes("backend_servers_reached")
+        ),
+    );
+    const countRelayed = () =>
+      fleet.log.lines.filter((line) => line.includes("request_relayed")).length;
+    const before = countRelayed();
+    const responses = await sendFor(500, [0], "/p/x");
+    responses.forEach(({ status }) => expect(status).equal(200));
+    expect(countRelayed()).equal(before);
+  });
 });
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -149,6 +149,7 @@
   readonly readyAddresses: string[] = [];
   /** Indexes of gateways that reach no server; connections there hang. */
   readonly cutOffGateways = new Set<number>();
+  readonly #peerAddresses: string[] = [];
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
   #seeds: string[] = [];
@@ -222,6 +223,11 @@
     return this.controlAddresses[index] ?? "";
   }
 
+  /** Address at which other gateways reach a gateway. */
+  getPeerAddress(index: number): string {
+    return this.#peerAddresses[index] ?? "";
+  }
+
   registerServer(
     server: PlatformServer,
     overrides = {},
@@ -385,6 +391,7 @@
     const host = new GatewayHost(settings, context, DIALECTS);
     this.gateways[index] = host;
     this.gatewayAddresses[index] = `127.0.0.1:${listen}`;
+    this.#peerAddresses[index] = `127.0.0.1:${peer}`;
     this.readyAddresses[index] = `127.0.0.1:${ready}`;
     await host.start();
   }
