Don't report requests of a cut-off gateway as load of servers

Cause: requests that hang on the broken connections of a gateway count as load of their servers at all others, until their deadlines pass. Class: a count that outlives the work that it stands for.

Evidence: the new test of cut_off_gateways_test failed on the code before (4 of 4 slots of each server seemed occupied).

Change: a process that reaches no server reports no load.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -139,6 +139,7 @@
       onOrigins: options.onOrigins ?? (() => {}),
       dataCentre: settings.dataCentre,
       onGateway: options.onGateway ?? (() => {}),
+      isCutOff: () => this.reachability.isCutOff,
       acceptsRelayed: options.acceptsRelayed ?? (() => false),
       clock,
       log,
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -45,6 +45,8 @@
   readonly onGateway: (gateway: GatewayState) => void;
   /** Whether this process serves requests of gateways that reach no server. */
   readonly acceptsRelayed: () => boolean;
+  /** Whether this process reaches no server, so that its requests occupy none. */
+  readonly isCutOff: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -184,10 +186,12 @@
   }
 
   #sendReports(): void {
-    const { clock, loads, getMergers, isMerger, address } = this.#options;
+    const { clock, loads, getMergers, isMerger, address, isCutOff } =
+      this.#options;
     const nowMs = clock.getMonotonicMs();
     this.#lastReportMs = nowMs;
-    const ownLoads = [...loads.getAllOwn()].map(([server, count]) => ({
+    const own = isCutOff() ? [] : [...loads.getAllOwn()];
+    const ownLoads = own.map(([server, count]) => ({
       $typeName: "papayatally.v1.ServerLoad" as const,
       server,
       ...count,
--- a/src/test/cut_off_gateways_test.ts
+++ b/src/test/cut_off_gateways_test.ts
@@ -198,4 +198,47 @@
     responses.forEach(({ status }) => expect(status).equal(200));
     expect(countRelayed()).equal(before);
   });
+
+  // Guards against slots that requests on broken connections seem to occupy.
+  it("don't count requests that hang towards servers as load there", async () => {
+    const slots = 4 * fleet.servers.length;
+    fleet.behaviours.push(
+      ...Array.from({ length: slots }, () => "silent" as const),
+    );
+    const hanging = Array.from(
+      { length: slots },
+      (_, index) =>
+        fleet.sendRequest(`hangs-${index}`, "/n/x", {
+          headers: { "X-Deadline-Ms": "20000" },
+        }),
+    );
+    await fleet.waitUntil(
+      "the requests at the servers",
+      () =>
+        fleet.servers.every(({ receivedRequests }) =>
+          receivedRequests.length === 4
+        ),
+    );
+    fleet.cutOffGateways.add(0);
+    await fleet.waitUntil(
+      "the cut to be noticed",
+      () =>
+        fleet.log.lines.some((line) =>
+          line.includes("backend_servers_unreachable")
+        ),
+    );
+    // The next load report arrives.
+    await fleet.clock.delay(200);
+    const dump = fleet.gateways[1]?.getDump() as {
+      backendServers: { busy: number }[];
+    };
+    expect(dump.backendServers.map(({ busy }) => busy)).deep.equal([
+      0,
+      0,
+      0,
+      0,
+    ]);
+    fleet.gateways[0]?.halt();
+    await Promise.all(hanging);
+  });
 });
