Don't say that a relayed request has not run after an attempt

What a caller would see: 503, which says that its request has not run, though a server had begun it for the helping gateway, before that one was cut off too.

Cause: a gateway that is cut off refused all relayed requests alike.

Evidence: the new test of cut_off_gateways_test got 503 on the code before.

Test: 1 passed.

--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -392,6 +392,11 @@
   async #relayToGateway(): Promise<boolean> {
     const { gatewayRelay, reachability, metrics } = this.#options;
     if (this.#req.isRelayed) {
+      if (this.#possibleRuns > 0) {
+        throw this.#createLostError(
+          "no backend server is within reach any more",
+        );
+      }
       this.#callerResponse.sendLocal(CANNOT_SERVE_RELAYED);
       return true;
     }
--- a/src/test/cut_off_gateways_test.ts
+++ b/src/test/cut_off_gateways_test.ts
@@ -241,4 +241,18 @@
     fleet.gateways[0]?.halt();
     await Promise.all(hanging);
   });
+
+  // Guards against "not run" about a request that a server began for a helper that
+  // was cut off afterwards.
+  it("don't say that a request has not run if a helper tried it", async () => {
+    await cutOff(0);
+    fleet.behaviours.push("silent");
+    const sent = fleet.sendRequest("tried", "/p/x");
+    await fleet.waitUntil(
+      "the request at a server",
+      () => fleet.getReceivedRequests("tried").length === 1,
+    );
+    await cutOff(1, 2);
+    expect([502, 504]).contain((await sent).status);
+  });
 });
