--- a/src/policy/request_pacer.ts
+++ b/src/policy/request_pacer.ts
@@ -34,12 +34,6 @@
  */
 const BATCH_RESERVE = 0.5;
 
-/**
- * Time for which requests of jobs get no tokens after an online request had to wait
- * for one, in milliseconds.
- */
-const ONLINE_PRECEDENCE_MS = 1_000;
-
 /**
  * Lowest rate, in requests a second. A server that takes none at all must still
  * be asked now and then, because only a response says that its limit has ended.
@@ -54,8 +48,6 @@
   /** Below zero while requests wait for tokens that they have reserved. */
   #tokens = 0;
   #updatedMs: number;
-  /** Time until which requests of jobs get no tokens. */
-  #onlineUntilMs = -Infinity;
 
   /** Begins without tokens: what others have granted before is not known. */
   constructor(limitPerS: number, nowMs: number) {
@@ -73,13 +65,7 @@
   request(req: PaceRequest, nowMs: number): PaceDecision {
     this.#refill(nowMs);
     const needed = req.isBatch ? 1 + this.#capacity * BATCH_RESERVE : 1;
-    const tokenMs = Math.max(0, (needed - this.#tokens) / this.#ratePerMs);
-    if (!req.isBatch && tokenMs > 0) {
-      this.#onlineUntilMs = nowMs + ONLINE_PRECEDENCE_MS;
-    }
-    const waitMs = req.isBatch
-      ? Math.max(tokenMs, this.#onlineUntilMs - nowMs)
-      : tokenMs;
+    const waitMs = Math.max(0, (needed - this.#tokens) / this.#ratePerMs);
     const isGranted = waitMs <= req.maxWaitMs;
     if (isGranted) this.#tokens -= 1;
     return { isGranted, waitMs };
