Soak: servers that name limits

Half of the servers name a limit of 2 requests a second for 7 s, before the faults; each may get 17 in 4 s from all hosts together, as the platform says. Test only; no change of the product.

--- a/src/test/soak/soak_run.ts
+++ b/src/test/soak/soak_run.ts
@@ -44,6 +44,21 @@
 /** Time for which a leaving server is watched then, in milliseconds. */
 const LEAVING_CHECK_MS = 500;
 
+/** Requests a second that servers with a limit take from all hosts together. */
+const LIMIT_PER_S = 2;
+
+/** Time for which servers name a limit, in milliseconds. */
+const LIMITED_MS = 7_000;
+
+/** Time from the first response with a limit on in which hosts keep it. */
+const LIMIT_KNOWN_MS = 2_000;
+
+/** Time over which requests to a server with a limit are counted. */
+const LIMIT_WINDOW_MS = 4_000;
+
+/** Requests that a server with a limit may get in that time. */
+const MAX_LIMITED_REQUESTS = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_MS / 1_000 + 5;
+
 /** Runs the soak for one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const history = new RunHistory();
@@ -62,6 +77,7 @@
     await waitUntilServed(fleet, load, history, "after the start");
     await stopEachGateway(fleet, history);
     await leaveEachServer(fleet, history);
+    await limitHalfOfServers(fleet, history);
     const plan = createFaultPlan(
       options.seed,
       fleet.targets,
@@ -204,6 +220,41 @@
   }
 }
 
+/**
+ * Lets half of the servers name a limit. All hosts together send each of them no
+ * more than it allows.
+ */
+async function limitHalfOfServers(
+  fleet: SoakFleet,
+  history: RunHistory,
+): Promise<void> {
+  const limited = fleet.servers.filter((_, index) => index % 2 === 0);
+  limited.forEach((server) => {
+    server.limitPerS = LIMIT_PER_S;
+  });
+  await delay(LIMIT_KNOWN_MS);
+  const fromMs = performance.now();
+  await delay(LIMITED_MS - LIMIT_KNOWN_MS);
+  limited.forEach(({ id, receivedRequests }) => {
+    const times = receivedRequests.map(({ receivedMs }) => receivedMs)
+      .filter((ms) => ms >= fromMs);
+    const count = Math.max(
+      0,
+      ...times.map((start) =>
+        times.filter((ms) => ms >= start && ms < start + LIMIT_WINDOW_MS).length
+      ),
+    );
+    if (count > MAX_LIMITED_REQUESTS) {
+      history.faults.push(
+        `${count} requests in ${LIMIT_WINDOW_MS} ms reached ${id}, which takes ${LIMIT_PER_S} a second`,
+      );
+    }
+  });
+  limited.forEach((server) => {
+    server.limitPerS = undefined;
+  });
+}
+
 /** Waits until every gateway serves a request. */
 async function waitUntilServed(
   fleet: SoakFleet,
