Check a server again after the wait for its permission

What callers' servers saw: a request that waited for a permission reached the server although it had begun to leave in the meantime (rule DRAIN). Found in review.

Cause: the permit was made for the server as it was before the wait. Class: a decision that rests on what was known before a wait.

Change: after the wait the server must still be among the candidates; else another one is asked.

--- a/src/fleet/gateway_relay.ts
+++ b/src/fleet/gateway_relay.ts
@@ -4,9 +4,8 @@
  * gateway serves it itself or says that it didn't. What gateways say to each other
  * about a request goes into headers of their own.
  */
-import { Gateways } from "../schema/mod.ts";
-import { type KnownGateway } from "../membership/mod.ts";
-import { Verdict } from "../schema/mod.ts";
+import type { KnownGateway } from "../membership/mod.ts";
+import { Gateways, Verdict } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import {
--- a/src/fleet/rate_limit_client.ts
+++ b/src/fleet/rate_limit_client.ts
@@ -4,7 +4,11 @@
  * store host replies, each process takes an equal part of the limit.
  */
 import { create } from "@bufbuild/protobuf";
-import { getServerStart, type ServerLimits } from "../membership/mod.ts";
+import {
+  getServerStart,
+  type ServerLimits,
+  type ServerStartKey,
+} from "../membership/mod.ts";
 import { type PaceRequest, RequestPacer } from "../policy/mod.ts";
 import { RateLimits, ServerStartSchema } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
@@ -26,12 +30,6 @@
   readonly metrics: Metrics;
 }
 
-/** One start of a backend server. */
-interface ServerStartKey {
-  readonly id: string;
-  readonly bornMs: bigint;
-}
-
 /** What is kept about one start of a server. */
 interface AskedServer {
   /** Time before which asking is in vain, for online requests and for jobs. */
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -76,12 +76,6 @@
 /** Initial backoff after a connection failure, in milliseconds. */
 const FAILURE_BACKOFF_MS = 500;
 
-/**
- * Fraction of occupied slots up to which servers without a limit are preferred to
- * those with one.
- */
-const UNLIMITED_MAX_LOAD = 1;
-
 /** Servers with a limit that are asked for one request. */
 const MAX_ASKED_SERVERS = 8;
 
@@ -175,8 +169,8 @@
 
   /**
    * Acquires a permit for a free slot; undefined if no slot is free. Permission is
-   * asked for at servers with a limit if the others are more than half full, and
-   * may be waited for.
+   * asked for at servers with a limit if the others are full, and may be waited
+   * for.
    */
   async acquire(
     req: PermitRequest,
@@ -191,7 +185,12 @@
         isBatch: false,
         maxWaitMs,
       });
-      if (isGranted === true) return this.#createPermit(server, req);
+      // The server may have failed or begun to leave in the meantime.
+      const current = this.#getCandidates(req)
+        .find(({ id, bornMs }) => id === server.id && bornMs === server.bornMs);
+      if (isGranted === true && current !== undefined) {
+        return this.#createPermit(current, req);
+      }
     }
     return this.tryAcquire(req);
   }
@@ -294,17 +293,17 @@
 
   /**
    * Selects a server with a limit to ask for permission; undefined if a server
-   * without one has enough free slots, or if no permission can be had now.
+   * without one has a free slot, or if no permission can be had now.
    */
   #trySelectLimited(
     req: PermitRequest,
     asked: ReadonlySet<string>,
   ): PoolServer | undefined {
     const candidates = this.#getCandidates(req);
-    const hasSpareServer = candidates.some((server) =>
-      !server.isLimited && server.busy < server.slots * UNLIMITED_MAX_LOAD
+    const hasFreeServer = candidates.some((server) =>
+      !server.isLimited && server.busy < server.slots
     );
-    if (hasSpareServer) return undefined;
+    if (hasFreeServer) return undefined;
     const askable = candidates.filter((server) =>
       server.isLimited && !asked.has(server.id) &&
       this.#options.rateLimits?.mayAsk(server, false) === true
--- a/src/membership/server_limits.ts
+++ b/src/membership/server_limits.ts
@@ -9,13 +9,7 @@
   ServerLimitSchema,
   ServerStartSchema,
 } from "../schema/mod.ts";
-import { getServerStart } from "./server_registry.ts";
-
-/** One start of a backend server. */
-interface ServerStartKey {
-  readonly id: string;
-  readonly bornMs: bigint;
-}
+import { getServerStart, type ServerStartKey } from "./server_registry.ts";
 
 interface KnownLimit {
   readonly server: ServerStartKey;
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -64,10 +64,15 @@
 /** Maximum number of starts known to leave; the oldest are dropped. */
 const MAX_LEAVING_STARTS = 4_096;
 
+/** One start of a backend server. */
+export interface ServerStartKey {
+  readonly id: string;
+  /** Start time of the server by its own wall clock, in milliseconds. */
+  readonly bornMs: bigint;
+}
+
 /** Identifies one start of a backend server. */
-export function getServerStart(
-  server: { readonly id: string; readonly bornMs: bigint },
-): string {
+export function getServerStart(server: ServerStartKey): string {
   return `${server.id}/${server.bornMs}`;
 }
 
--- a/src/test/server_limits_test.ts
+++ b/src/test/server_limits_test.ts
@@ -170,6 +170,17 @@
     ).equal(false);
   });
 
+  // Guards against a request that waited for a permission and goes to a server that
+  // has begun to leave meanwhile.
+  it("get no request that waited for them while they began to leave", async () => {
+    const server = await addServer("i-limited", 2.5);
+    await fleet.sendRequest("first", "/n/x");
+    const sent = fleet.sendRequest("waits", "/n/x");
+    await fleet.registerServer(server, { State: "draining" });
+    expect((await sent).status).equal(503);
+    expect(fleet.getReceivedRequests("waits").length).equal(0);
+  });
+
   // The header is the server's, not the connection's, so callers get it.
   it("pass the header on to the caller", async () => {
     await addServer("i-limited", 2.5);
