Ask another store host for permission only when the first is lost

Cause: a process that got no reply of a store host within 100 ms asked the next one for 2 s, each process for itself. The first was only slow and went on granting, and the second granted from what it had saved since it was asked last.

Change: without a reply, a request is refused permission for 0.1 s. The next store host is asked only when the first has been silent for 1 s, and saves no tokens; the first is tried each 0.25 s. The bucket saves 1.75 s in place of 2, as two grant for that time.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -14,7 +14,7 @@
 import type { BackendDialect } from "./dialects.ts";
 import { FleetFollower } from "./fleet_follower.ts";
 import { LoadExchange } from "./load_exchange.ts";
-import { RateLimitClient } from "./rate_limit_client.ts";
+import { RateLimitClient, RpcGranterCaller } from "./rate_limit_client.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
 import { ServerReachability } from "./server_reachability.ts";
@@ -83,7 +83,7 @@
       name: settings.id,
       limits: view.limits,
       getGranters: () => view.getStoreAddresses(),
-      credentials,
+      caller: new RpcGranterCaller(credentials),
       clock,
       log,
       metrics,
--- a/src/fleet/rate_limit_client.ts
+++ b/src/fleet/rate_limit_client.ts
@@ -3,14 +3,19 @@
  * store host, the same for all processes, grants it for each server. While no
  * store host replies, each process takes an equal part of the limit.
  */
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import {
   getServerStart,
   type ServerLimits,
   type ServerStartKey,
 } from "../membership/mod.ts";
 import { type PaceRequest, RequestPacer } from "../policy/mod.ts";
-import { RateLimits, ServerStartSchema } from "../schema/mod.ts";
+import {
+  type AcquireSendReply,
+  type AcquireSendRequestSchema,
+  RateLimits,
+  ServerStartSchema,
+} from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
@@ -18,13 +23,48 @@
 import { selectByRendezvous } from "../sys/random.ts";
 import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
 
+/** Calls the store hosts that grant permissions. */
+export abstract class GranterCaller {
+  /** Fails if no reply arrives within `timeoutMs`. */
+  abstract acquire(
+    address: string,
+    req: MessageInitShape<typeof AcquireSendRequestSchema>,
+    timeoutMs: number,
+  ): Promise<Pick<AcquireSendReply, "granted" | "waitMs" | "senders">>;
+
+  abstract close(): void;
+}
+
+/** Calls store hosts over the network. */
+export class RpcGranterCaller extends GranterCaller {
+  readonly #clients: RpcClientPool;
+
+  constructor(credentials: RpcCredentials) {
+    super();
+    this.#clients = new RpcClientPool(credentials);
+  }
+
+  override acquire(
+    address: string,
+    req: MessageInitShape<typeof AcquireSendRequestSchema>,
+    timeoutMs: number,
+  ) {
+    return this.#clients.get(address)
+      .call(RateLimits.method.acquire, req, { timeoutMs });
+  }
+
+  override close(): void {
+    this.#clients.close();
+  }
+}
+
 /** Options of a {@linkcode RateLimitClient}. */
 export interface RateLimitClientOptions {
   readonly name: string;
   readonly limits: ServerLimits;
   /** Returns the addresses of the store hosts that grant permissions. */
   readonly getGranters: () => readonly string[];
-  readonly credentials: RpcCredentials;
+  readonly caller: GranterCaller;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -41,6 +81,12 @@
   ownPacer: RequestPacer | undefined;
 }
 
+/** A store host that has not replied since it was asked. */
+interface SilentGranter {
+  readonly sinceMs: number;
+  readonly retryMs: number;
+}
+
 /** Result of asking for permission. */
 interface GrantReply {
   readonly isGranted: boolean;
@@ -51,7 +97,17 @@
 const ASK_TIMEOUT_MS = 100;
 
 /** Time for which a store host that did not reply is not asked, in milliseconds. */
-const GRANTER_BACKOFF_MS = 2_000;
+const GRANTER_BACKOFF_MS = 100;
+
+/**
+ * Time without a reply after which another store host is asked, in milliseconds.
+ * A store host that is only slow goes on granting, so that two would grant at a
+ * time.
+ */
+const GRANTER_LOST_MS = 1_000;
+
+/** Time between attempts at a store host that is lost, in milliseconds. */
+const LOST_GRANTER_RETRY_MS = 250;
 
 /** Time for which a prefetched permission may be used, in milliseconds. */
 const GRANT_TTL_MS = 300;
@@ -77,20 +133,17 @@
 /** Asks for and keeps the permissions of one process. */
 export class RateLimitClient {
   readonly #options: RateLimitClientOptions;
-  readonly #clients: RpcClientPool;
-  /** End of the back-off of each store host that did not reply. */
-  readonly #granterBackoffs = new Map<string, number>();
+  /** By address. */
+  readonly #silentGranters = new Map<string, SilentGranter>();
   readonly #askedServers = new Map<string, AskedServer>();
   #senderCount = DEFAULT_SENDERS;
-  #hasLostGranters = false;
 
   constructor(options: RateLimitClientOptions) {
     this.#options = options;
-    this.#clients = new RpcClientPool(options.credentials);
   }
 
   close(): void {
-    this.#clients.close();
+    this.#options.caller.close();
   }
 
   isLimited(server: ServerStartKey): boolean {
@@ -185,26 +238,36 @@
   async #ask(server: ServerStartKey, req: PaceRequest): Promise<GrantReply> {
     const limitPerS = this.#options.limits.tryGet(server);
     if (limitPerS === undefined) return { isGranted: true, waitMs: 0 };
-    for (let asked = 0; asked < MAX_ASKED_GRANTERS; asked += 1) {
-      const granter = this.#selectGranter(server);
-      if (granter === undefined) break;
-      const reply = await this.#tryCall(granter, server, limitPerS, req);
+    const granters = this.#selectGranters(server);
+    for (const [index, granter] of granters.entries()) {
+      const reply = this.#mayCall(granter)
+        ? await this.#tryCall(granter, server, limitPerS, req, index > 0)
+        : undefined;
       if (reply !== undefined) return reply;
+      if (!this.#isLost(granter)) {
+        return { isGranted: false, waitMs: req.maxWaitMs + GRANTER_BACKOFF_MS };
+      }
     }
     return this.#askOwnPacer(server, limitPerS, req);
   }
 
-  /** The store host for a server; undefined while none replies. */
-  #selectGranter(server: ServerStartKey): string | undefined {
-    const { getGranters, clock } = this.#options;
-    const nowMs = clock.getMonotonicMs();
-    const candidates = getGranters().filter((address) =>
-      (this.#granterBackoffs.get(address) ?? -Infinity) <= nowMs
+  /** The store hosts that are asked for a server, in the order of preference. */
+  #selectGranters(server: ServerStartKey): string[] {
+    return selectByRendezvous(
+      getServerStart(server),
+      this.#options.getGranters(),
+      { getName: (address) => address, count: MAX_ASKED_GRANTERS },
     );
-    return selectByRendezvous(getServerStart(server), candidates, {
-      getName: (address) => address,
-      count: 1,
-    })[0];
+  }
+
+  #mayCall(granter: string): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return nowMs >= (this.#silentGranters.get(granter)?.retryMs ?? -Infinity);
+  }
+
+  #isLost(granter: string): boolean {
+    const { sinceMs = Infinity } = this.#silentGranters.get(granter) ?? {};
+    return this.#options.clock.getMonotonicMs() - sinceMs >= GRANTER_LOST_MS;
   }
 
   async #tryCall(
@@ -212,11 +275,13 @@
     server: ServerStartKey,
     limitPerS: number,
     { maxWaitMs, isBatch }: PaceRequest,
+    isStandIn: boolean,
   ): Promise<GrantReply | undefined> {
-    const { clock, log, name } = this.#options;
+    const { caller, clock, name } = this.#options;
+    const askedMs = clock.getMonotonicMs();
     try {
-      const reply = await this.#clients.get(granter).call(
-        RateLimits.method.acquire,
+      const reply = await caller.acquire(
+        granter,
         {
           server: create(ServerStartSchema, {
             id: server.id,
@@ -226,31 +291,40 @@
           maxWaitMs: Math.max(0, Math.floor(maxWaitMs)),
           batch: isBatch,
           sender: name,
+          standIn: isStandIn,
         },
-        { timeoutMs: ASK_TIMEOUT_MS },
+        ASK_TIMEOUT_MS,
       );
-      this.#granterBackoffs.delete(granter);
       this.#senderCount = Math.max(1, reply.senders);
-      if (this.#hasLostGranters) {
-        this.#hasLostGranters = false;
-        log.info("limit_granter_regained", { address: granter });
-      }
+      this.#recordReply(granter);
       return { isGranted: reply.granted, waitMs: reply.waitMs };
     } catch (error) {
-      this.#granterBackoffs.set(
-        granter,
-        clock.getMonotonicMs() + GRANTER_BACKOFF_MS,
-      );
-      this.#hasLostGranters = true;
-      log.warn("limit_granter_lost", {
-        address: granter,
-        server: server.id,
-        reason: getReason(error),
-      });
+      this.#recordSilence(granter, askedMs, getReason(error));
       return undefined;
     }
   }
 
+  #recordReply(granter: string): void {
+    const { log } = this.#options;
+    if (this.#isLost(granter)) {
+      log.info("limit_granter_regained", { address: granter });
+    }
+    this.#silentGranters.delete(granter);
+  }
+
+  #recordSilence(granter: string, askedMs: number, reason: string): void {
+    const { clock, log } = this.#options;
+    const wasLost = this.#isLost(granter);
+    const { sinceMs = askedMs } = this.#silentGranters.get(granter) ?? {};
+    const nowMs = clock.getMonotonicMs();
+    const isLost = nowMs - sinceMs >= GRANTER_LOST_MS;
+    const pauseMs = isLost ? LOST_GRANTER_RETRY_MS : GRANTER_BACKOFF_MS;
+    this.#silentGranters.set(granter, { sinceMs, retryMs: nowMs + pauseMs });
+    if (!wasLost && isLost) {
+      log.warn("limit_granter_lost", { address: granter, reason });
+    }
+  }
+
   /** Takes an equal part of the limit, while no store host replies. */
   #askOwnPacer(
     server: ServerStartKey,
--- a/src/fleet/rate_limit_service.ts
+++ b/src/fleet/rate_limit_service.ts
@@ -40,9 +40,11 @@
       ({ askedMs }) => nowMs - askedMs > PACER_TTL_MS,
     );
     const { id = "", bornMs = 0n } = req.server ?? {};
-    const key = getServerStart({ id, bornMs });
+    const key = `${getServerStart({ id, bornMs })}/${req.standIn}`;
+    // The other store host may begin to grant again at any time, from what it has
+    // saved.
     const pacer = this.#pacers.get(key)?.pacer ??
-      new RequestPacer(req.limitPerS, nowMs);
+      new RequestPacer(req.limitPerS, nowMs, { savesTokens: !req.standIn });
     this.#pacers.delete(key);
     this.#pacers.set(key, { pacer, askedMs: nowMs });
     pacer.setLimit(req.limitPerS, nowMs);
--- a/src/policy/request_pacer.ts
+++ b/src/policy/request_pacer.ts
@@ -22,14 +22,18 @@
   readonly waitMs: number;
 }
 
-/** Time whose unused tokens are kept for a burst, in milliseconds. */
-const BURST_MS = 2_000;
+/**
+ * Time whose unused tokens are saved for a burst, in milliseconds. The rest of what
+ * a server takes in excess of its limit is left to two store hosts that grant at a
+ * time, while processes return from one to the other.
+ */
+const BURST_MS = 1_750;
 
-/** Tokens that are kept in addition, so that low limits allow two at once. */
+/** Tokens that are saved in addition, so that low limits allow two at once. */
 const MIN_BURST = 2;
 
 /**
- * Fraction of the tokens kept for bursts that requests of jobs leave to online
+ * Fraction of the tokens saved for bursts that requests of jobs leave to online
  * requests.
  */
 const BATCH_RESERVE = 0.5;
@@ -42,15 +46,27 @@
 
 const MS_PER_S = 1_000;
 
+/** Options of a {@linkcode RequestPacer}. */
+export interface RequestPacerOptions {
+  /** Whether tokens are saved for bursts; otherwise there is one at most. */
+  readonly savesTokens: boolean;
+}
+
 /** Paces the requests to one server. */
 export class RequestPacer {
+  readonly #savesTokens: boolean;
   #ratePerMs: number;
   /** Below zero while requests wait for tokens that they have reserved. */
   #tokens = 0;
   #updatedMs: number;
 
   /** Begins without tokens: what others have granted before is not known. */
-  constructor(limitPerS: number, nowMs: number) {
+  constructor(
+    limitPerS: number,
+    nowMs: number,
+    { savesTokens }: RequestPacerOptions = { savesTokens: true },
+  ) {
+    this.#savesTokens = savesTokens;
     this.#ratePerMs = getRatePerMs(limitPerS);
     this.#updatedMs = nowMs;
   }
@@ -64,21 +80,21 @@
   /** Takes a token, now or within the wait of the request. */
   request(req: PaceRequest, nowMs: number): PaceDecision {
     this.#refill(nowMs);
-    const needed = req.isBatch ? 1 + this.#capacity * BATCH_RESERVE : 1;
+    const needed = req.isBatch ? 1 + this.#burst * BATCH_RESERVE : 1;
     const waitMs = Math.max(0, (needed - this.#tokens) / this.#ratePerMs);
     const isGranted = waitMs <= req.maxWaitMs;
     if (isGranted) this.#tokens -= 1;
     return { isGranted, waitMs };
   }
 
-  get #capacity(): number {
-    return MIN_BURST + this.#ratePerMs * BURST_MS;
+  get #burst(): number {
+    return this.#savesTokens ? MIN_BURST + this.#ratePerMs * BURST_MS : 0;
   }
 
   #refill(nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.#updatedMs);
     this.#tokens = Math.min(
-      this.#capacity,
+      Math.max(1, this.#burst),
       this.#tokens + elapsedMs * this.#ratePerMs,
     );
     this.#updatedMs = nowMs;
