Entries: count a crash whose server's lease ended first

Callers of the product's own entries: a request that crashes its servers ended one more of them than it should, three in place of two.

Cause: an entry learnt that the lease of the crashed server had ended before it read that its connection had. It then ended the request's attempt without asking whether the server was down. Where it asked, it looked the address up among the servers it knows, in which that server was no more, and took it to be running.

Ruled out: another request present at both crashes, for which a third is allowed; the records show none.

Change: both branches ask whether the server is down, at the address at which the request was sent if no other is known.

--- a/src/services/online/crash_detector.ts
+++ b/src/services/online/crash_detector.ts
@@ -3,7 +3,7 @@
  * a suspicion against the requests that were in flight and, if an answer had not
  * begun, against the parts of its prompt.
  */
-import type { FleetView } from "../../membership/mod.ts";
+import type { BackendServer, FleetView } from "../../membership/mod.ts";
 import type { Suspicion } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
 import { ConnectProbe, ProbeResult } from "../../sys/connect_probe.ts";
@@ -32,8 +32,8 @@
   }
 
   /**
-   * Records that the connection to a server was lost during a request. If the
-   * server is down or has restarted, the request becomes a suspect, and so do the
+   * Records that the connection to a server, or its lease, ended during a request.
+   * If the server is down or has restarted, the request becomes a suspect, and so do the
    * parts of its prompt in `unproven`.
    */
   async recordConnectionLoss(
@@ -43,7 +43,7 @@
       undefined,
   ): Promise<void> {
     const { server, incarnation } = placement;
-    const isDown = await this.#isServerDown(server.name);
+    const isDown = await this.#isServerDown(server);
     const hasRestarted = server.announcement.incarnation > incarnation;
     if (!isDown && !hasRestarted) return;
     const nowMs = this.#clock.getMonotonicMs();
@@ -64,9 +64,10 @@
     if (update !== undefined) this.#onSuspicionChange(update);
   }
 
-  async #isServerDown(name: string): Promise<boolean> {
-    const address = this.#view.backends.tryGet(name)?.announcement.address;
-    return address !== undefined &&
-      await this.#probe.probe(address) !== ProbeResult.connected;
+  async #isServerDown(server: BackendServer): Promise<boolean> {
+    // A server whose lease has ended is not known any more.
+    const { address } =
+      (this.#view.backends.tryGet(server.name) ?? server).announcement;
+    return await this.#probe.probe(address) !== ProbeResult.connected;
   }
 }
--- a/src/services/online/engine_runner.ts
+++ b/src/services/online/engine_runner.ts
@@ -184,8 +184,13 @@
     timer.cancel();
     const isServerFailure = end.kind === "broken" ||
       (end.kind === "answered" && end.status >= 500);
+    const isExpected = request.signal.aborted || placement.isPreempted ||
+      deadlineAbort.signal.aborted;
+    // The entry may learn of the end of a server's lease before that of the
+    // connection.
+    const isServerLost = end.kind === "aborted" && !isExpected;
     if (end.kind === "done") this.#detector.recordSuccess(request.fingerprint);
-    if (mayHaveCrashedServer(end)) {
+    if (isServerLost || mayHaveCrashedServer(end)) {
       await this.#detector.recordConnectionLoss(
         request.fingerprint,
         placement,
@@ -196,10 +201,7 @@
       );
     }
     placement.release({ isServerFailure });
-    const isExpected = request.signal.aborted || placement.isPreempted ||
-      deadlineAbort.signal.aborted;
-    if (end.kind !== "aborted" || isExpected) return end;
-    // The server was lost or restarted during the request.
+    if (!isServerLost) return end;
     return {
       kind: "broken",
       reason: "the backend server is gone",
