Spread the requests to servers with a limit while no store host replies

Servers in need could get a burst from all processes together: each saved up two requests and more for itself, so 60 gateways sent 120 at once to a server that takes 10 a second (65 allowed in 4 s).

Cause: the pace of a process alone was that of a store host, made for one pacer of a server, with its burst.

Evidence: a new test with 60 processes and simulated time failed before (120 of 65).

Change: a process alone saves one request at most, begins at a random point of its interval, and again after 5 s without requests. All together take half of the limit, as random points cluster.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -85,6 +85,7 @@
       getGranters: () => view.getStoreAddresses(),
       caller: new RpcGranterCaller(credentials),
       clock,
+      random,
       log,
       metrics,
     });
--- a/src/fleet/rate_limit_client.ts
+++ b/src/fleet/rate_limit_client.ts
@@ -20,7 +20,7 @@
 import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
-import { selectByRendezvous } from "../sys/random.ts";
+import { type Random, selectByRendezvous } from "../sys/random.ts";
 import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
 
 /** Calls the store hosts that grant permissions. */
@@ -66,6 +66,7 @@
   readonly getGranters: () => readonly string[];
   readonly caller: GranterCaller;
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
 }
@@ -78,7 +79,7 @@
   prefetchedUntilMs: number;
   isPrefetching: boolean;
   /** Paces requests while no store host replies. */
-  ownPacer: RequestPacer | undefined;
+  ownPacer: { readonly pacer: RequestPacer; askedMs: number } | undefined;
 }
 
 /** A store host that has not replied since it was asked. */
@@ -124,6 +125,18 @@
 /** Store hosts that are asked for one permission. */
 const MAX_ASKED_GRANTERS = 2;
 
+/**
+ * Fraction of a limit that all processes take together while no store host replies:
+ * they begin at random times, so that more of them may send at a time.
+ */
+const OWN_FRACTION = 0.5;
+
+/**
+ * Time after the last request for which the pace of this process alone is kept, in
+ * milliseconds.
+ */
+const OWN_PACER_TTL_MS = 5_000;
+
 /** Maximum number of starts that are kept; those asked for first are dropped. */
 const MAX_ASKED_SERVERS = 1_024;
 
@@ -333,11 +346,19 @@
   ): GrantReply {
     const nowMs = this.#options.clock.getMonotonicMs();
     const asked = this.#getAskedServer(server);
-    const partPerS = limitPerS / this.#senderCount;
-    const pacer = asked.ownPacer ?? new RequestPacer(partPerS, nowMs);
-    asked.ownPacer = pacer;
-    pacer.setLimit(partPerS, nowMs);
-    return pacer.request(req, nowMs);
+    const parts = this.#senderCount / OWN_FRACTION;
+    const { pacer, askedMs } = asked.ownPacer ?? { askedMs: -Infinity };
+    const current = pacer === undefined || nowMs - askedMs > OWN_PACER_TTL_MS
+      ? new RequestPacer(limitPerS, nowMs, {
+        savesTokens: false,
+        // Keeps the processes from sending at the same time.
+        initialTokens: this.#options.random.getFraction(),
+        parts,
+      })
+      : pacer;
+    asked.ownPacer = { pacer: current, askedMs: nowMs };
+    current.setLimit(limitPerS, nowMs, parts);
+    return current.request(req, nowMs);
   }
 }
 
--- a/src/policy/request_pacer.ts
+++ b/src/policy/request_pacer.ts
@@ -50,6 +50,10 @@
 export interface RequestPacerOptions {
   /** Whether tokens are saved for bursts; otherwise there is one at most. */
   readonly savesTokens: boolean;
+  /** Tokens at the beginning; 0 by default. */
+  readonly initialTokens?: number;
+  /** Equal parts of a limit of which the pacer allows one; 1 by default. */
+  readonly parts?: number;
 }
 
 /** Paces the requests to one server. */
@@ -57,24 +61,27 @@
   readonly #savesTokens: boolean;
   #ratePerMs: number;
   /** Below zero while requests wait for tokens that they have reserved. */
-  #tokens = 0;
+  #tokens: number;
   #updatedMs: number;
 
-  /** Begins without tokens: what others have granted before is not known. */
+  /** Usually begins without tokens: what others have granted before is not known. */
   constructor(
     limitPerS: number,
     nowMs: number,
-    { savesTokens }: RequestPacerOptions = { savesTokens: true },
+    { savesTokens, initialTokens = 0, parts = 1 }: RequestPacerOptions = {
+      savesTokens: true,
+    },
   ) {
     this.#savesTokens = savesTokens;
-    this.#ratePerMs = getRatePerMs(limitPerS);
+    this.#tokens = initialTokens;
+    this.#ratePerMs = getRatePerMs(limitPerS, parts);
     this.#updatedMs = nowMs;
   }
 
   /** Changes the rate; what was reserved before stays. */
-  setLimit(limitPerS: number, nowMs: number): void {
+  setLimit(limitPerS: number, nowMs: number, parts = 1): void {
     this.#refill(nowMs);
-    this.#ratePerMs = getRatePerMs(limitPerS);
+    this.#ratePerMs = getRatePerMs(limitPerS, parts);
   }
 
   /** Takes a token, now or within the wait of the request. */
@@ -101,6 +108,6 @@
   }
 }
 
-function getRatePerMs(limitPerS: number): number {
-  return Math.max(MIN_RATE_PER_S, limitPerS) / MS_PER_S;
+function getRatePerMs(limitPerS: number, parts: number): number {
+  return Math.max(MIN_RATE_PER_S, limitPerS / parts) / MS_PER_S;
 }
--- a/src/test/rate_limits_test.ts
+++ b/src/test/rate_limits_test.ts
@@ -130,6 +130,7 @@
   readonly #clients: readonly RateLimitClient[];
 
   constructor(options: { readonly limitPerS: number; readonly count: number }) {
+    const random = new SeededRandom(options.count);
     this.#clients = Array.from({ length: options.count }, (_, index) => {
       const limits = new ServerLimits();
       limits.recordResponse(SERVER, options.limitPerS, { sentMs: 0, nowMs: 0 });
@@ -139,6 +140,7 @@
         getGranters: () => [...this.granters.keys()],
         caller: new SimulatedCaller(this.clock, this.granters),
         clock: this.clock,
+        random,
         log: createSilentLog(),
         metrics: new Metrics({ prefix: "test" }),
       });
@@ -163,6 +165,12 @@
     }
   }
 
+  /** Lets time pass in which no process asks. */
+  async pause(ms: number): Promise<void> {
+    this.clock.advance(ms);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
   /** Most requests that the server got in any window. */
   getMaxCount(): number {
     return Math.max(
@@ -213,7 +221,7 @@
     it(`of ${limitPerS} a second hold when a store host is reached again`, async () => {
       const senders = new SimulatedSenders({ limitPerS, count: 30 });
       await senders.run(100);
-      senders.clock.advance(10_000);
+      await senders.pause(10_000);
       senders.order[0]?.cut(6_000);
       await senders.run(10_000);
       expect(senders.getMaxCount()).at.most(getAllowedCount(limitPerS));
@@ -239,6 +247,22 @@
     });
   }
 
+  // Guards against requests that all processes save up for, and send together, while
+  // each takes its part.
+  [10].forEach((limitPerS) =>
+    it(`of ${limitPerS} a second hold among 60 processes while no store host replies`, async () => {
+      const senders = new SimulatedSenders({ limitPerS, count: 60 });
+      await senders.run(5_000);
+      senders.order.forEach((granter) => granter.cut(120_000));
+      await senders.run(10_000);
+      await senders.pause(60_000);
+      const sentBefore = senders.sentMs.length;
+      await senders.run(20_000);
+      expect(senders.sentMs.length - sentBefore).at.least(0.3 * limitPerS * 20);
+      expect(senders.getMaxCount()).at.most(getAllowedCount(limitPerS));
+    })
+  );
+
   // Guards against servers left without requests once their store host is lost.
   it("are granted by another store host while the first is down", async () => {
     const senders = new SimulatedSenders({ limitPerS: 5, count: 8 });
