Apply the lowest rate to a limit, not to the part of a process

Servers with a low limit got more than it from many processes without a store host: 18 of 17 requests in 4 s at 2 a second and 60 processes.

Cause: the lowest rate (one request in 20 s, so that a limit of zero is seen to end) held for each process's part: 60 parts were 3 a second.

Change: the pacer divides the limit into parts after the lowest rate is applied.

--- a/src/policy/request_pacer.ts
+++ b/src/policy/request_pacer.ts
@@ -109,5 +109,5 @@
 }
 
 function getRatePerMs(limitPerS: number, parts: number): number {
-  return Math.max(MIN_RATE_PER_S, limitPerS / parts) / MS_PER_S;
+  return Math.max(MIN_RATE_PER_S, limitPerS) / parts / MS_PER_S;
 }
--- a/src/test/rate_limits_test.ts
+++ b/src/test/rate_limits_test.ts
@@ -249,7 +249,7 @@
 
   // Guards against requests that all processes save up for, and send together, while
   // each takes its part.
-  [10].forEach((limitPerS) =>
+  [2, 10].forEach((limitPerS) =>
     it(`of ${limitPerS} a second hold among 60 processes while no store host replies`, async () => {
       const senders = new SimulatedSenders({ limitPerS, count: 60 });
       await senders.run(5_000);
