Sessions: let the wall clock of the test advance

Cause: the test's wall clock stood still, to make transcripts the same in each run. Since hosts compare the wall clock with the monotonic one, each member of the groups took each tick for the end of a suspension: a leader held no lease and the others did not count as caught up until an exchange of messages was complete. Under load a tick came before the exchange's end again and again.

Change: the wall clock begins at the same moment and advances. Transcripts show that moment in place of times within the session; other times still differ from the baselines, which are unchanged. The digest of the exported jobs is compared with the file before it is replaced by that of the text with the times replaced.

--- a/src/test/baselines.ts
+++ b/src/test/baselines.ts
@@ -7,13 +7,25 @@
 import { mkdir, readFile, writeFile } from "node:fs/promises";
 import path from "node:path";
 import { sendRequest, streamCompletion } from "../bench/mod.ts";
+import type { Clock } from "../sys/clock.ts";
 
 const BASELINE_FOLDER = "baselines";
 
+/** A wall time in milliseconds, as it has been written since 2001. */
+const WALL_MS_PATTERN = /\b\d{13}\b/g;
+
 /** Transcript of the requests and answers of a session. */
 export class Transcript {
+  readonly #startWallMs: number;
+  readonly #clock: Clock;
   readonly #lines: string[] = [];
 
+  /** The session runs by `clock`, from the wall time `startWallMs` on. */
+  constructor(options: { startWallMs: number; clock: Clock }) {
+    this.#startWallMs = options.startWallMs;
+    this.#clock = options.clock;
+  }
+
   note(line: string): void {
     this.#lines.push(line);
   }
@@ -72,6 +84,17 @@
   }
 
   #noteBody(prefix: string, text: string): void {
-    text.split("\n").forEach((line) => this.note(`${prefix}   ${line}`));
+    this.replaceTimes(text).split("\n")
+      .forEach((line) => this.note(`${prefix}   ${line}`));
+  }
+
+  /** Replaces wall times since the start of the session by the start. */
+  replaceTimes(text: string): string {
+    const nowMs = this.#clock.getWallMs();
+    return text.replace(WALL_MS_PATTERN, (value) => {
+      const wallMs = Number(value);
+      const isInSession = wallMs >= this.#startWallMs && wallMs <= nowMs;
+      return isInSession ? String(this.#startWallMs) : value;
+    });
   }
 }
--- a/src/test/sessions_test.ts
+++ b/src/test/sessions_test.ts
@@ -1,5 +1,7 @@
 /** Compares transcripts of whole sessions with their baselines. */
 import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import { createHash } from "node:crypto";
 import { mkdtemp, readFile, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
@@ -13,16 +15,31 @@
 import { QUICK_ENGINE, waitForJob, withFleet } from "./fleet_helpers.ts";
 
 const { model, operator, engines, workload } = FleetName;
-const FIXED_WALL_MS = 1_800_000_000_000;
 
-/** A clock with a fixed wall time, to make transcripts reproducible. */
-class FixedWallClock extends SystemClock {
+/** Wall time at the start, which transcripts show in place of later times. */
+const START_WALL_MS = 1_800_000_000_000;
+
+/**
+ * A clock whose wall time begins at a fixed moment. It must go on from there:
+ * hosts take a wall clock that stands still for a suspension.
+ */
+class AnchoredWallClock extends SystemClock {
+  readonly #startMs = performance.now();
+
   override getWallMs(): number {
-    return FIXED_WALL_MS;
+    return START_WALL_MS + Math.floor(performance.now() - this.#startMs);
   }
 }
 
-const context = { clock: new FixedWallClock() };
+/** SHA-256 of a text, in lower-case hex. */
+function getSha256(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+const clock = new AnchoredWallClock();
+const context = { clock };
+const createTranscript = () =>
+  new Transcript({ startWallMs: START_WALL_MS, clock });
 const jobsPath = `/v1/jobs?workload=${workload}`;
 
 describe("sessions", () => {
@@ -32,7 +49,7 @@
       engines: 2,
       engine: { ...QUICK_ENGINE, baseStepMs: 5 },
     }, async (fleet) => {
-      const transcript = new Transcript();
+      const transcript = createTranscript();
       const address = fleet.getEntryAddresses()[0] ?? "";
       await transcript.stream(address, {
         model,
@@ -68,7 +85,7 @@
 
   it("a job with a failed item, a resent job and a cancelled job", () =>
     withFleet({ context, engines: 1 }, async (fleet) => {
-      const transcript = new Transcript();
+      const transcript = createTranscript();
       const [first, second] = fleet.getEntryAddresses();
       const lines = [
         { custom_id: "a", body: { prompt: "first refill", max_tokens: 3 } },
@@ -108,7 +125,7 @@
 
   it("a receipt whose response was lost", () =>
     withFleet({ context, engines: 0 }, async (fleet) => {
-      const transcript = new Transcript();
+      const transcript = createTranscript();
       const [first, second] = fleet.getEntryAddresses();
       const service = fleet.services[0];
       if (service === undefined) throw new Error("no service");
@@ -129,7 +146,7 @@
 
   it("conflicting orders with equal expected versions, and resent orders", () =>
     withFleet({ context, engines: 0, services: 0 }, async (fleet) => {
-      const transcript = new Transcript();
+      const transcript = createTranscript();
       const state = fleet.entries[0]?.state;
       const expectedVersion = fleet.entries[0]?.view.configuration.version;
       const submit = async (orderId: string, batchReserve: number) => {
@@ -157,7 +174,7 @@
 
   it("a dissolution and its export", () =>
     withFleet({ context, engines: 1 }, async (fleet) => {
-      const transcript = new Transcript();
+      const transcript = createTranscript();
       const address = fleet.getEntryAddresses()[0] ?? "";
       const body = JSON.stringify({ prompt: "last one", max_tokens: 2 });
       const job = await transcript.call(address, jobsPath, body, {
@@ -166,7 +183,7 @@
       await waitForJob(fleet, address, String(job.id));
       await fleet.order({
         case: "dissolve",
-        value: { deadlineMs: BigInt(FIXED_WALL_MS) },
+        value: { deadlineMs: BigInt(START_WALL_MS) },
       }, { orderId: "the-end" });
       await waitUntil(
         fleet.clock,
@@ -183,11 +200,22 @@
       );
       await exportOperator(client, { operator, folder });
       client.close();
-      for (const name of ["manifest.json", `job-${job.id}.jsonl`]) {
+      const readText = (name: string) =>
+        readFile(path.join(folder, name), "utf8");
+      const jobs = await readText("jobs.jsonl");
+      const manifest = await readText("manifest.json");
+      expect(manifest).include(getSha256(jobs));
+      const shown = {
+        "manifest.json": manifest.replace(
+          getSha256(jobs),
+          getSha256(transcript.replaceTimes(jobs)),
+        ),
+        [`job-${job.id}.jsonl`]: await readText(`job-${job.id}.jsonl`),
+      };
+      Object.entries(shown).forEach(([name, text]) => {
         transcript.note(`= ${name}`);
-        const text = await readFile(path.join(folder, name), "utf8");
         transcript.note(text.trimEnd());
-      }
+      });
       await rm(folder, { recursive: true });
       await transcript.check("dissolution");
     }));
