--- a/src/test/leader_contact_test.ts
+++ b/src/test/leader_contact_test.ts
@@ -247,8 +247,8 @@
     ).deep.equal([]);
   }).timeout(0);
 
-  // Guards against stale answers by a leader that was frozen: its lease is
-  // measured on a clock that does not count that time.
+  // Guards against stale answers by a leader that was frozen: its lease ends
+  // by a clock that stands still meanwhile.
   it("holds no lease on old state after a freeze", () => {
     expect(getSeeds(({ group }) => group.hasStaleLease)).deep.equal([]);
   }).timeout(0);
