--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -275,7 +275,7 @@
     record.write("case", "couldn't run: time limit");
     fleet.close();
     process.exit(2);
-  }, 115_000);
+  }, 118_000);
   const stop = () => {
     fleet.close();
     process.exit(2);
