--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -15,8 +15,9 @@
 /** Jobs after which the load ends; a replica rewrites its log about every 32 MB. */
 const MAX_JOBS = 310;
 
-/** Bounds.RecoverS of the sheet, in milliseconds. */
+/** Bounds.RecoverS and Bounds.CatchUpS of the sheet, in milliseconds. */
 const RECOVER_MS = 12_000;
+const CATCH_UP_MS = 4_700;
 
 const HOST = { Host: "ficu95.example" };
 
@@ -105,10 +106,14 @@
   if (first < 0) throw new Error("the stores didn't come back after the kill");
   await delay(5_000);
 
-  // As the platform does: SIGTERM, and a start after the process has ended.
+  // As the platform does: SIGTERM, and a start after the process has ended. The next
+  // one follows when the one before has been back for the time that it may need.
   for (const store of fleet.stores) {
+    const before = store.ownEnds.length;
     store.signal("SIGTERM");
-    await delay(6_000);
+    await fleet.waitUntil(`${store.id} to end`, () => store.ownEnds.length > before, 10_000);
+    await fleet.waitUntil(`${store.id} to start`, () => store.pid !== undefined, 5_000);
+    await delay(CATCH_UP_MS);
   }
   await delay(RECOVER_MS);
   const ids = [accepted[0], accepted[Math.floor(accepted.length / 2)], accepted.at(-1)];
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -7,6 +7,7 @@
 import { spawn } from "node:child_process";
 import { createWriteStream, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
+import net from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
@@ -16,8 +17,8 @@
 /** Each machine has a loopback address of its own; runs use different ones. */
 const NETWORK = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
 
-/** Ports, the same on all machines. */
-const PORTS = { peer: 7_660, control: 8_146, front: 8_144, ready: 8_140 };
+/** Names of the ports, which are the same on all machines. */
+const PORT_NAMES = ["peer", "control", "front", "ready", "metrics"];
 
 /** Heap limits of the roles' commands in deploy/system.toml. */
 const HEAP_MB = { gateway: 90, control: 160, store: 120 };
@@ -53,6 +54,20 @@
   }
 }
 
+/** Returns a free port for each name. */
+async function findPorts() {
+  const servers = await Promise.all(PORT_NAMES.map(() =>
+    new Promise((resolve, reject) => {
+      const server = net.createServer();
+      server.on("error", reject);
+      server.listen(0, `${NETWORK}.9`, () => resolve(server));
+    })
+  ));
+  const ports = Object.fromEntries(servers.map((server, index) => [PORT_NAMES[index], server.address().port]));
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
 /** Sends one HTTP request on a new channel; status 0 means that it failed. */
 export function send(address, method, target, { headers = {}, body = "", timeoutMs = 10_000, agent = false } = {}) {
   const [host, port] = address.split(":");
@@ -167,8 +182,9 @@
 
   /** Starts three control hosts, three store hosts and gateways. */
   async start({ gateways = 2, stores = 3, beatMs = 1_200, change = () => ({}) } = {}) {
+    const ports = await findPorts();
     this.common = {
-      peer_port: PORTS.peer, metrics_port: 9_464, seeds: [], first_start: true, lost_hosts: 1,
+      peer_port: ports.peer, metrics_port: ports.metrics, seeds: [], first_start: true, lost_hosts: 1,
       beat_ms: beatMs, drain_ms: 2_000,
     };
     const add = (list, role, name, count) => {
@@ -176,9 +192,9 @@
         const id = `${name}-${index + 1}`;
         const ip = `${NETWORK}.${this.daemons.length + 10}`;
         const own = {
-          control: { listen: `${ip}:${PORTS.control}`, data_folder: path.join(this.folder, `${id}-data`) },
+          control: { listen: `${ip}:${ports.control}`, data_folder: path.join(this.folder, `${id}-data`) },
           store: { data_folder: path.join(this.folder, `${id}-data`) },
-          gateway: { listen: `${ip}:${PORTS.front}`, ready_listen: `${ip}:${PORTS.ready}` },
+          gateway: { listen: `${ip}:${ports.front}`, ready_listen: `${ip}:${ports.ready}` },
         }[role];
         const daemon = new Daemon(this, role, id);
         Object.assign(daemon, { ip, address: own.listen, ready: own.ready_listen });
