--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -5,8 +5,8 @@
  */
 import { existsSync, readdirSync, statSync } from "node:fs";
 import path from "node:path";
-import { createConfig, delay, hasTrouble, runCase, send } from "../lib/fleet.mjs";
-import { Server } from "../lib/server.mjs";
+import { createConfig, delay, hasTrouble, runCase, send } from "../fleet.mjs";
+import { Server } from "../server.mjs";
 
 /** Items of a job, and bytes of an item's body: a job has 225 KB, the sheet allows 310 KB. */
 const ITEMS = 15;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -2,8 +2,8 @@
  * One ping of another writer names an address that is none: its port is above
  * 65535. Sound clients go on sending requests, which sound servers answer.
  */
-import { createConfig, delay, hasTrouble, runCase, send } from "../lib/fleet.mjs";
-import { Server } from "../lib/server.mjs";
+import { createConfig, delay, hasTrouble, runCase, send } from "../fleet.mjs";
+import { Server } from "../server.mjs";
 
 /** Ends of one process that count in the rule. */
 const MAX_OWN_ENDS = 3;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,8 +2,8 @@
  * Another writer pings the control hosts in turn, as servers do, with a number of
  * slots that fits no server. After that, the operator adds a route.
  */
-import { createConfig, delay, hasTrouble, runCase, send } from "../lib/fleet.mjs";
-import { Server } from "../lib/server.mjs";
+import { createConfig, delay, hasTrouble, runCase, send } from "../fleet.mjs";
+import { Server } from "../server.mjs";
 
 /** Bounds.ConfigMs of the sheet, in milliseconds. */
 const CONFIG_MS = 2_000;
--- a/review/lib/fleet.mjs
+++ b/review/fleet.mjs
@@ -12,7 +12,7 @@
 import path from "node:path";
 import { fileURLToPath } from "node:url";
 
-const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), "../..");
+const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), "..");
 
 /** Each machine has a loopback address of its own; runs use different ones. */
 const NETWORK = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
