Soak: another writer, memory limits, and fleets of any size

The soak had no writer but its servers, didn't look at memory, and its size was fixed. All three matter for processes that end by themselves: held 238 MB in store processes that have 220, and one odd registration ended gateways or all updates.

Another writer now sends registrations with one odd field, or that are none at all, every 250 ms throughout; nothing may change by them.

--- a/src/test/soak/soak_fleet.ts
+++ b/src/test/soak/soak_fleet.ts
@@ -32,12 +32,22 @@
 /** Value of the setting `beat_ms`: time between registrations of a server. */
 const HEARTBEAT_MS = 500;
 
+/** Limits of each role: the JavaScript heap and the resident memory, in MB. */
+const MEMORY_LIMITS = {
+  control: { heapMb: 160, residentMb: 346 },
+  store: { heapMb: 120, residentMb: 220 },
+  gateway: { heapMb: 90, residentMb: 200 },
+};
+
+type Role = keyof typeof MEMORY_LIMITS;
+
 const PROGRAM_PATH = fileURLToPath(
   new URL("../../../platform/main.js", import.meta.url),
 );
 
 /** One host: its process, the link in front of it, its folder and address. */
 interface SoakHost {
+  readonly role: Role;
   readonly process: SoakProcess;
   readonly link: LinkProxy;
   readonly dataFolder: string;
@@ -71,6 +81,19 @@
     return [...this.#hosts.values()].map((host) => host.process);
   }
 
+  /** Describes each process that held more memory than its host has. */
+  getMemoryViolations(): string[] {
+    return [...this.#hosts.values()]
+      .filter(({ role, process }) =>
+        process.peakResidentMb > MEMORY_LIMITS[role].residentMb
+      )
+      .map(({ role, process: { name, peakResidentMb } }) =>
+        `${name} held ${peakResidentMb} MB, over ${
+          MEMORY_LIMITS[role].residentMb
+        }`
+      );
+  }
+
   getAddress(name: string): string {
     return this.#getHost(name).address;
   }
@@ -79,13 +102,14 @@
     this.folder = await mkdtemp(path.join(tmpdir(), "papayatally-soak-"));
     const [peer = 0, http = 0, ready = 0] = await findFreePorts(3);
     this.#ports = { peer, http, ready };
-    const roles = {
-      control: this.#size.controls,
-      store: this.#size.stores,
-      gateway: this.#size.gateways,
-    };
+    const { controls, stores, gateways } = this.#size;
+    const counts: [Role, number][] = [
+      ["control", controls],
+      ["store", stores],
+      ["gateway", gateways],
+    ];
     let hostNumber = 0;
-    for (const [role, count] of Object.entries(roles)) {
+    for (const [role, count] of counts) {
       for (let index = 0; index < count; index += 1) {
         hostNumber += 1;
         await this.#addHost(role, `${role}-${index + 1}`, hostNumber);
@@ -173,7 +197,7 @@
   }
 
   async #addHost(
-    role: string,
+    role: Role,
     name: string,
     hostNumber: number,
   ): Promise<void> {
@@ -213,8 +237,10 @@
       program: PROGRAM_PATH,
       settingsPath,
       logPath: path.join(hostFolder, "log"),
+      heapMb: MEMORY_LIMITS[role].heapMb,
     });
     this.#hosts.set(name, {
+      role,
       process,
       link,
       dataFolder: path.join(hostFolder, "data"),
--- a/src/test/soak/soak_load.ts
+++ b/src/test/soak/soak_load.ts
@@ -11,6 +11,10 @@
   type ReceivedResponse,
   sendHttpRequest,
 } from "../platform_fleet.ts";
+import {
+  createOddRegistration,
+  ODD_REGISTRATION_COUNT,
+} from "./other_writer.ts";
 import {
   type CallerAttempt,
   getStreamPart,
@@ -25,12 +29,14 @@
 
 /**
  * Intervals in milliseconds between requests, between jobs, between changes and
- * reads of the configuration, and between registrations of one server.
+ * reads of the configuration, and between registrations of one server and of
+ * another writer.
  */
 const REQUEST_INTERVAL_MS = 15;
 const JOB_INTERVAL_MS = 400;
 const CONFIG_INTERVAL_MS = 700;
 const HEARTBEAT_INTERVAL_MS = 400;
+const ODD_REGISTRATION_INTERVAL_MS = 250;
 
 /** Client-side timeout, in milliseconds: 500 ms past the request's deadline. */
 const CALLER_TIMEOUT_MS = 3_500;
@@ -71,6 +77,7 @@
   #isRunning = false;
   #isClosed = false;
   #sentCount = 0;
+  #oddRegistrationCount = 0;
   #configVersion = 0;
   /** Newest configuration version that was acknowledged. */
   acknowledgedVersion = 0;
@@ -95,6 +102,10 @@
     this.#repeat(JOB_INTERVAL_MS, () => this.submit());
     this.#repeat(CONFIG_INTERVAL_MS, () => this.changeConfig());
     this.#repeat(CONFIG_INTERVAL_MS, () => this.readConfig());
+    this.#repeat(
+      ODD_REGISTRATION_INTERVAL_MS,
+      () => this.#sendOddRegistration(),
+    );
     this.#fleet.servers.forEach((server) =>
       this.#repeat(
         HEARTBEAT_INTERVAL_MS,
@@ -266,6 +277,14 @@
     });
   }
 
+  #sendOddRegistration(): Promise<unknown> {
+    const index = this.#oddRegistrationCount % ODD_REGISTRATION_COUNT;
+    this.#oddRegistrationCount += 1;
+    return this.#sendControlRequest("PUT", `/-/instances/odd-${index}`, {
+      body: createOddRegistration(index),
+    });
+  }
+
   #sendControlRequest(
     method: string,
     target: string,
--- a/src/test/soak/soak_main.ts
+++ b/src/test/soak/soak_main.ts
@@ -1,12 +1,15 @@
 /** Command line of the soak: `npm run soak -- --help`. */
 import { rm } from "node:fs/promises";
 import { Command } from "commander";
+import { DEFAULT_SIZE } from "./soak_fleet.ts";
 import { runSoak, type SoakReport } from "./soak_run.ts";
 
 interface CommandOptions {
   readonly seed: string;
   readonly seeds: string;
   readonly seconds: string;
+  readonly gateways: string;
+  readonly servers: string;
   readonly verbose?: boolean;
 }
 
@@ -21,6 +24,16 @@
     "period in which faults start, in seconds",
     "20",
   )
+  .option(
+    "--gateways <count>",
+    "number of gateways",
+    String(DEFAULT_SIZE.gateways),
+  )
+  .option(
+    "--servers <count>",
+    "number of backend servers",
+    String(DEFAULT_SIZE.servers),
+  )
   .option("--verbose", "print a line for each fault")
   .addHelpText("after", "\nExit codes: 0 all guarantees kept, 1 one broken.")
   .parse();
@@ -45,12 +58,19 @@
 process.once("SIGTERM", () => process.exit(1));
 process.once("SIGINT", () => process.exit(1));
 
-const { seed, seeds, seconds, verbose } = program.opts<CommandOptions>();
+const { seed, seeds, seconds, gateways, servers, verbose } = program.opts<
+  CommandOptions
+>();
 for (let index = 0; index < Number(seeds); index += 1) {
   await printReport(
     await runSoak({
       seed: Number(seed) + index,
       faultPeriodMs: Number(seconds) * 1_000,
+      size: {
+        ...DEFAULT_SIZE,
+        gateways: Number(gateways),
+        servers: Number(servers),
+      },
       onLine: verbose === true
         ? (line) => process.stdout.write(`  ${line}\n`)
         : undefined,
--- a/src/test/soak/soak_process.ts
+++ b/src/test/soak/soak_process.ts
@@ -1,6 +1,6 @@
 /** Starts one process of the fleet and sends signals to it. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream } from "node:fs";
+import { createWriteStream, readFileSync } from "node:fs";
 import { once } from "node:events";
 
 /** Running children; none may outlive the soak, even if it is interrupted. */
@@ -16,8 +16,15 @@
   readonly program: string;
   readonly settingsPath: string;
   readonly logPath: string;
+  /** Limit of the JavaScript heap, in MB. */
+  readonly heapMb: number;
 }
 
+/** Interval at which the memory of a process is read, in milliseconds. */
+const MEMORY_INTERVAL_MS = 500;
+
+const KB_PER_MB = 1_024;
+
 /** A process that can be stopped and started again. */
 export class SoakProcess {
   readonly #options: SoakProcessOptions;
@@ -26,6 +33,8 @@
   #hasOutput = false;
   /** Exits that the soak did not cause, as exit codes or signal names. */
   readonly unexpectedExits: string[] = [];
+  /** Largest resident memory of any start of the process, in MB. */
+  peakResidentMb = 0;
 
   constructor(options: SoakProcessOptions) {
     this.#options = options;
@@ -40,11 +49,16 @@
   }
 
   start(): void {
-    const { program, settingsPath, logPath } = this.#options;
+    const { program, settingsPath, logPath, heapMb } = this.#options;
     const log = createWriteStream(logPath, { flags: "a" });
-    const child = spawn(process.execPath, [program, settingsPath], {
+    const args = [`--max-old-space-size=${heapMb}`, program, settingsPath];
+    const child = spawn(process.execPath, args, {
       stdio: ["ignore", "pipe", "pipe"],
     });
+    const memoryTimer = setInterval(
+      () => this.#recordMemory(child),
+      MEMORY_INTERVAL_MS,
+    );
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this.#child = child;
@@ -56,6 +70,7 @@
     RUNNING_CHILDREN.add(child);
     child.on("exit", (code, signal) => {
       RUNNING_CHILDREN.delete(child);
+      clearInterval(memoryTimer);
       log.end();
       if (this.#child === child) this.#child = undefined;
       if (!this.#isStopping) this.unexpectedExits.push(String(code ?? signal));
@@ -77,8 +92,30 @@
     const child = this.#child;
     if (child === undefined) return;
     this.#isStopping = true;
+    this.#recordMemory(child);
     const exited = once(child, "exit");
     child.kill(signal);
     await exited;
   }
+
+  #recordMemory({ pid }: ChildProcess): void {
+    this.peakResidentMb = Math.max(
+      this.peakResidentMb,
+      readPeakResidentMb(pid),
+    );
+  }
+}
+
+/**
+ * Largest resident memory of a running process, in MB; 0 if it has exited or the
+ * system has no /proc.
+ */
+function readPeakResidentMb(pid: number | undefined): number {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const [, kb] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+    return Math.round(Number(kb ?? 0) / KB_PER_MB);
+  } catch {
+    return 0;
+  }
 }
--- a/src/test/soak/soak_run.ts
+++ b/src/test/soak/soak_run.ts
@@ -6,7 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createFaultPlan, type Fault } from "./fault_plan.ts";
 import { RunHistory } from "./run_history.ts";
-import { SoakFleet } from "./soak_fleet.ts";
+import { DEFAULT_SIZE, SoakFleet, type SoakFleetSize } from "./soak_fleet.ts";
 import { SoakLoad } from "./soak_load.ts";
 
 /** Options of a run. */
@@ -14,6 +14,7 @@
   readonly seed: number;
   /** Period in which faults start, in milliseconds. */
   readonly faultPeriodMs: number;
+  readonly size?: SoakFleetSize;
   readonly onLine?: (line: string) => void;
 }
 
@@ -62,7 +63,7 @@
 /** Runs the soak for one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const history = new RunHistory();
-  const fleet = new SoakFleet();
+  const fleet = new SoakFleet(options.size ?? DEFAULT_SIZE);
   const load = new SoakLoad(fleet, history, options.seed);
   const writeLine = options.onLine ?? (() => {});
   let faultCount = 0;
@@ -114,6 +115,7 @@
     await load.close();
     await fleet.close({ keepFolder: true });
   }
+  history.faults.push(...fleet.getMemoryViolations());
   const receivedRequests = fleet.servers.flatMap((server) =>
     server.receivedRequests
   );
