Replicas start again after a kill during a log rewrite

What callers saw: after all store processes were killed while two replicas rewrote their log, these two came back once and ended with PT1012 at every later start.

Cause: the new content of a file is written to a temporary file NAME.new. A start took each file whose name begins with "segment-" for a log segment, so also segment-N.new. Its number is not one; the replica appended to segment-0000000000000NaN, past as many zero bytes as the temporary file had. The next start found a torn segment that is not the last one.

Change: new content lies in a temporary folder until it is whole. Listing a folder never shows it, to an old build neither, since that lists only files. A process removes temporary files and folders when it starts on its data folder. A segment without number that an old build left is read as the newest one, from the first frame after the zero bytes, and replaced by a numbered segment.

Why it works: no reader can see a file that is not whole, whichever build reads, and what an old build appended is replayed after all that it follows.

--- a/src/fleet/state_process.ts
+++ b/src/fleet/state_process.ts
@@ -65,7 +65,9 @@
   async openFolder(): Promise<Folder> {
     const path = this.settings.dataFolder ?? "";
     try {
-      return await DiskFolder.open(path);
+      const folder = await DiskFolder.open(path);
+      await folder.removeTemporaryFiles();
+      return folder;
     } catch (error) {
       throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
         parameters: { path, reason: getReason(error) },
--- a/src/services/control/replica_identity.ts
+++ b/src/services/control/replica_identity.ts
@@ -38,6 +38,7 @@
     folder: Folder,
     options: { id: string; random: Random },
   ): Promise<IdentityRecord> {
+    await folder.removeTemporaryFiles();
     const bytes = await folder.tryRead(IDENTITY_FILE);
     if (bytes !== undefined) {
       const identity = fromBinary(ReplicaIdentitySchema, bytes);
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -419,7 +419,9 @@
     const path = this.#settings.cacheFolder ?? "";
     if (path === "") return undefined;
     try {
-      return await DiskFolder.open(path);
+      const folder = await DiskFolder.open(path);
+      await folder.removeTemporaryFiles();
+      return folder;
     } catch (error) {
       throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
         parameters: { path, reason: getReason(error) },
--- a/src/state/log/frame.ts
+++ b/src/state/log/frame.ts
@@ -59,6 +59,15 @@
   return false;
 }
 
+/** Returns the offset of the first frame after zero bytes at the start. */
+export function findFrame(bytes: Uint8Array): number {
+  let offset = 0;
+  while (bytes[offset] === 0 && tryDecodeFrame(bytes, offset) === undefined) {
+    offset += 1;
+  }
+  return offset;
+}
+
 /** Valid frames at the start of a file. */
 export interface FrameScan {
   readonly payloads: Uint8Array[];
--- a/src/state/log/replica_store.ts
+++ b/src/state/log/replica_store.ts
@@ -6,6 +6,9 @@
  * that entry and all after it. A segment that follows a snapshot starts with
  * the snapshot's mark (its metadata) and the hard state (term and vote), so
  * that older segments can be removed.
+ *
+ * Older builds may have left a segment without number. It is the newest one, and
+ * zero bytes may precede its frames. A start replaces it by a numbered one.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import {
@@ -21,7 +24,7 @@
 } from "../../schema/mod.ts";
 import type { AppendFile, Folder } from "../../sys/files.ts";
 import { ServingError } from "../../sys/errors.ts";
-import { encodeFrame, hasFrameAfter, scanFrames } from "./frame.ts";
+import { encodeFrame, findFrame, hasFrameAfter, scanFrames } from "./frame.ts";
 
 /** Durable state that a replica starts from. */
 export interface RecoveredState {
@@ -49,8 +52,18 @@
   return prefix + String(number).padStart(FILE_NUMBER_DIGITS, "0");
 }
 
-function parseFileNumber(prefix: string, name: string): number {
-  return Number(name.slice(prefix.length));
+/** Segment that older builds began after a rewrite that a crash cut short. */
+const UNNUMBERED_SEGMENT = formatFileName(SEGMENT_PREFIX, NaN);
+
+/** Returns the numbers of the files whose names are `prefix` and a number. */
+function getFileNumbers(prefix: string, names: readonly string[]): number[] {
+  return names.filter((name) => name.startsWith(prefix))
+    .map((name) => ({ name, number: Number(name.slice(prefix.length)) }))
+    .filter(({ name, number }) =>
+      Number.isSafeInteger(number) && formatFileName(prefix, number) === name
+    )
+    .map(({ number }) => number)
+    .sort((a, b) => a - b);
 }
 
 /** Encodes a snapshot as frames: its mark, then its parts. */
@@ -88,28 +101,38 @@
 
   /** Reads the durable state and opens the last segment for appending. */
   async recover(): Promise<RecoveredState> {
+    await this.#folder.removeTemporaryFiles();
     const names = await this.#folder.list();
     const snapshot = await this.#readSnapshot(names);
-    const segments = names.filter((name) => name.startsWith(SEGMENT_PREFIX));
+    const numbers = getFileNumbers(SEGMENT_PREFIX, names);
+    const hasUnnumbered = names.includes(UNNUMBERED_SEGMENT);
+    const segments = [
+      ...numbers.map((number) => formatFileName(SEGMENT_PREFIX, number)),
+      ...hasUnnumbered ? [UNNUMBERED_SEGMENT] : [],
+    ];
     const replay = new LogReplay(snapshot.mark);
     let recoveredBytes = 0;
     for (const name of segments) {
       const last = name === segments.at(-1);
       recoveredBytes += await this.#readSegment(name, { last, replay });
     }
-    const lastName = segments.at(-1);
-    this.#segment = lastName === undefined
-      ? 1
-      : parseFileNumber(SEGMENT_PREFIX, lastName);
-    this.#file = await this.#folder.openAppend(
-      formatFileName(SEGMENT_PREFIX, this.#segment),
-      this.#segmentBytes,
-    );
+    const { hardState } = replay;
+    const entries = replay.getEntries();
+    this.#segment = numbers.at(-1) ?? 0;
+    if (hasUnnumbered) {
+      // Replaying the segment without number again leads to the same log, so a
+      // crash before its removal does no harm.
+      await this.compact(snapshot.mark, { hardState, entries });
+      await this.#folder.remove(UNNUMBERED_SEGMENT);
+    } else {
+      this.#segment = Math.max(1, this.#segment);
+      await this.#openSegment(this.#segmentBytes);
+    }
     return {
-      hardState: replay.hardState,
+      hardState,
       mark: snapshot.mark,
       snapshotParts: [...snapshot.parts],
-      entries: replay.getEntries(),
+      entries,
       recoveredBytes,
     };
   }
@@ -140,9 +163,14 @@
   ): Promise<void> {
     await this.#startSegment(mark, retained);
     const names = await this.#folder.list();
-    const obsolete = names.filter((name) =>
-      this.#isObsolete(name, Number(mark.index))
-    );
+    const obsolete = [
+      ...getFileNumbers(SEGMENT_PREFIX, names)
+        .filter((number) => number < this.#segment)
+        .map((number) => formatFileName(SEGMENT_PREFIX, number)),
+      ...getFileNumbers(SNAPSHOT_PREFIX, names)
+        .filter((number) => number < Number(mark.index))
+        .map((number) => formatFileName(SNAPSHOT_PREFIX, number)),
+    ];
     for (const name of obsolete) await this.#folder.remove(name);
   }
 
@@ -157,16 +185,6 @@
     this.#file = undefined;
   }
 
-  #isObsolete(name: string, snapshotIndex: number): boolean {
-    if (name.startsWith(SEGMENT_PREFIX)) {
-      return parseFileNumber(SEGMENT_PREFIX, name) < this.#segment;
-    }
-    if (name.startsWith(SNAPSHOT_PREFIX)) {
-      return parseFileNumber(SNAPSHOT_PREFIX, name) < snapshotIndex;
-    }
-    return false;
-  }
-
   #getFile(): AppendFile {
     if (this.#file === undefined) throw new Error("the store is not open");
     return this.#file;
@@ -186,20 +204,21 @@
     await this.#folder.replace(formatFileName(SEGMENT_PREFIX, next), frame);
     await this.#file?.close();
     this.#segment = next;
-    this.#segmentBytes = frame.length;
-    this.#file = await this.#folder.openAppend(
-      formatFileName(SEGMENT_PREFIX, next),
-      frame.length,
-    );
+    await this.#openSegment(frame.length);
+  }
+
+  async #openSegment(keepBytes: number): Promise<void> {
+    const name = formatFileName(SEGMENT_PREFIX, this.#segment);
+    this.#file = await this.#folder.openAppend(name, keepBytes);
+    this.#segmentBytes = keepBytes;
   }
 
   async #readSnapshot(names: readonly string[]): Promise<SnapshotImage> {
-    const name = names.filter((fileName) =>
-      fileName.startsWith(SNAPSHOT_PREFIX) && !fileName.endsWith(".new")
-    ).at(-1);
-    if (name === undefined) {
+    const newest = getFileNumbers(SNAPSHOT_PREFIX, names).at(-1);
+    if (newest === undefined) {
       return { mark: create(SnapshotMarkSchema), parts: [] };
     }
+    const name = formatFileName(SNAPSHOT_PREFIX, newest);
     const bytes = await this.#folder.tryRead(name) ?? new Uint8Array();
     const image = tryDecodeSnapshot(bytes);
     if (image === undefined) {
@@ -216,7 +235,10 @@
     name: string,
     options: { last: boolean; replay: LogReplay },
   ): Promise<number> {
-    const bytes = await this.#folder.tryRead(name) ?? new Uint8Array();
+    const file = await this.#folder.tryRead(name) ?? new Uint8Array();
+    const bytes = name === UNNUMBERED_SEGMENT
+      ? file.subarray(findFrame(file))
+      : file;
     const scan = scanFrames(bytes);
     const isTruncated = scan.validBytes < bytes.length;
     if (
--- a/src/sys/files.ts
+++ b/src/sys/files.ts
@@ -10,6 +10,7 @@
   readdir,
   readFile,
   rename,
+  rm,
   unlink,
 } from "node:fs/promises";
 import path from "node:path";
@@ -22,13 +23,39 @@
   close(): Promise<void>;
 }
 
+/**
+ * End of the names of temporary files and folders. Older builds write the new
+ * content of a file to one of this name; a folder is never seen by them, since
+ * they list only files.
+ */
+const TEMPORARY_SUFFIX = ".new";
+
+/** Whether a file or folder holds content that is yet to replace a file. */
+export function isTemporaryName(name: string): boolean {
+  return name.endsWith(TEMPORARY_SUFFIX);
+}
+
+/** Name of the temporary folder for the new content of `name`. */
+export function getTemporaryName(name: string): string {
+  return `${name}.folder${TEMPORARY_SUFFIX}`;
+}
+
+/** File in a temporary folder. */
+const CONTENT_FILE = "content";
+
 /** A folder of files. */
 export abstract class Folder {
   abstract readonly path: string;
 
-  /** Returns the names of the files, sorted. */
+  /** Returns the names of the files, sorted, without temporary ones. */
   abstract list(): Promise<string[]>;
 
+  /**
+   * Removes the temporary files of replacements that a crash cut short. Only the
+   * process that owns the folder may call it, before it replaces any file.
+   */
+  abstract removeTemporaryFiles(): Promise<void>;
+
   /** Returns the content of a file, or undefined if it does not exist. */
   abstract tryRead(name: string): Promise<Uint8Array | undefined>;
 
@@ -65,7 +92,14 @@
   override async list(): Promise<string[]> {
     const entries = await readdir(this.path, { withFileTypes: true });
     return entries.filter((entry) => entry.isFile()).map((entry) => entry.name)
-      .sort();
+      .filter((name) => !isTemporaryName(name)).sort();
+  }
+
+  override async removeTemporaryFiles(): Promise<void> {
+    const names = await readdir(this.path);
+    for (const name of names.filter(isTemporaryName)) {
+      await rm(path.join(this.path, name), { recursive: true, force: true });
+    }
   }
 
   override async tryRead(name: string): Promise<Uint8Array | undefined> {
@@ -78,15 +112,22 @@
   }
 
   override async replace(name: string, bytes: Uint8Array): Promise<void> {
-    const temporary = path.join(this.path, `${name}.new`);
-    const file = await open(temporary, "w");
+    const temporary = path.join(this.path, getTemporaryName(name));
+    const content = path.join(temporary, CONTENT_FILE);
+    await mkdir(temporary, { recursive: true });
     try {
-      await file.writeFile(bytes);
-      await file.sync();
+      const file = await open(content, "w");
+      try {
+        await file.writeFile(bytes);
+        await file.sync();
+      } finally {
+        await file.close();
+      }
+      await rename(content, path.join(this.path, name));
     } finally {
-      await file.close();
+      // Frees the space if the disk is full.
+      await rm(temporary, { recursive: true, force: true });
     }
-    await rename(temporary, path.join(this.path, name));
     await this.#syncFolder();
   }
 
--- a/src/test/memory_folder.ts
+++ b/src/test/memory_folder.ts
@@ -2,7 +2,12 @@
  * In-memory folder that simulates a disk crash: unsynced data may be lost or
  * truncated.
  */
-import { type AppendFile, Folder } from "../sys/files.ts";
+import {
+  type AppendFile,
+  Folder,
+  getTemporaryName,
+  isTemporaryName,
+} from "../sys/files.ts";
 
 interface StoredFile {
   bytes: Buffer;
@@ -28,7 +33,16 @@
   }
 
   override list(): Promise<string[]> {
-    return Promise.resolve([...this.#files.keys()].sort());
+    const names = [...this.#files.keys()];
+    return Promise.resolve(
+      names.filter((name) => !isTemporaryName(name)).sort(),
+    );
+  }
+
+  override removeTemporaryFiles(): Promise<void> {
+    [...this.#files.keys()].filter(isTemporaryName)
+      .forEach((name) => this.#files.delete(name));
+    return Promise.resolve();
   }
 
   override tryRead(name: string): Promise<Uint8Array | undefined> {
@@ -36,10 +50,14 @@
     return Promise.resolve(bytes && Uint8Array.from(bytes));
   }
 
-  override replace(name: string, bytes: Uint8Array): Promise<void> {
-    return this.#step(() => {
-      const content = Buffer.from(bytes);
-      this.#files.set(name, { bytes: content, syncedBytes: content.length });
+  /** Takes two steps: one that writes a temporary file, one that renames it. */
+  override async replace(name: string, bytes: Uint8Array): Promise<void> {
+    const file = { bytes: Buffer.from(bytes), syncedBytes: 0 };
+    await this.#step(() => this.#files.set(getTemporaryName(name), file));
+    await this.#step(() => {
+      file.syncedBytes = file.bytes.length;
+      this.#files.delete(getTemporaryName(name));
+      this.#files.set(name, file);
     });
   }
 
