--- a/src/state/log/replica_store.ts
+++ b/src/state/log/replica_store.ts
@@ -119,11 +119,11 @@
     const { hardState } = replay;
     const entries = replay.getEntries();
     this.#segment = numbers.at(-1) ?? 0;
-    if (hasUnnumbered) {
+    if (hasUnnumbered || replay.endsBeforeSnapshot) {
       // Replaying the segment without number again leads to the same log, so a
       // crash before its removal does no harm.
       await this.compact(snapshot.mark, { hardState, entries });
-      await this.#folder.remove(UNNUMBERED_SEGMENT);
+      if (hasUnnumbered) await this.#folder.remove(UNNUMBERED_SEGMENT);
     } else {
       this.#segment = Math.max(1, this.#segment);
       await this.#openSegment(this.#segmentBytes);
@@ -299,6 +299,12 @@
     }
   }
 
+  /** Whether the snapshot covers entries that the log has never had. */
+  get endsBeforeSnapshot(): boolean {
+    const last = this.#entries.at(-1);
+    return last !== undefined && last.index < this.#snapshotIndex;
+  }
+
   getEntries(): LogEntry[] {
     return this.#entries.filter((entry) => entry.index > this.#snapshotIndex);
   }
@@ -310,20 +316,19 @@
   }
 
   #acceptEntry(entry: LogEntry): boolean {
-    const first = this.#entries[0]?.index;
-    if (first === undefined) {
-      if (entry.index > this.#snapshotIndex + 1n) return false;
+    const first = this.#entries[0]?.index ?? entry.index;
+    const position = Number(entry.index - first);
+    const follows = this.#entries.length > 0 && position >= 0 &&
+      position <= this.#entries.length;
+    if (follows) {
+      this.#entries.length = position;
       this.#entries.push(entry);
       return true;
     }
-    if (entry.index < first) {
-      this.#entries = [entry];
-      return true;
-    }
-    const position = Number(entry.index - first);
-    if (position > this.#entries.length) return false;
-    this.#entries.length = position;
-    this.#entries.push(entry);
+    // The snapshot covers all entries of a gap before it: it was installed, and a
+    // crash kept the segment from being replaced.
+    if (position >= 0 && entry.index > this.#snapshotIndex + 1n) return false;
+    this.#entries = [entry];
     return true;
   }
 }
--- a/src/test/interrupted_writes_test.ts
+++ b/src/test/interrupted_writes_test.ts
@@ -239,4 +239,35 @@
       await writeFile(path.join(folder, UNNUMBERED_SEGMENT), segment);
       await startThreeTimes(folder, 9);
     }));
+
+  // Entries after an installed snapshot followed older ones in the same segment,
+  // which later starts took for a gap.
+  it("start again after a kill while a snapshot is installed", () =>
+    withDataFolder(async (folder) => {
+      const store = new ReplicaStore(await DiskFolder.open(folder));
+      await store.recover();
+      await store.append([
+        createHardStateRecord(createHardState()),
+        ...range(3).map((index) => createEntryRecord(createEntry(index + 1))),
+      ]);
+      await store.writeSnapshot({ mark, parts: [new Uint8Array([7])] });
+      await store.close();
+      await startThreeTimes(folder, SNAPSHOT_INDEX);
+    }));
+
+  // The same log, as an old build wrote it.
+  it("read entries after a snapshot that follow older ones", () =>
+    withDataFolder(async (folder) => {
+      const store = new ReplicaStore(await DiskFolder.open(folder));
+      await store.recover();
+      await store.append([
+        createHardStateRecord(createHardState()),
+        ...[1, 2, 3, 6, 7].map((index) =>
+          createEntryRecord(createEntry(index))
+        ),
+      ]);
+      await store.writeSnapshot({ mark, parts: [new Uint8Array([7])] });
+      await store.close();
+      await startThreeTimes(folder, 7);
+    }));
 });
