Recorded output keeps no whole message in memory

What was seen: store processes ended for "memory over the limit" with 28 MB of heap and 41 to 66 MB outside of it.

Cause: the text of a result and the output of a running item are parts of the command, which is a part of a message of up to 1 MB with many commands. Results are kept for as long as their job can be read, and the whole message with them, bodies of other jobs included.

Change: the state machine copies both.

Evidence: the new test, a result of 4 bytes in a message of 1 MB, failed before and passes now.

Why it works: the state refers to no buffer of a message but for the bodies of open items, which are most of it and are released with the items.

--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -213,7 +213,7 @@
     if (this.identifiesChains && !continuesChain) return;
     queued.progress.set(part.item, {
       last: Number(part.last),
-      parts: [...recorded?.parts ?? [], part.text],
+      parts: [...recorded?.parts ?? [], new Uint8Array(part.text)],
       chain: part.chain,
       softwareVersion: part.softwareVersion,
     });
@@ -230,7 +230,8 @@
     queued.failures.delete(result.id);
     queued.failedChains.delete(result.id);
     queued.progress.delete(result.id);
-    queued.results.push(result);
+    // A copy, since the text is a part of the message that the command came with.
+    queued.results.push({ ...result, text: new Uint8Array(result.text) });
     // Frees the memory of the body. A snapshot that is still being encoded may
     // contain the empty body, but the log after that snapshot also contains the
     // command that finished the item.
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -227,6 +227,50 @@
 });
 
 describe("job machine", () => {
+  // A command is a part of a message with many of them. Results are kept much
+  // longer than the bodies of other jobs in the same message.
+  it("keeps no message in memory for the output in it", () => {
+    const machine = new JobMachine();
+    submitJob(machine, "j", ["a", "b"]);
+    const command = toBinary(
+      JobCommandSchema,
+      create(JobCommandSchema, {
+        command: {
+          case: "recordRuns",
+          value: {
+            finished: [{
+              job: "j",
+              result: { id: "a", end: ItemEnd.DONE, text: encodeText("text") },
+            }],
+            progress: [{
+              job: "j",
+              item: "b",
+              last: 1n,
+              text: encodeText("1"),
+            }],
+          },
+        },
+      }),
+    );
+    const message = Buffer.alloc(1 << 20);
+    message.set(command, 1_000);
+    machine.apply(message.subarray(1_000, 1_000 + command.length), {
+      index: 1,
+      term: 1,
+      timeMs: 0,
+    });
+    const job = machine.tryGetJob("j");
+    const texts = [
+      job?.results[0]?.text,
+      job?.progress.get("b")?.parts[0],
+    ];
+    expect(texts.map((text) => Buffer.from(text ?? []).toString()))
+      .deep.equal(["text", "1"]);
+    texts.forEach((text) =>
+      expect(text?.buffer.byteLength).below(message.length)
+    );
+  });
+
   it("accepts a job once and keeps the first result of each item", () => {
     const machine = new JobMachine();
     expect(submitJob(machine, "j", ["a", "b"])).equal(0);
