--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -83,10 +83,11 @@
 const DEFAULT_SNAPSHOT_BYTES = 32 << 20;
 
 /**
- * Entries that stay in the log although a snapshot covers them, so that
- * followers that lag slightly don't need the snapshot.
+ * Limits of the entries that stay in the log although a snapshot covers them, so
+ * that followers that lag slightly don't need the snapshot.
  */
 const RETAINED_ENTRIES = 2000;
+const RETAINED_BYTES = 8 << 20;
 
 /** Number of snapshot parts encoded before yielding to the event loop. */
 const PARTS_PER_YIELD = 64;
@@ -155,6 +156,11 @@
     this.recoveredBytes = recovered.recoveredBytes;
     this.#options.machine.restore(recovered.snapshotParts);
     this.#appliedIndex = Number(recovered.mark.index);
+    // A log that was not compacted before the last stop goes on growing.
+    this.#bytesSinceSnapshot = recovered.entries.reduce(
+      (sum, entry) => sum + getEntryBytes(entry),
+      0,
+    );
     this.#core = new ReplicaCore({
       id: this.#options.id,
       group: this.#options.group,
@@ -440,7 +446,10 @@
     if (mark === undefined || this.#stopped) return;
     this.#pendingCompaction = undefined;
     const core = this.#getCore();
-    const retainedAfter = Math.max(0, Number(mark.index) - RETAINED_ENTRIES);
+    const retainedAfter = core.getRetainedAfter(Number(mark.index), {
+      entries: RETAINED_ENTRIES,
+      bytes: RETAINED_BYTES,
+    });
     yield* waitFor(this.#store.compact(mark, {
       hardState: core.hardState,
       entries: core.getEntriesAfter(retainedAfter),
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -443,6 +443,17 @@
     });
   }
 
+  /**
+   * Returns the lowest index after which the entries up to `index` are within the
+   * limits.
+   */
+  getRetainedAfter(
+    index: number,
+    limits: { entries: number; bytes: number },
+  ): number {
+    return this.#log.getRetainedAfter(index, limits);
+  }
+
   /** Returns the entries after `index`. */
   getEntriesAfter(index: number): LogEntry[] {
     return this.#log.getAfter(index);
--- a/src/state/log/entry_log.ts
+++ b/src/state/log/entry_log.ts
@@ -62,6 +62,26 @@
     return this.#entries.slice(Math.max(0, index - this.#baseIndex));
   }
 
+  /**
+   * Returns the lowest index after which the entries up to `index` are within the
+   * limits.
+   */
+  getRetainedAfter(
+    index: number,
+    limits: { entries: number; bytes: number },
+  ): number {
+    const earliest = Math.max(this.#baseIndex, index - limits.entries);
+    let bytes = 0;
+    let after = index;
+    while (after > earliest) {
+      const entry = this.tryGet(after);
+      bytes += entry === undefined ? 0 : getEntryBytes(entry);
+      if (bytes > limits.bytes) break;
+      after -= 1;
+    }
+    return after;
+  }
+
   append(entry: LogEntry): void {
     this.#entries.push(entry);
   }
