--- a/src/state/log/replica_store.ts
+++ b/src/state/log/replica_store.ts
@@ -219,7 +219,11 @@
       return { mark: create(SnapshotMarkSchema), parts: [] };
     }
     const name = formatFileName(SNAPSHOT_PREFIX, newest);
-    const bytes = await this.#folder.tryRead(name) ?? new Uint8Array();
+    const bytes = await this.#folder.tryRead(name);
+    // If a compaction has removed it meanwhile, there is a newer one.
+    if (bytes === undefined) {
+      return await this.#readSnapshot(await this.#folder.list());
+    }
     const image = tryDecodeSnapshot(bytes);
     if (image === undefined) {
       throw this.#createCorruptError(
--- a/src/test/replica_store_test.ts
+++ b/src/test/replica_store_test.ts
@@ -128,4 +128,30 @@
     folder.crash(5);
     expect(await recoverIndexes(folder)).deep.equal([1, 2]);
   });
+
+  // A compaction removed the snapshot between listing and reading it; the
+  // process ended, as if its disk were corrupt.
+  it("reads a snapshot although a compaction replaces it meanwhile", async () => {
+    const folder = new MemoryFolder();
+    const store = new ReplicaStore(folder);
+    await store.recover();
+    const write = async (index: bigint) => {
+      const mark = create(SnapshotMarkSchema, { index, term: 1n });
+      await store.writeSnapshot({ mark, parts: [new Uint8Array(1)] });
+      return mark;
+    };
+    await write(1n);
+    const read = folder.tryRead.bind(folder);
+    folder.tryRead = async (name) => {
+      folder.tryRead = read;
+      await store.compact(await write(2n), {
+        hardState: create(HardStateSchema, { term: 1n }),
+        entries: [],
+      });
+      return await read(name);
+    };
+    const snapshot = await store.tryReadSnapshot();
+    expect(snapshot?.mark.index).equal(2n);
+    await store.close();
+  });
 });
