--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -32,9 +32,10 @@
   tryReceive,
   waitFor,
 } from "../../sys/routines.ts";
-import { ReplicaStore, type SnapshotImage } from "../log/replica_store.ts";
+import { ReplicaStore } from "../log/replica_store.ts";
 import { getEntryBytes } from "../log/entry_log.ts";
-import { SnapshotAssembler, splitSnapshot } from "./snapshot_transfer.ts";
+import type { DecodedSnapshot } from "../log/snapshot_file.ts";
+import { readSnapshotChunks, SnapshotAssembler } from "./snapshot_transfer.ts";
 import type { StateMachine } from "../machines/state_machine.ts";
 import { type ProposedEntry, Role } from "./core_types.ts";
 import type {
@@ -89,9 +90,6 @@
 const RETAINED_ENTRIES = 2000;
 const RETAINED_BYTES = 8 << 20;
 
-/** Number of snapshot parts encoded before yielding to the event loop. */
-const PARTS_PER_YIELD = 64;
-
 /** Health of one member, as known to the leader. */
 export interface MemberStatus {
   readonly member: Member;
@@ -132,9 +130,11 @@
   /** Mark of a stored snapshot up to which the log is yet to be compacted. */
   #pendingCompaction: SnapshotMark | undefined;
   readonly #snapshotAssembler = new SnapshotAssembler();
+  /** Members to which a snapshot is being sent. */
+  readonly #snapshotTransfers = new Set<string>();
   /** Received snapshot that the disk routine is yet to install. */
   #pendingInstall:
-    | { image: SnapshotImage; from: string; round: bigint }
+    | { image: DecodedSnapshot; from: string; round: bigint }
     | undefined;
   readonly #suspensionDetector: SuspensionDetector;
   #stopped = false;
@@ -491,7 +491,9 @@
       if (output === undefined) continue;
       output.messages.forEach((message) => this.#send(message));
       this.#applyAll(output.committed);
-      output.snapshotRecipients.forEach((id) => this.#sendSnapshot(id));
+      output.snapshotRecipients.forEach((id) =>
+        this.#startSnapshotTransfer(id)
+      );
       send(this.#diskWake, true);
     }
   }
@@ -574,34 +576,36 @@
     const core = this.#getCore();
     const mark = core.createSnapshotMark(this.#appliedIndex);
     const parts = this.#options.machine.capture();
-    this.#writeSnapshot(mark, parts).then(() => {
+    this.#store.writeSnapshot({ mark, parts }).then(() => {
       this.#pendingCompaction = mark;
       this.#wake();
     }, (error) => this.#fail(error));
   }
 
-  async #writeSnapshot(
-    mark: SnapshotMark,
-    captured: Iterable<Uint8Array>,
-  ): Promise<void> {
-    const parts: Uint8Array[] = [];
-    for (const part of captured) {
-      parts.push(part);
-      if (parts.length % PARTS_PER_YIELD === 0) {
-        await this.#options.clock.delay(0);
-      }
-    }
-    await this.#store.writeSnapshot({ mark, parts });
+  #startSnapshotTransfer(to: string): void {
+    // Chunks of two transfers would mix.
+    if (this.#snapshotTransfers.has(to)) return;
+    this.#snapshotTransfers.add(to);
+    this.#sendSnapshot(to)
+      .catch((error) => this.#fail(error))
+      .finally(() => this.#snapshotTransfers.delete(to));
   }
 
-  #sendSnapshot(to: string): void {
-    this.#store.tryReadSnapshot().then((image) => {
-      const core = this.#getCore();
-      if (image === undefined || core.role !== Role.leader) return;
-      splitSnapshot(image).forEach((chunk) =>
-        this.#send(core.createSnapshotMessage(to, chunk))
-      );
-    }).catch((error) => this.#fail(error));
+  async #sendSnapshot(to: string): Promise<void> {
+    const core = this.#getCore();
+    const { term } = core;
+    const isLeading = () =>
+      !this.#stopped && core.role === Role.leader && core.term === term;
+    const snapshot = await this.#store.tryOpenSnapshot();
+    if (snapshot === undefined) return;
+    try {
+      for await (const chunk of readSnapshotChunks(snapshot)) {
+        if (!isLeading()) return;
+        this.#send(core.createSnapshotMessage(to, chunk));
+      }
+    } finally {
+      await snapshot.file.close();
+    }
   }
 
   #receiveSnapshot(
--- a/src/state/agreement/snapshot_transfer.ts
+++ b/src/state/agreement/snapshot_transfer.ts
@@ -1,10 +1,7 @@
 /** Transfer of snapshots, in chunks, from a leader to a lagging member. */
 import type { SnapshotMark, SnapshotRequest } from "../../schema/mod.ts";
-import {
-  encodeSnapshot,
-  type SnapshotImage,
-  tryDecodeSnapshot,
-} from "../log/replica_store.ts";
+import type { OpenSnapshot } from "../log/replica_store.ts";
+import { type DecodedSnapshot, SnapshotDecoder } from "../log/snapshot_file.ts";
 import { SNAPSHOT_CHUNK_BYTES } from "./timing.ts";
 
 /** One chunk of an encoded snapshot. */
@@ -15,27 +12,22 @@
   readonly last: boolean;
 }
 
-/** Encodes a snapshot and splits it into chunks, in order. */
-export function splitSnapshot(image: SnapshotImage): SnapshotChunk[] {
-  const bytes = encodeSnapshot(image);
-  const count = Math.ceil(bytes.length / SNAPSHOT_CHUNK_BYTES);
-  return Array.from({ length: count }, (_, index) => {
-    const offset = index * SNAPSHOT_CHUNK_BYTES;
-    const end = offset + SNAPSHOT_CHUNK_BYTES;
-    return {
-      mark: image.mark,
-      state: bytes.subarray(offset, end),
-      offset,
-      last: end >= bytes.length,
-    };
-  });
+/** Reads the chunks of a stored snapshot, in order; holds one at a time. */
+export async function* readSnapshotChunks(
+  { mark, file }: OpenSnapshot,
+): AsyncIterable<SnapshotChunk> {
+  for (let offset = 0; offset < file.bytes; offset += SNAPSHOT_CHUNK_BYTES) {
+    const state = await file.read(offset, SNAPSHOT_CHUNK_BYTES);
+    const last = offset + SNAPSHOT_CHUNK_BYTES >= file.bytes;
+    yield { mark, state, offset, last };
+  }
 }
 
 /** Reassembles the chunks of one snapshot at a time. */
 export class SnapshotAssembler {
   #sender = "";
   #index = 0n;
-  #chunks: Uint8Array[] = [];
+  #decoder = new SnapshotDecoder();
   #receivedBytes = 0;
 
   /**
@@ -46,24 +38,24 @@
   tryAddChunk(
     from: string,
     request: SnapshotRequest,
-  ): SnapshotImage | undefined {
+  ): DecodedSnapshot | undefined {
     const index = request.mark?.index ?? 0n;
     if (request.offset === 0n) this.#reset(from, index);
     const isNextChunk = this.#sender === from && this.#index === index &&
       BigInt(this.#receivedBytes) === request.offset;
     if (!isNextChunk) return undefined;
-    this.#chunks.push(request.state);
+    this.#decoder.add(request.state);
     this.#receivedBytes += request.state.length;
     if (!request.last) return undefined;
-    const encoded = Buffer.concat(this.#chunks);
+    const snapshot = this.#decoder.tryFinish();
     this.#reset("", 0n);
-    return tryDecodeSnapshot(encoded);
+    return snapshot;
   }
 
   #reset(from: string, index: bigint): void {
     this.#sender = from;
     this.#index = index;
-    this.#chunks = [];
+    this.#decoder = new SnapshotDecoder();
     this.#receivedBytes = 0;
   }
 }
--- a/src/state/log/frame.ts
+++ b/src/state/log/frame.ts
@@ -20,33 +20,50 @@
   readonly endOffset: number;
 }
 
-/** Encodes `payload` as a frame. */
-export function encodeFrame(payload: Uint8Array): Uint8Array {
-  const bytes = Buffer.allocUnsafe(FRAME_HEADER_BYTES + payload.length);
-  bytes.writeUInt32LE(payload.length, LENGTH_OFFSET);
-  bytes.writeUInt32LE(crc32(payload), PAYLOAD_CRC_OFFSET);
+/** Encodes the concatenation of `parts` as a frame. */
+export function encodeFrame(parts: readonly Uint8Array[]): Uint8Array {
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  const bytes = Buffer.allocUnsafe(FRAME_HEADER_BYTES + length);
+  let offset = FRAME_HEADER_BYTES;
+  parts.forEach((part) => {
+    bytes.set(part, offset);
+    offset += part.length;
+  });
+  bytes.writeUInt32LE(length, LENGTH_OFFSET);
+  const payloadCrc = crc32(bytes.subarray(FRAME_HEADER_BYTES));
+  bytes.writeUInt32LE(payloadCrc, PAYLOAD_CRC_OFFSET);
   const crc = crc32(bytes.subarray(0, HEADER_CRC_OFFSET));
   bytes.writeUInt32LE(crc, HEADER_CRC_OFFSET);
-  bytes.set(payload, FRAME_HEADER_BYTES);
   return bytes;
 }
 
+/** Decodes a header; undefined when its checksum is invalid. */
+function tryDecodeHeader(
+  header: Uint8Array,
+): { length: number; payloadCrc: number } | undefined {
+  const view = Buffer.from(header.buffer, header.byteOffset, header.length);
+  const crc = crc32(view.subarray(0, HEADER_CRC_OFFSET));
+  if (crc !== view.readUInt32LE(HEADER_CRC_OFFSET)) return undefined;
+  return {
+    length: view.readUInt32LE(LENGTH_OFFSET),
+    payloadCrc: view.readUInt32LE(PAYLOAD_CRC_OFFSET),
+  };
+}
+
 /** Decodes the frame at `offset`; undefined when it is invalid or truncated. */
 export function tryDecodeFrame(
   bytes: Uint8Array,
   offset: number,
 ): Frame | undefined {
-  const view = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
-  if (offset + FRAME_HEADER_BYTES > view.length) return undefined;
-  const crc = crc32(view.subarray(offset, offset + HEADER_CRC_OFFSET));
-  if (crc !== view.readUInt32LE(offset + HEADER_CRC_OFFSET)) return undefined;
-  const length = view.readUInt32LE(offset + LENGTH_OFFSET);
   const start = offset + FRAME_HEADER_BYTES;
-  if (start + length > view.length) return undefined;
-  const payload = view.subarray(start, start + length);
-  const payloadCrc = view.readUInt32LE(offset + PAYLOAD_CRC_OFFSET);
-  if (crc32(payload) !== payloadCrc) return undefined;
-  return { payload, endOffset: start + length };
+  if (start > bytes.length) return undefined;
+  const header = tryDecodeHeader(bytes.subarray(offset, start));
+  if (header === undefined || start + header.length > bytes.length) {
+    return undefined;
+  }
+  const payload = bytes.subarray(start, start + header.length);
+  if (crc32(payload) !== header.payloadCrc) return undefined;
+  return { payload, endOffset: start + header.length };
 }
 
 /** Whether a valid, non-empty frame starts at `offset` or anywhere after it. */
@@ -68,6 +85,97 @@
   return offset;
 }
 
+/**
+ * Decodes frames from chunks of any size, up to the first invalid frame. Holds no
+ * more than the payload of one frame, and each payload has a buffer of its own.
+ */
+export class FrameDecoder {
+  #header: Uint8Array = new Uint8Array(FRAME_HEADER_BYTES);
+  #headerBytes = 0;
+  #payload: Uint8Array | undefined;
+  #payloadBytes = 0;
+  #payloadCrc = 0;
+  #isInvalid = false;
+  #validBytes = 0;
+
+  /** Bytes of the frames that were decoded. */
+  get validBytes(): number {
+    return this.#validBytes;
+  }
+
+  /** Whether the chunks so far end with a whole frame. */
+  get isComplete(): boolean {
+    return !this.#isInvalid && this.#headerBytes === 0;
+  }
+
+  /** Adds a chunk and returns the payloads of the frames that it completes. */
+  add(chunk: Uint8Array): Uint8Array[] {
+    const payloads: Uint8Array[] = [];
+    let rest = chunk;
+    while (rest.length > 0 && !this.#isInvalid) {
+      rest = this.#payload === undefined
+        ? this.#addToHeader(rest)
+        : this.#addToPayload(this.#payload, rest);
+      const payload = this.#tryTakePayload();
+      if (payload !== undefined) payloads.push(payload);
+    }
+    return payloads;
+  }
+
+  #addToHeader(bytes: Uint8Array): Uint8Array {
+    const part = bytes.subarray(0, FRAME_HEADER_BYTES - this.#headerBytes);
+    this.#header.set(part, this.#headerBytes);
+    this.#headerBytes += part.length;
+    if (this.#headerBytes === FRAME_HEADER_BYTES) {
+      const header = tryDecodeHeader(this.#header);
+      this.#isInvalid = header === undefined;
+      this.#payload = new Uint8Array(header?.length ?? 0);
+      this.#payloadCrc = header?.payloadCrc ?? 0;
+      this.#payloadBytes = 0;
+    }
+    return bytes.subarray(part.length);
+  }
+
+  #addToPayload(payload: Uint8Array, bytes: Uint8Array): Uint8Array {
+    const part = bytes.subarray(0, payload.length - this.#payloadBytes);
+    payload.set(part, this.#payloadBytes);
+    this.#payloadBytes += part.length;
+    return bytes.subarray(part.length);
+  }
+
+  #tryTakePayload(): Uint8Array | undefined {
+    const payload = this.#payload;
+    const isWhole = payload !== undefined && !this.#isInvalid &&
+      this.#payloadBytes === payload.length;
+    if (!isWhole) return undefined;
+    this.#isInvalid = crc32(payload) !== this.#payloadCrc;
+    this.#payload = undefined;
+    if (this.#isInvalid) return undefined;
+    this.#headerBytes = 0;
+    this.#validBytes += FRAME_HEADER_BYTES + payload.length;
+    return payload;
+  }
+}
+
+/** Joins consecutive chunks while they have at most `maxBytes` together. */
+export function* joinChunks(
+  chunks: Iterable<Uint8Array>,
+  maxBytes: number,
+): Iterable<Uint8Array> {
+  let pending: Uint8Array[] = [];
+  let bytes = 0;
+  for (const chunk of chunks) {
+    if (bytes > 0 && bytes + chunk.length > maxBytes) {
+      yield Buffer.concat(pending);
+      pending = [];
+      bytes = 0;
+    }
+    pending.push(chunk);
+    bytes += chunk.length;
+  }
+  if (bytes > 0) yield Buffer.concat(pending);
+}
+
 /** Valid frames at the start of a file. */
 export interface FrameScan {
   readonly payloads: Uint8Array[];
@@ -77,13 +185,7 @@
 
 /** Decodes frames from the start, up to the first invalid or truncated one. */
 export function scanFrames(bytes: Uint8Array): FrameScan {
-  const payloads: Uint8Array[] = [];
-  let offset = 0;
-  let frame = tryDecodeFrame(bytes, offset);
-  while (frame !== undefined) {
-    payloads.push(frame.payload);
-    offset = frame.endOffset;
-    frame = tryDecodeFrame(bytes, offset);
-  }
-  return { payloads, validBytes: offset };
+  const decoder = new FrameDecoder();
+  const payloads = decoder.add(bytes);
+  return { payloads, validBytes: decoder.validBytes };
 }
--- a/src/state/log/replica_store.ts
+++ b/src/state/log/replica_store.ts
@@ -10,21 +10,38 @@
  * Older builds may have left a segment without number. It is the newest one, and
  * zero bytes may precede its frames. A start replaces it by a numbered one.
  */
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { create } from "@bufbuild/protobuf";
 import {
   type HardState,
-  HardStateSchema,
   type LogEntry,
   type LogRecord,
-  LogRecordSchema,
   type Membership,
   MessageCode,
   type SnapshotMark,
   SnapshotMarkSchema,
 } from "../../schema/mod.ts";
-import type { AppendFile, Folder } from "../../sys/files.ts";
+import type { AppendFile, Folder, ReadFile } from "../../sys/files.ts";
 import { ServingError } from "../../sys/errors.ts";
-import { encodeFrame, findFrame, hasFrameAfter, scanFrames } from "./frame.ts";
+import { findFrame, FrameDecoder, hasFrameAfter } from "./frame.ts";
+import {
+  createEntryRecord,
+  createHardStateRecord,
+  createSnapshotRecord,
+  decodeRecords,
+  encodeRecordFrames,
+  LogReplay,
+} from "./log_records.ts";
+import {
+  type DecodedSnapshot,
+  encodeSnapshot,
+  FILE_CHUNK_BYTES,
+  readChunks,
+  SnapshotDecoder,
+  type SnapshotImage,
+} from "./snapshot_file.ts";
+
+export { createEntryRecord, createHardStateRecord } from "./log_records.ts";
+export type { SnapshotImage } from "./snapshot_file.ts";
 
 /** Durable state that a replica starts from. */
 export interface RecoveredState {
@@ -38,12 +55,18 @@
   readonly recoveredBytes: number;
 }
 
-/** A snapshot: its mark and the state, in parts. */
-export interface SnapshotImage {
+/** The newest snapshot, open for reading; the caller closes its file. */
+export interface OpenSnapshot {
   readonly mark: SnapshotMark;
-  readonly parts: readonly Uint8Array[];
+  readonly file: ReadFile;
 }
 
+/**
+ * Maximum bytes of records that are made durable by one sync. A frame must not
+ * span syncs, and all of its bytes are in memory.
+ */
+const MAX_APPEND_FRAME_BYTES = 4 << 20;
+
 const SEGMENT_PREFIX = "segment-";
 const SNAPSHOT_PREFIX = "snapshot-";
 const FILE_NUMBER_DIGITS = 16;
@@ -66,23 +89,6 @@
     .sort((a, b) => a - b);
 }
 
-/** Encodes a snapshot as frames: its mark, then its parts. */
-export function encodeSnapshot(image: SnapshotImage): Uint8Array {
-  const mark = encodeFrame(toBinary(SnapshotMarkSchema, image.mark));
-  return Buffer.concat([mark, ...image.parts.map(encodeFrame)]);
-}
-
-/** Decodes a snapshot; undefined unless all bytes are valid frames. */
-export function tryDecodeSnapshot(
-  bytes: Uint8Array,
-): SnapshotImage | undefined {
-  const scan = scanFrames(bytes);
-  if (scan.validBytes !== bytes.length) return undefined;
-  const [mark, ...parts] = scan.payloads;
-  if (mark === undefined) return undefined;
-  return { mark: fromBinary(SnapshotMarkSchema, mark), parts };
-}
-
 /** Storage of one replica's log and snapshots. */
 export class ReplicaStore {
   readonly #folder: Folder;
@@ -103,7 +109,7 @@
   async recover(): Promise<RecoveredState> {
     await this.#folder.removeTemporaryFiles();
     const names = await this.#folder.list();
-    const snapshot = await this.#readSnapshot(names);
+    const snapshot = await this.#readNewestSnapshot();
     const numbers = getFileNumbers(SEGMENT_PREFIX, names);
     const hasUnnumbered = names.includes(UNNUMBERED_SEGMENT);
     const segments = [
@@ -131,25 +137,29 @@
     return {
       hardState,
       mark: snapshot.mark,
-      snapshotParts: [...snapshot.parts],
+      snapshotParts: snapshot.parts,
       entries,
       recoveredBytes,
     };
   }
 
-  /** Appends `records` as one frame; resolves once they are durable. */
+  /** Appends `records`; resolves once they are durable. */
   async append(records: readonly LogRecord[]): Promise<void> {
-    const frame = encodeFrame(encodeRecords(records));
     const file = this.#getFile();
-    await file.append(frame);
-    await file.sync();
-    this.#segmentBytes += frame.length;
+    for (const frame of encodeRecordFrames(records, MAX_APPEND_FRAME_BYTES)) {
+      await file.append(frame);
+      await file.sync();
+      this.#segmentBytes += frame.length;
+    }
   }
 
-  /** Stores a snapshot; may run concurrently with appends. */
+  /**
+   * Stores a snapshot, one chunk after the other; may run concurrently with
+   * appends.
+   */
   async writeSnapshot(image: SnapshotImage): Promise<void> {
     const name = formatFileName(SNAPSHOT_PREFIX, Number(image.mark.index));
-    await this.#folder.replace(name, encodeSnapshot(image));
+    await this.#folder.replaceInChunks(name, encodeSnapshot(image));
   }
 
   /**
@@ -174,10 +184,23 @@
     for (const name of obsolete) await this.#folder.remove(name);
   }
 
-  /** Reads the newest stored snapshot; undefined if there is none. */
-  async tryReadSnapshot(): Promise<SnapshotImage | undefined> {
-    const image = await this.#readSnapshot(await this.#folder.list());
-    return image.mark.index === 0n ? undefined : image;
+  /**
+   * Opens the newest stored snapshot after checking all of it; undefined if there
+   * is none.
+   */
+  async tryOpenSnapshot(): Promise<OpenSnapshot | undefined> {
+    const opened = await this.#tryOpenNewest();
+    if (opened === undefined) return undefined;
+    try {
+      const { mark } = await this.#readSnapshot({
+        ...opened,
+        keepsParts: false,
+      });
+      return { mark, file: opened.file };
+    } catch (error) {
+      await opened.file.close();
+      throw error;
+    }
   }
 
   async close(): Promise<void> {
@@ -194,17 +217,14 @@
     mark: SnapshotMark,
     retained: { hardState: HardState; entries: readonly LogEntry[] },
   ): Promise<void> {
-    const records = [
-      create(LogRecordSchema, { record: { case: "snapshot", value: mark } }),
-      createHardStateRecord(retained.hardState),
-      ...retained.entries.map(createEntryRecord),
-    ];
-    const frame = encodeFrame(encodeRecords(records));
     const next = this.#segment + 1;
-    await this.#folder.replace(formatFileName(SEGMENT_PREFIX, next), frame);
+    const bytes = await this.#folder.replaceInChunks(
+      formatFileName(SEGMENT_PREFIX, next),
+      encodeRecordFrames(createRecords(mark, retained), FILE_CHUNK_BYTES),
+    );
     await this.#file?.close();
     this.#segment = next;
-    await this.#openSegment(frame.length);
+    await this.#openSegment(bytes);
   }
 
   async #openSegment(keepBytes: number): Promise<void> {
@@ -213,54 +233,79 @@
     this.#segmentBytes = keepBytes;
   }
 
-  async #readSnapshot(names: readonly string[]): Promise<SnapshotImage> {
-    const newest = getFileNumbers(SNAPSHOT_PREFIX, names).at(-1);
-    if (newest === undefined) {
-      return { mark: create(SnapshotMarkSchema), parts: [] };
-    }
-    const name = formatFileName(SNAPSHOT_PREFIX, newest);
-    const bytes = await this.#folder.tryRead(name);
+  async #tryOpenNewest(): Promise<
+    { name: string; file: ReadFile } | undefined
+  > {
+    const names = await this.#folder.list();
+    const number = getFileNumbers(SNAPSHOT_PREFIX, names).at(-1);
+    if (number === undefined) return undefined;
+    const name = formatFileName(SNAPSHOT_PREFIX, number);
+    const file = await this.#folder.tryOpenRead(name);
     // If a compaction has removed it meanwhile, there is a newer one.
-    if (bytes === undefined) {
-      return await this.#readSnapshot(await this.#folder.list());
+    return file === undefined ? await this.#tryOpenNewest() : { name, file };
+  }
+
+  async #readSnapshot(
+    options: { name: string; file: ReadFile; keepsParts: boolean },
+  ): Promise<DecodedSnapshot> {
+    const decoder = new SnapshotDecoder(options);
+    await readChunks(options.file, 0, (chunk) => decoder.add(chunk));
+    const snapshot = decoder.tryFinish();
+    if (snapshot !== undefined) return snapshot;
+    throw this.#createCorruptError(
+      options.name,
+      0,
+      "the snapshot is truncated or has an invalid checksum",
+    );
+  }
+
+  async #readNewestSnapshot(): Promise<DecodedSnapshot> {
+    const opened = await this.#tryOpenNewest();
+    if (opened === undefined) {
+      return { mark: create(SnapshotMarkSchema), parts: [] };
     }
-    const image = tryDecodeSnapshot(bytes);
-    if (image === undefined) {
-      throw this.#createCorruptError(
-        name,
-        0,
-        "the snapshot is truncated or has an invalid checksum",
-      );
+    try {
+      return await this.#readSnapshot({ ...opened, keepsParts: true });
+    } finally {
+      await opened.file.close();
     }
-    return image;
   }
 
   async #readSegment(
     name: string,
     options: { last: boolean; replay: LogReplay },
   ): Promise<number> {
-    const file = await this.#folder.tryRead(name) ?? new Uint8Array();
-    const bytes = name === UNNUMBERED_SEGMENT
-      ? file.subarray(findFrame(file))
-      : file;
-    const scan = scanFrames(bytes);
-    const isTruncated = scan.validBytes < bytes.length;
-    if (
-      isTruncated && (!options.last || hasFrameAfter(bytes, scan.validBytes))
-    ) {
-      throw this.#createCorruptError(
-        name,
-        scan.validBytes,
-        "an invalid frame is not at the end of the log",
+    const file = await this.#folder.tryOpenRead(name);
+    if (file === undefined) return 0;
+    try {
+      const start = name === UNNUMBERED_SEGMENT
+        ? findFrame(await file.read(0, file.bytes))
+        : 0;
+      const decoder = new FrameDecoder();
+      await readChunks(
+        file,
+        start,
+        (chunk) =>
+          decoder.add(chunk).flatMap(decodeRecords).forEach((record) => {
+            if (options.replay.accept(record)) return;
+            throw this.#createCorruptError(name, 0, "records are missing");
+          }),
       );
-    }
-    scan.payloads.flatMap(decodeRecords).forEach((record) => {
-      if (!options.replay.accept(record)) {
-        throw this.#createCorruptError(name, 0, "records are missing");
+      const end = start + decoder.validBytes;
+      const rest = await file.read(end, file.bytes - end);
+      const isTruncated = rest.length > 0;
+      if (isTruncated && (!options.last || hasFrameAfter(rest, 0))) {
+        throw this.#createCorruptError(
+          name,
+          end,
+          "an invalid frame is not at the end of the log",
+        );
       }
-    });
-    this.#segmentBytes = scan.validBytes;
-    return bytes.length;
+      this.#segmentBytes = decoder.validBytes;
+      return file.bytes;
+    } finally {
+      await file.close();
+    }
   }
 
   #createCorruptError(
@@ -274,106 +319,13 @@
   }
 }
 
-/**
- * Rebuilds the log from its records, in the order in which they were written.
- */
-class LogReplay {
-  hardState: HardState = create(HardStateSchema);
-  #entries: LogEntry[] = [];
-  readonly #snapshotIndex: bigint;
-
-  constructor(mark: SnapshotMark) {
-    this.#snapshotIndex = mark.index;
-  }
-
-  /**
-   * Applies one record; false if entries or the snapshot before it are missing.
-   */
-  accept(record: LogRecord): boolean {
-    switch (record.record.case) {
-      case "hardState":
-        this.hardState = record.record.value;
-        return true;
-      case "entry":
-        return this.#acceptEntry(record.record.value);
-      case "snapshot":
-        return this.#acceptSnapshotMark(record.record.value);
-      default:
-        return true;
-    }
-  }
-
-  /** Whether the snapshot covers entries that the log has never had. */
-  get endsBeforeSnapshot(): boolean {
-    const last = this.#entries.at(-1);
-    return last !== undefined && last.index < this.#snapshotIndex;
-  }
-
-  getEntries(): LogEntry[] {
-    return this.#entries.filter((entry) => entry.index > this.#snapshotIndex);
-  }
-
-  #acceptSnapshotMark(mark: SnapshotMark): boolean {
-    if (mark.index > this.#snapshotIndex) return false;
-    this.#entries = [];
-    return true;
-  }
-
-  #acceptEntry(entry: LogEntry): boolean {
-    const first = this.#entries[0]?.index ?? entry.index;
-    const position = Number(entry.index - first);
-    const follows = this.#entries.length > 0 && position >= 0 &&
-      position <= this.#entries.length;
-    if (follows) {
-      this.#entries.length = position;
-      this.#entries.push(entry);
-      return true;
-    }
-    // The snapshot covers all entries of a gap before it: it was installed, and a
-    // crash kept the segment from being replaced.
-    if (position >= 0 && entry.index > this.#snapshotIndex + 1n) return false;
-    this.#entries = [entry];
-    return true;
-  }
-}
-
-/** Creates the record of an entry. */
-export function createEntryRecord(entry: LogEntry): LogRecord {
-  return create(LogRecordSchema, { record: { case: "entry", value: entry } });
-}
-
-/** Creates the record of the hard state: the term and the vote. */
-export function createHardStateRecord(hardState: HardState): LogRecord {
-  return create(LogRecordSchema, {
-    record: { case: "hardState", value: hardState },
-  });
-}
-
-const LENGTH_BYTES = 4;
-
-function encodeRecords(records: readonly LogRecord[]): Uint8Array {
-  const parts = records.flatMap((record) => {
-    const bytes = toBinary(LogRecordSchema, record);
-    const length = Buffer.allocUnsafe(LENGTH_BYTES);
-    length.writeUInt32LE(bytes.length);
-    return [length, bytes];
-  });
-  return Buffer.concat(parts);
-}
-
-function decodeRecords(payload: Uint8Array): LogRecord[] {
-  const view = Buffer.from(payload.buffer, payload.byteOffset, payload.length);
-  const records: LogRecord[] = [];
-  let offset = 0;
-  while (offset < view.length) {
-    const length = view.readUInt32LE(offset);
-    const start = offset + LENGTH_BYTES;
-    records.push(
-      fromBinary(LogRecordSchema, view.subarray(start, start + length)),
-    );
-    offset = start + length;
-  }
-  return records;
+function* createRecords(
+  mark: SnapshotMark,
+  retained: { hardState: HardState; entries: readonly LogEntry[] },
+): Iterable<LogRecord> {
+  yield createSnapshotRecord(mark);
+  yield createHardStateRecord(retained.hardState);
+  for (const entry of retained.entries) yield createEntryRecord(entry);
 }
 
 /** Whether two memberships have the same voters and learners. */
--- a/src/state/machines/control_machine.ts
+++ b/src/state/machines/control_machine.ts
@@ -63,7 +63,7 @@
     );
   }
 
-  override *capture(): Iterable<Uint8Array> {
+  override capture(): Iterable<Uint8Array> {
     const snapshot = create(ControlSnapshotSchema, {
       configuration: this.#configuration,
       orders: [...this.#recordedOutcomes].map(([orderId, recorded]) => ({
@@ -73,7 +73,7 @@
       entries: this.entries,
       entriesVersion: BigInt(this.#entriesVersion),
     });
-    yield toBinary(ControlSnapshotSchema, snapshot);
+    return [toBinary(ControlSnapshotSchema, snapshot)];
   }
 
   override restore(parts: readonly Uint8Array[]): void {
--- a/src/state/machines/fleet_machine.ts
+++ b/src/state/machines/fleet_machine.ts
@@ -84,12 +84,12 @@
     );
   }
 
-  override *capture(): Iterable<Uint8Array> {
+  override capture(): Iterable<Uint8Array> {
     const snapshot = create(FleetSnapshotSchema, {
       routes: this.#routes,
       hosts: this.#hosts,
     });
-    yield toBinary(FleetSnapshotSchema, snapshot);
+    return [toBinary(FleetSnapshotSchema, snapshot)];
   }
 
   override restore(parts: readonly Uint8Array[]): void {
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -133,16 +133,20 @@
     );
   }
 
-  override *capture(): Iterable<Uint8Array> {
-    // Copies the lists of all jobs before the first part. Later commands append
-    // results, but don't change recorded ones.
-    const stored = [...this.#jobs.values()].map(createStoredJob);
+  override capture(): Iterable<Uint8Array> {
+    // Later commands append results, but don't change recorded ones.
+    const jobs = [...this.#jobs.values()].map((queued) => ({
+      ...queued,
+      results: [...queued.results],
+      failures: new Map(queued.failures),
+      failedChains: new Map(queued.failedChains),
+      progress: new Map(queued.progress),
+    }));
     const runners = create(RunnerListSchema, {
       ids: [...this.#runners],
       commandVersion: this.#activeVersion,
     });
-    yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
-    for (const job of stored) yield toBinary(StoredJobSchema, job);
+    return encodeSnapshotParts(runners, jobs);
   }
 
   override restore(parts: readonly Uint8Array[]): void {
@@ -324,13 +328,21 @@
   };
 }
 
+function* encodeSnapshotParts(
+  runners: RunnerList,
+  jobs: readonly QueuedJob[],
+): Iterable<Uint8Array> {
+  yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
+  for (const job of jobs) yield toBinary(StoredJobSchema, createStoredJob(job));
+}
+
 function createStoredJob(queued: QueuedJob): StoredJob {
   const { job } = queued;
   return create(StoredJobSchema, {
     job,
     submittedMs: BigInt(queued.submittedMs),
     ended: queued.isEnded,
-    results: [...queued.results],
+    results: queued.results,
     failures: job.items.map((item) => queued.failures.get(item.id) ?? 0),
     progress: [...queued.progress].map(([item, record]) => ({
       job: job.id,
--- a/src/state/machines/state_machine.ts
+++ b/src/state/machines/state_machine.ts
@@ -24,9 +24,9 @@
   abstract apply(command: Uint8Array, context: CommandContext): Uint8Array;
 
   /**
-   * Returns a snapshot of the current state in parts. Parts are encoded lazily
-   * while further commands are applied, so a snapshot must not share data that
-   * those commands modify in place.
+   * Returns a snapshot of the state at the time of the call, in parts. Parts are
+   * encoded lazily while further commands are applied, so a snapshot must not
+   * share data that those commands modify in place.
    */
   abstract capture(): Iterable<Uint8Array>;
 
--- a/src/sys/files.ts
+++ b/src/sys/files.ts
@@ -43,6 +43,14 @@
 /** File in a temporary folder. */
 const CONTENT_FILE = "content";
 
+/** A file that is open for reading; it stays readable after its removal. */
+export interface ReadFile {
+  readonly bytes: number;
+  /** Reads `length` bytes from `offset` on, fewer at the end of the file. */
+  read(offset: number, length: number): Promise<Uint8Array>;
+  close(): Promise<void>;
+}
+
 /** A folder of files. */
 export abstract class Folder {
   abstract readonly path: string;
@@ -59,11 +67,23 @@
   /** Returns the content of a file, or undefined if it does not exist. */
   abstract tryRead(name: string): Promise<Uint8Array | undefined>;
 
+  /** Opens a file for reading; undefined if it does not exist. */
+  abstract tryOpenRead(name: string): Promise<ReadFile | undefined>;
+
+  /** Replaces a file atomically, as {@linkcode replaceInChunks} does. */
+  async replace(name: string, bytes: Uint8Array): Promise<void> {
+    await this.replaceInChunks(name, [bytes]);
+  }
+
   /**
    * Replaces a file atomically: after a crash it has either the old or the new
-   * content.
+   * content. Takes one chunk after the other, each once the one before is written,
+   * and returns the bytes of all.
    */
-  abstract replace(name: string, bytes: Uint8Array): Promise<void>;
+  abstract replaceInChunks(
+    name: string,
+    chunks: Iterable<Uint8Array>,
+  ): Promise<number>;
 
   abstract remove(name: string): Promise<void>;
 
@@ -111,14 +131,31 @@
     }
   }
 
-  override async replace(name: string, bytes: Uint8Array): Promise<void> {
+  override async tryOpenRead(name: string): Promise<ReadFile | undefined> {
+    try {
+      const file = await open(path.join(this.path, name), "r");
+      return new DiskReadFile(file, (await file.stat()).size);
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code === "ENOENT") return undefined;
+      throw error;
+    }
+  }
+
+  override async replaceInChunks(
+    name: string,
+    chunks: Iterable<Uint8Array>,
+  ): Promise<number> {
     const temporary = path.join(this.path, getTemporaryName(name));
     const content = path.join(temporary, CONTENT_FILE);
+    let bytes = 0;
     await mkdir(temporary, { recursive: true });
     try {
       const file = await open(content, "w");
       try {
-        await file.writeFile(bytes);
+        for (const chunk of chunks) {
+          await file.appendFile(chunk);
+          bytes += chunk.length;
+        }
         await file.sync();
       } finally {
         await file.close();
@@ -129,6 +166,7 @@
       await rm(temporary, { recursive: true, force: true });
     }
     await this.#syncFolder();
+    return bytes;
   }
 
   override async remove(name: string): Promise<void> {
@@ -181,3 +219,24 @@
     return this.#file.close();
   }
 }
+
+class DiskReadFile implements ReadFile {
+  readonly bytes: number;
+  readonly #file: FileHandle;
+
+  constructor(file: FileHandle, bytes: number) {
+    this.#file = file;
+    this.bytes = bytes;
+  }
+
+  async read(offset: number, length: number): Promise<Uint8Array> {
+    const size = Math.max(0, Math.min(length, this.bytes - offset));
+    const buffer = new Uint8Array(size);
+    const { bytesRead } = await this.#file.read(buffer, 0, size, offset);
+    return buffer.subarray(0, bytesRead);
+  }
+
+  close(): Promise<void> {
+    return this.#file.close();
+  }
+}
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -112,12 +112,39 @@
     .map(([item, { last, chain }]) => `${item}:${last}:${chain}`);
 }
 
+/** Encodes a snapshot only after `change`, which it must not contain. */
+function restoreFromEarlierSnapshot<M extends StateMachine>(
+  from: M,
+  change: () => void,
+  to: M,
+): M {
+  const parts = from.capture();
+  change();
+  to.restore([...parts]);
+  return to;
+}
+
 function restoreFromSnapshot<M extends StateMachine>(from: M, to: M): M {
   to.restore([...from.capture()]);
   return to;
 }
 
 describe("fleet machine", () => {
+  // Parts of a snapshot are written one after the other, while commands after its
+  // mark are applied; they would be applied twice.
+  it("captures the state at the time of the call", () => {
+    const machine = new FleetMachine();
+    const put = (version: bigint) =>
+      applyFleetCommand(machine, { case: "putRoutes", value: { version } });
+    put(1n);
+    const restored = restoreFromEarlierSnapshot(
+      machine,
+      () => put(2n),
+      new FleetMachine(),
+    );
+    expect(restored.routes.version).equal(1n);
+  });
+
   it("keeps the highest routes version regardless of arrival order", () => {
     fc.assert(fc.property(
       fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 }),
@@ -227,6 +254,19 @@
 });
 
 describe("job machine", () => {
+  // As for the fleet machine.
+  it("captures the state at the time of the call", () => {
+    const machine = new JobMachine();
+    submitJob(machine, "j", ["a", "b"]);
+    recordResult(machine, "j", "a", "first");
+    const restored = restoreFromEarlierSnapshot(machine, () => {
+      recordResult(machine, "j", "b", "second");
+      submitJob(machine, "k", ["a"]);
+    }, new JobMachine());
+    expect(formatResults(restored, "j")).deep.equal(["a=DONE:first"]);
+    expect(restored.tryGetJob("k")).equal(undefined);
+  });
+
   // A command is a part of a message with many of them. Results are kept much
   // longer than the bodies of other jobs in the same message.
   it("keeps no message in memory for the output in it", () => {
--- a/src/test/memory_folder.ts
+++ b/src/test/memory_folder.ts
@@ -7,6 +7,7 @@
   Folder,
   getTemporaryName,
   isTemporaryName,
+  type ReadFile,
 } from "../sys/files.ts";
 
 interface StoredFile {
@@ -50,15 +51,37 @@
     return Promise.resolve(bytes && Uint8Array.from(bytes));
   }
 
-  /** Takes two steps: one that writes a temporary file, one that renames it. */
-  override async replace(name: string, bytes: Uint8Array): Promise<void> {
-    const file = { bytes: Buffer.from(bytes), syncedBytes: 0 };
-    await this.#step(() => this.#files.set(getTemporaryName(name), file));
+  override tryOpenRead(name: string): Promise<ReadFile | undefined> {
+    const stored = this.#files.get(name)?.bytes;
+    if (stored === undefined) return Promise.resolve(undefined);
+    const content = Uint8Array.from(stored);
+    return Promise.resolve({
+      bytes: content.length,
+      read: (offset, length) =>
+        Promise.resolve(content.slice(offset, offset + length)),
+      close: () => Promise.resolve(),
+    });
+  }
+
+  /** Takes a step for each chunk and one that renames the temporary file. */
+  override async replaceInChunks(
+    name: string,
+    chunks: Iterable<Uint8Array>,
+  ): Promise<number> {
+    const temporary = getTemporaryName(name);
+    const file: StoredFile = { bytes: Buffer.alloc(0), syncedBytes: 0 };
+    for (const chunk of chunks) {
+      await this.#step(() => {
+        file.bytes = Buffer.concat([file.bytes, chunk]);
+        this.#files.set(temporary, file);
+      });
+    }
     await this.#step(() => {
       file.syncedBytes = file.bytes.length;
-      this.#files.delete(getTemporaryName(name));
+      this.#files.delete(temporary);
       this.#files.set(name, file);
     });
+    return file.bytes.length;
   }
 
   override remove(name: string): Promise<void> {
--- a/src/test/replica_store_test.ts
+++ b/src/test/replica_store_test.ts
@@ -141,17 +141,18 @@
       return mark;
     };
     await write(1n);
-    const read = folder.tryRead.bind(folder);
-    folder.tryRead = async (name) => {
-      folder.tryRead = read;
+    const open = folder.tryOpenRead.bind(folder);
+    folder.tryOpenRead = async (name) => {
+      folder.tryOpenRead = open;
       await store.compact(await write(2n), {
         hardState: create(HardStateSchema, { term: 1n }),
         entries: [],
       });
-      return await read(name);
+      return await open(name);
     };
-    const snapshot = await store.tryReadSnapshot();
+    const snapshot = await store.tryOpenSnapshot();
     expect(snapshot?.mark.index).equal(2n);
+    await snapshot?.file.close();
     await store.close();
   });
 });
