--- a/src/services/control/replica_links.ts
+++ b/src/services/control/replica_links.ts
@@ -62,6 +62,13 @@
     setImmediate(() => this.#flush());
   }
 
+  override isCongested(id: string): boolean {
+    const address = this.#getAddress(id);
+    const link = address === undefined ? undefined : this.#links.get(address);
+    return link !== undefined &&
+      (link.queue.length > 0 || link.sender?.isBufferFull === true);
+  }
+
   /** Records that a message from replica `id` arrived: its host is alive. */
   recordReceived(id: string): void {
     const address = this.#getAddress(id);
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -48,6 +48,11 @@
 /** Sends messages to other replicas; they may be lost, delayed or reordered. */
 export abstract class ReplicaTransport {
   abstract send(message: ReplicaMessage): void;
+
+  /** Whether earlier messages to a replica still wait to be sent. */
+  isCongested(_id: string): boolean {
+    return false;
+  }
 }
 
 /** Options of a {@linkcode Replica}. */
@@ -90,6 +95,9 @@
 const RETAINED_ENTRIES = 2000;
 const RETAINED_BYTES = 8 << 20;
 
+/** Delay before a congested link is looked at again, in milliseconds. */
+const CONGESTION_CHECK_MS = 5;
+
 /** Health of one member, as known to the leader. */
 export interface MemberStatus {
   readonly member: Member;
@@ -591,6 +599,7 @@
       .finally(() => this.#snapshotTransfers.delete(to));
   }
 
+  /** Sends the chunks of a snapshot, each once the link has sent the one before. */
   async #sendSnapshot(to: string): Promise<void> {
     const core = this.#getCore();
     const { term } = core;
@@ -600,6 +609,9 @@
     if (snapshot === undefined) return;
     try {
       for await (const chunk of readSnapshotChunks(snapshot)) {
+        while (isLeading() && this.#options.transport.isCongested(to)) {
+          await this.#options.clock.delay(CONGESTION_CHECK_MS);
+        }
         if (!isLeading()) return;
         this.#send(core.createSnapshotMessage(to, chunk));
       }
--- a/src/test/snapshot_test.ts
+++ b/src/test/snapshot_test.ts
@@ -43,9 +43,25 @@
 
 class LocalTransport extends ReplicaTransport {
   readonly replicas = new Map<string, Replica>();
+  #waitingChunks = 0;
+  /** Highest number of chunks of snapshots that waited to be delivered. */
+  maxWaitingChunks = 0;
 
   override send(message: Message): void {
-    setImmediate(() => this.replicas.get(message.to)?.receive(message));
+    const isChunk = message.body.case === "snapshotRequest";
+    if (isChunk) this.#waitingChunks += 1;
+    this.maxWaitingChunks = Math.max(
+      this.maxWaitingChunks,
+      this.#waitingChunks,
+    );
+    setImmediate(() => {
+      if (isChunk) this.#waitingChunks -= 1;
+      this.replicas.get(message.to)?.receive(message);
+    });
+  }
+
+  override isCongested(): boolean {
+    return this.#waitingChunks > 0;
   }
 }
 
@@ -117,6 +133,8 @@
     );
     expect(machines[2]?.restored).equal(1);
     expect(machines[2]?.count).equal(COMMANDS);
+    // All chunks were sent at once; the leader held the snapshot several times.
+    expect(transport.maxWaitingChunks).equal(1);
     await lateReplica.stop();
     const restartedReplica = await start(2);
     await waitUntil(
