A first start that was cut short keeps its place in the fleet group

What callers would see: the control hosts never form a group when all of them are killed in the first moments of the very first start and started again after that, and a host with a damaged first-members ends at each start. Found by simulating each prefix of the file operations of a first start, not on a fleet.

Cause: a founding host writes the first members and then its id. Without the id, a later start takes a new one, which is no member. The members were decoded without a check, and an empty replica-name was an id.

Change: members without an id mean that the start was cut short; the host takes the founder's id, under which it has not voted, since the id is durable before that. A replica-name that names no replica counts as lost, as with its disk: the host takes a new id and is added again. Members that can't be decoded are logged and done without, since the log holds them too.

Why it works: each prefix of a first start leaves nothing, the members, or the members and the id. The last two lead to the founder's id. Of a start that left nothing nobody knows; unless it is told again that it is the first one, the host waits until it is added, as before.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -17,7 +17,6 @@
   FleetUpdateSchema,
   HostRole,
   type Membership,
-  MembershipSchema,
   MessageCode,
   type Registration,
   type RouteTable,
@@ -32,14 +31,7 @@
 import type { Folder } from "../sys/files.ts";
 import { FLEET_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
-import {
-  createInitialMembership,
-  getFounderId,
-  hasReplicaId,
-  openReplicaId,
-  tryReadInitialMembership,
-  writeInitialMembership,
-} from "./host_identity.ts";
+import { openFounderIdentity } from "./host_identity.ts";
 import { LastViewWriter, tryReadLastView } from "./last_view.ts";
 import { type FleetState, RegistrationHub } from "./registration_hub.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
@@ -111,7 +103,13 @@
   async start(): Promise<void> {
     const { server } = this.#process;
     const folder = await this.#process.openFolder();
-    const { id, members } = await this.#openIdentity(folder);
+    const { id, members } = await openFounderIdentity(folder, {
+      address: this.#process.address,
+      seeds: this.#settings.seeds,
+      firstStart: this.#settings.firstStart === true,
+      random: this.#context.random,
+      log: this.#context.log,
+    });
     await this.#openLastView(folder);
     this.#member = await this.#createMember(folder, id, members);
     server.addService(Fleet, {
@@ -322,34 +320,6 @@
     return [...new Set([...known, ...this.#seeds])];
   }
 
-  /**
-   * Loads or creates the replica's id and the group's initial membership. The
-   * seeds form the group only on the first start of the whole fleet. A host whose
-   * disk is empty at any other time waits until the leader adds it.
-   */
-  async #openIdentity(
-    folder: Folder,
-  ): Promise<{ id: string; members: Membership }> {
-    const { address } = this.#process;
-    const { seeds, firstStart } = this.#settings;
-    const isFounder = firstStart === true && seeds.includes(address) &&
-      !await hasReplicaId(folder);
-    if (isFounder) {
-      const foundingMembership = createInitialMembership(
-        seeds.map(getFounderId),
-      );
-      await writeInitialMembership(folder, foundingMembership);
-    }
-    const id = await openReplicaId(folder, {
-      founderId: isFounder ? getFounderId(address) : undefined,
-      address,
-      random: this.#context.random,
-    });
-    const members = await tryReadInitialMembership(folder) ??
-      create(MembershipSchema);
-    return { id, members };
-  }
-
   async #createMember(
     folder: Folder,
     id: string,
--- a/src/fleet/host_identity.ts
+++ b/src/fleet/host_identity.ts
@@ -6,35 +6,93 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { type Membership, MembershipSchema } from "../schema/mod.ts";
 import type { Folder } from "../sys/files.ts";
+import { getReason } from "../sys/errors.ts";
+import type { Log } from "../sys/log.ts";
 import type { Random } from "../sys/random.ts";
 
 const REPLICA_ID_FILE = "replica-name";
+/** An address, and a part that tells the replicas apart that were there. */
+const REPLICA_ID_PATTERN = /^[^/\ufffd]+\/[^/\ufffd]+$/;
+
 const INITIAL_MEMBERSHIP_FILE = "first-members";
 
+/** What a host that has not stored its identity needs to create it. */
+export interface IdentityOptions {
+  readonly founderId: string | undefined;
+  readonly address: string;
+  readonly random: Random;
+  readonly log: Log;
+}
+
 /** Reads the replica id, or creates one and makes it durable. */
 export async function openReplicaId(
   folder: Folder,
-  options: { founderId: string | undefined; address: string; random: Random },
+  options: IdentityOptions,
 ): Promise<string> {
-  const bytes = await folder.tryRead(REPLICA_ID_FILE);
-  if (bytes !== undefined) return Buffer.from(bytes).toString("utf8");
+  const stored = await tryReadReplicaId(folder);
+  // A damaged file names no replica: its id is lost, as if with the disk.
+  if (stored !== undefined && REPLICA_ID_PATTERN.test(stored)) return stored;
   const id = options.founderId ??
     `${options.address}/${options.random.createId()}`;
   await folder.replace(REPLICA_ID_FILE, Buffer.from(id, "utf8"));
+  options.log.info("replica_id_created", { id });
   return id;
 }
 
-/** Whether the folder holds a replica id, that is, the disk was not lost. */
-export async function hasReplicaId(folder: Folder): Promise<boolean> {
-  return await folder.tryRead(REPLICA_ID_FILE) !== undefined;
+async function tryReadReplicaId(folder: Folder): Promise<string | undefined> {
+  const bytes = await folder.tryRead(REPLICA_ID_FILE);
+  return bytes && Buffer.from(bytes).toString("utf8");
 }
 
-/** Reads the initial membership; undefined if none was written. */
+/**
+ * Loads or creates the identity of a member of the fleet group. The seeds form the
+ * group only on the first start of the whole fleet. A host whose disk is empty at
+ * any other time waits until the leader adds it.
+ */
+export async function openFounderIdentity(
+  folder: Folder,
+  options: Omit<IdentityOptions, "founderId"> & {
+    readonly seeds: readonly string[];
+    readonly firstStart: boolean;
+  },
+): Promise<{ id: string; members: Membership }> {
+  const { address, seeds, firstStart, log } = options;
+  const founderId = getFounderId(address);
+  const stored = await tryReadInitialMembership(folder, log);
+  const isNew = await tryReadReplicaId(folder) === undefined;
+  // The id is written after the members, so a first start was cut short between
+  // the two if there are only these. The host has not voted under its id yet.
+  const wasFounder = stored?.members.some(({ id }) => id === founderId) ??
+    false;
+  const isFounder = isNew &&
+    (wasFounder || firstStart && seeds.includes(address));
+  const members = isFounder && !wasFounder
+    ? createInitialMembership(seeds.map(getFounderId))
+    : stored ?? create(MembershipSchema);
+  if (isFounder && !wasFounder) await writeInitialMembership(folder, members);
+  const id = await openReplicaId(folder, {
+    ...options,
+    founderId: isFounder ? founderId : undefined,
+  });
+  return { id, members };
+}
+
+/**
+ * Reads the initial membership; undefined if none was written or it can't be
+ * decoded. A member learns the membership from the log as well.
+ */
 export async function tryReadInitialMembership(
   folder: Folder,
+  log: Log,
 ): Promise<Membership | undefined> {
   const bytes = await folder.tryRead(INITIAL_MEMBERSHIP_FILE);
-  return bytes === undefined ? undefined : fromBinary(MembershipSchema, bytes);
+  if (bytes === undefined) return undefined;
+  try {
+    return fromBinary(MembershipSchema, bytes);
+  } catch (error) {
+    log.warn("first_members_unreadable", { reason: getReason(error) });
+    return undefined;
+  }
 }
 
 /** Makes the initial membership durable; it never changes afterwards. */
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -165,6 +165,7 @@
       founderId: undefined,
       address,
       random: this.#context.random,
+      log: this.#context.log,
     });
     server.addService(Jobs, {
       readResults: (req) => this.#readResults(req),
@@ -197,7 +198,10 @@
         this.#updateRunners();
       },
     );
-    const saved = await tryReadInitialMembership(folder);
+    const saved = await tryReadInitialMembership(
+      folder,
+      this.#context.log,
+    );
     if (saved !== undefined) await this.#startMember(folder, id, saved);
     this.#join(folder, id, saved !== undefined)
       .catch((error) => this.onFailure(error));
--- a/src/services/control/replica_identity.ts
+++ b/src/services/control/replica_identity.ts
@@ -12,7 +12,7 @@
   Replicas,
 } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
-import { ServingError } from "../../sys/errors.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
 import type { Folder } from "../../sys/files.ts";
 import type { Random } from "../../sys/random.ts";
 import { RpcClient, type RpcCredentials } from "../../sys/rpc.ts";
@@ -41,8 +41,7 @@
     await folder.removeTemporaryFiles();
     const bytes = await folder.tryRead(IDENTITY_FILE);
     if (bytes !== undefined) {
-      const identity = fromBinary(ReplicaIdentitySchema, bytes);
-      return new IdentityRecord(folder, identity);
+      return new IdentityRecord(folder, decodeIdentity(folder.path, bytes));
     }
     const record = new IdentityRecord(
       folder,
@@ -95,6 +94,27 @@
   }
 }
 
+/**
+ * Throws RECORD_CORRUPT: a replica without its folder id can't tell whether it has
+ * voted, as if its disk were lost.
+ */
+function decodeIdentity(
+  folderPath: string,
+  bytes: Uint8Array,
+): ReplicaIdentity {
+  const createError = (reason: string) =>
+    new ServingError(MessageCode.RECORD_CORRUPT, {
+      parameters: { path: `${folderPath}/${IDENTITY_FILE}`, offset: 0, reason },
+    });
+  try {
+    const identity = fromBinary(ReplicaIdentitySchema, bytes);
+    if (identity.folderId !== "") return identity;
+  } catch (error) {
+    throw createError(getReason(error));
+  }
+  throw createError("the folder id is missing");
+}
+
 /**
  * Introduces a replica to the other members until enough of them accept it:
  * all initial members, or a majority if it joins a running group. Throws
