Names of files and folders are durable before they count

What callers would see: after a power loss a file that was created, renamed or removed without a sync of its folder may be there or not. Found by reading.

Cause: content is renamed from the temporary folder into its place, and only the latter was synced. A removed segment without number could come back after later entries were acknowledged, and would be replayed as the newest one. The entry of the data folder in its parent was never synced.

Change: a replacement syncs both folders, a removal syncs its folder, and a new data folder syncs each parent that it was created in.

Evidence: by reading; no test of ours plays a loss of names. The tests of files, logs and starts pass.

Why it works: what is acknowledged or replayed depends on no name that a loss of power can still change.

--- a/src/sys/files.ts
+++ b/src/sys/files.ts
@@ -85,6 +85,7 @@
     chunks: Iterable<Uint8Array>,
   ): Promise<number>;
 
+  /** Removes a file; resolves once that is durable. */
   abstract remove(name: string): Promise<void>;
 
   /** Truncates a file to `keepBytes` and opens it for appending. */
@@ -105,7 +106,11 @@
 
   /** Opens the folder at `folderPath`, creating it and its parents. */
   static async open(folderPath: string): Promise<DiskFolder> {
-    await mkdir(folderPath, { recursive: true });
+    const created = await mkdir(folderPath, { recursive: true });
+    const parents = created === undefined
+      ? []
+      : getFoldersBetween(path.dirname(created), path.dirname(folderPath));
+    for (const parent of parents) await syncFolder(parent);
     return new DiskFolder(folderPath);
   }
 
@@ -161,16 +166,19 @@
         await file.close();
       }
       await rename(content, path.join(this.path, name));
+      // A rename between two folders is durable once both are.
+      await syncFolder(temporary);
+      await syncFolder(this.path);
     } finally {
       // Frees the space if the disk is full.
       await rm(temporary, { recursive: true, force: true });
     }
-    await this.#syncFolder();
     return bytes;
   }
 
   override async remove(name: string): Promise<void> {
     await unlink(path.join(this.path, name));
+    await syncFolder(this.path);
   }
 
   override async openAppend(
@@ -180,26 +188,36 @@
     const file = await open(path.join(this.path, name), "a");
     await file.truncate(keepBytes);
     await file.sync();
-    await this.#syncFolder();
+    await syncFolder(this.path);
     return new DiskAppendFile(file);
   }
 
   override async openFolder(name: string): Promise<Folder> {
     const folder = await DiskFolder.open(path.join(this.path, name));
-    await this.#syncFolder();
+    // A start that was cut short may have created it.
+    await syncFolder(this.path);
     return folder;
   }
+}
 
-  async #syncFolder(): Promise<void> {
-    const handle = await open(this.path, "r");
-    try {
-      await handle.sync();
-    } finally {
-      await handle.close();
-    }
+/** Makes the names of the files in a folder durable. */
+async function syncFolder(folderPath: string): Promise<void> {
+  const handle = await open(folderPath, "r");
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
   }
 }
 
+/** Returns the paths from `first` to `last`, which lies in `first` or is it. */
+function getFoldersBetween(first: string, last: string): string[] {
+  const isFirst = path.relative(first, last) === "";
+  return isFirst
+    ? [first]
+    : [...getFoldersBetween(first, path.dirname(last)), last];
+}
+
 class DiskAppendFile implements AppendFile {
   readonly #file: FileHandle;
 
