--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -133,16 +133,20 @@
     );
   }
 
-  override *capture(): Iterable<Uint8Array> {
-    // Copies the lists of all jobs before the first part. Later commands append
-    // results, but don't change recorded ones.
-    const stored = [...this.#jobs.values()].map(createStoredJob);
+  override capture(): Iterable<Uint8Array> {
+    // Later commands append results, but don't change recorded ones.
+    const jobs = [...this.#jobs.values()].map((queued) => ({
+      ...queued,
+      results: [...queued.results],
+      failures: new Map(queued.failures),
+      failedChains: new Map(queued.failedChains),
+      progress: new Map(queued.progress),
+    }));
     const runners = create(RunnerListSchema, {
       ids: [...this.#runners],
       commandVersion: this.#activeVersion,
     });
-    yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
-    for (const job of stored) yield toBinary(StoredJobSchema, job);
+    return encodeSnapshotParts(runners, jobs);
   }
 
   override restore(parts: readonly Uint8Array[]): void {
@@ -213,7 +217,7 @@
     if (this.identifiesChains && !continuesChain) return;
     queued.progress.set(part.item, {
       last: Number(part.last),
-      parts: [...recorded?.parts ?? [], part.text],
+      parts: [...recorded?.parts ?? [], new Uint8Array(part.text)],
       chain: part.chain,
       softwareVersion: part.softwareVersion,
     });
@@ -230,7 +234,8 @@
     queued.failures.delete(result.id);
     queued.failedChains.delete(result.id);
     queued.progress.delete(result.id);
-    queued.results.push(result);
+    // A copy, since the text is a part of the message that the command came with.
+    queued.results.push({ ...result, text: new Uint8Array(result.text) });
     // Frees the memory of the body. A snapshot that is still being encoded may
     // contain the empty body, but the log after that snapshot also contains the
     // command that finished the item.
@@ -323,13 +328,21 @@
   };
 }
 
+function* encodeSnapshotParts(
+  runners: RunnerList,
+  jobs: readonly QueuedJob[],
+): Iterable<Uint8Array> {
+  yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
+  for (const job of jobs) yield toBinary(StoredJobSchema, createStoredJob(job));
+}
+
 function createStoredJob(queued: QueuedJob): StoredJob {
   const { job } = queued;
   return create(StoredJobSchema, {
     job,
     submittedMs: BigInt(queued.submittedMs),
     ended: queued.isEnded,
-    results: [...queued.results],
+    results: queued.results,
     failures: job.items.map((item) => queued.failures.get(item.id) ?? 0),
     progress: [...queued.progress].map(([item, record]) => ({
       job: job.id,
--- a/src/test/memory_folder.ts
+++ b/src/test/memory_folder.ts
@@ -2,7 +2,13 @@
  * In-memory folder that simulates a disk crash: unsynced data may be lost or
  * truncated.
  */
-import { type AppendFile, Folder } from "../sys/files.ts";
+import {
+  type AppendFile,
+  Folder,
+  getTemporaryName,
+  isTemporaryName,
+  type ReadFile,
+} from "../sys/files.ts";
 
 interface StoredFile {
   bytes: Buffer;
@@ -28,7 +34,16 @@
   }
 
   override list(): Promise<string[]> {
-    return Promise.resolve([...this.#files.keys()].sort());
+    const names = [...this.#files.keys()];
+    return Promise.resolve(
+      names.filter((name) => !isTemporaryName(name)).sort(),
+    );
+  }
+
+  override removeTemporaryFiles(): Promise<void> {
+    [...this.#files.keys()].filter(isTemporaryName)
+      .forEach((name) => this.#files.delete(name));
+    return Promise.resolve();
   }
 
   override tryRead(name: string): Promise<Uint8Array | undefined> {
@@ -36,11 +51,37 @@
     return Promise.resolve(bytes && Uint8Array.from(bytes));
   }
 
-  override replace(name: string, bytes: Uint8Array): Promise<void> {
-    return this.#step(() => {
-      const content = Buffer.from(bytes);
-      this.#files.set(name, { bytes: content, syncedBytes: content.length });
+  override tryOpenRead(name: string): Promise<ReadFile | undefined> {
+    const stored = this.#files.get(name)?.bytes;
+    if (stored === undefined) return Promise.resolve(undefined);
+    const content = Uint8Array.from(stored);
+    return Promise.resolve({
+      bytes: content.length,
+      read: (offset, length) =>
+        Promise.resolve(content.slice(offset, offset + length)),
+      close: () => Promise.resolve(),
+    });
+  }
+
+  /** Takes a step for each chunk and one that renames the temporary file. */
+  override async replaceInChunks(
+    name: string,
+    chunks: Iterable<Uint8Array>,
+  ): Promise<number> {
+    const temporary = getTemporaryName(name);
+    const file: StoredFile = { bytes: Buffer.alloc(0), syncedBytes: 0 };
+    for (const chunk of chunks) {
+      await this.#step(() => {
+        file.bytes = Buffer.concat([file.bytes, chunk]);
+        this.#files.set(temporary, file);
+      });
+    }
+    await this.#step(() => {
+      file.syncedBytes = file.bytes.length;
+      this.#files.delete(temporary);
+      this.#files.set(name, file);
     });
+    return file.bytes.length;
   }
 
   override remove(name: string): Promise<void> {
