Control host: one value that can't be encoded doesn't end all streams of updates

Cause: an update holds all changes for a follower. grpc-js ends the whole stream with an error if it can't encode a message, and the next stream began with the same value. The server did not notice; only followers logged control_host_lost. The file with the last view was not written either.

Change: a stream encodes its message itself and rejects if it can't, before grpc-js sees it. The hub then leaves out the parts that can't be encoded, each with a log line, sends the rest and counts updates_not_sent. The file with the last view is written in the same way. Watchers of state hosts still end with an error, which their streams pass on.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -96,6 +96,7 @@
       registrationIntervalMs: settings.beatMs ?? 0,
       clock: context.clock,
       log: context.log,
+      metrics: context.metrics,
     });
     this.#fleetClient = this.#process.createFleetClient(
       () => this.#getControlAddresses(),
--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -10,6 +10,7 @@
 import { getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
 import type { Log } from "../sys/log.ts";
+import { removeUnencodableParts } from "./update_parts.ts";
 
 const FILE_NAME = "last-view";
 
@@ -31,6 +32,21 @@
   }
 }
 
+/** Encodes a view; parts that cannot be encoded don't keep back the others. */
+function encodeView(view: FleetUpdate, log: Log): Uint8Array {
+  try {
+    return toBinary(FleetUpdateSchema, view);
+  } catch (error) {
+    log.warn("last_view_incomplete", { reason: getReason(error) });
+    const rest = removeUnencodableParts(
+      view,
+      (part, reason) =>
+        log.warn("last_view_part_left_out", { ...part, reason }),
+    );
+    return toBinary(FleetUpdateSchema, rest);
+  }
+}
+
 /** Writes the file after changes, one write at a time. */
 export class LastViewWriter {
   readonly #options: {
@@ -69,10 +85,7 @@
       await clock.delay(WRITE_DELAY_MS);
       this.#isDirty = false;
       try {
-        await folder.replace(
-          FILE_NAME,
-          toBinary(FleetUpdateSchema, getView()),
-        );
+        await folder.replace(FILE_NAME, encodeView(getView(), log));
       } catch (error) {
         // The file only speeds up a restart; the group holds the durable state.
         log.warn("last_view_not_written", { reason: getReason(error) });
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -25,10 +25,13 @@
   type Suspicion,
 } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { RpcStream } from "../sys/rpc.ts";
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
 import { createSuspicions } from "./routing_view.ts";
+import { removeUnencodableParts } from "./update_parts.ts";
 
 type Stream = RpcStream<FleetUpdate>;
 
@@ -68,6 +71,7 @@
   readonly registrationIntervalMs: number;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
 }
 
 /** Keeps the registry of backend servers and publishes it to followers. */
@@ -238,12 +242,37 @@
     if (follower.isSending || follower.stream.closed) return;
     if (!isPeriodic && !this.#hasPendingUpdate(follower)) return;
     follower.isSending = true;
-    follower.stream.send(this.#takePendingUpdate(follower)).then(() => {
+    this.#send(follower, this.#takePendingUpdate(follower)).then(() => {
       follower.isSending = false;
       if (this.#hasPendingUpdate(follower)) this.#sendUpdate(follower, false);
     });
   }
 
+  /** Sends an update; parts that cannot be encoded don't keep back the others. */
+  async #send(follower: Follower, update: FleetUpdate): Promise<void> {
+    const { log, metrics } = this.#options;
+    try {
+      await follower.stream.send(update);
+    } catch (error) {
+      metrics.count(MetricName.updatesNotSent);
+      log.error("update_not_sent", {
+        follower: follower.name,
+        reason: getReason(error),
+      });
+      const rest = removeUnencodableParts(
+        update,
+        (part, reason) =>
+          log.error("update_part_left_out", { ...part, reason }),
+      );
+      await follower.stream.send(rest).catch((lastError) =>
+        log.error("update_dropped", {
+          follower: follower.name,
+          reason: getReason(lastError),
+        })
+      );
+    }
+  }
+
   #hasPendingUpdate(follower: Follower): boolean {
     const { routes, hosts } = this.#options.getState();
     return follower.pendingServers.size > 0 ||
--- a/src/services/control/view_watchers.ts
+++ b/src/services/control/view_watchers.ts
@@ -11,6 +11,8 @@
   version: number;
   entriesVersion: number;
   isSending: boolean;
+  /** Ends the stream with an error. */
+  fail: (error: unknown) => void;
 }
 
 /** Sends each watcher the state that is newer than the versions it has. */
@@ -22,22 +24,26 @@
     this.#control = control;
   }
 
-  /** Serves a watcher until its stream closes. */
+  /** Serves a watcher until its stream closes or an update cannot be encoded. */
   serve(req: WatchRequest, stream: RpcStream<WatchUpdate>): Promise<void> {
-    const watcher: Watcher = {
-      stream,
-      version: Number(req.version),
-      entriesVersion: Number(req.entriesVersion),
-      isSending: false,
-    };
-    this.#watchers.add(watcher);
-    this.#sendUpdate(watcher);
-    return new Promise((resolve) =>
+    return new Promise((resolve, reject) => {
+      const watcher: Watcher = {
+        stream,
+        version: Number(req.version),
+        entriesVersion: Number(req.entriesVersion),
+        isSending: false,
+        fail: (error) => {
+          this.#watchers.delete(watcher);
+          reject(error);
+        },
+      };
+      this.#watchers.add(watcher);
       stream.onClosed(() => {
         this.#watchers.delete(watcher);
         resolve();
-      })
-    );
+      });
+      this.#sendUpdate(watcher);
+    });
   }
 
   /** Sends all watchers the state that is new to them. */
@@ -63,6 +69,6 @@
     watcher.stream.send(update).then(() => {
       watcher.isSending = false;
       this.#sendUpdate(watcher);
-    });
+    }, watcher.fail);
   }
 }
--- a/src/sys/rpc_common.ts
+++ b/src/sys/rpc_common.ts
@@ -43,7 +43,10 @@
 export const CODE_METADATA_KEY = "papayatally-code";
 export const VERDICT_METADATA_KEY = "papayatally-verdict";
 
-/** Creates the grpc-js definition of a method of the schema. */
+/**
+ * Creates the grpc-js definition of a method of the schema. Messages may also be
+ * sent as their encoded bytes.
+ */
 export function createMethodDefinition(
   method: DescMethod,
 ): grpc.MethodDefinition<
@@ -51,7 +54,9 @@
   unknown
 > {
   const encode = (schema: DescMessage) => (value: unknown) => {
-    const bytes = toBinary(schema, value as MessageShape<DescMessage>);
+    const bytes = value instanceof Uint8Array
+      ? value
+      : toBinary(schema, value as MessageShape<DescMessage>);
     rpcTraffic.sentBytes += bytes.length;
     rpcTraffic.sentMessages += 1;
     return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
--- a/src/sys/rpc_server.ts
+++ b/src/sys/rpc_server.ts
@@ -10,6 +10,7 @@
   type DescService,
   type MessageInitShape,
   type MessageShape,
+  toBinary,
 } from "@bufbuild/protobuf";
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
@@ -29,7 +30,10 @@
 
 /** Sending end of a server-streaming call. */
 export interface RpcStream<O> {
-  /** Sends a message and resolves when the next can be sent. */
+  /**
+   * Sends a message and resolves when the next can be sent. Rejects if the message
+   * cannot be encoded; nothing is sent then and the stream stays open.
+   */
   send(message: O): Promise<void>;
   readonly closed: boolean;
   onClosed(action: () => void): void;
@@ -202,11 +206,12 @@
     this.#closeListeners.add(action);
   }
 
-  send(message: MessageInitShape<DescMessage>): Promise<void> {
-    if (this.closed) return Promise.resolve();
-    const hasBufferSpace = this.#call.write(create(this.#output, message));
-    if (hasBufferSpace) return Promise.resolve();
-    return new Promise((resolve) => {
+  async send(message: MessageInitShape<DescMessage>): Promise<void> {
+    if (this.closed) return;
+    // grpc-js ends the whole stream if a message cannot be encoded.
+    const bytes = toBinary(this.#output, create(this.#output, message));
+    if (this.#call.write(bytes)) return;
+    await new Promise<void>((resolve) => {
       const resume = () => {
         this.#closeListeners.delete(resume);
         this.#call.off("drain", resume);
