Refuse registrations that name no usable server, and skip them everywhere

Cause: the decoder checked only types. It took any five digits of a port, any octets, any whole number and texts of any length. What an encoder, a header or a connection does not take came up only in the processes that used the entry.

Change: tryFindRegistrationError names what is wrong: id that can't stand in a header, state, 64-bit numbers, slots, text lengths and characters, address. A known server stays as it was. Announcements of the product's own protocol need an address with a port, too.

Unknown further fields of any type and depth are ignored as before, as are an absent start time and version.

--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -10,6 +10,7 @@
   RegistrationEffect,
   ServerLimits,
   ServerRegistry,
+  tryFindRegistrationError,
 } from "../membership/mod.ts";
 import {
   type FleetUpdate,
@@ -116,8 +117,19 @@
     return this.#serverRegistry.getAll();
   }
 
-  /** Accepts the registration of a backend server and publishes changes. */
+  /**
+   * Accepts the registration of a backend server and publishes changes. One that
+   * names no usable server is ignored, wherever it comes from.
+   */
   accept(registration: Registration): void {
+    const reason = tryFindRegistrationError(registration);
+    if (reason !== undefined) {
+      this.#options.log.warn("registration_ignored", {
+        server: registration.id,
+        reason,
+      });
+      return;
+    }
     const nowMs = this.#options.clock.getMonotonicMs();
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -11,6 +11,7 @@
   ServerLimits,
   ServerRegistry,
   Suspicions,
+  tryFindRegistrationError,
 } from "../membership/mod.ts";
 import { RouteIndex } from "../policy/mod.ts";
 import {
@@ -278,6 +279,16 @@
     from: string,
     nowMs: number,
   ): boolean {
+    // Control hosts of older builds pass on what this one's refuse.
+    const reason = tryFindRegistrationError(server);
+    if (reason !== undefined) {
+      this.#options.log.warn("registration_ignored", {
+        server: server.id,
+        reason,
+        from,
+      });
+      return false;
+    }
     const effect = this.servers.accept(server, nowMs);
     const hasChanged = effect === RegistrationEffect.added ||
       effect === RegistrationEffect.changed;
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -7,6 +7,7 @@
 export * from "./fleet_view.ts";
 export * from "./gateway_registry.ts";
 export * from "./prompt_part_suspicions.ts";
+export * from "./registration_check.ts";
 export * from "./subsets.ts";
 export * from "./suspicions.ts";
 export * from "./server_registry.ts";
--- a/src/services/control/announcement_body.ts
+++ b/src/services/control/announcement_body.ts
@@ -1,5 +1,6 @@
 /** Decodes the announcements that backend servers send. */
 import { fromJson, type JsonValue } from "@bufbuild/protobuf";
+import { isServerAddress } from "../../membership/mod.ts";
 import {
   type Announcement,
   AnnouncementSchema,
@@ -14,13 +15,13 @@
     const announcement = fromJson(AnnouncementSchema, value, {
       ignoreUnknownFields: true,
     });
-    if (announcement.name !== "" && announcement.address !== "") {
+    if (announcement.name !== "" && isServerAddress(announcement.address)) {
       return announcement;
     }
   } catch (error) {
     throw createMalformedError(getReason(error));
   }
-  throw createMalformedError("name and address are required");
+  throw createMalformedError("a name and an address with a port are required");
 }
 
 function createMalformedError(reason: string): ServingError {
