--- a/src/sys/clock.ts
+++ b/src/sys/clock.ts
@@ -44,6 +44,9 @@
   }
 }
 
+/** Longest time that Node.js waits; a longer timer would fire at once. */
+const MAX_TIMEOUT_MS = 2 ** 31 - 1;
+
 /** The clock of the operating system. */
 export class SystemClock extends Clock {
   override getWallMs(): number {
@@ -55,7 +58,16 @@
   }
 
   override startTimer(ms: number, action: () => void): Timer {
-    const handle = setTimeout(action, ms);
+    const start = (remainingMs: number): ReturnType<typeof setTimeout> =>
+      remainingMs <= MAX_TIMEOUT_MS
+        ? setTimeout(action, remainingMs)
+        : setTimeout(
+          () => {
+            handle = start(remainingMs - MAX_TIMEOUT_MS);
+          },
+          MAX_TIMEOUT_MS,
+        );
+    let handle = start(ms);
     return { cancel: () => clearTimeout(handle) };
   }
 }
