Jobs: an item that Node.js can't send is refused, and harms no server

What callers saw: a job with a header value, header name, path or item id that node:http refuses to send was accepted with 202. Each try of such an item failed before anything was sent, counted as a failure of the server that it was meant for, and so backed off one server after the other; it was tried for as long as its retention lasts. Items could also set Transfer-Encoding, Connection or a second Host header of their own requests.

Cause: the decoder checked that headers are texts, the client of the servers takes every error without a response for one of the server.

Change: a job with such an item gets 400, as one with a header that is no text. An item that an older build has stored is not tried at any server; it stays owed until its retention ends, because a dead letter is promised not to come earlier. Headers that concern one connection, and Host, are left out of an item's request, as they are for online requests.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -7,7 +7,7 @@
 import { EventSplitter } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import { observeFirst } from "../sys/routines.ts";
-import { readBody } from "../sys/http.ts";
+import { readBody, removeRawHopByHopHeaders } from "../sys/http.ts";
 import type {
   BackendClient,
   BackendRequest,
@@ -15,6 +15,7 @@
 } from "./backend_client.ts";
 import type { BackendDialect } from "./dialects.ts";
 import type { ItemProgress } from "./item_progress.ts";
+import { tryFindRequestError } from "./request_check.ts";
 import type { ServerPermit } from "./server_pool.ts";
 
 /** Outcome of one attempt to run an item. */
@@ -55,6 +56,9 @@
   readonly onBegin?: () => void;
 }): Promise<AttemptOutcome> {
   const { signal, progress, onBegin = () => {} } = options;
+  // Older builds accepted such items, which are owed until their retention ends.
+  const unsendable = tryFindRequestError(options.request);
+  if (unsendable !== undefined) return { kind: "notRun", reason: unsendable };
   const result = await options.backendClient.send({
     request: options.request,
     permit: options.permit,
@@ -159,10 +163,10 @@
   item: JobItem,
   { requestIdHeader, reservedHeaders }: BackendDialect,
 ): BackendRequest {
-  const headers = item.headers.filter(({ name }) =>
-    !reservedHeaders.has(name.toLowerCase()) &&
-    name.toLowerCase() !== requestIdHeader.toLowerCase()
-  ).flatMap(({ name, value }) => [name, value]);
+  const headers = removeRawHopByHopHeaders(
+    item.headers.flatMap(({ name, value }) => [name, value]),
+    new Set([...reservedHeaders, "host", requestIdHeader.toLowerCase()]),
+  );
   const { buffer, byteOffset, length } = item.body;
   return {
     requestId: item.id,
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -5,4 +5,5 @@
 export * from "./control_host.ts";
 export * from "./dialects.ts";
 export * from "./gateway_host.ts";
+export { tryFindRequestError } from "./request_check.ts";
 export * from "./store_host.ts";
--- a/src/test/value_ranges_test.ts
+++ b/src/test/value_ranges_test.ts
@@ -2,25 +2,42 @@
  * Values at the limits of their types: whatever a decoder accepts must be
  * encodable, and must be taken by headers, connections and timers.
  */
-import { equals, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { create, equals, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import fc from "fast-check";
 import http from "node:http";
 import net from "node:net";
+import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
+import { decodeJob } from "../../platform/job_codec.ts";
 import { decodeRegistration } from "../../platform/registration_codec.ts";
 import { decodeRouteTable } from "../../platform/routes_codec.ts";
+import { createItemRequest, runItemAttempt } from "../fleet/item_attempt.ts";
+import { ItemProgress } from "../fleet/item_progress.ts";
+import { tryFindRequestError } from "../fleet/request_check.ts";
+import type { PoolServer } from "../fleet/server_pool.ts";
 import { selectTarget, tryFindRouteTableError } from "../policy/mod.ts";
 import {
+  JobItemSchema,
   MessageCode,
   RegistrationSchema,
+  RouteSchema,
   type RouteTable,
   RouteTableSchema,
+  SubmitJobSchema,
 } from "../schema/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
+import { SeededRandom } from "../sys/random.ts";
 
 const SEED = 43;
 
+const DIALECT = new PlatformBackendDialect();
+
+/** Makes requests that are checked, but never sent. */
+class NoConnectionAgent extends http.Agent {
+  addRequest(): void {}
+}
+
 /** Numbers at the limits of the types that values are decoded from or into. */
 const LIMITS = [
   0,
@@ -244,6 +261,106 @@
     );
   });
 
+  // Guards against jobs whose items look like failures of all servers, because
+  // Node.js refuses to send them.
+  it("are refused in a job, or taken by node:http", () => {
+    const route = create(RouteSchema, { name: "r", host: "a.example" });
+    const item = {
+      Id: "i1",
+      Path: "/b/1",
+      Headers: { "X-Model": "m" },
+      Body: "q83v",
+      Tokens: 9,
+    };
+    const decode = (value: unknown) =>
+      tryDecode(() => decodeJob("j", encode({ Items: [value] }), route));
+    const faults = [
+      { ...item, Id: "a\nb" },
+      { ...item, Id: "\u2028" },
+      { ...item, Path: "/b/1 2" },
+      { ...item, Path: "/b/\u2028" },
+      { ...item, Path: "" },
+      { ...item, Headers: { "X Model": "m" } },
+      { ...item, Headers: { "": "m" } },
+      { ...item, Headers: { "X-Model": "a\r\nHost: b" } },
+      { ...item, Headers: { "X-Model": "\u2028" } },
+    ];
+    expect(faults.filter((fault) => decode(fault) !== undefined)).deep.equal(
+      [],
+    );
+    fc.assert(
+      fc.property(
+        fc.constantFrom("Id", "Path", "Tokens", "name", "value"),
+        odd,
+        (field, value) => {
+          const headers = {
+            name: { [String(value)]: "m" },
+            value: { "X-Model": value },
+          };
+          const Headers = headers[field as keyof typeof headers];
+          const job = decode(
+            Headers === undefined
+              ? { ...item, [field]: value }
+              : { ...item, Headers },
+          );
+          const [decoded] = job?.items ?? [];
+          if (job === undefined || decoded === undefined) return;
+          const copy = fromBinary(
+            SubmitJobSchema,
+            toBinary(SubmitJobSchema, job),
+          );
+          expect(equals(SubmitJobSchema, copy, job)).equal(true);
+          const request = createItemRequest(route.host, decoded, DIALECT);
+          expect(tryFindRequestError(request)).equal(undefined);
+          http.request({
+            path: request.target,
+            headers: request.headers as unknown as http.OutgoingHttpHeaders,
+            agent: new NoConnectionAgent(),
+          }).on("error", () => {}).destroy();
+        },
+      ),
+      { seed: SEED, numRuns: 3_000 },
+    );
+  });
+
+  // Guards against the same with items that an older build has stored.
+  it("are not tried at a server if they are in the log", async () => {
+    const item = create(JobItemSchema, {
+      id: "i",
+      path: "/b/1",
+      headers: [{ name: "X-Model", value: "a\nb" }],
+    });
+    const outcome = await runItemAttempt({
+      backendClient: { send: () => expect.fail("the item was sent") },
+      request: createItemRequest("a.example", item, DIALECT),
+      permit: { server: {} as PoolServer, startedMs: 0, release: () => {} },
+      timeoutMs: 1_000,
+      progress: new ItemProgress({ random: new SeededRandom(SEED) }),
+      signal: new AbortController().signal,
+    });
+    expect(outcome.kind).equal("notRun");
+  });
+
+  // Guards against items that set the framing of their request, or its host.
+  it("do not let an item name its connection or another host", () => {
+    const item = create(JobItemSchema, {
+      id: "i",
+      path: "/b/1",
+      headers: [
+        { name: "Transfer-Encoding", value: "chunked" },
+        { name: "Connection", value: "close, X-Own" },
+        { name: "X-Own", value: "1" },
+        { name: "HOST", value: "b.example" },
+        { name: "Content-Length", value: "7" },
+        { name: "X-Request-Id", value: "other" },
+        { name: "X-Model", value: "m" },
+      ],
+    });
+    expect(createItemRequest("a.example", item, DIALECT).headers).deep.equal(
+      ["Host", "a.example", "X-Request-Id", "i", "X-Model", "m"],
+    );
+  });
+
   // Guards against timers that fire at once: Node.js takes 31 bits, and a route may
   // have a timeout of 32.
   it("are waited for by timers", async () => {
