Numbers of callers, servers and long runs stay within the types they are sent in

One server's event with an id above 2^64 ended the recording of the output of all items of a host. A server's Retry-After of 1e300 or -5 reached callers as "1e+297" or a negative number. A host that had known a limit or a proof of a prompt part for 50 days could send its followers nothing; two load reports with large counts ended a merger by an exception in a timer.

Cause: the decoder's type is wider than the field's that the value is sent in.

Change: positions and ages are limited to 32 bits, sums of loads too; an event's id above 53 bits counts as none; Retry-After must be a decimal number and is passed on up to an hour.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -69,6 +69,11 @@
 
 const MS_PER_S = 1_000;
 
+/** Longest wait of a server that is passed on to callers, in milliseconds. */
+const MAX_RETRY_AFTER_MS = 3_600_000;
+
+const DECIMAL_PATTERN = /^\d+(\.\d*)?$/;
+
 /** Sends requests to backend servers. */
 export class BackendClient {
   readonly #dialect: BackendDialect;
@@ -218,8 +223,7 @@
 }
 
 function readRetryAfter(value: string | undefined): number | undefined {
-  const seconds = Number(value);
-  return value === undefined || !Number.isFinite(seconds)
-    ? undefined
-    : seconds * MS_PER_S;
+  return value !== undefined && DECIMAL_PATTERN.test(value.trim())
+    ? Math.min(MAX_RETRY_AFTER_MS, Number(value) * MS_PER_S)
+    : undefined;
 }
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -1,6 +1,7 @@
 /** Access of gateways to jobs, through the leader of the store group. */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { MessageInitShape } from "@bufbuild/protobuf";
+import { MAX_UINT32 } from "../membership/mod.ts";
 import {
   ItemEnd,
   JobCommandReplySchema,
@@ -62,9 +63,11 @@
       STORE_GROUP,
       REQUEST_TIMEOUT_MS + waitMs,
       (client, timeoutMs) =>
-        client.call(Jobs.method.readResults, { job, after, waitMs }, {
-          timeoutMs: timeoutMs + waitMs,
-        }),
+        client.call(Jobs.method.readResults, {
+          job,
+          after: Math.min(MAX_UINT32, after),
+          waitMs,
+        }, { timeoutMs: timeoutMs + waitMs }),
       waitMs + SILENCE_MS,
     );
     throwIfError(reply.code, job);
--- a/src/membership/load_tracker.ts
+++ b/src/membership/load_tracker.ts
@@ -8,6 +8,7 @@
  * A large report is sent in parts, each of which covers some of the servers.
  */
 import type { LoadReport, ServerLoad } from "../schema/mod.ts";
+import { MAX_UINT32 } from "./ages.ts";
 
 /** Whether a request is an online request or belongs to a batch job. */
 export const LoadKind = { online: "online", batch: "batch" } as const;
@@ -165,8 +166,8 @@
       return {
         $typeName: "papayatally.v1.ServerLoad" as const,
         server,
-        online: own.online + others.online - excluded.online,
-        batch: own.batch + others.batch - excluded.batch,
+        online: clampCount(own.online + others.online - excluded.online),
+        batch: clampCount(own.batch + others.batch - excluded.batch),
       };
     }).filter((load) => load.online + load.batch > 0);
   }
@@ -229,6 +230,11 @@
   );
 }
 
+/** Keeps a sum of counts of other processes within what a report can hold. */
+function clampCount(count: number): number {
+  return Math.min(MAX_UINT32, Math.max(0, count));
+}
+
 function sumLoadCounts(a: LoadCount, b: LoadCount): LoadCount {
   return { online: a.online + b.online, batch: a.batch + b.batch };
 }
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -3,6 +3,7 @@
  * Entry hosts use the views and suspicions; gateways, control hosts and store
  * hosts use the registry, the load tracker and the detectors.
  */
+export * from "./ages.ts";
 export * from "./backend_view.ts";
 export * from "./fleet_view.ts";
 export * from "./gateway_registry.ts";
--- a/src/membership/prompt_part_suspicions.ts
+++ b/src/membership/prompt_part_suspicions.ts
@@ -17,6 +17,7 @@
   PromptPartSuspicionSchema,
 } from "../schema/mod.ts";
 import { getDigestHex } from "../sys/random.ts";
+import { getAgeMs } from "./ages.ts";
 
 /** Number of crashes after which a part is rejected. */
 const MIN_CRASHES = 2;
@@ -186,7 +187,7 @@
   /** Returns all that is known of a part, to send to other processes. */
   getUpdate(part: string, nowMs: number): PromptPartSuspicion {
     const getIdleMs = (atMs: number | undefined) =>
-      atMs === undefined ? undefined : Math.max(0, Math.round(nowMs - atMs));
+      atMs === undefined ? undefined : getAgeMs(atMs, nowMs);
     return create(PromptPartSuspicionSchema, {
       part,
       crashes: [...this.#crashes.get(part) ?? []].map(([server, atMs]) =>
--- a/src/membership/server_limits.ts
+++ b/src/membership/server_limits.ts
@@ -9,6 +9,7 @@
   ServerLimitSchema,
   ServerStartSchema,
 } from "../schema/mod.ts";
+import { getAgeMs } from "./ages.ts";
 import { getServerStart, type ServerStartKey } from "./server_registry.ts";
 
 interface KnownLimit {
@@ -77,7 +78,7 @@
         bornMs: server.bornMs,
       }),
       ...known?.limitPerS === undefined ? {} : { limitPerS: known.limitPerS },
-      ageMs: Math.max(0, Math.round(nowMs - (known?.heardMs ?? nowMs))),
+      ageMs: getAgeMs(known?.heardMs ?? nowMs, nowMs),
     });
   }
 
--- a/src/relay/event_parser.ts
+++ b/src/relay/event_parser.ts
@@ -5,7 +5,7 @@
 
 /** A server-sent event. */
 export interface ServerSentEvent {
-  /** Numeric id of the event; undefined if it has none. */
+  /** Id of the event; undefined if it has none that is a number of 53 bits. */
   readonly id: number | undefined;
   readonly data: string;
 }
@@ -28,9 +28,11 @@
       value: value.startsWith(" ") ? value.slice(1) : value,
     };
   });
-  const id = fields.find((field) => field.name === "id")?.value;
+  const id = fields.find((field) => field.name === "id")?.value ?? "";
   return {
-    id: id === undefined || !/^\d+$/.test(id) ? undefined : Number(id),
+    id: /^\d+$/.test(id) && Number.isSafeInteger(Number(id))
+      ? Number(id)
+      : undefined,
     data: fields.filter((field) => field.name === "data")
       .map((field) => field.value).join("\n"),
   };
--- a/src/test/value_ranges_test.ts
+++ b/src/test/value_ranges_test.ts
@@ -7,10 +7,20 @@
 import fc from "fast-check";
 import http from "node:http";
 import net from "node:net";
+import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
 import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
 import { decodeJob } from "../../platform/job_codec.ts";
 import { decodeRegistration } from "../../platform/registration_codec.ts";
 import { decodeRouteTable } from "../../platform/routes_codec.ts";
+import { BackendClient } from "../fleet/backend_client.ts";
+import { JobClient } from "../fleet/job_client.ts";
+import {
+  LoadTracker,
+  PromptPartSuspicions,
+  ServerLimits,
+} from "../membership/mod.ts";
+import { parseEvents } from "../relay/mod.ts";
+import type { StateClient } from "../services/common/state_client.ts";
 import { createItemRequest, runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
 import { tryFindRequestError } from "../fleet/request_check.ts";
@@ -18,11 +28,16 @@
 import { selectTarget, tryFindRouteTableError } from "../policy/mod.ts";
 import {
   JobItemSchema,
+  type Jobs,
+  LoadReportSchema,
   MessageCode,
+  PromptPartSuspicionSchema,
   RegistrationSchema,
   RouteSchema,
   type RouteTable,
   RouteTableSchema,
+  RunProgressSchema,
+  ServerLimitSchema,
   SubmitJobSchema,
 } from "../schema/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
@@ -38,6 +53,19 @@
   addRequest(): void {}
 }
 
+function createBackendClient(): BackendClient {
+  return new BackendClient({
+    dialect: DIALECT,
+    agent: new http.Agent(),
+    onLoad: () => {},
+    onWrongServer: () => {},
+    onLeaving: () => {},
+    onLimit: () => {},
+    onUnreachable: () => {},
+    onActivity: () => {},
+  });
+}
+
 /** Numbers at the limits of the types that values are decoded from or into. */
 const LIMITS = [
   0,
@@ -361,6 +389,134 @@
     );
   });
 
+  // Guards against reads of results that get 500 instead of a page without any.
+  it("are positions at which no results are", async () => {
+    const encoded: Uint8Array[] = [];
+    const leader = {
+      call: (method: typeof Jobs.method.readResults, req: object) => {
+        encoded.push(toBinary(method.input, create(method.input, req)));
+        return Promise.resolve(create(method.output, { total: 4 }));
+      },
+    };
+    const client = new JobClient({
+      callLeader: (
+        _group: string,
+        _timeoutMs: number,
+        call: (client: typeof leader, timeoutMs: number) => unknown,
+      ) => call(leader, 1_000),
+    } as unknown as StateClient);
+    const after = new PlatformCallerDialect().tryDecodeJobRequest(
+      "GET",
+      "/-/lots/j?After=999999999999999",
+      {},
+    );
+    if (after?.kind !== "results") expect.fail("no read of results");
+    const page = await client.readResults("j", after.after, 0);
+    expect(page).include({ total: 4, after: 999_999_999_999_999 });
+    expect(encoded).lengthOf(1);
+  });
+
+  // Guards against calls that get 500, and are repeated, for a path that can't be
+  // decoded.
+  it("are not hidden in a path that cannot be decoded", () => {
+    const caller = new PlatformCallerDialect();
+    ["/-/lots/%zz", "/-/items/%ff?Id=i"].forEach((target) =>
+      expect(tryDecode(() => caller.tryDecodeJobRequest("GET", target, {})))
+        .equal(undefined)
+    );
+  });
+
+  // Guards against output of all items of a host that is recorded no more, because
+  // a server gave one event a number that the log's type can't hold.
+  it("are no numbers of events if they are too large", () => {
+    const huge = ["9".repeat(16), "9".repeat(30), "9".repeat(400)];
+    const parsed = ["9007199254740991", ...huge].map((id) =>
+      parseEvents(Buffer.from(`id: ${id}\ndata: x\n\n`))[0]
+    );
+    expect(parsed.map((event) => event?.id))
+      .deep.equal([2 ** 53 - 1, undefined, undefined, undefined]);
+    parsed.forEach((event) =>
+      toBinary(
+        RunProgressSchema,
+        create(RunProgressSchema, { last: BigInt(event?.id ?? 0) }),
+      )
+    );
+  });
+
+  // Guards against callers that are told to come again in 1e+297 seconds, or
+  // before now.
+  it("are waits that a server asks for, as far as callers can use them", async () => {
+    const values = ["1e300", "-5", "soon", "0.25", "9".repeat(400), ""];
+    const server = http.createServer((req, res) => {
+      res.writeHead(503, {
+        "Retry-After": values[Number(req.headers["x-request-id"])] ?? "",
+        "X-Not-Run": "full",
+      }).end();
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as net.AddressInfo;
+    const client = createBackendClient();
+    const waits = await Promise.all(values.map(async (_, index) => {
+      const result = await client.send({
+        request: {
+          requestId: String(index),
+          method: "POST",
+          target: "/",
+          headers: ["Host", "a.example", "X-Request-Id", String(index)],
+          body: Buffer.alloc(0),
+        },
+        permit: {
+          server: { id: "s", address: `127.0.0.1:${port}` } as PoolServer,
+          startedMs: 0,
+          release: () => {},
+        },
+        remainingMs: 1_000,
+        resumeAfter: undefined,
+        useNewConnection: true,
+        signal: new AbortController().signal,
+      });
+      return result.kind === "notRun" ? result.retryAfterMs : result.kind;
+    }));
+    server.close();
+    expect(waits).deep.equal([
+      undefined,
+      undefined,
+      undefined,
+      250,
+      3_600_000,
+      undefined,
+    ]);
+  });
+
+  // Guards against updates and reports that can't be encoded once a process has run
+  // for 50 days, or after a report with large counts.
+  it("are what processes tell each other of ages and loads", () => {
+    const server = { id: "s", bornMs: 1n };
+    const laterMs = 2 ** 33;
+    const limits = new ServerLimits();
+    limits.recordResponse(server, 2, { sentMs: 0, nowMs: 0 });
+    toBinary(ServerLimitSchema, limits.getUpdate(server, laterMs));
+    const parts = new PromptPartSuspicions();
+    parts.recordProof(["part"], 0);
+    toBinary(PromptPartSuspicionSchema, parts.getUpdate("part", laterMs));
+    const loads = new LoadTracker();
+    ["a", "b"].forEach((sender) =>
+      loads.acceptReport(
+        create(LoadReportSchema, {
+          sender,
+          sequence: 1n,
+          loads: [{ server: "s", online: 2 ** 32 - 1, batch: 1 }],
+        }),
+        0,
+      )
+    );
+    const merged = loads.getMerged(0, "c");
+    toBinary(LoadReportSchema, create(LoadReportSchema, { loads: merged }));
+    expect(merged.map(({ online }) => online)).deep.equal([2 ** 32 - 1]);
+  });
+
   // Guards against timers that fire at once: Node.js takes 31 bits, and a route may
   // have a timeout of 32.
   it("are waited for by timers", async () => {
