--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -10,6 +10,7 @@
   RegistrationEffect,
   ServerLimits,
   ServerRegistry,
+  tryFindRegistrationError,
 } from "../membership/mod.ts";
 import {
   type FleetUpdate,
@@ -25,10 +26,13 @@
   type Suspicion,
 } from "../schema/mod.ts";
 import type { Clock, Timer } from "../sys/clock.ts";
+import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
+import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { RpcStream } from "../sys/rpc.ts";
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
 import { createSuspicions } from "./routing_view.ts";
+import { removeUnencodableParts } from "./update_parts.ts";
 
 type Stream = RpcStream<FleetUpdate>;
 
@@ -68,6 +72,7 @@
   readonly registrationIntervalMs: number;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
 }
 
 /** Keeps the registry of backend servers and publishes it to followers. */
@@ -112,8 +117,19 @@
     return this.#serverRegistry.getAll();
   }
 
-  /** Accepts the registration of a backend server and publishes changes. */
+  /**
+   * Accepts the registration of a backend server and publishes changes. One that
+   * names no usable server is ignored, wherever it comes from.
+   */
   accept(registration: Registration): void {
+    const reason = tryFindRegistrationError(registration);
+    if (reason !== undefined) {
+      this.#options.log.warn("registration_ignored", {
+        server: registration.id,
+        reason,
+      });
+      return;
+    }
     const nowMs = this.#options.clock.getMonotonicMs();
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
@@ -238,12 +254,37 @@
     if (follower.isSending || follower.stream.closed) return;
     if (!isPeriodic && !this.#hasPendingUpdate(follower)) return;
     follower.isSending = true;
-    follower.stream.send(this.#takePendingUpdate(follower)).then(() => {
+    this.#send(follower, this.#takePendingUpdate(follower)).then(() => {
       follower.isSending = false;
       if (this.#hasPendingUpdate(follower)) this.#sendUpdate(follower, false);
     });
   }
 
+  /** Sends an update; parts that cannot be encoded don't keep back the others. */
+  async #send(follower: Follower, update: FleetUpdate): Promise<void> {
+    const { log, metrics } = this.#options;
+    try {
+      await follower.stream.send(update);
+    } catch (error) {
+      metrics.count(MetricName.updatesNotSent);
+      log.error("update_not_sent", {
+        follower: follower.name,
+        reason: getReason(error),
+      });
+      const rest = removeUnencodableParts(
+        update,
+        (part, reason) =>
+          log.error("update_part_left_out", { ...part, reason }),
+      );
+      await follower.stream.send(rest).catch((lastError) =>
+        log.error("update_dropped", {
+          follower: follower.name,
+          reason: getReason(lastError),
+        })
+      );
+    }
+  }
+
   #hasPendingUpdate(follower: Follower): boolean {
     const { routes, hosts } = this.#options.getState();
     return follower.pendingServers.size > 0 ||
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -3,10 +3,12 @@
  * Entry hosts use the views and suspicions; gateways, control hosts and store
  * hosts use the registry, the load tracker and the detectors.
  */
+export * from "./ages.ts";
 export * from "./backend_view.ts";
 export * from "./fleet_view.ts";
 export * from "./gateway_registry.ts";
 export * from "./prompt_part_suspicions.ts";
+export * from "./registration_check.ts";
 export * from "./subsets.ts";
 export * from "./suspicions.ts";
 export * from "./server_registry.ts";
