Ask every control host before a stream goes on at the only version

Seen by callers: a stream that one software version began went on at another one, at a gateway that was cut off from control and store hosts, or stood still, while servers of the new version joined.

Cause: if no store host names a stream's origin, the gateway took the only version that it knew for the only one there is. It looked at its first contact with any control host, 60 s ago or more. A server registers with one control host, which tells those that follow it; control hosts don't share registrations. So this holds only with unbroken contact with every control host, up to now, and no process can tell that from its own clock: timers of a stopped process fire late, and the clock of a suspended machine stands still. Store hosts went by the same rule with output of items whose version isn't recorded.

Change: each control host records which versions registered there (SoftwareVersions), and says so in a new call. The gateway asks all registered ones when a stream is taken up (OnlyVersionFinder). It goes on only if all reply, none has started within the longest duration of a stream, none knows a newer list of hosts, and together they name one version. Else 503 at once. Output of items whose version isn't known is run anew; that concerns output that builds before recorded.

Why this works: the server that began the stream had registered before the caller took it up, and the hosts are asked after that. What a host says of its own registrations is exact, whatever it and the gateway went through since; a suspension of the host makes it keep versions longer. Hosts of older builds don't know the call, so the gateway refuses while one of them is left.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -41,7 +41,11 @@
   writeInitialMembership,
 } from "./host_identity.ts";
 import { LastViewWriter, tryReadLastView } from "./last_view.ts";
-import { type FleetState, RegistrationHub } from "./registration_hub.ts";
+import {
+  type FleetState,
+  RegistrationHub,
+  type RegistrationHubOptions,
+} from "./registration_hub.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
 /**
@@ -59,6 +63,9 @@
  */
 const STORE_REGISTRATION_WINDOW_MS = 1_000;
 
+/** Options of a {@linkcode ControlHost}. */
+export type ControlHostOptions = Pick<RegistrationHubOptions, "maxStreamMs">;
+
 /** A running control host. */
 export class ControlHost {
   readonly #settings: FleetSettings;
@@ -78,7 +85,11 @@
   /** Called once if the replica fails and cannot continue. */
   onFailure: (error: unknown) => void = () => {};
 
-  constructor(settings: FleetSettings, context: ProcessContext) {
+  constructor(
+    settings: FleetSettings,
+    context: ProcessContext,
+    options: ControlHostOptions = {},
+  ) {
     this.#settings = settings;
     this.#seeds = settings.seeds;
     this.#context = context;
@@ -94,6 +105,7 @@
       getState: () => this.#getState(),
       onServerChange: () => this.#lastViewWriter?.scheduleWrite(),
       registrationIntervalMs: settings.beatMs ?? 0,
+      ...options,
       clock: context.clock,
       log: context.log,
     });
@@ -120,6 +132,8 @@
         this.#registrationHub.acceptReport(report);
         return Promise.resolve({});
       },
+      findSoftwareVersions: ({ service }) =>
+        Promise.resolve(this.#registrationHub.findSoftwareVersions(service)),
     });
     await this.#process.listen();
     await this.#member.start();
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -40,6 +40,10 @@
 } from "./gateway_relay.ts";
 import { JobClient } from "./job_client.ts";
 import { OnlineRelay, type OnlineRequest } from "./online_relay.ts";
+import {
+  OnlyVersionFinder,
+  RpcSoftwareVersionsClient,
+} from "./only_version_finder.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
 import { StreamOriginFinder } from "./stream_origin_finder.ts";
@@ -83,6 +87,7 @@
   readonly #state: StateClient;
   readonly #jobs: JobClient;
   readonly #streamOrigins: StreamOriginFinder;
+  readonly #softwareVersions: RpcSoftwareVersionsClient;
   readonly #gatewayRelay: GatewayRelay;
   readonly #reservedHeaders: ReadonlySet<string>;
   #listener: HttpListener | undefined;
@@ -123,6 +128,8 @@
       clock,
       log,
     });
+    const softwareVersions = new RpcSoftwareVersionsClient(credentials);
+    this.#softwareVersions = softwareVersions;
     this.#gatewayRelay = new GatewayRelay({
       name: settings.id,
       dataCentre: settings.dataCentre,
@@ -151,6 +158,11 @@
       reachability: backends.reachability,
       gatewayRelay: this.#gatewayRelay,
       streamOrigins: this.#streamOrigins,
+      onlyVersions: new OnlyVersionFinder({
+        getHosts: () => backends.view.hosts,
+        query: (address, service) => softwareVersions.query(address, service),
+        log,
+      }),
       flushOrigins: () => backends.flushOrigins(),
       dialect: this.#dialect,
       serviceTimes: new ServiceTimes(),
@@ -229,6 +241,7 @@
     this.#gatewayRelay.close();
     this.#backends.close();
     this.#streamOrigins.close();
+    this.#softwareVersions.close();
     this.#state.close();
   }
 
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -392,14 +392,11 @@
       queued.progress.has(item.id);
     if (!hasOutput) return undefined;
     const progress = this.#progress.getOrCreate(queued, item);
-    const { view, pool, context } = this.#options;
+    const { view, pool } = this.#options;
     const { softwareVersion } = progress;
     if (view.servers.hasReadyVersion(service, softwareVersion)) {
       return softwareVersion;
     }
-    const nowMs = context.clock.getMonotonicMs();
-    const onlyVersion = view.servers.tryGetOnlyVersion(service, nowMs);
-    if (softwareVersion === "" && onlyVersion !== undefined) return onlyVersion;
     if (pool.getServers(service).length === 0) return softwareVersion;
     this.#discardOutput(candidate);
     return undefined;
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -41,6 +41,7 @@
 import type { CrashDetector, ServerRun } from "./crash_detector.ts";
 import type { CallerDialect } from "./dialects.ts";
 import { type GatewayRelay, NOT_RELAYED_HEADER } from "./gateway_relay.ts";
+import type { OnlyVersionFinder } from "./only_version_finder.ts";
 import type {
   PermitRequest,
   PoolServer,
@@ -83,6 +84,7 @@
   readonly reachability: Pick<ServerReachability, "isCutOff">;
   readonly gatewayRelay: Pick<GatewayRelay, "send">;
   readonly streamOrigins: StreamOriginFinder;
+  readonly onlyVersions: OnlyVersionFinder;
   /** Sends the origins of streams that have not been sent yet. */
   readonly flushOrigins: () => void;
   readonly dialect: CallerDialect;
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -10,8 +10,10 @@
   RegistrationEffect,
   ServerLimits,
   ServerRegistry,
+  SoftwareVersions,
 } from "../membership/mod.ts";
 import {
+  type FindSoftwareVersionsReply,
   type FleetUpdate,
   FleetUpdateSchema,
   type FollowRequest,
@@ -66,6 +68,8 @@
   readonly onServerChange: () => void;
   /** Interval at which backend servers register, in milliseconds. */
   readonly registrationIntervalMs: number;
+  /** Longest duration of a stream, in milliseconds; see SoftwareVersions. */
+  readonly maxStreamMs?: number;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -77,6 +81,7 @@
   readonly #suspicions = createSuspicions();
   readonly #promptParts = new PromptPartSuspicions();
   readonly #limits = new ServerLimits();
+  readonly #softwareVersions: SoftwareVersions;
   readonly #followers = new Set<Follower>();
   #updateTimer: Timer | undefined;
 
@@ -85,6 +90,11 @@
     this.#serverRegistry = new ServerRegistry({
       heartbeatMs: options.registrationIntervalMs,
     });
+    const { maxStreamMs } = options;
+    this.#softwareVersions = new SoftwareVersions({
+      startMs: options.clock.getMonotonicMs(),
+      ...maxStreamMs === undefined ? {} : { maxStreamMs },
+    });
   }
 
   get followerCount(): number {
@@ -112,9 +122,22 @@
     return this.#serverRegistry.getAll();
   }
 
+  /** Software versions of a service's servers that registered here lately. */
+  findSoftwareVersions(
+    service: string,
+  ): Omit<FindSoftwareVersionsReply, "$typeName"> {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return {
+      versions: this.#softwareVersions.getRecent(service, nowMs),
+      complete: this.#softwareVersions.isComplete(nowMs),
+      hostsVersion: this.#options.getState().hosts.version,
+    };
+  }
+
   /** Accepts the registration of a backend server and publishes changes. */
   accept(registration: Registration): void {
     const nowMs = this.#options.clock.getMonotonicMs();
+    this.#softwareVersions.record(registration, nowMs);
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
     if (effect === RegistrationEffect.heard) {
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -15,7 +15,7 @@
 import { ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
-import type { RoutingView } from "./routing_view.ts";
+import type { OnlyVersionFinder } from "./only_version_finder.ts";
 import type { PoolServer } from "./server_pool.ts";
 import type { StreamOriginFinder } from "./stream_origin_finder.ts";
 
@@ -31,8 +31,8 @@
 
 /** Options of a {@linkcode VersionPin}. */
 export interface VersionPinOptions {
-  readonly view: Pick<RoutingView, "servers">;
   readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
+  readonly onlyVersions: Pick<OnlyVersionFinder, "find">;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -80,7 +80,7 @@
     const { requestId, resumedRequest } = this.#req;
     const startMs = clock.getMonotonicMs();
     const found = await this.#tryFind();
-    const origin = found ?? this.#tryGetOnlyOrigin();
+    const origin = found ?? await this.#tryFindOnlyOrigin();
     const how = found !== undefined
       ? "found"
       : origin === undefined
@@ -141,13 +141,11 @@
   }
 
   /** Origin of any stream if only one version can have begun it. */
-  #tryGetOnlyOrigin(): StreamOrigin | undefined {
-    const { view, clock } = this.#options;
+  async #tryFindOnlyOrigin(): Promise<StreamOrigin | undefined> {
     const [target, ...others] = this.#req.route.targets;
     if (target === undefined || others.length > 0) return undefined;
-    const softwareVersion = view.servers.tryGetOnlyVersion(
+    const softwareVersion = await this.#options.onlyVersions.find(
       target.service,
-      clock.getMonotonicMs(),
     );
     if (softwareVersion === undefined) return undefined;
     return create(StreamOriginSchema, {
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -14,4 +14,5 @@
 export * from "./load_tracker.ts";
 export * from "./merger_selector.ts";
 export * from "./silence_detector.ts";
+export * from "./software_versions.ts";
 export * from "./stream_origins.ts";
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -55,12 +55,6 @@
 /** Heartbeats that a server may miss before it counts as silent. */
 const MAX_MISSED_HEARTBEATS = 4;
 
-/**
- * Time for which a software version is remembered after its last registration or
- * heartbeat, in milliseconds. It exceeds the duration of a stream.
- */
-const VERSION_TTL_MS = 60_000;
-
 /** Maximum number of starts known to leave; the oldest are dropped. */
 const MAX_LEAVING_STARTS = 4_096;
 
@@ -85,10 +79,7 @@
    * apart from the servers, because a late registration may add a server again.
    */
   readonly #leavingStarts = new Set<string>();
-  /** Last contact with any server of a software version, by service. */
-  readonly #versions = new Map<string, Map<string, number>>();
-  /** Time of the first and of the last message from any control host. */
-  #firstControlContactMs: number | undefined;
+  /** Time of the last message from any control host. */
   #lastControlContactMs = -Infinity;
 
   constructor(options: { heartbeatMs: number }) {
@@ -100,7 +91,6 @@
    * so a heartbeat counts as missed only while such messages arrive.
    */
   recordControlContact(nowMs: number): void {
-    this.#firstControlContactMs ??= nowMs;
     this.#lastControlContactMs = nowMs;
   }
 
@@ -113,7 +103,6 @@
     }
     if (this.#isSuperseded(registration)) return RegistrationEffect.old;
     this.#removePredecessors(registration);
-    this.#recordVersion(registration, nowMs);
     const isSameStart = known !== undefined &&
       known.registration.bornMs === registration.bornMs;
     const isRepeat = isSameStart &&
@@ -136,7 +125,6 @@
     const known = this.#servers.get(id);
     if (known === undefined) return;
     known.lastContactMs = nowMs;
-    this.#recordVersion(known.registration, nowMs);
   }
 
   /**
@@ -275,29 +263,6 @@
     );
   }
 
-  /**
-   * Returns the software version of a service's servers if none had another one
-   * for longer than a stream lasts; otherwise undefined.
-   */
-  tryGetOnlyVersion(service: string, nowMs: number): string | undefined {
-    const firstMs = this.#firstControlContactMs ?? nowMs;
-    if (nowMs - firstMs < VERSION_TTL_MS) return undefined;
-    const versions = [...this.#versions.get(service) ?? []]
-      .filter(([, contactMs]) => nowMs - contactMs < VERSION_TTL_MS)
-      .map(([version]) => version);
-    return versions.length === 1 ? versions[0] : undefined;
-  }
-
-  #recordVersion(registration: Registration, nowMs: number): void {
-    const { service, softwareVersion } = registration;
-    const versions = this.#versions.get(service) ?? new Map<string, number>();
-    versions.set(softwareVersion, nowMs);
-    versions.forEach((contactMs, version) => {
-      if (nowMs - contactMs >= VERSION_TTL_MS) versions.delete(version);
-    });
-    this.#versions.set(service, versions);
-  }
-
   /** Whether a server accepts requests, by what it said of itself. */
   #isReady({ registration }: KnownServer): boolean {
     return registration.state === ServerState.READY &&
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -16,6 +16,7 @@
 import {
   createResponse,
   RecordFate,
+  recordHeartbeats,
   registerVersions,
   RunnerSimulation,
   type SimulatedRunner,
@@ -370,6 +371,32 @@
     expect(simulation.committed.getOpenJobs()).deep.equal([]);
   });
 
+  // Guards against output of an unknown version being joined to that of the only
+  // version that a store host knows; it may not have heard of another one.
+  it("starts an item anew if the version of its output is unknown", async () => {
+    simulation = new RunnerSimulation(["a"], { eventCount: 10 });
+    const { runner } = simulation;
+    registerVersions(runner.view, [{ version: "v1", slots: 8 }]);
+    await simulation.advance(61_000);
+    recordHeartbeats(runner.view);
+    const [item = ""] = simulation.submit("j", [200]);
+    simulation.commit({
+      case: "recordRuns",
+      value: {
+        progress: [{
+          job: "j",
+          item,
+          last: 3n,
+          chain: 7n,
+          text: Buffer.from("1\n2\n3"),
+        }],
+      },
+    });
+    await simulation.advance(5_000);
+    expect(simulation.streamRuns.map(({ resumeAfter }) => resumeAfter))
+      .deep.equal([0]);
+  });
+
   // Guards against repeats that add up over slow and lost records, losses of
   // the leader, frozen runners and changes of the runners.
   range(30).forEach((seed) => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -443,6 +443,12 @@
   );
 }
 
+/** All registered servers send a heartbeat. */
+export function recordHeartbeats(view: RoutingView): void {
+  const heard = view.servers.getAll().map(({ id }) => id);
+  view.applyUpdate(create(FleetUpdateSchema, { heard }), "test");
+}
+
 function createView(clock: ManualClock, log: MemoryLog): RoutingView {
   const view = new RoutingView({
     registrationIntervalMs: 600_000,
