Refuse to take up a stream whose id belongs to streams of two versions

Seen by callers: if streams began at servers of two software versions under one request id, as when a caller uses an id twice, the one that was taken up went on at the version that happened to be known first at the host that replied first, or at the gateway itself.

Cause: gateways and mergers kept the first origin that they heard of, in an order of their own, and the first reply decided.

Change: StreamOrigins marks a request with two origins; a merger says so in its reply. The gateway adds up all replies and what it knows itself, and refuses (503) if they differ. Once the stream is known it waits up to 30 ms for the other mergers, all of which hear of each origin; before, it didn't ask them about streams that it had begun itself.

Evidence: stream_versions_test, "don't go on if streams of two versions began under one id": 200 in place of 503 before; passes now. stream_origin_finder_test plays hosts that disagree, don't reply or don't know. In server_registry_test the case "keep the first origin of a request" asserted the fault; the cases that replace it check the time for which an origin is kept as before, and that of two origins none is told.

Why this works: whichever replies arrive, an origin is used only if no two that are known differ. A reply field that older builds don't know is absent there; they see no origin then and go on as for an unknown stream.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -46,7 +46,10 @@
 } from "./only_version_finder.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
-import { StreamOriginFinder } from "./stream_origin_finder.ts";
+import {
+  RpcStreamOriginsClient,
+  StreamOriginFinder,
+} from "./stream_origin_finder.ts";
 
 /** Maximum body size if the route table sets no limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1 << 20;
@@ -86,7 +89,7 @@
   readonly #relay: OnlineRelay;
   readonly #state: StateClient;
   readonly #jobs: JobClient;
-  readonly #streamOrigins: StreamOriginFinder;
+  readonly #streamOrigins: RpcStreamOriginsClient;
   readonly #softwareVersions: RpcSoftwareVersionsClient;
   readonly #gatewayRelay: GatewayRelay;
   readonly #reservedHeaders: ReadonlySet<string>;
@@ -121,13 +124,8 @@
       acceptsRelayed: () => this.isReady && !backends.reachability.isCutOff,
     });
     this.#backends = backends;
-    this.#streamOrigins = new StreamOriginFinder({
-      getMergers: () => backends.view.getStoreAddresses(),
-      report: (origin) => backends.reportOrigin(origin),
-      credentials,
-      clock,
-      log,
-    });
+    const streamOrigins = new RpcStreamOriginsClient(credentials);
+    this.#streamOrigins = streamOrigins;
     const softwareVersions = new RpcSoftwareVersionsClient(credentials);
     this.#softwareVersions = softwareVersions;
     this.#gatewayRelay = new GatewayRelay({
@@ -157,7 +155,13 @@
       promptPartGuard: backends.promptPartGuard,
       reachability: backends.reachability,
       gatewayRelay: this.#gatewayRelay,
-      streamOrigins: this.#streamOrigins,
+      streamOrigins: new StreamOriginFinder({
+        getMergers: () => backends.view.getStoreAddresses(),
+        query: (address, request) => streamOrigins.query(address, request),
+        report: (origin) => backends.reportOrigin(origin),
+        clock,
+        log,
+      }),
       onlyVersions: new OnlyVersionFinder({
         getHosts: () => backends.view.hosts,
         query: (address, service) => softwareVersions.query(address, service),
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -172,7 +172,10 @@
     });
     server.addService(Streams, {
       findOrigin: ({ request }) =>
-        Promise.resolve({ origin: this.#streamOrigins.tryGet(request) }),
+        Promise.resolve({
+          origin: this.#streamOrigins.tryGet(request),
+          conflicting: this.#streamOrigins.isConflicting(request),
+        }),
     });
     server.addService(Gateways, {
       find: ({ sender }) =>
--- a/src/fleet/stream_origin_finder.ts
+++ b/src/fleet/stream_origin_finder.ts
@@ -1,21 +1,38 @@
 /**
  * Finds out for a gateway which service and software version began a stream that
- * a caller takes up: from the streams that began here, or from the mergers of
- * load reports.
+ * a caller takes up: from the streams that began here, and from the mergers of
+ * load reports. If they know different origins, the stream can't be told from
+ * another one and has none.
  */
 import { StreamOrigins } from "../membership/mod.ts";
-import { type StreamOrigin, Streams } from "../schema/mod.ts";
+import {
+  type FindOriginReply,
+  type StreamOrigin,
+  Streams,
+} from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
 
+/** What a host knows of a request's stream. */
+export type KnownOrigins = Pick<FindOriginReply, "origin" | "conflicting">;
+
+/** Result of a search for the origin of a stream. */
+export type OriginSearch =
+  | { readonly kind: "found"; readonly origin: StreamOrigin }
+  /** Streams of several origins began under the id of the request. */
+  | { readonly kind: "conflicting" }
+  /** No host that replied knows the stream. */
+  | { readonly kind: "unknown" };
+
 /** Options of a {@linkcode StreamOriginFinder}. */
 export interface StreamOriginFinderOptions {
   readonly getMergers: () => readonly string[];
+  /** Asks a merger what it knows of a request. */
+  readonly query: (address: string, request: string) => Promise<KnownOrigins>;
   /** Sends an origin to the mergers with the next load report. */
   readonly report: (origin: StreamOrigin) => void;
-  readonly credentials: RpcCredentials;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -23,6 +40,13 @@
 /** Timeout of a call to a merger, in milliseconds. */
 const CALL_TIMEOUT_MS = 200;
 
+/**
+ * Time for which the replies of other mergers are awaited once one knows the stream,
+ * in milliseconds: several round trips between data centres. Each merger hears of
+ * all origins of a request, so the other ones matter only if reports were lost.
+ */
+const AGREEMENT_WAIT_MS = 30;
+
 /**
  * Delay before the mergers are asked again, in milliseconds: an origin reaches
  * them with the load report that follows the first event.
@@ -35,11 +59,9 @@
 export class StreamOriginFinder {
   readonly #options: StreamOriginFinderOptions;
   readonly #known = new StreamOrigins();
-  readonly #clients: RpcClientPool;
 
   constructor(options: StreamOriginFinderOptions) {
     this.#options = options;
-    this.#clients = new RpcClientPool(options.credentials);
   }
 
   /** Records a stream whose first event arrived here. */
@@ -48,53 +70,77 @@
     this.#options.report(origin);
   }
 
-  /** Returns the origin of a stream; undefined if no host knows it. */
-  async find(request: string): Promise<StreamOrigin | undefined> {
+  async find(request: string): Promise<OriginSearch> {
     const { clock } = this.#options;
     for (let round = 1; round <= MAX_ROUNDS; round += 1) {
-      const origin = this.#known.tryGet(request) ??
-        await this.#askMergers(request);
-      if (origin !== undefined) {
-        this.#known.add(origin, clock.getMonotonicMs());
-        return origin;
-      }
+      await this.#askMergers(request);
+      if (this.#known.isConflicting(request)) return { kind: "conflicting" };
+      const origin = this.#known.tryGet(request);
+      if (origin !== undefined) return { kind: "found", origin };
       if (round < MAX_ROUNDS) await clock.delay(RETRY_DELAY_MS);
     }
-    return undefined;
+    return { kind: "unknown" };
   }
 
-  close(): void {
-    this.#clients.close();
+  /**
+   * Asks all mergers at once. Resolves when all have replied, or a moment after the
+   * stream is known.
+   */
+  async #askMergers(request: string): Promise<void> {
+    const { getMergers, clock } = this.#options;
+    const asked = getMergers().map((address) =>
+      this.#askMerger(address, request)
+    );
+    const all = Promise.all(asked);
+    const firstKnown = this.#known.tryGet(request) === undefined
+      ? Promise.any(asked.map(async (reply) => {
+        if (!(await reply)) throw new Error("unknown stream");
+      }))
+      : Promise.resolve();
+    await Promise.race([
+      all,
+      firstKnown.then(() => clock.delay(AGREEMENT_WAIT_MS), () => all),
+    ]);
   }
 
-  /** Asks all mergers at once; the first one that knows the stream decides. */
-  async #askMergers(request: string): Promise<StreamOrigin | undefined> {
-    const replies = this.#options.getMergers().map(async (address) => {
-      const origin = await this.#askMerger(address, request);
-      if (origin === undefined) throw new Error("unknown stream");
-      return origin;
-    });
-    return await Promise.any(replies).catch(() => undefined);
-  }
-
-  async #askMerger(
-    address: string,
-    request: string,
-  ): Promise<StreamOrigin | undefined> {
+  /** Adds what a merger knows to what is known here; false if it knows nothing. */
+  async #askMerger(address: string, request: string): Promise<boolean> {
+    const { query, clock, log } = this.#options;
     try {
-      const { origin } = await this.#clients.get(address).call(
-        Streams.method.findOrigin,
-        { request },
-        { timeoutMs: CALL_TIMEOUT_MS },
-      );
-      return origin;
+      const { origin, conflicting } = await query(address, request);
+      const nowMs = clock.getMonotonicMs();
+      if (conflicting) this.#known.addConflict(request, nowMs);
+      else if (origin !== undefined) this.#known.add(origin, nowMs);
+      return conflicting || origin !== undefined;
     } catch (error) {
-      this.#options.log.info("origin_not_asked", {
+      log.info("origin_not_asked", {
         request,
         address,
         reason: getReason(error),
       });
-      return undefined;
+      return false;
     }
   }
 }
+
+/** Asks mergers by remote calls. */
+export class RpcStreamOriginsClient {
+  readonly #clients: RpcClientPool;
+
+  constructor(credentials: RpcCredentials) {
+    this.#clients = new RpcClientPool(credentials);
+  }
+
+  /** Throws if the merger does not reply in time. */
+  query(address: string, request: string): Promise<KnownOrigins> {
+    return this.#clients.get(address).call(
+      Streams.method.findOrigin,
+      { request },
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+  }
+
+  close(): void {
+    this.#clients.close();
+  }
+}
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -17,7 +17,10 @@
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { OnlyVersionFinder } from "./only_version_finder.ts";
 import type { PoolServer } from "./server_pool.ts";
-import type { StreamOriginFinder } from "./stream_origin_finder.ts";
+import type {
+  OriginSearch,
+  StreamOriginFinder,
+} from "./stream_origin_finder.ts";
 
 /** A request whose stream may be pinned. */
 export interface PinnedRequest {
@@ -79,13 +82,15 @@
     const { log, metrics, clock } = this.#options;
     const { requestId, resumedRequest } = this.#req;
     const startMs = clock.getMonotonicMs();
-    const found = await this.#tryFind();
-    const origin = found ?? await this.#tryFindOnlyOrigin();
-    const how = found !== undefined
-      ? "found"
-      : origin === undefined
-      ? "unknown"
-      : "only_version";
+    const search = await this.#search();
+    const origin = search.kind === "found"
+      ? search.origin
+      : search.kind === "unknown"
+      ? await this.#tryFindOnlyOrigin()
+      : undefined;
+    const how = search.kind === "unknown" && origin !== undefined
+      ? "only_version"
+      : search.kind;
     metrics.count(MetricName.streamsTakenUp, 1, { origin: how });
     log.info("stream_taken_up", {
       request: requestId,
@@ -134,9 +139,9 @@
     });
   }
 
-  async #tryFind(): Promise<StreamOrigin | undefined> {
+  async #search(): Promise<OriginSearch> {
     const { resumedRequest } = this.#req;
-    if (resumedRequest === "") return undefined;
+    if (resumedRequest === "") return { kind: "unknown" };
     return await this.#options.streamOrigins.find(resumedRequest);
   }
 
--- a/src/membership/stream_origins.ts
+++ b/src/membership/stream_origins.ts
@@ -16,10 +16,15 @@
 const MAX_ORIGINS = 50_000;
 
 interface KnownOrigin {
-  readonly origin: StreamOrigin;
+  /** Undefined if the request has several origins. */
+  origin: StreamOrigin | undefined;
   readonly addedMs: number;
 }
 
+function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+  return a.service === b.service && a.softwareVersion === b.softwareVersion;
+}
+
 /** Origins of streams as known to one process. */
 export class StreamOrigins {
   /** By request, oldest first. */
@@ -29,17 +34,34 @@
     return this.#origins.size;
   }
 
-  /** Adds an origin. The first one of a request is kept. */
+  /** Adds an origin. If a request has two, neither can be relied upon. */
   add(origin: StreamOrigin, nowMs: number): void {
     this.#removeOldest(nowMs);
-    if (this.#origins.has(origin.request)) return;
-    this.#origins.set(origin.request, { origin, addedMs: nowMs });
+    const known = this.#origins.get(origin.request);
+    if (known === undefined) {
+      this.#origins.set(origin.request, { origin, addedMs: nowMs });
+    } else if (
+      known.origin !== undefined && !isSameOrigin(known.origin, origin)
+    ) known.origin = undefined;
   }
 
+  /** Records that a request has several origins. */
+  addConflict(request: string, nowMs: number): void {
+    this.#removeOldest(nowMs);
+    const { addedMs } = this.#origins.get(request) ?? { addedMs: nowMs };
+    this.#origins.set(request, { origin: undefined, addedMs });
+  }
+
+  /** Origin of a request; undefined if it is unknown or has several. */
   tryGet(request: string): StreamOrigin | undefined {
     return this.#origins.get(request)?.origin;
   }
 
+  /** Whether a request has several origins. */
+  isConflicting(request: string): boolean {
+    return this.#origins.has(request) && this.tryGet(request) === undefined;
+  }
+
   #removeOldest(nowMs: number): void {
     for (const [request, { addedMs }] of this.#origins) {
       const isKept = nowMs - addedMs < ORIGIN_TTL_MS &&
