Report a stream's origin before its first event, and once more

Seen by callers: streams that had just begun when their gateway was lost were refused (503) at all others, though servers of their version were there.

Cause: the origin travelled with the next load report, up to 80 ms after the first event, in one datagram to each merger. A gateway that was killed in between, or a datagram lost on the way to all of them, left a stream that no host knew. A report had room for eight origins for each 32 servers: above 100 new streams a second at one gateway the rest queued, and at 1,024 the oldest were dropped.

Change: an origin is sent to all mergers at once, before its first event is forwarded, and once more with the next report. It travels as a part of a report beyond its last one, without loads: older mergers take it for a part without loads, so the loads that they count stay as they are. All that wait are sent.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -147,14 +147,14 @@
     });
   }
 
-  /** Sends the origin of a stream to the mergers with the next load report. */
+  /** Sends the origin of a stream to all mergers. */
   reportOrigin(origin: StreamOrigin): void {
     this.#exchange.reportOrigin(origin);
   }
 
-  /** Sends waiting origins at once. */
-  flushOrigins(): void {
-    this.#exchange.flushOrigins();
+  /** Sends origins once more that have been sent a short time ago. */
+  repeatOrigins(): void {
+    this.#exchange.repeatOrigins();
   }
 
   async start(): Promise<void> {
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -167,7 +167,7 @@
         query: (address, service) => softwareVersions.query(address, service),
         log,
       }),
-      flushOrigins: () => backends.flushOrigins(),
+      repeatOrigins: () => backends.repeatOrigins(),
       dialect: this.#dialect,
       serviceTimes: new ServiceTimes(),
       clock,
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -1,14 +1,22 @@
 /**
- * Exchanges the loads of backend servers between processes over UDP, and sends
- * mergers the origins of streams with them. Every
+ * Exchanges the loads of backend servers between processes over UDP. Every
  * gateway and every process that runs job items reports its own in-flight
  * requests to all members of the store group. One of these members, selected by
  * each gateway, replies with the merged load of all other processes; if it stops
  * replying, the gateway selects another, so the exchange doesn't depend on the
  * group's leader. A lost report is superseded by the next one. Without reports,
  * a process uses its own counts and the loads that servers report themselves.
+ *
+ * The origins of streams go to all mergers too, as parts of a report beyond its last
+ * one: at once, before the caller gets the first event, since the stream may have to
+ * go on elsewhere from then on, and once more with the next report.
  */
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import {
+  create,
+  fromBinary,
+  type MessageInitShape,
+  toBinary,
+} from "@bufbuild/protobuf";
 import {
   type GatewayState,
   type LoadTracker,
@@ -82,13 +90,13 @@
 const REPORTER_TIMEOUT_MS = 700;
 
 /**
- * Maximum number of origins in a datagram. Each takes about 40 bytes, which also
- * fit into the largest part.
+ * Number of origins in a datagram. Each takes about 40 bytes if the ids of callers'
+ * requests are of usual length.
  */
-const MAX_ORIGINS_PER_PART = 8;
+const ORIGINS_PER_DATAGRAM = 16;
 
-/** Origins that wait to be sent; the oldest are dropped. */
-const MAX_PENDING_ORIGINS = 1_024;
+/** Origins that wait to be repeated; the oldest are dropped. */
+const MAX_REPEATED_ORIGINS = 1_024;
 
 /** Sends and receives the load reports of one process. */
 export class LoadExchange {
@@ -98,7 +106,11 @@
   readonly #lastSent = new Map<string, { text: string; sentMs: number }>();
   #socket: DatagramSocket | undefined;
   #reportTimer: Timer | undefined;
-  #pendingOrigins: StreamOrigin[] = [];
+  /** Origins that have been sent once. */
+  #repeatedOrigins: StreamOrigin[] = [];
+  #selectedMerger = "";
+  /** Number of parts of the last report. */
+  #partCount = 1;
   #sequence = 0n;
   #lastReportMs = -Infinity;
 
@@ -137,17 +149,19 @@
     if (isDue) this.#sendReports();
   }
 
-  /** Sends an origin to all mergers with the next report. */
+  /** Sends an origin to all mergers, now and with the next report. */
   reportOrigin(origin: StreamOrigin): void {
-    this.#pendingOrigins.push(origin);
-    if (this.#pendingOrigins.length > MAX_PENDING_ORIGINS) {
-      this.#pendingOrigins.shift();
+    this.#sendOrigins([origin]);
+    this.#repeatedOrigins.push(origin);
+    if (this.#repeatedOrigins.length > MAX_REPEATED_ORIGINS) {
+      this.#repeatedOrigins.shift();
     }
   }
 
-  /** Sends waiting origins without waiting for the next interval. */
-  flushOrigins(): void {
-    if (this.#pendingOrigins.length > 0) this.tryReportNow();
+  /** Repeats origins without waiting for the next report. */
+  repeatOrigins(): void {
+    if (this.#options.getMergers().length === 0) return;
+    this.#sendOrigins(this.#repeatedOrigins.splice(0));
   }
 
   #receive(bytes: Uint8Array, from: string): void {
@@ -165,6 +179,7 @@
     // only merged reports.
     if (report.merged === this.#options.isMerger) return;
     if (report.origins.length > 0) this.#options.onOrigins(report.origins);
+    if (report.part > 0 && report.part >= report.parts) return;
     if (report.merged) this.#mergerSelector.recordAnswer(from, nowMs);
     else this.#updateReporter(report, from, nowMs);
     if (loads.acceptReport(report, nowMs)) this.#options.onReport();
@@ -196,25 +211,40 @@
       server,
       ...count,
     }));
+    this.#partCount = countParts(ownLoads.length);
     const mergers = getMergers();
-    const parts = splitLoads(ownLoads).length;
-    const origins = mergers.length === 0
-      ? []
-      : this.#pendingOrigins.splice(0, parts * MAX_ORIGINS_PER_PART);
-    const selectedMerger = isMerger
+    this.#selectedMerger = isMerger
       ? ""
       : this.#mergerSelector.select(mergers, nowMs);
     mergers.filter((merger) => merger !== address).forEach((merger) => {
-      const wantsAnswer = merger === selectedMerger;
+      const wantsAnswer = merger === this.#selectedMerger;
       this.#send(
         merger,
-        { loads: ownLoads, merged: false, wantsAnswer, origins },
+        { loads: ownLoads, merged: false, wantsAnswer },
         nowMs,
       );
     });
+    this.repeatOrigins();
     if (isMerger) this.#sendMergedReports(nowMs);
   }
 
+  #sendOrigins(origins: readonly StreamOrigin[]): void {
+    const mergers = this.#options.getMergers();
+    const parts = this.#partCount;
+    for (let sent = 0; sent < origins.length; sent += ORIGINS_PER_DATAGRAM) {
+      mergers.forEach((merger) =>
+        this.#sendReport(merger, {
+          merged: false,
+          wantsAnswer: merger === this.#selectedMerger,
+          // Builds that go by the loads of this part as well find none.
+          part: parts,
+          parts,
+          origins: origins.slice(sent, sent + ORIGINS_PER_DATAGRAM),
+        })
+      );
+    }
+  }
+
   #sendMergedReports(nowMs: number): void {
     this.#reporters.forEach(({ name, receivedMs }, address) => {
       if (nowMs - receivedMs > REPORTER_TIMEOUT_MS) {
@@ -223,7 +253,7 @@
         return;
       }
       const loads = this.#options.loads.getMerged(nowMs, name);
-      const body = { loads, merged: true, wantsAnswer: false, origins: [] };
+      const body = { loads, merged: true, wantsAnswer: false };
       this.#send(address, body, nowMs);
     });
   }
@@ -235,7 +265,6 @@
       loads: ServerLoad[];
       merged: boolean;
       wantsAnswer: boolean;
-      origins: readonly StreamOrigin[];
     },
     nowMs: number,
   ): void {
@@ -246,38 +275,42 @@
     const text = [body.wantsAnswer, acceptsRelayed, ...rows].join();
     const key = `${to}/${body.merged}`;
     const sent = this.#lastSent.get(key);
-    const isRepeat = sent?.text === text && body.origins.length === 0;
+    const isRepeat = sent?.text === text;
     if (isRepeat && nowMs - sent.sentMs < UNCHANGED_REPORT_INTERVAL_MS) return;
     this.#lastSent.set(key, { text, sentMs: nowMs });
-    splitLoads(body.loads).forEach((loads, part, all) => {
-      this.#sequence += 1n;
-      const report = create(LoadReportSchema, {
-        loads,
-        merged: body.merged,
-        wantsAnswer: body.wantsAnswer,
-        sender: this.#options.name,
-        sequence: this.#sequence,
-        part,
-        parts: all.length,
-        acceptsRelayed,
-        dataCentre: acceptsRelayed ? this.#options.dataCentre : "",
-        origins: body.origins.slice(
-          part * MAX_ORIGINS_PER_PART,
-          (part + 1) * MAX_ORIGINS_PER_PART,
-        ),
-      });
-      this.#socket?.send(toBinary(LoadReportSchema, report), to);
+    splitLoads(body.loads).forEach((loads, part, all) =>
+      this.#sendReport(to, { ...body, loads, part, parts: all.length })
+    );
+  }
+
+  #sendReport(
+    to: string,
+    values: MessageInitShape<typeof LoadReportSchema>,
+  ): void {
+    const acceptsRelayed = this.#options.acceptsRelayed();
+    this.#sequence += 1n;
+    const report = create(LoadReportSchema, {
+      ...values,
+      sender: this.#options.name,
+      sequence: this.#sequence,
+      acceptsRelayed,
+      dataCentre: acceptsRelayed ? this.#options.dataCentre : "",
     });
+    this.#socket?.send(toBinary(LoadReportSchema, report), to);
   }
 }
 
+function countParts(servers: number): number {
+  return Math.max(1, Math.ceil(servers / TARGET_SERVERS_PER_PART));
+}
+
 /**
  * Splits loads into parts that fit into one datagram each. A server is always in
  * the same part while the number of parts is constant, so the loss of a datagram
  * affects only the loads of the servers in it.
  */
 export function splitLoads(loads: readonly ServerLoad[]): ServerLoad[][] {
-  const count = Math.max(1, Math.ceil(loads.length / TARGET_SERVERS_PER_PART));
+  const count = countParts(loads.length);
   const parts = Array.from({ length: count }, (): ServerLoad[] => []);
   loads.forEach((load) =>
     parts[getPlacementHash(load.server) % count]?.push(load)
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -85,8 +85,8 @@
   readonly gatewayRelay: Pick<GatewayRelay, "send">;
   readonly streamOrigins: StreamOriginFinder;
   readonly onlyVersions: OnlyVersionFinder;
-  /** Sends the origins of streams that have not been sent yet. */
-  readonly flushOrigins: () => void;
+  /** Sends the origins of the newest streams once more. */
+  readonly repeatOrigins: () => void;
   readonly dialect: CallerDialect;
   readonly serviceTimes: ServiceTimes;
   readonly clock: Clock;
@@ -285,7 +285,7 @@
     if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
     this.#options.pool.recordFailure(permit.server.id);
     // The caller may take the stream up elsewhere as soon as it is broken.
-    this.#options.flushOrigins();
+    this.#options.repeatOrigins();
     this.#logAttemptFailure("answer_broken", permit, result.reason);
     await this.#options.crashDetector.recordConnectionLoss(
       this.#createServerRun(permit),
--- a/src/fleet/stream_origin_finder.ts
+++ b/src/fleet/stream_origin_finder.ts
@@ -31,7 +31,7 @@
   readonly getMergers: () => readonly string[];
   /** Asks a merger what it knows of a request. */
   readonly query: (address: string, request: string) => Promise<KnownOrigins>;
-  /** Sends an origin to the mergers with the next load report. */
+  /** Sends an origin to all mergers. */
   readonly report: (origin: StreamOrigin) => void;
   readonly clock: Clock;
   readonly log: Log;
@@ -48,8 +48,8 @@
 const AGREEMENT_WAIT_MS = 30;
 
 /**
- * Delay before the mergers are asked again, in milliseconds: an origin reaches
- * them with the load report that follows the first event.
+ * Delay before the mergers are asked again, in milliseconds: an origin whose first
+ * datagram was lost reaches them with the next load report.
  */
 const RETRY_DELAY_MS = 100;
 
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -38,6 +38,8 @@
     headers?: Record<string, string>;
     body?: string;
     signal?: AbortSignal;
+    /** Called with all of the body that has arrived, after each chunk. */
+    onData?: (text: string) => void;
     /** Pools connections; without an agent each request opens its own. */
     agent?: http.Agent;
   } = {},
@@ -65,7 +67,10 @@
     req.on("response", (res) => {
       hasResponse = true;
       const chunks: Buffer[] = [];
-      res.on("data", (chunk) => chunks.push(chunk));
+      res.on("data", (chunk) => {
+        chunks.push(chunk);
+        options.onData?.(Buffer.concat(chunks).toString("utf8"));
+      });
       res.on("error", () => {
         hasFailed = true;
       });
@@ -271,6 +276,7 @@
       gatewayIndex?: number;
       signal?: AbortSignal;
       headers?: Record<string, string>;
+      onData?: (text: string) => void;
     } = {},
   ): Promise<ReceivedResponse> {
     return sendHttpRequest(
@@ -286,6 +292,7 @@
         },
         body: options.body ?? `body of ${id}`,
         signal: options.signal,
+        onData: options.onData,
       },
     );
   }
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -26,7 +26,7 @@
   readonly versions: readonly string[];
 }
 
-function readPart({ text }: ReceivedResponse): StreamPart {
+function readPart({ text }: Pick<ReceivedResponse, "text">): StreamPart {
   const complete = text.slice(0, text.lastIndexOf("\n\n") + 1);
   const read = (pattern: RegExp) =>
     [...complete.matchAll(pattern)].map((match) => match[1] ?? "");
@@ -190,6 +190,34 @@
     expect(continued).at.least(STREAMS * MIN_CONTINUED_SHARE);
   });
 
+  // Guards against a stream being lost with its gateway because no other host has
+  // heard of its first event yet.
+  it("go on at the same version if the gateway is lost at their first event", async () => {
+    fleet.servers.forEach((server) => {
+      server.firstEventMs = 100;
+      server.eventIntervalMs = 10_000;
+    });
+    const begun = new Map<string, StreamPart>();
+    const begin = (id: string) =>
+      fleet.sendRequest(id, "/o/x", {
+        onData: (text) => {
+          const part = readPart({ text });
+          if (part.lastEvent > 0) begun.set(id, part);
+        },
+      });
+    const responses = Promise.all(
+      Array.from({ length: STREAMS }, (_, index) => begin(`stream-${index}`)),
+    );
+    await fleet.waitUntil("the streams to begin", () => begun.size > 0);
+    fleet.gateways[0]?.halt();
+    await responses;
+    fleet.servers.forEach((server) => {
+      server.firstEventMs = 0;
+      server.eventIntervalMs = 2;
+    });
+    expect(await takeUpAll(begun)).equal(begun.size);
+  });
+
   // Guards against a gateway that has just started taking streams up anywhere.
   it("go on at the same version at a gateway that starts later", async () => {
     const streams = await beginAll();
