Tell new followers how long ago a control host heard of each server

Seen by callers: a stream of one software version went on at a server that had been started again under its id with another one, at a gateway that had just started.

Cause: a control host sends a new follower all registrations that it holds, however old. Servers change their control host, and the hosts don't share registrations, so one of them may hold a registration whose server was started again, or ended, long ago. The follower took each for one that had just arrived, and relied on its version until the control host had been heard for four heartbeats more. Registrations from the file of a control host's last view passed for new ones in the same way.

Change: an update names the time since the host heard of a server, unless that is less than an update interval, and whether it knows it only from its file. The follower counts that time as silence. A restored registration serves new requests as before, but no stream or item that is bound to a version, until the server is heard of. Hosts of older builds name no times; then nothing changes.

Why this works: a server sends heartbeats to one of the control hosts, so at all others its silence grows; after four heartbeats a registration that only such a host holds names no server to send to.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -311,7 +311,7 @@
     const { clock, log } = this.#context;
     this.#lastView = await tryReadLastView(folder, log);
     this.#lastView?.servers.forEach((server) =>
-      this.#registrationHub.accept(server)
+      this.#registrationHub.restore(server)
     );
     log.info("last_view", {
       routes: Number(this.#lastView?.routes?.version ?? 0),
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -22,6 +22,8 @@
   type PromptPartSuspicion,
   type Registration,
   type RouteTable,
+  type ServerContact,
+  ServerContactSchema,
   type ServerStart,
   ServerStartSchema,
   type Suspicion,
@@ -32,6 +34,9 @@
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
 import { createSuspicions } from "./routing_view.ts";
 
+/** Longest time without contact that is told, in milliseconds. */
+const MAX_SILENT_MS = 86_400_000;
+
 type Stream = RpcStream<FleetUpdate>;
 
 interface Follower {
@@ -134,6 +139,13 @@
     };
   }
 
+  /** Adds a registration that was saved before the start of this host. */
+  restore(registration: Registration): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#softwareVersions.record(registration, nowMs);
+    this.#serverRegistry.accept(registration, nowMs, { isRestored: true });
+  }
+
   /** Accepts the registration of a backend server and publishes changes. */
   accept(registration: Registration): void {
     const nowMs = this.#options.clock.getMonotonicMs();
@@ -278,15 +290,35 @@
       follower.hostsVersion < hosts.version;
   }
 
+  #getContacts(
+    servers: readonly Registration[],
+    nowMs: number,
+  ): ServerContact[] {
+    return servers.flatMap(({ id }) => {
+      const age = this.#serverRegistry.tryGetContactAge(id, nowMs);
+      if (age === undefined) return [];
+      const { silentMs, isRestored: restored } = age;
+      return silentMs < UPDATE_INTERVAL_MS && !restored
+        ? []
+        : [create(ServerContactSchema, {
+          id,
+          silentMs: Math.min(MAX_SILENT_MS, Math.round(silentMs)),
+          restored,
+        })];
+    });
+  }
+
   #takePendingUpdate(follower: Follower): FleetUpdate {
     const { routes, hosts } = this.#options.getState();
     const nowMs = this.#options.clock.getMonotonicMs();
     const hasRoutes = routes.version > follower.routesVersion;
     const hasHosts = hosts.version > follower.hostsVersion;
+    const servers = [...follower.pendingServers.values()];
     const update = create(FleetUpdateSchema, {
       routes: hasRoutes ? routes : undefined,
       hosts: hasHosts ? hosts : undefined,
-      servers: [...follower.pendingServers.values()],
+      servers,
+      contacts: this.#getContacts(servers, nowMs),
       heard: [...follower.pendingHeardIds],
       suspicions: [...follower.pendingSuspicions.values()],
       leaving: [...follower.pendingLeaving.values()],
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -20,6 +20,7 @@
   HostRole,
   type PromptPartSuspicion,
   type Registration,
+  type ServerContact,
   type ServerLimit,
   ServerState,
   type Suspicion,
@@ -182,10 +183,15 @@
     const refutations = this.#applyPromptParts(update.promptParts, from, nowMs);
     update.leaving.forEach((server) => this.recordLeaving(server, from));
     update.limits.forEach((limit) => this.#applyLimit(limit, from, nowMs));
+    const contacts = new Map(
+      update.contacts.map((contact) => [contact.id, contact] as const),
+    );
     const changes = [
       this.#applyRoutes(update, from),
       this.#applyHosts(update),
-      ...update.servers.map((server) => this.#applyServer(server, from, nowMs)),
+      ...update.servers.map((server) =>
+        this.#applyServer(server, contacts.get(server.id), from)
+      ),
     ];
     if (changes.includes(true)) this.#notify();
     return refutations;
@@ -274,11 +280,15 @@
   }
 
   #applyServer(
-    server: FleetUpdate["servers"][number],
+    server: Registration,
+    contact: ServerContact | undefined,
     from: string,
-    nowMs: number,
   ): boolean {
-    const effect = this.servers.accept(server, nowMs);
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const effect = this.servers.accept(server, nowMs, {
+      silentMs: contact?.silentMs ?? 0,
+      isRestored: contact?.restored ?? false,
+    });
     const hasChanged = effect === RegistrationEffect.added ||
       effect === RegistrationEffect.changed;
     if (!hasChanged) return false;
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -23,10 +23,23 @@
    * there was none.
    */
   unreachableMs: number | undefined;
+  /**
+   * Known only as a control host had saved it before its start; it may have been
+   * started again since.
+   */
+  isRestored: boolean;
   /** Another server answered at its address; cleared on registration. */
   hasIdentityMismatch: boolean;
 }
 
+/** Contact with a server whose registration is passed on. */
+export interface ServerContactAge {
+  /** Time since it was heard of, in milliseconds; 0 by default. */
+  readonly silentMs?: number;
+  /** Whether the registration was restored and it has not been heard of since. */
+  readonly isRestored?: boolean;
+}
+
 /** Effects that a registration can have. */
 export const RegistrationEffect = {
   /** The server, or this start of it, was not known. */
@@ -94,8 +107,12 @@
     this.#lastControlContactMs = nowMs;
   }
 
-  /** Applies a registration. */
-  accept(registration: Registration, nowMs: number): RegistrationEffect {
+  /** Applies a registration, by default one that has just arrived. */
+  accept(
+    registration: Registration,
+    nowMs: number,
+    { silentMs = 0, isRestored = false }: ServerContactAge = {},
+  ): RegistrationEffect {
     this.#removeExpiredTombstones(nowMs);
     const known = this.#servers.get(registration.id);
     if (known !== undefined && isOlder(registration, known.registration)) {
@@ -109,11 +126,14 @@
       isUnchanged(known.registration, registration);
     this.#servers.set(registration.id, {
       registration,
-      lastContactMs: nowMs,
+      lastContactMs: isSameStart
+        ? Math.max(known.lastContactMs, isRestored ? 0 : nowMs - silentMs)
+        : nowMs - silentMs,
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
       failures: isSameStart ? known.failures : 0,
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
       unreachableMs: isSameStart ? known.unreachableMs : undefined,
+      isRestored: isRestored && (!isSameStart || known.isRestored),
       hasIdentityMismatch: false,
     });
     if (!isSameStart) return RegistrationEffect.added;
@@ -125,6 +145,7 @@
     const known = this.#servers.get(id);
     if (known === undefined) return;
     known.lastContactMs = nowMs;
+    known.isRestored = false;
   }
 
   /**
@@ -211,6 +232,18 @@
     if (known !== undefined) known.hasIdentityMismatch = true;
   }
 
+  /** Contact with a server; undefined if it is unknown. */
+  tryGetContactAge(
+    id: string,
+    nowMs: number,
+  ): Required<ServerContactAge> | undefined {
+    const known = this.#servers.get(id);
+    return known === undefined ? undefined : {
+      silentMs: nowMs - known.lastContactMs,
+      isRestored: known.isRestored,
+    };
+  }
+
   tryGet(id: string): Registration | undefined {
     return this.#servers.get(id)?.registration;
   }
@@ -232,8 +265,8 @@
    * excluded unless no others remain: a suspect server is better than none.
    *
    * With `softwareVersion`, only servers that have this version for certain: one
-   * that was unreachable may have been started again with another version under
-   * its id, until it is heard of again.
+   * that was unreachable, or whose registration was restored, may have been started
+   * again with another version under its id, until it is heard of again.
    */
   getAvailable(
     service: string,
@@ -321,6 +354,7 @@
 
 function hasVersion(known: KnownServer, softwareVersion: string): boolean {
   return known.registration.softwareVersion === softwareVersion &&
+    !known.isRestored &&
     (known.unreachableMs === undefined ||
       known.lastContactMs > known.unreachableMs);
 }
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -161,14 +161,16 @@
   /** Names of control and store hosts, by the address for other processes. */
   readonly #hostNames = new Map<string, string>();
   readonly #maxStreamMs: number | undefined;
+  readonly #beatMs: number;
   readonly #peerAddresses: string[] = [];
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
   #seeds: string[] = [];
 
   /** Without `maxStreamMs`, hosts assume that streams last as long as they may. */
-  constructor(options: { maxStreamMs?: number } = {}) {
+  constructor(options: { maxStreamMs?: number; beatMs?: number } = {}) {
     this.#maxStreamMs = options.maxStreamMs;
+    this.#beatMs = options.beatMs ?? 60_000;
   }
 
   /** Starts hosts and servers, and puts the first configuration in force. */
@@ -347,7 +349,7 @@
       ip: "127.0.0.1",
       seeds: this.#seeds,
       first_start: true,
-      beat_ms: 60_000,
+      beat_ms: this.#beatMs,
       ...values,
     });
   }
--- a/src/test/server_registry_test.ts
+++ b/src/test/server_registry_test.ts
@@ -90,6 +90,22 @@
     expect(getAvailable(10 * HEARTBEAT_MS)).deep.equal(["a"]);
   });
 
+  // Guards against servers that left or crashed long ago passing for running ones
+  // at a process that has just started.
+  it("counts the silence before a registration was passed on", () => {
+    const { registry, getAvailable } = createRegistry();
+    const silentMs = 10 * HEARTBEAT_MS;
+    registry.accept(createRegistration({}), 100, { silentMs });
+    registry.recordControlContact(100);
+    expect(getAvailable(100)).deep.equal([]);
+    registry.accept(createRegistration({ sequence: 2n }), 200, { silentMs: 0 });
+    registry.recordControlContact(200);
+    expect(getAvailable(200)).deep.equal(["a"]);
+    registry.accept(createRegistration({ sequence: 3n }), 300, { silentMs });
+    registry.recordControlContact(300);
+    expect(getAvailable(300)).deep.equal(["a"]);
+  });
+
   it("backs off longer each time a server fails again", () => {
     const { registry, accept, getAvailable } = createRegistry();
     accept({ id: "b", address: "10.0.0.2:80" });
@@ -198,6 +214,23 @@
 });
 
 describe("software versions", () => {
+  // Guards against a stream going on at a server that may have been started again
+  // with other software while no control host ran.
+  it("are not relied upon for a restored registration until it is heard of", () => {
+    const { registry } = createRegistry();
+    const getIds = (version?: string) =>
+      registry.getAvailable("s", 20, version).map(({ id }) => id);
+    const restored = createRegistration({ softwareVersion: "v1" });
+    registry.accept(restored, 10, { isRestored: true });
+    expect(getIds()).deep.equal(["a"]);
+    expect(getIds("v1")).deep.equal([]);
+    registry.recordHeartbeat("a", 20);
+    expect(getIds("v1")).deep.equal(["a"]);
+    const again = createRegistration({ softwareVersion: "v1", sequence: 2n });
+    registry.accept(again, 30, { isRestored: true });
+    expect(getIds("v1")).deep.equal(["a"]);
+  });
+
   // Guards against a stream going on at a server that was started again with
   // other software under its id.
   it("are not relied upon for an unreachable server until it is heard of", () => {
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -4,6 +4,7 @@
  * gateway continues it or the caller takes it up again.
  */
 import { expect } from "chai";
+import type { Timer } from "../sys/clock.ts";
 import {
   createConfig,
   PlatformFleet,
@@ -18,6 +19,9 @@
 /** Longest duration of a stream in these fleets, in milliseconds. */
 const MAX_STREAM_MS = 1_500;
 
+/** Interval at which the servers of some fleets register, in milliseconds. */
+const BEAT_MS = 300;
+
 /** Share of the streams taken up again that goes on at least. */
 const MIN_CONTINUED_SHARE = 0.5;
 
@@ -426,3 +430,63 @@
     }
   });
 });
+
+describe("streams beside a server that was started again under its id", () => {
+  let fleet: PlatformFleet;
+  let heartbeats: Timer;
+  /** Index of the control host that each server sends its heartbeats to. */
+  const controlIndexes = new Map<string, number>();
+
+  beforeEach(async () => {
+    fleet = new PlatformFleet({ beatMs: BEAT_MS });
+    await fleet.start({ servers: 0, gateways: 1 });
+    await putOneAttemptRoute(fleet);
+    controlIndexes.clear();
+    heartbeats = fleet.clock.startInterval(
+      BEAT_MS / 2,
+      () =>
+        fleet.servers.forEach((server) =>
+          fleet.registerServer(server, {}, controlIndexes.get(server.id) ?? 0)
+        ),
+    );
+    await startVersion(fleet, "v1");
+    await startVersion(fleet, "v1");
+    await waitForOneAttemptRoute(fleet);
+  });
+
+  afterEach(async () => {
+    heartbeats.cancel();
+    await fleet.close();
+  });
+
+  /** Starts the first server again with another version, at another control host. */
+  const startAgain = async () => {
+    const [server] = fleet.servers;
+    if (server === undefined) throw new Error("no server was started");
+    controlIndexes.set(server.id, 1);
+    server.version = "v2";
+    server.bornMs += 1;
+    await fleet.registerServer(server, {}, 1);
+  };
+
+  // Guards against a gateway that has just started taking a registration for a new
+  // one that its control host has not heard of for long.
+  it("go on at their version at a gateway that knows the start before only", async () => {
+    const streams = new Map<string, StreamPart>();
+    for (let index = 0; index < STREAMS; index += 1) {
+      const id = `stream-${index}`;
+      streams.set(id, await beginBrokenStream(fleet, id));
+    }
+    await startAgain();
+    await fleet.clock.delay(5 * BEAT_MS);
+    fleet.cutLinks.add("gateway-1/control-1");
+    const gatewayIndex = await fleet.addGateway();
+    for (const [id, { lastEvent }] of streams) {
+      const again = readPart(
+        await takeUpBrokenStream(fleet, { id, lastEvent, gatewayIndex }),
+      );
+      expect(again.versions, id).deep.equal(["v1"]);
+      expect(again.lastEvent, id).equal(EVENT_COUNT);
+    }
+  });
+});
