--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -33,7 +33,11 @@
 import { GroupMember } from "./group_member.ts";
 import { openFounderIdentity } from "./host_identity.ts";
 import { LastViewWriter, tryReadLastView } from "./last_view.ts";
-import { type FleetState, RegistrationHub } from "./registration_hub.ts";
+import {
+  type FleetState,
+  RegistrationHub,
+  type RegistrationHubOptions,
+} from "./registration_hub.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
 /**
@@ -51,6 +55,9 @@
  */
 const STORE_REGISTRATION_WINDOW_MS = 1_000;
 
+/** Options of a {@linkcode ControlHost}. */
+export type ControlHostOptions = Pick<RegistrationHubOptions, "maxStreamMs">;
+
 /** A running control host. */
 export class ControlHost {
   readonly #settings: FleetSettings;
@@ -70,7 +77,11 @@
   /** Called once if the replica fails and cannot continue. */
   onFailure: (error: unknown) => void = () => {};
 
-  constructor(settings: FleetSettings, context: ProcessContext) {
+  constructor(
+    settings: FleetSettings,
+    context: ProcessContext,
+    options: ControlHostOptions = {},
+  ) {
     this.#settings = settings;
     this.#seeds = settings.seeds;
     this.#context = context;
@@ -86,6 +97,7 @@
       getState: () => this.#getState(),
       onServerChange: () => this.#lastViewWriter?.scheduleWrite(),
       registrationIntervalMs: settings.beatMs ?? 0,
+      ...options,
       clock: context.clock,
       log: context.log,
       metrics: context.metrics,
@@ -119,6 +131,8 @@
         this.#registrationHub.acceptReport(report);
         return Promise.resolve({});
       },
+      findSoftwareVersions: ({ service }) =>
+        Promise.resolve(this.#registrationHub.findSoftwareVersions(service)),
     });
     await this.#process.listen();
     await this.#member.start();
@@ -296,7 +310,7 @@
     const { clock, log } = this.#context;
     this.#lastView = await tryReadLastView(folder, log);
     this.#lastView?.servers.forEach((server) =>
-      this.#registrationHub.accept(server)
+      this.#registrationHub.restore(server)
     );
     log.info("last_view", {
       routes: Number(this.#lastView?.routes?.version ?? 0),
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -10,9 +10,11 @@
   RegistrationEffect,
   ServerLimits,
   ServerRegistry,
+  SoftwareVersions,
   tryFindRegistrationError,
 } from "../membership/mod.ts";
 import {
+  type FindSoftwareVersionsReply,
   type FleetUpdate,
   FleetUpdateSchema,
   type FollowRequest,
@@ -21,6 +23,8 @@
   type PromptPartSuspicion,
   type Registration,
   type RouteTable,
+  type ServerContact,
+  ServerContactSchema,
   type ServerStart,
   ServerStartSchema,
   type Suspicion,
@@ -34,6 +38,9 @@
 import { createSuspicions } from "./routing_view.ts";
 import { removeUnencodableParts } from "./update_parts.ts";
 
+/** Longest time without contact that is told, in milliseconds. */
+const MAX_SILENT_MS = 86_400_000;
+
 type Stream = RpcStream<FleetUpdate>;
 
 interface Follower {
@@ -70,6 +77,8 @@
   readonly onServerChange: () => void;
   /** Interval at which backend servers register, in milliseconds. */
   readonly registrationIntervalMs: number;
+  /** Longest duration of a stream, in milliseconds; see SoftwareVersions. */
+  readonly maxStreamMs?: number;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -82,6 +91,7 @@
   readonly #suspicions = createSuspicions();
   readonly #promptParts = new PromptPartSuspicions();
   readonly #limits = new ServerLimits();
+  readonly #softwareVersions: SoftwareVersions;
   readonly #followers = new Set<Follower>();
   #updateTimer: Timer | undefined;
 
@@ -90,6 +100,11 @@
     this.#serverRegistry = new ServerRegistry({
       heartbeatMs: options.registrationIntervalMs,
     });
+    const { maxStreamMs } = options;
+    this.#softwareVersions = new SoftwareVersions({
+      startMs: options.clock.getMonotonicMs(),
+      ...maxStreamMs === undefined ? {} : { maxStreamMs },
+    });
   }
 
   get followerCount(): number {
@@ -117,20 +132,34 @@
     return this.#serverRegistry.getAll();
   }
 
+  /** Software versions of a service's servers that registered here lately. */
+  findSoftwareVersions(
+    service: string,
+  ): Omit<FindSoftwareVersionsReply, "$typeName"> {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return {
+      versions: this.#softwareVersions.getRecent(service, nowMs),
+      complete: this.#softwareVersions.isComplete(nowMs),
+      hostsVersion: this.#options.getState().hosts.version,
+    };
+  }
+
+  /** Adds a registration that was saved before the start of this host. */
+  restore(registration: Registration): void {
+    if (!this.#isUsable(registration)) return;
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#softwareVersions.record(registration, nowMs);
+    this.#serverRegistry.accept(registration, nowMs, { isRestored: true });
+  }
+
   /**
    * Accepts the registration of a backend server and publishes changes. One that
    * names no usable server is ignored, wherever it comes from.
    */
   accept(registration: Registration): void {
-    const reason = tryFindRegistrationError(registration);
-    if (reason !== undefined) {
-      this.#options.log.warn("registration_ignored", {
-        server: registration.id,
-        reason,
-      });
-      return;
-    }
+    if (!this.#isUsable(registration)) return;
     const nowMs = this.#options.clock.getMonotonicMs();
+    this.#softwareVersions.record(registration, nowMs);
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
     if (effect === RegistrationEffect.heard) {
@@ -157,6 +186,16 @@
     });
   }
 
+  #isUsable(registration: Registration): boolean {
+    const reason = tryFindRegistrationError(registration);
+    if (reason === undefined) return true;
+    this.#options.log.warn("registration_ignored", {
+      server: registration.id,
+      reason,
+    });
+    return false;
+  }
+
   /** Accepts what another process found out, and passes on what is new. */
   acceptReport(
     report: Pick<
@@ -296,15 +335,35 @@
       follower.hostsVersion < hosts.version;
   }
 
+  #getContacts(
+    servers: readonly Registration[],
+    nowMs: number,
+  ): ServerContact[] {
+    return servers.flatMap(({ id }) => {
+      const age = this.#serverRegistry.tryGetContactAge(id, nowMs);
+      if (age === undefined) return [];
+      const { silentMs, isRestored: restored } = age;
+      return silentMs < UPDATE_INTERVAL_MS && !restored
+        ? []
+        : [create(ServerContactSchema, {
+          id,
+          silentMs: Math.min(MAX_SILENT_MS, Math.round(silentMs)),
+          restored,
+        })];
+    });
+  }
+
   #takePendingUpdate(follower: Follower): FleetUpdate {
     const { routes, hosts } = this.#options.getState();
     const nowMs = this.#options.clock.getMonotonicMs();
     const hasRoutes = routes.version > follower.routesVersion;
     const hasHosts = hosts.version > follower.hostsVersion;
+    const servers = [...follower.pendingServers.values()];
     const update = create(FleetUpdateSchema, {
       routes: hasRoutes ? routes : undefined,
       hosts: hasHosts ? hosts : undefined,
-      servers: [...follower.pendingServers.values()],
+      servers,
+      contacts: this.#getContacts(servers, nowMs),
       heard: [...follower.pendingHeardIds],
       suspicions: [...follower.pendingSuspicions.values()],
       leaving: [...follower.pendingLeaving.values()],
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -23,10 +23,23 @@
    * there was none.
    */
   unreachableMs: number | undefined;
+  /**
+   * Known only as a control host had saved it before its start; it may have been
+   * started again since.
+   */
+  isRestored: boolean;
   /** Another server answered at its address; cleared on registration. */
   hasIdentityMismatch: boolean;
 }
 
+/** Contact with a server whose registration is passed on. */
+export interface ServerContactAge {
+  /** Time since it was heard of, in milliseconds; 0 by default. */
+  readonly silentMs?: number;
+  /** Whether the registration was restored and it has not been heard of since. */
+  readonly isRestored?: boolean;
+}
+
 /** Effects that a registration can have. */
 export const RegistrationEffect = {
   /** The server, or this start of it, was not known. */
@@ -55,12 +68,6 @@
 /** Heartbeats that a server may miss before it counts as silent. */
 const MAX_MISSED_HEARTBEATS = 4;
 
-/**
- * Time for which a software version is remembered after its last registration or
- * heartbeat, in milliseconds. It exceeds the duration of a stream.
- */
-const VERSION_TTL_MS = 60_000;
-
 /** Maximum number of starts known to leave; the oldest are dropped. */
 const MAX_LEAVING_STARTS = 4_096;
 
@@ -85,10 +92,7 @@
    * apart from the servers, because a late registration may add a server again.
    */
   readonly #leavingStarts = new Set<string>();
-  /** Last contact with any server of a software version, by service. */
-  readonly #versions = new Map<string, Map<string, number>>();
-  /** Time of the first and of the last message from any control host. */
-  #firstControlContactMs: number | undefined;
+  /** Time of the last message from any control host. */
   #lastControlContactMs = -Infinity;
 
   constructor(options: { heartbeatMs: number }) {
@@ -100,12 +104,15 @@
    * so a heartbeat counts as missed only while such messages arrive.
    */
   recordControlContact(nowMs: number): void {
-    this.#firstControlContactMs ??= nowMs;
     this.#lastControlContactMs = nowMs;
   }
 
-  /** Applies a registration. */
-  accept(registration: Registration, nowMs: number): RegistrationEffect {
+  /** Applies a registration, by default one that has just arrived. */
+  accept(
+    registration: Registration,
+    nowMs: number,
+    { silentMs = 0, isRestored = false }: ServerContactAge = {},
+  ): RegistrationEffect {
     this.#removeExpiredTombstones(nowMs);
     const known = this.#servers.get(registration.id);
     if (known !== undefined && isOlder(registration, known.registration)) {
@@ -113,18 +120,20 @@
     }
     if (this.#isSuperseded(registration)) return RegistrationEffect.old;
     this.#removePredecessors(registration);
-    this.#recordVersion(registration, nowMs);
     const isSameStart = known !== undefined &&
       known.registration.bornMs === registration.bornMs;
     const isRepeat = isSameStart &&
       isUnchanged(known.registration, registration);
     this.#servers.set(registration.id, {
       registration,
-      lastContactMs: nowMs,
+      lastContactMs: isSameStart
+        ? Math.max(known.lastContactMs, isRestored ? 0 : nowMs - silentMs)
+        : nowMs - silentMs,
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
       failures: isSameStart ? known.failures : 0,
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
       unreachableMs: isSameStart ? known.unreachableMs : undefined,
+      isRestored: isRestored && (!isSameStart || known.isRestored),
       hasIdentityMismatch: false,
     });
     if (!isSameStart) return RegistrationEffect.added;
@@ -136,7 +145,7 @@
     const known = this.#servers.get(id);
     if (known === undefined) return;
     known.lastContactMs = nowMs;
-    this.#recordVersion(known.registration, nowMs);
+    known.isRestored = false;
   }
 
   /**
@@ -223,6 +232,18 @@
     if (known !== undefined) known.hasIdentityMismatch = true;
   }
 
+  /** Contact with a server; undefined if it is unknown. */
+  tryGetContactAge(
+    id: string,
+    nowMs: number,
+  ): Required<ServerContactAge> | undefined {
+    const known = this.#servers.get(id);
+    return known === undefined ? undefined : {
+      silentMs: nowMs - known.lastContactMs,
+      isRestored: known.isRestored,
+    };
+  }
+
   tryGet(id: string): Registration | undefined {
     return this.#servers.get(id)?.registration;
   }
@@ -244,8 +265,8 @@
    * excluded unless no others remain: a suspect server is better than none.
    *
    * With `softwareVersion`, only servers that have this version for certain: one
-   * that was unreachable may have been started again with another version under
-   * its id, until it is heard of again.
+   * that was unreachable, or whose registration was restored, may have been started
+   * again with another version under its id, until it is heard of again.
    */
   getAvailable(
     service: string,
@@ -275,29 +296,6 @@
     );
   }
 
-  /**
-   * Returns the software version of a service's servers if none had another one
-   * for longer than a stream lasts; otherwise undefined.
-   */
-  tryGetOnlyVersion(service: string, nowMs: number): string | undefined {
-    const firstMs = this.#firstControlContactMs ?? nowMs;
-    if (nowMs - firstMs < VERSION_TTL_MS) return undefined;
-    const versions = [...this.#versions.get(service) ?? []]
-      .filter(([, contactMs]) => nowMs - contactMs < VERSION_TTL_MS)
-      .map(([version]) => version);
-    return versions.length === 1 ? versions[0] : undefined;
-  }
-
-  #recordVersion(registration: Registration, nowMs: number): void {
-    const { service, softwareVersion } = registration;
-    const versions = this.#versions.get(service) ?? new Map<string, number>();
-    versions.set(softwareVersion, nowMs);
-    versions.forEach((contactMs, version) => {
-      if (nowMs - contactMs >= VERSION_TTL_MS) versions.delete(version);
-    });
-    this.#versions.set(service, versions);
-  }
-
   /** Whether a server accepts requests, by what it said of itself. */
   #isReady({ registration }: KnownServer): boolean {
     return registration.state === ServerState.READY &&
@@ -356,6 +354,7 @@
 
 function hasVersion(known: KnownServer, softwareVersion: string): boolean {
   return known.registration.softwareVersion === softwareVersion &&
+    !known.isRestored &&
     (known.unreachableMs === undefined ||
       known.lastContactMs > known.unreachableMs);
 }
--- a/src/test/server_registry_test.ts
+++ b/src/test/server_registry_test.ts
@@ -90,6 +90,22 @@
     expect(getAvailable(10 * HEARTBEAT_MS)).deep.equal(["a"]);
   });
 
+  // Guards against servers that left or crashed long ago passing for running ones
+  // at a process that has just started.
+  it("counts the silence before a registration was passed on", () => {
+    const { registry, getAvailable } = createRegistry();
+    const silentMs = 10 * HEARTBEAT_MS;
+    registry.accept(createRegistration({}), 100, { silentMs });
+    registry.recordControlContact(100);
+    expect(getAvailable(100)).deep.equal([]);
+    registry.accept(createRegistration({ sequence: 2n }), 200, { silentMs: 0 });
+    registry.recordControlContact(200);
+    expect(getAvailable(200)).deep.equal(["a"]);
+    registry.accept(createRegistration({ sequence: 3n }), 300, { silentMs });
+    registry.recordControlContact(300);
+    expect(getAvailable(300)).deep.equal(["a"]);
+  });
+
   it("backs off longer each time a server fails again", () => {
     const { registry, accept, getAvailable } = createRegistry();
     accept({ id: "b", address: "10.0.0.2:80" });
@@ -198,24 +214,21 @@
 });
 
 describe("software versions", () => {
-  it("of a service are one only after longer than a stream lasts", () => {
-    const { registry, accept } = createRegistry();
-    registry.recordControlContact(0);
-    accept({ softwareVersion: "v1" });
-    expect(registry.tryGetOnlyVersion("s", 59_000)).equal(undefined);
-    registry.recordHeartbeat("a", 60_000);
-    expect(registry.tryGetOnlyVersion("s", 61_000)).equal("v1");
-    accept({ id: "b", address: "10.0.0.2:80", softwareVersion: "v2" }, 62_000);
-    expect(registry.tryGetOnlyVersion("s", 62_000)).equal(undefined);
-    registry.recordHeartbeat("a", 120_000);
-    accept({
-      id: "b",
-      address: "10.0.0.2:80",
-      softwareVersion: "v2",
-      state: ServerState.GONE,
-    }, 63_000);
-    expect(registry.tryGetOnlyVersion("s", 122_000)).equal(undefined);
-    expect(registry.tryGetOnlyVersion("s", 124_000)).equal("v1");
+  // Guards against a stream going on at a server that may have been started again
+  // with other software while no control host ran.
+  it("are not relied upon for a restored registration until it is heard of", () => {
+    const { registry } = createRegistry();
+    const getIds = (version?: string) =>
+      registry.getAvailable("s", 20, version).map(({ id }) => id);
+    const restored = createRegistration({ softwareVersion: "v1" });
+    registry.accept(restored, 10, { isRestored: true });
+    expect(getIds()).deep.equal(["a"]);
+    expect(getIds("v1")).deep.equal([]);
+    registry.recordHeartbeat("a", 20);
+    expect(getIds("v1")).deep.equal(["a"]);
+    const again = createRegistration({ softwareVersion: "v1", sequence: 2n });
+    registry.accept(again, 30, { isRestored: true });
+    expect(getIds("v1")).deep.equal(["a"]);
   });
 
   // Guards against a stream going on at a server that was started again with
@@ -240,13 +253,29 @@
   const createOrigin = (request: string, softwareVersion = "v1") =>
     create(StreamOriginSchema, { request, service: "s", softwareVersion });
 
-  it("keep the first origin of a request, for a time", () => {
+  it("are kept for a time", () => {
     const origins = new StreamOrigins();
     origins.add(createOrigin("a"), 0);
-    origins.add(createOrigin("a", "v2"), 10);
+    origins.add(createOrigin("a"), 10);
     expect(origins.tryGet("a")?.softwareVersion).equal("v1");
     origins.add(createOrigin("b"), 200_000);
     expect(origins.tryGet("a")).equal(undefined);
+    expect(origins.isConflicting("a")).equal(false);
+  });
+
+  // Guards against a stream going on at the version of another stream that began
+  // under the same id.
+  it("of a request that has two are not told", () => {
+    const origins = new StreamOrigins();
+    origins.add(createOrigin("a"), 0);
+    origins.add(createOrigin("a", "v2"), 10);
+    origins.add(createOrigin("a"), 20);
+    expect(origins.tryGet("a")).equal(undefined);
+    expect(origins.isConflicting("a")).equal(true);
+    origins.addConflict("b", 30);
+    origins.add(createOrigin("b"), 40);
+    expect(origins.tryGet("b")).equal(undefined);
+    expect(origins.isConflicting("b")).equal(true);
   });
 
   it("are bounded in number, and drop the oldest", () => {
