A refusal without the server's statement is not passed on

Callers of non-idempotent routes could get 408, 429 or 503, which promise that the request hasn't run, from a server that may have run it. It was found while the statuses of responses that name no request were gone through; it is not known to have been seen.

Cause: a response counts as "not run" only with X-Not-Run, but one with such a status and without that header was passed on unchanged, once no retry was left.

Change: the dialect says whether a status is a refusal that the server doesn't state. Such an attempt is lost: it may have run, so the caller gets 502 without the server's stamp, or the request goes on elsewhere where the route allows it. The same holds for what another gateway passes on. 421 needs no statement.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -195,6 +195,13 @@
         reason: `the server answered ${response.status} without its proof`,
       };
     }
+    if (meta.isUnprovenRefusal) {
+      discardBody(response.body);
+      return {
+        kind: "lost",
+        reason: `the server answered ${response.status} and may have run it`,
+      };
+    }
     if (!meta.isNotRun) {
       const chunks = readChunks(response.body, () => this.#onActivity(id));
       return { kind: "response", response: { ...response, chunks } };
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -104,6 +104,11 @@
   readonly isNotRun: boolean;
   /** The status is a success, but the server's proof of having run it is missing. */
   readonly isUnprovenSuccess: boolean;
+  /**
+   * Callers take the status for a promise that the request didn't run, but the
+   * server doesn't say so.
+   */
+  readonly isUnprovenRefusal: boolean;
   /** The response comes from a server other than the one addressed. */
   readonly isWrongServer: boolean;
   /** The server leaves and must get no further requests. */
--- a/src/fleet/gateway_relay.ts
+++ b/src/fleet/gateway_relay.ts
@@ -12,6 +12,7 @@
   createHttpAgent,
   discardBody,
   type HttpAgent,
+  type HttpResponse,
   HttpSendError,
   sendHttp,
 } from "../sys/http.ts";
@@ -155,22 +156,10 @@
           retryAfterMs: undefined,
         };
       }
-      const { isUnprovenSuccess, requestId } = dialect.readResponseMetadata(
-        response.status,
-        response.headers,
-      );
-      const isSuccess = response.status >= 200 && response.status < 300;
-      // A gateway's own errors name no request; all that it passes on does.
-      const isOwnError = requestId === "" && !isSuccess;
-      const isMismatched = requestId !== request.requestId && !isOwnError;
-      if (isMismatched || isUnprovenSuccess) {
+      const reason = this.#findFault(response, request.requestId);
+      if (reason !== undefined) {
         response.body.destroy();
-        return {
-          kind: "lost",
-          reason: isMismatched
-            ? `the answer of gateway ${address} names another request or none`
-            : `gateway ${address} answered without a server's proof`,
-        };
+        return { kind: "lost", reason: `gateway ${address} ${reason}` };
       }
       log.info("request_relayed", {
         request: request.requestId,
@@ -192,6 +181,25 @@
     }
   }
 
+  /**
+   * Why a gateway's response can't be the request's; undefined if it can. Gateways
+   * of another build may pass on what this one doesn't take from a server.
+   */
+  #findFault(
+    { status, headers }: HttpResponse,
+    expectedId: string,
+  ): string | undefined {
+    const { requestId, isUnprovenSuccess, isUnprovenRefusal } = this.#options
+      .dialect.readResponseMetadata(status, headers);
+    const isSuccess = status >= 200 && status < 300;
+    // A gateway's own errors name no request; all that it passes on does.
+    if (requestId === "" && !isSuccess) return undefined;
+    if (requestId !== expectedId) return "answered another request";
+    return isUnprovenSuccess || isUnprovenRefusal
+      ? `answered ${status} without a server's proof`
+      : undefined;
+  }
+
   /** Selects a gateway, of this data centre if there is one. */
   async #select(tried: ReadonlySet<string>): Promise<string | undefined> {
     const { clock, dataCentre, random } = this.#options;
--- a/src/test/platform_codec_test.ts
+++ b/src/test/platform_codec_test.ts
@@ -318,5 +318,12 @@
     expect(read(204, { "x-server-stamp": "s" }).isUnprovenSuccess)
       .equal(false);
     expect(read(500, {}).isUnprovenSuccess).equal(false);
+    [408, 429, 503].forEach((status) => {
+      expect(read(status, {}).isUnprovenRefusal).equal(true);
+      expect(read(status, { "x-not-run": "1" }).isUnprovenRefusal)
+        .equal(false);
+    });
+    expect(read(421, {}).isUnprovenRefusal).equal(false);
+    expect(read(500, {}).isUnprovenRefusal).equal(false);
   });
 });
--- a/src/test/unproven_answers_test.ts
+++ b/src/test/unproven_answers_test.ts
@@ -1,6 +1,7 @@
 /**
  * Responses that claim more than their server vouches for: they bear the id of the
- * request, but a success lacks the server's proof.
+ * request, but a success lacks the server's proof, or a status that callers take for
+ * "not run" lacks the server's statement that it didn't run the request.
  */
 import { expect } from "chai";
 import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
@@ -131,6 +132,23 @@
     expect(await send()).equal(404);
   });
 
+  const refusals = ["408 Timeout", "429 Too Many", "503 Unavailable"];
+  // Guards against a promise to a caller that the request didn't run, by a server
+  // that may have run it.
+  refusals.forEach((status) => {
+    it(`are no refusal without the server's statement: ${status}`, async () => {
+      respond(createResponse(status, [ID, STAMP, "Retry-After: 1"]));
+      expect(await send()).equal("lost");
+      respond(createResponse(status, [ID, "X-Not-Run: full"]));
+      expect(await send()).equal("notRun");
+    });
+  });
+
+  it("are a refusal if another server got the request", async () => {
+    respond(createResponse("421 Other", [ID]));
+    expect(await send()).equal("notRun");
+  });
+
   describe("from another gateway", () => {
     let merger: RpcServer;
     let relay: GatewayRelay;
@@ -192,6 +210,13 @@
       expect(await relayRequest()).equal("lost");
     });
 
+    refusals.forEach((status) => {
+      it(`are no refusal without the server's statement: ${status}`, async () => {
+        respond(createResponse(status, [ID, STAMP]));
+        expect(await relayRequest()).equal("lost");
+      });
+    });
+
     it("are answers with the proof, or of the gateway itself", async () => {
       respond(createResponse("200 OK", [ID, STAMP], EVENT));
       expect(await relayRequest()).equal(200);
