An idle connection on which bytes arrive is closed

Bytes that a faulty server sends while a connection is idle were dropped without a trace, and the connection stayed in use. If only a part had arrived by then, the rest met the next request, which was lost, and had to run again where that is allowed.

Cause: Node's HTTP client reads an idle connection without a listener.

Change: HttpAgent, for connections to servers, to other gateways and for the product's own entries, closes an idle connection on which anything arrives.

No answer is due on an idle connection, so whatever arrives there is not for the next request.

--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import { HttpAgent } from "./http_agent.ts";
 
 export type {
   IncomingHttpHeaders,
@@ -176,19 +177,18 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
-const sharedAgent = new http.Agent({
+const sharedAgent = new HttpAgent({
   keepAlive: true,
   maxSockets: Infinity,
   maxFreeSockets: 256,
   timeout: 60_000,
 });
 
-/** A pool of connections that are reused while they are idle. */
-export type HttpAgent = http.Agent;
+export type { HttpAgent };
 
 /** Creates an agent that closes idle connections after `idleTimeoutMs`. */
 export function createHttpAgent(options: { idleTimeoutMs: number }): HttpAgent {
-  return new http.Agent({
+  return new HttpAgent({
     keepAlive: true,
     maxSockets: Infinity,
     scheduling: "lifo",
--- a/src/test/foreign_answers_test.ts
+++ b/src/test/foreign_answers_test.ts
@@ -172,6 +172,73 @@
     expect(await send("")).equal('to ""');
   });
 
+  /** Waits until the client has closed the only connection. */
+  const waitUntilClosed = async () => {
+    const [socket] = server.connections;
+    if (socket === undefined || socket.closed) return;
+    await new Promise((resolve) => socket.once("close", resolve));
+  };
+
+  const extra = [
+    ...unnamed,
+    { what: "garbage", bytes: "\0\x01 no answer \r\n\r\n" },
+    { what: "a proper answer", bytes: createAnswer("other") },
+    { what: "an interim response", bytes: "HTTP/1.1 100 Continue\r\n\r\n" },
+  ];
+
+  // Guards against an answer that is spoilt by what follows it in its segment, and
+  // against a connection that stays in use after that.
+  extra.forEach(({ what, bytes }) => {
+    it(`don't spoil the answer that they follow: ${what}`, async () => {
+      server.serve = (id, socket) =>
+        socket.write(createAnswer(id) + (id === FIRST ? bytes : ""));
+      expect(await send(FIRST)).equal(FIRST);
+      await waitUntilClosed();
+      expect(await send(SECOND)).equal(SECOND);
+    });
+  });
+
+  // Guards against a response whose parts are taken for one or the other request's.
+  it("are no answer if a part follows each of two answers", async () => {
+    const bytes = createAnswer("other");
+    const half = bytes.length / 2;
+    server.serve = (id, socket) =>
+      socket.write(
+        id === FIRST
+          ? createAnswer(id) + bytes.slice(0, half)
+          : (id === SECOND ? bytes.slice(half) : "") + createAnswer(id),
+      );
+    expect(await send(FIRST)).equal(FIRST);
+    expect(await send(SECOND)).oneOf([SECOND, "lost"]);
+    expect(await send("third")).equal("third");
+  });
+
+  const partial = [
+    { what: "half a head", bytes: "HTTP/1.1 200 OK\r\nX-Req" },
+    { what: "a line break", bytes: "\r\n" },
+  ];
+
+  // Guards against an idle connection that stays in use after extra bytes, the rest
+  // of which meet the next request.
+  [...extra, ...partial].forEach(({ what, bytes }) => {
+    it(`close the idle connection on which they arrive: ${what}`, async () => {
+      server.serve = (id, socket) => socket.write(createAnswer(id));
+      expect(await send(FIRST)).equal(FIRST);
+      server.connections.forEach((socket) => socket.write(bytes));
+      await waitUntilClosed();
+      expect(await send(SECOND)).equal(SECOND);
+    });
+  });
+
+  // Guards against a connection that is closed for the answer to its next request.
+  it("are not the answers to later requests on a connection", async () => {
+    server.serve = (id, socket) => socket.write(createAnswer(id));
+    for (const id of [FIRST, SECOND, "third"]) {
+      expect(await send(id)).equal(id);
+    }
+    expect(server.connections.size).equal(1);
+  });
+
   // Guards against a request for which interim responses count as its answer.
   it("may be interim responses, which the answer follows", async () => {
     writeBeforeSecond(
