A response that changes the protocol ends its attempt

A server that answered 101 held the request for good: its caller got nothing, also after the deadline, and the permit and the slot that it occupied were never released. Found by reading what Node's client does with bytes that are no answer; it is not known to have been seen.

Cause: nobody asks for a change of protocol, so Node destroys the request. It emits neither "response" nor "error" for that, only "close", and what has been destroyed can't be aborted any more. sendHttp waited for the first two.

Change: sendHttp fails with "may have run" when a request closes before either. All of its users get that: servers, other gateways and the product's own entries.

"close" is emitted at the end of each request, after "error" if there is one, so no request can end unnoticed.

--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -262,6 +262,17 @@
         }),
       );
     });
+    // A response that changes the protocol, which no request asks for, ends the
+    // request without any other event.
+    req.on("close", () => {
+      clearTimers();
+      reject(
+        new HttpSendError("the connection closed without an answer", {
+          verdict: Verdict.MAY_HAVE_RUN,
+          isConnectionLost: false,
+        }),
+      );
+    });
     req.end(request.body);
   });
 }
--- a/src/test/foreign_answers_test.ts
+++ b/src/test/foreign_answers_test.ts
@@ -172,6 +172,18 @@
     expect(await send("")).equal('to ""');
   });
 
+  // Guards against a request that ends in no way that anybody waits for, and keeps
+  // its slot for good.
+  it("end an attempt if they change the protocol", async () => {
+    writeBeforeSecond(
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n" +
+        "Upgrade: x\r\n\r\n",
+    );
+    expect(await send(FIRST)).equal(FIRST);
+    expect(await send(SECOND)).equal("lost");
+    expect(await send("third")).equal("third");
+  });
+
   /** Waits until the client has closed the only connection. */
   const waitUntilClosed = async () => {
     const [socket] = server.connections;
