A refusal is final only if no other attempt at the command may run

A job that was answered 429, which promises that it doesn't run, could run after all: an attempt whose caller gave up is carried out when its bytes arrive late (docs/incidents/late_calls.md).

Cause: StateClient.callLeader took any reply but a redirect for the outcome of all attempts of a call. A refusal holds only for the state that its attempt met.

Evidence: late_calls_test failed in 5 of 8 cases: refused as "not run" while the first attempt's bytes were held, while a silent host had them, after a host that lost the lead had them, for a command of the product's own groups, and "may have run" for a call that no connection had taken.

Change: the client of a group says with a reply whether another attempt may still be carried out: one that is open, that ended without a reply, or whose host lost the lead meanwhile. Jobs and retirements of hosts are unknown then (504, 503), commands of the product's own groups keep their code with the verdict "may have run". A call that no connection took is known not to have run, so a host that is down or can't be reached makes no refusal unknown.

No attempt is left that could run after a final refusal. The retirement has no test of its own.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -26,6 +26,7 @@
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import type { StateClient } from "../services/common/state_client.ts";
+import { createUnsettledRefusalError } from "../services/common/state_errors.ts";
 import { FleetMachine } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
@@ -191,9 +192,10 @@
    */
   async retireHost(name: string): Promise<void> {
     const command = encodeFleetCommand({ case: "retireHost", value: name });
-    const { code } = await this.#proposeForOperator(command);
+    const { code, mayRunLater } = await this.#proposeForOperator(command);
     this.#context.log.info("host_retires", { host: name, code });
     if (code === 0) return;
+    if (mayRunLater) throw createUnsettledRefusalError();
     throw new ServingError(code, {
       verdict: Verdict.NOT_RUN,
       parameters: { host: name },
@@ -266,13 +268,15 @@
     return { routes: routes ?? known.routes, hosts: hosts ?? known.hosts };
   }
 
-  async #proposeForOperator(command: Uint8Array): Promise<FleetReply> {
-    const reply = await this.#fleetClient.propose(
+  async #proposeForOperator(
+    command: Uint8Array,
+  ): Promise<FleetReply & { mayRunLater: boolean }> {
+    const { reply, mayRunLater } = await this.#fleetClient.proposeWithOutcome(
       FLEET_GROUP,
       command,
       OPERATOR_TIMEOUT_MS,
     );
-    return fromBinary(FleetReplySchema, reply);
+    return { ...fromBinary(FleetReplySchema, reply), mayRunLater };
   }
 
   /**
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -14,6 +14,7 @@
   SILENCE_MS,
   type StateClient,
 } from "../services/common/state_client.ts";
+import { createUnsettledRefusalError } from "../services/common/state_errors.ts";
 import { ServingError } from "../sys/errors.ts";
 import type { JobPage } from "./dialects.ts";
 import { STORE_GROUP } from "./groups.ts";
@@ -38,8 +39,12 @@
    * unknown.
    */
   async submit(job: SubmitJob): Promise<void> {
-    const code = await this.#propose({ case: "submit", value: job });
+    const { code, mayRunLater } = await this.#propose({
+      case: "submit",
+      value: job,
+    });
     if (code === 0) return;
+    if (mayRunLater) throw createUnsettledRefusalError();
     throw new ServingError(code, {
       verdict: Verdict.NOT_RUN,
       parameters: { route: job.route },
@@ -93,17 +98,18 @@
 
   async #propose(
     command: MessageInitShape<typeof JobCommandSchema>["command"],
-  ): Promise<MessageCode> {
+  ): Promise<{ code: MessageCode; mayRunLater: boolean }> {
     const bytes = toBinary(
       JobCommandSchema,
       create(JobCommandSchema, { command }),
     );
-    const reply = await this.#stateClient.propose(
+    const { reply, mayRunLater } = await this.#stateClient.proposeWithOutcome(
       STORE_GROUP,
       bytes,
       REQUEST_TIMEOUT_MS,
     );
-    return fromBinary(JobCommandReplySchema, reply).code;
+    const { code } = fromBinary(JobCommandReplySchema, reply);
+    return { code, mayRunLater };
   }
 }
 
--- a/src/services/common/proposal_batcher.ts
+++ b/src/services/common/proposal_batcher.ts
@@ -4,15 +4,24 @@
  * than more frequent. Commands reach the group in the order in which they were
  * added.
  */
-import { MessageCode, Verdict } from "../../schema/mod.ts";
 import type { Clock, Timer } from "../../sys/clock.ts";
-import { ServingError } from "../../sys/errors.ts";
+import { createUnknownOutcomeError } from "./state_errors.ts";
+
+/** Reply to a command. */
+export interface ProposalReply {
+  readonly reply: Uint8Array;
+  /**
+   * Whether the command may still be applied, by an attempt whose outcome is
+   * unknown. A refusal is not final then.
+   */
+  readonly mayRunLater: boolean;
+}
 
 interface QueuedCommand {
   readonly command: Uint8Array;
   readonly deadlineMs: number;
   readonly timer: Timer;
-  readonly resolve: (reply: Uint8Array) => void;
+  readonly resolve: (reply: ProposalReply) => void;
   readonly reject: (error: unknown) => void;
 }
 
@@ -26,24 +35,27 @@
   readonly #send: (
     commands: Uint8Array[],
     timeoutMs: number,
-  ) => Promise<Uint8Array[]>;
+  ) => Promise<ProposalReply[]>;
   readonly #queue: QueuedCommand[] = [];
   #isSending = false;
 
   constructor(options: {
     clock: Clock;
-    send: (commands: Uint8Array[], timeoutMs: number) => Promise<Uint8Array[]>;
+    send: (
+      commands: Uint8Array[],
+      timeoutMs: number,
+    ) => Promise<ProposalReply[]>;
   }) {
     this.#clock = options.clock;
     this.#send = options.send;
   }
 
   /** Queues a command; rejects if there is no reply within `timeoutMs`. */
-  add(command: Uint8Array, timeoutMs: number): Promise<Uint8Array> {
+  add(command: Uint8Array, timeoutMs: number): Promise<ProposalReply> {
     return new Promise((resolve, reject) => {
       const timer = this.#clock.startTimer(
         timeoutMs,
-        () => reject(createTimeoutError()),
+        () => reject(createUnknownOutcomeError("no answer in time")),
       );
       const deadlineMs = this.#clock.getMonotonicMs() + timeoutMs;
       this.#queue.push({
@@ -81,9 +93,10 @@
     try {
       const commands = batch.map((queued) => queued.command);
       const replies = await this.#send(commands, remainingMs);
-      batch.forEach((queued, index) =>
-        queued.resolve(replies[index] ?? new Uint8Array())
-      );
+      batch.forEach((queued, index) => {
+        const reply = replies[index];
+        if (reply !== undefined) queued.resolve(reply);
+      });
     } catch (error) {
       batch.forEach((queued) => queued.reject(error));
     } finally {
@@ -91,11 +104,3 @@
     }
   }
 }
-
-function createTimeoutError(): ServingError {
-  return new ServingError(MessageCode.STATE_UNREACHABLE, {
-    verdict: Verdict.MAY_HAVE_RUN,
-    parameters: { reason: "no answer in time" },
-    retryAfterS: 1,
-  });
-}
--- a/src/services/common/state_client.ts
+++ b/src/services/common/state_client.ts
@@ -12,6 +12,7 @@
   type Order,
   type OrderOutcome,
   OrderOutcomeSchema,
+  type ProposeReply,
   type QueryReply,
   type RenewReply,
   State,
@@ -19,14 +20,18 @@
   type ViewUpdate,
 } from "../../schema/mod.ts";
 import type { Clock, Timer } from "../../sys/clock.ts";
-import { getReason, ServingError } from "../../sys/errors.ts";
+import { asServingError, getReason } from "../../sys/errors.ts";
 import {
   type RpcClient,
   RpcClientPool,
   type RpcCredentials,
 } from "../../sys/rpc.ts";
+import {
+  CommandRefusedError,
+  createUnknownOutcomeError,
+} from "./state_errors.ts";
 import { CONTROL_GROUP } from "./groups.ts";
-import { ProposalBatcher } from "./proposal_batcher.ts";
+import { ProposalBatcher, type ProposalReply } from "./proposal_batcher.ts";
 import { encodeControlCommand, encodeItemCommand } from "./commands.ts";
 
 /** Options of a {@linkcode StateClient}. */
@@ -48,6 +53,15 @@
   /** Undefined if the call failed. */
   readonly reply: R | undefined;
   readonly reason: string;
+  /** Whether the host may carry it out, or have done so, without a reply to it. */
+  readonly isOutcomeUnknown: boolean;
+}
+
+/** A leader's reply to one of the attempts of a call. */
+interface LeaderReply<R> {
+  readonly reply: R;
+  /** Whether another attempt, whose outcome is unknown, may still be carried out. */
+  readonly mayRunLater: boolean;
 }
 
 const DEFAULT_TIMEOUT_MS = 5_000;
@@ -100,18 +114,36 @@
     timeoutMs?: number,
   ): Promise<ItemReply> {
     const bytes = encodeItemCommand(command);
-    const reply = await this.propose(group, bytes, timeoutMs);
+    const { reply, mayRunLater } = await this.proposeWithOutcome(
+      group,
+      bytes,
+      timeoutMs,
+    );
     const decoded = fromBinary(ItemReplySchema, reply);
     if (decoded.code === 0) return decoded;
-    throw new CommandRefusedError(decoded.code, decoded.detail);
+    throw new CommandRefusedError(decoded, {
+      verdict: mayRunLater ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
+    });
   }
 
   /** Replicates a command and returns the state machine's reply. */
-  propose(
+  async propose(
     group: number,
     command: Uint8Array,
-    timeoutMs = DEFAULT_TIMEOUT_MS,
+    timeoutMs?: number,
   ): Promise<Uint8Array> {
+    return (await this.proposeWithOutcome(group, command, timeoutMs)).reply;
+  }
+
+  /**
+   * Replicates a command and returns the state machine's reply, and whether the
+   * command may still be applied after a refusal.
+   */
+  proposeWithOutcome(
+    group: number,
+    command: Uint8Array,
+    timeoutMs = DEFAULT_TIMEOUT_MS,
+  ): Promise<ProposalReply> {
     const existing = this.#batchers.get(group);
     const batcher = existing ?? new ProposalBatcher({
       clock: this.#options.clock,
@@ -196,16 +228,20 @@
     group: number,
     commands: Uint8Array[],
     timeoutMs: number,
-  ): Promise<Uint8Array[]> {
-    const reply = await this.callLeader(
+  ): Promise<ProposalReply[]> {
+    const { reply, mayRunLater } = await this.#callLeader<ProposeReply>({
       group,
       timeoutMs,
-      (client, callMs) =>
+      silenceMs: SILENCE_MS,
+      call: (client, callMs) =>
         client.call(State.method.propose, { group, commands }, {
           timeoutMs: callMs,
         }),
-    );
-    return reply.replies;
+    });
+    return commands.map((_, index) => ({
+      reply: reply.replies[index] ?? new Uint8Array(),
+      mayRunLater,
+    }));
   }
 
   /**
@@ -220,6 +256,18 @@
     call: LeaderCall<R>,
     silenceMs = SILENCE_MS,
   ): Promise<R> {
+    const options = { group, timeoutMs, call, silenceMs };
+    return (await this.#callLeader<R>(options)).reply;
+  }
+
+  async #callLeader<R extends RedirectableReply>(
+    { group, timeoutMs, call, silenceMs }: {
+      readonly group: number;
+      readonly timeoutMs: number | undefined;
+      readonly call: LeaderCall<R>;
+      readonly silenceMs: number;
+    },
+  ): Promise<LeaderReply<R>> {
     const { clock } = this.#options;
     const deadlineMs = clock.getMonotonicMs() +
       (timeoutMs ?? DEFAULT_TIMEOUT_MS);
@@ -227,6 +275,7 @@
     const pending = new Map<string, Promise<EndedCall<R>>>();
     let reason = "no leader is known";
     let previous: EndedCall<R> | undefined;
+    let hasUnknownOutcome = false;
     while (!this.#closed) {
       const remainingMs = deadlineMs - clock.getMonotonicMs();
       if (remainingMs <= 0) break;
@@ -245,8 +294,9 @@
       const { reply } = ended;
       if (reply !== undefined && !isRedirect(reply.code)) {
         this.#leaders.set(group, ended.address);
-        return reply;
+        return { reply, mayRunLater: hasUnknownOutcome || pending.size > 0 };
       }
+      hasUnknownOutcome ||= ended.isOutcomeUnknown;
       reason = reply === undefined
         ? ended.reason
         : reply.detail || `the leader of group ${group} is not known`;
@@ -257,11 +307,7 @@
         await this.#waitForReply(pending, silenceMs);
       }
     }
-    throw new ServingError(MessageCode.STATE_UNREACHABLE, {
-      verdict: Verdict.MAY_HAVE_RUN,
-      parameters: { reason },
-      retryAfterS: 1,
-    });
+    throw createUnknownOutcomeError(reason);
   }
 
   async #call<R extends RedirectableReply>(
@@ -271,9 +317,13 @@
   ): Promise<EndedCall<R>> {
     try {
       const reply = await call(this.#clients.get(address), callMs);
-      return { address, reply, reason: "" };
+      const isOutcomeUnknown = reply.code === MessageCode.MAY_HAVE_COMMITTED;
+      return { address, reply, reason: "", isOutcomeUnknown };
     } catch (error) {
-      return { address, reply: undefined, reason: getReason(error) };
+      const isOutcomeUnknown =
+        asServingError(error).verdict !== Verdict.NOT_RUN;
+      const reason = getReason(error);
+      return { address, reply: undefined, reason, isOutcomeUnknown };
     }
   }
 
@@ -338,11 +388,3 @@
   return code === MessageCode.NOT_LEADER ||
     code === MessageCode.MAY_HAVE_COMMITTED;
 }
-
-/** A command refused by the state machine, with the detail of its reply. */
-class CommandRefusedError extends ServingError {
-  constructor(code: MessageCode, detail: string) {
-    super(code, { verdict: Verdict.NOT_RUN });
-    this.message = detail;
-  }
-}
--- a/src/sys/rpc_client.ts
+++ b/src/sys/rpc_client.ts
@@ -27,13 +27,19 @@
   }
 }
 
-/** Converts the status of a failed call to an error with code and verdict. */
-function toServingError(error: grpc.ServiceError): ServingError {
+/**
+ * Converts the status of a failed call to an error with code and verdict;
+ * `defaultVerdict` holds unless the remote process gives one.
+ */
+function toServingError(
+  error: grpc.ServiceError,
+  defaultVerdict: Verdict = Verdict.MAY_HAVE_RUN,
+): ServingError {
   const code = Number(error.metadata?.get(CODE_METADATA_KEY)[0] ?? 0);
   const verdict = Number(error.metadata?.get(VERDICT_METADATA_KEY)[0] ?? 0);
   if (code !== 0) return new RemoteError(code, verdict, error.details);
   return new ServingError(MessageCode.STATE_UNREACHABLE, {
-    verdict: Verdict.MAY_HAVE_RUN,
+    verdict: defaultVerdict,
     parameters: { reason: error.details || error.message },
     cause: error,
   });
@@ -71,7 +77,8 @@
 
   /**
    * Calls a unary method, without retries. A call without a reply fails with
-   * STATE_UNREACHABLE and the verdict MAY_HAVE_RUN.
+   * STATE_UNREACHABLE and the verdict MAY_HAVE_RUN, or NOT_RUN if no connection
+   * took it.
    */
   call<I extends DescMessage, O extends DescMessage>(
     method: DescMethodUnary<I, O>,
@@ -83,7 +90,7 @@
     if (this.#isPartitioned()) return rejectAfterTimeout(timeoutMs);
     const client = this.#client;
     return new Promise((resolve, reject) => {
-      client.makeUnaryRequest(
+      const call = client.makeUnaryRequest(
         definition.path,
         definition.requestSerialize,
         definition.responseDeserialize as (bytes: Buffer) => MessageShape<O>,
@@ -91,10 +98,13 @@
         new grpc.Metadata(),
         { deadline: new Date(Date.now() + timeoutMs) },
         (error, reply) => {
+          // A call without a connection has the peer that it was meant for.
+          const isUnsent = call.getPeer() === client.getChannel().getTarget();
           if (error?.code === grpc.status.DEADLINE_EXCEEDED) {
             this.#replaceUnresponsive(client);
           }
-          if (error !== null) reject(toServingError(error));
+          const verdict = isUnsent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+          if (error !== null) reject(toServingError(error, verdict));
           else resolve(reply as MessageShape<O>);
         },
       );
