A reply without an outcome doesn't accept a command

A job would have been answered 202 although its command was not applied, if the host that it was proposed to had failed with an error of its own. Found by reading while refusals were looked at; no such reply is known to have been sent.

Cause: a reply that is no redirect counted, also one with an error code and without outcomes, and a missing outcome was read as an empty one, which decodes as success.

Change: a reply with a code, or with another number of outcomes than commands, leaves the outcome of all of them unknown. This holds for all groups.

Every accepted command now has an outcome that its host sent.

--- a/src/services/common/state_client.ts
+++ b/src/services/common/state_client.ts
@@ -238,10 +238,14 @@
           timeoutMs: callMs,
         }),
     });
-    return commands.map((_, index) => ({
-      reply: reply.replies[index] ?? new Uint8Array(),
-      mayRunLater,
-    }));
+    // An empty reply would be decoded as that of an accepted command.
+    if (reply.code !== 0 || reply.replies.length !== commands.length) {
+      throw createUnknownOutcomeError(
+        reply.detail || `${reply.replies.length} outcomes arrived for ` +
+            `${commands.length} commands`,
+      );
+    }
+    return reply.replies.map((bytes) => ({ reply: bytes, mayRunLater }));
   }
 
   /**
--- a/src/test/late_calls_test.ts
+++ b/src/test/late_calls_test.ts
@@ -236,6 +236,13 @@
     });
   });
 
+  // Guards against a job that is acknowledged and kept by nobody.
+  it("are not accepted by a reply without an outcome", async () => {
+    firstAddress = leader.address;
+    leader.code = MessageCode.INTERNAL;
+    expectUnknown(await submit());
+  });
+
   it("are refused if the first host accepts no connection in time", async () => {
     const sockets: Socket[] = [];
     const mute = createServer((socket) => sockets.push(socket));
