--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -125,7 +125,9 @@
         path: request.target,
         headers: this.#createHeaders(options),
         body: request.body,
-        usesNewConnection: options.useNewConnection,
+        // A response to a request without an id can't be told from others that
+        // are late on the same connection.
+        usesNewConnection: options.useNewConnection || request.requestId === "",
         agent: this.#agent,
         signal: options.signal,
         onConnect: () => this.#reachability?.recordConnected(),
@@ -163,11 +165,17 @@
       response.status,
       response.headers,
     );
+    // A response that names no request may be bytes that a faulty server sent in
+    // addition to an earlier one, so neither what it says of the request nor what
+    // it says of the server counts.
+    if (meta.requestId === "" && request.requestId !== "") {
+      response.body.destroy();
+      return { kind: "lost", reason: "the answer names no request" };
+    }
     // Also if the response is for another request or its body never ends: what
     // the server says of itself holds for all that follow.
     if (meta.isLeaving) this.#onLeaving(permit.server);
-    const isMismatched = meta.requestId !== "" &&
-      meta.requestId !== request.requestId;
+    const isMismatched = meta.requestId !== request.requestId;
     // Only the response to this request says that the server has no limit now.
     const isLimitKnown = !isMismatched || meta.limitPerS !== undefined;
     if (isLimitKnown && !meta.isWrongServer) {
@@ -185,6 +193,20 @@
     }
     if (meta.load !== undefined) this.#onLoad(permit.server.id, meta.load);
     if (meta.isWrongServer) this.#onWrongServer(permit.server.id);
+    if (meta.isUnprovenSuccess) {
+      response.body.destroy();
+      return {
+        kind: "lost",
+        reason: `the server answered ${response.status} without its proof`,
+      };
+    }
+    if (meta.isUnprovenRefusal) {
+      discardBody(response.body);
+      return {
+        kind: "lost",
+        reason: `the server answered ${response.status} and may have run it`,
+      };
+    }
     if (!meta.isNotRun) {
       const chunks = readChunks(response.body, () => this.#onActivity(id));
       return { kind: "response", response: { ...response, chunks } };
