Addresses and texts that the runtime throws for fail a request as not run

Cause: node:net, node:http and node:dgram throw at once for a port that is out of range or no number, and node:http for characters of a method, path or header. The probe's promise was rejected, and nobody waits for it. A request that was never sent failed with a RangeError, which counts as "may have run", and an address without a port or with port 0 went to port 80. A request with a tab in its path also backed off each server that it was sent to, although no server was at fault.

Change: tryParseTarget() checks an address before the runtime sees it. A request fails with HttpSendError and NOT_RUN, a probe is silent, a datagram is dropped. A request that cannot be sent to any server is told apart (isInvalidRequest); it is no fault of the server.

Why it works: no text of an address reaches a call that throws, and what fails before a byte was sent is known not to have run.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -195,6 +195,11 @@
   #classifyError(error: unknown, options: AttemptOptions): AttemptResult {
     if (options.signal.aborted) return { kind: "aborted" };
     const reason = getReason(error);
+    if (error instanceof HttpSendError && error.isInvalidRequest) {
+      // No fault of the server, and not "notRun": that would be sent again until
+      // it runs.
+      return { kind: "lost", reason };
+    }
     this.#onUnreachable(options.permit.server.id);
     const isNotRun = error instanceof HttpSendError &&
       error.verdict === Verdict.NOT_RUN;
--- a/src/sys/connect_probe.ts
+++ b/src/sys/connect_probe.ts
@@ -4,14 +4,17 @@
  */
 import { connect } from "node:net";
 import type { Clock } from "./clock.ts";
-import { parseAddress } from "./http.ts";
+import { tryParseTarget } from "./http.ts";
 
 /** Results of a probe. */
 export const ProbeResult = {
   connected: "connected",
   /** No process listens on the address. */
   refused: "refused",
-  /** Nothing answered: the host may be down, or the network partitioned. */
+  /**
+   * Nothing answered: the host may be down, the network partitioned, or the
+   * address none.
+   */
   silent: "silent",
 } as const;
 
@@ -59,8 +62,10 @@
     if (this.#isPartitioned(address)) {
       return this.#clock.delay(PROBE_TIMEOUT_MS).then(() => ProbeResult.silent);
     }
+    const target = tryParseTarget(address);
+    if (target === undefined) return Promise.resolve(ProbeResult.silent);
     return new Promise((resolve) => {
-      const socket = connect(parseAddress(address));
+      const socket = connect(target);
       const settle = (result: ProbeResult) => {
         timer.cancel();
         socket.destroy();
--- a/src/sys/datagrams.ts
+++ b/src/sys/datagrams.ts
@@ -6,7 +6,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
-import { parseAddress } from "./http.ts";
+import { parseAddress, tryParseTarget } from "./http.ts";
 
 /** Handles a datagram; `from` is the address of its sender. */
 export type DatagramHandler = (bytes: Uint8Array, from: string) => void;
@@ -50,8 +50,8 @@
   return {
     address: `${host}:${socket.address().port}`,
     send: (bytes, to) => {
-      if (!isOpen) return;
-      const target = parseAddress(to);
+      const target = tryParseTarget(to);
+      if (!isOpen || target === undefined) return;
       socket.send(bytes, target.port, target.host, () => {});
     },
     close: () => {
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -38,6 +38,22 @@
   };
 }
 
+const MAX_PORT = 65_535;
+
+/**
+ * Parses an address to connect to; undefined if it has no host or no port that
+ * a process can listen on. The runtime throws for some of these addresses and
+ * replaces others by port 80.
+ */
+export function tryParseTarget(
+  address: string,
+): { host: string; port: number } | undefined {
+  const { host, port } = parseAddress(address);
+  const isValid = host !== "" && Number.isInteger(port) && port > 0 &&
+    port <= MAX_PORT;
+  return isValid ? { host, port } : undefined;
+}
+
 /** Default time for which an idle connection is kept open. */
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000;
 
@@ -162,15 +178,22 @@
   readonly verdict: Verdict;
   /** Whether the connection failed, rather than timed out or was aborted. */
   readonly isConnectionLost: boolean;
+  /** Whether the request itself cannot be sent, to any server. */
+  readonly isInvalidRequest: boolean;
 
   constructor(
     reason: string,
-    options: { verdict: Verdict; isConnectionLost: boolean },
+    options: {
+      verdict: Verdict;
+      isConnectionLost: boolean;
+      isInvalidRequest?: boolean;
+    },
   ) {
     super(reason);
     this.name = "HttpSendError";
     this.verdict = options.verdict;
     this.isConnectionLost = options.isConnectionLost;
+    this.isInvalidRequest = options.isInvalidRequest ?? false;
   }
 }
 
@@ -196,17 +219,18 @@
   });
 }
 
-/** Sends a request and resolves with the status and headers of the response. */
-export function sendHttp(request: HttpRequest): Promise<HttpResponse> {
-  if (request.isPartitioned === true) return failAsUnreachable(request);
-  const { host, port } = parseAddress(request.address);
-  return new Promise((resolve, reject) => {
-    let isConnected = false;
-    let hasTimedOut = false;
-    let hasFailedInBody = false;
-    const req = http.request({
-      host,
-      port,
+/** Creates a request; fails with NOT_RUN if it cannot be sent as it is. */
+function createRequest(request: HttpRequest): http.ClientRequest {
+  const target = tryParseTarget(request.address);
+  if (target === undefined) {
+    throw new HttpSendError(
+      `"${request.address}" is not an address of the form host:port`,
+      { verdict: Verdict.NOT_RUN, isConnectionLost: true },
+    );
+  }
+  try {
+    return http.request({
+      ...target,
       method: request.method,
       path: request.path,
       headers: request.headers as http.OutgoingHttpHeaders,
@@ -215,6 +239,27 @@
         : request.agent ?? sharedAgent,
       signal: request.signal,
     });
+  } catch (error) {
+    // The runtime rejects characters of the method, the path and the headers.
+    throw new HttpSendError(getReason(error), {
+      verdict: Verdict.NOT_RUN,
+      isConnectionLost: false,
+      isInvalidRequest: true,
+    });
+  }
+}
+
+/**
+ * Sends a request and resolves with the status and headers of the response.
+ * Each failure is an {@linkcode HttpSendError}.
+ */
+export function sendHttp(request: HttpRequest): Promise<HttpResponse> {
+  if (request.isPartitioned === true) return failAsUnreachable(request);
+  return new Promise((resolve, reject) => {
+    let isConnected = false;
+    let hasTimedOut = false;
+    let hasFailedInBody = false;
+    const req = createRequest(request);
     const failWithTimeout = () => {
       hasTimedOut = true;
       req.destroy(new Error("no answer in time"));
