An error that no caller waits for no longer ends the process

What callers saw: one exception in a timer or an event handler, or one promise that was rejected without a handler, ended the whole process with exit code 1. A gateway cut off all streams of its callers for it.

Cause: the daemons exit at each uncaught exception and each unhandled rejection, and many promises had no handler: probes of servers, updates of followers, replies of the control host, responses of gateways, writes of the last view. An error of a listener for applied entries, such as the scheduling of items, ended the replica as well.

A replica fails through onFailure for each error on each way into it, also from a timer or a connection, so that no host goes on with a log or state that is half changed. A failed write of an identity no longer fails all later ones, and a routine that follows a control host starts again after an error.

A process that fails in a loop without a pause still ends, with the line "failed".

Why it works: durable and agreed state are changed in the replica only, and each way in leads to onFailure; all other state is soft and ages.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -19,6 +19,7 @@
 } from "../sys/errors.ts";
 import { createLog, type Log } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
+import { UnexpectedErrors } from "../sys/unexpected_errors.ts";
 import { parseSettings } from "../sys/settings.ts";
 
 /** Reads a settings file; throws SettingsError if it is invalid. */
@@ -216,14 +217,25 @@
   });
   const context = createProcessContext({ name: options.name, log, metrics });
   const host = options.createHost(settings, context);
-  host.onFailure = (error) => {
+  const fail = (error: unknown) => {
     log.error("failed", { reason: formatError(error) });
     process.exit(asServingError(error).exitCode);
   };
-  process.on("uncaughtException", (error) => {
-    log.error("uncaught", { reason: getReason(error) });
-    process.exit(1);
+  host.onFailure = fail;
+  const unexpectedErrors = new UnexpectedErrors({
+    log,
+    metrics,
+    clock: context.clock,
+    onTooMany: fail,
   });
+  process.on(
+    "uncaughtException",
+    (error) => unexpectedErrors.handle(error, "exception"),
+  );
+  process.on(
+    "unhandledRejection",
+    (error) => unexpectedErrors.handle(error, "rejection"),
+  );
   const stop = (signal: string) => {
     log.info("signal", { signal });
     host.stop().then(() => process.exit(0), () => process.exit(1));
--- a/src/fleet/fleet_follower.ts
+++ b/src/fleet/fleet_follower.ts
@@ -245,7 +245,10 @@
             address,
             reason: getReason(error),
           });
-          this.#followedAddresses.delete(address);
+          this.#options.clock.startTimer(REOPEN_MS, () => {
+            this.#followedAddresses.delete(address);
+            if (!this.#closed) this.#followAll();
+          });
         });
       });
   }
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -24,6 +24,7 @@
 } from "../sys/http.ts";
 import { MetricName } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { CrashDetector } from "./crash_detector.ts";
@@ -262,11 +263,16 @@
     const response = new CallerResponse(res);
     if (this.#stopping) res.shouldKeepAlive = false;
     this.#openResponses.add(response);
-    this.#handle(req, response, origin)
+    const served = this.#handle(req, response, origin)
       .catch((thrown) => this.#sendError(req, response, asServingError(thrown)))
+      .catch((error) => {
+        response.abort();
+        throw error;
+      })
       .finally(() => {
         this.#openResponses.delete(response);
       });
+    logRejection(served, this.#context.log, "response to a caller");
   }
 
   #sendError(
--- a/src/fleet/gateway_relay.ts
+++ b/src/fleet/gateway_relay.ts
@@ -197,14 +197,14 @@
   /** Asks all mergers; the first reply counts. */
   async #find(): Promise<void> {
     const { getMergers, name, log, clock } = this.#options;
-    const replies = getMergers().map((address) =>
-      this.#clients.get(address).call(
-        Gateways.method.find,
-        { sender: name },
-        { timeoutMs: FIND_TIMEOUT_MS },
-      )
-    );
     try {
+      const replies = getMergers().map((address) =>
+        this.#clients.get(address).call(
+          Gateways.method.find,
+          { sender: name },
+          { timeoutMs: FIND_TIMEOUT_MS },
+        )
+      );
       const { gateways } = await Promise.any(replies);
       this.#found = gateways;
       this.#foundMs = clock.getMonotonicMs();
--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -10,6 +10,7 @@
 import { getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
 import type { Log } from "../sys/log.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 
 const FILE_NAME = "last-view";
 
@@ -58,9 +59,10 @@
     this.#isDirty = true;
     if (this.#isWriting) return;
     this.#isWriting = true;
-    this.#writeWhileDirty().finally(() => {
+    const written = this.#writeWhileDirty().finally(() => {
       this.#isWriting = false;
     });
+    logRejection(written, this.#options.log, "write of the last view");
   }
 
   async #writeWhileDirty(): Promise<void> {
--- a/src/fleet/rate_limit_client.ts
+++ b/src/fleet/rate_limit_client.ts
@@ -22,6 +22,7 @@
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import { type Random, selectByRendezvous } from "../sys/random.ts";
 import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 
 /** Calls the store hosts that grant permissions. */
 export abstract class GranterCaller {
@@ -218,7 +219,7 @@
     const asked = this.#getAskedServer(server);
     if (asked.isPrefetching || !this.mayAsk(server, true)) return;
     asked.isPrefetching = true;
-    this.acquire(server, { isBatch: true, maxWaitMs: 0 })
+    const prefetched = this.acquire(server, { isBatch: true, maxWaitMs: 0 })
       .then((isGranted) => {
         if (!isGranted) return;
         const nowMs = this.#options.clock.getMonotonicMs();
@@ -228,6 +229,7 @@
       .finally(() => {
         asked.isPrefetching = false;
       });
+    logRejection(prefetched, this.#options.log, "permission in advance");
   }
 
   #getAskedServer(server: ServerStartKey): AskedServer {
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -27,6 +27,7 @@
 import type { Clock, Timer } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
 import type { RpcStream } from "../sys/rpc.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
 import { createSuspicions } from "./routing_view.ts";
 
@@ -238,10 +239,14 @@
     if (follower.isSending || follower.stream.closed) return;
     if (!isPeriodic && !this.#hasPendingUpdate(follower)) return;
     follower.isSending = true;
-    follower.stream.send(this.#takePendingUpdate(follower)).then(() => {
-      follower.isSending = false;
-      if (this.#hasPendingUpdate(follower)) this.#sendUpdate(follower, false);
-    });
+    const sent = follower.stream.send(this.#takePendingUpdate(follower))
+      .finally(() => {
+        follower.isSending = false;
+      })
+      .then(() => {
+        if (this.#hasPendingUpdate(follower)) this.#sendUpdate(follower, false);
+      });
+    logRejection(sent, this.#options.log, `update to ${follower.name}`);
   }
 
   #hasPendingUpdate(follower: Follower): boolean {
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -19,6 +19,7 @@
 import { getReason } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 
 /** Options of a {@linkcode RunRecorder}. */
 export interface RunRecorderOptions {
@@ -150,13 +151,14 @@
   #schedule(): void {
     if (this.#isRecording) return;
     this.#isRecording = true;
-    this.#options.clock.delay(BATCH_WINDOW_MS)
+    const recorded = this.#options.clock.delay(BATCH_WINDOW_MS)
       .then(() => this.#recordPending())
       .finally(() => {
         this.#isRecording = false;
         const hasPending = this.#finished.length + this.#failed.length > 0;
         if (hasPending && !this.#isClosed) this.#schedule();
       });
+    logRejection(recorded, this.#options.log, "record of runs");
   }
 
   async #recordPending(): Promise<void> {
--- a/src/fleet/server_reachability.ts
+++ b/src/fleet/server_reachability.ts
@@ -7,6 +7,7 @@
 import type { Clock, Timer } from "../sys/clock.ts";
 import { type ConnectProbe, ProbeResult } from "../sys/connect_probe.ts";
 import type { Log } from "../sys/log.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 
 /** A backend server that can be probed. */
 interface ProbedServer {
@@ -90,13 +91,14 @@
   #confirm(): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     if (this.#isProbing || nowMs < this.#refutedUntilMs) return;
-    this.#probeServers().then((isReached) => {
+    const confirmed = this.#probeServers().then((isReached) => {
       if (isReached) {
         this.#refutedUntilMs = this.#options.clock.getMonotonicMs() +
           REFUTED_BACKOFF_MS;
         this.recordConnected();
       } else if (this.#unreachable.size > 0) this.#setCutOff(true);
     });
+    logRejection(confirmed, this.#options.log, "probes of servers");
   }
 
   #setCutOff(isCutOff: boolean): void {
@@ -125,9 +127,10 @@
 
   #probeForEnd(): void {
     if (this.#isProbing) return;
-    this.#probeServers().then((isReached) => {
+    const probed = this.#probeServers().then((isReached) => {
       if (isReached && this.#isCutOff) this.recordConnected();
     });
+    logRejection(probed, this.#options.log, "probes of servers");
   }
 
   /** Whether one of the servers whose turn it is accepts a connection. */
@@ -140,10 +143,15 @@
     );
     this.#nextProbed += count;
     this.#isProbing = true;
-    const results = await Promise.all(
-      probed.map((server) => this.#options.probe.probe(server?.address ?? "")),
-    );
-    this.#isProbing = false;
-    return results.includes(ProbeResult.connected);
+    try {
+      const results = await Promise.all(
+        probed.map((server) =>
+          this.#options.probe.probe(server?.address ?? "")
+        ),
+      );
+      return results.includes(ProbeResult.connected);
+    } finally {
+      this.#isProbing = false;
+    }
   }
 }
--- a/src/services/control/replica_identity.ts
+++ b/src/services/control/replica_identity.ts
@@ -87,9 +87,9 @@
       ...change,
     });
     const bytes = toBinary(ReplicaIdentitySchema, this.#identity);
-    this.#lastWrite = this.#lastWrite.then(() =>
-      this.#folder.replace(IDENTITY_FILE, bytes)
-    );
+    const write = () => this.#folder.replace(IDENTITY_FILE, bytes);
+    // A failed write must not fail all later ones.
+    this.#lastWrite = this.#lastWrite.then(write, write);
     await this.#lastWrite;
   }
 }
--- a/src/services/control/view_watchers.ts
+++ b/src/services/control/view_watchers.ts
@@ -2,7 +2,9 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { ViewUpdateSchema, WatchRequest } from "../../schema/mod.ts";
 import type { ControlMachine } from "../../state/mod.ts";
+import type { Log } from "../../sys/log.ts";
 import type { RpcStream } from "../../sys/rpc.ts";
+import { logRejection } from "../../sys/unexpected_errors.ts";
 
 type WatchUpdate = MessageInitShape<typeof ViewUpdateSchema>;
 
@@ -16,10 +18,12 @@
 /** Sends each watcher the state that is newer than the versions it has. */
 export class ViewWatchers {
   readonly #control: ControlMachine;
+  readonly #log: Log;
   readonly #watchers = new Set<Watcher>();
 
-  constructor(control: ControlMachine) {
+  constructor(control: ControlMachine, log: Log) {
     this.#control = control;
+    this.#log = log;
   }
 
   /** Serves a watcher until its stream closes. */
@@ -60,9 +64,11 @@
     watcher.version = version;
     watcher.entriesVersion = entriesVersion;
     watcher.isSending = true;
-    watcher.stream.send(update).then(() => {
-      watcher.isSending = false;
-      this.#sendUpdate(watcher);
-    });
+    const sent = watcher.stream.send(update)
+      .finally(() => {
+        watcher.isSending = false;
+      })
+      .then(() => this.#sendUpdate(watcher));
+    logRejection(sent, this.#log, "update to a watcher");
   }
 }
--- a/src/services/hosts/entry_http.ts
+++ b/src/services/hosts/entry_http.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
 } from "../../sys/http.ts";
 import { MetricName } from "../../sys/metrics.ts";
+import { logRejection } from "../../sys/unexpected_errors.ts";
 import { parseAnnouncement } from "../control/announcement_body.ts";
 import { sendJson, sendProblem } from "../common/responses.ts";
 import type { CallerLimits } from "../common/caller_limits.ts";
@@ -66,7 +67,8 @@
     const serving = path === ANNOUNCE_PATH
       ? this.#serveAnnouncement(req, res)
       : this.#serveCaller(req, res, path);
-    serving.catch((error) => this.#sendError(res, error));
+    const served = serving.catch((error) => this.#sendError(res, error));
+    logRejection(served, this.#options.context.log, "response to a caller");
   }
 
   #sendError(res: ServerResponse, thrown: unknown): void {
--- a/src/services/hosts/state_host.ts
+++ b/src/services/hosts/state_host.ts
@@ -64,7 +64,7 @@
   readonly #context: ProcessContext;
   readonly #controlMachine = new ControlMachine();
   readonly #itemGroups = new Map<number, ItemGroup>();
-  readonly #watchers = new ViewWatchers(this.#controlMachine);
+  readonly #watchers: ViewWatchers;
   readonly #configuredAddresses = new Map<string, string>();
   readonly #credentials: RpcCredentials;
   readonly #entryLeases: Leases<string>;
@@ -84,6 +84,7 @@
   constructor(settings: StateSettings, context: ProcessContext) {
     this.#settings = settings;
     this.#context = context;
+    this.#watchers = new ViewWatchers(this.#controlMachine, context.log);
     this.#credentials = createCredentials(settings.tls, context.isPartitioned);
     this.server = new RpcServer(this.#credentials);
     this.#entryLeases = new Leases<string>({
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -20,6 +20,7 @@
 import type { Folder } from "../../sys/files.ts";
 import type { Random } from "../../sys/random.ts";
 import { getReason, ServingError } from "../../sys/errors.ts";
+import { getErrorFields, logRejection } from "../../sys/unexpected_errors.ts";
 import { SuspensionDetector } from "../../sys/suspension_detector.ts";
 import type { Log } from "../../sys/log.ts";
 import { MetricName, type Metrics } from "../../sys/metrics.ts";
@@ -272,11 +273,13 @@
     // A host that lost its disk comes back under a new id at its old address.
     // Messages for the old id still arrive there while it is a member.
     if (message.to !== this.#options.id) return;
-    this.#checkSuspension();
-    core.receive(message, this.#options.clock.getMonotonicMs());
-    if (message.body.case === "snapshotRequest") {
-      this.#receiveSnapshot(core, message, message.body.value);
-    }
+    this.#failOnError(() => {
+      this.#checkSuspension();
+      core.receive(message, this.#options.clock.getMonotonicMs());
+      if (message.body.case === "snapshotRequest") {
+        this.#receiveSnapshot(core, message, message.body.value);
+      }
+    });
     this.#wake();
   }
 
@@ -290,7 +293,9 @@
     const { clock } = this.#options;
     const proposed = this.#stopped
       ? undefined
-      : this.#core?.tryPropose(command, clock.getWallMs());
+      : this.#failOnError(() =>
+        this.#core?.tryPropose(command, clock.getWallMs())
+      );
     if (proposed === undefined) return Promise.reject(this.#createNotLeader());
     this.#options.metrics.count(MetricName.proposals);
     this.#wake();
@@ -395,19 +400,46 @@
   }
 
   #tick(): void {
-    this.#checkSuspension();
-    this.#core?.tick(this.#options.clock.getMonotonicMs());
-    this.#hasCaughtUp ||= this.isCaughtUp();
+    this.#failOnError(() => {
+      this.#checkSuspension();
+      this.#core?.tick(this.#options.clock.getMonotonicMs());
+      this.#hasCaughtUp ||= this.isCaughtUp();
+    });
     this.#wake();
   }
 
+  /**
+   * Runs a change of the core on behalf of a timer or a connection, which have no
+   * caller to fail: after an error in between, the replica must not go on.
+   */
+  #failOnError<T>(change: () => T): T | undefined {
+    try {
+      return change();
+    } catch (error) {
+      this.#fail(error);
+      return undefined;
+    }
+  }
+
+  /** An error of a listener, which only reads, does not concern the replica. */
+  #notifyApplied(): void {
+    try {
+      this.#options.onApplied?.();
+    } catch (error) {
+      this.#options.log.error("task_failed", {
+        task: "applied entries",
+        ...getErrorFields(error),
+      });
+    }
+  }
+
   #fail(error: unknown): void {
     if (this.#stopped) return;
     this.#options.log.error("replica_failed", {
       group: this.#options.group,
       reason: getReason(error),
     });
-    this.stop().catch(() => {});
+    logRejection(this.stop(), this.#options.log, "replica stop");
     this.#options.onFailure(error);
   }
 
@@ -470,7 +502,7 @@
       install.round,
       this.#options.clock.getMonotonicMs(),
     );
-    this.#options.onApplied?.();
+    this.#notifyApplied();
     this.#wake();
   }
 
@@ -516,7 +548,7 @@
   #applyAll(entries: readonly LogEntry[]): void {
     if (entries.length === 0) return;
     entries.forEach((entry) => this.#apply(entry));
-    this.#options.onApplied?.();
+    this.#notifyApplied();
     this.#startSnapshotIfDue();
   }
 
--- a/src/sys/datagrams.ts
+++ b/src/sys/datagrams.ts
@@ -7,6 +7,7 @@
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
 import { parseAddress, tryParseTarget } from "./http.ts";
+import { isolate } from "./isolation.ts";
 
 /** Handles a datagram; `from` is the address of its sender. */
 export type DatagramHandler = (bytes: Uint8Array, from: string) => void;
@@ -26,9 +27,10 @@
 ): Promise<DatagramSocket> {
   const { host, port } = parseAddress(address);
   const socket = createSocket("udp4");
+  const receive = isolate(handler);
   socket.on(
     "message",
-    (bytes, from) => handler(bytes, `${from.address}:${from.port}`),
+    (bytes, from) => receive(bytes, `${from.address}:${from.port}`),
   );
   return new Promise((resolve, reject) => {
     socket.once("error", (error) =>
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import { isolate } from "./isolation.ts";
 
 export type {
   IncomingHttpHeaders,
@@ -73,6 +74,7 @@
   options: ListenOptions = {},
 ): Promise<HttpListener> {
   const { getBounds } = options;
+  const serve = isolate(handler, (_, res) => abortResponse(res));
   const server = http.createServer({
     maxHeaderSize: options.maxHeaderBytes,
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
@@ -82,7 +84,9 @@
     // caller how long its connection is kept open.
     const idleMs = getBounds?.()?.idleTimeoutMs ?? 0;
     if (idleMs > 0) server.keepAliveTimeout = idleMs;
-    handler(req, res);
+    // Without a listener, a failed write would be an error of the process.
+    res.on("error", () => res.destroy());
+    serve(req, res);
   });
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
     const response = error.code === "HPE_HEADER_OVERFLOW"
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -36,6 +36,7 @@
   streamsTakenUp: "streams_taken_up",
   limitedSends: "limited_sends",
   relayedRequests: "relayed_requests",
+  unexpectedErrors: "unexpected_errors",
 } as const;
 
 /** Name of a metric. */
--- a/src/sys/rpc_client.ts
+++ b/src/sys/rpc_client.ts
@@ -11,6 +11,7 @@
 } from "@bufbuild/protobuf";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { ServingError } from "./errors.ts";
+import { isolate } from "./isolation.ts";
 import {
   CHANNEL_OPTIONS,
   CODE_METADATA_KEY,
@@ -118,8 +119,9 @@
       create(method.input, req),
       new grpc.Metadata(),
     );
+    const receive = isolate(handlers.message);
     call.on("data", (message) => {
-      if (!this.#isPartitioned()) handlers.message(message);
+      if (!this.#isPartitioned()) receive(message);
     });
     call.on(
       "error",
--- a/src/sys/rpc_server.ts
+++ b/src/sys/rpc_server.ts
@@ -13,6 +13,7 @@
 } from "@bufbuild/protobuf";
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import { isolate } from "./isolation.ts";
 import {
   CHANNEL_OPTIONS,
   CODE_METADATA_KEY,
@@ -143,7 +144,7 @@
       callback: grpc.sendUnaryData<unknown>,
     ) => {
       const run = handler as (on: (on: (m: unknown) => void) => void) => void;
-      run((on) => call.on("data", on));
+      run((on) => call.on("data", isolate(on)));
       call.on("end", () => callback(null, create(method.output)));
       call.on("error", () => {});
     }) as grpc.UntypedHandleCall;
@@ -174,8 +175,9 @@
     ) => Promise<MessageInitShape<DescMessage>>;
     Promise.resolve()
       .then(() => run(call.request, { identity: getIdentity(call) }))
+      .then((reply) => create(method.output, reply))
       .then(
-        (reply) => callback(null, create(method.output, reply)),
+        (reply) => callback(null, reply),
         (error) => callback(toStatus(error)),
       );
   }) as grpc.UntypedHandleCall;
--- a/src/test/replica_address_test.ts
+++ b/src/test/replica_address_test.ts
@@ -6,32 +6,14 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { ReplicaMessageSchema } from "../schema/mod.ts";
-import {
-  createMembership,
-  Replica,
-  ReplicaTransport,
-  StateMachine,
-} from "../state/mod.ts";
+import { createMembership, Replica } from "../state/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { SeededRandom } from "../sys/random.ts";
+import { EmptyStateMachine, NullTransport } from "./empty_replica.ts";
 import { MemoryFolder } from "./memory_folder.ts";
 
-class EmptyStateMachine extends StateMachine {
-  override apply(): Uint8Array {
-    return new Uint8Array();
-  }
-
-  override *capture(): Iterable<Uint8Array> {}
-
-  override restore(): void {}
-}
-
-class NullTransport extends ReplicaTransport {
-  override send(): void {}
-}
-
 function yieldToEventLoop(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
