A start waits for its ports, and opens its data folder after them

What callers saw: a process that was started while the one before still ended, or before its host had its address, ended at once with 4 ("cannot listen on ...: EADDRINUSE"), also if only the port of its metrics was held. By then a control host or store host had opened the data folder beside the process that still wrote to it: it had made or read the replica's id, and a control host had read the log's folder.

Cause: each failure to listen was final, and the folder was opened before the port.

All listeners use it: peer, UDP, HTTP, readiness, and those of the entry and state daemons. The data folder is opened after the peer port, and the last view is written before the port is given up, so the port is the lock of the folder. An error of a server that listens already is reported and no longer without a listener.

Why it works: what holds the port ends or appears by itself; a port belongs to one process at a time, until its last write.

--- a/src/daemons/state_main.ts
+++ b/src/daemons/state_main.ts
@@ -3,6 +3,7 @@
 import "./early_signals.ts";
 import { StateSettingsSchema } from "../schema/mod.ts";
 import { type HttpListener, listenHttp } from "../sys/http.ts";
+import { openPort } from "../sys/listening.ts";
 import { addStateOperators, StateHost } from "../services/mod.ts";
 import { runDaemon } from "./daemon.ts";
 
@@ -17,13 +18,14 @@
       start: async () => {
         addStateOperators(host, settings, context);
         await host.listen();
-        healthListener = await listenHttp(
-          settings.healthListen ?? "",
-          (req, res) => {
-            const isReadinessProbe = req.url === "/readyz";
-            res.statusCode = isReadinessProbe && !host.isReady ? 503 : 200;
-            res.end();
-          },
+        healthListener = await openPort(
+          () =>
+            listenHttp(settings.healthListen ?? "", (req, res) => {
+              const isReadinessProbe = req.url === "/readyz";
+              res.statusCode = isReadinessProbe && !host.isReady ? 503 : 200;
+              res.end();
+            }),
+          context,
         );
         await host.start();
         return { listen: host.address, health_listen: healthListener.address };
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -110,10 +110,13 @@
 
   async start(): Promise<void> {
     const { server } = this.#process;
+    // The port keeps others from the data folder, so it is opened first.
+    await this.#process.listen();
     const folder = await this.#process.openFolder();
     const { id, members } = await this.#openIdentity(folder);
     await this.#openLastView(folder);
     this.#member = await this.#createMember(folder, id, members);
+    // Followers ask again until there is a view to follow.
     server.addService(Fleet, {
       follow: (req, stream) => this.#registrationHub.serve(req, stream),
       report: (report) => {
@@ -121,7 +124,6 @@
         return Promise.resolve({});
       },
     });
-    await this.#process.listen();
     await this.#member.start();
     this.#registrationHub.start();
     this.#storeFormationTimer = this.#context.clock.startInterval(
@@ -148,6 +150,7 @@
     this.#storeFormationTimer?.cancel();
     await this.#member?.stop();
     this.#registrationHub.close();
+    await this.#lastViewWriter?.close();
     this.#fleetClient.close();
     this.#process.server.close();
   }
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -22,6 +22,7 @@
   removeRawHopByHopHeaders,
   type ServerResponse,
 } from "../sys/http.ts";
+import { openPort } from "../sys/listening.ts";
 import { MetricName } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
 import { logRejection } from "../sys/unexpected_errors.ts";
@@ -175,23 +176,27 @@
 
   async start(): Promise<void> {
     await this.#backends.start();
-    this.#readyListener = await listenHttp(
+    this.#readyListener = await this.#listen(
       this.#settings.readyListen ?? "",
       (_, res) => {
         res.writeHead(this.isReady ? 200 : 503).end();
       },
     );
-    this.#relayListener = await listenHttp(
+    this.#relayListener = await this.#listen(
       getBindAddress(this.#settings),
       (req, res) => this.#serve(req, res, { isRelayed: true }),
     );
-    this.#listener = await listenHttp(
+    this.#listener = await this.#listen(
       this.#settings.listen ?? "",
       (req, res) => this.#serve(req, res, { isRelayed: false }),
       { getBounds: () => this.#backends.view.routes?.table.bounds },
     );
   }
 
+  #listen(...listening: Parameters<typeof listenHttp>): Promise<HttpListener> {
+    return openPort(() => listenHttp(...listening), this.#context);
+  }
+
   /** Replaces the initial addresses of control hosts. */
   setSeeds(seeds: readonly string[]): void {
     this.#backends.follower.setSeeds(seeds);
--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -41,7 +41,9 @@
     getView: () => FleetUpdate;
   };
   #isDirty = false;
-  #isWriting = false;
+  #isClosed = false;
+  /** Resolves when no write is in progress. */
+  #written: Promise<void> | undefined;
 
   constructor(
     options: {
@@ -56,13 +58,19 @@
 
   /** Schedules a write of the current view. */
   scheduleWrite(): void {
+    if (this.#isClosed) return;
     this.#isDirty = true;
-    if (this.#isWriting) return;
-    this.#isWriting = true;
-    const written = this.#writeWhileDirty().finally(() => {
-      this.#isWriting = false;
+    if (this.#written !== undefined) return;
+    this.#written = this.#writeWhileDirty().finally(() => {
+      this.#written = undefined;
     });
-    logRejection(written, this.#options.log, "write of the last view");
+    logRejection(this.#written, this.#options.log, "write of the last view");
+  }
+
+  /** Writes what is left; the file is not touched once this has resolved. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    await this.#written;
   }
 
   async #writeWhileDirty(): Promise<void> {
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -23,6 +23,7 @@
 import type { Clock, Timer } from "../sys/clock.ts";
 import { type DatagramSocket, openDatagramSocket } from "../sys/datagrams.ts";
 import { getReason } from "../sys/errors.ts";
+import { openPort } from "../sys/listening.ts";
 import type { Log } from "../sys/log.ts";
 import { getPlacementHash } from "../sys/random.ts";
 
@@ -108,13 +109,17 @@
   }
 
   async start(): Promise<void> {
-    const { clock, bindAddress } = this.#options;
+    const { clock, log, bindAddress } = this.#options;
     // Starting from the wall clock makes the sequence numbers greater than those
     // that this process used before a restart.
     this.#sequence = BigInt(Math.floor(clock.getWallMs()));
-    this.#socket = await openDatagramSocket(
-      bindAddress,
-      (bytes, from) => this.#receive(bytes, from),
+    this.#socket = await openPort(
+      () =>
+        openDatagramSocket(
+          bindAddress,
+          (bytes, from) => this.#receive(bytes, from),
+        ),
+      { clock, log },
     );
     this.#reportTimer = clock.startInterval(
       REPORT_INTERVAL_MS,
--- a/src/fleet/state_process.ts
+++ b/src/fleet/state_process.ts
@@ -18,6 +18,7 @@
 import { StateClient } from "../services/common/state_client.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
 import { DiskFolder, type Folder } from "../sys/files.ts";
+import { openPort } from "../sys/listening.ts";
 import {
   createCredentials,
   type RpcCredentials,
@@ -59,7 +60,10 @@
 
   /** Starts to listen for other processes. */
   listen(): Promise<unknown> {
-    return this.server.listen(getBindAddress(this.settings));
+    return openPort(
+      () => this.server.listen(getBindAddress(this.settings)),
+      this.context,
+    );
   }
 
   async openFolder(): Promise<Folder> {
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -160,12 +160,6 @@
 
   async start(): Promise<void> {
     const { address, server } = this.#process;
-    const folder = await this.#process.openFolder();
-    const id = await openReplicaId(folder, {
-      founderId: undefined,
-      address,
-      random: this.#context.random,
-    });
     server.addService(Jobs, {
       readResults: (req) => this.#readResults(req),
       readBody: (req) => Promise.resolve(this.#readBody(req)),
@@ -187,7 +181,14 @@
     server.addService(RateLimits, {
       acquire: (req) => Promise.resolve(rateLimits.acquire(req)),
     });
+    // The port keeps others from the data folder, so it is opened first.
     await this.#process.listen();
+    const folder = await this.#process.openFolder();
+    const id = await openReplicaId(folder, {
+      founderId: undefined,
+      address,
+      random: this.#context.random,
+    });
     await this.#backends.start();
     this.#itemRunner.start();
     this.#membershipTimer = this.#context.clock.startInterval(
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -19,6 +19,7 @@
 import { getReason, ServingError } from "../../sys/errors.ts";
 import { DiskFolder, type Folder } from "../../sys/files.ts";
 import { type HttpListener, listenHttp } from "../../sys/http.ts";
+import { openPort } from "../../sys/listening.ts";
 import {
   createCredentials,
   type RpcCredentials,
@@ -236,17 +237,22 @@
   async start(): Promise<void> {
     const { clock, log } = this.#context;
     this.#addServices();
-    this.peerAddress = await this.#rpcServer.listen(
-      this.#settings.peerListen ?? "",
+    this.peerAddress = await openPort(
+      () => this.#rpcServer.listen(this.#settings.peerListen ?? ""),
+      { clock, log },
     );
     const headerBytes = this.#settings.limits?.headerBytes ?? 0;
-    this.#listener = await listenHttp(
-      this.#settings.listen ?? "",
-      (req, res) => this.#http.serve(req, res),
-      {
-        maxHeaderBytes: headerBytes,
-        headersTooLargeResponse: createRawHeaderProblem(headerBytes),
-      },
+    this.#listener = await openPort(
+      () =>
+        listenHttp(
+          this.#settings.listen ?? "",
+          (req, res) => this.#http.serve(req, res),
+          {
+            maxHeaderBytes: headerBytes,
+            headersTooLargeResponse: createRawHeaderProblem(headerBytes),
+          },
+        ),
+      { clock, log },
     );
     this.address = this.#listener.address;
     this.#follower = new ViewFollower({
--- a/src/services/hosts/state_host.ts
+++ b/src/services/hosts/state_host.ts
@@ -24,6 +24,7 @@
 } from "../../state/mod.ts";
 import { asServingError, getReason, ServingError } from "../../sys/errors.ts";
 import { DiskFolder, type Folder } from "../../sys/files.ts";
+import { openPort } from "../../sys/listening.ts";
 import { MetricName } from "../../sys/metrics.ts";
 import {
   createCredentials,
@@ -125,7 +126,7 @@
   async listen(): Promise<string> {
     this.server.addService(Replicas, {
       introduce: async (introduction) => ({
-        accepted: await this.#identity?.accept(introduction) ?? false,
+        accepted: await this.#getIdentity().accept(introduction),
       }),
       exchange: (onMessage) =>
         onMessage((batch) =>
@@ -141,12 +142,16 @@
       renew: (req) => Promise.resolve(this.#renew(req)),
       watch: (req, stream) => this.#watchers.serve(req, stream),
     });
+    // The port keeps others from the data folder, so it is opened first.
+    this.address = await openPort(
+      () => this.server.listen(this.#settings.listen ?? ""),
+      this.#context,
+    );
     const root = await this.#openDataFolder();
     this.#identity = await IdentityRecord.open(root, {
       id: this.#settings.id,
       random: this.#context.random,
     });
-    this.address = await this.server.listen(this.#settings.listen ?? "");
     this.#configuredAddresses.set(this.#settings.id, this.address);
     return this.address;
   }
@@ -269,6 +274,12 @@
     };
   }
 
+  /** Throws until the identity is read; the caller then asks again. */
+  #getIdentity(): IdentityRecord {
+    if (this.#identity === undefined) throw new Error("the host still starts");
+    return this.#identity;
+  }
+
   async #openDataFolder(): Promise<Folder> {
     const path = this.#settings.dataFolder;
     try {
--- a/src/sys/datagrams.ts
+++ b/src/sys/datagrams.ts
@@ -33,12 +33,14 @@
     (bytes, from) => receive(bytes, `${from.address}:${from.port}`),
   );
   return new Promise((resolve, reject) => {
-    socket.once("error", (error) =>
+    socket.once("error", (error) => {
+      socket.close();
       reject(
         new ServingError(MessageCode.PORT_BUSY, {
           parameters: { address, reason: getReason(error) },
         }),
-      ));
+      );
+    });
     socket.bind(port, host, () => {
       // Later errors concern destinations that are down, not this socket.
       socket.removeAllListeners("error").on("error", () => {});
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -97,19 +97,38 @@
   });
   const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
-    server.once("error", (error) =>
+    const refuse = (error: unknown) =>
       reject(
         new ServingError(MessageCode.PORT_BUSY, {
           parameters: { address, reason: getReason(error) },
         }),
-      ));
-    server.listen(port, host, () => {
+      );
+    server.on("error", refuse);
+    listenOrRefuse(() => server.listen(port, host), refuse);
+    server.on("listening", () => {
+      // A later error, such as a connection that cannot be accepted for lack of
+      // descriptors, concerns that connection; it is reported at process level.
+      server.off("error", refuse).on("error", (error) => {
+        Promise.reject(error);
+      });
       const actualPort = (server.address() as AddressInfo).port;
       resolve(createListener(server, `${host}:${actualPort}`));
     });
   });
 }
 
+/** Node.js throws for a port out of range. */
+function listenOrRefuse(
+  listen: () => void,
+  refuse: (error: unknown) => void,
+): void {
+  try {
+    listen();
+  } catch (error) {
+    refuse(error);
+  }
+}
+
 const IDLE_CLOSE_INTERVAL_MS = 50;
 
 function createListener(server: http.Server, address: string): HttpListener {
--- a/src/sys/rpc_server.ts
+++ b/src/sys/rpc_server.ts
@@ -77,8 +77,12 @@
 
 /** A gRPC server on one address. */
 export class RpcServer {
-  readonly #server = new grpc.Server(CHANNEL_OPTIONS);
   readonly #credentials: RpcCredentials;
+  readonly #services: {
+    definitions: grpc.ServiceDefinition;
+    implementations: grpc.UntypedServiceImplementation;
+  }[] = [];
+  #server = new grpc.Server(CHANNEL_OPTIONS);
 
   constructor(credentials: RpcCredentials) {
     this.#credentials = credentials;
@@ -100,10 +104,12 @@
     const implementations = bindings.map((
       { name, handler },
     ) => [name, handler]);
-    this.#server.addService(
-      Object.fromEntries(definitions),
-      Object.fromEntries(implementations),
-    );
+    const added = {
+      definitions: Object.fromEntries(definitions),
+      implementations: Object.fromEntries(implementations),
+    };
+    this.#services.push(added);
+    this.#server.addService(added.definitions, added.implementations);
   }
 
   /** Listens on `address` and returns the address with the actual port. */
@@ -118,6 +124,7 @@
             resolve(`${host}:${port}`);
             return;
           }
+          this.#replaceServer();
           reject(
             new ServingError(MessageCode.PORT_BUSY, {
               parameters: { address, reason: error.message },
@@ -128,6 +135,15 @@
     });
   }
 
+  /** The library's server fails for good on an address that it failed on once. */
+  #replaceServer(): void {
+    this.#server.forceShutdown();
+    this.#server = new grpc.Server(CHANNEL_OPTIONS);
+    this.#services.forEach(({ definitions, implementations }) =>
+      this.#server.addService(definitions, implementations)
+    );
+  }
+
   /** Stops at once, cancelling open calls. */
   close(): void {
     this.#server.forceShutdown();
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -351,7 +351,10 @@
     });
     const host = new ControlHost(settings, this.#createContext(id));
     this.controls[index] = host;
-    const front = new ControlHttpServer(host, this.log);
+    const front = new ControlHttpServer(host, {
+      log: this.log,
+      clock: new SystemClock(),
+    });
     this.#controlFronts.push(front);
     this.controlAddresses[index] = `127.0.0.1:${frontPort}`;
     await host.start();
