--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -22,8 +22,10 @@
   removeRawHopByHopHeaders,
   type ServerResponse,
 } from "../sys/http.ts";
+import { openPort } from "../sys/listening.ts";
 import { MetricName } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { CrashDetector } from "./crash_detector.ts";
@@ -190,23 +192,27 @@
 
   async start(): Promise<void> {
     await this.#backends.start();
-    this.#readyListener = await listenHttp(
+    this.#readyListener = await this.#listen(
       this.#settings.readyListen ?? "",
       (_, res) => {
         res.writeHead(this.isReady ? 200 : 503).end();
       },
     );
-    this.#relayListener = await listenHttp(
+    this.#relayListener = await this.#listen(
       getBindAddress(this.#settings),
       (req, res) => this.#serve(req, res, { isRelayed: true }),
     );
-    this.#listener = await listenHttp(
+    this.#listener = await this.#listen(
       this.#settings.listen ?? "",
       (req, res) => this.#serve(req, res, { isRelayed: false }),
       { getBounds: () => this.#backends.view.routes?.table.bounds },
     );
   }
 
+  #listen(...listening: Parameters<typeof listenHttp>): Promise<HttpListener> {
+    return openPort(() => listenHttp(...listening), this.#context);
+  }
+
   /** Replaces the initial addresses of control hosts. */
   setSeeds(seeds: readonly string[]): void {
     this.#backends.follower.setSeeds(seeds);
@@ -279,11 +285,16 @@
     const response = new CallerResponse(res);
     if (this.#stopping) res.shouldKeepAlive = false;
     this.#openResponses.add(response);
-    this.#handle(req, response, origin)
+    const served = this.#handle(req, response, origin)
       .catch((thrown) => this.#sendError(req, response, asServingError(thrown)))
+      .catch((error) => {
+        response.abort();
+        throw error;
+      })
       .finally(() => {
         this.#openResponses.delete(response);
       });
+    logRejection(served, this.#context.log, "response to a caller");
   }
 
   #sendError(
--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -11,6 +11,7 @@
 import type { Folder } from "../sys/files.ts";
 import type { Log } from "../sys/log.ts";
 import { removeUnencodableParts } from "./update_parts.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 
 const FILE_NAME = "last-view";
 
@@ -56,7 +57,9 @@
     getView: () => FleetUpdate;
   };
   #isDirty = false;
-  #isWriting = false;
+  #isClosed = false;
+  /** Resolves when no write is in progress. */
+  #written: Promise<void> | undefined;
 
   constructor(
     options: {
@@ -71,12 +74,19 @@
 
   /** Schedules a write of the current view. */
   scheduleWrite(): void {
+    if (this.#isClosed) return;
     this.#isDirty = true;
-    if (this.#isWriting) return;
-    this.#isWriting = true;
-    this.#writeWhileDirty().finally(() => {
-      this.#isWriting = false;
+    if (this.#written !== undefined) return;
+    this.#written = this.#writeWhileDirty().finally(() => {
+      this.#written = undefined;
     });
+    logRejection(this.#written, this.#options.log, "write of the last view");
+  }
+
+  /** Writes what is left; the file is not touched once this has resolved. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    await this.#written;
   }
 
   async #writeWhileDirty(): Promise<void> {
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -34,6 +34,7 @@
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { RpcStream } from "../sys/rpc.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import { UPDATE_INTERVAL_MS } from "./fleet_follower.ts";
 import { createSuspicions } from "./routing_view.ts";
 import { removeUnencodableParts } from "./update_parts.ts";
@@ -293,10 +294,14 @@
     if (follower.isSending || follower.stream.closed) return;
     if (!isPeriodic && !this.#hasPendingUpdate(follower)) return;
     follower.isSending = true;
-    this.#send(follower, this.#takePendingUpdate(follower)).then(() => {
-      follower.isSending = false;
-      if (this.#hasPendingUpdate(follower)) this.#sendUpdate(follower, false);
-    });
+    const sent = this.#send(follower, this.#takePendingUpdate(follower))
+      .finally(() => {
+        follower.isSending = false;
+      })
+      .then(() => {
+        if (this.#hasPendingUpdate(follower)) this.#sendUpdate(follower, false);
+      });
+    logRejection(sent, this.#options.log, `update to ${follower.name}`);
   }
 
   /** Sends an update; parts that cannot be encoded don't keep back the others. */
--- a/src/sys/datagrams.ts
+++ b/src/sys/datagrams.ts
@@ -6,7 +6,8 @@
 import { createSocket, type Socket } from "node:dgram";
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
-import { parseAddress } from "./http.ts";
+import { parseAddress, tryParseTarget } from "./http.ts";
+import { isolate } from "./isolation.ts";
 
 /** Handles a datagram; `from` is the address of its sender. */
 export type DatagramHandler = (bytes: Uint8Array, from: string) => void;
@@ -26,17 +27,20 @@
 ): Promise<DatagramSocket> {
   const { host, port } = parseAddress(address);
   const socket = createSocket("udp4");
+  const receive = isolate(handler);
   socket.on(
     "message",
-    (bytes, from) => handler(bytes, `${from.address}:${from.port}`),
+    (bytes, from) => receive(bytes, `${from.address}:${from.port}`),
   );
   return new Promise((resolve, reject) => {
-    socket.once("error", (error) =>
+    socket.once("error", (error) => {
+      socket.close();
       reject(
         new ServingError(MessageCode.PORT_BUSY, {
           parameters: { address, reason: getReason(error) },
         }),
-      ));
+      );
+    });
     socket.bind(port, host, () => {
       // Later errors concern destinations that are down, not this socket.
       socket.removeAllListeners("error").on("error", () => {});
@@ -50,8 +54,8 @@
   return {
     address: `${host}:${socket.address().port}`,
     send: (bytes, to) => {
-      if (!isOpen) return;
-      const target = parseAddress(to);
+      const target = tryParseTarget(to);
+      if (!isOpen || target === undefined) return;
       socket.send(bytes, target.port, target.host, () => {});
     },
     close: () => {
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -8,6 +8,7 @@
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
 import { HttpAgent } from "./http_agent.ts";
+import { isolate } from "./isolation.ts";
 
 export type {
   IncomingHttpHeaders,
@@ -39,6 +40,22 @@
   };
 }
 
+const MAX_PORT = 65_535;
+
+/**
+ * Parses an address to connect to; undefined if it has no host or no port that
+ * a process can listen on. The runtime throws for some of these addresses and
+ * replaces others by port 80.
+ */
+export function tryParseTarget(
+  address: string,
+): { host: string; port: number } | undefined {
+  const { host, port } = parseAddress(address);
+  const isValid = host !== "" && Number.isInteger(port) && port > 0 &&
+    port <= MAX_PORT;
+  return isValid ? { host, port } : undefined;
+}
+
 /** Default time for which an idle connection is kept open. */
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000;
 
@@ -58,6 +75,7 @@
   options: ListenOptions = {},
 ): Promise<HttpListener> {
   const { getBounds } = options;
+  const serve = isolate(handler, (_, res) => abortResponse(res));
   const server = http.createServer({
     maxHeaderSize: options.maxHeaderBytes,
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
@@ -67,7 +85,9 @@
     // caller how long its connection is kept open.
     const idleMs = getBounds?.()?.idleTimeoutMs ?? 0;
     if (idleMs > 0) server.keepAliveTimeout = idleMs;
-    handler(req, res);
+    // Without a listener, a failed write would be an error of the process.
+    res.on("error", () => res.destroy());
+    serve(req, res);
   });
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
     const response = error.code === "HPE_HEADER_OVERFLOW"
@@ -78,19 +98,38 @@
   });
   const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
-    server.once("error", (error) =>
+    const refuse = (error: unknown) =>
       reject(
         new ServingError(MessageCode.PORT_BUSY, {
           parameters: { address, reason: getReason(error) },
         }),
-      ));
-    server.listen(port, host, () => {
+      );
+    server.on("error", refuse);
+    listenOrRefuse(() => server.listen(port, host), refuse);
+    server.on("listening", () => {
+      // A later error, such as a connection that cannot be accepted for lack of
+      // descriptors, concerns that connection; it is reported at process level.
+      server.off("error", refuse).on("error", (error) => {
+        Promise.reject(error);
+      });
       const actualPort = (server.address() as AddressInfo).port;
       resolve(createListener(server, `${host}:${actualPort}`));
     });
   });
 }
 
+/** Node.js throws for a port out of range. */
+function listenOrRefuse(
+  listen: () => void,
+  refuse: (error: unknown) => void,
+): void {
+  try {
+    listen();
+  } catch (error) {
+    refuse(error);
+  }
+}
+
 const IDLE_CLOSE_INTERVAL_MS = 50;
 
 function createListener(server: http.Server, address: string): HttpListener {
@@ -163,15 +202,22 @@
   readonly verdict: Verdict;
   /** Whether the connection failed, rather than timed out or was aborted. */
   readonly isConnectionLost: boolean;
+  /** Whether the request itself cannot be sent, to any server. */
+  readonly isInvalidRequest: boolean;
 
   constructor(
     reason: string,
-    options: { verdict: Verdict; isConnectionLost: boolean },
+    options: {
+      verdict: Verdict;
+      isConnectionLost: boolean;
+      isInvalidRequest?: boolean;
+    },
   ) {
     super(reason);
     this.name = "HttpSendError";
     this.verdict = options.verdict;
     this.isConnectionLost = options.isConnectionLost;
+    this.isInvalidRequest = options.isInvalidRequest ?? false;
   }
 }
 
@@ -196,17 +242,18 @@
   });
 }
 
-/** Sends a request and resolves with the status and headers of the response. */
-export function sendHttp(request: HttpRequest): Promise<HttpResponse> {
-  if (request.isPartitioned === true) return failAsUnreachable(request);
-  const { host, port } = parseAddress(request.address);
-  return new Promise((resolve, reject) => {
-    let isConnected = false;
-    let hasTimedOut = false;
-    let hasFailedInBody = false;
-    const req = http.request({
-      host,
-      port,
+/** Creates a request; fails with NOT_RUN if it cannot be sent as it is. */
+function createRequest(request: HttpRequest): http.ClientRequest {
+  const target = tryParseTarget(request.address);
+  if (target === undefined) {
+    throw new HttpSendError(
+      `"${request.address}" is not an address of the form host:port`,
+      { verdict: Verdict.NOT_RUN, isConnectionLost: true },
+    );
+  }
+  try {
+    return http.request({
+      ...target,
       method: request.method,
       path: request.path,
       headers: request.headers as http.OutgoingHttpHeaders,
@@ -215,6 +262,27 @@
         : request.agent ?? sharedAgent,
       signal: request.signal,
     });
+  } catch (error) {
+    // The runtime rejects characters of the method, the path and the headers.
+    throw new HttpSendError(getReason(error), {
+      verdict: Verdict.NOT_RUN,
+      isConnectionLost: false,
+      isInvalidRequest: true,
+    });
+  }
+}
+
+/**
+ * Sends a request and resolves with the status and headers of the response.
+ * Each failure is an {@linkcode HttpSendError}.
+ */
+export function sendHttp(request: HttpRequest): Promise<HttpResponse> {
+  if (request.isPartitioned === true) return failAsUnreachable(request);
+  return new Promise((resolve, reject) => {
+    let isConnected = false;
+    let hasTimedOut = false;
+    let hasFailedInBody = false;
+    const req = createRequest(request);
     const failWithTimeout = () => {
       hasTimedOut = true;
       req.destroy(new Error("no answer in time"));
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -37,6 +37,7 @@
   limitedSends: "limited_sends",
   relayedRequests: "relayed_requests",
   updatesNotSent: "updates_not_sent",
+  unexpectedErrors: "unexpected_errors",
 } as const;
 
 /** Name of a metric. */
--- a/src/sys/rpc_server.ts
+++ b/src/sys/rpc_server.ts
@@ -14,6 +14,7 @@
 } from "@bufbuild/protobuf";
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import { isolate } from "./isolation.ts";
 import {
   CHANNEL_OPTIONS,
   CODE_METADATA_KEY,
@@ -80,8 +81,12 @@
 
 /** A gRPC server on one address. */
 export class RpcServer {
-  readonly #server = new grpc.Server(CHANNEL_OPTIONS);
   readonly #credentials: RpcCredentials;
+  readonly #services: {
+    definitions: grpc.ServiceDefinition;
+    implementations: grpc.UntypedServiceImplementation;
+  }[] = [];
+  #server = new grpc.Server(CHANNEL_OPTIONS);
 
   constructor(credentials: RpcCredentials) {
     this.#credentials = credentials;
@@ -103,10 +108,12 @@
     const implementations = bindings.map((
       { name, handler },
     ) => [name, handler]);
-    this.#server.addService(
-      Object.fromEntries(definitions),
-      Object.fromEntries(implementations),
-    );
+    const added = {
+      definitions: Object.fromEntries(definitions),
+      implementations: Object.fromEntries(implementations),
+    };
+    this.#services.push(added);
+    this.#server.addService(added.definitions, added.implementations);
   }
 
   /** Listens on `address` and returns the address with the actual port. */
@@ -121,6 +128,7 @@
             resolve(`${host}:${port}`);
             return;
           }
+          this.#replaceServer();
           reject(
             new ServingError(MessageCode.PORT_BUSY, {
               parameters: { address, reason: error.message },
@@ -131,6 +139,15 @@
     });
   }
 
+  /** The library's server fails for good on an address that it failed on once. */
+  #replaceServer(): void {
+    this.#server.forceShutdown();
+    this.#server = new grpc.Server(CHANNEL_OPTIONS);
+    this.#services.forEach(({ definitions, implementations }) =>
+      this.#server.addService(definitions, implementations)
+    );
+  }
+
   /** Stops at once, cancelling open calls. */
   close(): void {
     this.#server.forceShutdown();
@@ -147,7 +164,7 @@
       callback: grpc.sendUnaryData<unknown>,
     ) => {
       const run = handler as (on: (on: (m: unknown) => void) => void) => void;
-      run((on) => call.on("data", on));
+      run((on) => call.on("data", isolate(on)));
       call.on("end", () => callback(null, create(method.output)));
       call.on("error", () => {});
     }) as grpc.UntypedHandleCall;
@@ -178,8 +195,9 @@
     ) => Promise<MessageInitShape<DescMessage>>;
     Promise.resolve()
       .then(() => run(call.request, { identity: getIdentity(call) }))
+      .then((reply) => create(method.output, reply))
       .then(
-        (reply) => callback(null, create(method.output, reply)),
+        (reply) => callback(null, reply),
         (error) => callback(toStatus(error)),
       );
   }) as grpc.UntypedHandleCall;
--- a/src/test/deregistrations_test.ts
+++ b/src/test/deregistrations_test.ts
@@ -70,7 +70,10 @@
       register: (registration: Parameters<typeof hub.accept>[0]) =>
         hub.accept(registration),
     };
-    const front = new ControlHttpServer(host as ControlHost, log);
+    const front = new ControlHttpServer(host as ControlHost, {
+      log,
+      clock: this.#clock,
+    });
     const [port] = await findFreePorts(1);
     const address = `127.0.0.1:${port}`;
     await front.listen(address);
--- a/src/test/odd_registrations_test.ts
+++ b/src/test/odd_registrations_test.ts
@@ -118,6 +118,7 @@
   server.addService(Fleet, {
     follow: (req, stream) => hub.serve(req, stream),
     report: () => Promise.resolve({}),
+    findSoftwareVersions: () => Promise.resolve({}),
   });
   const address = await server.listen("127.0.0.1:0");
   const client = new RpcClient(address, credentials);
--- a/src/test/only_version_test.ts
+++ b/src/test/only_version_test.ts
@@ -17,6 +17,7 @@
 } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
+import { Metrics } from "../sys/metrics.ts";
 import { range } from "./fleet_helpers.ts";
 
 /** Longest duration of a stream, in milliseconds. */
@@ -85,6 +86,7 @@
         registrationIntervalMs: HEARTBEAT_MS,
         clock,
         log: createSilentLog(),
+        metrics: new Metrics({ prefix: "test" }),
       }),
     );
   }
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -377,7 +377,10 @@
     });
     this.#hostNames.set(`127.0.0.1:${port}`, id);
     this.controls[index] = host;
-    const front = new ControlHttpServer(host, this.log);
+    const front = new ControlHttpServer(host, {
+      log: this.log,
+      clock: new SystemClock(),
+    });
     this.#controlFronts.push(front);
     this.controlAddresses[index] = `127.0.0.1:${frontPort}`;
     await host.start();
--- a/src/test/registration_hub_test.ts
+++ b/src/test/registration_hub_test.ts
@@ -12,6 +12,7 @@
 } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
+import { Metrics } from "../sys/metrics.ts";
 
 function createRegistration(id: string, sequence: number) {
   return create(RegistrationSchema, {
@@ -37,6 +38,7 @@
       registrationIntervalMs: 1_000,
       clock,
       log: createSilentLog(),
+      metrics: new Metrics({ prefix: "test" }),
     });
     /** Returns the first update that a new follower gets. */
     const follow = (): FleetUpdate => {
--- a/src/test/value_ranges_test.ts
+++ b/src/test/value_ranges_test.ts
@@ -448,8 +448,10 @@
   it("are waits that a server asks for, as far as callers can use them", async () => {
     const values = ["1e300", "-5", "soon", "0.25", "9".repeat(400), ""];
     const server = http.createServer((req, res) => {
+      const id = req.headers["x-request-id"];
       res.writeHead(503, {
-        "Retry-After": values[Number(req.headers["x-request-id"])] ?? "",
+        "X-Request-Id": id,
+        "Retry-After": values[Number(id)] ?? "",
         "X-Not-Run": "full",
       }).end();
     });
