--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -69,6 +69,11 @@
 
 const MS_PER_S = 1_000;
 
+/** Longest wait of a server that is passed on to callers, in milliseconds. */
+const MAX_RETRY_AFTER_MS = 3_600_000;
+
+const DECIMAL_PATTERN = /^\d+(\.\d*)?$/;
+
 /** Sends requests to backend servers. */
 export class BackendClient {
   readonly #dialect: BackendDialect;
@@ -120,7 +125,9 @@
         path: request.target,
         headers: this.#createHeaders(options),
         body: request.body,
-        usesNewConnection: options.useNewConnection,
+        // A response to a request without an id can't be told from others that
+        // are late on the same connection.
+        usesNewConnection: options.useNewConnection || request.requestId === "",
         agent: this.#agent,
         signal: options.signal,
         onConnect: () => this.#reachability?.recordConnected(),
@@ -158,11 +165,17 @@
       response.status,
       response.headers,
     );
+    // A response that names no request may be bytes that a faulty server sent in
+    // addition to an earlier one, so neither what it says of the request nor what
+    // it says of the server counts.
+    if (meta.requestId === "" && request.requestId !== "") {
+      response.body.destroy();
+      return { kind: "lost", reason: "the answer names no request" };
+    }
     // Also if the response is for another request or its body never ends: what
     // the server says of itself holds for all that follow.
     if (meta.isLeaving) this.#onLeaving(permit.server);
-    const isMismatched = meta.requestId !== "" &&
-      meta.requestId !== request.requestId;
+    const isMismatched = meta.requestId !== request.requestId;
     // Only the response to this request says that the server has no limit now.
     const isLimitKnown = !isMismatched || meta.limitPerS !== undefined;
     if (isLimitKnown && !meta.isWrongServer) {
@@ -180,6 +193,20 @@
     }
     if (meta.load !== undefined) this.#onLoad(permit.server.id, meta.load);
     if (meta.isWrongServer) this.#onWrongServer(permit.server.id);
+    if (meta.isUnprovenSuccess) {
+      response.body.destroy();
+      return {
+        kind: "lost",
+        reason: `the server answered ${response.status} without its proof`,
+      };
+    }
+    if (meta.isUnprovenRefusal) {
+      discardBody(response.body);
+      return {
+        kind: "lost",
+        reason: `the server answered ${response.status} and may have run it`,
+      };
+    }
     if (!meta.isNotRun) {
       const chunks = readChunks(response.body, () => this.#onActivity(id));
       return { kind: "response", response: { ...response, chunks } };
@@ -195,6 +222,11 @@
   #classifyError(error: unknown, options: AttemptOptions): AttemptResult {
     if (options.signal.aborted) return { kind: "aborted" };
     const reason = getReason(error);
+    if (error instanceof HttpSendError && error.isInvalidRequest) {
+      // No fault of the server, and not "notRun": that would be sent again until
+      // it runs.
+      return { kind: "lost", reason };
+    }
     this.#onUnreachable(options.permit.server.id);
     const isNotRun = error instanceof HttpSendError &&
       error.verdict === Verdict.NOT_RUN;
@@ -218,8 +250,7 @@
 }
 
 function readRetryAfter(value: string | undefined): number | undefined {
-  const seconds = Number(value);
-  return value === undefined || !Number.isFinite(seconds)
-    ? undefined
-    : seconds * MS_PER_S;
+  return value !== undefined && DECIMAL_PATTERN.test(value.trim())
+    ? Math.min(MAX_RETRY_AFTER_MS, Number(value) * MS_PER_S)
+    : undefined;
 }
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -17,7 +17,6 @@
   FleetUpdateSchema,
   HostRole,
   type Membership,
-  MembershipSchema,
   MessageCode,
   type Registration,
   type RouteTable,
@@ -26,22 +25,20 @@
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import type { StateClient } from "../services/common/state_client.ts";
+import { createUnsettledRefusalError } from "../services/common/state_errors.ts";
 import { FleetMachine } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
 import { FLEET_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
-import {
-  createInitialMembership,
-  getFounderId,
-  hasReplicaId,
-  openReplicaId,
-  tryReadInitialMembership,
-  writeInitialMembership,
-} from "./host_identity.ts";
+import { openFounderIdentity } from "./host_identity.ts";
 import { LastViewWriter, tryReadLastView } from "./last_view.ts";
-import { type FleetState, RegistrationHub } from "./registration_hub.ts";
+import {
+  type FleetState,
+  RegistrationHub,
+  type RegistrationHubOptions,
+} from "./registration_hub.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
 /**
@@ -59,6 +56,9 @@
  */
 const STORE_REGISTRATION_WINDOW_MS = 1_000;
 
+/** Options of a {@linkcode ControlHost}. */
+export type ControlHostOptions = Pick<RegistrationHubOptions, "maxStreamMs">;
+
 /** A running control host. */
 export class ControlHost {
   readonly #settings: FleetSettings;
@@ -78,7 +78,11 @@
   /** Called once if the replica fails and cannot continue. */
   onFailure: (error: unknown) => void = () => {};
 
-  constructor(settings: FleetSettings, context: ProcessContext) {
+  constructor(
+    settings: FleetSettings,
+    context: ProcessContext,
+    options: ControlHostOptions = {},
+  ) {
     this.#settings = settings;
     this.#seeds = settings.seeds;
     this.#context = context;
@@ -94,8 +98,10 @@
       getState: () => this.#getState(),
       onServerChange: () => this.#lastViewWriter?.scheduleWrite(),
       registrationIntervalMs: settings.beatMs ?? 0,
+      ...options,
       clock: context.clock,
       log: context.log,
+      metrics: context.metrics,
     });
     this.#fleetClient = this.#process.createFleetClient(
       () => this.#getControlAddresses(),
@@ -110,18 +116,28 @@
 
   async start(): Promise<void> {
     const { server } = this.#process;
+    // The port keeps others from the data folder, so it is opened first.
+    await this.#process.listen();
     const folder = await this.#process.openFolder();
-    const { id, members } = await this.#openIdentity(folder);
+    const { id, members } = await openFounderIdentity(folder, {
+      address: this.#process.address,
+      seeds: this.#settings.seeds,
+      firstStart: this.#settings.firstStart === true,
+      random: this.#context.random,
+      log: this.#context.log,
+    });
     await this.#openLastView(folder);
     this.#member = await this.#createMember(folder, id, members);
+    // Followers ask again until there is a view to follow.
     server.addService(Fleet, {
       follow: (req, stream) => this.#registrationHub.serve(req, stream),
       report: (report) => {
         this.#registrationHub.acceptReport(report);
         return Promise.resolve({});
       },
+      findSoftwareVersions: ({ service }) =>
+        Promise.resolve(this.#registrationHub.findSoftwareVersions(service)),
     });
-    await this.#process.listen();
     await this.#member.start();
     this.#registrationHub.start();
     this.#storeFormationTimer = this.#context.clock.startInterval(
@@ -148,6 +164,7 @@
     this.#storeFormationTimer?.cancel();
     await this.#member?.stop();
     this.#registrationHub.close();
+    await this.#lastViewWriter?.close();
     this.#fleetClient.close();
     this.#process.server.close();
   }
@@ -191,9 +208,10 @@
    */
   async retireHost(name: string): Promise<void> {
     const command = encodeFleetCommand({ case: "retireHost", value: name });
-    const { code } = await this.#proposeForOperator(command);
+    const { code, mayRunLater } = await this.#proposeForOperator(command);
     this.#context.log.info("host_retires", { host: name, code });
     if (code === 0) return;
+    if (mayRunLater) throw createUnsettledRefusalError();
     throw new ServingError(code, {
       verdict: Verdict.NOT_RUN,
       parameters: { host: name },
@@ -266,13 +284,15 @@
     return { routes: routes ?? known.routes, hosts: hosts ?? known.hosts };
   }
 
-  async #proposeForOperator(command: Uint8Array): Promise<FleetReply> {
-    const reply = await this.#fleetClient.propose(
+  async #proposeForOperator(
+    command: Uint8Array,
+  ): Promise<FleetReply & { mayRunLater: boolean }> {
+    const { reply, mayRunLater } = await this.#fleetClient.proposeWithOutcome(
       FLEET_GROUP,
       command,
       OPERATOR_TIMEOUT_MS,
     );
-    return fromBinary(FleetReplySchema, reply);
+    return { ...fromBinary(FleetReplySchema, reply), mayRunLater };
   }
 
   /**
@@ -297,7 +317,7 @@
     const { clock, log } = this.#context;
     this.#lastView = await tryReadLastView(folder, log);
     this.#lastView?.servers.forEach((server) =>
-      this.#registrationHub.accept(server)
+      this.#registrationHub.restore(server)
     );
     log.info("last_view", {
       routes: Number(this.#lastView?.routes?.version ?? 0),
@@ -322,34 +342,6 @@
     return [...new Set([...known, ...this.#seeds])];
   }
 
-  /**
-   * Loads or creates the replica's id and the group's initial membership. The
-   * seeds form the group only on the first start of the whole fleet. A host whose
-   * disk is empty at any other time waits until the leader adds it.
-   */
-  async #openIdentity(
-    folder: Folder,
-  ): Promise<{ id: string; members: Membership }> {
-    const { address } = this.#process;
-    const { seeds, firstStart } = this.#settings;
-    const isFounder = firstStart === true && seeds.includes(address) &&
-      !await hasReplicaId(folder);
-    if (isFounder) {
-      const foundingMembership = createInitialMembership(
-        seeds.map(getFounderId),
-      );
-      await writeInitialMembership(folder, foundingMembership);
-    }
-    const id = await openReplicaId(folder, {
-      founderId: isFounder ? getFounderId(address) : undefined,
-      address,
-      random: this.#context.random,
-    });
-    const members = await tryReadInitialMembership(folder) ??
-      create(MembershipSchema);
-    return { id, members };
-  }
-
   async #createMember(
     folder: Folder,
     id: string,
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -22,8 +22,10 @@
   removeRawHopByHopHeaders,
   type ServerResponse,
 } from "../sys/http.ts";
+import { openPort } from "../sys/listening.ts";
 import { MetricName } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { CrashDetector } from "./crash_detector.ts";
@@ -40,9 +42,16 @@
 } from "./gateway_relay.ts";
 import { JobClient } from "./job_client.ts";
 import { OnlineRelay, type OnlineRequest } from "./online_relay.ts";
+import {
+  OnlyVersionFinder,
+  RpcSoftwareVersionsClient,
+} from "./only_version_finder.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
-import { StreamOriginFinder } from "./stream_origin_finder.ts";
+import {
+  RpcStreamOriginsClient,
+  StreamOriginFinder,
+} from "./stream_origin_finder.ts";
 
 /** Maximum body size if the route table sets no limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1 << 20;
@@ -82,7 +91,8 @@
   readonly #relay: OnlineRelay;
   readonly #state: StateClient;
   readonly #jobs: JobClient;
-  readonly #streamOrigins: StreamOriginFinder;
+  readonly #streamOrigins: RpcStreamOriginsClient;
+  readonly #softwareVersions: RpcSoftwareVersionsClient;
   readonly #gatewayRelay: GatewayRelay;
   readonly #reservedHeaders: ReadonlySet<string>;
   #listener: HttpListener | undefined;
@@ -116,13 +126,10 @@
       acceptsRelayed: () => this.isReady && !backends.reachability.isCutOff,
     });
     this.#backends = backends;
-    this.#streamOrigins = new StreamOriginFinder({
-      getMergers: () => backends.view.getStoreAddresses(),
-      report: (origin) => backends.reportOrigin(origin),
-      credentials,
-      clock,
-      log,
-    });
+    const streamOrigins = new RpcStreamOriginsClient(credentials);
+    this.#streamOrigins = streamOrigins;
+    const softwareVersions = new RpcSoftwareVersionsClient(credentials);
+    this.#softwareVersions = softwareVersions;
     this.#gatewayRelay = new GatewayRelay({
       name: settings.id,
       dataCentre: settings.dataCentre,
@@ -150,8 +157,19 @@
       promptPartGuard: backends.promptPartGuard,
       reachability: backends.reachability,
       gatewayRelay: this.#gatewayRelay,
-      streamOrigins: this.#streamOrigins,
-      flushOrigins: () => backends.flushOrigins(),
+      streamOrigins: new StreamOriginFinder({
+        getMergers: () => backends.view.getStoreAddresses(),
+        query: (address, request) => streamOrigins.query(address, request),
+        report: (origin) => backends.reportOrigin(origin),
+        clock,
+        log,
+      }),
+      onlyVersions: new OnlyVersionFinder({
+        getHosts: () => backends.view.hosts,
+        query: (address, service) => softwareVersions.query(address, service),
+        log,
+      }),
+      repeatOrigins: () => backends.repeatOrigins(),
       dialect: this.#dialect,
       serviceTimes: new ServiceTimes(),
       clock,
@@ -174,23 +192,27 @@
 
   async start(): Promise<void> {
     await this.#backends.start();
-    this.#readyListener = await listenHttp(
+    this.#readyListener = await this.#listen(
       this.#settings.readyListen ?? "",
       (_, res) => {
         res.writeHead(this.isReady ? 200 : 503).end();
       },
     );
-    this.#relayListener = await listenHttp(
+    this.#relayListener = await this.#listen(
       getBindAddress(this.#settings),
       (req, res) => this.#serve(req, res, { isRelayed: true }),
     );
-    this.#listener = await listenHttp(
+    this.#listener = await this.#listen(
       this.#settings.listen ?? "",
       (req, res) => this.#serve(req, res, { isRelayed: false }),
       { getBounds: () => this.#backends.view.routes?.table.bounds },
     );
   }
 
+  #listen(...listening: Parameters<typeof listenHttp>): Promise<HttpListener> {
+    return openPort(() => listenHttp(...listening), this.#context);
+  }
+
   /** Replaces the initial addresses of control hosts. */
   setSeeds(seeds: readonly string[]): void {
     this.#backends.follower.setSeeds(seeds);
@@ -229,6 +251,7 @@
     this.#gatewayRelay.close();
     this.#backends.close();
     this.#streamOrigins.close();
+    this.#softwareVersions.close();
     this.#state.close();
   }
 
@@ -262,11 +285,16 @@
     const response = new CallerResponse(res);
     if (this.#stopping) res.shouldKeepAlive = false;
     this.#openResponses.add(response);
-    this.#handle(req, response, origin)
+    const served = this.#handle(req, response, origin)
       .catch((thrown) => this.#sendError(req, response, asServingError(thrown)))
+      .catch((error) => {
+        response.abort();
+        throw error;
+      })
       .finally(() => {
         this.#openResponses.delete(response);
       });
+    logRejection(served, this.#context.log, "response to a caller");
   }
 
   #sendError(
--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -10,6 +10,8 @@
 import { getReason } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
 import type { Log } from "../sys/log.ts";
+import { removeUnencodableParts } from "./update_parts.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 
 const FILE_NAME = "last-view";
 
@@ -31,6 +33,21 @@
   }
 }
 
+/** Encodes a view; parts that cannot be encoded don't keep back the others. */
+function encodeView(view: FleetUpdate, log: Log): Uint8Array {
+  try {
+    return toBinary(FleetUpdateSchema, view);
+  } catch (error) {
+    log.warn("last_view_incomplete", { reason: getReason(error) });
+    const rest = removeUnencodableParts(
+      view,
+      (part, reason) =>
+        log.warn("last_view_part_left_out", { ...part, reason }),
+    );
+    return toBinary(FleetUpdateSchema, rest);
+  }
+}
+
 /** Writes the file after changes, one write at a time. */
 export class LastViewWriter {
   readonly #options: {
@@ -40,7 +57,9 @@
     getView: () => FleetUpdate;
   };
   #isDirty = false;
-  #isWriting = false;
+  #isClosed = false;
+  /** Resolves when no write is in progress. */
+  #written: Promise<void> | undefined;
 
   constructor(
     options: {
@@ -55,12 +74,19 @@
 
   /** Schedules a write of the current view. */
   scheduleWrite(): void {
+    if (this.#isClosed) return;
     this.#isDirty = true;
-    if (this.#isWriting) return;
-    this.#isWriting = true;
-    this.#writeWhileDirty().finally(() => {
-      this.#isWriting = false;
+    if (this.#written !== undefined) return;
+    this.#written = this.#writeWhileDirty().finally(() => {
+      this.#written = undefined;
     });
+    logRejection(this.#written, this.#options.log, "write of the last view");
+  }
+
+  /** Writes what is left; the file is not touched once this has resolved. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    await this.#written;
   }
 
   async #writeWhileDirty(): Promise<void> {
@@ -69,10 +95,7 @@
       await clock.delay(WRITE_DELAY_MS);
       this.#isDirty = false;
       try {
-        await folder.replace(
-          FILE_NAME,
-          toBinary(FleetUpdateSchema, getView()),
-        );
+        await folder.replace(FILE_NAME, encodeView(getView(), log));
       } catch (error) {
         // The file only speeds up a restart; the group holds the durable state.
         log.warn("last_view_not_written", { reason: getReason(error) });
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -41,6 +41,7 @@
 import type { CrashDetector, ServerRun } from "./crash_detector.ts";
 import type { CallerDialect } from "./dialects.ts";
 import { type GatewayRelay, NOT_RELAYED_HEADER } from "./gateway_relay.ts";
+import type { OnlyVersionFinder } from "./only_version_finder.ts";
 import type {
   PermitRequest,
   PoolServer,
@@ -83,8 +84,9 @@
   readonly reachability: Pick<ServerReachability, "isCutOff">;
   readonly gatewayRelay: Pick<GatewayRelay, "send">;
   readonly streamOrigins: StreamOriginFinder;
-  /** Sends the origins of streams that have not been sent yet. */
-  readonly flushOrigins: () => void;
+  readonly onlyVersions: OnlyVersionFinder;
+  /** Sends the origins of the newest streams once more. */
+  readonly repeatOrigins: () => void;
   readonly dialect: CallerDialect;
   readonly serviceTimes: ServiceTimes;
   readonly clock: Clock;
@@ -283,7 +285,7 @@
     if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
     this.#options.pool.recordFailure(permit.server.id);
     // The caller may take the stream up elsewhere as soon as it is broken.
-    this.#options.flushOrigins();
+    this.#options.repeatOrigins();
     this.#logAttemptFailure("answer_broken", permit, result.reason);
     await this.#options.crashDetector.recordConnectionLoss(
       this.#createServerRun(permit),
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -160,19 +160,16 @@
 
   async start(): Promise<void> {
     const { address, server } = this.#process;
-    const folder = await this.#process.openFolder();
-    const id = await openReplicaId(folder, {
-      founderId: undefined,
-      address,
-      random: this.#context.random,
-    });
     server.addService(Jobs, {
       readResults: (req) => this.#readResults(req),
       readBody: (req) => Promise.resolve(this.#readBody(req)),
     });
     server.addService(Streams, {
       findOrigin: ({ request }) =>
-        Promise.resolve({ origin: this.#streamOrigins.tryGet(request) }),
+        Promise.resolve({
+          origin: this.#streamOrigins.tryGet(request),
+          conflicting: this.#streamOrigins.isConflicting(request),
+        }),
     });
     server.addService(Gateways, {
       find: ({ sender }) =>
@@ -187,7 +184,15 @@
     server.addService(RateLimits, {
       acquire: (req) => Promise.resolve(rateLimits.acquire(req)),
     });
+    // The port keeps others from the data folder, so it is opened first.
     await this.#process.listen();
+    const folder = await this.#process.openFolder();
+    const id = await openReplicaId(folder, {
+      founderId: undefined,
+      address,
+      random: this.#context.random,
+      log: this.#context.log,
+    });
     await this.#backends.start();
     this.#itemRunner.start();
     this.#membershipTimer = this.#context.clock.startInterval(
@@ -197,7 +202,10 @@
         this.#updateRunners();
       },
     );
-    const saved = await tryReadInitialMembership(folder);
+    const saved = await tryReadInitialMembership(
+      folder,
+      this.#context.log,
+    );
     if (saved !== undefined) await this.#startMember(folder, id, saved);
     this.#join(folder, id, saved !== undefined)
       .catch((error) => this.onFailure(error));
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -15,9 +15,12 @@
 import { ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
-import type { RoutingView } from "./routing_view.ts";
+import type { OnlyVersionFinder } from "./only_version_finder.ts";
 import type { PoolServer } from "./server_pool.ts";
-import type { StreamOriginFinder } from "./stream_origin_finder.ts";
+import type {
+  OriginSearch,
+  StreamOriginFinder,
+} from "./stream_origin_finder.ts";
 
 /** A request whose stream may be pinned. */
 export interface PinnedRequest {
@@ -31,8 +34,8 @@
 
 /** Options of a {@linkcode VersionPin}. */
 export interface VersionPinOptions {
-  readonly view: Pick<RoutingView, "servers">;
   readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
+  readonly onlyVersions: Pick<OnlyVersionFinder, "find">;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -79,13 +82,15 @@
     const { log, metrics, clock } = this.#options;
     const { requestId, resumedRequest } = this.#req;
     const startMs = clock.getMonotonicMs();
-    const found = await this.#tryFind();
-    const origin = found ?? this.#tryGetOnlyOrigin();
-    const how = found !== undefined
-      ? "found"
-      : origin === undefined
-      ? "unknown"
-      : "only_version";
+    const search = await this.#search();
+    const origin = search.kind === "found"
+      ? search.origin
+      : search.kind === "unknown"
+      ? await this.#tryFindOnlyOrigin()
+      : undefined;
+    const how = search.kind === "unknown" && origin !== undefined
+      ? "only_version"
+      : search.kind;
     metrics.count(MetricName.streamsTakenUp, 1, { origin: how });
     log.info("stream_taken_up", {
       request: requestId,
@@ -134,20 +139,18 @@
     });
   }
 
-  async #tryFind(): Promise<StreamOrigin | undefined> {
+  async #search(): Promise<OriginSearch> {
     const { resumedRequest } = this.#req;
-    if (resumedRequest === "") return undefined;
+    if (resumedRequest === "") return { kind: "unknown" };
     return await this.#options.streamOrigins.find(resumedRequest);
   }
 
   /** Origin of any stream if only one version can have begun it. */
-  #tryGetOnlyOrigin(): StreamOrigin | undefined {
-    const { view, clock } = this.#options;
+  async #tryFindOnlyOrigin(): Promise<StreamOrigin | undefined> {
     const [target, ...others] = this.#req.route.targets;
     if (target === undefined || others.length > 0) return undefined;
-    const softwareVersion = view.servers.tryGetOnlyVersion(
+    const softwareVersion = await this.#options.onlyVersions.find(
       target.service,
-      clock.getMonotonicMs(),
     );
     if (softwareVersion === undefined) return undefined;
     return create(StreamOriginSchema, {
--- a/src/services/control/view_watchers.ts
+++ b/src/services/control/view_watchers.ts
@@ -2,7 +2,9 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { ViewUpdateSchema, WatchRequest } from "../../schema/mod.ts";
 import type { ControlMachine } from "../../state/mod.ts";
+import type { Log } from "../../sys/log.ts";
 import type { RpcStream } from "../../sys/rpc.ts";
+import { logRejection } from "../../sys/unexpected_errors.ts";
 
 type WatchUpdate = MessageInitShape<typeof ViewUpdateSchema>;
 
@@ -11,33 +13,41 @@
   version: number;
   entriesVersion: number;
   isSending: boolean;
+  /** Ends the stream with an error. */
+  fail: (error: unknown) => void;
 }
 
 /** Sends each watcher the state that is newer than the versions it has. */
 export class ViewWatchers {
   readonly #control: ControlMachine;
+  readonly #log: Log;
   readonly #watchers = new Set<Watcher>();
 
-  constructor(control: ControlMachine) {
+  constructor(control: ControlMachine, log: Log) {
     this.#control = control;
+    this.#log = log;
   }
 
-  /** Serves a watcher until its stream closes. */
+  /** Serves a watcher until its stream closes or an update cannot be encoded. */
   serve(req: WatchRequest, stream: RpcStream<WatchUpdate>): Promise<void> {
-    const watcher: Watcher = {
-      stream,
-      version: Number(req.version),
-      entriesVersion: Number(req.entriesVersion),
-      isSending: false,
-    };
-    this.#watchers.add(watcher);
-    this.#sendUpdate(watcher);
-    return new Promise((resolve) =>
+    return new Promise((resolve, reject) => {
+      const watcher: Watcher = {
+        stream,
+        version: Number(req.version),
+        entriesVersion: Number(req.entriesVersion),
+        isSending: false,
+        fail: (error) => {
+          this.#watchers.delete(watcher);
+          reject(error);
+        },
+      };
+      this.#watchers.add(watcher);
       stream.onClosed(() => {
         this.#watchers.delete(watcher);
         resolve();
-      })
-    );
+      });
+      this.#sendUpdate(watcher);
+    });
   }
 
   /** Sends all watchers the state that is new to them. */
@@ -60,9 +70,10 @@
     watcher.version = version;
     watcher.entriesVersion = entriesVersion;
     watcher.isSending = true;
-    watcher.stream.send(update).then(() => {
+    const sent = watcher.stream.send(update).then(() => {
       watcher.isSending = false;
       this.#sendUpdate(watcher);
-    });
+    }, watcher.fail);
+    logRejection(sent, this.#log, "update to a watcher");
   }
 }
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -20,6 +20,7 @@
 import type { Folder } from "../../sys/files.ts";
 import type { Random } from "../../sys/random.ts";
 import { getReason, ServingError } from "../../sys/errors.ts";
+import { getErrorFields, logRejection } from "../../sys/unexpected_errors.ts";
 import { SuspensionDetector } from "../../sys/suspension_detector.ts";
 import type { Log } from "../../sys/log.ts";
 import { MetricName, type Metrics } from "../../sys/metrics.ts";
@@ -32,9 +33,10 @@
   tryReceive,
   waitFor,
 } from "../../sys/routines.ts";
-import { ReplicaStore, type SnapshotImage } from "../log/replica_store.ts";
+import { ReplicaStore } from "../log/replica_store.ts";
 import { getEntryBytes } from "../log/entry_log.ts";
-import { SnapshotAssembler, splitSnapshot } from "./snapshot_transfer.ts";
+import type { DecodedSnapshot } from "../log/snapshot_file.ts";
+import { readSnapshotChunks, SnapshotAssembler } from "./snapshot_transfer.ts";
 import type { StateMachine } from "../machines/state_machine.ts";
 import { type ProposedEntry, Role } from "./core_types.ts";
 import type {
@@ -47,6 +49,11 @@
 /** Sends messages to other replicas; they may be lost, delayed or reordered. */
 export abstract class ReplicaTransport {
   abstract send(message: ReplicaMessage): void;
+
+  /** Whether earlier messages to a replica still wait to be sent. */
+  isCongested(_id: string): boolean {
+    return false;
+  }
 }
 
 /** Options of a {@linkcode Replica}. */
@@ -83,13 +90,14 @@
 const DEFAULT_SNAPSHOT_BYTES = 32 << 20;
 
 /**
- * Entries that stay in the log although a snapshot covers them, so that
- * followers that lag slightly don't need the snapshot.
+ * Limits of the entries that stay in the log although a snapshot covers them, so
+ * that followers that lag slightly don't need the snapshot.
  */
 const RETAINED_ENTRIES = 2000;
+const RETAINED_BYTES = 8 << 20;
 
-/** Number of snapshot parts encoded before yielding to the event loop. */
-const PARTS_PER_YIELD = 64;
+/** Delay before a congested link is looked at again, in milliseconds. */
+const CONGESTION_CHECK_MS = 5;
 
 /** Health of one member, as known to the leader. */
 export interface MemberStatus {
@@ -131,9 +139,11 @@
   /** Mark of a stored snapshot up to which the log is yet to be compacted. */
   #pendingCompaction: SnapshotMark | undefined;
   readonly #snapshotAssembler = new SnapshotAssembler();
+  /** Members to which a snapshot is being sent. */
+  readonly #snapshotTransfers = new Set<string>();
   /** Received snapshot that the disk routine is yet to install. */
   #pendingInstall:
-    | { image: SnapshotImage; from: string; round: bigint }
+    | { image: DecodedSnapshot; from: string; round: bigint }
     | undefined;
   readonly #suspensionDetector: SuspensionDetector;
   #stopped = false;
@@ -155,6 +165,11 @@
     this.recoveredBytes = recovered.recoveredBytes;
     this.#options.machine.restore(recovered.snapshotParts);
     this.#appliedIndex = Number(recovered.mark.index);
+    // A log that was not compacted before the last stop goes on growing.
+    this.#bytesSinceSnapshot = recovered.entries.reduce(
+      (sum, entry) => sum + getEntryBytes(entry),
+      0,
+    );
     this.#core = new ReplicaCore({
       id: this.#options.id,
       group: this.#options.group,
@@ -272,11 +287,13 @@
     // A host that lost its disk comes back under a new id at its old address.
     // Messages for the old id still arrive there while it is a member.
     if (message.to !== this.#options.id) return;
-    this.#checkSuspension();
-    core.receive(message, this.#options.clock.getMonotonicMs());
-    if (message.body.case === "snapshotRequest") {
-      this.#receiveSnapshot(core, message, message.body.value);
-    }
+    this.#failOnError(() => {
+      this.#checkSuspension();
+      core.receive(message, this.#options.clock.getMonotonicMs());
+      if (message.body.case === "snapshotRequest") {
+        this.#receiveSnapshot(core, message, message.body.value);
+      }
+    });
     this.#wake();
   }
 
@@ -290,7 +307,9 @@
     const { clock } = this.#options;
     const proposed = this.#stopped
       ? undefined
-      : this.#core?.tryPropose(command, clock.getWallMs());
+      : this.#failOnError(() =>
+        this.#core?.tryPropose(command, clock.getWallMs())
+      );
     if (proposed === undefined) return Promise.reject(this.#createNotLeader());
     this.#options.metrics.count(MetricName.proposals);
     this.#wake();
@@ -395,19 +414,46 @@
   }
 
   #tick(): void {
-    this.#checkSuspension();
-    this.#core?.tick(this.#options.clock.getMonotonicMs());
-    this.#hasCaughtUp ||= this.isCaughtUp();
+    this.#failOnError(() => {
+      this.#checkSuspension();
+      this.#core?.tick(this.#options.clock.getMonotonicMs());
+      this.#hasCaughtUp ||= this.isCaughtUp();
+    });
     this.#wake();
   }
 
+  /**
+   * Runs a change of the core on behalf of a timer or a connection, which have no
+   * caller to fail: after an error in between, the replica must not go on.
+   */
+  #failOnError<T>(change: () => T): T | undefined {
+    try {
+      return change();
+    } catch (error) {
+      this.#fail(error);
+      return undefined;
+    }
+  }
+
+  /** An error of a listener, which only reads, does not concern the replica. */
+  #notifyApplied(): void {
+    try {
+      this.#options.onApplied?.();
+    } catch (error) {
+      this.#options.log.error("task_failed", {
+        task: "applied entries",
+        ...getErrorFields(error),
+      });
+    }
+  }
+
   #fail(error: unknown): void {
     if (this.#stopped) return;
     this.#options.log.error("replica_failed", {
       group: this.#options.group,
       reason: getReason(error),
     });
-    this.stop().catch(() => {});
+    logRejection(this.stop(), this.#options.log, "replica stop");
     this.#options.onFailure(error);
   }
 
@@ -440,7 +486,10 @@
     if (mark === undefined || this.#stopped) return;
     this.#pendingCompaction = undefined;
     const core = this.#getCore();
-    const retainedAfter = Math.max(0, Number(mark.index) - RETAINED_ENTRIES);
+    const retainedAfter = core.getRetainedAfter(Number(mark.index), {
+      entries: RETAINED_ENTRIES,
+      bytes: RETAINED_BYTES,
+    });
     yield* waitFor(this.#store.compact(mark, {
       hardState: core.hardState,
       entries: core.getEntriesAfter(retainedAfter),
@@ -470,7 +519,7 @@
       install.round,
       this.#options.clock.getMonotonicMs(),
     );
-    this.#options.onApplied?.();
+    this.#notifyApplied();
     this.#wake();
   }
 
@@ -482,7 +531,9 @@
       if (output === undefined) continue;
       output.messages.forEach((message) => this.#send(message));
       this.#applyAll(output.committed);
-      output.snapshotRecipients.forEach((id) => this.#sendSnapshot(id));
+      output.snapshotRecipients.forEach((id) =>
+        this.#startSnapshotTransfer(id)
+      );
       send(this.#diskWake, true);
     }
   }
@@ -516,7 +567,7 @@
   #applyAll(entries: readonly LogEntry[]): void {
     if (entries.length === 0) return;
     entries.forEach((entry) => this.#apply(entry));
-    this.#options.onApplied?.();
+    this.#notifyApplied();
     this.#startSnapshotIfDue();
   }
 
@@ -565,34 +616,40 @@
     const core = this.#getCore();
     const mark = core.createSnapshotMark(this.#appliedIndex);
     const parts = this.#options.machine.capture();
-    this.#writeSnapshot(mark, parts).then(() => {
+    this.#store.writeSnapshot({ mark, parts }).then(() => {
       this.#pendingCompaction = mark;
       this.#wake();
     }, (error) => this.#fail(error));
   }
 
-  async #writeSnapshot(
-    mark: SnapshotMark,
-    captured: Iterable<Uint8Array>,
-  ): Promise<void> {
-    const parts: Uint8Array[] = [];
-    for (const part of captured) {
-      parts.push(part);
-      if (parts.length % PARTS_PER_YIELD === 0) {
-        await this.#options.clock.delay(0);
-      }
-    }
-    await this.#store.writeSnapshot({ mark, parts });
+  #startSnapshotTransfer(to: string): void {
+    // Chunks of two transfers would mix.
+    if (this.#snapshotTransfers.has(to)) return;
+    this.#snapshotTransfers.add(to);
+    this.#sendSnapshot(to)
+      .catch((error) => this.#fail(error))
+      .finally(() => this.#snapshotTransfers.delete(to));
   }
 
-  #sendSnapshot(to: string): void {
-    this.#store.tryReadSnapshot().then((image) => {
-      const core = this.#getCore();
-      if (image === undefined || core.role !== Role.leader) return;
-      splitSnapshot(image).forEach((chunk) =>
-        this.#send(core.createSnapshotMessage(to, chunk))
-      );
-    }).catch((error) => this.#fail(error));
+  /** Sends the chunks of a snapshot, each once the link has sent the one before. */
+  async #sendSnapshot(to: string): Promise<void> {
+    const core = this.#getCore();
+    const { term } = core;
+    const isLeading = () =>
+      !this.#stopped && core.role === Role.leader && core.term === term;
+    const snapshot = await this.#store.tryOpenSnapshot();
+    if (snapshot === undefined) return;
+    try {
+      for await (const chunk of readSnapshotChunks(snapshot)) {
+        while (isLeading() && this.#options.transport.isCongested(to)) {
+          await this.#options.clock.delay(CONGESTION_CHECK_MS);
+        }
+        if (!isLeading()) return;
+        this.#send(core.createSnapshotMessage(to, chunk));
+      }
+    } finally {
+      await snapshot.file.close();
+    }
   }
 
   #receiveSnapshot(
--- a/src/sys/rpc_server.ts
+++ b/src/sys/rpc_server.ts
@@ -10,9 +10,11 @@
   type DescService,
   type MessageInitShape,
   type MessageShape,
+  toBinary,
 } from "@bufbuild/protobuf";
 import { MessageCode } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import { isolate } from "./isolation.ts";
 import {
   CHANNEL_OPTIONS,
   CODE_METADATA_KEY,
@@ -29,7 +31,10 @@
 
 /** Sending end of a server-streaming call. */
 export interface RpcStream<O> {
-  /** Sends a message and resolves when the next can be sent. */
+  /**
+   * Sends a message and resolves when the next can be sent. Rejects if the message
+   * cannot be encoded; nothing is sent then and the stream stays open.
+   */
   send(message: O): Promise<void>;
   readonly closed: boolean;
   onClosed(action: () => void): void;
@@ -76,8 +81,12 @@
 
 /** A gRPC server on one address. */
 export class RpcServer {
-  readonly #server = new grpc.Server(CHANNEL_OPTIONS);
   readonly #credentials: RpcCredentials;
+  readonly #services: {
+    definitions: grpc.ServiceDefinition;
+    implementations: grpc.UntypedServiceImplementation;
+  }[] = [];
+  #server = new grpc.Server(CHANNEL_OPTIONS);
 
   constructor(credentials: RpcCredentials) {
     this.#credentials = credentials;
@@ -99,10 +108,12 @@
     const implementations = bindings.map((
       { name, handler },
     ) => [name, handler]);
-    this.#server.addService(
-      Object.fromEntries(definitions),
-      Object.fromEntries(implementations),
-    );
+    const added = {
+      definitions: Object.fromEntries(definitions),
+      implementations: Object.fromEntries(implementations),
+    };
+    this.#services.push(added);
+    this.#server.addService(added.definitions, added.implementations);
   }
 
   /** Listens on `address` and returns the address with the actual port. */
@@ -117,6 +128,7 @@
             resolve(`${host}:${port}`);
             return;
           }
+          this.#replaceServer();
           reject(
             new ServingError(MessageCode.PORT_BUSY, {
               parameters: { address, reason: error.message },
@@ -127,6 +139,15 @@
     });
   }
 
+  /** The library's server fails for good on an address that it failed on once. */
+  #replaceServer(): void {
+    this.#server.forceShutdown();
+    this.#server = new grpc.Server(CHANNEL_OPTIONS);
+    this.#services.forEach(({ definitions, implementations }) =>
+      this.#server.addService(definitions, implementations)
+    );
+  }
+
   /** Stops at once, cancelling open calls. */
   close(): void {
     this.#server.forceShutdown();
@@ -143,7 +164,7 @@
       callback: grpc.sendUnaryData<unknown>,
     ) => {
       const run = handler as (on: (on: (m: unknown) => void) => void) => void;
-      run((on) => call.on("data", on));
+      run((on) => call.on("data", isolate(on)));
       call.on("end", () => callback(null, create(method.output)));
       call.on("error", () => {});
     }) as grpc.UntypedHandleCall;
@@ -174,8 +195,9 @@
     ) => Promise<MessageInitShape<DescMessage>>;
     Promise.resolve()
       .then(() => run(call.request, { identity: getIdentity(call) }))
+      .then((reply) => create(method.output, reply))
       .then(
-        (reply) => callback(null, create(method.output, reply)),
+        (reply) => callback(null, reply),
         (error) => callback(toStatus(error)),
       );
   }) as grpc.UntypedHandleCall;
@@ -202,11 +224,12 @@
     this.#closeListeners.add(action);
   }
 
-  send(message: MessageInitShape<DescMessage>): Promise<void> {
-    if (this.closed) return Promise.resolve();
-    const hasBufferSpace = this.#call.write(create(this.#output, message));
-    if (hasBufferSpace) return Promise.resolve();
-    return new Promise((resolve) => {
+  async send(message: MessageInitShape<DescMessage>): Promise<void> {
+    if (this.closed) return;
+    // grpc-js ends the whole stream if a message cannot be encoded.
+    const bytes = toBinary(this.#output, create(this.#output, message));
+    if (this.#call.write(bytes)) return;
+    await new Promise<void>((resolve) => {
       const resume = () => {
         this.#closeListeners.delete(resume);
         this.#call.off("drain", resume);
--- a/src/test/platform_codec_test.ts
+++ b/src/test/platform_codec_test.ts
@@ -189,8 +189,14 @@
       bornMs: known.bornMs,
       address: known.address,
     });
-    expect(decodeDeregistration("i-2", Buffer.alloc(0), undefined).bornMs)
-      .equal(0n);
+    expect(
+      getErrorCode(() =>
+        decodeDeregistration("i-2", Buffer.alloc(0), undefined)
+      ),
+    ).equal(MessageCode.BODY_MALFORMED);
+    const reported = encode({ born: 1_700_000_000_000 });
+    expect(decodeDeregistration("i-2", reported, undefined))
+      .include({ state: ServerState.GONE, bornMs: 1_700_000_000_000n });
   });
 });
 
@@ -313,5 +319,17 @@
     expect(read(500, { "server-leaving": "1" }).isLeaving).equal(true);
     expect(read(200, { "server-leaving": "0" }).isLeaving).equal(false);
     expect(read(200, {}).isLeaving).equal(false);
+    expect(read(200, {}).isUnprovenSuccess).equal(true);
+    expect(read(200, { "x-server-stamp": "" }).isUnprovenSuccess).equal(true);
+    expect(read(204, { "x-server-stamp": "s" }).isUnprovenSuccess)
+      .equal(false);
+    expect(read(500, {}).isUnprovenSuccess).equal(false);
+    [408, 429, 503].forEach((status) => {
+      expect(read(status, {}).isUnprovenRefusal).equal(true);
+      expect(read(status, { "x-not-run": "1" }).isUnprovenRefusal)
+        .equal(false);
+    });
+    expect(read(421, {}).isUnprovenRefusal).equal(false);
+    expect(read(500, {}).isUnprovenRefusal).equal(false);
   });
 });
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -38,6 +38,8 @@
     headers?: Record<string, string>;
     body?: string;
     signal?: AbortSignal;
+    /** Called with all of the body that has arrived, after each chunk. */
+    onData?: (text: string) => void;
     /** Pools connections; without an agent each request opens its own. */
     agent?: http.Agent;
   } = {},
@@ -65,7 +67,10 @@
     req.on("response", (res) => {
       hasResponse = true;
       const chunks: Buffer[] = [];
-      res.on("data", (chunk) => chunks.push(chunk));
+      res.on("data", (chunk) => {
+        chunks.push(chunk);
+        options.onData?.(Buffer.concat(chunks).toString("utf8"));
+      });
       res.on("error", () => {
         hasFailed = true;
       });
@@ -149,11 +154,25 @@
   readonly readyAddresses: string[] = [];
   /** Indexes of gateways that reach no server; connections there hang. */
   readonly cutOffGateways = new Set<number>();
+  /** Indexes of gateways whose calls to control and store hosts hang. */
+  readonly isolatedGateways = new Set<number>();
+  /** Links on which calls hang, as "CALLER/HOST". */
+  readonly cutLinks = new Set<string>();
+  /** Names of control and store hosts, by the address for other processes. */
+  readonly #hostNames = new Map<string, string>();
+  readonly #maxStreamMs: number | undefined;
+  readonly #beatMs: number;
   readonly #peerAddresses: string[] = [];
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
   #seeds: string[] = [];
 
+  /** Without `maxStreamMs`, hosts assume that streams last as long as they may. */
+  constructor(options: { maxStreamMs?: number; beatMs?: number } = {}) {
+    this.#maxStreamMs = options.maxStreamMs;
+    this.#beatMs = options.beatMs ?? 60_000;
+  }
+
   /** Starts hosts and servers, and puts the first configuration in force. */
   async start(options: { servers: number; gateways: number }): Promise<void> {
     this.#folder = await mkdtemp(path.join(tmpdir(), "papayatally-fleet-"));
@@ -259,6 +278,7 @@
       gatewayIndex?: number;
       signal?: AbortSignal;
       headers?: Record<string, string>;
+      onData?: (text: string) => void;
     } = {},
   ): Promise<ReceivedResponse> {
     return sendHttpRequest(
@@ -274,6 +294,7 @@
         },
         body: options.body ?? `body of ${id}`,
         signal: options.signal,
+        onData: options.onData,
       },
     );
   }
@@ -328,7 +349,7 @@
       ip: "127.0.0.1",
       seeds: this.#seeds,
       first_start: true,
-      beat_ms: 60_000,
+      beat_ms: this.#beatMs,
       ...values,
     });
   }
@@ -349,9 +370,17 @@
       peer_port: port,
       data_folder: path.join(this.#folder, id),
     });
-    const host = new ControlHost(settings, this.#createContext(id));
+    const host = new ControlHost(settings, this.#createContext(id), {
+      ...this.#maxStreamMs === undefined
+        ? {}
+        : { maxStreamMs: this.#maxStreamMs },
+    });
+    this.#hostNames.set(`127.0.0.1:${port}`, id);
     this.controls[index] = host;
-    const front = new ControlHttpServer(host, this.log);
+    const front = new ControlHttpServer(host, {
+      log: this.log,
+      clock: new SystemClock(),
+    });
     this.#controlFronts.push(front);
     this.controlAddresses[index] = `127.0.0.1:${frontPort}`;
     await host.start();
@@ -367,6 +396,7 @@
       data_folder: path.join(this.#folder, id),
     });
     const host = new StoreHost(settings, this.#createContext(id), DIALECTS);
+    this.#hostNames.set(`127.0.0.1:${port}`, id);
     this.stores[index] = host;
     await host.start();
   }
@@ -386,7 +416,9 @@
       log: this.log,
       isPartitioned: (address) =>
         this.cutOffGateways.has(index) &&
-        this.servers.some((server) => server.address === address),
+          this.servers.some((server) => server.address === address) ||
+        this.isolatedGateways.has(index) && this.#hostNames.has(address) ||
+        this.cutLinks.has(`${id}/${this.#hostNames.get(address)}`),
     });
     const host = new GatewayHost(settings, context, DIALECTS);
     this.gateways[index] = host;
