A start cuts a torn end off before it replaces the segment

Cause: the start wrote the new segment first. If the old one had a torn end, it was no longer the last segment then, and only that may have one.

Change: the old segment is opened, which cuts its end off, before the new one is written.

Evidence: the new test, a kill after each step of such a start, failed before with "an invalid frame is not at the end of the log" and passes now.

Why it works: when a newer segment exists, no older one has a torn end.

--- a/src/state/log/replica_store.ts
+++ b/src/state/log/replica_store.ts
@@ -124,15 +124,18 @@
     }
     const { hardState } = replay;
     const entries = replay.getEntries();
-    this.#segment = numbers.at(-1) ?? 0;
-    if (hasUnnumbered || replay.endsBeforeSnapshot) {
+    if (hasUnnumbered) {
       // Replaying the segment without number again leads to the same log, so a
       // crash before its removal does no harm.
+      this.#segment = numbers.at(-1) ?? 0;
       await this.compact(snapshot.mark, { hardState, entries });
-      if (hasUnnumbered) await this.#folder.remove(UNNUMBERED_SEGMENT);
+      await this.#folder.remove(UNNUMBERED_SEGMENT);
     } else {
-      this.#segment = Math.max(1, this.#segment);
+      this.#segment = numbers.at(-1) ?? 1;
       await this.#openSegment(this.#segmentBytes);
+      if (replay.endsBeforeSnapshot) {
+        await this.compact(snapshot.mark, { hardState, entries });
+      }
     }
     return {
       hardState,
--- a/src/test/interrupted_writes_test.ts
+++ b/src/test/interrupted_writes_test.ts
@@ -24,6 +24,7 @@
 } from "../state/mod.ts";
 import { DiskFolder } from "../sys/files.ts";
 import { range } from "./fleet_helpers.ts";
+import { MemoryFolder } from "./memory_folder.ts";
 
 const SNAPSHOT_INDEX = 5;
 const FIRST_SEGMENT = "segment-0000000000000001";
@@ -270,4 +271,27 @@
       await store.close();
       await startThreeTimes(folder, 7);
     }));
+
+  // The segment before the new one had a torn end; only the last one may.
+  it("start again after a kill while an installed snapshot is recovered", async () => {
+    for (const steps of range(8)) {
+      const folder = new MemoryFolder();
+      const store = new ReplicaStore(folder);
+      await store.recover();
+      await store.append([
+        createHardStateRecord(createHardState()),
+        ...range(3).map((index) => createEntryRecord(createEntry(index + 1))),
+      ]);
+      await store.writeSnapshot({ mark, parts: [new Uint8Array([7])] });
+      const torn = await folder.openAppend(FIRST_SEGMENT, store.segmentBytes);
+      await torn.append(new Uint8Array(20).fill(1));
+      await torn.sync();
+      folder.operationsLeft = steps;
+      await new ReplicaStore(folder).recover().catch(() => {});
+      folder.crash(0);
+      const { entries, hardState } = await new ReplicaStore(folder).recover();
+      expect(entries).deep.equal([]);
+      expect(hardState.votedFor, `after ${steps} steps`).equal("a");
+    }
+  });
 });
