Signals at any moment of a start or stop have a defined end

What callers saw: a SIGHUP for changed settings that came in the first 0.6 s of a process (0.18 s of a bundled one) ended it by the signal; the platform saw a process that ended by itself. SIGTERM in that time ended it by the signal, and during the start it stopped a host of which half was started: exit code 1, or a start that failed on ports closed under it. A second SIGTERM while a gateway drained ended it and its open streams. A stop that waited for a disk that hangs never ended, and one that failed said nothing.

Cause: the module with the first handlers was imported first, but the runtime loads all static imports before it runs any. SIGTERM had its handler only when the host was made, once, and called stop() whatever had started.

Before `ready`, SIGTERM and SIGINT end the process with 0 at once. Later ones don't count while it stops. A stop has a limit: the grace time of the fleet's hosts, 10 s of others.

Why it works: what is on disk must be readable after an end at any moment, so an end during the start needs no stop.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -20,6 +20,7 @@
 import { createLog, type Log } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { UnexpectedErrors } from "../sys/unexpected_errors.ts";
+import { setStopHandler } from "./early_signals.ts";
 import { parseSettings } from "../sys/settings.ts";
 
 /** Reads a settings file; throws SettingsError if it is invalid. */
@@ -65,14 +66,19 @@
    * log event.
    */
   start(): Promise<Record<string, string>>;
-  /** Stops gracefully, without aborting requests. */
+  /** Stops gracefully, without aborting requests. Not called before `start` has. */
   stop(): Promise<void>;
+  /** Time after which a stop that has not ended is given up, in milliseconds. */
+  readonly stopLimitMs?: number;
   /** Applies the settings that can change without a restart. */
   reload?(settings: unknown): void;
   /** Called by the host after a fatal error. */
   onFailure?: (error: unknown) => void;
 }
 
+/** Default of {@linkcode DaemonHost.stopLimitMs}. */
+const DEFAULT_STOP_LIMIT_MS = 10_000;
+
 /** Interval between checks of the settings file, in milliseconds. */
 const SETTINGS_CHECK_INTERVAL_MS = 5_000;
 
@@ -236,15 +242,48 @@
     "unhandledRejection",
     (error) => unexpectedErrors.handle(error, "rejection"),
   );
-  const stop = (signal: string) => {
-    log.info("signal", { signal });
-    host.stop().then(() => process.exit(0), () => process.exit(1));
-  };
-  process.once("SIGTERM", stop);
-  process.once("SIGINT", stop);
+  const stopper = new Stopper(host, context);
+  setStopHandler((signal) => stopper.handle(signal));
   watchSettings({ ...options, host, context });
   logMemory(context);
   const readyFields = await host.start();
   warnAboutUnencryptedAddresses(log, commonSettings, readyFields);
   log.info("ready", readyFields);
+  stopper.recordStarted();
+}
+
+/** Stops a daemon on a signal. */
+class Stopper {
+  readonly #host: DaemonHost;
+  readonly #context: ProcessContext;
+  #hasStarted = false;
+  #isStopping = false;
+
+  constructor(host: DaemonHost, context: ProcessContext) {
+    this.#host = host;
+    this.#context = context;
+  }
+
+  recordStarted(): void {
+    this.#hasStarted = true;
+  }
+
+  handle(signal: string): void {
+    const { log, clock } = this.#context;
+    log.info("signal", { signal });
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    // Nothing is served before the start has ended, and what is on disk may be
+    // left at any moment. To stop half-started parts could fail or hang.
+    if (!this.#hasStarted) process.exit(0);
+    const limitMs = this.#host.stopLimitMs ?? DEFAULT_STOP_LIMIT_MS;
+    clock.startTimer(limitMs, () => {
+      log.error("stop_given_up", { after_ms: limitMs });
+      process.exit(1);
+    });
+    this.#host.stop().then(() => process.exit(0), (error) => {
+      log.error("stop_failed", { reason: formatError(error) });
+      process.exit(1);
+    });
+  }
 }
