A settings file that is being written is waited for, not refused or half used

What callers saw: a process that read its settings file while the platform still wrote it ended with 3. If the file ended at the end of a line, it was valid: a control host or store host without its line `data_folder` took its working directory for an empty data folder, and a reload without the list of seeds left a host without seeds. A file that vanished between the two reads of a start ended the process as well.

Cause: the file was read once, whatever it held, and no key was required of a role. The daemon read the file a second time to watch it, outside of any guard.

Change: SettingsFile reads a file once it has not changed for 100 ms (at once if its last change is 2 s ago), and the keys that a role needs are required. A start tries again for 5 s and says so; a reload that fails has no effect, and is tried again with the next check. Settings without seeds are not applied by a running host.

The start of a process whose file has just been written takes 0.1 s longer.

Why it works: a file that is cut short lacks the last lines, which the role needs, and its writer goes on within the waits.

--- a/src/cli/bench_commands.ts
+++ b/src/cli/bench_commands.ts
@@ -12,7 +12,7 @@
   StandInEngine,
   StandInService,
 } from "../bench/mod.ts";
-import { readSettings } from "../daemons/daemon.ts";
+import { readSettings } from "../daemons/settings_file.ts";
 import { ScenarioSchema } from "../schema/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
 import type { Output } from "./output.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,7 +3,7 @@
 import { writeFileSync } from "node:fs";
 import type { DescMessage } from "@bufbuild/protobuf";
 import { Command } from "commander";
-import { formatError, readSettings } from "../daemons/daemon.ts";
+import { formatError, readSettings } from "../daemons/settings_file.ts";
 import {
   EntrySettingsSchema,
   FleetSettingsSchema,
--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -2,62 +2,16 @@
  * Runs the host of a daemon process: reads its settings, sets up logging,
  * handles signals and exits with the code that the message table defines.
  */
-import { readFileSync } from "node:fs";
-import {
-  type DescMessage,
-  type MessageShape,
-  toJson,
-} from "@bufbuild/protobuf";
+import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
 import { Command } from "commander";
-import { MessageCode } from "../schema/mod.ts";
 import { createProcessContext, type ProcessContext } from "../services/mod.ts";
-import {
-  asServingError,
-  formatCode,
-  getReason,
-  ServingError,
-} from "../sys/errors.ts";
+import { SystemClock } from "../sys/clock.ts";
+import { asServingError } from "../sys/errors.ts";
 import { createLog, type Log } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
-import { UnexpectedErrors } from "../sys/unexpected_errors.ts";
+import { logRejection, UnexpectedErrors } from "../sys/unexpected_errors.ts";
 import { setStopHandler } from "./early_signals.ts";
-import { parseSettings } from "../sys/settings.ts";
-
-/** Reads a settings file; throws SettingsError if it is invalid. */
-export function readSettings<S extends DescMessage>(
-  schema: S,
-  path: string,
-): MessageShape<S> {
-  let text: string;
-  try {
-    text = readFileSync(path, "utf8");
-  } catch (error) {
-    throw new ServingError(MessageCode.SETTINGS_FILE_MISSING, {
-      parameters: { path, reason: getReason(error) },
-    });
-  }
-  const result = parseSettings(schema, text);
-  if (result.ok) return result.settings;
-  throw new SettingsError(path, result.faults.map((fault) => fault.text));
-}
-
-/** Reports all errors of a settings file, one per line of its message. */
-export class SettingsError extends ServingError {
-  readonly faults: readonly string[];
-
-  constructor(path: string, faults: readonly string[]) {
-    super(MessageCode.SETTINGS_SYNTAX);
-    this.faults = faults;
-    this.message = faults.map((fault) => `${path}: ${fault}`).join("\n");
-  }
-}
-
-/** Formats an error for the command line and the log. */
-export function formatError(thrown: unknown): string {
-  const error = asServingError(thrown);
-  if (error instanceof SettingsError) return error.message;
-  return `${formatCode(error.code)} ${error.message}`;
-}
+import { formatError, SettingsFile } from "./settings_file.ts";
 
 /** Interface between a daemon process and its host. */
 export interface DaemonHost {
@@ -100,6 +54,8 @@
   name: string;
   description: string;
   schema: S;
+  /** Returns the keys that settings lack although the schema allows that. */
+  findMissingKeys?: (settings: MessageShape<S>) => string[];
   createHost: (
     settings: MessageShape<S>,
     context: ProcessContext,
@@ -118,9 +74,15 @@
   });
   program.parse();
   try {
-    const path = program.args[0] ?? "";
-    const settings = readSettings(options.schema, path);
-    await runHost({ ...options, path }, settings);
+    const file = new SettingsFile({
+      ...options,
+      path: program.args[0] ?? "",
+      clock: new SystemClock(),
+    });
+    const settings = await file.readAtStart((error) =>
+      process.stderr.write(`waiting for the settings: ${formatError(error)}\n`)
+    );
+    await runHost({ ...options, file }, settings);
   } catch (error) {
     process.stderr.write(`${formatError(error)}\n`);
     process.exit(asServingError(error).exitCode);
@@ -154,22 +116,21 @@
  * settings are logged and have no effect.
  */
 function watchSettings<S extends DescMessage>(options: {
-  schema: S;
-  path: string;
+  file: SettingsFile<S>;
+  settings: MessageShape<S>;
   host: DaemonHost;
   context: ProcessContext;
 }): void {
+  const { file, host } = options;
   const { log, clock } = options.context;
-  let currentJson = JSON.stringify(
-    toJson(options.schema, readSettings(options.schema, options.path)),
-  );
-  const reload = (cause: string) => {
+  let current = file.format(options.settings);
+  const tryReload = async (cause: string) => {
     try {
-      const settings = readSettings(options.schema, options.path);
-      const reloadedJson = JSON.stringify(toJson(options.schema, settings));
-      if (reloadedJson === currentJson) return;
-      currentJson = reloadedJson;
-      options.host.reload?.(settings);
+      const settings = await file.read();
+      const reloaded = file.format(settings);
+      if (reloaded === current) return;
+      host.reload?.(settings);
+      current = reloaded;
       log.info("settings_reloaded", { cause });
     } catch (error) {
       log.warn("settings_not_reloaded", {
@@ -178,6 +139,8 @@
       });
     }
   };
+  const reload = (cause: string) =>
+    logRejection(tryReload(cause), log, "settings");
   process.on("SIGHUP", () => {
     log.info("signal", { signal: "SIGHUP" });
     reload("signal");
@@ -203,8 +166,7 @@
 async function runHost<S extends DescMessage>(
   options: {
     name: string;
-    schema: S;
-    path: string;
+    file: SettingsFile<S>;
     createHost: (
       settings: MessageShape<S>,
       context: ProcessContext,
@@ -244,7 +206,7 @@
   );
   const stopper = new Stopper(host, context);
   setStopHandler((signal) => stopper.handle(signal));
-  watchSettings({ ...options, host, context });
+  watchSettings({ ...options, settings, host, context });
   logMemory(context);
   const readyFields = await host.start();
   warnAboutUnencryptedAddresses(log, commonSettings, readyFields);
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -6,3 +6,4 @@
 export * from "./dialects.ts";
 export * from "./gateway_host.ts";
 export * from "./store_host.ts";
+export * from "./required_settings.ts";
--- a/src/test/daemon_process.ts
+++ b/src/test/daemon_process.ts
@@ -6,15 +6,16 @@
 
 const SOURCE_URL = new URL("../", import.meta.url).href;
 
-const SETTINGS = `
+/** Settings of a daemon of a test; the last line is needed. */
+export const SETTINGS = `
 role = "gateway"
 id = "host-1"
 data_centre = "a"
 ip = "127.0.0.1"
 peer_port = 1
+seeds = ["127.0.0.1:4"]
 listen = "127.0.0.1:2"
 ready_listen = "127.0.0.1:3"
-seeds = ["127.0.0.1:4"]
 `;
 
 /** How a process ended. */
@@ -94,10 +95,12 @@
     `import "${SOURCE_URL}daemons/early_signals.js";
     const { runDaemon } = await import("${SOURCE_URL}daemons/daemon.js");
     const { FleetSettingsSchema } = await import("${SOURCE_URL}schema/mod.js");
+    const { findMissingKeys } = await import("${SOURCE_URL}fleet/mod.js");
     await runDaemon({
       name: "test",
       description: "",
       schema: FleetSettingsSchema,
+      findMissingKeys,
       createHost: (settings, context) => (${host}),
     });`,
   );
--- a/src/test/examples_test.ts
+++ b/src/test/examples_test.ts
@@ -5,7 +5,7 @@
 import { runPolicyAlone } from "papayatally/examples/policy_alone";
 import { runReplicatedLog } from "papayatally/examples/replicated_log";
 import { createMessagesPage, createSettingsPage } from "../cli/schema_pages.ts";
-import { readSettings } from "../daemons/daemon.ts";
+import { readSettings } from "../daemons/settings_file.ts";
 import {
   EntrySettingsSchema,
   MessageCode,
