A remote call to an address that is none fails instead of throwing

What callers saw: nothing yet. By reading: a member of a group without an address would make the first message to it throw inside the replica, which then ends the process.

Cause: the gRPC library throws when a client is made for a text that it cannot parse, such as an empty one.

Evidence: the test "odd addresses fail remote calls" fails on the code before with "Could not parse target name".

Change: such an address is replaced by one that fails each call. A reader of standard error that is gone no longer ends a start that reports a wait.

Result: the test passes.

Why it works: the calls have a handler for their failure, the making of a client has none.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -79,6 +79,8 @@
       path: program.args[0] ?? "",
       clock: new SystemClock(),
     });
+    // Without a listener, a reader that is gone would end the process.
+    process.stderr.on("error", () => {});
     const settings = await file.readAtStart((error) =>
       process.stderr.write(`waiting for the settings: ${formatError(error)}\n`)
     );
--- a/src/sys/rpc_client.ts
+++ b/src/sys/rpc_client.ts
@@ -11,6 +11,7 @@
 } from "@bufbuild/protobuf";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { ServingError } from "./errors.ts";
+import { tryParseTarget } from "./http.ts";
 import { isolate } from "./isolation.ts";
 import {
   CHANNEL_OPTIONS,
@@ -56,6 +57,12 @@
 
 const DEFAULT_CALL_TIMEOUT_MS = 5_000;
 
+/**
+ * Target in place of an address that is none. All calls fail; the library throws
+ * for some such addresses as soon as a client is made.
+ */
+const UNREACHABLE_TARGET = "dns:";
+
 /** A connection to one process. */
 export class RpcClient {
   readonly #credentials: RpcCredentials;
@@ -168,7 +175,9 @@
 
   #connect(): grpc.Client {
     return new grpc.Client(
-      this.address,
+      tryParseTarget(this.address) === undefined
+        ? UNREACHABLE_TARGET
+        : this.address,
       this.#credentials.client,
       CHANNEL_OPTIONS,
     );
--- a/src/test/odd_addresses_test.ts
+++ b/src/test/odd_addresses_test.ts
@@ -7,11 +7,13 @@
 import { expect } from "chai";
 import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
 import { type AttemptOptions, BackendClient } from "../fleet/backend_client.ts";
-import { Verdict } from "../schema/mod.ts";
+import { Fleet, Verdict } from "../schema/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
 import { ConnectProbe, ProbeResult } from "../sys/connect_probe.ts";
 import { openDatagramSocket } from "../sys/datagrams.ts";
+import { ServingError } from "../sys/errors.ts";
 import { createHttpAgent, HttpSendError, sendHttp } from "../sys/http.ts";
+import { createCredentials, RpcClient } from "../sys/rpc.ts";
 
 const ODD_ADDRESSES = [
   "",
@@ -85,6 +87,19 @@
     socket.close();
   });
 
+  // Guards against a replica that ends because a member has no address.
+  it("fail remote calls", async () => {
+    const credentials = createCredentials();
+    for (const address of ODD_ADDRESSES.filter((text) => text !== ":1")) {
+      const client = new RpcClient(address, credentials);
+      const failed = await client
+        .call(Fleet.method.report, {}, { timeoutMs: 1_000 })
+        .then(() => undefined, (error) => error);
+      expect(failed, JSON.stringify(address)).instanceOf(ServingError);
+      client.close();
+    }
+  });
+
   // Guards against one request with a tab in its path making each server that
   // it is sent to count as unreachable.
   it("of a request are no fault of its server", async () => {
