--- a/src/test/settings_file_test.ts
+++ b/src/test/settings_file_test.ts
@@ -5,20 +5,14 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { fileURLToPath } from "node:url";
 import { expect } from "chai";
 import { SettingsFile } from "../daemons/settings_file.ts";
 import { findMissingKeys } from "../fleet/mod.ts";
 import { FleetSettingsSchema, MessageCode } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
-import { findFreePorts } from "../sys/ports.ts";
-import {
-  SETTINGS,
-  startDaemon,
-  type TestDaemon,
-  TestProcess,
-} from "./daemon_process.ts";
+import { SETTINGS, startDaemon, type TestDaemon } from "./daemon_process.ts";
+import { HostProcesses } from "./platform_process.ts";
 
 const HOST = `{
   start: () => Promise.resolve({ seeds: settings.seeds.join() }),
@@ -26,10 +20,6 @@
   reload: ({ seeds }) => context.log.info("reload", { seeds: seeds.join() }),
 }`;
 
-const MAIN_PATH = fileURLToPath(
-  new URL("../../platform/main.js", import.meta.url),
-);
-
 /** Texts that a reader may find in place of `SETTINGS`. */
 const PARTS = {
   "an empty file": "\n",
@@ -42,16 +32,16 @@
 describe("a settings file", () => {
   let folder = "";
   let daemon: TestDaemon | undefined;
-  let running: TestProcess | undefined;
+  const hosts = new HostProcesses();
 
   beforeEach(async () => {
     folder = await mkdtemp(path.join(tmpdir(), "papayatally-settings-"));
+    await hosts.open();
   });
 
   afterEach(async () => {
     await daemon?.close();
-    if (running?.isRunning === true) running.kill("SIGKILL");
-    await running?.ended;
+    await hosts.close();
     await rm(folder, { recursive: true, force: true });
   });
 
@@ -124,15 +114,13 @@
 
   // Guards against a host that forgets its seeds.
   it("without seeds is not applied by a running host", async () => {
-    const [peer, listen, ready] = await findFreePorts(3);
-    const text = SETTINGS.replace("peer_port = 1", `peer_port = ${peer}`)
-      .replace("127.0.0.1:2", `127.0.0.1:${listen}`)
-      .replace("127.0.0.1:3", `127.0.0.1:${ready}`);
-    const file = path.join(folder, "settings");
-    await writeFile(file, text);
-    running = new TestProcess([MAIN_PATH, file]);
+    const settings = await hosts.createSettings("gateway");
+    const running = hosts.start(settings);
     await running.waitFor(/event=ready/);
-    await writeFile(file, text.replace(`"127.0.0.1:4"`, ""));
+    await writeFile(
+      settings.file,
+      settings.text.replace(/seeds = .*/, "seeds = []"),
+    );
     running.kill("SIGHUP");
     await running.waitFor(
       /event=settings_not_reloaded .*seeds is required/,
--- a/src/test/starts_test.ts
+++ b/src/test/starts_test.ts
@@ -3,34 +3,23 @@
  * against a process that does not start because the one before still ends.
  */
 import { existsSync } from "node:fs";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
-import { tmpdir } from "node:os";
-import path from "node:path";
-import { fileURLToPath } from "node:url";
 import { expect } from "chai";
 import { MessageCode } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
 import { LISTEN_LIMIT_MS, openPort } from "../sys/listening.ts";
 import { MemoryLog } from "../sys/log.ts";
-import { findFreePorts } from "../sys/ports.ts";
-import { TestProcess } from "./daemon_process.ts";
 import { sendHttpRequest } from "./platform_fleet.ts";
-
-const MAIN_PATH = fileURLToPath(
-  new URL("../../platform/main.js", import.meta.url),
-);
-
-const HOST = "127.0.0.1";
+import { HOST_IP, HostProcesses } from "./platform_process.ts";
 
 /** Listens on a port in place of a process that still ends. */
 function holdPort(port: number): Promise<() => void> {
   const server = createServer();
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(port, HOST, () => resolve(() => server.close()));
+    server.listen(port, HOST_IP, () => resolve(() => server.close()));
   });
 }
 
@@ -38,7 +27,7 @@
   const socket = createSocket("udp4");
   return new Promise((resolve, reject) => {
     socket.once("error", reject);
-    socket.bind(port, HOST, () => resolve(() => socket.close()));
+    socket.bind(port, HOST_IP, () => resolve(() => socket.close()));
   });
 }
 
@@ -49,61 +38,22 @@
 }
 
 describe("starts", () => {
-  let folder = "";
-  let processes: TestProcess[] = [];
+  const hosts = new HostProcesses();
   let releases: (() => void)[] = [];
 
-  beforeEach(async () => {
-    folder = await mkdtemp(path.join(tmpdir(), "papayatally-starts-"));
-  });
+  beforeEach(() => hosts.open());
 
   afterEach(async () => {
-    processes.filter((process) => process.isRunning)
-      .forEach((process) => process.kill("SIGKILL"));
-    await Promise.all(processes.map((process) => process.ended));
-    processes = [];
     releases.forEach((release) => release());
     releases = [];
-    await rm(folder, { recursive: true, force: true });
+    await hosts.close();
   });
 
-  /** Writes settings like those of deploy/; returns them and their file. */
-  async function createSettings(role: string) {
-    const [peer = 0, listen = 0, ready = 0, metrics = 0] = await findFreePorts(
-      4,
-    );
-    const dataFolder = path.join(folder, "data");
-    const settings = {
-      role,
-      id: `${role}-1`,
-      data_centre: "a",
-      ip: HOST,
-      peer_port: peer,
-      metrics_port: metrics,
-      seeds: [`${HOST}:${listen}`],
-      first_start: true,
-      ...role === "store" ? {} : { listen: `${HOST}:${listen}` },
-      ...role === "gateway"
-        ? { ready_listen: `${HOST}:${ready}` }
-        : { data_folder: dataFolder },
-    };
-    const file = path.join(folder, `${role}.conf`);
-    const lines = Object.entries(settings)
-      .map(([name, value]) => `${name} = ${JSON.stringify(value)}\n`);
-    await writeFile(file, lines.join(""));
-    return { file, dataFolder, peer, listen, ready, metrics };
-  }
-
-  function start(file: string): TestProcess {
-    const process = new TestProcess([MAIN_PATH, file]);
-    processes.push(process);
-    return process;
-  }
-
   for (const role of ["gateway", "control", "store"]) {
     // Guards against exit code 4 of a start whose ports are held for a while.
     it(`of a ${role} wait for their ports`, async () => {
-      const { file, peer, listen, ready, metrics } = await createSettings(role);
+      const settings = await hosts.createSettings(role);
+      const { peer, listen, ready, metrics } = settings;
       const held = new Map([
         ["peer", await holdPort(peer)],
         ["udp", await holdUdpPort(peer)],
@@ -112,7 +62,7 @@
         ["metrics", await holdPort(metrics)],
       ]);
       releases = [...held.values()];
-      const process = start(file);
+      const process = hosts.start(settings);
       const order = {
         gateway: ["udp", "ready", "peer", "listen"],
         control: ["peer", "listen"],
@@ -134,7 +84,7 @@
       await process.waitFor(
         new RegExp(`(event=port_opened[^]*){${order.length + 1}}`),
       );
-      const page = await sendHttpRequest(`${HOST}:${metrics}`, "GET", "/");
+      const page = await sendHttpRequest(`${HOST_IP}:${metrics}`, "GET", "/");
       expect(page.status).equal(404);
     });
   }
@@ -143,16 +93,16 @@
     // Guards against two processes that write to one data folder, when a start
     // begins while the process before still ends.
     it(`of a ${role} leave the data folder to the process before`, async () => {
-      const { file, dataFolder, peer } = await createSettings(role);
-      const release = await holdPort(peer);
+      const settings = await hosts.createSettings(role);
+      const release = await holdPort(settings.peer);
       releases = [release];
-      const first = start(file);
+      const first = hosts.start(settings);
       await first.waitFor(/event=port_waits/);
-      expect(existsSync(dataFolder)).equal(false);
+      expect(existsSync(settings.dataFolder)).equal(false);
       release();
       releases = [];
       await first.waitFor(/event=ready/);
-      const second = start(file);
+      const second = hosts.start(settings);
       await second.waitFor(/event=port_waits/);
       expect(first.isRunning).equal(true);
       first.kill("SIGKILL");
