A command that cannot be decoded is refused before it is in the log

What callers saw: nothing yet. A trial that proposes one byte (0xff) at the peer port of a control host: the host ends with "replica_failed ... premature EOF", and so at each further start; every other replica does the same with that entry, so the group is lost.

Cause: a proposal from another process was appended as it came. Applying it throws on each replica, and a replica that cannot apply its log ends.

Change: a host that is asked to propose commands for another process decodes them first and refuses them with the reason. A replica still ends at an entry that it cannot apply: to skip it could let replicas differ.

Why it works: only commands that this build can decode reach the log.

--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -145,6 +145,9 @@
     commands: readonly Uint8Array[],
   ): Promise<MessageInitShape<typeof State.method.propose.output>> {
     try {
+      commands.forEach((command) =>
+        this.#options.machine.checkCommand(command)
+      );
       const replies = commands.map((command) => this.replica.propose(command));
       return { replies: await Promise.all(replies) };
     } catch (error) {
--- a/src/services/hosts/state_host.ts
+++ b/src/services/hosts/state_host.ts
@@ -375,6 +375,10 @@
     const replica = this.#tryGetReplica(group);
     if (replica === undefined) return this.#createNotLeaderReply(group);
     try {
+      const machine = group === CONTROL_GROUP
+        ? this.#controlMachine
+        : this.#itemGroups.get(group)?.machine;
+      commands.forEach((command) => machine?.checkCommand(command));
       const replies = commands.map((command) => replica.propose(command));
       return { replies: await Promise.all(replies) };
     } catch (error) {
--- a/src/state/machines/control_machine.ts
+++ b/src/state/machines/control_machine.ts
@@ -19,7 +19,11 @@
 import { formatMessage } from "../../sys/errors.ts";
 import { getDigest } from "../../sys/random.ts";
 import { applyOrder } from "./orders.ts";
-import { type CommandContext, StateMachine } from "./state_machine.ts";
+import {
+  type CommandContext,
+  decodeProposedCommand,
+  StateMachine,
+} from "./state_machine.ts";
 
 /** Outcome of an order, and the digest that a resent order must have. */
 interface RecordedOutcome {
@@ -50,6 +54,10 @@
     return this.#entriesVersion;
   }
 
+  override checkCommand(command: Uint8Array): void {
+    decodeProposedCommand(ControlCommandSchema, command);
+  }
+
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(ControlCommandSchema, command);
     const outcome = body.case === "order"
--- a/src/state/machines/fleet_machine.ts
+++ b/src/state/machines/fleet_machine.ts
@@ -21,7 +21,11 @@
   RouteTableSchema,
   type StoreMembers,
 } from "../../schema/mod.ts";
-import { type CommandContext, StateMachine } from "./state_machine.ts";
+import {
+  type CommandContext,
+  decodeProposedCommand,
+  StateMachine,
+} from "./state_machine.ts";
 
 /** Options of a {@linkcode FleetMachine}; must be the same on all replicas. */
 export interface FleetMachineOptions {
@@ -49,6 +53,10 @@
     return this.#hosts;
   }
 
+  override checkCommand(command: Uint8Array): void {
+    decodeProposedCommand(FleetCommandSchema, command);
+  }
+
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(FleetCommandSchema, command);
     let code = 0;
--- a/src/state/machines/item_machine.ts
+++ b/src/state/machines/item_machine.ts
@@ -45,7 +45,11 @@
 import { JobItems } from "./job_items.ts";
 import { KeyedRequests } from "./keyed_requests.ts";
 import { Sessions } from "./sessions.ts";
-import { type CommandContext, StateMachine } from "./state_machine.ts";
+import {
+  type CommandContext,
+  decodeProposedCommand,
+  StateMachine,
+} from "./state_machine.ts";
 
 interface JobWithItems {
   readonly job: Job;
@@ -76,6 +80,10 @@
   /** Jobs with items that are waiting or dispatched, by id. */
   #activeJobs = new Map<string, JobWithItems>();
 
+  override checkCommand(command: Uint8Array): void {
+    decodeProposedCommand(ItemCommandSchema, command);
+  }
+
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(ItemCommandSchema, command);
     const reply = this.#applyCommand(body, context);
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -24,7 +24,11 @@
   StoredJobSchema,
   type SubmitJob,
 } from "../../schema/mod.ts";
-import { type CommandContext, StateMachine } from "./state_machine.ts";
+import {
+  type CommandContext,
+  decodeProposedCommand,
+  StateMachine,
+} from "./state_machine.ts";
 
 /** Output events recorded for an item that has no result yet. */
 export interface ItemProgressRecord {
@@ -119,6 +123,10 @@
     return this.#waitingTokens.get(route) ?? 0n;
   }
 
+  override checkCommand(command: Uint8Array): void {
+    decodeProposedCommand(JobCommandSchema, command);
+  }
+
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(JobCommandSchema, command);
     const code = body.case === "submit"
--- a/src/state/machines/state_machine.ts
+++ b/src/state/machines/state_machine.ts
@@ -1,5 +1,30 @@
 /** Interface of the state machines to which a replicated log is applied. */
 
+import {
+  type DescMessage,
+  fromBinary,
+  type MessageShape,
+} from "@bufbuild/protobuf";
+import { MessageCode, Verdict } from "../../schema/mod.ts";
+import { getReason, ServingError } from "../../sys/errors.ts";
+
+/** Decodes a command that is to be proposed; throws if that is not possible. */
+export function decodeProposedCommand<S extends DescMessage>(
+  schema: S,
+  command: Uint8Array,
+): MessageShape<S> {
+  try {
+    return fromBinary(schema, command);
+  } catch (error) {
+    throw new ServingError(MessageCode.INTERNAL, {
+      verdict: Verdict.NOT_RUN,
+      parameters: {
+        reason: `the command cannot be decoded: ${getReason(error)}`,
+      },
+    });
+  }
+}
+
 /** Log position and time of a command. */
 export interface CommandContext {
   readonly index: number;
@@ -20,6 +45,13 @@
   /** Newest version of the commands that this build applies. */
   readonly commandVersion: number = 0;
 
+  /**
+   * Throws unless the command can be decoded. A command from another process is
+   * checked before it is proposed: once it is in the log, one that no replica can
+   * apply ends all of them, at each start.
+   */
+  checkCommand(_command: Uint8Array): void {}
+
   /** Applies a committed command and returns the reply to its proposer. */
   abstract apply(command: Uint8Array, context: CommandContext): Uint8Array;
 
