The last tasks that ran without a handler log why they failed

What callers saw: nothing more than before, since an error that no caller waits for no longer ends the process; its line names the task now.

Cause: the record of progress of items and the probe after a lost connection were started without a handler for their rejection.

Evidence: a search of all calls of functions that return a promise whose value is not used; no other is left without a handler. By reading, no test makes these two reject.

Change: both log `task_failed`.

--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -18,6 +18,7 @@
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import { getDigestHex } from "../sys/random.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import type { BackendRequest } from "./backend_client.ts";
 import type { RoutingView } from "./routing_view.ts";
 import type { PoolServer } from "./server_pool.ts";
@@ -107,8 +108,9 @@
    * it is known whether this server crashed too, or after a short wait.
    */
   async recordConnectionLoss(run: ServerRun): Promise<void> {
-    const { clock, view: { suspicions }, promptPartGuard } = this.#options;
+    const { clock, log, view: { suspicions }, promptPartGuard } = this.#options;
     const isRecorded = this.#probeServer(run);
+    logRejection(isRecorded, log, "probe after a lost connection");
     const isSuspect =
       !suspicions.isEmpty && suspicions.isSuspect(getFingerprint(run.req)) ||
       promptPartGuard.isSuspect(run.unprovenParts);
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -24,6 +24,7 @@
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
 import { MetricName } from "../sys/metrics.ts";
+import { logRejection } from "../sys/unexpected_errors.ts";
 import type { BackendClient } from "./backend_client.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
@@ -180,7 +181,7 @@
     this.#progressTimer = this.#options.context.clock.startInterval(
       PROGRESS_INTERVAL_MS,
       () => {
-        if (!this.#isRecordingProgress) this.#recordProgress();
+        if (!this.#isRecordingProgress) this.#startRecordingProgress();
         this.#logUtilization();
       },
     );
@@ -252,7 +253,7 @@
         applied: appliedIndex,
       });
       // The next owners of items continue after their recorded output.
-      this.#recordProgress();
+      this.#startRecordingProgress();
     }
     const openItemsIndex = canContinue() ? appliedIndex : undefined;
     const isUnchanged = openItemsIndex !== undefined &&
@@ -653,6 +654,11 @@
     });
   }
 
+  #startRecordingProgress(): void {
+    const { log } = this.#options.context;
+    logRejection(this.#recordProgress(), log, "record of progress");
+  }
+
   /** Records the output of running items that the applied state lacks. */
   async #recordProgress(): Promise<void> {
     const progress = this.#progress.getUnrecorded(
