--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -7,3 +7,4 @@
 export * from "./gateway_host.ts";
 export { tryFindRequestError } from "./request_check.ts";
 export * from "./store_host.ts";
+export * from "./required_settings.ts";
