Servers that nobody renews are forgotten, and their number is bounded

What callers saw: nothing yet; reports of other operators had thousands of entries of another writer. Each stayed for ever, in memory, in last-view and in the first update to each follower, and each registration and each choice of a server looked at all of them.

Cause: only a deregistration or another server at the address removed an entry.

Change: an entry ends after 10 min (followers: 30 min) of listening without contact; while a process is cut off from all, or stopped, no time counts. Above 8,192 entries the one silent for longest makes room, then the oldest that was heard of only once; else the new one is ignored. Restarts need no room, and tombstones stay for 120 s and don't count. A registration that comes more than a minute after the one before is sent to followers whole, as they may have forgotten it. Servers are indexed by service and address.

--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -75,6 +75,22 @@
   readonly metrics: Metrics;
 }
 
+/**
+ * Time without a registration after which a server is forgotten, in milliseconds.
+ * Servers register every few seconds, but perhaps at another control host.
+ */
+const RETENTION_MS = 10 * 60_000;
+
+/**
+ * Time without a registration after which the whole of an unchanged one is sent
+ * again, in milliseconds. It must be shorter than the time for which followers
+ * keep a server.
+ */
+const RESEND_MS = 60_000;
+
+/** Maximum number of servers; exceeds those of a large fleet. */
+const MAX_SERVERS = 8_192;
+
 /** Keeps the registry of backend servers and publishes it to followers. */
 export class RegistrationHub {
   readonly #options: RegistrationHubOptions;
@@ -89,6 +105,16 @@
     this.#options = options;
     this.#serverRegistry = new ServerRegistry({
       heartbeatMs: options.registrationIntervalMs,
+      retentionMs: RETENTION_MS,
+      maxServers: MAX_SERVERS,
+      onForgotten: ({ id, service, address }) => {
+        options.log.info("backend_server_forgotten", {
+          server: id,
+          service,
+          address,
+        });
+        options.onServerChange();
+      },
     });
   }
 
@@ -131,15 +157,28 @@
       return;
     }
     const nowMs = this.#options.clock.getMonotonicMs();
+    const isOverdue = this.#serverRegistry
+      .isOverdue(registration.id, nowMs, RESEND_MS);
     const effect = this.#serverRegistry.accept(registration, nowMs);
     if (effect === RegistrationEffect.old) return;
+    if (effect === RegistrationEffect.refused) {
+      this.#options.log.warn("registration_ignored", {
+        server: registration.id,
+        reason: `${MAX_SERVERS} servers are registered already`,
+      });
+      return;
+    }
     if (effect === RegistrationEffect.heard) {
       const start = getServerStart(registration);
       this.#suspicions.recordHeartbeat(start, nowMs);
       this.#promptParts.recordHeartbeat(start, nowMs);
-      this.#followers.forEach((follower) =>
-        follower.pendingHeardIds.add(registration.id)
-      );
+      this.#followers.forEach((follower) => {
+        follower.pendingHeardIds.add(registration.id);
+        // Followers may have forgotten the server meanwhile.
+        if (!isOverdue) return;
+        follower.pendingServers.set(registration.id, registration);
+        this.#sendUpdate(follower, false);
+      });
       return;
     }
     this.#options.log.info(`backend_server_${effect}`, {
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -49,6 +49,15 @@
  */
 const MAX_CORRELATED_CRASHES = 4;
 
+/**
+ * Time without contact after which a server is forgotten, in milliseconds:
+ * longer than the time after which control hosts send whole registrations again.
+ */
+const SERVER_RETENTION_MS = 30 * 60_000;
+
+/** Maximum number of servers: those of three control hosts and more. */
+const MAX_SERVERS = 32_768;
+
 /** Creates the record of the requests during which servers crashed. */
 export function createSuspicions(): Suspicions {
   return new Suspicions({
@@ -82,6 +91,14 @@
     this.#options = options;
     this.servers = new ServerRegistry({
       heartbeatMs: options.registrationIntervalMs,
+      retentionMs: SERVER_RETENTION_MS,
+      maxServers: MAX_SERVERS,
+      onForgotten: ({ id, service, address }) =>
+        options.log.info("backend_server_forgotten", {
+          server: id,
+          service,
+          address,
+        }),
     });
   }
 
@@ -290,6 +307,13 @@
       return false;
     }
     const effect = this.servers.accept(server, nowMs);
+    if (effect === RegistrationEffect.refused) {
+      this.#options.log.warn("registration_ignored", {
+        server: server.id,
+        reason: `${MAX_SERVERS} servers are known already`,
+        from,
+      });
+    }
     const hasChanged = effect === RegistrationEffect.added ||
       effect === RegistrationEffect.changed;
     if (!hasChanged) return false;
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -4,8 +4,13 @@
  * the newest start time wins, and within one start the one with the most
  * advanced state, then with the highest sequence number. A server that left is
  * kept as a tombstone, so that a delayed registration does not add it again.
+ *
+ * Servers that have not been heard of for long are forgotten, and their number is
+ * bounded, because other writers may register any number of them. Neither may
+ * cost a server that registers at its interval.
  */
 import { type Registration, ServerState } from "../schema/mod.ts";
+import { isGone, ServerIndex } from "./server_index.ts";
 
 /** A registered backend server and its health. */
 export interface KnownServer {
@@ -25,6 +30,10 @@
   unreachableMs: number | undefined;
   /** Another server answered at its address; cleared on registration. */
   hasIdentityMismatch: boolean;
+  /** Whether it was heard of again after it was added. */
+  isRepeated: boolean;
+  /** Time for which this process had listened at the last contact. */
+  listenedMs: number;
 }
 
 /** Effects that a registration can have. */
@@ -37,6 +46,8 @@
   heard: "heard",
   /** Older than the known registration; ignored. */
   old: "old",
+  /** One more server than can be kept; ignored. */
+  refused: "refused",
 } as const;
 
 /** One of {@linkcode RegistrationEffect}. */
@@ -46,6 +57,24 @@
 /** Time for which a server that left is kept, in milliseconds. */
 const TOMBSTONE_MS = 120_000;
 
+/** Maximum number of tombstones of servers that were never registered here. */
+const MAX_NAMELESS_TOMBSTONES = 8_192;
+
+/** Interval at which what has expired is removed, in milliseconds. */
+const REMOVAL_INTERVAL_MS = 1_000;
+
+/**
+ * Longest time between two messages that counts as listening, in milliseconds.
+ * During a longer one this process was cut off or suspended.
+ */
+const MAX_LISTENING_GAP_MS = 5_000;
+
+/**
+ * Shortest time without contact after which a server may make room for another
+ * one, in milliseconds of listening.
+ */
+const MIN_SPARE_MS = 15_000;
+
 /**
  * Longest back-off, in milliseconds. It exceeds the network partitions of the
  * platform, which last 5 to 6 s.
@@ -76,10 +105,25 @@
   return `${server.id}/${server.bornMs}`;
 }
 
+/** Options of a {@linkcode ServerRegistry}. */
+export interface ServerRegistryOptions {
+  /** Interval at which backend servers register, in milliseconds. */
+  readonly heartbeatMs: number;
+  /**
+   * Time of listening without contact after which a server is forgotten, in
+   * milliseconds.
+   */
+  readonly retentionMs?: number;
+  /** Maximum number of servers that have not left. */
+  readonly maxServers?: number;
+  /** Called when a server that has not left is forgotten. */
+  readonly onForgotten?: (registration: Registration) => void;
+}
+
 /** Registry of one process. */
 export class ServerRegistry {
-  readonly #servers = new Map<string, KnownServer>();
-  readonly #heartbeatMs: number;
+  readonly #options: Required<ServerRegistryOptions>;
+  readonly #servers = new ServerIndex();
   /**
    * Starts of servers that said in a response that they leave. They are kept
    * apart from the servers, because a late registration may add a server again.
@@ -90,9 +134,18 @@
   /** Time of the first and of the last message from any control host. */
   #firstControlContactMs: number | undefined;
   #lastControlContactMs = -Infinity;
-
-  constructor(options: { heartbeatMs: number }) {
-    this.#heartbeatMs = options.heartbeatMs;
+  /** Time for which messages have arrived without longer gaps. */
+  #listenedMs = 0;
+  #lastMessageMs = -Infinity;
+  #lastRemovalMs = -Infinity;
+
+  constructor(options: ServerRegistryOptions) {
+    this.#options = {
+      retentionMs: Infinity,
+      maxServers: Infinity,
+      onForgotten: () => {},
+      ...options,
+    };
   }
 
   /**
@@ -100,25 +153,38 @@
    * so a heartbeat counts as missed only while such messages arrive.
    */
   recordControlContact(nowMs: number): void {
+    this.#listen(nowMs);
     this.#firstControlContactMs ??= nowMs;
     this.#lastControlContactMs = nowMs;
   }
 
   /** Applies a registration. */
   accept(registration: Registration, nowMs: number): RegistrationEffect {
-    this.#removeExpiredTombstones(nowMs);
-    const known = this.#servers.get(registration.id);
+    this.#listen(nowMs);
+    const known = this.#servers.tryGet(registration.id);
     if (known !== undefined && isOlder(registration, known.registration)) {
       return RegistrationEffect.old;
     }
-    if (this.#isSuperseded(registration)) return RegistrationEffect.old;
-    this.#removePredecessors(registration);
+    const neighbour = this.#tryGetNeighbour(registration);
+    if (
+      neighbour !== undefined &&
+      neighbour.registration.bornMs > registration.bornMs
+    ) return RegistrationEffect.old;
+    const isReplaced = [known, neighbour].some((other) =>
+      other !== undefined && !isGone(other)
+    );
+    if (!isReplaced && !this.#makeRoom(registration)) {
+      return RegistrationEffect.refused;
+    }
+    if (neighbour !== undefined) {
+      this.#servers.delete(neighbour.registration.id);
+    }
     this.#recordVersion(registration, nowMs);
     const isSameStart = known !== undefined &&
       known.registration.bornMs === registration.bornMs;
     const isRepeat = isSameStart &&
       isUnchanged(known.registration, registration);
-    this.#servers.set(registration.id, {
+    this.#servers.set({
       registration,
       lastContactMs: nowMs,
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
@@ -126,6 +192,8 @@
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
       unreachableMs: isSameStart ? known.unreachableMs : undefined,
       hasIdentityMismatch: false,
+      isRepeated: isSameStart,
+      listenedMs: this.#listenedMs,
     });
     if (!isSameStart) return RegistrationEffect.added;
     return isRepeat ? RegistrationEffect.heard : RegistrationEffect.changed;
@@ -133,9 +201,12 @@
 
   /** Records a heartbeat of a server whose registration is unchanged. */
   recordHeartbeat(id: string, nowMs: number): void {
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     if (known === undefined) return;
     known.lastContactMs = nowMs;
+    known.listenedMs = this.#listenedMs;
+    known.isRepeated = true;
+    if (!isGone(known)) this.#servers.recordContact(known);
     this.#recordVersion(known.registration, nowMs);
   }
 
@@ -144,7 +215,7 @@
    * with each further back-off until the server responds.
    */
   backOff(id: string, nowMs: number, baseMs: number): void {
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     // Requests that fail during a back-off belong to the same failure.
     if (known === undefined || nowMs < known.backoffUntilMs) return;
     const factor = 2 ** known.failures;
@@ -158,7 +229,7 @@
    */
   backOffSilent(id: string, nowMs: number, baseMs: number): void {
     this.backOff(id, nowMs, baseMs);
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     if (known !== undefined) known.silentSinceMs = nowMs;
   }
 
@@ -184,13 +255,13 @@
 
   /** Records that no connection to a server could be made. */
   recordUnreachable(id: string, nowMs: number): void {
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     if (known !== undefined) known.unreachableMs = nowMs;
   }
 
   /** Records a response of a server, which resets its back-off. */
   recordResponse(id: string): void {
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     if (known === undefined) return;
     known.failures = 0;
     known.silentSinceMs = undefined;
@@ -198,7 +269,7 @@
 
   /** Ends all back-offs, after a cut that had nothing to do with the servers. */
   resetBackoffs(): void {
-    this.#servers.forEach((known) => {
+    this.#servers.getAll().forEach((known) => {
       known.backoffUntilMs = -Infinity;
       known.failures = 0;
       known.silentSinceMs = undefined;
@@ -207,28 +278,34 @@
 
   /** Servers that accept requests, by what they said of themselves. */
   getReady(): Registration[] {
-    return [...this.#servers.values()].filter((known) => this.#isReady(known))
+    return this.#servers.getAll().filter((known) => this.#isReady(known))
       .map((known) => known.registration);
   }
 
   /** Whether no requests should be sent to a server now. */
   isBackingOff(id: string, nowMs: number): boolean {
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     return known !== undefined && this.#isBackingOff(known, nowMs);
   }
 
   /** Records that another server answered at the address of this one. */
   recordIdentityMismatch(id: string): void {
-    const known = this.#servers.get(id);
+    const known = this.#servers.tryGet(id);
     if (known !== undefined) known.hasIdentityMismatch = true;
   }
 
+  /** Whether the last contact with a server was `ms` milliseconds ago or more. */
+  isOverdue(id: string, nowMs: number, ms: number): boolean {
+    const known = this.#servers.tryGet(id);
+    return known !== undefined && nowMs - known.lastContactMs >= ms;
+  }
+
   tryGet(id: string): Registration | undefined {
-    return this.#servers.get(id)?.registration;
+    return this.#servers.tryGet(id)?.registration;
   }
 
   getAll(): Registration[] {
-    return [...this.#servers.values()].map((known) => known.registration);
+    return this.#servers.getAll().map((known) => known.registration);
   }
 
   /** Number of ready servers; servers that left are kept, but not counted. */
@@ -252,9 +329,9 @@
     nowMs: number,
     softwareVersion?: string,
   ): Registration[] {
-    const ready = [...this.#servers.values()].filter((known) =>
-      known.registration.service === service && this.#isReady(known) &&
-      !known.hasIdentityMismatch && !this.#isSilent(known) &&
+    const ready = this.#servers.getOfService(service).filter((known) =>
+      this.#isReady(known) && !known.hasIdentityMismatch &&
+      !this.#isSilent(known) &&
       (softwareVersion === undefined || hasVersion(known, softwareVersion))
     );
     const healthy = ready.filter((known) => !this.#isBackingOff(known, nowMs));
@@ -268,8 +345,8 @@
    * version, available or not.
    */
   hasReadyVersion(service: string, softwareVersion: string): boolean {
-    return [...this.#servers.values()].some((known) =>
-      known.registration.service === service && this.#isReady(known) &&
+    return this.#servers.getOfService(service).some((known) =>
+      this.#isReady(known) &&
       known.registration.softwareVersion === softwareVersion &&
       !this.#isSilent(known)
     );
@@ -292,9 +369,7 @@
     const { service, softwareVersion } = registration;
     const versions = this.#versions.get(service) ?? new Map<string, number>();
     versions.set(softwareVersion, nowMs);
-    versions.forEach((contactMs, version) => {
-      if (nowMs - contactMs >= VERSION_TTL_MS) versions.delete(version);
-    });
+    removeExpiredVersions(versions, nowMs);
     this.#versions.set(service, versions);
   }
 
@@ -314,7 +389,7 @@
     const { silentSinceMs } = known;
     return silentSinceMs !== undefined &&
       known.lastContactMs <= silentSinceMs &&
-      this.#lastControlContactMs > silentSinceMs + this.#heartbeatMs;
+      this.#lastControlContactMs > silentSinceMs + this.#options.heartbeatMs;
   }
 
   /**
@@ -323,37 +398,91 @@
    */
   #isSilent(known: KnownServer): boolean {
     return this.#lastControlContactMs - known.lastContactMs >
-      this.#heartbeatMs * MAX_MISSED_HEARTBEATS;
+      this.#options.heartbeatMs * MAX_MISSED_HEARTBEATS;
   }
 
-  /** Whether a server that started later is known at the same address. */
-  #isSuperseded(registration: Registration): boolean {
-    return [...this.#servers.values()].some(({ registration: other }) =>
-      other.id !== registration.id && other.address === registration.address &&
-      other.bornMs > registration.bornMs
+  /** Counts the time up to a message as listening, and removes what expired. */
+  #listen(nowMs: number): void {
+    const gapMs = Math.max(0, nowMs - this.#lastMessageMs);
+    this.#listenedMs += Math.min(MAX_LISTENING_GAP_MS, gapMs);
+    this.#lastMessageMs = Math.max(nowMs, this.#lastMessageMs);
+    if (nowMs - this.#lastRemovalMs < REMOVAL_INTERVAL_MS) return;
+    this.#lastRemovalMs = nowMs;
+    this.#removeExpired(nowMs);
+  }
+
+  #removeExpired(nowMs: number): void {
+    this.#servers.getAll().forEach((known) => {
+      if (isGone(known)) {
+        const isExpired = nowMs - known.lastContactMs > TOMBSTONE_MS;
+        if (isExpired) this.#servers.delete(known.registration.id);
+        return;
+      }
+      const silentMs = this.#listenedMs - known.listenedMs;
+      if (silentMs > this.#options.retentionMs) this.#forget(known);
+    });
+    this.#versions.forEach((versions, service) => {
+      removeExpiredVersions(versions, nowMs);
+      if (versions.size === 0) this.#versions.delete(service);
+    });
+  }
+
+  /**
+   * Makes room for one more server. The one that was silent for longest makes
+   * room, or the first of those that were heard of only once. Returns false if
+   * there is none.
+   */
+  #makeRoom({ state, service }: Registration): boolean {
+    if (state === ServerState.GONE) {
+      this.#dropNamelessTombstone(service);
+      return true;
+    }
+    if (this.#servers.presentCount < this.#options.maxServers) return true;
+    const spare = this.#tryFindSpare();
+    if (spare !== undefined) this.#forget(spare);
+    return spare !== undefined;
+  }
+
+  /** Bounds the tombstones of servers whose registration never came here. */
+  #dropNamelessTombstone(service: string): void {
+    const isFull = service === "" &&
+      this.#servers.countOfService("") >= MAX_NAMELESS_TOMBSTONES;
+    const oldest = isFull ? this.#servers.tryGetFirstOfService("") : undefined;
+    if (oldest !== undefined) this.#servers.delete(oldest.registration.id);
+  }
+
+  #tryFindSpare(): KnownServer | undefined {
+    const { firstHeard, firstHeardOnce } = this.#servers;
+    const spareMs = Math.max(
+      MIN_SPARE_MS,
+      this.#options.heartbeatMs * MAX_MISSED_HEARTBEATS,
     );
+    const isSilent = firstHeard !== undefined &&
+      this.#listenedMs - firstHeard.listenedMs > spareMs;
+    return isSilent ? firstHeard : firstHeardOnce;
   }
 
-  /** Removes the other servers that are registered at the same address. */
-  #removePredecessors(registration: Registration): void {
-    [...this.#servers.values()]
-      .filter(({ registration: other }) =>
-        other.id !== registration.id &&
-        other.address === registration.address && other.address !== ""
-      )
-      .forEach(({ registration: other }) => this.#servers.delete(other.id));
+  #forget({ registration }: KnownServer): void {
+    this.#servers.delete(registration.id);
+    this.#options.onForgotten(registration);
   }
 
-  #removeExpiredTombstones(nowMs: number): void {
-    this.#servers.forEach((known, id) => {
-      const isGone = known.registration.state === ServerState.GONE;
-      if (isGone && nowMs - known.lastContactMs > TOMBSTONE_MS) {
-        this.#servers.delete(id);
-      }
-    });
+  /** The other server at the same address; at most one is kept. */
+  #tryGetNeighbour({ id, address }: Registration): KnownServer | undefined {
+    const other = this.#servers.tryGetAt(address);
+    return other?.registration.id === id ? undefined : other;
   }
 }
 
+function removeExpiredVersions(
+  versions: Map<string, number>,
+  nowMs: number,
+): void {
+  versions.forEach((contactMs, version) => {
+    if (nowMs - contactMs >= VERSION_TTL_MS) versions.delete(version);
+  });
+}
+
 function hasVersion(known: KnownServer, softwareVersion: string): boolean {
   return known.registration.softwareVersion === softwareVersion &&
     (known.unreachableMs === undefined ||
