Bodies with too many values are refused before they are parsed

What callers saw: one PUT of 15 MB, a registration or a configuration, whose unread fields hold millions of empty lists ends a control host: "Reached heap limit". Job bodies within the caller's bound could do the same to a gateway.

Cause: JSON.parse takes many times the bytes of such a body, and only the bytes were bounded.

--- a/src/test/value_ranges_test.ts
+++ b/src/test/value_ranges_test.ts
@@ -517,6 +517,35 @@
     expect(merged.map(({ online }) => online)).deep.equal([2 ** 32 - 1]);
   });
 
+  // Guards against a control host or gateway that runs out of memory while it parses
+  // one body: a value takes many times its bytes.
+  it("are not so many that a body cannot be parsed", () => {
+    const item = { Id: "i", Path: "/b/1", Headers: {}, Body: "", Tokens: 1 };
+    const config = { Version: 7, Routes: [ROUTE], Services: [SERVICE] };
+    const route = create(RouteSchema, { name: "r", host: "a.example" });
+    const decoders: [object, (body: Buffer) => unknown][] = [
+      [config, decodeRouteTable],
+      [{ Items: [item] }, (body) => decodeJob("j", body, route)],
+    ];
+    decoders.forEach(([value, decode]) => {
+      const addField = (json: string) =>
+        Buffer.from(JSON.stringify(value).replace(/\}$/, `,"Other":${json}}`));
+      const many = 200_000;
+      [
+        `[${"[],".repeat(many)}0]`,
+        `[${"0,".repeat(many)}0]`,
+        "[".repeat(many) + "]".repeat(many),
+        `{"a":`.repeat(many) + "0" + "}".repeat(many),
+      ].forEach((json) =>
+        expect(tryDecode(() => decode(addField(json)))).equal(undefined)
+      );
+      const few = `[${"[],".repeat(50_000)}${
+        JSON.stringify('x,"[{\\'.repeat(100_000))
+      }]`;
+      expect(tryDecode(() => decode(addField(few)))).not.equal(undefined);
+    });
+  });
+
   // Guards against timers that fire at once: Node.js takes 31 bits, and a route may
   // have a timeout of 32.
   it("are waited for by timers", async () => {
