No lease of a backend server ends while its entry stands still

An entry whose process stood still for longer than the leases of its backend servers refused all requests with PT3001 ("no backend server serves ... now") and broke off the answers that it relayed, until each server had announced itself again.

Cause: the first thing that runs after a stall is the tick that looks for ended leases. The announcements of the stall are in the sockets, still unread.

Change: a time of more than 250 ms between two ticks of the pool doesn't count against the leases. A lease that had ended before stays ended, and a server that isn't heard after the stall is lost when the rest of its lease has passed.

An entry ends a lease only after as much time in which it could have heard the server as before.

--- a/src/membership/backend_view.ts
+++ b/src/membership/backend_view.ts
@@ -82,15 +82,36 @@
  */
 const EXPIRED_RETENTION_MS = 60_000;
 
+/**
+ * Longest time between two ticks in which the process counts as running, in
+ * milliseconds: more than twice the interval.
+ */
+const MAX_TICK_GAP_MS = 250;
+
 const INITIAL_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 8_000;
 
 /** Backend servers by name, including those whose lease ended recently. */
 export class BackendView {
   readonly #servers = new Map<string, BackendServer>();
+  /** Undefined while nothing ticks. */
+  #lastTickMs: number | undefined;
+
+  /**
+   * Records that the process runs; to be called at an interval. No lease ends in a
+   * time in which it stood still, since the announcements of that time are unread.
+   */
+  tick(nowMs: number): void {
+    const stalledMs = this.#getStalledMs(nowMs);
+    this.getAll()
+      .filter((server) => !this.#hasLeaseEnded(server, nowMs))
+      .forEach((server) => server.leaseEndMs += stalledMs);
+    this.#lastTickMs = nowMs;
+  }
 
   /** Applies an announcement unless a newer one of the server is known. */
   accept(announcement: Announcement, nowMs: number): AnnouncementEffect {
+    if (this.#lastTickMs !== undefined) this.tick(nowMs);
     const known = this.#servers.get(announcement.name);
     const leaseMs = announcement.leaseMs || DEFAULT_LEASE_MS;
     if (known === undefined) {
@@ -106,7 +127,7 @@
       return AnnouncementEffect.old;
     }
     const restarted = announcement.incarnation > known.announcement.incarnation;
-    const wasExpired = nowMs >= known.leaseEndMs;
+    const wasExpired = this.#hasLeaseEnded(known, nowMs);
     const left = announcement.leaving && !known.announcement.leaving;
     known.announcement = announcement;
     known.leaseEndMs = nowMs + leaseMs;
@@ -141,7 +162,7 @@
   getServing(deployment: string, nowMs: number): BackendServer[] {
     return this.getAll().filter((server) =>
       server.announcement.deployment === deployment &&
-      !server.announcement.leaving && nowMs < server.leaseEndMs
+      !server.announcement.leaving && !this.#hasLeaseEnded(server, nowMs)
     );
   }
 
@@ -182,7 +203,17 @@
     this.getAll()
       .filter((server) => nowMs > server.leaseEndMs + EXPIRED_RETENTION_MS)
       .forEach((server) => this.#servers.delete(server.name));
-    return this.getAll().filter((server) => nowMs >= server.leaseEndMs);
+    return this.getAll().filter((server) => this.#hasLeaseEnded(server, nowMs));
+  }
+
+  #hasLeaseEnded(server: BackendServer, nowMs: number): boolean {
+    return nowMs - this.#getStalledMs(nowMs) >= server.leaseEndMs;
+  }
+
+  /** Time until now in which the process stood still, in milliseconds. */
+  #getStalledMs(nowMs: number): number {
+    const elapsedMs = nowMs - (this.#lastTickMs ?? nowMs);
+    return elapsedMs > MAX_TICK_GAP_MS ? elapsedMs : 0;
   }
 }
 
--- a/src/services/online/backend_pool.ts
+++ b/src/services/online/backend_pool.ts
@@ -432,6 +432,7 @@
     this.#ticks += 1;
     this.#rejectExpired(nowMs);
     this.#updateCompletionRates();
+    view.backends.tick(nowMs);
     view.backends.sampleOwnLoads();
     view.backends.getAll().forEach((server) => this.#updateServer(server));
     if (this.#ticks % TICKS_PER_SWEEP === 0) {
