Bind no stream to a server that no connection could be made to

Seen by callers: a stream went on at a server that had been started again under its id with another software version, at a gateway whose connection there had been refused a moment before.

Cause: a server that can't be connected to has to be heard of again before a bound stream or item may go there. Only the probe after a lost connection recorded that; an attempt whose own connection failed did not. Besides, a heartbeat that control hosts pass on up to a second late counted as heard after the failure though the server had sent it before.

Change: an attempt without a connection is recorded as well, and a heartbeat counts from a second before it arrived here. Registrations count from the time at which the control host heard of the server.

Evidence: stream_versions_test, "don't go on at a server that no connection could be made to": 200 from the new version before, 503 now (3 of 3 runs). The case in server_registry_test let a heartbeat that arrived 1 ms after the failure count, which is the second fault; it now demands that 1,000 ms don't and 1,001 do.

Cost: after a refused connection, streams of that version avoid the server for up to a heartbeat and two seconds at this gateway. New ones don't.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -125,6 +125,8 @@
         if (isNew) this.follower.reportLimit(server);
       },
       onUnreachable: (server) => pool.recordFailure(server),
+      onNotConnected: (server) =>
+        view.servers.recordUnreachable(server, clock.getMonotonicMs()),
       onActivity: (server) => pool.recordActivity(server),
       reachability: this.reachability,
       isPartitioned: options.context.isPartitioned,
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -81,6 +81,7 @@
     limitPerS: number | undefined,
   ) => void;
   readonly #onUnreachable: (server: string) => void;
+  readonly #onNotConnected: (server: string) => void;
   readonly #onActivity: (server: string) => void;
   readonly #reachability: BackendClientReachability | undefined;
   readonly #isPartitioned: (address: string) => boolean;
@@ -92,7 +93,10 @@
     onWrongServer: (server: string) => void;
     onLeaving: (server: PoolServer) => void;
     onLimit: (permit: ServerPermit, limitPerS: number | undefined) => void;
+    /** Called after each attempt without a response. */
     onUnreachable: (server: string) => void;
+    /** Called in addition if no connection could be made. */
+    onNotConnected?: (server: string) => void;
     onActivity: (server: string) => void;
     reachability?: BackendClientReachability;
     /** Whether nothing reaches an address; simulates a network partition. */
@@ -105,6 +109,7 @@
     this.#onLeaving = options.onLeaving;
     this.#onLimit = options.onLimit;
     this.#onUnreachable = options.onUnreachable;
+    this.#onNotConnected = options.onNotConnected ?? (() => {});
     this.#onActivity = options.onActivity;
     this.#reachability = options.reachability;
     this.#isPartitioned = options.isPartitioned ?? (() => false);
@@ -199,6 +204,7 @@
     const isNotRun = error instanceof HttpSendError &&
       error.verdict === Verdict.NOT_RUN;
     if (isNotRun) {
+      this.#onNotConnected(options.permit.server.id);
       this.#reachability?.recordUnreachable(options.permit.server.id);
     }
     return isNotRun
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -12,6 +12,8 @@
   registration: Registration;
   /** Time of the last registration or heartbeat. */
   lastContactMs: number;
+  /** Time at which it was certainly running, by what was heard of it. */
+  confirmedMs: number;
   /** End of the back-off after a failure; no requests are sent before. */
   backoffUntilMs: number;
   /** Back-offs since the last response. */
@@ -68,6 +70,12 @@
 /** Heartbeats that a server may miss before it counts as silent. */
 const MAX_MISSED_HEARTBEATS = 4;
 
+/**
+ * Time by which control hosts delay a heartbeat that says nothing new, in
+ * milliseconds.
+ */
+const HEARTBEAT_DELAY_MS = 1_000;
+
 /** Maximum number of starts known to leave; the oldest are dropped. */
 const MAX_LEAVING_STARTS = 4_096;
 
@@ -129,6 +137,9 @@
       lastContactMs: isSameStart
         ? Math.max(known.lastContactMs, isRestored ? 0 : nowMs - silentMs)
         : nowMs - silentMs,
+      confirmedMs: isSameStart
+        ? Math.max(known.confirmedMs, isRestored ? 0 : nowMs - silentMs)
+        : nowMs - silentMs,
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
       failures: isSameStart ? known.failures : 0,
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
@@ -145,6 +156,7 @@
     const known = this.#servers.get(id);
     if (known === undefined) return;
     known.lastContactMs = nowMs;
+    known.confirmedMs = Math.max(known.confirmedMs, nowMs - HEARTBEAT_DELAY_MS);
     known.isRestored = false;
   }
 
@@ -356,7 +368,7 @@
   return known.registration.softwareVersion === softwareVersion &&
     !known.isRestored &&
     (known.unreachableMs === undefined ||
-      known.lastContactMs > known.unreachableMs);
+      known.confirmedMs > known.unreachableMs);
 }
 
 function isOlder(update: Registration, known: Registration): boolean {
--- a/src/test/server_registry_test.ts
+++ b/src/test/server_registry_test.ts
@@ -244,7 +244,10 @@
     expect(getIds("v1")).deep.equal([]);
     expect(getIds("v2")).deep.equal(["a"]);
     registry.recordUnreachable("a", 9);
-    registry.recordHeartbeat("a", 10);
+    // It may have been sent before: control hosts pass heartbeats on once a second.
+    registry.recordHeartbeat("a", 1_009);
+    expect(getIds("v2")).deep.equal([]);
+    registry.recordHeartbeat("a", 1_010);
     expect(getIds("v2")).deep.equal(["a"]);
   });
 });
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -469,6 +469,34 @@
     await fleet.registerServer(server, {}, 1);
   };
 
+  // Guards against a gateway sending a stream to a server that it couldn't connect to
+  // a moment ago and that has not been heard of since.
+  it("don't go on at a server that no connection could be made to", async () => {
+    heartbeats.cancel();
+    const [first, second] = fleet.servers;
+    if (first === undefined || second === undefined) {
+      throw new Error("two servers were not started");
+    }
+    second.close();
+    await fleet.registerServer(second, { State: "draining" });
+    const { lastEvent } = await beginBrokenStream(fleet, "stream");
+    expect(lastEvent).greaterThan(0);
+    // With another server in reach, the gateway doesn't count as cut off.
+    await startVersion(fleet, "v3");
+    const gatewayIndex = await fleet.addGateway();
+    fleet.gateways[0]?.halt();
+    const takeUp = () =>
+      takeUpBrokenStream(fleet, { id: "stream", lastEvent, gatewayIndex });
+    first.close();
+    expect((await takeUp()).status).equal(503);
+    first.version = "v2";
+    await first.start(Number(first.address.split(":")[1]));
+    for (let attempt = 0; attempt < 10; attempt += 1) {
+      expect((await takeUp()).status).equal(503);
+    }
+    expect(fleet.getReceivedRequests("stream-again")).length(0);
+  });
+
   // Guards against a gateway that has just started taking a registration for a new
   // one that its control host has not heard of for long.
   it("go on at their version at a gateway that knows the start before only", async () => {
