Take no stream for its server's version if a start was unheard of

Seen by callers: a stream that began at a server which had been started again under its id with another software version, before the gateway heard of that, went on at a server of the version that the id had before.

Cause: a stream's version is the one in the registration that a gateway holds when it sends the request. For a moment after such a start that is the wrong one, and neither requests nor answers name the start (X-Expect-Instance is the same id). The wrong origin was kept when the registration arrived.

Change: when a start with another version is heard of, streams whose first event came from that id in the 2 s before get a second origin, so they belong to none (503 when taken up), and the gateway doesn't continue them itself. The same if the first event comes after it. Events of an attempt that continues others are not sent then. An attempt that is under way goes on: all its events are of one start.

Limits: a stream that is taken up before its gateway hears of the start can't be told; only the server could. After a start that takes less than 2 s, streams of the start before that began just then are refused as well.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -126,6 +126,16 @@
     this.#backends = backends;
     const streamOrigins = new RpcStreamOriginsClient(credentials);
     this.#streamOrigins = streamOrigins;
+    const originFinder = new StreamOriginFinder({
+      getMergers: () => backends.view.getStoreAddresses(),
+      query: (address, request) => streamOrigins.query(address, request),
+      report: (origin) => backends.reportOrigin(origin),
+      clock,
+      log,
+    });
+    backends.view.onServerChange((registration, isStart) => {
+      if (isStart) originFinder.recordStart(registration);
+    });
     const softwareVersions = new RpcSoftwareVersionsClient(credentials);
     this.#softwareVersions = softwareVersions;
     this.#gatewayRelay = new GatewayRelay({
@@ -155,13 +165,7 @@
       promptPartGuard: backends.promptPartGuard,
       reachability: backends.reachability,
       gatewayRelay: this.#gatewayRelay,
-      streamOrigins: new StreamOriginFinder({
-        getMergers: () => backends.view.getStoreAddresses(),
-        query: (address, request) => streamOrigins.query(address, request),
-        report: (origin) => backends.reportOrigin(origin),
-        clock,
-        log,
-      }),
+      streamOrigins: originFinder,
       onlyVersions: new OnlyVersionFinder({
         getHosts: () => backends.view.hosts,
         query: (address, service) => softwareVersions.query(address, service),
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -362,7 +362,8 @@
   #canRetry(): boolean {
     const { route } = this.#req;
     return isRetryable(route) && this.#possibleRuns < route.maxAttempts &&
-      this.#forwarder.canContinue && !this.#callerResponse.disconnected.aborted;
+      this.#forwarder.canContinue && !this.#pin.isAmbiguous &&
+      !this.#callerResponse.disconnected.aborted;
   }
 
   /**
--- a/src/fleet/stream_origin_finder.ts
+++ b/src/fleet/stream_origin_finder.ts
@@ -4,10 +4,13 @@
  * load reports. If they know different origins, the stream can't be told from
  * another one and has none.
  */
-import { StreamOrigins } from "../membership/mod.ts";
+import { create } from "@bufbuild/protobuf";
+import { type ServerStartKey, StreamOrigins } from "../membership/mod.ts";
 import {
   type FindOriginReply,
+  type Registration,
   type StreamOrigin,
+  StreamOriginSchema,
   Streams,
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
@@ -55,19 +58,61 @@
 
 const MAX_ROUNDS = 2;
 
+/**
+ * Longest time from the start of a server until a gateway hears of it, in
+ * milliseconds. A server whose registration is lost tries another control host after
+ * a second. A server that crashed takes longer to start again, so that streams of the
+ * start before are older.
+ */
+const MAX_UNHEARD_MS = 2_000;
+
+interface RecentStream {
+  readonly origin: StreamOrigin;
+  readonly server: ServerStartKey;
+  readonly recordedMs: number;
+}
+
 /** Finds the origins of streams for one gateway. */
 export class StreamOriginFinder {
   readonly #options: StreamOriginFinderOptions;
   readonly #known = new StreamOrigins();
+  /** Streams that began lately, oldest first. */
+  #recent: RecentStream[] = [];
 
   constructor(options: StreamOriginFinderOptions) {
     this.#options = options;
   }
 
-  /** Records a stream whose first event arrived here. */
-  record(origin: StreamOrigin): void {
-    this.#known.add(origin, this.#options.clock.getMonotonicMs());
+  /** Records a stream whose first event arrived here, from a server if given. */
+  record(origin: StreamOrigin, server?: ServerStartKey): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#known.add(origin, nowMs);
     this.#options.report(origin);
+    if (server === undefined) return;
+    const firstKept = this.#recent.findIndex(({ recordedMs }) =>
+      nowMs - recordedMs < MAX_UNHEARD_MS
+    );
+    this.#recent = firstKept < 0 ? [] : this.#recent.slice(firstKept);
+    this.#recent.push({ origin, server, recordedMs: nowMs });
+  }
+
+  /**
+   * Records that a server has been started again. Streams that began there a short
+   * time ago may have begun at its new version already.
+   */
+  recordStart(
+    { id, bornMs, softwareVersion }: Pick<
+      Registration,
+      "id" | "bornMs" | "softwareVersion"
+    >,
+  ): void {
+    const earliestMs = this.#options.clock.getMonotonicMs() - MAX_UNHEARD_MS;
+    this.#recent.filter(({ origin, server, recordedMs }) =>
+      server.id === id && server.bornMs < bornMs &&
+      origin.softwareVersion !== softwareVersion && recordedMs > earliestMs
+    ).forEach(({ origin }) =>
+      this.record(create(StreamOriginSchema, { ...origin, softwareVersion }))
+    );
   }
 
   async find(request: string): Promise<OriginSearch> {
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -11,6 +11,7 @@
   Verdict,
 } from "../schema/mod.ts";
 import { create } from "@bufbuild/protobuf";
+import type { ServerRegistry } from "../membership/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
@@ -34,6 +35,9 @@
 
 /** Options of a {@linkcode VersionPin}. */
 export interface VersionPinOptions {
+  readonly view: {
+    readonly servers: Pick<ServerRegistry, "tryGetOtherVersion">;
+  };
   readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
   readonly onlyVersions: Pick<OnlyVersionFinder, "find">;
   readonly clock: Clock;
@@ -53,6 +57,11 @@
   readonly #options: VersionPinOptions;
   #service: string;
   #softwareVersion: string | undefined;
+  /** Server of the attempt whose events began the stream; undefined before. */
+  #firstServer: PoolServer | undefined;
+  /** Server of the attempt whose events were sent to the caller last. */
+  #lastServer: PoolServer | undefined;
+  #isAmbiguous = false;
 
   constructor(req: PinnedRequest, options: VersionPinOptions) {
     this.#req = req;
@@ -116,15 +125,56 @@
     if (!isRouted) throw this.createVersionGoneError(Verdict.NOT_RUN);
   }
 
-  /** Records that events of a server are about to be sent to the caller. */
+  /** Whether it is unknown which version began the stream, so that none may go on. */
+  get isAmbiguous(): boolean {
+    const { servers } = this.#options.view;
+    return this.#isAmbiguous ||
+      (!this.isTakenUp && this.#firstServer !== undefined &&
+        servers.tryGetOtherVersion(this.#firstServer) !== undefined);
+  }
+
+  /**
+   * Records that events of a server are about to be sent to the caller. If the server
+   * was started again with another version since the request was sent, they may be
+   * of either. All events of one attempt are of one start, so the stream may begin
+   * with them. Throws if it began elsewhere.
+   */
   recordEvents(server: PoolServer): void {
-    if (this.#softwareVersion !== undefined) return;
-    this.#softwareVersion = server.softwareVersion;
-    this.#options.streamOrigins.record(create(StreamOriginSchema, {
-      request: this.#req.requestId,
+    const other = this.#options.view.servers.tryGetOtherVersion(server);
+    const isContinuation = this.isTakenUp ||
+      (this.#firstServer !== undefined && this.#firstServer !== server);
+    if (other !== undefined && isContinuation) {
+      if (this.#lastServer === server) this.#recordAmbiguity(other);
+      throw new Error(`the server was started again with version "${other}"`);
+    }
+    this.#firstServer ??= server;
+    this.#lastServer = server;
+    if (this.#softwareVersion === undefined) {
+      this.#softwareVersion = server.softwareVersion;
+      this.#recordOrigin(this.#req.requestId, server.softwareVersion, server);
+    }
+    if (other !== undefined && !this.#isAmbiguous) this.#recordAmbiguity(other);
+  }
+
+  #recordAmbiguity(otherVersion: string): void {
+    const { requestId, resumedRequest } = this.#req;
+    const request = this.isTakenUp ? resumedRequest : requestId;
+    this.#isAmbiguous = true;
+    this.#recordOrigin(request, this.#softwareVersion ?? "");
+    this.#recordOrigin(request, otherVersion);
+  }
+
+  #recordOrigin(
+    request: string,
+    softwareVersion: string,
+    server?: PoolServer,
+  ): void {
+    const origin = create(StreamOriginSchema, {
+      request,
       service: this.#service,
-      softwareVersion: server.softwareVersion,
-    }));
+      softwareVersion,
+    });
+    this.#options.streamOrigins.record(origin, server);
   }
 
   /** Creates the error of a stream whose version no server has any more. */
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -203,6 +203,19 @@
     return this.#leavingStarts.has(getServerStart(server));
   }
 
+  /**
+   * Returns the software version with which a server has been started again, if it
+   * is another one. What still arrives from its address may be of either start.
+   */
+  tryGetOtherVersion(
+    server: ServerStartKey & Pick<Registration, "softwareVersion">,
+  ): string | undefined {
+    const known = this.tryGet(server.id);
+    const isOther = known !== undefined && known.bornMs > server.bornMs &&
+      known.softwareVersion !== server.softwareVersion;
+    return isOther ? known.softwareVersion : undefined;
+  }
+
   /** Records that no connection to a server could be made. */
   recordUnreachable(id: string, nowMs: number): void {
     const known = this.#servers.get(id);
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -22,6 +22,9 @@
 /** Interval at which the servers of some fleets register, in milliseconds. */
 const BEAT_MS = 300;
 
+/** Time in which a server that crashed is back, in milliseconds. */
+const RESTART_MS = 2_500;
+
 /** Share of the streams taken up again that goes on at least. */
 const MIN_CONTINUED_SHARE = 0.5;
 
@@ -469,6 +472,112 @@
     await fleet.registerServer(server, {}, 1);
   };
 
+  /** Lets one of two servers run as another version before it says so. */
+  const replaceUnheard = () => {
+    const [server] = fleet.servers;
+    if (server === undefined) throw new Error("no server was started");
+    heartbeats.cancel();
+    server.version = "v2";
+    server.bornMs += 1;
+    return server;
+  };
+
+  /**
+   * Begins streams on a route until some run at a server, which then registers as
+   * what it is.
+   */
+  const beginBeforeHeard = async (target: string) => {
+    const server = replaceUnheard();
+    const begun = new Map<string, StreamPart>();
+    const responses = new Map<string, Promise<ReceivedResponse>>();
+    await fleet.waitUntil("the server to run requests", () => {
+      const id = `early-${responses.size}`;
+      const onData = (text: string) => begun.set(id, readPart({ text }));
+      responses.set(id, fleet.sendRequest(id, target, { onData }));
+      return server.receivedRequests.filter(({ id }) => id.startsWith("early-"))
+        .length >= 3;
+    });
+    return { server, begun, responses };
+  };
+
+  const breakAll = () =>
+    fleet.behaviours.push(
+      ...Array.from({ length: 50 }, () => "break" as const),
+    );
+
+  /** Takes the streams up; none may have gone on at another version. */
+  const expectNoneJoined = async (
+    responses: ReadonlyMap<string, Promise<ReceivedResponse>>,
+  ) => {
+    const parts = new Map<string, StreamPart>();
+    for (const [id, response] of responses) {
+      parts.set(id, readPart(await response));
+    }
+    fleet.behaviours.length = 0;
+    for (const [id, { lastEvent, versions }] of parts) {
+      expect(versions, id).length(1);
+      if (lastEvent === EVENT_COUNT) continue;
+      const again = readPart(
+        await takeUpBrokenStream(fleet, { id, lastEvent, gatewayIndex: 0 }),
+      );
+      expect([...new Set([...versions, ...again.versions])], id).length(1);
+    }
+    expect([...parts.values()].flatMap(({ versions }) => versions))
+      .include("v2");
+  };
+
+  // Guards against a stream being taken for one of the version that its server had
+  // before, as it was sent there before the gateway heard of the new start. "/s/"
+  // lets the gateway continue it itself.
+  ["/o/x", "/s/x"].forEach((target) => {
+    it(`are not joined if ${target} was sent before the start was heard of`, async () => {
+      fleet.servers.forEach((server) => {
+        server.firstEventMs = 400;
+      });
+      breakAll();
+      const { server, responses } = await beginBeforeHeard(target);
+      await fleet.registerServer(server);
+      await expectNoneJoined(responses);
+    });
+
+    it(`are not joined if ${target} had begun before the start was heard of`, async () => {
+      fleet.servers.forEach((server) => {
+        server.eventIntervalMs = 400;
+      });
+      breakAll();
+      const { server, begun, responses } = await beginBeforeHeard(target);
+      await fleet.waitUntil(
+        "first events",
+        () => begun.size === responses.size,
+      );
+      await fleet.registerServer(server);
+      await expectNoneJoined(responses);
+    });
+  });
+
+  // Guards against the same if the server broke the stream before.
+  it("are not joined if they broke before the start was heard of", async () => {
+    breakAll();
+    const { server, responses } = await beginBeforeHeard("/o/x");
+    await Promise.all(responses.values());
+    await fleet.registerServer(server);
+    await expectNoneJoined(responses);
+  });
+
+  // Guards against whole answers being cut because their server's start was unheard.
+  it("go on to their end in one attempt though the start is heard of meanwhile", async () => {
+    fleet.servers.forEach((server) => {
+      server.eventIntervalMs = 100;
+    });
+    const { server, responses } = await beginBeforeHeard("/o/x");
+    await fleet.registerServer(server);
+    for (const [id, response] of responses) {
+      const { versions, lastEvent } = readPart(await response);
+      expect(versions, id).length(1);
+      expect(lastEvent, id).equal(EVENT_COUNT);
+    }
+  });
+
   // Guards against a gateway sending a stream to a server that it couldn't connect to
   // a moment ago and that has not been heard of since.
   it("don't go on at a server that no connection could be made to", async () => {
@@ -505,6 +614,7 @@
       const id = `stream-${index}`;
       streams.set(id, await beginBrokenStream(fleet, id));
     }
+    await fleet.clock.delay(RESTART_MS);
     await startAgain();
     await fleet.clock.delay(5 * BEAT_MS);
     fleet.cutLinks.add("gateway-1/control-1");
