Discard an item's output that may be of either start of its server

Seen by callers: the text of an item could hold output of two software versions if its server had been started again under its id with another one, and the store host sent the item there before it heard of that.

Change: when an attempt has ended, its output is discarded and the item run anew if a start with another version has been heard of meanwhile. A text that one attempt made from its first event to its end is kept.

Evidence: item_runner_test, "discards output that may be of either start of its server": the output was kept before.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -53,8 +53,11 @@
   readonly signal: AbortSignal;
   /** Called when the first bytes of the output arrive. */
   readonly onBegin?: () => void;
+  /** Whether the server was started again with another software version. */
+  readonly isReplaced?: () => boolean;
 }): Promise<AttemptOutcome> {
   const { signal, progress, onBegin = () => {} } = options;
+  const startEvent = progress.last;
   const result = await options.backendClient.send({
     request: options.request,
     permit: options.permit,
@@ -66,7 +69,23 @@
   if (result.kind === "response") {
     const { response } = result;
     const chunks = observeFirst(response.chunks, onBegin);
-    return await readResponse({ ...response, chunks }, progress, signal);
+    const outcome = await readResponse(
+      { ...response, chunks },
+      progress,
+      signal,
+    );
+    const isWhole = outcome.kind === "done" && startEvent === undefined;
+    if (
+      isWhole || progress.last === startEvent ||
+      options.isReplaced?.() !== true
+    ) return outcome;
+    // The output may be of either start of the server, and of another version than
+    // what it continues or what continues it.
+    progress.reset();
+    return {
+      kind: "broken",
+      reason: "the server was started again with another software version",
+    };
   }
   if (signal.aborted) return { kind: "stopped" };
   switch (result.kind) {
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -598,6 +598,10 @@
       ),
       progress,
       signal,
+      isReplaced: () => {
+        const { servers } = this.#options.view;
+        return servers.tryGetOtherVersion(permit.server) !== undefined;
+      },
       onBegin: () => {
         hasBegun = true;
         promptPartGuard.recordAnswerBegun(promptParts);
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -397,6 +397,58 @@
       .deep.equal([0]);
   });
 
+  /** Runs an attempt at an item that has output up to an event. */
+  const runAttemptAfter = async (
+    last: number,
+    { isEnded, isReplaced }: { isEnded: boolean; isReplaced: boolean },
+  ) => {
+    const abortController = new AbortController();
+    const recorded = {
+      last,
+      chain: 7n,
+      parts: [Buffer.from("1")],
+      softwareVersion: "v1",
+    };
+    const progress = new ItemProgress({
+      random: new SeededRandom(1),
+      ...last > 0 ? { recorded } : {},
+    });
+    const response = createResponse(200, { isEnded, event: last + 1 });
+    const outcome = runItemAttempt({
+      backendClient: {
+        send: () => Promise.resolve({ kind: "response", response }),
+      },
+      request: {
+        requestId: "i",
+        method: "POST",
+        target: "/",
+        headers: [],
+        body: Buffer.alloc(0),
+      },
+      permit: { server: {} as PoolServer, startedMs: 0, release: () => {} },
+      timeoutMs: 1_000,
+      progress,
+      signal: abortController.signal,
+      isReplaced: () => isReplaced,
+    });
+    setImmediate(() => abortController.abort());
+    return { kind: (await outcome).kind, last: progress.last };
+  };
+
+  // Guards against output of a server that was started again with another software
+  // version, unheard, being joined to that of the version that it had before.
+  it("discards output that may be of either start of its server", async () => {
+    const isReplaced = true;
+    expect(await runAttemptAfter(0, { isEnded: false, isReplaced }))
+      .deep.equal({ kind: "broken", last: undefined });
+    expect(await runAttemptAfter(1, { isEnded: true, isReplaced }))
+      .deep.equal({ kind: "broken", last: undefined });
+    expect(await runAttemptAfter(0, { isEnded: true, isReplaced }))
+      .deep.equal({ kind: "done", last: 1 });
+    expect(await runAttemptAfter(1, { isEnded: true, isReplaced: false }))
+      .deep.equal({ kind: "done", last: 2 });
+  });
+
   // Guards against repeats that add up over slow and lost records, losses of
   // the leader, frozen runners and changes of the runners.
   range(30).forEach((seed) => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -487,11 +487,11 @@
 /** Creates a server's response, whose body never ends unless `isEnded`. */
 export function createResponse(
   status: ItemStatus,
-  { isEnded }: { isEnded: boolean },
+  { isEnded, event = 1 }: { isEnded: boolean; event?: number },
 ) {
   const body = new IncomingMessage(new Socket());
   body.complete = isEnded;
-  if (status === 200) body.push("id: 1\ndata: text\n\n");
+  if (status === 200) body.push(`id: ${event}\ndata: text\n\n`);
   if (isEnded) body.push(null);
   return {
     status,
