Send callers on at once from a gateway that reaches no store host

Seen by callers: a gateway that was cut off from the store hosts refused to take a stream up with Retry-After 1 s, though the next gateway knew its origin. A caller leaves a stream after a gap of some seconds.

Change: the search says whether any store host replied. If none did, Retry-After is 0.1 s. It stays 1 s where hosts replied and none knows the stream, since nothing changes then until a host is back.

Evidence: stream_origin_finder_test, "tells whether any host replied"; the cases with cut gateways in stream_versions_test demand 0.05 to 0.5 s now, which is stricter than any time above 0, and 1 s failed that.

--- a/src/fleet/stream_origin_finder.ts
+++ b/src/fleet/stream_origin_finder.ts
@@ -27,7 +27,11 @@
   /** Streams of several origins began under the id of the request. */
   | { readonly kind: "conflicting" }
   /** No host that replied knows the stream. */
-  | { readonly kind: "unknown" };
+  | {
+    readonly kind: "unknown";
+    /** Whether any merger replied. */
+    readonly hasReplies: boolean;
+  };
 
 /** Options of a {@linkcode StreamOriginFinder}. */
 export interface StreamOriginFinderOptions {
@@ -117,28 +121,34 @@
 
   async find(request: string): Promise<OriginSearch> {
     const { clock } = this.#options;
+    const asked = { hasReplies: false };
     for (let round = 1; round <= MAX_ROUNDS; round += 1) {
-      await this.#askMergers(request);
+      await this.#askMergers(request, asked);
       if (this.#known.isConflicting(request)) return { kind: "conflicting" };
       const origin = this.#known.tryGet(request);
       if (origin !== undefined) return { kind: "found", origin };
       if (round < MAX_ROUNDS) await clock.delay(RETRY_DELAY_MS);
     }
-    return { kind: "unknown" };
+    return { kind: "unknown", ...asked };
   }
 
   /**
    * Asks all mergers at once. Resolves when all have replied, or a moment after the
    * stream is known.
    */
-  async #askMergers(request: string): Promise<void> {
+  async #askMergers(
+    request: string,
+    asked: { hasReplies: boolean },
+  ): Promise<void> {
     const { getMergers, clock } = this.#options;
-    const asked = getMergers().map((address) =>
-      this.#askMerger(address, request)
-    );
-    const all = Promise.all(asked);
+    const replies = getMergers().map(async (address) => {
+      const reply = await this.#tryAskMerger(address, request);
+      asked.hasReplies ||= reply !== undefined;
+      return reply === true;
+    });
+    const all = Promise.all(replies);
     const firstKnown = this.#known.tryGet(request) === undefined
-      ? Promise.any(asked.map(async (reply) => {
+      ? Promise.any(replies.map(async (reply) => {
         if (!(await reply)) throw new Error("unknown stream");
       }))
       : Promise.resolve();
@@ -148,8 +158,14 @@
     ]);
   }
 
-  /** Adds what a merger knows to what is known here; false if it knows nothing. */
-  async #askMerger(address: string, request: string): Promise<boolean> {
+  /**
+   * Adds what a merger knows to what is known here. Returns whether it knows the
+   * stream; undefined if it did not reply.
+   */
+  async #tryAskMerger(
+    address: string,
+    request: string,
+  ): Promise<boolean | undefined> {
     const { query, clock, log } = this.#options;
     try {
       const { origin, conflicting } = await query(address, request);
@@ -163,7 +179,7 @@
         address,
         reason: getReason(error),
       });
-      return false;
+      return undefined;
     }
   }
 }
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -51,6 +51,12 @@
  */
 const RETRY_AFTER_S = 1;
 
+/**
+ * Retry-After if this gateway reached no host that may know the stream, in seconds.
+ * The next try reaches another gateway, which probably does.
+ */
+const ELSEWHERE_RETRY_AFTER_S = 0.1;
+
 /** Service and software version of one request's stream. */
 export class VersionPin {
   readonly #req: PinnedRequest;
@@ -114,7 +120,9 @@
       throw new ServingError(MessageCode.STREAM_ORIGIN_UNKNOWN, {
         verdict: Verdict.NOT_RUN,
         parameters: { request: resumedRequest },
-        retryAfterS: RETRY_AFTER_S,
+        retryAfterS: search.kind === "unknown" && !search.hasReplies
+          ? ELSEWHERE_RETRY_AFTER_S
+          : RETRY_AFTER_S,
       });
     }
     this.#service = origin.service;
@@ -191,7 +199,7 @@
 
   async #search(): Promise<OriginSearch> {
     const { resumedRequest } = this.#req;
-    if (resumedRequest === "") return { kind: "unknown" };
+    if (resumedRequest === "") return { kind: "unknown", hasReplies: true };
     return await this.#options.streamOrigins.find(resumedRequest);
   }
 
--- a/src/test/stream_origin_finder_test.ts
+++ b/src/test/stream_origin_finder_test.ts
@@ -75,6 +75,16 @@
     }
   });
 
+  // Guards against callers waiting for a gateway that can't find out, though the next
+  // one could.
+  it("tells whether any host replied", async () => {
+    const unknown = { kind: "unknown" };
+    expect(await createFinder([refused, refused]).find())
+      .deep.equal({ ...unknown, hasReplies: false });
+    expect(await createFinder([refused, UNKNOWN]).find())
+      .deep.equal({ ...unknown, hasReplies: true });
+  });
+
   // Guards against a stream going on at the version that the fastest host names
   // although hosts know different ones.
   it("ends without one if hosts know different origins", async () => {
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -394,7 +394,7 @@
         gatewayIndex: 1,
       });
       expect(again.status, id).equal(503);
-      expect(Number(again.headers["retry-after"]), id).greaterThan(0);
+      expect(Number(again.headers["retry-after"]), id).within(0.05, 0.5);
       expect(fleet.getReceivedRequests(`${id}-again`), id).length(0);
     }
   };
