Refuse to take up streams at a gateway that is out of step

Seen by callers: a stream went on at a server that had been started again under its id with another software version, at a gateway that was cut off from the control hosts though it reached store hosts and servers.

Cause: the origin was found at a store host, but the servers of its version were those that this gateway had known when it last heard of a control host.

Change: store hosts say in their reply how long ago they heard of a control host. If one has within 2.5 s and this gateway hasn't, it refuses the stream (503, STREAM_VERSION_UNCONFIRMED, Retry-After 0.1 s), and the next gateway takes it up. If no store host that replies has either, or it runs an older build, the gateway goes on as before: no other one knows better, and streams would be lost at all of them whenever the control hosts are down.

Not covered: the gateway's own continuation inside one answer, and a machine that was suspended, whose clock stands still, until the first message has arrived.

--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -175,6 +175,7 @@
         Promise.resolve({
           origin: this.#streamOrigins.tryGet(request),
           conflicting: this.#streamOrigins.isConflicting(request),
+          controlSilentMs: this.#getControlSilentMs(),
         }),
     });
     server.addService(Gateways, {
@@ -265,6 +266,13 @@
     if (!this.#stopping) await this.#startMember(folder, id, initialMembership);
   }
 
+  /** Time since a control host was heard of; undefined if none was. */
+  #getControlSilentMs(): number | undefined {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    const silentMs = this.#backends.view.servers.getControlSilentMs(nowMs);
+    return Number.isFinite(silentMs) ? Math.round(silentMs) : undefined;
+  }
+
   #waitForFounders(): Promise<string[]> {
     return new Promise((resolve) => {
       const check = () => {
--- a/src/fleet/stream_origin_finder.ts
+++ b/src/fleet/stream_origin_finder.ts
@@ -19,11 +19,19 @@
 import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
 
 /** What a host knows of a request's stream. */
-export type KnownOrigins = Pick<FindOriginReply, "origin" | "conflicting">;
+export type KnownOrigins = Pick<
+  FindOriginReply,
+  "origin" | "conflicting" | "controlSilentMs"
+>;
 
 /** Result of a search for the origin of a stream. */
 export type OriginSearch =
-  | { readonly kind: "found"; readonly origin: StreamOrigin }
+  | {
+    readonly kind: "found";
+    readonly origin: StreamOrigin;
+    /** Shortest time since a merger that replied heard of a control host. */
+    readonly controlSilentMs: number;
+  }
   /** Streams of several origins began under the id of the request. */
   | { readonly kind: "conflicting" }
   /** No host that replied knows the stream. */
@@ -70,6 +78,12 @@
  */
 const MAX_UNHEARD_MS = 2_000;
 
+/** What the replies of mergers tell in addition. */
+interface AskedMergers {
+  hasReplies: boolean;
+  controlSilentMs: number;
+}
+
 interface RecentStream {
   readonly origin: StreamOrigin;
   readonly server: ServerStartKey;
@@ -121,15 +135,21 @@
 
   async find(request: string): Promise<OriginSearch> {
     const { clock } = this.#options;
-    const asked = { hasReplies: false };
+    const asked: AskedMergers = {
+      hasReplies: false,
+      controlSilentMs: Infinity,
+    };
     for (let round = 1; round <= MAX_ROUNDS; round += 1) {
       await this.#askMergers(request, asked);
       if (this.#known.isConflicting(request)) return { kind: "conflicting" };
       const origin = this.#known.tryGet(request);
-      if (origin !== undefined) return { kind: "found", origin };
+      if (origin !== undefined) {
+        const { controlSilentMs } = asked;
+        return { kind: "found", origin, controlSilentMs };
+      }
       if (round < MAX_ROUNDS) await clock.delay(RETRY_DELAY_MS);
     }
-    return { kind: "unknown", ...asked };
+    return { kind: "unknown", hasReplies: asked.hasReplies };
   }
 
   /**
@@ -138,13 +158,18 @@
    */
   async #askMergers(
     request: string,
-    asked: { hasReplies: boolean },
+    asked: AskedMergers,
   ): Promise<void> {
     const { getMergers, clock } = this.#options;
     const replies = getMergers().map(async (address) => {
       const reply = await this.#tryAskMerger(address, request);
-      asked.hasReplies ||= reply !== undefined;
-      return reply === true;
+      if (reply === undefined) return false;
+      asked.hasReplies = true;
+      asked.controlSilentMs = Math.min(
+        asked.controlSilentMs,
+        reply.controlSilentMs ?? Infinity,
+      );
+      return reply.conflicting || reply.origin !== undefined;
     });
     const all = Promise.all(replies);
     const firstKnown = this.#known.tryGet(request) === undefined
@@ -159,20 +184,21 @@
   }
 
   /**
-   * Adds what a merger knows to what is known here. Returns whether it knows the
-   * stream; undefined if it did not reply.
+   * Adds what a merger knows to what is known here. Returns its reply; undefined if
+   * there was none.
    */
   async #tryAskMerger(
     address: string,
     request: string,
-  ): Promise<boolean | undefined> {
+  ): Promise<KnownOrigins | undefined> {
     const { query, clock, log } = this.#options;
     try {
-      const { origin, conflicting } = await query(address, request);
+      const reply = await query(address, request);
+      const { origin, conflicting } = reply;
       const nowMs = clock.getMonotonicMs();
       if (conflicting) this.#known.addConflict(request, nowMs);
       else if (origin !== undefined) this.#known.add(origin, nowMs);
-      return conflicting || origin !== undefined;
+      return reply;
     } catch (error) {
       log.info("origin_not_asked", {
         request,
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -36,7 +36,10 @@
 /** Options of a {@linkcode VersionPin}. */
 export interface VersionPinOptions {
   readonly view: {
-    readonly servers: Pick<ServerRegistry, "tryGetOtherVersion">;
+    readonly servers: Pick<
+      ServerRegistry,
+      "tryGetOtherVersion" | "getControlSilentMs"
+    >;
   };
   readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
   readonly onlyVersions: Pick<OnlyVersionFinder, "find">;
@@ -52,11 +55,17 @@
 const RETRY_AFTER_S = 1;
 
 /**
- * Retry-After if this gateway reached no host that may know the stream, in seconds.
- * The next try reaches another gateway, which probably does.
+ * Retry-After if this gateway can't tell what the next one probably can, in seconds:
+ * it is cut off from hosts that know the stream or the servers.
  */
 const ELSEWHERE_RETRY_AFTER_S = 0.1;
 
+/**
+ * Time without a message from any control host after which servers' versions aren't
+ * certain, in milliseconds: more than two of their update intervals.
+ */
+const MAX_CONTROL_SILENCE_MS = 2_500;
+
 /** Service and software version of one request's stream. */
 export class VersionPin {
   readonly #req: PinnedRequest;
@@ -91,7 +100,8 @@
 
   /**
    * Finds out which version began a stream that the caller takes up. Throws
-   * STREAM_ORIGIN_UNKNOWN or STREAM_VERSION_GONE (not run).
+   * STREAM_ORIGIN_UNKNOWN, STREAM_VERSION_UNCONFIRMED or STREAM_VERSION_GONE (not
+   * run).
    */
   async resolve(): Promise<void> {
     const { log, metrics, clock } = this.#options;
@@ -127,6 +137,13 @@
     }
     this.#service = origin.service;
     this.#softwareVersion = origin.softwareVersion;
+    if (search.kind === "found" && this.#isOutOfStep(search.controlSilentMs)) {
+      throw new ServingError(MessageCode.STREAM_VERSION_UNCONFIRMED, {
+        verdict: Verdict.NOT_RUN,
+        parameters: { version: origin.softwareVersion },
+        retryAfterS: ELSEWHERE_RETRY_AFTER_S,
+      });
+    }
     const isRouted = this.#req.route.targets.some(({ service, weight }) =>
       service === origin.service && weight > 0
     );
@@ -197,6 +214,18 @@
     });
   }
 
+  /**
+   * Whether others hear of control hosts and this gateway doesn't: servers may have
+   * been started again with other versions then. If nobody hears of them, no gateway
+   * knows better.
+   */
+  #isOutOfStep(othersSilentMs: number): boolean {
+    const { view, clock } = this.#options;
+    const silentMs = view.servers.getControlSilentMs(clock.getMonotonicMs());
+    return silentMs > MAX_CONTROL_SILENCE_MS &&
+      othersSilentMs <= MAX_CONTROL_SILENCE_MS;
+  }
+
   async #search(): Promise<OriginSearch> {
     const { resumedRequest } = this.#req;
     if (resumedRequest === "") return { kind: "unknown", hasReplies: true };
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -115,6 +115,11 @@
     this.#lastControlContactMs = nowMs;
   }
 
+  /** Time since the last message from a control host; Infinity before the first. */
+  getControlSilentMs(nowMs: number): number {
+    return nowMs - this.#lastControlContactMs;
+  }
+
   /** Applies a registration, by default one that has just arrived. */
   accept(
     registration: Registration,
--- a/src/test/stream_origin_finder_test.ts
+++ b/src/test/stream_origin_finder_test.ts
@@ -17,9 +17,10 @@
 
 const UNKNOWN: Reply = { origin: undefined, conflicting: false };
 const CONFLICTING: Reply = { origin: undefined, conflicting: true };
-const tell = (version: string): Reply => ({
+const tell = (version: string, controlSilentMs?: number): Reply => ({
   origin: createOrigin(version),
   conflicting: false,
+  controlSilentMs,
 });
 
 function createFinder(replies: readonly Reply[]) {
@@ -65,10 +66,21 @@
       ]
     ) {
       const search = await createFinder(replies).find();
-      expect(search).deep.equal({ kind: "found", origin: createOrigin("v1") });
+      expect(search).deep.equal({
+        kind: "found",
+        origin: createOrigin("v1"),
+        controlSilentMs: Infinity,
+      });
     }
   });
 
+  it("tells how long ago any host that replied heard of a control host", async () => {
+    const replies = [tell("v1", 700), tell("v1"), tell("v1", 300)];
+    expect(await createFinder(replies).find()).include({
+      controlSilentMs: 300,
+    });
+  });
+
   it("ends without one if no host that replies knows the stream", async () => {
     for (const replies of [[], [UNKNOWN, UNKNOWN], [refused, UNKNOWN]]) {
       expect((await createFinder(replies).find()).kind).equal("unknown");
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -235,6 +235,20 @@
     }
   });
 
+  // Plays the loss of all gateways while two versions serve.
+  it("go on at the same version after all gateways were killed", async () => {
+    const streams = await beginAll();
+    fleet.gateways.forEach((gateway) => gateway.halt());
+    const gatewayIndex = await fleet.addGateway();
+    let continued = 0;
+    for (const [id, { lastEvent, versions }] of streams) {
+      const again = readPart(await takeUpStream(id, lastEvent, gatewayIndex));
+      expect([...new Set([...versions, ...again.versions])], id).length(1);
+      if (again.lastEvent === EVENT_COUNT) continued += 1;
+    }
+    expect(continued).at.least(STREAMS * MIN_CONTINUED_SHARE);
+  });
+
   // Guards against a stream going on elsewhere when its version is gone.
   it("end, without reaching a server, when no server has their version", async () => {
     const begun = new Map(
@@ -606,6 +620,52 @@
     expect(fleet.getReceivedRequests("stream-again")).length(0);
   });
 
+  // Guards against a gateway that hears of no control host going by servers that were
+  // started again meanwhile, though other gateways know better.
+  it("don't go on at a gateway that hears of no control host while others do", async () => {
+    const streams = new Map<string, StreamPart>();
+    for (let index = 0; index < STREAMS; index += 1) {
+      const id = `stream-${index}`;
+      streams.set(id, await beginBrokenStream(fleet, id));
+    }
+    const gatewayIndex = await fleet.addGateway();
+    [0, 1, 2].forEach((index) =>
+      fleet.cutLinks.add(`gateway-1/control-${index}`)
+    );
+    await fleet.clock.delay(RESTART_MS);
+    await startAgain();
+    for (const [id, { lastEvent }] of streams) {
+      const refused = await takeUpBrokenStream(fleet, {
+        id,
+        lastEvent,
+        gatewayIndex,
+      });
+      expect(refused.status, id).equal(503);
+      expect(Number(refused.headers["retry-after"]), id).within(0.05, 0.5);
+      const again = readPart(
+        await takeUpBrokenStream(fleet, { id, lastEvent, gatewayIndex: 0 }),
+      );
+      expect(again.versions, id).deep.equal(["v1"]);
+      expect(again.lastEvent, id).equal(EVENT_COUNT);
+    }
+  });
+
+  // Guards against streams being refused by all gateways when no control host runs.
+  it("go on if no host hears of a control host", async () => {
+    const { lastEvent } = await beginBrokenStream(fleet, "stream");
+    heartbeats.cancel();
+    await Promise.all(fleet.controls.map((control) => control.stop()));
+    await fleet.clock.delay(RESTART_MS + 500);
+    const again = readPart(
+      await takeUpBrokenStream(fleet, {
+        id: "stream",
+        lastEvent,
+        gatewayIndex: 0,
+      }),
+    );
+    expect(again.lastEvent).equal(EVENT_COUNT);
+  });
+
   // Guards against a gateway that has just started taking a registration for a new
   // one that its control host has not heard of for long.
   it("go on at their version at a gateway that knows the start before only", async () => {
