Count a suspension as silence of the control hosts

Seen by callers: none; found while reading. A machine that was suspended took its view of the servers for a current one: the monotonic clock, by which the time since the last update was measured, stood still.

Change: RoutingView compares both clocks. After a possible suspension the time since a control host was heard of is unknown until the next update, at gateways, which then refuse to take streams up if store hosts know better, and at store hosts, which then don't say that they do.

--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -27,6 +27,7 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
+import { SuspensionDetector } from "../sys/suspension_detector.ts";
 import { getReplicaAddress } from "./host_identity.ts";
 
 /** Options of a {@linkcode RoutingView}. */
@@ -75,11 +76,15 @@
   readonly limits = new ServerLimits();
   readonly #listeners = new Set<() => void>();
   readonly #serverListeners = new Set<ServerChangeListener>();
+  readonly #suspensionDetector: SuspensionDetector;
+  /** Whether the process may have been suspended since the last update. */
+  #wasSuspended = false;
   #routes: RouteIndex | undefined;
   #hosts: HostList = create(HostListSchema);
 
   constructor(options: RoutingViewOptions) {
     this.#options = options;
+    this.#suspensionDetector = new SuspensionDetector(options.clock);
     this.servers = new ServerRegistry({
       heartbeatMs: options.registrationIntervalMs,
     });
@@ -115,6 +120,17 @@
       : this.getAddresses(HostRole.STORE);
   }
 
+  /**
+   * Time since a control host was heard of, in milliseconds; Infinity before the
+   * first time, and since a possible suspension, which the clock does not count.
+   */
+  getControlSilentMs(): number {
+    if (this.#suspensionDetector.check()) this.#wasSuspended = true;
+    return this.#wasSuspended
+      ? Infinity
+      : this.servers.getControlSilentMs(this.#options.clock.getMonotonicMs());
+  }
+
   /** Calls `listener` after each change. */
   onChange(listener: () => void): void {
     this.#listeners.add(listener);
@@ -178,6 +194,8 @@
   applyUpdate(update: FleetUpdate, from: string): PromptPartSuspicion[] {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.servers.recordControlContact(nowMs);
+    this.#suspensionDetector.check();
+    this.#wasSuspended = false;
     update.heard.forEach((id) => this.#recordHeartbeat(id, nowMs));
     this.#applySuspicions(update.suspicions, from, nowMs);
     const refutations = this.#applyPromptParts(update.promptParts, from, nowMs);
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -268,8 +268,7 @@
 
   /** Time since a control host was heard of; undefined if none was. */
   #getControlSilentMs(): number | undefined {
-    const nowMs = this.#context.clock.getMonotonicMs();
-    const silentMs = this.#backends.view.servers.getControlSilentMs(nowMs);
+    const silentMs = this.#backends.view.getControlSilentMs();
     return Number.isFinite(silentMs) ? Math.round(silentMs) : undefined;
   }
 
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -36,10 +36,8 @@
 /** Options of a {@linkcode VersionPin}. */
 export interface VersionPinOptions {
   readonly view: {
-    readonly servers: Pick<
-      ServerRegistry,
-      "tryGetOtherVersion" | "getControlSilentMs"
-    >;
+    readonly servers: Pick<ServerRegistry, "tryGetOtherVersion">;
+    readonly getControlSilentMs: () => number;
   };
   readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
   readonly onlyVersions: Pick<OnlyVersionFinder, "find">;
@@ -220,8 +218,7 @@
    * knows better.
    */
   #isOutOfStep(othersSilentMs: number): boolean {
-    const { view, clock } = this.#options;
-    const silentMs = view.servers.getControlSilentMs(clock.getMonotonicMs());
+    const silentMs = this.#options.view.getControlSilentMs();
     return silentMs > MAX_CONTROL_SILENCE_MS &&
       othersSilentMs <= MAX_CONTROL_SILENCE_MS;
   }
