--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -169,6 +169,7 @@
         Promise.resolve({
           origin: this.#streamOrigins.tryGet(request),
           conflicting: this.#streamOrigins.isConflicting(request),
+          controlSilentMs: this.#getControlSilentMs(),
         }),
     });
     server.addService(Gateways, {
@@ -270,6 +271,12 @@
     if (!this.#stopping) await this.#startMember(folder, id, initialMembership);
   }
 
+  /** Time since a control host was heard of; undefined if none was. */
+  #getControlSilentMs(): number | undefined {
+    const silentMs = this.#backends.view.getControlSilentMs();
+    return Number.isFinite(silentMs) ? Math.round(silentMs) : undefined;
+  }
+
   #waitForFounders(): Promise<string[]> {
     return new Promise((resolve) => {
       const check = () => {
--- a/src/fleet/stream_origin_finder.ts
+++ b/src/fleet/stream_origin_finder.ts
@@ -4,10 +4,13 @@
  * load reports. If they know different origins, the stream can't be told from
  * another one and has none.
  */
-import { StreamOrigins } from "../membership/mod.ts";
+import { create } from "@bufbuild/protobuf";
+import { type ServerStartKey, StreamOrigins } from "../membership/mod.ts";
 import {
   type FindOriginReply,
+  type Registration,
   type StreamOrigin,
+  StreamOriginSchema,
   Streams,
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
@@ -16,15 +19,27 @@
 import { RpcClientPool, type RpcCredentials } from "../sys/rpc.ts";
 
 /** What a host knows of a request's stream. */
-export type KnownOrigins = Pick<FindOriginReply, "origin" | "conflicting">;
+export type KnownOrigins = Pick<
+  FindOriginReply,
+  "origin" | "conflicting" | "controlSilentMs"
+>;
 
 /** Result of a search for the origin of a stream. */
 export type OriginSearch =
-  | { readonly kind: "found"; readonly origin: StreamOrigin }
+  | {
+    readonly kind: "found";
+    readonly origin: StreamOrigin;
+    /** Shortest time since a merger that replied heard of a control host. */
+    readonly controlSilentMs: number;
+  }
   /** Streams of several origins began under the id of the request. */
   | { readonly kind: "conflicting" }
   /** No host that replied knows the stream. */
-  | { readonly kind: "unknown" };
+  | {
+    readonly kind: "unknown";
+    /** Whether any merger replied. */
+    readonly hasReplies: boolean;
+  };
 
 /** Options of a {@linkcode StreamOriginFinder}. */
 export interface StreamOriginFinderOptions {
@@ -55,45 +70,110 @@
 
 const MAX_ROUNDS = 2;
 
+/**
+ * Longest time from the start of a server until a gateway hears of it, in
+ * milliseconds. A server whose registration is lost tries another control host after
+ * a second. A server that crashed takes longer to start again, so that streams of the
+ * start before are older.
+ */
+const MAX_UNHEARD_MS = 2_000;
+
+/** What the replies of mergers tell in addition. */
+interface AskedMergers {
+  hasReplies: boolean;
+  controlSilentMs: number;
+}
+
+interface RecentStream {
+  readonly origin: StreamOrigin;
+  readonly server: ServerStartKey;
+  readonly recordedMs: number;
+}
+
 /** Finds the origins of streams for one gateway. */
 export class StreamOriginFinder {
   readonly #options: StreamOriginFinderOptions;
   readonly #known = new StreamOrigins();
+  /** Streams that began lately, oldest first. */
+  #recent: RecentStream[] = [];
 
   constructor(options: StreamOriginFinderOptions) {
     this.#options = options;
   }
 
-  /** Records a stream whose first event arrived here. */
-  record(origin: StreamOrigin): void {
-    this.#known.add(origin, this.#options.clock.getMonotonicMs());
+  /** Records a stream whose first event arrived here, from a server if given. */
+  record(origin: StreamOrigin, server?: ServerStartKey): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#known.add(origin, nowMs);
     this.#options.report(origin);
+    if (server === undefined) return;
+    const firstKept = this.#recent.findIndex(({ recordedMs }) =>
+      nowMs - recordedMs < MAX_UNHEARD_MS
+    );
+    this.#recent = firstKept < 0 ? [] : this.#recent.slice(firstKept);
+    this.#recent.push({ origin, server, recordedMs: nowMs });
+  }
+
+  /**
+   * Records that a server has been started again. Streams that began there a short
+   * time ago may have begun at its new version already.
+   */
+  recordStart(
+    { id, bornMs, softwareVersion }: Pick<
+      Registration,
+      "id" | "bornMs" | "softwareVersion"
+    >,
+  ): void {
+    const earliestMs = this.#options.clock.getMonotonicMs() - MAX_UNHEARD_MS;
+    this.#recent.filter(({ origin, server, recordedMs }) =>
+      server.id === id && server.bornMs < bornMs &&
+      origin.softwareVersion !== softwareVersion && recordedMs > earliestMs
+    ).forEach(({ origin }) =>
+      this.record(create(StreamOriginSchema, { ...origin, softwareVersion }))
+    );
   }
 
   async find(request: string): Promise<OriginSearch> {
     const { clock } = this.#options;
+    const asked: AskedMergers = {
+      hasReplies: false,
+      controlSilentMs: Infinity,
+    };
     for (let round = 1; round <= MAX_ROUNDS; round += 1) {
-      await this.#askMergers(request);
+      await this.#askMergers(request, asked);
       if (this.#known.isConflicting(request)) return { kind: "conflicting" };
       const origin = this.#known.tryGet(request);
-      if (origin !== undefined) return { kind: "found", origin };
+      if (origin !== undefined) {
+        const { controlSilentMs } = asked;
+        return { kind: "found", origin, controlSilentMs };
+      }
       if (round < MAX_ROUNDS) await clock.delay(RETRY_DELAY_MS);
     }
-    return { kind: "unknown" };
+    return { kind: "unknown", hasReplies: asked.hasReplies };
   }
 
   /**
    * Asks all mergers at once. Resolves when all have replied, or a moment after the
    * stream is known.
    */
-  async #askMergers(request: string): Promise<void> {
+  async #askMergers(
+    request: string,
+    asked: AskedMergers,
+  ): Promise<void> {
     const { getMergers, clock } = this.#options;
-    const asked = getMergers().map((address) =>
-      this.#askMerger(address, request)
-    );
-    const all = Promise.all(asked);
+    const replies = getMergers().map(async (address) => {
+      const reply = await this.#tryAskMerger(address, request);
+      if (reply === undefined) return false;
+      asked.hasReplies = true;
+      asked.controlSilentMs = Math.min(
+        asked.controlSilentMs,
+        reply.controlSilentMs ?? Infinity,
+      );
+      return reply.conflicting || reply.origin !== undefined;
+    });
+    const all = Promise.all(replies);
     const firstKnown = this.#known.tryGet(request) === undefined
-      ? Promise.any(asked.map(async (reply) => {
+      ? Promise.any(replies.map(async (reply) => {
         if (!(await reply)) throw new Error("unknown stream");
       }))
       : Promise.resolve();
@@ -103,22 +183,29 @@
     ]);
   }
 
-  /** Adds what a merger knows to what is known here; false if it knows nothing. */
-  async #askMerger(address: string, request: string): Promise<boolean> {
+  /**
+   * Adds what a merger knows to what is known here. Returns its reply; undefined if
+   * there was none.
+   */
+  async #tryAskMerger(
+    address: string,
+    request: string,
+  ): Promise<KnownOrigins | undefined> {
     const { query, clock, log } = this.#options;
     try {
-      const { origin, conflicting } = await query(address, request);
+      const reply = await query(address, request);
+      const { origin, conflicting } = reply;
       const nowMs = clock.getMonotonicMs();
       if (conflicting) this.#known.addConflict(request, nowMs);
       else if (origin !== undefined) this.#known.add(origin, nowMs);
-      return conflicting || origin !== undefined;
+      return reply;
     } catch (error) {
       log.info("origin_not_asked", {
         request,
         address,
         reason: getReason(error),
       });
-      return false;
+      return undefined;
     }
   }
 }
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -11,6 +11,7 @@
   Verdict,
 } from "../schema/mod.ts";
 import { create } from "@bufbuild/protobuf";
+import type { ServerRegistry } from "../membership/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
@@ -34,6 +35,10 @@
 
 /** Options of a {@linkcode VersionPin}. */
 export interface VersionPinOptions {
+  readonly view: {
+    readonly servers: Pick<ServerRegistry, "tryGetOtherVersion">;
+    readonly getControlSilentMs: () => number;
+  };
   readonly streamOrigins: Pick<StreamOriginFinder, "find" | "record">;
   readonly onlyVersions: Pick<OnlyVersionFinder, "find">;
   readonly clock: Clock;
@@ -47,12 +52,29 @@
  */
 const RETRY_AFTER_S = 1;
 
+/**
+ * Retry-After if this gateway can't tell what the next one probably can, in seconds:
+ * it is cut off from hosts that know the stream or the servers.
+ */
+const ELSEWHERE_RETRY_AFTER_S = 0.1;
+
+/**
+ * Time without a message from any control host after which servers' versions aren't
+ * certain, in milliseconds: more than two of their update intervals.
+ */
+const MAX_CONTROL_SILENCE_MS = 2_500;
+
 /** Service and software version of one request's stream. */
 export class VersionPin {
   readonly #req: PinnedRequest;
   readonly #options: VersionPinOptions;
   #service: string;
   #softwareVersion: string | undefined;
+  /** Server of the attempt whose events began the stream; undefined before. */
+  #firstServer: PoolServer | undefined;
+  /** Server of the attempt whose events were sent to the caller last. */
+  #lastServer: PoolServer | undefined;
+  #isAmbiguous = false;
 
   constructor(req: PinnedRequest, options: VersionPinOptions) {
     this.#req = req;
@@ -76,7 +98,8 @@
 
   /**
    * Finds out which version began a stream that the caller takes up. Throws
-   * STREAM_ORIGIN_UNKNOWN or STREAM_VERSION_GONE (not run).
+   * STREAM_ORIGIN_UNKNOWN, STREAM_VERSION_UNCONFIRMED or STREAM_VERSION_GONE (not
+   * run).
    */
   async resolve(): Promise<void> {
     const { log, metrics, clock } = this.#options;
@@ -105,26 +128,76 @@
       throw new ServingError(MessageCode.STREAM_ORIGIN_UNKNOWN, {
         verdict: Verdict.NOT_RUN,
         parameters: { request: resumedRequest },
-        retryAfterS: RETRY_AFTER_S,
+        retryAfterS: search.kind === "unknown" && !search.hasReplies
+          ? ELSEWHERE_RETRY_AFTER_S
+          : RETRY_AFTER_S,
       });
     }
     this.#service = origin.service;
     this.#softwareVersion = origin.softwareVersion;
+    if (search.kind === "found" && this.#isOutOfStep(search.controlSilentMs)) {
+      throw new ServingError(MessageCode.STREAM_VERSION_UNCONFIRMED, {
+        verdict: Verdict.NOT_RUN,
+        parameters: { version: origin.softwareVersion },
+        retryAfterS: ELSEWHERE_RETRY_AFTER_S,
+      });
+    }
     const isRouted = this.#req.route.targets.some(({ service, weight }) =>
       service === origin.service && weight > 0
     );
     if (!isRouted) throw this.createVersionGoneError(Verdict.NOT_RUN);
   }
 
-  /** Records that events of a server are about to be sent to the caller. */
+  /** Whether it is unknown which version began the stream, so that none may go on. */
+  get isAmbiguous(): boolean {
+    const { servers } = this.#options.view;
+    return this.#isAmbiguous ||
+      (!this.isTakenUp && this.#firstServer !== undefined &&
+        servers.tryGetOtherVersion(this.#firstServer) !== undefined);
+  }
+
+  /**
+   * Records that events of a server are about to be sent to the caller. If the server
+   * was started again with another version since the request was sent, they may be
+   * of either. All events of one attempt are of one start, so the stream may begin
+   * with them. Throws if it began elsewhere.
+   */
   recordEvents(server: PoolServer): void {
-    if (this.#softwareVersion !== undefined) return;
-    this.#softwareVersion = server.softwareVersion;
-    this.#options.streamOrigins.record(create(StreamOriginSchema, {
-      request: this.#req.requestId,
+    const other = this.#options.view.servers.tryGetOtherVersion(server);
+    const isContinuation = this.isTakenUp ||
+      (this.#firstServer !== undefined && this.#firstServer !== server);
+    if (other !== undefined && isContinuation) {
+      if (this.#lastServer === server) this.#recordAmbiguity(other);
+      throw new Error(`the server was started again with version "${other}"`);
+    }
+    this.#firstServer ??= server;
+    this.#lastServer = server;
+    if (this.#softwareVersion === undefined) {
+      this.#softwareVersion = server.softwareVersion;
+      this.#recordOrigin(this.#req.requestId, server.softwareVersion, server);
+    }
+    if (other !== undefined && !this.#isAmbiguous) this.#recordAmbiguity(other);
+  }
+
+  #recordAmbiguity(otherVersion: string): void {
+    const { requestId, resumedRequest } = this.#req;
+    const request = this.isTakenUp ? resumedRequest : requestId;
+    this.#isAmbiguous = true;
+    this.#recordOrigin(request, this.#softwareVersion ?? "");
+    this.#recordOrigin(request, otherVersion);
+  }
+
+  #recordOrigin(
+    request: string,
+    softwareVersion: string,
+    server?: PoolServer,
+  ): void {
+    const origin = create(StreamOriginSchema, {
+      request,
       service: this.#service,
-      softwareVersion: server.softwareVersion,
-    }));
+      softwareVersion,
+    });
+    this.#options.streamOrigins.record(origin, server);
   }
 
   /** Creates the error of a stream whose version no server has any more. */
@@ -139,9 +212,20 @@
     });
   }
 
+  /**
+   * Whether others hear of control hosts and this gateway doesn't: servers may have
+   * been started again with other versions then. If nobody hears of them, no gateway
+   * knows better.
+   */
+  #isOutOfStep(othersSilentMs: number): boolean {
+    const silentMs = this.#options.view.getControlSilentMs();
+    return silentMs > MAX_CONTROL_SILENCE_MS &&
+      othersSilentMs <= MAX_CONTROL_SILENCE_MS;
+  }
+
   async #search(): Promise<OriginSearch> {
     const { resumedRequest } = this.#req;
-    if (resumedRequest === "") return { kind: "unknown" };
+    if (resumedRequest === "") return { kind: "unknown", hasReplies: true };
     return await this.#options.streamOrigins.find(resumedRequest);
   }
 
--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -17,6 +17,8 @@
   registration: Registration;
   /** Time of the last registration or heartbeat. */
   lastContactMs: number;
+  /** Time at which it was certainly running, by what was heard of it. */
+  confirmedMs: number;
   /** End of the back-off after a failure; no requests are sent before. */
   backoffUntilMs: number;
   /** Back-offs since the last response. */
@@ -97,6 +99,12 @@
 /** Heartbeats that a server may miss before it counts as silent. */
 const MAX_MISSED_HEARTBEATS = 4;
 
+/**
+ * Time by which control hosts delay a heartbeat that says nothing new, in
+ * milliseconds.
+ */
+const HEARTBEAT_DELAY_MS = 1_000;
+
 /** Maximum number of starts known to leave; the oldest are dropped. */
 const MAX_LEAVING_STARTS = 4_096;
 
@@ -161,6 +169,11 @@
     this.#lastControlContactMs = nowMs;
   }
 
+  /** Time since the last message from a control host; Infinity before the first. */
+  getControlSilentMs(nowMs: number): number {
+    return nowMs - this.#lastControlContactMs;
+  }
+
   /** Applies a registration, by default one that has just arrived. */
   accept(
     registration: Registration,
@@ -195,6 +208,9 @@
       lastContactMs: isSameStart
         ? Math.max(known.lastContactMs, isRestored ? 0 : nowMs - silentMs)
         : nowMs - silentMs,
+      confirmedMs: isSameStart
+        ? Math.max(known.confirmedMs, isRestored ? 0 : nowMs - silentMs)
+        : nowMs - silentMs,
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
       failures: isSameStart ? known.failures : 0,
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
@@ -213,6 +229,7 @@
     const known = this.#servers.tryGet(id);
     if (known === undefined) return;
     known.lastContactMs = nowMs;
+    known.confirmedMs = Math.max(known.confirmedMs, nowMs - HEARTBEAT_DELAY_MS);
     known.isRestored = false;
     known.listenedMs = this.#listenedMs;
     known.isRepeated = true;
@@ -262,6 +279,19 @@
     return this.#leavingStarts.has(getServerStart(server));
   }
 
+  /**
+   * Returns the software version with which a server has been started again, if it
+   * is another one. What still arrives from its address may be of either start.
+   */
+  tryGetOtherVersion(
+    server: ServerStartKey & Pick<Registration, "softwareVersion">,
+  ): string | undefined {
+    const known = this.tryGet(server.id);
+    const isOther = known !== undefined && known.bornMs > server.bornMs &&
+      known.softwareVersion !== server.softwareVersion;
+    return isOther ? known.softwareVersion : undefined;
+  }
+
   /** Records that no connection to a server could be made. */
   recordUnreachable(id: string, nowMs: number): void {
     const known = this.#servers.tryGet(id);
@@ -474,7 +504,7 @@
   return known.registration.softwareVersion === softwareVersion &&
     !known.isRestored &&
     (known.unreachableMs === undefined ||
-      known.lastContactMs > known.unreachableMs);
+      known.confirmedMs > known.unreachableMs);
 }
 
 function isOlder(update: Registration, known: Registration): boolean {
