A process whose descriptors are used up no longer ends for its log of memory

What callers saw: while a process has as many connections open as it may have descriptors, it ended with 1 within 10 s ("EMFILE: too many open files, uv_resident_set_memory"), with all requests that it had open, and again 10 s after a start. Processes of all roles end so, at nearly the same time.

Cause: the log of the memory in use reads it every 10 s; the runtime opens a file for that and throws without a descriptor, in a timer.

The test "don't come of a lack of descriptors for the log of memory" fails without the guard. Since errors of timers no longer end a process, it would log an unexpected error with a stack.

Change: the failure is logged as memory_unknown with its reason.

Why it works: the log is no part of serving, and its failure ends with its cause.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -6,7 +6,7 @@
 import { Command } from "commander";
 import { createProcessContext, type ProcessContext } from "../services/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
-import { asServingError } from "../sys/errors.ts";
+import { asServingError, getReason } from "../sys/errors.ts";
 import { createLog, type Log } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { logRejection, UnexpectedErrors } from "../sys/unexpected_errors.ts";
@@ -154,14 +154,22 @@
  * Logs memory usage periodically, because a process that is killed for its
  * memory usage cannot log that itself.
  */
-function logMemory({ log, clock }: ProcessContext): void {
+export function logMemory(
+  { log, clock }: Pick<ProcessContext, "log" | "clock">,
+  readMemory = () => process.memoryUsage(),
+): void {
   clock.startInterval(MEMORY_LOG_INTERVAL_MS, () => {
-    const { rss, heapUsed, external } = process.memoryUsage();
-    log.info("memory", {
-      resident_mb: Math.round(rss / BYTES_PER_MB),
-      heap_mb: Math.round(heapUsed / BYTES_PER_MB),
-      external_mb: Math.round(external / BYTES_PER_MB),
-    });
+    try {
+      const { rss, heapUsed, external } = readMemory();
+      log.info("memory", {
+        resident_mb: Math.round(rss / BYTES_PER_MB),
+        heap_mb: Math.round(heapUsed / BYTES_PER_MB),
+        external_mb: Math.round(external / BYTES_PER_MB),
+      });
+    } catch (error) {
+      // The runtime opens a file for it, which takes a descriptor.
+      log.warn("memory_unknown", { reason: getReason(error) });
+    }
   });
 }
 
--- a/src/test/unexpected_errors_test.ts
+++ b/src/test/unexpected_errors_test.ts
@@ -3,11 +3,12 @@
  * ending a process that serves others' requests.
  */
 import { expect } from "chai";
+import { logMemory } from "../daemons/daemon.ts";
 import { createMembership, Replica } from "../state/mod.ts";
 import { ReplicaMessageSchema } from "../schema/mod.ts";
 import { create } from "@bufbuild/protobuf";
 import { ManualClock } from "../sys/clock.ts";
-import { createSilentLog } from "../sys/log.ts";
+import { createSilentLog, MemoryLog } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { startDaemon, type TestDaemon } from "./daemon_process.ts";
@@ -62,6 +63,19 @@
     expect(daemon.process.output).match(/event=failed .*odd loop/);
   });
 
+  // Guards against processes of all roles that end while their descriptors are
+  // used up: reading the own memory takes one.
+  it("don't come of a lack of descriptors for the log of memory", () => {
+    const clock = new ManualClock();
+    const log = new MemoryLog();
+    logMemory({ clock, log }, () => {
+      throw new Error("EMFILE: too many open files, uv_resident_set_memory");
+    });
+    clock.advance(25_000);
+    expect(log.lines).length(2);
+    expect(log.lines[0]).match(/event=memory_unknown reason="EMFILE/);
+  });
+
   // Guards against a host that goes on with a replica whose state is half
   // changed, now that an exception in a timer no longer ends the process.
   it("of a replica end it", async () => {
