A start waits for its data folder

What callers saw: a control host or store host that was started before its disk was there ended at once with 4 ("cannot write the data folder").

Cause: the first failure to open the folder was final.

Change: the wait for ports, 60 s with log lines, is also one for the data folder, for the fleet's hosts and the state daemon.

Why it works: the disk appears by itself, and nothing is opened before.

--- a/src/fleet/state_process.ts
+++ b/src/fleet/state_process.ts
@@ -18,7 +18,7 @@
 import { StateClient } from "../services/common/state_client.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
 import { DiskFolder, type Folder } from "../sys/files.ts";
-import { openPort } from "../sys/listening.ts";
+import { openFolder, openPort } from "../sys/listening.ts";
 import {
   createCredentials,
   type RpcCredentials,
@@ -66,15 +66,17 @@
     );
   }
 
-  async openFolder(): Promise<Folder> {
+  openFolder(): Promise<Folder> {
     const path = this.settings.dataFolder ?? "";
-    try {
-      return await DiskFolder.open(path);
-    } catch (error) {
-      throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
-        parameters: { path, reason: getReason(error) },
-      });
-    }
+    return openFolder(async () => {
+      try {
+        return await DiskFolder.open(path);
+      } catch (error) {
+        throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
+          parameters: { path, reason: getReason(error) },
+        });
+      }
+    }, this.context);
   }
 
   /** Creates a client that sends commands to the leader of the fleet group. */
--- a/src/services/hosts/state_host.ts
+++ b/src/services/hosts/state_host.ts
@@ -24,7 +24,7 @@
 } from "../../state/mod.ts";
 import { asServingError, getReason, ServingError } from "../../sys/errors.ts";
 import { DiskFolder, type Folder } from "../../sys/files.ts";
-import { openPort } from "../../sys/listening.ts";
+import { openFolder, openPort } from "../../sys/listening.ts";
 import { MetricName } from "../../sys/metrics.ts";
 import {
   createCredentials,
@@ -280,15 +280,17 @@
     return this.#identity;
   }
 
-  async #openDataFolder(): Promise<Folder> {
+  #openDataFolder(): Promise<Folder> {
     const path = this.#settings.dataFolder;
-    try {
-      return await DiskFolder.open(path);
-    } catch (error) {
-      throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
-        parameters: { path, reason: getReason(error) },
-      });
-    }
+    return openFolder(async () => {
+      try {
+        return await DiskFolder.open(path);
+      } catch (error) {
+        throw new ServingError(MessageCode.FOLDER_UNWRITABLE, {
+          parameters: { path, reason: getReason(error) },
+        });
+      }
+    }, this.#context);
   }
 
   async #confirmIdentity(members: readonly Member[]): Promise<void> {
--- a/src/test/starts_test.ts
+++ b/src/test/starts_test.ts
@@ -3,13 +3,14 @@
  * against a process that does not start because the one before still ends.
  */
 import { existsSync } from "node:fs";
+import { rm, writeFile } from "node:fs/promises";
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import { expect } from "chai";
 import { MessageCode } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
-import { LISTEN_LIMIT_MS, openPort } from "../sys/listening.ts";
+import { openPort, START_LIMIT_MS } from "../sys/listening.ts";
 import { MemoryLog } from "../sys/log.ts";
 import { sendHttpRequest } from "./platform_fleet.ts";
 import { HOST_IP, HostProcesses } from "./platform_process.ts";
@@ -110,6 +111,17 @@
     });
   }
 
+  // Guards against exit code 4 of a start on a host whose disk is not there yet.
+  it("of a store wait for their data folder", async () => {
+    const settings = await hosts.createSettings("store");
+    await writeFile(settings.dataFolder, "in place of a folder");
+    const process = hosts.start(settings);
+    await process.waitFor(/event=folder_waits .*cannot write/);
+    await rm(settings.dataFolder);
+    await process.waitFor(/event=folder_opened/);
+    await process.waitFor(/event=ready/);
+  });
+
   it("wait for an address that is not there yet, but not for ever", async () => {
     const clock = new ManualClock();
     const log = new MemoryLog();
@@ -121,7 +133,7 @@
     let outcome: unknown;
     opened.then((error) => outcome = error);
     for (let ms = 0; outcome === undefined; ms += 100) {
-      expect(ms).lessThan(LISTEN_LIMIT_MS + 1_000);
+      expect(ms).lessThan(START_LIMIT_MS + 1_000);
       await new Promise((resolve) => setImmediate(resolve));
       clock.advance(100);
     }
