The log of memory has a module of its own

A test that imports daemon.ts gets its handlers of SIGINT and SIGTERM, which end the process with 0: a test run that is interrupted would look passed. The test of the log imports the new module instead. No change of behaviour.

--- a/src/daemons/daemon.ts
+++ b/src/daemons/daemon.ts
@@ -6,11 +6,12 @@
 import { Command } from "commander";
 import { createProcessContext, type ProcessContext } from "../services/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
-import { asServingError, getReason } from "../sys/errors.ts";
+import { asServingError } from "../sys/errors.ts";
 import { createLog, type Log } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { logRejection, UnexpectedErrors } from "../sys/unexpected_errors.ts";
 import { setStopHandler } from "./early_signals.ts";
+import { logMemory } from "./memory_log.ts";
 import { formatError, SettingsFile } from "./settings_file.ts";
 
 /** Interface between a daemon process and its host. */
@@ -36,11 +37,6 @@
 /** Interval between checks of the settings file, in milliseconds. */
 const SETTINGS_CHECK_INTERVAL_MS = 5_000;
 
-/** Interval between `memory` log events, in milliseconds. */
-const MEMORY_LOG_INTERVAL_MS = 10_000;
-
-const BYTES_PER_MB = 1 << 20;
-
 /** Settings that all daemons have in common. */
 interface CommonSettings {
   readonly id: string;
@@ -150,29 +146,6 @@
   clock.startInterval(SETTINGS_CHECK_INTERVAL_MS, () => reload("changed"));
 }
 
-/**
- * Logs memory usage periodically, because a process that is killed for its
- * memory usage cannot log that itself.
- */
-export function logMemory(
-  { log, clock }: Pick<ProcessContext, "log" | "clock">,
-  readMemory = () => process.memoryUsage(),
-): void {
-  clock.startInterval(MEMORY_LOG_INTERVAL_MS, () => {
-    try {
-      const { rss, heapUsed, external } = readMemory();
-      log.info("memory", {
-        resident_mb: Math.round(rss / BYTES_PER_MB),
-        heap_mb: Math.round(heapUsed / BYTES_PER_MB),
-        external_mb: Math.round(external / BYTES_PER_MB),
-      });
-    } catch (error) {
-      // The runtime opens a file for it, which takes a descriptor.
-      log.warn("memory_unknown", { reason: getReason(error) });
-    }
-  });
-}
-
 async function runHost<S extends DescMessage>(
   options: {
     name: string;
--- a/src/test/unexpected_errors_test.ts
+++ b/src/test/unexpected_errors_test.ts
@@ -3,7 +3,7 @@
  * ending a process that serves others' requests.
  */
 import { expect } from "chai";
-import { logMemory } from "../daemons/daemon.ts";
+import { logMemory } from "../daemons/memory_log.ts";
 import { createMembership, Replica } from "../state/mod.ts";
 import { ReplicaMessageSchema } from "../schema/mod.ts";
 import { create } from "@bufbuild/protobuf";
