Tests: a whole fleet beside servers that send extra responses

The tests of answers that name no request go through one client. These run gateways, store hosts and stand-in servers of which one at a time (for items: several) sends a response without an id and a proof where the next answer is due. Callers get their own whole answers only, and items end with their own output.

--- a/src/test/platform_fleet_test.ts
+++ b/src/test/platform_fleet_test.ts
@@ -124,6 +124,28 @@
     }
   });
 
+  const countExtraResponses = () =>
+    fleet.servers.reduce((sum, server) => sum + server.extraCount, 0);
+
+  // Guards against extra bytes of faulty servers that callers get as their answers.
+  it("gives callers their own answers only, whatever servers send besides", async () => {
+    const before = countExtraResponses();
+    let spoiltCount = 0;
+    for (let turn = 0; turn < 60; turn += 1) {
+      // One at a time, so that the other attempt of a request succeeds.
+      if (countExtraResponses() === before + spoiltCount) {
+        queueBehaviours("extra");
+        spoiltCount += 1;
+      }
+      const id = `beside-${turn}`;
+      const response = await fleet.sendRequest(id, turn % 2 ? "/p/" : "/s/");
+      expect(response, id).include({ status: 200, isComplete: true });
+      expect(getEventText(response.text), id).equal(getCompleteText(id));
+    }
+    expect(countExtraResponses()).greaterThan(before);
+    fleet.servers.forEach((server) => server.discardExtraResponses());
+  });
+
   it("truncates a broken stream that is not resumable, so that it is not taken as complete", async () => {
     queueBehaviours("break");
     const response = await fleet.sendRequest("cut", "/l/");
@@ -237,6 +259,27 @@
     expect((await readPage("job-1", 4)).Results).length(2);
   });
 
+  // Guards against items that are done with what faulty servers send besides.
+  it("ends items with their own output only", async () => {
+    const before = countExtraResponses();
+    queueBehaviours(...Array.from({ length: 12 }, () => "extra" as const));
+    const items = Array.from({ length: 24 }, (_, index) => `x${index}`);
+    await fleet.sendRequest("job-x", "/b/", { body: createJob(items) });
+    let page = await readPage("job-x");
+    await fleet.waitUntil("all results of the job", async () => {
+      page = await readPage("job-x");
+      return page.Next === items.length;
+    });
+    expect(countExtraResponses()).greaterThan(before);
+    fleet.servers.forEach((server) => server.discardExtraResponses());
+    page.Results.forEach((result) =>
+      expect(result).include({
+        State: "done",
+        Text: getCompleteText(result.Id),
+      })
+    );
+  });
+
   it("rejects an oversized or invalid job and does not store it", async () => {
     const many = Array.from({ length: 101 }, (_, index) => `m${index}`);
     const response = await fleet.sendRequest("job-2", "/b/", {
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -4,7 +4,7 @@
  * names, and fails in the ways that a test queues.
  */
 import http from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 /** Behaviour for one request. A request without one is served normally. */
 export type Behaviour =
@@ -26,6 +26,11 @@
   | "mixed"
   /** Runs the request and refuses it in a response that names no request. */
   | "unnamed"
+  /**
+   * Answers, and sends one more response, which names no request, on that connection
+   * at the point where the next answer is due.
+   */
+  | "extra"
   /** Accepts the request and never responds. */
   | "silent";
 
@@ -46,6 +51,9 @@
 /** Number of events in a complete response. */
 export const EVENT_COUNT = 5;
 
+/** A response that names no request and has no proof. */
+const EXTRA_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 /** Returns the data of one event of the response to request `id`. */
 export function getEventData(id: string, number: number): string {
   return `${id}-${number}`;
@@ -92,6 +100,10 @@
   firstEventMs = 0;
   /** Called when a request has ended the server. */
   onCrash: () => void = () => {};
+  /** Number of extra responses that it sent. */
+  extraCount = 0;
+  /** Connections on which an extra response is to be sent. */
+  readonly #spoiltConnections = new Set<Socket>();
   #server: http.Server | undefined;
   #sequence = 0;
   #runningCount = 0;
@@ -128,6 +140,11 @@
     this.onCrash();
   }
 
+  /** Sends no extra response on connections on which one was to follow. */
+  discardExtraResponses(): void {
+    this.#spoiltConnections.clear();
+  }
+
   /** Returns the body of a registration, with the next sequence number. */
   createRegistration(overrides: Record<string, unknown> = {}): string {
     this.#sequence += 1;
@@ -164,6 +181,10 @@
         this.#runningCount -= 1;
         if (!res.writableFinished) request.left = true;
       });
+      if (this.#spoiltConnections.delete(req.socket)) {
+        this.extraCount += 1;
+        req.socket.write(EXTRA_RESPONSE);
+      }
       if (this.#isCrashing(request)) {
         request.ran = true;
         setTimeout(() => this.crash(), this.firstEventMs);
@@ -222,6 +243,10 @@
         return;
       case "silent":
         return;
+      case "extra":
+        if (res.socket !== null) this.#spoiltConnections.add(res.socket);
+        this.#streamEvents(request, res, undefined);
+        return;
       default:
         this.#streamEvents(request, res, behaviour);
     }
