--- a/src/test/late_calls_test.ts
+++ b/src/test/late_calls_test.ts
@@ -11,8 +11,11 @@
   type Server,
   type Socket,
 } from "node:net";
+import { ControlHost } from "../fleet/control_host.ts";
 import { JobClient } from "../fleet/job_client.ts";
 import {
+  FleetReplySchema,
+  FleetSettingsSchema,
   ItemReplySchema,
   JobCommandReplySchema,
   JobCommandSchema,
@@ -21,6 +24,7 @@
   SubmitJobSchema,
   Verdict,
 } from "../schema/mod.ts";
+import { createProcessContext } from "../services/common/process_context.ts";
 import { StateClient } from "../services/common/state_client.ts";
 import { SystemClock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
@@ -86,6 +90,8 @@
   /** Reply of its state machine to each command. */
   reply: Uint8Array = new Uint8Array();
   isSilent = false;
+  /** Whether the commands are those of jobs. */
+  recordsJobs = true;
   address = "";
 
   async start(): Promise<void> {
@@ -103,11 +109,13 @@
     this.#server.close();
   }
 
+  #record(bytes: Uint8Array): void {
+    const { command } = fromBinary(JobCommandSchema, bytes);
+    if (command.case === "submit") this.submitted.push(command.value.id);
+  }
+
   #propose(commands: readonly Uint8Array[]) {
-    commands.forEach((bytes) => {
-      const { command } = fromBinary(JobCommandSchema, bytes);
-      if (command.case === "submit") this.submitted.push(command.value.id);
-    });
+    if (this.recordsJobs) commands.forEach((bytes) => this.#record(bytes));
     if (this.isSilent) return new Promise<never>(() => {});
     return Promise.resolve(
       this.code === 0
@@ -212,6 +220,7 @@
 
   // Guards against a refusal of the product's own groups that is not final.
   it("are refused with the verdict that is known", async () => {
+    [first, leader].forEach((host) => host.recordsJobs = false);
     leader.reply = toBinary(
       ItemReplySchema,
       create(ItemReplySchema, {
@@ -243,6 +252,32 @@
     expectUnknown(await submit());
   });
 
+  // Guards against a host that is retired after the operator was told that it isn't.
+  it("are refused to the operator only if they are final", async () => {
+    const { TOO_FEW_HOSTS: code } = MessageCode;
+    [first, leader].forEach((host) => host.recordsJobs = false);
+    leader.reply = toBinary(
+      FleetReplySchema,
+      create(FleetReplySchema, { code }),
+    );
+    const retire = () => {
+      const settings = create(FleetSettingsSchema, {
+        id: "c",
+        ip: "127.0.0.1",
+        seeds: [first.address, leader.address],
+      });
+      return new ControlHost(settings, createProcessContext({ name: "c" }))
+        .retireHost("s").then(
+          () => expect.fail("a refusal"),
+          (error: ServingError) => error,
+        );
+    };
+    first.code = MessageCode.NOT_LEADER;
+    expect(await retire()).include({ code, verdict: Verdict.NOT_RUN });
+    first.code = MessageCode.MAY_HAVE_COMMITTED;
+    expectUnknown(await retire());
+  });
+
   it("are refused if the first host accepts no connection in time", async () => {
     const sockets: Socket[] = [];
     const mute = createServer((socket) => sockets.push(socket));
