Leases: a time of the past is no stall

An announcement that is applied with an earlier time than the last tick would have made the next tick look like one after a long stall. No caller does that today but a test. stalled_entry_test, "takes no time of an older announcement for a stall", failed before.

--- a/src/membership/backend_view.ts
+++ b/src/membership/backend_view.ts
@@ -106,7 +106,7 @@
     this.getAll()
       .filter((server) => !this.#hasLeaseEnded(server, nowMs))
       .forEach((server) => server.leaseEndMs += stalledMs);
-    this.#lastTickMs = nowMs;
+    this.#lastTickMs = Math.max(nowMs, this.#lastTickMs ?? nowMs);
   }
 
   /** Applies an announcement unless a newer one of the server is known. */
--- a/src/test/stalled_entry_test.ts
+++ b/src/test/stalled_entry_test.ts
@@ -81,6 +81,17 @@
     expect(isServing(view, 1_100 + STALL_MS)).equal(false);
   });
 
+  // Guards against a lease that is extended by all the time since the clock began.
+  it("takes no time of an older announcement for a stall", () => {
+    const view = new BackendView();
+    const startMs = 100_000;
+    view.tick(startMs);
+    announce(view, 2, startMs);
+    expect(announce(view, 1, 0)).equal(AnnouncementEffect.old);
+    range(12).forEach((index) => view.tick(startMs + index * TICK_MS));
+    expect(isServing(view, startMs + LEASE_MS)).equal(false);
+  });
+
   // Guards against the same in a whole fleet, servers included.
   it("serves requests and goes on with answers", () =>
     withFleet(
