Tests: hold events until the start of a server was heard of

The cases of servers that were started again went by timers of 400 ms, which a busy machine could overrun. The stand-in server now holds events until the test releases them, and heartbeats come at several times the rate that they must. No check is changed.

--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -88,6 +88,8 @@
   crashPart: string | undefined;
   /** Time until the first event of a stream, in milliseconds. */
   firstEventMs = 0;
+  /** Returns what the event of a number waits for; undefined for nothing. */
+  getEventGate: (number: number) => Promise<void> | undefined = () => undefined;
   /** Called when a request has ended the server. */
   onCrash: () => void = () => {};
   #server: http.Server | undefined;
@@ -260,8 +262,13 @@
       }
       res.write(event);
       if (number === EVENT_COUNT) res.end();
-      else setTimeout(() => send(number + 1), this.eventIntervalMs);
+      else schedule(number + 1, this.eventIntervalMs);
     };
-    setTimeout(() => send(lastEventNumber + 1), this.firstEventMs);
+    const schedule = (number: number, ms: number) =>
+      setTimeout(async () => {
+        await this.getEventGate(number);
+        send(number);
+      }, ms);
+    schedule(lastEventNumber + 1, this.firstEventMs);
   }
 }
--- a/src/test/stream_versions_test.ts
+++ b/src/test/stream_versions_test.ts
@@ -17,10 +17,13 @@
 const STREAMS = 30;
 
 /** Longest duration of a stream in these fleets, in milliseconds. */
-const MAX_STREAM_MS = 1_500;
+const MAX_STREAM_MS = 3_000;
 
 /** Interval at which the servers of some fleets register, in milliseconds. */
-const BEAT_MS = 300;
+const BEAT_MS = 1_000;
+
+/** Interval of heartbeats in the tests, which must not miss any under load. */
+const HEARTBEAT_INTERVAL_MS = 150;
 
 /** Time in which a server that crashed is back, in milliseconds. */
 const RESTART_MS = 2_500;
@@ -372,6 +375,7 @@
 
 describe("streams whose origin no store host names", () => {
   let fleet: PlatformFleet;
+  let heartbeats: Timer | undefined;
 
   beforeEach(async () => {
     fleet = new PlatformFleet({ maxStreamMs: MAX_STREAM_MS });
@@ -382,7 +386,10 @@
     await fleet.clock.delay(MAX_STREAM_MS);
   });
 
-  afterEach(() => fleet.close());
+  afterEach(async () => {
+    heartbeats?.cancel();
+    await fleet.close();
+  });
 
   /** Begins streams at a server of a version that joins now. */
   const beginAtNewVersion = async () => {
@@ -433,10 +440,11 @@
   // them, also by a gateway that has just started.
   it("go on at the only version that there was for longer than a stream lasts", async () => {
     await fleet.addGateway();
+    const registerAll = () =>
+      Promise.all(fleet.servers.map((server) => fleet.registerServer(server)));
+    await registerAll();
+    heartbeats = fleet.clock.startInterval(HEARTBEAT_INTERVAL_MS, registerAll);
     for (const gatewayIndex of [0, 1, 2]) {
-      await Promise.all(
-        fleet.servers.map((server) => fleet.registerServer(server)),
-      );
       const id = `lost-${gatewayIndex}`;
       const again = await takeUpBrokenStream(fleet, {
         id,
@@ -460,7 +468,7 @@
     await putOneAttemptRoute(fleet);
     controlIndexes.clear();
     heartbeats = fleet.clock.startInterval(
-      BEAT_MS / 2,
+      HEARTBEAT_INTERVAL_MS,
       () =>
         fleet.servers.forEach((server) =>
           fleet.registerServer(server, {}, controlIndexes.get(server.id) ?? 0)
@@ -497,21 +505,44 @@
   };
 
   /**
-   * Begins streams on a route until some run at a server, which then registers as
-   * what it is.
+   * Begins streams on a route until some run at a server that the gateway takes for
+   * one of v1. Their events from a number on are held until `release` is called.
    */
-  const beginBeforeHeard = async (target: string) => {
+  const beginBeforeHeard = async (target: string, heldFrom: number) => {
     const server = replaceUnheard();
-    const begun = new Map<string, StreamPart>();
+    let release = () => {};
+    const gate = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    fleet.servers.forEach((one) => {
+      one.getEventGate = (number) => number < heldFrom ? undefined : gate;
+    });
+    const begun = new Set<string>();
     const responses = new Map<string, Promise<ReceivedResponse>>();
     await fleet.waitUntil("the server to run requests", () => {
       const id = `early-${responses.size}`;
-      const onData = (text: string) => begun.set(id, readPart({ text }));
+      const onData = () => begun.add(id);
       responses.set(id, fleet.sendRequest(id, target, { onData }));
-      return server.receivedRequests.filter(({ id }) => id.startsWith("early-"))
-        .length >= 3;
+      return server.receivedRequests.filter((request) =>
+        request.id.startsWith("early-")
+      ).length >= 3;
     });
-    return { server, begun, responses };
+    if (heldFrom > 1) {
+      await fleet.waitUntil(
+        "first events",
+        () => begun.size === responses.size,
+      );
+    }
+    return { server, responses, release };
+  };
+
+  /** The server registers as what it is; waits until the gateway has heard of it. */
+  const hearOf = async (server: PlatformServer) => {
+    await fleet.registerServer(server, { Slots: 5 });
+    await fleet.waitUntil(
+      "the gateway to hear of the start",
+      () => JSON.stringify(fleet.gateways[0]?.getDump()).includes('"slots":5'),
+    );
   };
 
   const breakAll = () =>
@@ -545,26 +576,18 @@
   // lets the gateway continue it itself.
   ["/o/x", "/s/x"].forEach((target) => {
     it(`are not joined if ${target} was sent before the start was heard of`, async () => {
-      fleet.servers.forEach((server) => {
-        server.firstEventMs = 400;
-      });
       breakAll();
-      const { server, responses } = await beginBeforeHeard(target);
-      await fleet.registerServer(server);
+      const { server, responses, release } = await beginBeforeHeard(target, 1);
+      await hearOf(server);
+      release();
       await expectNoneJoined(responses);
     });
 
     it(`are not joined if ${target} had begun before the start was heard of`, async () => {
-      fleet.servers.forEach((server) => {
-        server.eventIntervalMs = 400;
-      });
       breakAll();
-      const { server, begun, responses } = await beginBeforeHeard(target);
-      await fleet.waitUntil(
-        "first events",
-        () => begun.size === responses.size,
-      );
-      await fleet.registerServer(server);
+      const { server, responses, release } = await beginBeforeHeard(target, 2);
+      await hearOf(server);
+      release();
       await expectNoneJoined(responses);
     });
   });
@@ -572,19 +595,18 @@
   // Guards against the same if the server broke the stream before.
   it("are not joined if they broke before the start was heard of", async () => {
     breakAll();
-    const { server, responses } = await beginBeforeHeard("/o/x");
+    const { server, responses, release } = await beginBeforeHeard("/o/x", 2);
+    release();
     await Promise.all(responses.values());
-    await fleet.registerServer(server);
+    await hearOf(server);
     await expectNoneJoined(responses);
   });
 
   // Guards against whole answers being cut because their server's start was unheard.
   it("go on to their end in one attempt though the start is heard of meanwhile", async () => {
-    fleet.servers.forEach((server) => {
-      server.eventIntervalMs = 100;
-    });
-    const { server, responses } = await beginBeforeHeard("/o/x");
-    await fleet.registerServer(server);
+    const { server, responses, release } = await beginBeforeHeard("/o/x", 2);
+    await hearOf(server);
+    release();
     for (const [id, response] of responses) {
       const { versions, lastEvent } = readPart(await response);
       expect(versions, id).length(1);
