A connection that a server resets is no doubt about its version

What callers saw: nothing yet; found by review. Servers reset connections that exceed their limit. While they do, a gateway would refuse streams that callers take up (503) although servers of their version serve new ones.

Cause: since an attempt without a connection keeps bound streams from a server until it is heard of again, for up to a heartbeat and two seconds. The probe after a lost connection had the same fault before.

Change: a reset connection does not count, since a process listens there. A refused or unanswered one does, as before.

Why it works: a server that was started again accepts connections, so a reset tells no more than a connection that was made.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -236,7 +236,8 @@
     const isNotRun = error instanceof HttpSendError &&
       error.verdict === Verdict.NOT_RUN;
     if (isNotRun) {
-      this.#onNotConnected(options.permit.server.id);
+      // A server that resets a connection, such as one too many, still runs.
+      if (!error.isReset) this.#onNotConnected(options.permit.server.id);
       this.#reachability?.recordUnreachable(options.permit.server.id);
     }
     return isNotRun
--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -121,11 +121,14 @@
   async #probeServer(run: ServerRun): Promise<void> {
     const lostMs = this.#options.clock.getMonotonicMs();
     const result = await this.#probe.probe(run.server.address);
-    if (result !== ProbeResult.connected) {
+    const { refused, silent, reset } = ProbeResult;
+    if (result === refused || result === silent) {
       this.#options.view.servers.recordUnreachable(run.server.id, lostMs);
     }
-    if (result === ProbeResult.refused) this.#suspect(run);
-    if (result === ProbeResult.silent) this.#addPending({ ...run, lostMs });
+    if (result === refused) this.#suspect(run);
+    if (result === silent || result === reset) {
+      this.#addPending({ ...run, lostMs });
+    }
   }
 
   /** Whether nothing listens on the server's address, or another start of it. */
--- a/src/sys/connect_probe.ts
+++ b/src/sys/connect_probe.ts
@@ -11,6 +11,8 @@
   connected: "connected",
   /** No process listens on the address. */
   refused: "refused",
+  /** A process listens there and reset the connection, such as one too many. */
+  reset: "reset",
   /**
    * Nothing answered: the host may be down, the network partitioned, or the
    * address none.
@@ -21,6 +23,12 @@
 /** One of {@linkcode ProbeResult}. */
 export type ProbeResult = typeof ProbeResult[keyof typeof ProbeResult];
 
+/** Results of the errors that an answer of the other side causes. */
+const RESULTS_OF_ERRORS = new Map<string | undefined, ProbeResult>([
+  ["ECONNREFUSED", ProbeResult.refused],
+  ["ECONNRESET", ProbeResult.reset],
+]);
+
 const PROBE_TIMEOUT_MS = 300;
 
 /** Time during which the result of a probe is reused, in milliseconds. */
@@ -77,8 +85,7 @@
       );
       socket.on("connect", () => settle(ProbeResult.connected));
       socket.on("error", (error: NodeJS.ErrnoException) => {
-        const isRefused = error.code === "ECONNREFUSED";
-        settle(isRefused ? ProbeResult.refused : ProbeResult.silent);
+        settle(RESULTS_OF_ERRORS.get(error.code) ?? ProbeResult.silent);
       });
     });
   }
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -204,6 +204,11 @@
   readonly isConnectionLost: boolean;
   /** Whether the request itself cannot be sent, to any server. */
   readonly isInvalidRequest: boolean;
+  /**
+   * Whether the other side reset the connection, so that a process listens there. A
+   * reset right after the connection was made may come before that is known here.
+   */
+  readonly isReset: boolean;
 
   constructor(
     reason: string,
@@ -211,6 +216,7 @@
       verdict: Verdict;
       isConnectionLost: boolean;
       isInvalidRequest?: boolean;
+      isReset?: boolean;
     },
   ) {
     super(reason);
@@ -218,6 +224,7 @@
     this.verdict = options.verdict;
     this.isConnectionLost = options.isConnectionLost;
     this.isInvalidRequest = options.isInvalidRequest ?? false;
+    this.isReset = options.isReset ?? false;
   }
 }
 
@@ -321,12 +328,13 @@
           response.complete && (isDelimited || !hasFailedInBody),
       });
     });
-    req.on("error", (error) => {
+    req.on("error", (error: NodeJS.ErrnoException) => {
       clearTimers();
       reject(
         new HttpSendError(getReason(error), {
           verdict: isConnected ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
           isConnectionLost: !hasTimedOut && request.signal?.aborted !== true,
+          isReset: error.code === "ECONNRESET",
         }),
       );
     });
