A stream of updates ends when a message on it fails to be applied

What callers saw: nothing yet; found by review. A gateway that fails to apply one part of an update would stay without the parts after it, such as servers or routes, until its stream ends for another reason.

Cause: since an exception of the handler of a message no longer ends the process. A control host sends each change once on a stream, and the next start used to get all of them again.

Change: the stream is cancelled. Its follower opens another one, as after a lost connection, which begins with the whole state.

Evidence: failed_updates_test: two of three servers were missing for good before; all are known now.

Why it works: what a restart healed was the new stream.

--- a/src/sys/rpc_client.ts
+++ b/src/sys/rpc_client.ts
@@ -119,7 +119,10 @@
     });
   }
 
-  /** Calls a server-streaming method. */
+  /**
+   * Calls a server-streaming method. If `message` throws, the stream ends, as it does
+   * if the connection is lost.
+   */
   openStream<I extends DescMessage, O extends DescMessage>(
     method: DescMethodServerStreaming<I, O>,
     req: MessageInitShape<I>,
@@ -136,7 +139,8 @@
       create(method.input, req),
       new grpc.Metadata(),
     );
-    const receive = isolate(handlers.message);
+    // What the message said is sent anew on the next stream.
+    const receive = isolate(handlers.message, () => call.cancel());
     call.on("data", (message) => {
       if (!this.#isPartitioned()) receive(message);
     });
