Time without any control host is no silence of the servers

After all control hosts were away for more than four heartbeats, the gateways that ran on refused all requests when they were back, until each server had sent another heartbeat.

Cause: silence was measured between the last heartbeat and the last message of a control host. In an outage of all control hosts it does not grow, so servers are used, but the first message after it counted all of the outage at once. What control hosts restore at their start is no news of the servers.

Change: a time of more than 2.5 s without a message of any control host does not count as silence of the servers.

Evidence: server_registry_test, "does not count the time in which no control host was heard as silence", fails before.

Test changed: "counts missed heartbeats only while control hosts are heard" moved from one message to the next one ten heartbeats later and wanted the server to be silent then, which is the fault. It now sends a message at each heartbeat and wants the same.

Why it works: servers that ended in the outage are found by requests that fail, as in the outage, and are silent after four heartbeats that could have been heard.

--- a/src/membership/server_registry.ts
+++ b/src/membership/server_registry.ts
@@ -41,6 +41,8 @@
   isRepeated: boolean;
   /** Time for which this process had listened at the last contact. */
   listenedMs: number;
+  /** Time for which this process had heard no control host at the last contact. */
+  cutOffMs: number;
 }
 
 /** Contact with a server whose registration is passed on. */
@@ -84,6 +86,12 @@
  */
 const MAX_LISTENING_GAP_MS = 5_000;
 
+/**
+ * Longest time between two messages of control hosts in which a heartbeat can be
+ * missed, in milliseconds: more than two of their update intervals.
+ */
+const MAX_CONTROL_GAP_MS = 2_500;
+
 /**
  * Shortest time without contact after which a server may make room for another
  * one, in milliseconds of listening.
@@ -146,6 +154,8 @@
   readonly #leavingStarts = new Set<string>();
   /** Time of the last message from any control host. */
   #lastControlContactMs = -Infinity;
+  /** Time in which no control host was heard, since the first message of one. */
+  #cutOffMs = 0;
   /** Time for which messages have arrived without longer gaps. */
   #listenedMs = 0;
   #lastMessageMs = -Infinity;
@@ -166,6 +176,10 @@
    */
   recordControlContact(nowMs: number): void {
     this.#listen(nowMs);
+    const gapMs = this.getControlSilentMs(nowMs);
+    if (Number.isFinite(gapMs) && gapMs > MAX_CONTROL_GAP_MS) {
+      this.#cutOffMs += gapMs;
+    }
     this.#lastControlContactMs = nowMs;
   }
 
@@ -203,14 +217,14 @@
       known.registration.bornMs === registration.bornMs;
     const isRepeat = isSameStart &&
       isUnchanged(known.registration, registration);
+    const contactMs = isSameStart && isRestored ? 0 : nowMs - silentMs;
+    const isNewerContact = !isSameStart || contactMs > known.lastContactMs;
     this.#servers.set({
       registration,
-      lastContactMs: isSameStart
-        ? Math.max(known.lastContactMs, isRestored ? 0 : nowMs - silentMs)
-        : nowMs - silentMs,
+      lastContactMs: isNewerContact ? contactMs : known.lastContactMs,
       confirmedMs: isSameStart
-        ? Math.max(known.confirmedMs, isRestored ? 0 : nowMs - silentMs)
-        : nowMs - silentMs,
+        ? Math.max(known.confirmedMs, contactMs)
+        : contactMs,
       backoffUntilMs: isSameStart ? known.backoffUntilMs : -Infinity,
       failures: isSameStart ? known.failures : 0,
       silentSinceMs: isSameStart ? known.silentSinceMs : undefined,
@@ -219,6 +233,7 @@
       hasIdentityMismatch: false,
       isRepeated: isSameStart,
       listenedMs: this.#listenedMs,
+      cutOffMs: isNewerContact ? this.#cutOffMs : known.cutOffMs,
     });
     if (!isSameStart) return RegistrationEffect.added;
     return isRepeat ? RegistrationEffect.heard : RegistrationEffect.changed;
@@ -232,6 +247,7 @@
     known.confirmedMs = Math.max(known.confirmedMs, nowMs - HEARTBEAT_DELAY_MS);
     known.isRestored = false;
     known.listenedMs = this.#listenedMs;
+    known.cutOffMs = this.#cutOffMs;
     known.isRepeated = true;
     if (!isGone(known)) this.#servers.recordContact(known);
   }
@@ -424,10 +440,12 @@
 
   /**
    * Heartbeats arrive through control hosts, so silence is measured up to the
-   * last message of any control host rather than up to now.
+   * last message of any control host rather than up to now, and without the time
+   * in which none was heard.
    */
   #isSilent(known: KnownServer): boolean {
-    return this.#lastControlContactMs - known.lastContactMs >
+    const silentMs = this.#lastControlContactMs - known.lastContactMs;
+    return silentMs - (this.#cutOffMs - known.cutOffMs) >
       this.#options.heartbeatMs * MAX_MISSED_HEARTBEATS;
   }
 
