Names and comments that stopped a reader

A reading of the whole change by someone who had not seen it: VersionPin had a getter and a field of the same name with two meanings, a nested choice in resolve(), the part that holds origins was not explained, and one comment of a test told a story. No change of logic.

--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -102,7 +102,7 @@
 export interface BackendResponseMetadata {
   /** The server didn't execute the request and never will. */
   readonly isNotRun: boolean;
-  /** The status is a success, but the server's proof of having run it is missing. */
+  /** The status is a success, but the server did not put its stamp on it. */
   readonly isUnprovenSuccess: boolean;
   /**
    * Callers take the status for a promise that the request didn't run, but the
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -233,6 +233,7 @@
     if (isMerger) this.#sendMergedReports(nowMs);
   }
 
+  /** Sends origins as parts beyond the last one, which hold no loads. */
   #sendOrigins(origins: readonly StreamOrigin[]): void {
     const mergers = this.#options.getMergers();
     const parts = this.#partCount;
--- a/src/fleet/version_pin.ts
+++ b/src/fleet/version_pin.ts
@@ -74,7 +74,8 @@
   #firstServer: PoolServer | undefined;
   /** Server of the attempt whose events were sent to the caller last. */
   #lastServer: PoolServer | undefined;
-  #isAmbiguous = false;
+  /** Whether the stream's id has been recorded with two versions. */
+  #hasTwoOrigins = false;
 
   constructor(req: PinnedRequest, options: VersionPinOptions) {
     this.#req = req;
@@ -106,11 +107,7 @@
     const { requestId, resumedRequest } = this.#req;
     const startMs = clock.getMonotonicMs();
     const search = await this.#search();
-    const origin = search.kind === "found"
-      ? search.origin
-      : search.kind === "unknown"
-      ? await this.#tryFindOnlyOrigin()
-      : undefined;
+    const origin = await this.#tryGetOrigin(search);
     const how = search.kind === "unknown" && origin !== undefined
       ? "only_version"
       : search.kind;
@@ -148,10 +145,21 @@
     if (!isRouted) throw this.createVersionGoneError(Verdict.NOT_RUN);
   }
 
+  async #tryGetOrigin(search: OriginSearch): Promise<StreamOrigin | undefined> {
+    switch (search.kind) {
+      case "found":
+        return search.origin;
+      case "unknown":
+        return await this.#tryFindOnlyOrigin();
+      default:
+        return undefined;
+    }
+  }
+
   /** Whether it is unknown which version began the stream, so that none may go on. */
   get isAmbiguous(): boolean {
     const { servers } = this.#options.view;
-    return this.#isAmbiguous ||
+    return this.#hasTwoOrigins ||
       (!this.isTakenUp && this.#firstServer !== undefined &&
         servers.tryGetOtherVersion(this.#firstServer) !== undefined);
   }
@@ -176,13 +184,15 @@
       this.#softwareVersion = server.softwareVersion;
       this.#recordOrigin(this.#req.requestId, server.softwareVersion, server);
     }
-    if (other !== undefined && !this.#isAmbiguous) this.#recordAmbiguity(other);
+    if (other !== undefined && !this.#hasTwoOrigins) {
+      this.#recordAmbiguity(other);
+    }
   }
 
   #recordAmbiguity(otherVersion: string): void {
     const { requestId, resumedRequest } = this.#req;
     const request = this.isTakenUp ? resumedRequest : requestId;
-    this.#isAmbiguous = true;
+    this.#hasTwoOrigins = true;
     this.#recordOrigin(request, this.#softwareVersion ?? "");
     this.#recordOrigin(request, otherVersion);
   }
--- a/src/test/snapshot_test.ts
+++ b/src/test/snapshot_test.ts
@@ -133,7 +133,7 @@
     );
     expect(machines[2]?.restored).equal(1);
     expect(machines[2]?.count).equal(COMMANDS);
-    // All chunks were sent at once; the leader held the snapshot several times.
+    // Guards against a leader that holds a whole snapshot in memory to send it.
     expect(transport.maxWaitingChunks).equal(1);
     await lateReplica.stop();
     const restartedReplica = await start(2);
