Never send a request again on a connection on which it failed

Callers saw: a 503, which promises that the request has not run, for requests that a server ran; streams that can't be resumed ran twice; an item ran three times. A faulty server had written its earlier refusal once more on a connection that was kept.

Cause: answers are matched to requests by their ids alone. A request that is refused keeps its id when it is sent again, and the newest idle connection is the one on which it was refused, so the copy of the refusal fits. Of the product's own entries no id is asked at all: the copy met the next request, whichever it was.

Where answers name no id, the connection is closed after any answer other than a success. A refusal costs no connection otherwise: a server that is full resets new ones.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -133,6 +133,7 @@
         // A response to a request without an id can't be told from others that
         // are late on the same connection.
         usesNewConnection: options.useNewConnection || request.requestId === "",
+        requestId: request.requestId,
         agent: this.#agent,
         signal: options.signal,
         onConnect: () => this.#reachability?.recordConnected(),
--- a/src/fleet/gateway_relay.ts
+++ b/src/fleet/gateway_relay.ts
@@ -144,6 +144,7 @@
         ],
         body: request.body,
         usesNewConnection: options.useNewConnection,
+        requestId: request.requestId,
         agent: this.#agent,
         signal,
       });
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
-import { HttpAgent } from "./http_agent.ts";
+import { hasFailedOn, HttpAgent, recordFailedRequest } from "./http_agent.ts";
 import { isolate } from "./isolation.ts";
 
 export type {
@@ -167,6 +167,13 @@
    * connect proves that the request did not run.
    */
   readonly usesNewConnection?: boolean;
+  /**
+   * Id that answers name, by which the caller tells them apart. A request is never
+   * sent again on a connection on which it failed, as a faulty server may write its
+   * earlier answer once more. Without an id, a connection is closed after any answer
+   * other than a success.
+   */
+  readonly requestId?: string;
   /** Agent whose connections to use; defaults to one shared agent. */
   readonly agent?: HttpAgent;
   /** Maximum wait for the response headers, in milliseconds. */
@@ -285,6 +292,7 @@
  */
 export function sendHttp(request: HttpRequest): Promise<HttpResponse> {
   if (request.isPartitioned === true) return failAsUnreachable(request);
+  const { requestId } = request;
   return new Promise((resolve, reject) => {
     let isConnected = false;
     let hasTimedOut = false;
@@ -305,6 +313,14 @@
       clearTimeout(headTimer);
     };
     req.on("socket", (socket) => {
+      if (hasFailedOn(socket, requestId)) {
+        // Nothing has been written yet.
+        clearTimers();
+        req.on("error", () => {});
+        req.destroy();
+        resolve(sendHttp({ ...request, usesNewConnection: true }));
+        return;
+      }
       if (!socket.connecting) isConnected = true;
       else {socket.once("connect", () => {
           isConnected = true;
@@ -318,6 +334,9 @@
         hasFailedInBody = true;
       });
       const { headers, statusCode: status = 0 } = response;
+      if (!isSuccessStatus(status)) {
+        recordFailedRequest(response.socket, requestId);
+      }
       const isDelimited = hasDelimitedBody(request.method, status, headers);
       resolve({
         status,
@@ -353,6 +372,10 @@
   });
 }
 
+function isSuccessStatus(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 /** Fails as a connection does that nothing answers. */
 function failAsUnreachable({ signal }: HttpRequest): Promise<never> {
   return new Promise((_, reject) => {
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -10,6 +10,11 @@
 export type Behaviour =
   /** Responds 503 and states that it did not run the request. */
   | "full"
+  /**
+   * Responds 503 and states that it did not run the request. If the request comes
+   * again on that connection, writes the same response again and runs the request.
+   */
+  | "refuseAgain"
   /** Responds 421, as a different server at the same address does. */
   | "other"
   /** Resets the connection before sending a response. */
@@ -54,6 +59,12 @@
 /** A response that names no request and has no proof. */
 const EXTRA_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
+/** Returns the bytes of a refusal of request `id`. */
+function createRefusal(id: string): string {
+  return `HTTP/1.1 503 Full\r\nX-Request-Id: ${id}\r\nX-Not-Run: full\r\n` +
+    "Content-Length: 0\r\n\r\n";
+}
+
 /** Returns the data of one event of the response to request `id`. */
 export function getEventData(id: string, number: number): string {
   return `${id}-${number}`;
@@ -106,6 +117,8 @@
   extraCount = 0;
   /** Connections on which an extra response is to be sent. */
   readonly #spoiltConnections = new Set<Socket>();
+  /** Connections on which requests were refused and will be again, by their ids. */
+  readonly #refusedOn = new Map<string, Socket>();
   #server: http.Server | undefined;
   #sequence = 0;
   #runningCount = 0;
@@ -192,8 +205,13 @@
         setTimeout(() => this.crash(), this.firstEventMs);
         return;
       }
-      const behaviour = this.behaviours.shift() ??
-        this.#sharedBehaviours.shift();
+      if (this.#refusedOn.get(request.id) === req.socket) {
+        req.socket.write(createRefusal(request.id));
+      }
+      const isRepeated = this.#refusedOn.delete(request.id);
+      const behaviour = isRepeated
+        ? undefined
+        : this.behaviours.shift() ?? this.#sharedBehaviours.shift();
       this.#respond(request, res, behaviour);
     });
   }
@@ -215,11 +233,16 @@
       "x-server-load": "1,0,4",
       ...this.#createStateHeaders(),
     };
-    request.ran = behaviour !== "full" && behaviour !== "other";
+    request.ran = behaviour !== "full" && behaviour !== "refuseAgain" &&
+      behaviour !== "other";
     switch (behaviour) {
       case "full":
         res.writeHead(503, { ...headers, "x-not-run": "full" }).end("full");
         return;
+      case "refuseAgain":
+        if (res.socket !== null) this.#refusedOn.set(request.id, res.socket);
+        res.writeHead(503, { ...headers, "x-not-run": "full" }).end("full");
+        return;
       case "other":
         res.writeHead(421, { ...headers, "x-not-run": "other" }).end();
         return;
