Continue a stream only with events that belong to it

Callers saw: the text of an error in the middle of a resumable stream that was framed as whole (200 with a proof, of type text/html or application/json), or a stream that ended as whole after the events before the break (200 without any event); items were done with the text of two events. At the product's own entries a stream that had begun ended without an error event when the next engine answered 404 or 500.

Cause: what follows a break was checked for its status and its proof, and its events for gaps; neither its type nor events without an id, nor whether there was any event. At entries an error that answers the attempt to go on was taken for the answer to the request. The head kept the first server's length, which says nothing of the rest: a longer rest would have met the caller's next answer.

Change: a continuation is a stream of events without another encoding. Once events have ids, one without an id must have no data and no unknown field. An answer without any event ends a stream or an item only if a second answer says the same after the same event (or an item's last answer had ended there). A stream that another server may continue is framed by chunks. At entries, an engine's error after output of another fails the attempt alone: the stream goes on elsewhere or ends with an error event; 200 of another type does too, and an error body that was cut short isn't passed on as whole. Answers that are not taken don't come back on their connection either.

Ruled out: to believe an empty answer to a caller who takes a stream up. It can't be told from a fault; another server is asked where the route allows it.

--- a/src/bench/stand_in_engine.ts
+++ b/src/bench/stand_in_engine.ts
@@ -118,6 +118,8 @@
   readonly receivedOrders: string[] = [];
   /** Text in a prompt that crashes the server; undefined for none. */
   crashTrigger: string | undefined;
+  /** Answers, by status and type, to the next requests that resume a completion. */
+  readonly resumeAnswers: { status: number; type: string; body: string }[] = [];
   /** Called after a prompt with the trigger has crashed the server. */
   onCrash: () => void = () => {};
 
@@ -191,6 +193,11 @@
     this.#waiting.length = 0;
   }
 
+  /** Resets the connections of all running sequences. */
+  breakStreams(): void {
+    [...this.#running].forEach(({ res }) => res.socket?.resetAndDestroy());
+  }
+
   /** Stops emitting tokens and announcing, but keeps connections open. */
   freeze(): void {
     this.#isFrozen = true;
@@ -256,6 +263,14 @@
       this.onCrash();
       return;
     }
+    const answer = (body.resume_tokens ?? 0) > 0
+      ? this.resumeAnswers.shift()
+      : undefined;
+    if (answer !== undefined) {
+      res.writeHead(answer.status, { "content-type": answer.type });
+      res.end(answer.body);
+      return;
+    }
     const sequence: Sequence = {
       res,
       prompt,
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -4,10 +4,14 @@
  * last complete event.
  */
 import type { JobItem } from "../schema/mod.ts";
-import { EventSplitter } from "../relay/mod.ts";
+import { EventSplitter, isEventStreamType } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
 import { observeFirst } from "../sys/routines.ts";
-import { readBody, removeRawHopByHopHeaders } from "../sys/http.ts";
+import {
+  readBody,
+  rejectAnswer,
+  removeRawHopByHopHeaders,
+} from "../sys/http.ts";
 import type {
   BackendClient,
   BackendRequest,
@@ -30,8 +34,8 @@
   /** The attempt was interrupted; the item can resume on another server. */
   | { readonly kind: "broken"; readonly reason: string }
   /**
-   * The response ended with its connection, so it is not known whether output
-   * follows; the item asks for it on another server.
+   * The response ended with its connection, or without any output, so it is not known
+   * whether output follows; the item asks for it on another server.
    */
   | { readonly kind: "unconfirmed"; readonly reason: string }
   /** This process stopped the attempt. */
@@ -78,6 +82,9 @@
       progress,
       signal,
     );
+    if (outcome.kind !== "done") {
+      rejectAnswer(response, options.request.requestId);
+    }
     const isWhole = outcome.kind === "done" && startEvent === undefined;
     if (
       isWhole || progress.last === startEvent ||
@@ -131,6 +138,10 @@
   progress: ItemProgress,
   signal: AbortSignal,
 ): Promise<AttemptOutcome> {
+  if (!isEventStreamType(response.headers)) {
+    response.body.destroy();
+    return { kind: "broken", reason: "the response is no stream of events" };
+  }
   const splitter = new EventSplitter();
   const startEvent = progress.last;
   for await (const chunk of response.chunks) {
@@ -144,11 +155,12 @@
     };
   }
   if (response.isComplete() && splitter.rest.length === 0) {
-    const isWhole = response.isDelimited ||
-      progress.recordUndelimitedEnd(startEvent);
-    return isWhole ? { kind: "done" } : {
+    const isKnown = progress.recordEnd(startEvent, response);
+    return isKnown ? { kind: "done" } : {
       kind: "unconfirmed",
-      reason: "the response has no length and may have been cut off",
+      reason: response.isDelimited
+        ? "the response has no output, unlike one that was cut off"
+        : "the response has no length and may have been cut off",
     };
   }
   return signal.aborted
--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -59,6 +59,11 @@
   #eventBytes = 0;
   /** Successive responses without output that ended with their connection. */
   #emptyUndelimitedEnds = 0;
+  /**
+   * Number of the event after which a whole response ended last, 0 for none;
+   * undefined if none has ended.
+   */
+  #endedAfter: number | undefined;
 
   constructor({ random, recorded }: ItemProgressOptions) {
     this.#random = random;
@@ -135,22 +140,29 @@
   appendEvents(bytes: Buffer): boolean {
     this.#eventBytes += bytes.length;
     if (this.#eventBytes > MAX_TEXT_BYTES) return false;
-    return parseEvents(bytes).every(({ id, data }) => {
-      if (!this.#sequence.accept(id)) return false;
+    return parseEvents(bytes).every((event) => {
+      if (!this.#sequence.accept(event)) return false;
+      const { id, data } = event;
       this.#events.push({ event: id ?? (this.last ?? 0) + 1, data });
       return true;
     });
   }
 
   /**
-   * Records a response that ended between two events together with its
-   * connection, and was asked for the output after event `startEvent`. Returns
-   * whether it is known now that no output follows.
+   * Records a whole response that was asked for the output after event `startEvent`.
+   * Returns whether it is known now that no output follows. One response alone can't
+   * tell if it brought none.
    */
-  recordUndelimitedEnd(startEvent: number | undefined): boolean {
-    this.#emptyUndelimitedEnds = this.last === startEvent
-      ? this.#emptyUndelimitedEnds + 1
-      : 0;
+  recordEnd(
+    startEvent: number | undefined,
+    { isDelimited }: { isDelimited: boolean },
+  ): boolean {
+    const last = this.last ?? 0;
+    const isEmpty = this.last === startEvent;
+    const hadEndedHere = this.#endedAfter === last;
+    this.#endedAfter = last;
+    if (isDelimited) return !isEmpty || hadEndedHere;
+    this.#emptyUndelimitedEnds = isEmpty ? this.#emptyUndelimitedEnds + 1 : 0;
     return this.#emptyUndelimitedEnds >= MIN_EMPTY_UNDELIMITED_ENDS;
   }
 
@@ -163,6 +175,7 @@
     this.#events.length = 0;
     this.#eventBytes = 0;
     this.#emptyUndelimitedEnds = 0;
+    this.#endedAfter = undefined;
   }
 }
 
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -19,7 +19,7 @@
 import type { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getCodeName, ServingError } from "../sys/errors.ts";
-import { discardBody } from "../sys/http.ts";
+import { discardBody, rejectAnswer } from "../sys/http.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { Random } from "../sys/random.ts";
@@ -282,6 +282,7 @@
       () => this.#options.crashDetector.hasServerEnded(permit.server),
     );
     if (result.kind === "done") return true;
+    rejectAnswer(response, this.#req.request.requestId);
     if (this.#requestAbort.signal.aborted) throw this.#createAbortedError();
     this.#options.pool.recordFailure(permit.server.id);
     // The caller may take the stream up elsewhere as soon as it is broken.
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -7,6 +7,7 @@
   EventBoundaryDetector,
   EventSequence,
   EventSplitter,
+  isEventStreamType,
   parseEvents,
 } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
@@ -84,10 +85,14 @@
       (response.isDelimited || !(await this.#hasServerEnded()));
   }
 
-  protected sendHead(response: BackendResponse): void {
+  /** Sends the head of a response without the headers in `omitted`. */
+  protected sendHead(
+    response: BackendResponse,
+    omitted: ReadonlySet<string> = new Set(),
+  ): void {
     this.caller.sendHead(
       response.status,
-      removeRawHopByHopHeaders(response.body.rawHeaders),
+      removeRawHopByHopHeaders(response.body.rawHeaders, omitted),
       { isDelimited: response.isDelimited },
     );
   }
@@ -187,6 +192,8 @@
  */
 export class EventForwarder extends ResponseForwarder {
   #sequence: EventSequence;
+  /** Number of the event after which an answer ended without any event. */
+  #emptyAfter: number | undefined;
   readonly #onEvents: () => void;
 
   /** `onEvents` is called before events of a response are sent to the caller. */
@@ -220,30 +227,49 @@
       discardBody(response.body);
       return { kind: "broken", reason: `status ${response.status}` };
     }
+    if (isContinuation && !isEventStream(response)) {
+      response.body.destroy();
+      return { kind: "broken", reason: "the answer is no stream of events" };
+    }
+    const startEvent = this.#sequence.last;
     const splitter = new EventSplitter();
     for await (const chunk of response.chunks) {
       const events = splitter.push(chunk);
       if (events === undefined) continue;
       const lastForwarded = this.#sequence.last;
       const isContiguous = parseEvents(events.bytes).every((event) =>
-        this.#sequence.accept(event.id)
+        this.#sequence.accept(event)
       );
       if (!isContiguous) {
         this.#sequence = new EventSequence(lastForwarded);
         response.body.destroy();
         return {
           kind: "broken",
-          reason: "an event is missing",
+          reason: "an event is missing, or is none of the stream",
         };
       }
       this.#onEvents();
-      if (!this.caller.headSent) this.sendHead(response);
+      if (!this.caller.headSent) {
+        // Another server may continue the stream with more bytes or fewer.
+        const omitted = isEventStream(response) ? LENGTH_HEADERS : undefined;
+        this.sendHead(response, omitted);
+      }
       await this.caller.write(events.bytes);
     }
     if (!(await this.isWhole(response))) return createTruncatedResult();
     if (splitter.isInsideEvent && isEventStream(response)) {
       return ENDED_INSIDE_EVENT;
     }
+    const isEmptyContinuation = startEvent !== undefined &&
+      this.#sequence.last === startEvent && isEventStream(response);
+    if (isEmptyContinuation && this.#emptyAfter !== startEvent) {
+      this.#emptyAfter = startEvent;
+      return {
+        kind: "broken",
+        reason:
+          `one answer alone says that nothing follows event ${startEvent}`,
+      };
+    }
     if (!this.caller.headSent) this.sendHead(response);
     if (this.caller.isDelimited && !response.isDelimited) {
       return {
@@ -257,18 +283,16 @@
   }
 }
 
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
+
 const ENDED_INSIDE_EVENT: ForwardResult = {
   kind: "broken",
   reason: "the stream ended inside an event",
 };
 
-const EVENT_STREAM_TYPE = /^text\/event-stream\b/i;
-
 /** Whether the body of a response to a streaming request consists of events. */
 function isEventStream({ status, headers }: BackendResponse): boolean {
-  const isSuccess = status >= 200 && status < 300;
-  const type = headers["content-type"];
-  return isSuccess && (type === undefined || EVENT_STREAM_TYPE.test(type));
+  return status >= 200 && status < 300 && isEventStreamType(headers);
 }
 
 function createTruncatedResult(): ForwardResult {
--- a/src/relay/engine_stream.ts
+++ b/src/relay/engine_stream.ts
@@ -13,6 +13,7 @@
 } from "../sys/http.ts";
 
 import type { Progress } from "./event_log.ts";
+import { isEventStreamType } from "./event_parser.ts";
 import { type CompleteEvents, EventSplitter } from "./event_splitter.ts";
 
 /** Request body of a completion, as callers send it and engines accept it. */
@@ -99,13 +100,19 @@
       signal: attempt.signal,
     });
     if (response.status !== 200) {
+      const body = await readBody(response.body, MAX_RESPONSE_BYTES);
+      if (!response.isComplete()) throw new Error("the answer was cut short");
       return {
         kind: "answered",
         status: response.status,
-        body: await readBody(response.body, MAX_RESPONSE_BYTES),
+        body,
         contentType: response.headers["content-type"] ?? "",
       };
     }
+    if (!isEventStreamType(response.headers)) {
+      response.body.destroy();
+      return createRejectedOutcome("the answer is no stream of events");
+    }
     return await pumpEvents(response, attempt, sink);
   } catch (error) {
     if (attempt.signal.aborted) return { kind: "aborted" };
@@ -119,6 +126,16 @@
   }
 }
 
+/** Outcome of an attempt whose answer can't be the completion's. */
+export function createRejectedOutcome(reason: string): AttemptOutcome {
+  return {
+    kind: "broken",
+    reason,
+    verdict: Verdict.MAY_HAVE_RUN,
+    isConnectionLost: false,
+  };
+}
+
 function pumpEvents(
   response: HttpResponse,
   attempt: EngineAttempt,
--- a/src/services/online/engine_runner.ts
+++ b/src/services/online/engine_runner.ts
@@ -7,6 +7,7 @@
 import {
   type AttemptOutcome,
   type CompletionBody,
+  createRejectedOutcome,
   type EventLog,
   type EventSink,
   runEngineAttempt,
@@ -158,11 +159,13 @@
     ]);
     let hasBegun = false;
     this.#promptPartGuard.recordStart(request.promptParts);
-    const end = await runEngineAttempt({
+    const progress = sink.log.getProgress();
+    const hadBegun = !sink.log.isEmpty || progress.tokens > 0;
+    const answer = await runEngineAttempt({
       address: placement.server.announcement.address,
       path: request.path,
       body: request.body,
-      progress: sink.log.getProgress(),
+      progress,
       requestId: request.requestId,
       // On a kept-alive connection, a server that was already down appears to
       // have crashed during the request. A suspect would be refused for that.
@@ -182,6 +185,7 @@
       whenReady: () => sink.whenReady(),
     });
     timer.cancel();
+    const end = hadBegun ? rejectError(answer) : answer;
     const isServerFailure = end.kind === "broken" ||
       (end.kind === "answered" && end.status >= 500);
     const isExpected = request.signal.aborted || placement.isPreempted ||
@@ -278,6 +282,16 @@
   }
 }
 
+/**
+ * An engine's error can't follow the output of another one, so it fails the attempt
+ * to continue it. A refusal remains one.
+ */
+function rejectError(outcome: AttemptOutcome): AttemptOutcome {
+  return outcome.kind === "answered" && !BUSY_STATUSES.includes(outcome.status)
+    ? createRejectedOutcome(`status ${outcome.status}`)
+    : outcome;
+}
+
 function getVerdict(outcome: AttemptOutcome): Verdict {
   switch (outcome.kind) {
     case "broken":
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -286,6 +286,9 @@
   }
 }
 
+/** Connections of responses, which they no longer name once they have ended. */
+const connections = new WeakMap<http.IncomingMessage, Socket>();
+
 /**
  * Sends a request and resolves with the status and headers of the response.
  * Each failure is an {@linkcode HttpSendError}.
@@ -333,9 +336,10 @@
       req.on("error", () => {
         hasFailedInBody = true;
       });
-      const { headers, statusCode: status = 0 } = response;
+      const { headers, statusCode: status = 0, socket } = response;
+      connections.set(response, socket);
       if (!isSuccessStatus(status)) {
-        recordFailedRequest(response.socket, requestId);
+        recordFailedRequest(socket, requestId);
       }
       const isDelimited = hasDelimitedBody(request.method, status, headers);
       resolve({
@@ -432,6 +436,18 @@
   res.destroy();
 }
 
+/**
+ * Records that a response doesn't end its request, which may be sent again: a copy
+ * of the response must not answer it then.
+ */
+export function rejectAnswer(
+  { body }: Pick<HttpResponse, "body">,
+  requestId: string,
+): void {
+  const socket = connections.get(body);
+  if (socket !== undefined) recordFailedRequest(socket, requestId);
+}
+
 /** Maximum size of a body that is discarded before its connection is closed. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -23,6 +23,10 @@
   | "break"
   /** Ends together with all its connections between the second and third event. */
   | "end"
+  /** Responds 200 with its proof and a page of HTML. */
+  | "page"
+  /** Responds 200 with its proof and no event. */
+  | "empty"
   /** Runs the request and responds 500. */
   | "fail"
   /** Responds 422: no retry can succeed. */
@@ -249,6 +253,16 @@
       case "reset":
         res.socket?.resetAndDestroy();
         return;
+      case "page":
+      case "empty":
+        res.writeHead(200, {
+          ...headers,
+          "x-server-stamp": "st",
+          "content-type": behaviour === "page"
+            ? "text/html"
+            : "text/event-stream",
+        }).end(behaviour === "page" ? "<p>failed</p>\n\n" : "");
+        return;
       case "fail":
         res.writeHead(500, { ...headers, "x-server-stamp": "st" }).end(
           "failed",
