Show that heads of answers that stop are no answers

Another operator's callers got a 200 with an empty or short body when a server stopped inside its answer's head.

--- a/src/bench/stand_in_service.ts
+++ b/src/bench/stand_in_service.ts
@@ -32,6 +32,8 @@
   loseAnswer: "lose answer",
   /** The answer has neither a length nor chunks. */
   omitLength: "omit length",
+  /** The request runs, and the connection is closed within the head of the answer. */
+  truncateHead: "truncate head",
 } as const;
 
 /** A value of {@linkcode ServiceFault}. */
@@ -106,6 +108,10 @@
       res.destroy();
       return;
     }
+    if (this.fault === ServiceFault.truncateHead) {
+      res.socket?.end("HTTP/1.1 200 OK\r\nContent-Length: 1");
+      return;
+    }
     sendResponseHead(
       res,
       200,
