Bound the memory of jobs on store hosts

Cause: nothing bounds what jobs take. The bound of a route counts tokens that wait; results stay for three minutes, and a leader queues jobs while commits stall. A job was held whole until its last item was done, as the bodies are parts of one message. Half-spaces of 16 MB of the young heap come on top.

Change: a leader refuses a job (503, PT3023, "not run") before it proposes it, if the jobs that are kept and those that wait to be committed leave no memory for it; those that wait may take a quarter. A job that is known is accepted again. A leader that doesn't know all accepted jobs makes no promise. Bodies are held one by one and freed when a job is ended. Half-spaces of 4 MB for store hosts.

A bound in the state machine: replicas of two builds would decide differently.

--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -21,6 +21,19 @@
 import type { RpcCredentials } from "../sys/rpc.ts";
 import { getReplicaAddress } from "./host_identity.ts";
 
+/** How a command that is admitted reaches the log. */
+export interface CommandProposer {
+  /** Whether the replica leads and knows all that has been accepted. */
+  readonly canServe: boolean;
+  propose(): Promise<Uint8Array>;
+}
+
+/** Decides on commands of other processes before they are proposed. */
+export interface CommandAdmission {
+  /** Proposes a command, or replies to it without that. */
+  admit(command: Uint8Array, proposer: CommandProposer): Promise<Uint8Array>;
+}
+
 /** Options of a {@linkcode GroupMember}. */
 export interface GroupMemberOptions {
   readonly group: number;
@@ -39,6 +52,8 @@
   readonly getHosts: () => readonly HostRecord[];
   /** Returns the ids of hosts that an operator has retired. */
   readonly getRetired?: () => ReadonlySet<string>;
+  /** By default, all commands are proposed. */
+  readonly admission?: CommandAdmission;
   readonly onApplied: () => void;
   readonly onFailure: (error: unknown) => void;
 }
@@ -148,7 +163,7 @@
       commands.forEach((command) =>
         this.#options.machine.checkCommand(command)
       );
-      const replies = commands.map((command) => this.replica.propose(command));
+      const replies = commands.map((command) => this.#admit(command));
       return { replies: await Promise.all(replies) };
     } catch (error) {
       const failure = asServingError(error);
@@ -160,6 +175,14 @@
     }
   }
 
+  #admit(command: Uint8Array): Promise<Uint8Array> {
+    const { admission } = this.#options;
+    const propose = () => this.replica.propose(command);
+    if (admission === undefined || !this.replica.isLeader) return propose();
+    const canServe = this.replica.canServe();
+    return admission.admit(command, { canServe, propose });
+  }
+
   getDump(): ReplicaDump {
     return this.replica.getDump();
   }
--- /dev/null
+++ b/src/fleet/job_admission.ts
@@ -0,0 +1,98 @@
+/**
+ * Refuses jobs for which the store hosts have no memory. The leader decides before
+ * it proposes a job, so a refused one is in no log and never runs.
+ */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { JobMemory } from "../policy/mod.ts";
+import {
+  JobCommandReplySchema,
+  JobCommandSchema,
+  MessageCode,
+  type SubmitJob,
+  Verdict,
+} from "../schema/mod.ts";
+import type { JobMachine } from "../state/mod.ts";
+import type { Clock } from "../sys/clock.ts";
+import { ServingError } from "../sys/errors.ts";
+import type { Log } from "../sys/log.ts";
+import type { CommandAdmission, CommandProposer } from "./group_member.ts";
+import { STORE_GROUP } from "./groups.ts";
+
+/** Options of a {@linkcode JobAdmission}. */
+export interface JobAdmissionOptions {
+  readonly machine: Pick<
+    JobMachine,
+    "tryGetJob" | "retainedBytes" | "getExpiredBytes"
+  >;
+  /** Memory of the process, in bytes. */
+  readonly processBytes: number;
+  /** Id of the replica. */
+  readonly replica: string;
+  readonly clock: Pick<Clock, "getWallMs">;
+  readonly log: Log;
+}
+
+/** Decides on the jobs that a leader is asked to propose. */
+export class JobAdmission implements CommandAdmission {
+  readonly #options: JobAdmissionOptions;
+  readonly #memory: JobMemory;
+
+  constructor(options: JobAdmissionOptions) {
+    this.#options = options;
+    this.#memory = new JobMemory({
+      processBytes: options.processBytes,
+      getRetainedBytes: () => this.#getRetainedBytes(),
+    });
+  }
+
+  /** Proposes a command unless it is a new job for which there is no memory. */
+  async admit(
+    command: Uint8Array,
+    { canServe, propose }: CommandProposer,
+  ): Promise<Uint8Array> {
+    const { machine } = this.#options;
+    const job = tryDecodeJob(command);
+    if (job === undefined) return await propose();
+    const bytes = command.length;
+    const isKnown = machine.tryGetJob(job.id) !== undefined;
+    if (isKnown || this.#memory.hasRoom(job.id, bytes)) {
+      const outcome = propose();
+      this.#memory.track(job.id, bytes, outcome);
+      return await outcome;
+    }
+    this.#logRefusal(job.id, bytes);
+    if (canServe) return REFUSAL;
+    // It may be a job that was accepted and isn't applied here yet.
+    throw new ServingError(MessageCode.NOT_LEADER, {
+      verdict: Verdict.NOT_RUN,
+      parameters: { replica: this.#options.replica, group: STORE_GROUP },
+    });
+  }
+
+  #getRetainedBytes(): number {
+    const { machine, clock } = this.#options;
+    return machine.retainedBytes - machine.getExpiredBytes(clock.getWallMs());
+  }
+
+  #logRefusal(job: string, bytes: number): void {
+    const { log } = this.#options;
+    log.info("job_refused", {
+      job,
+      bytes,
+      retained: this.#getRetainedBytes(),
+      uncommitted: this.#memory.uncommittedBytes,
+      limit: this.#memory.limitBytes,
+    });
+  }
+}
+
+const REFUSAL = toBinary(
+  JobCommandReplySchema,
+  create(JobCommandReplySchema, { code: MessageCode.JOB_MEMORY_SPENT }),
+);
+
+/** Returns the job that a command submits; undefined for any other command. */
+function tryDecodeJob(command: Uint8Array): SubmitJob | undefined {
+  const { command: body } = fromBinary(JobCommandSchema, command);
+  return body.case === "submit" ? body.value : undefined;
+}
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -27,6 +27,7 @@
 import { JobMachine, type QueuedJob } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
+import { getHeapLimitBytes } from "../sys/memory.ts";
 import type { Folder } from "../sys/files.ts";
 import { BackendAccess } from "./backend_access.ts";
 import { CrashDetector } from "./crash_detector.ts";
@@ -40,6 +41,7 @@
   writeInitialMembership,
 } from "./host_identity.ts";
 import { ItemRunner } from "./item_runner.ts";
+import { JobAdmission } from "./job_admission.ts";
 import { ItemOwnership } from "./item_ownership.ts";
 import { LeaderContact } from "./leader_contact.ts";
 import { RateLimitService } from "./rate_limit_service.ts";
@@ -57,6 +59,11 @@
 /** Maximum size of a page of results, in bytes: half of the callers' limit. */
 const MAX_PAGE_BYTES = 512 * 1024;
 
+const BYTES_PER_MB = 1 << 20;
+
+/** Memory of a process besides its heap, unless its settings name the memory. */
+const MEMORY_BESIDE_HEAP_BYTES = 100 * BYTES_PER_MB;
+
 /** A running store host. */
 export class StoreHost {
   readonly #settings: FleetSettings;
@@ -315,6 +322,13 @@
           host.role === HostRole.STORE
         ),
       getRetired: () => new Set(this.#backends.view.hosts.retired),
+      admission: new JobAdmission({
+        machine: this.#machine,
+        processBytes: getProcessBytes(this.#settings),
+        replica: id,
+        clock: this.#context.clock,
+        log: this.#context.log,
+      }),
       onApplied: () => this.#notifyReaders(),
       onFailure: (error) => this.onFailure(error),
     });
@@ -458,6 +472,13 @@
   }
 }
 
+/** Memory that this process may take, in bytes. */
+function getProcessBytes({ memoryMb = 0 }: FleetSettings): number {
+  return memoryMb > 0
+    ? memoryMb * BYTES_PER_MB
+    : getHeapLimitBytes() + MEMORY_BESIDE_HEAP_BYTES;
+}
+
 /**
  * Creates the page of results that starts at position `after`. The first result
  * is included even if it exceeds the maximum page size.
--- /dev/null
+++ b/src/policy/job_memory.ts
@@ -0,0 +1,77 @@
+/**
+ * Bounds the memory that jobs take on store hosts. A job is refused at once, before
+ * it is in the log, if the jobs that are kept and those that wait to be committed
+ * leave too little. The latter count more narrowly: while commits stall, as with a
+ * slow disk, each of them is held several times.
+ */
+
+/** Options of a {@linkcode JobMemory}. */
+export interface JobMemoryOptions {
+  /** Memory of the process, in bytes. */
+  readonly processBytes: number;
+  /** Returns the memory of the jobs that are kept, in bytes. */
+  readonly getRetainedBytes: () => number;
+}
+
+const BYTES_PER_MB = 1 << 20;
+
+/**
+ * Memory of a store process without jobs, in bytes: program, heap and the log under
+ * load (docs/CAPACITY.md).
+ */
+const BASE_BYTES = 130 * BYTES_PER_MB;
+
+/** Share of the rest that jobs may take; the allocator wastes some of it. */
+const JOB_SHARE = 0.4;
+
+/** Smallest bound for jobs, in bytes, so that a small host takes some. */
+const MIN_JOB_BYTES = 8 * BYTES_PER_MB;
+
+/** Share of the memory for jobs that uncommitted ones may take. */
+const UNCOMMITTED_SHARE = 0.25;
+
+/** Accounts for the jobs of one store host. */
+export class JobMemory {
+  readonly #getRetainedBytes: () => number;
+  readonly #uncommitted = new Map<string, number>();
+  #uncommittedBytes = 0;
+  /** Bound for all jobs, in bytes. */
+  readonly limitBytes: number;
+
+  constructor({ processBytes, getRetainedBytes }: JobMemoryOptions) {
+    this.#getRetainedBytes = getRetainedBytes;
+    this.limitBytes = Math.max(
+      MIN_JOB_BYTES,
+      (processBytes - BASE_BYTES) * JOB_SHARE,
+    );
+  }
+
+  /** Memory of the jobs that wait to be committed, in bytes. */
+  get uncommittedBytes(): number {
+    return this.#uncommittedBytes;
+  }
+
+  /**
+   * Whether a job may be proposed. One that waits to be committed already takes no
+   * further memory.
+   */
+  hasRoom(job: string, bytes: number): boolean {
+    if (this.#uncommitted.has(job)) return true;
+    const uncommitted = this.#uncommittedBytes + bytes;
+    const isAlone = this.#uncommitted.size === 0;
+    return (isAlone || uncommitted <= this.limitBytes * UNCOMMITTED_SHARE) &&
+      this.#getRetainedBytes() + uncommitted <= this.limitBytes;
+  }
+
+  /** Counts a job as uncommitted until `outcome` is settled. */
+  track(job: string, bytes: number, outcome: Promise<unknown>): void {
+    if (this.#uncommitted.has(job)) return;
+    this.#uncommitted.set(job, bytes);
+    this.#uncommittedBytes += bytes;
+    const release = () => {
+      this.#uncommitted.delete(job);
+      this.#uncommittedBytes -= bytes;
+    };
+    outcome.then(release, release);
+  }
+}
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -74,6 +74,9 @@
 
 const EMPTY_BYTES = new Uint8Array();
 
+/** Estimated memory of an item besides its body and its result, in bytes. */
+const ITEM_OVERHEAD_BYTES = 512;
+
 /** First version of the commands that tells runs apart by their chains. */
 const CHAIN_COMMAND_VERSION = 1;
 
@@ -84,6 +87,7 @@
   readonly #waitingTokens = new Map<string, bigint>();
   #runners: readonly string[] = [];
   #activeVersion = 0;
+  #retainedBytes = 0;
   override readonly commandVersion = CHAIN_COMMAND_VERSION;
 
   constructor(options: JobMachineOptions = {}) {
@@ -96,6 +100,17 @@
     return this.#jobs.get(id);
   }
 
+  /** Approximate memory of all jobs, in bytes. */
+  get retainedBytes(): number {
+    return this.#retainedBytes;
+  }
+
+  /** Part of it that the next job frees, since its jobs have expired. */
+  getExpiredBytes(nowMs: number): number {
+    return this.#getExpiredJobs(nowMs)
+      .reduce((sum, queued) => sum + getRetainedBytes(queued), 0);
+  }
+
   /** Ids of the group members that run items. */
   get runners(): readonly string[] {
     return this.#runners;
@@ -160,6 +175,7 @@
   override restore(parts: readonly Uint8Array[]): void {
     this.#jobs.clear();
     this.#waitingTokens.clear();
+    this.#retainedBytes = 0;
     this.#runners = [];
     this.#activeVersion = 0;
     parts.map((part) => fromBinary(StoredJobSchema, part))
@@ -178,7 +194,7 @@
     const waiting = this.getWaitingTokens(job.route) + tokens;
     const exceedsLimit = job.waitingTokens > 0n && waiting > job.waitingTokens;
     if (exceedsLimit) return MessageCode.QUOTA_SPENT;
-    this.#jobs.set(job.id, createQueuedJob(job, timeMs));
+    this.#addJob(createQueuedJob(job, timeMs));
     this.#waitingTokens.set(job.route, waiting);
     return 0;
   }
@@ -244,10 +260,8 @@
     queued.progress.delete(result.id);
     // A copy, since the text is a part of the message that the command came with.
     queued.results.push({ ...result, text: new Uint8Array(result.text) });
-    // Frees the memory of the body. A snapshot that is still being encoded may
-    // contain the empty body, but the log after that snapshot also contains the
-    // command that finished the item.
-    item.body = EMPTY_BYTES;
+    this.#retainedBytes += result.text.length;
+    this.#dropBody(item);
     if (!queued.isEnded) this.#releaseTokens(queued.job.route, item.tokens);
   }
 
@@ -255,24 +269,45 @@
     const queued = this.#jobs.get(id);
     if (queued === undefined || queued.isEnded) return;
     queued.isEnded = true;
-    queued.open.forEach((item) =>
-      this.#releaseTokens(queued.job.route, item.tokens)
-    );
+    queued.open.forEach((item) => {
+      this.#releaseTokens(queued.job.route, item.tokens);
+      this.#dropBody(item);
+    });
+  }
+
+  #addJob(queued: QueuedJob): void {
+    this.#jobs.set(queued.job.id, queued);
+    this.#retainedBytes += getRetainedBytes(queued);
+  }
+
+  /**
+   * Frees the memory of a body. A snapshot that is still being encoded may contain
+   * the empty body, but the log after that snapshot also contains the command that
+   * finished the item or ended its job.
+   */
+  #dropBody(item: JobItem): void {
+    this.#retainedBytes -= item.body.length;
+    item.body = EMPTY_BYTES;
   }
 
   #releaseTokens(route: string, tokens: bigint): void {
     this.#waitingTokens.set(route, this.getWaitingTokens(route) - tokens);
   }
 
-  /** Removes ended and completed jobs whose time to live has passed. */
+  /** Ended and completed jobs whose time to live has passed. */
+  #getExpiredJobs(nowMs: number): QueuedJob[] {
+    return [...this.#jobs.values()].filter((queued) => {
+      const isOpen = !queued.isEnded && queued.open.size > 0;
+      const endMs = queued.submittedMs + queued.job.retentionMs;
+      return !isOpen && nowMs > endMs + this.#endedJobTtlMs;
+    });
+  }
+
   #removeExpiredJobs(nowMs: number): void {
-    [...this.#jobs.values()]
-      .filter((queued) => {
-        const isOpen = !queued.isEnded && queued.open.size > 0;
-        const endMs = queued.submittedMs + queued.job.retentionMs;
-        return !isOpen && nowMs > endMs + this.#endedJobTtlMs;
-      })
-      .forEach((queued) => this.#jobs.delete(queued.job.id));
+    this.#getExpiredJobs(nowMs).forEach((queued) => {
+      this.#jobs.delete(queued.job.id);
+      this.#retainedBytes -= getRetainedBytes(queued);
+    });
   }
 
   #restoreJob(stored: StoredJob): void {
@@ -282,7 +317,7 @@
     const queued = createQueuedJob(job, Number(stored.submittedMs));
     queued.isEnded = stored.ended;
     stored.results.forEach((result) => {
-      queued.results.push(result);
+      queued.results.push({ ...result, text: new Uint8Array(result.text) });
       queued.open.delete(result.id);
     });
     job.items.forEach((item, position) => {
@@ -303,7 +338,7 @@
         softwareVersion: part.softwareVersion,
       })
     );
-    this.#jobs.set(job.id, queued);
+    this.#addJob(queued);
     if (queued.isEnded) return;
     queued.open.forEach((item) => this.#releaseTokens(job.route, -item.tokens));
   }
@@ -323,7 +358,20 @@
   );
 }
 
+/** Approximate memory of a job, in bytes. */
+function getRetainedBytes({ job, results }: QueuedJob): number {
+  const textBytes = results.reduce((sum, { text }) => sum + text.length, 0);
+  return job.items.reduce(
+    (sum, { body }) => sum + body.length + ITEM_OVERHEAD_BYTES,
+    textBytes,
+  );
+}
+
 function createQueuedJob(job: SubmitJob, submittedMs: number): QueuedJob {
+  // A part of the message that the job came with would keep all of it in memory.
+  job.items.forEach((item) => {
+    item.body = new Uint8Array(item.body);
+  });
   return {
     job,
     submittedMs,
--- a/src/test/soak/soak_fleet.ts
+++ b/src/test/soak/soak_fleet.ts
@@ -32,11 +32,17 @@
 /** Value of the setting `beat_ms`: time between registrations of a server. */
 const HEARTBEAT_MS = 500;
 
-/** Limits of each role: the JavaScript heap and the resident memory, in MB. */
+/**
+ * Options of each role's processes, as in deploy/system.toml, and the limit of their
+ * resident memory, in MB.
+ */
 const MEMORY_LIMITS = {
-  control: { heapMb: 160, residentMb: 346 },
-  store: { heapMb: 120, residentMb: 220 },
-  gateway: { heapMb: 90, residentMb: 200 },
+  control: { options: ["--max-old-space-size=160"], residentMb: 346 },
+  store: {
+    options: ["--max-old-space-size=120", "--max-semi-space-size=4"],
+    residentMb: 220,
+  },
+  gateway: { options: ["--max-old-space-size=90"], residentMb: 200 },
 };
 
 type Role = keyof typeof MEMORY_LIMITS;
@@ -237,7 +243,7 @@
       program: PROGRAM_PATH,
       settingsPath,
       logPath: path.join(hostFolder, "log"),
-      heapMb: MEMORY_LIMITS[role].heapMb,
+      options: MEMORY_LIMITS[role].options,
     });
     this.#hosts.set(name, {
       role,
--- a/src/test/soak/soak_process.ts
+++ b/src/test/soak/soak_process.ts
@@ -16,8 +16,8 @@
   readonly program: string;
   readonly settingsPath: string;
   readonly logPath: string;
-  /** Limit of the JavaScript heap, in MB. */
-  readonly heapMb: number;
+  /** Options of the runtime. */
+  readonly options: readonly string[];
 }
 
 /** Interval at which the memory of a process is read, in milliseconds. */
@@ -49,9 +49,9 @@
   }
 
   start(): void {
-    const { program, settingsPath, logPath, heapMb } = this.#options;
+    const { program, settingsPath, logPath, options } = this.#options;
     const log = createWriteStream(logPath, { flags: "a" });
-    const args = [`--max-old-space-size=${heapMb}`, program, settingsPath];
+    const args = [...options, program, settingsPath];
     const child = spawn(process.execPath, args, {
       stdio: ["ignore", "pipe", "pipe"],
     });
