Count jobs in the log that nobody waits for

What was seen: trials with real processes on a machine that is overloaded (12 jobs of 225 KB a second, load 14 to 19 on 8 cores): the store group lost its leader again and again, and a store process held 264 MB after 30 s although the bound on jobs was 36 MB.

Cause: a job stopped counting as uncommitted when its leader lost its office, while its entry stayed in the log, and its caller's next attempt added another.

Change: the bound goes by the bytes of the log that are not committed, if these are more.

--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -25,6 +25,8 @@
 export interface CommandProposer {
   /** Whether the replica leads and knows all that has been accepted. */
   readonly canServe: boolean;
+  /** Bytes of entries in the log that are not committed. */
+  readonly uncommittedBytes: number;
   propose(): Promise<Uint8Array>;
 }
 
@@ -179,8 +181,11 @@
     const { admission } = this.#options;
     const propose = () => this.replica.propose(command);
     if (admission === undefined || !this.replica.isLeader) return propose();
-    const canServe = this.replica.canServe();
-    return admission.admit(command, { canServe, propose });
+    return admission.admit(command, {
+      canServe: this.replica.canServe(),
+      uncommittedBytes: this.replica.uncommittedBytes,
+      propose,
+    });
   }
 
   getDump(): ReplicaDump {
--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -48,19 +48,19 @@
   /** Proposes a command unless it is a new job for which there is no memory. */
   async admit(
     command: Uint8Array,
-    { canServe, propose }: CommandProposer,
+    { canServe, uncommittedBytes, propose }: CommandProposer,
   ): Promise<Uint8Array> {
     const { machine } = this.#options;
     const job = tryDecodeJob(command);
     if (job === undefined) return await propose();
     const bytes = command.length;
     const isKnown = machine.tryGetJob(job.id) !== undefined;
-    if (isKnown || this.#memory.hasRoom(job.id, bytes)) {
+    if (isKnown || this.#memory.hasRoom(job.id, bytes, uncommittedBytes)) {
       const outcome = propose();
       this.#memory.track(job.id, bytes, outcome);
       return await outcome;
     }
-    this.#logRefusal(job.id, bytes);
+    this.#logRefusal(job.id, bytes, uncommittedBytes);
     if (canServe) return REFUSAL;
     // It may be a job that was accepted and isn't applied here yet.
     throw new ServingError(MessageCode.NOT_LEADER, {
@@ -74,13 +74,14 @@
     return machine.retainedBytes - machine.getExpiredBytes(clock.getWallMs());
   }
 
-  #logRefusal(job: string, bytes: number): void {
+  #logRefusal(job: string, bytes: number, loggedBytes: number): void {
     const { log } = this.#options;
     log.info("job_refused", {
       job,
       bytes,
       retained: this.#getRetainedBytes(),
       uncommitted: this.#memory.uncommittedBytes,
+      logged: loggedBytes,
       limit: this.#memory.limitBytes,
     });
   }
--- a/src/policy/job_memory.ts
+++ b/src/policy/job_memory.ts
@@ -53,14 +53,16 @@
 
   /**
    * Whether a job may be proposed. One that waits to be committed already takes no
-   * further memory.
+   * further memory. `loggedBytes` are those in the log that are not committed: after
+   * a change of leaders these may be jobs that nobody waits for any more.
    */
-  hasRoom(job: string, bytes: number): boolean {
+  hasRoom(job: string, bytes: number, loggedBytes: number): boolean {
     if (this.#uncommitted.has(job)) return true;
-    const uncommitted = this.#uncommittedBytes + bytes;
-    const isAlone = this.#uncommitted.size === 0;
-    return (isAlone || uncommitted <= this.limitBytes * UNCOMMITTED_SHARE) &&
-      this.#getRetainedBytes() + uncommitted <= this.limitBytes;
+    const limit = this.limitBytes * UNCOMMITTED_SHARE;
+    const waiting = Math.max(this.#uncommittedBytes, loggedBytes);
+    const isAlone = this.#uncommitted.size === 0 && loggedBytes <= limit;
+    return (isAlone || waiting + bytes <= limit) &&
+      this.#getRetainedBytes() + waiting + bytes <= this.limitBytes;
   }
 
   /** Counts a job as uncommitted until `outcome` is settled. */
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -206,6 +206,13 @@
     return this.#core?.role === Role.leader;
   }
 
+  /** Approximate size of the entries in the log that are not committed, in bytes. */
+  get uncommittedBytes(): number {
+    const core = this.#core;
+    return core === undefined ? 0 : core.getEntriesAfter(core.commitIndex)
+      .reduce((sum, entry) => sum + getEntryBytes(entry), 0);
+  }
+
   get id(): string {
     return this.#options.id;
   }
--- a/src/test/job_memory_test.ts
+++ b/src/test/job_memory_test.ts
@@ -129,6 +129,7 @@
       const command = encodeJob(id);
       const reply = await admission.admit(command, {
         canServe: true,
+        uncommittedBytes: 0,
         propose: () => Promise.resolve(apply(machine, command, wallMs)),
       });
       codes.push(readCode(reply));
@@ -187,6 +188,7 @@
       let isProposed = false;
       const reply = admission.admit(command, {
         canServe,
+        uncommittedBytes: 0,
         propose: () => {
           isProposed = true;
           return new Promise<Uint8Array>((resolve) => {
@@ -214,6 +216,17 @@
     expect(await send("l", true)).equal("proposed");
   });
 
+  // Guards against a log that grows with each change of leaders, as callers submit
+  // again what the one before had taken.
+  it("is bounded for jobs in the log that nobody waits for", () => {
+    const memory = new JobMemory({
+      processBytes: 220 * MB,
+      getRetainedBytes: () => 0,
+    });
+    expect(memory.hasRoom("a", JOB_BYTES, MB)).equal(true);
+    expect(memory.hasRoom("a", JOB_BYTES, memory.limitBytes / 2)).equal(false);
+  });
+
   it("lets any command pass but a job", async () => {
     const machine = new JobMachine();
     const admission = createAdmission(machine, 0);
@@ -221,6 +234,7 @@
     const command = encodeResults("j0", 1, 4 * MB);
     const reply = await admission.admit(command, {
       canServe: true,
+      uncommittedBytes: 0,
       propose: () => Promise.resolve(apply(machine, command)),
     });
     expect(readCode(reply)).equal(0);
@@ -232,9 +246,9 @@
       processBytes: 0,
       getRetainedBytes: () => 0,
     });
-    expect(memory.hasRoom("a", memory.limitBytes)).equal(true);
+    expect(memory.hasRoom("a", memory.limitBytes, 0)).equal(true);
     memory.track("a", memory.limitBytes, new Promise(() => {}));
-    expect(memory.hasRoom("b", 1)).equal(false);
-    expect(memory.hasRoom("a", memory.limitBytes)).equal(true);
+    expect(memory.hasRoom("b", 1, 0)).equal(false);
+    expect(memory.hasRoom("a", memory.limitBytes, 0)).equal(true);
   });
 });
