Make no promise for a job that is refused beside others

A gateway sends several jobs in one call. If a leader that doesn't know all that was accepted had no memory for one of them, its reply (NOT_LEADER) said that none was proposed, although the others were: a later refusal of one of these could have promised "not run" untruly. The reply now says that they may have been committed, which the client repeats and counts as an outcome that is not known.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -16,7 +16,6 @@
 import { ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
 import type { CommandAdmission, CommandProposer } from "./group_member.ts";
-import { STORE_GROUP } from "./groups.ts";
 
 /** Options of a {@linkcode JobAdmission}. */
 export interface JobAdmissionOptions {
@@ -26,8 +25,6 @@
   >;
   /** Memory of the process, in bytes. */
   readonly processBytes: number;
-  /** Id of the replica. */
-  readonly replica: string;
   readonly clock: Pick<Clock, "getWallMs">;
   readonly log: Log;
 }
@@ -62,10 +59,11 @@
     }
     this.#logRefusal(job.id, bytes, uncommittedBytes);
     if (canServe) return REFUSAL;
-    // It may be a job that was accepted and isn't applied here yet.
-    throw new ServingError(MessageCode.NOT_LEADER, {
-      verdict: Verdict.NOT_RUN,
-      parameters: { replica: this.#options.replica, group: STORE_GROUP },
+    // The job may have been accepted and not be applied here yet, and others of the
+    // same call may have been proposed.
+    throw new ServingError(MessageCode.MAY_HAVE_COMMITTED, {
+      verdict: Verdict.MAY_HAVE_RUN,
+      parameters: { reason: "there is no memory for the job" },
     });
   }
 
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -325,7 +325,6 @@
       admission: new JobAdmission({
         machine: this.#machine,
         processBytes: getProcessBytes(this.#settings),
-        replica: id,
         clock: this.#context.clock,
         log: this.#context.log,
       }),
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -319,7 +319,6 @@
       if (hasFailedOn(socket, requestId)) {
         // Nothing has been written yet.
         clearTimers();
-        req.on("error", () => {});
         req.destroy();
         resolve(sendHttp({ ...request, usesNewConnection: true }));
         return;
