Propose a job that comes again only once

What was seen: in runs of real processes on an overloaded machine (12 jobs of 225 KB a second at a load of 14 to 19), while the store group kept losing its leader, a store process held 302 MB after 50 s although jobs were bounded by 36 MB.

Cause: callers and gateways send a job again while they have no reply, and each attempt added the whole job to the log once more; the bound let a job pass that already waited. So did each job that comes again after its 202.

Change: an attempt for a job that waits to be committed gets the outcome of the first one. A leader that can serve reads accepts a job that it holds without another entry.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -33,6 +33,8 @@
 export class JobAdmission implements CommandAdmission {
   readonly #options: JobAdmissionOptions;
   readonly #memory: JobMemory;
+  /** Outcomes of jobs that wait to be committed, by id. */
+  readonly #waiting = new Map<string, Promise<Uint8Array>>();
 
   constructor(options: JobAdmissionOptions) {
     this.#options = options;
@@ -42,7 +44,11 @@
     });
   }
 
-  /** Proposes a command unless it is a new job for which there is no memory. */
+  /**
+   * Proposes a command unless it is a job that is known, or for which there is no
+   * memory. Callers submit a job again while they have no reply, so one that waits to
+   * be committed is not proposed twice.
+   */
   async admit(
     command: Uint8Array,
     { canServe, uncommittedBytes, propose }: CommandProposer,
@@ -50,21 +56,25 @@
     const { machine } = this.#options;
     const job = tryDecodeJob(command);
     if (job === undefined) return await propose();
-    const bytes = command.length;
+    const waiting = this.#waiting.get(job.id);
+    if (waiting !== undefined) return await waiting;
     const isKnown = machine.tryGetJob(job.id) !== undefined;
-    if (isKnown || this.#memory.hasRoom(job.id, bytes, uncommittedBytes)) {
-      const outcome = propose();
-      this.#memory.track(job.id, bytes, outcome);
-      return await outcome;
+    if (isKnown && canServe) return ACCEPTANCE;
+    const bytes = command.length;
+    if (!isKnown && !this.#memory.hasRoom(bytes, uncommittedBytes)) {
+      this.#logRefusal(job.id, bytes, uncommittedBytes);
+      if (canServe) return REFUSAL;
+      // The job may have been accepted and not be applied here yet, and others of
+      // the same call may have been proposed.
+      throw new ServingError(MessageCode.MAY_HAVE_COMMITTED, {
+        verdict: Verdict.MAY_HAVE_RUN,
+        parameters: { reason: "there is no memory for the job" },
+      });
     }
-    this.#logRefusal(job.id, bytes, uncommittedBytes);
-    if (canServe) return REFUSAL;
-    // The job may have been accepted and not be applied here yet, and others of the
-    // same call may have been proposed.
-    throw new ServingError(MessageCode.MAY_HAVE_COMMITTED, {
-      verdict: Verdict.MAY_HAVE_RUN,
-      parameters: { reason: "there is no memory for the job" },
-    });
+    const outcome = propose().finally(() => this.#waiting.delete(job.id));
+    this.#waiting.set(job.id, outcome);
+    this.#memory.track(bytes, outcome);
+    return await outcome;
   }
 
   #getRetainedBytes(): number {
@@ -85,10 +95,15 @@
   }
 }
 
-const REFUSAL = toBinary(
-  JobCommandReplySchema,
-  create(JobCommandReplySchema, { code: MessageCode.JOB_MEMORY_SPENT }),
-);
+const ACCEPTANCE = encodeReply(0);
+const REFUSAL = encodeReply(MessageCode.JOB_MEMORY_SPENT);
+
+function encodeReply(code: number): Uint8Array {
+  return toBinary(
+    JobCommandReplySchema,
+    create(JobCommandReplySchema, { code }),
+  );
+}
 
 /** Returns the job that a command submits; undefined for any other command. */
 function tryDecodeJob(command: Uint8Array): SubmitJob | undefined {
--- a/src/policy/job_memory.ts
+++ b/src/policy/job_memory.ts
@@ -33,7 +33,6 @@
 /** Accounts for the jobs of one store host. */
 export class JobMemory {
   readonly #getRetainedBytes: () => number;
-  readonly #uncommitted = new Map<string, number>();
   #uncommittedBytes = 0;
   /** Bound for all jobs, in bytes. */
   readonly limitBytes: number;
@@ -52,26 +51,22 @@
   }
 
   /**
-   * Whether a job may be proposed. One that waits to be committed already takes no
-   * further memory. `loggedBytes` are those in the log that are not committed: after
-   * a change of leaders these may be jobs that nobody waits for any more.
+   * Whether a job may be proposed. `loggedBytes` are those in the log that are not
+   * committed: after a change of leaders these may be jobs that nobody waits for any
+   * more.
    */
-  hasRoom(job: string, bytes: number, loggedBytes: number): boolean {
-    if (this.#uncommitted.has(job)) return true;
+  hasRoom(bytes: number, loggedBytes: number): boolean {
     const limit = this.limitBytes * UNCOMMITTED_SHARE;
     const waiting = Math.max(this.#uncommittedBytes, loggedBytes);
-    const isAlone = this.#uncommitted.size === 0 && loggedBytes <= limit;
+    const isAlone = this.#uncommittedBytes === 0 && loggedBytes <= limit;
     return (isAlone || waiting + bytes <= limit) &&
       this.#getRetainedBytes() + waiting + bytes <= this.limitBytes;
   }
 
   /** Counts a job as uncommitted until `outcome` is settled. */
-  track(job: string, bytes: number, outcome: Promise<unknown>): void {
-    if (this.#uncommitted.has(job)) return;
-    this.#uncommitted.set(job, bytes);
+  track(bytes: number, outcome: Promise<unknown>): void {
     this.#uncommittedBytes += bytes;
     const release = () => {
-      this.#uncommitted.delete(job);
       this.#uncommittedBytes -= bytes;
     };
     outcome.then(release, release);
