Log how answers without a framing end

Change: a line unframed_answer_ended with the request, the server, the result of the probe and the verdict. No change of logic.

--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -131,12 +131,26 @@
     }
   }
 
-  /** Whether nothing listens on the server's address, or another start of it. */
-  async hasServerEnded(server: PoolServer): Promise<boolean> {
+  /**
+   * Whether nothing listens on the server's address, or another start of it. Asked
+   * when an answer to `requestId` ends without a framing that says so.
+   */
+  async hasServerEnded(
+    server: PoolServer,
+    requestId: string,
+  ): Promise<boolean> {
+    const { view, log } = this.#options;
     const result = await this.#probe.probe(server.address);
-    const known = this.#options.view.servers.tryGet(server.id);
-    return result === ProbeResult.refused ||
+    const known = view.servers.tryGet(server.id);
+    const hasEnded = result === ProbeResult.refused ||
       (known !== undefined && known.bornMs > server.bornMs);
+    log.info("unframed_answer_ended", {
+      request: requestId,
+      server: server.id,
+      probe: result,
+      whole: !hasEnded,
+    });
+    return hasEnded;
   }
 
   /** Records that a run was abandoned because its server fell silent. */
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -279,7 +279,11 @@
     const result = await this.#forwarder.forward(
       isSuccess ? this.#observeBegin(response) : response,
       this.#attemptAbort.signal,
-      () => this.#options.crashDetector.hasServerEnded(permit.server),
+      () =>
+        this.#options.crashDetector.hasServerEnded(
+          permit.server,
+          this.#req.request.requestId,
+        ),
     );
     if (result.kind === "done") return true;
     rejectAnswer(response, this.#req.request.requestId);
