Show streams that end as whole when their gateway is gone

The test runs a gateway as a process, ends it in five ways while answers are in progress, and reads raw bytes at the callers.

--- a/src/test/cut_off_gateways_test.ts
+++ b/src/test/cut_off_gateways_test.ts
@@ -3,7 +3,7 @@
  * callers are served as those of other gateways are.
  */
 import { expect } from "chai";
-import { EVENT_COUNT, getEventData } from "./platform_server.ts";
+import { EVENT_COUNT, Framing, getEventData } from "./platform_server.ts";
 import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
 
 /** Time from a cut on in which a gateway need not serve, in milliseconds. */
@@ -137,7 +137,7 @@
     const response = await fleet.sendRequest("broken", "/l/x");
     expect(response.isComplete).equal(false);
     fleet.servers.forEach((server) => {
-      server.delimitsStreams = false;
+      server.framing = Framing.none;
     });
     fleet.behaviours.push("break");
     const unframed = await fleet.sendRequest("unframed", "/l/x");
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -242,6 +242,11 @@
     return this.controlAddresses[index] ?? "";
   }
 
+  /** Addresses at which other hosts reach the first control hosts. */
+  get seeds(): readonly string[] {
+    return this.#seeds;
+  }
+
   /** Address at which other gateways reach a gateway. */
   getPeerAddress(index: number): string {
     return this.#peerAddresses[index] ?? "";
--- a/src/test/platform_process.ts
+++ b/src/test/platform_process.ts
@@ -44,10 +44,14 @@
     await rm(this.#folder, { recursive: true, force: true });
   }
 
-  /** Writes settings like those of deploy/, with the own address as seed. */
+  /**
+   * Writes settings like those of deploy/, with the own address as seed unless
+   * `seeds` are given. `overrides` are further settings.
+   */
   async createSettings(
     role: string,
     seeds?: readonly string[],
+    overrides: Readonly<Record<string, unknown>> = {},
   ): Promise<HostSettings> {
     const ports = await findFreePorts(4);
     const [peer = 0, listen = 0, ready = 0, metrics = 0] = ports;
@@ -65,6 +69,7 @@
       ...role === "gateway"
         ? { ready_listen: `${HOST_IP}:${ready}` }
         : { data_folder: dataFolder },
+      ...overrides,
     };
     const file = path.join(this.#folder, `${role}.conf`);
     const text = Object.entries(settings)
--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -43,6 +43,17 @@
   /** Accepts the request and never responds. */
   | "silent";
 
+/** What tells where a body ends. */
+export const Framing = {
+  chunks: "chunks",
+  length: "length",
+  /** The end of the connection. */
+  none: "none",
+} as const;
+
+/** One of {@linkcode Framing}. */
+export type Framing = typeof Framing[keyof typeof Framing];
+
 /** One request as the server received it. */
 export interface ReceivedRequest {
   readonly id: string;
@@ -98,8 +109,10 @@
   marksEvents = false;
   /** Time of its start that its registrations give, in milliseconds. */
   bornMs = 1_000;
-  /** Whether chunks tell where a stream ends, rather than the connection. */
-  delimitsStreams = true;
+  /** What tells where the body of an answer ends. */
+  framing: Framing = Framing.chunks;
+  /** Bytes that a comment adds to each event. */
+  paddingBytes = 0;
   /** Whether each response says that the server leaves. */
   leaves = false;
   /**
@@ -306,18 +319,21 @@
     behaviour: Behaviour | undefined,
   ): void {
     const lastEventNumber = Number(request.headers["last-event-id"] ?? 0);
-    if (!this.delimitsStreams) res.useChunkedEncodingByDefault = false;
+    if (this.framing !== Framing.chunks) {
+      res.useChunkedEncodingByDefault = false;
+    }
     res.writeHead(200, {
       "x-request-id": request.id,
       "x-server-stamp": `stamp-${this.id}`,
       ...this.#createStateHeaders(),
       "content-type": "text/event-stream",
+      ...this.framing === Framing.length
+        ? { "content-length": this.#getLength(request.id, lastEventNumber) }
+        : {},
     });
     const send = (number: number) => {
       if (res.destroyed) return;
-      const mark = this.marksEvents ? `@${this.version}` : "";
-      const data = `${getEventData(request.id, number)}${mark}`;
-      const event = `id: ${number}\ndata: ${data}\n\n`;
+      const event = this.#createEvent(request.id, number);
       if (behaviour === "break" && number === lastEventNumber + 2) {
         res.write(event.slice(0, event.length / 2));
         setTimeout(() => res.socket?.resetAndDestroy(), this.eventIntervalMs);
@@ -338,4 +354,24 @@
       }, ms);
     schedule(lastEventNumber + 1, this.firstEventMs);
   }
+
+  #createEvent(id: string, number: number): string {
+    const mark = this.marksEvents ? `@${this.version}` : "";
+    const padding = this.paddingBytes === 0
+      ? ""
+      : `: ${"x".repeat(this.paddingBytes)}\n`;
+    return `id: ${number}\n${padding}data: ${
+      getEventData(id, number)
+    }${mark}\n\n`;
+  }
+
+  /** Length of the events after `lastEventNumber`, in bytes. */
+  #getLength(id: string, lastEventNumber: number): number {
+    const numbers = Array.from(
+      { length: EVENT_COUNT - lastEventNumber },
+      (_, index) => lastEventNumber + index + 1,
+    );
+    return numbers.map((number) => this.#createEvent(id, number).length)
+      .reduce((sum, length) => sum + length, 0);
+  }
 }
--- /dev/null
+++ b/src/test/process_ends_test.ts
@@ -0,0 +1,219 @@
+/**
+ * Answers in progress when a process ends, seen at callers that read raw bytes.
+ * When a process is gone, the system closes its connections in an orderly way, so
+ * an answer must not depend on the end of its connection to be known as whole.
+ */
+import { expect } from "chai";
+import { range } from "./fleet_helpers.ts";
+import {
+  createConfig,
+  PlatformFleet,
+  sendHttpRequest,
+} from "./platform_fleet.ts";
+import {
+  HOST_IP,
+  HostProcesses,
+  type HostSettings,
+} from "./platform_process.ts";
+import type { TestProcess } from "./daemon_process.ts";
+import { EVENT_COUNT, Framing } from "./platform_server.ts";
+import { type RawAnswer, sendRawRequest } from "./raw_caller.ts";
+
+/** Event that servers hold back until a process has ended. */
+const HELD_EVENT = 3;
+
+/** Makes an answer longer than what a gateway buffers of it. */
+const PADDING_BYTES = 150_000;
+
+const TIMEOUT_MS = 20_000;
+
+const GRACE_MS = 3_000;
+
+const GATEWAY_IP = "127.0.0.2";
+
+/** Servers register once, at the start of the fleet. */
+const BEAT_MS = 60_000;
+
+/** Time in which events reach callers, in milliseconds. */
+const PASS_MS = 300;
+
+/** Prefixes of the routes, one for each kind of request. */
+const TARGETS = ["/l/", "/s/", "/n/", "/p/"];
+const HTTP_VERSIONS = ["1.1", "1.0"] as const;
+const CALLERS_PER_CASE = 6;
+
+/** Ways in which a process ends. */
+const ENDINGS: Record<string, (process: TestProcess) => Promise<void>> = {
+  "a kill": (process) => {
+    process.kill("SIGKILL");
+    return Promise.resolve();
+  },
+  "a kill while it stands still": async (process) => {
+    process.kill("SIGSTOP");
+    await delay(500);
+    process.kill("SIGKILL");
+  },
+  "a kill in its grace period": async (process) => {
+    process.kill("SIGTERM");
+    await delay(1_000);
+    process.kill("SIGKILL");
+  },
+  "the end of its grace period": (process) => {
+    process.kill("SIGTERM");
+    return Promise.resolve();
+  },
+  "an error of its own": (process) => {
+    process.kill("SIGABRT");
+    return Promise.resolve();
+  },
+};
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** A configuration whose routes have a long timeout. */
+function createPatientConfig(version: number): string {
+  const config = JSON.parse(createConfig(version));
+  config.Routes.forEach((route: { TimeoutMs: number }) => {
+    route.TimeoutMs = TIMEOUT_MS;
+  });
+  return JSON.stringify(config);
+}
+
+/** A request of a raw caller. */
+interface RequestCase {
+  readonly target: string;
+  readonly httpVersion: "1.0" | "1.1";
+}
+
+/** Describes an answer that looks whole and isn't. */
+function findViolation(
+  answer: RawAnswer,
+  requestCase: RequestCase | undefined,
+): string[] {
+  const events = answer.body.match(/^data: /gm)?.length ?? 0;
+  const isPartial = answer.status === 200 && events < EVENT_COUNT;
+  return isPartial && answer.looksWhole
+    ? [
+      `HTTP/${requestCase?.httpVersion} ${requestCase?.target}: whole after ` +
+      `event ${events}, ${answer.headers.get("x-server-stamp")}, ${answer.end}`,
+    ]
+    : [];
+}
+
+describe("answers in progress", () => {
+  const fleet = new PlatformFleet();
+  const hosts = new HostProcesses();
+  let settings: HostSettings;
+  let releaseEvents = () => {};
+  let sentCount = 0;
+
+  before(async () => {
+    await hosts.open();
+    await fleet.start({ servers: 3, gateways: 1 });
+    await fleet.putConfig(createPatientConfig(2));
+    fleet.servers.forEach((server, index) => {
+      server.framing = Object.values(Framing)[index] ?? Framing.none;
+      server.paddingBytes = PADDING_BYTES;
+    });
+    await Promise.all(
+      fleet.servers.map((server) =>
+        fleet.registerServer(server, { Slots: 64 })
+      ),
+    );
+    // All hosts of a deployment have the same peer port.
+    const [seed = ""] = fleet.seeds;
+    settings = await hosts.createSettings("gateway", [seed], {
+      ip: GATEWAY_IP,
+      peer_port: Number(seed.split(":")[1]),
+      grace_ms: GRACE_MS,
+      beat_ms: BEAT_MS,
+    });
+  });
+
+  after(async () => {
+    await hosts.close();
+    await fleet.close();
+  });
+
+  const holdEvents = () => {
+    const released = new Promise<void>((resolve) => {
+      releaseEvents = resolve;
+    });
+    fleet.servers.forEach((server) => {
+      server.getEventGate = (number) =>
+        number === HELD_EVENT ? released : undefined;
+    });
+  };
+
+  afterEach(() => releaseEvents());
+
+  /** Starts a gateway as a process and waits until it serves. */
+  const startGateway = async (): Promise<TestProcess> => {
+    const process = hosts.start(settings);
+    await process.waitFor(/event=ready/);
+    await fleet.waitUntil("the gateway to serve", async () => {
+      sentCount += 1;
+      const { isComplete, status } = await sendHttpRequest(
+        `${HOST_IP}:${settings.listen}`,
+        "POST",
+        "/p/",
+        { headers: createHeaders(`probe-${sentCount}`) },
+      );
+      return status === 200 && isComplete;
+    });
+    return process;
+  };
+
+  const createHeaders = (id: string) => ({
+    "Host": "a.example",
+    "X-Request-Id": id,
+    "X-Deadline-Ms": String(TIMEOUT_MS),
+  });
+
+  /** Sends one request of each case; resolves when all are at servers. */
+  const sendAll = async (cases: readonly RequestCase[]) => {
+    const sent = cases.map((requestCase) => {
+      sentCount += 1;
+      const id = `raw-${sentCount}`;
+      const answer = sendRawRequest({
+        address: `${HOST_IP}:${settings.listen}`,
+        ...requestCase,
+        headers: createHeaders(id),
+      });
+      return { id, answer, requestCase };
+    });
+    await fleet.waitUntil(
+      "all requests at servers",
+      () => sent.every(({ id }) => fleet.getReceivedRequests(id).length > 0),
+    );
+    return sent;
+  };
+
+  Object.entries(ENDINGS).forEach(([name, end]) => {
+    // Guards against a stream that ends as complete before its last event because
+    // its gateway is gone.
+    it(`don't look whole after ${name} of the gateway`, async () => {
+      const process = await startGateway();
+      holdEvents();
+      const cases = TARGETS.flatMap((target) =>
+        HTTP_VERSIONS.flatMap((httpVersion) =>
+          range(CALLERS_PER_CASE).map(() => ({ target, httpVersion }))
+        )
+      );
+      const sent = await sendAll(cases);
+      // The events before the one that is held are on their way.
+      await delay(PASS_MS);
+      await end(process);
+      await process.ended;
+      const received = await Promise.all(sent.map(({ answer }) => answer));
+      const violations = received.flatMap((answer, index) =>
+        findViolation(answer, cases[index])
+      );
+      expect(violations).deep.equal([]);
+      const partial = received.filter(({ body }) => body.length > 0);
+      expect(partial).not.length(0);
+    });
+  });
+});
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -23,7 +23,7 @@
 import { sendRequest, ServiceFault } from "../bench/mod.ts";
 import { range, withFleet } from "./fleet_helpers.ts";
 import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
-import { EVENT_COUNT, getEventData } from "./platform_server.ts";
+import { EVENT_COUNT, Framing, getEventData } from "./platform_server.ts";
 
 const REQUEST_TIMEOUT_MS = 5_000;
 
@@ -367,7 +367,7 @@
   before(async () => {
     await fleet.start({ servers: 4, gateways: 1 });
     fleet.servers.forEach((server) => {
-      server.delimitsStreams = false;
+      server.framing = Framing.none;
     });
   });
 
