Let no end of a process make a part of an answer look whole

Cause: an answer of a server that has neither length nor chunks went to its caller without either. When a process is gone, the system sends what is queued and closes its connections in an orderly way, which is how such an answer ends when it is whole. HTTP/1.0 callers got all answers of unknown length so, and entries of the product answers of plain services.

Change: streams go to callers in chunks, and the last chunk is sent only if the stream ended between two events and its server is still there (a server that can't be asked counts as gone). Plain answers of servers that frame none have nothing that tells a part from the whole, so they keep the smaller promise: they are held back and sent in one piece without a framing, up to 16 KiB; longer ones in chunks. HTTP/1.0 callers get a length. Entries alike.

Ruled out: chunks for all answers. A reset when the process is gone needs SO_LINGER, which Node.js can't set.

--- a/src/fleet/caller_response.ts
+++ b/src/fleet/caller_response.ts
@@ -1,19 +1,22 @@
 /** The HTTP response to a caller, which is either completed or aborted. */
 import {
-  abortResponse,
-  sendResponseHead,
-  type ServerResponse,
-} from "../sys/http.ts";
+  FramedResponse,
+  type HeadOptions,
+  sendWhole,
+  whenWritable,
+} from "../sys/framed_response.ts";
+import type { ServerResponse } from "../sys/http.ts";
 import type { LocalResponse } from "./dialects.ts";
 
 /** A response to a caller in progress. */
 export class CallerResponse {
   readonly #res: ServerResponse;
+  readonly #framed: FramedResponse;
   readonly #disconnected = new AbortController();
-  #isDelimited = true;
 
   constructor(res: ServerResponse) {
     this.#res = res;
+    this.#framed = new FramedResponse(res);
     res.on("close", () => {
       if (!res.writableFinished) this.#disconnected.abort();
     });
@@ -24,27 +27,18 @@
     return this.#disconnected.signal;
   }
 
-  /** Whether the status and headers have been sent. */
+  /** Whether the status and headers can't be changed any more. */
   get headSent(): boolean {
-    return this.#res.headersSent;
+    return this.#framed.hasHead;
   }
 
-  /** Whether the response does not end with its connection. */
-  get isDelimited(): boolean {
-    return this.#isDelimited;
-  }
-
-  /**
-   * Sends status and headers; `headers` are alternating names and values. A
-   * response that is not to be delimited ends with its connection.
-   */
+  /** Sends status and headers; `headers` are alternating names and values. */
   sendHead(
     status: number,
     headers: readonly string[],
-    options: { isDelimited: boolean },
+    options: HeadOptions = {},
   ): void {
-    this.#isDelimited = options.isDelimited;
-    sendResponseHead(this.#res, status, headers, options);
+    this.#framed.sendHead(status, headers, options);
   }
 
   /**
@@ -52,35 +46,22 @@
    * (backpressure), or when the connection has closed.
    */
   async write(bytes: Buffer): Promise<void> {
-    if (this.disconnected.aborted || this.#res.write(bytes)) return;
-    await new Promise<void>((resolve) => {
-      const resume = () => {
-        this.#res.off("drain", resume);
-        this.#res.off("close", resume);
-        resolve();
-      };
-      this.#res.on("drain", resume);
-      this.#res.on("close", resume);
-    });
+    if (this.disconnected.aborted || this.#framed.write(bytes)) return;
+    await whenWritable(this.#res);
   }
 
   end(): void {
-    this.#res.end();
+    this.#framed.end();
   }
 
   /** Closes the connection, so the caller can detect that data is missing. */
   abort(): void {
-    abortResponse(this.#res);
+    this.#framed.abort();
   }
 
   /** Sends a response that was generated here rather than by a server. */
   sendLocal(response: LocalResponse): void {
     if (this.disconnected.aborted) return;
-    this.#res.writeHead(response.status, [
-      ...response.headers,
-      "Content-Length",
-      String(Buffer.byteLength(response.body)),
-    ]);
-    this.#res.end(response.body);
+    sendWhole(this.#res, response.status, response.headers, response.body);
   }
 }
--- a/src/fleet/crash_detector.ts
+++ b/src/fleet/crash_detector.ts
@@ -14,6 +14,7 @@
 } from "../schema/mod.ts";
 import type { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import type { Clock } from "../sys/clock.ts";
+import { AnswerEndCheck } from "../sys/answer_end_check.ts";
 import { ConnectProbe, ProbeResult } from "../sys/connect_probe.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
@@ -70,12 +71,17 @@
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   readonly #probe: ConnectProbe;
+  readonly #answerEndCheck: AnswerEndCheck;
   /** Runs whose server can't be reached and may have crashed. */
   #pending: LostRun[] = [];
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
     this.#probe = new ConnectProbe(options.clock);
+    this.#answerEndCheck = new AnswerEndCheck({
+      probe: this.#probe,
+      log: options.log,
+    });
     options.view.onServerChange((registration, isStart) => {
       if (registration.state !== ServerState.READY) {
         this.#dropPending(registration);
@@ -132,25 +138,17 @@
   }
 
   /**
-   * Whether nothing listens on the server's address, or another start of it. Asked
-   * when an answer to `requestId` ends without a framing that says so.
+   * Whether the server of an answer to `requestId` that ended with its connection
+   * is still there, and has not been started again.
    */
-  async hasServerEnded(
-    server: PoolServer,
-    requestId: string,
-  ): Promise<boolean> {
-    const { view, log } = this.#options;
-    const result = await this.#probe.probe(server.address);
-    const known = view.servers.tryGet(server.id);
-    const hasEnded = result === ProbeResult.refused ||
-      (known !== undefined && known.bornMs > server.bornMs);
-    log.info("unframed_answer_ended", {
-      request: requestId,
-      server: server.id,
-      probe: result,
-      whole: !hasEnded,
+  async isServerThere(server: PoolServer, requestId: string): Promise<boolean> {
+    const isThere = await this.#answerEndCheck.isSenderThere({
+      requestId,
+      sender: server.id,
+      address: server.address,
     });
-    return hasEnded;
+    const known = this.#options.view.servers.tryGet(server.id);
+    return isThere && (known === undefined || known.bornMs <= server.bornMs);
   }
 
   /** Records that a run was abandoned because its server fell silent. */
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -280,7 +280,7 @@
       isSuccess ? this.#observeBegin(response) : response,
       this.#attemptAbort.signal,
       () =>
-        this.#options.crashDetector.hasServerEnded(
+        this.#options.crashDetector.isServerThere(
           permit.server,
           this.#req.request.requestId,
         ),
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -11,6 +11,7 @@
   parseEvents,
 } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
+import type { HeadOptions } from "../sys/framed_response.ts";
 import { discardBody, removeRawHopByHopHeaders } from "../sys/http.ts";
 import type { BackendResponse } from "./backend_client.ts";
 import type { CallerResponse } from "./caller_response.ts";
@@ -35,7 +36,7 @@
  */
 export abstract class ResponseForwarder {
   protected readonly caller: CallerResponse;
-  #hasServerEnded: () => Promise<boolean> = () => Promise.resolve(false);
+  #isSenderThere: () => Promise<boolean> = () => Promise.resolve(true);
 
   constructor(caller: CallerResponse) {
     this.caller = caller;
@@ -52,15 +53,15 @@
 
   /**
    * Forwards a response until it ends or `signal` is aborted. Errors are
-   * returned as a "broken" result. `hasServerEnded` tells whether the server of
-   * the response is gone.
+   * returned as a "broken" result. `isSenderThere` tells whether the sender of the
+   * response still is, and is asked if the response ended with its connection.
    */
   async forward(
     response: BackendResponse,
     signal: AbortSignal,
-    hasServerEnded: () => Promise<boolean> = () => Promise.resolve(false),
+    isSenderThere: () => Promise<boolean> = () => Promise.resolve(true),
   ): Promise<ForwardResult> {
-    this.#hasServerEnded = hasServerEnded;
+    this.#isSenderThere = isSenderThere;
     const abort = () => response.body.destroy();
     signal.addEventListener("abort", abort);
     try {
@@ -78,22 +79,23 @@
 
   /**
    * Whether all of a response has arrived, as far as it can be known: one that
-   * ends with its connection breaks off if its server ended too.
+   * ends with its connection breaks off if its sender ended too.
    */
   protected async isWhole(response: BackendResponse): Promise<boolean> {
     return response.isComplete() &&
-      (response.isDelimited || !(await this.#hasServerEnded()));
+      (response.isDelimited || await this.#isSenderThere());
   }
 
   /** Sends the head of a response without the headers in `omitted`. */
   protected sendHead(
     response: BackendResponse,
-    omitted: ReadonlySet<string> = new Set(),
+    options: HeadOptions & { readonly omitted?: ReadonlySet<string> } = {},
   ): void {
+    const { omitted, isUnframed = !response.isDelimited } = options;
     this.caller.sendHead(
       response.status,
       removeRawHopByHopHeaders(response.body.rawHeaders, omitted),
-      { isDelimited: response.isDelimited },
+      { isUnframed },
     );
   }
 }
@@ -136,7 +138,8 @@
     response: BackendResponse,
   ): Promise<ForwardResult> {
     if (!isEventStream(response)) return await super.forwardBody(response);
-    this.sendHead(response);
+    // Its events tell whether it broke off within one.
+    this.sendHead(response, { isUnframed: false });
     const boundaryDetector = new EventBoundaryDetector();
     for await (const chunk of response.chunks) {
       boundaryDetector.push(chunk);
@@ -251,8 +254,11 @@
       this.#onEvents();
       if (!this.caller.headSent) {
         // Another server may continue the stream with more bytes or fewer.
-        const omitted = isEventStream(response) ? LENGTH_HEADERS : undefined;
-        this.sendHead(response, omitted);
+        const isStream = isEventStream(response);
+        this.sendHead(
+          response,
+          isStream ? { omitted: LENGTH_HEADERS, isUnframed: false } : {},
+        );
       }
       await this.caller.write(events.bytes);
     }
@@ -270,12 +276,9 @@
           `one answer alone says that nothing follows event ${startEvent}`,
       };
     }
-    if (!this.caller.headSent) this.sendHead(response);
-    if (this.caller.isDelimited && !response.isDelimited) {
-      return {
-        kind: "broken",
-        reason: "the end of the answer is not marked, unlike its beginning",
-      };
+    if (!this.caller.headSent) {
+      const isStream = isEventStream(response);
+      this.sendHead(response, isStream ? { isUnframed: false } : {});
     }
     if (splitter.rest.length > 0) await this.caller.write(splitter.rest);
     this.caller.end();
--- a/src/services/batch/job_service.ts
+++ b/src/services/batch/job_service.ts
@@ -11,6 +11,7 @@
 } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
 import { ServingError } from "../../sys/errors.ts";
+import { sendWhole } from "../../sys/framed_response.ts";
 import type { IncomingMessage } from "../../sys/http.ts";
 import { getDigestHex, type Random } from "../../sys/random.ts";
 import { sendJson } from "../common/responses.ts";
@@ -224,8 +225,12 @@
     const next = reply.next === 0
       ? {}
       : { "papayatally-next": String(reply.next) };
-    call.res.writeHead(200, { "content-type": "application/jsonl", ...next });
-    call.res.end(lines.join(""));
+    sendWhole(
+      call.res,
+      200,
+      { "content-type": "application/jsonl", ...next },
+      lines.join(""),
+    );
   }
 
   async #cancel(call: CallerRequest, id: string): Promise<void> {
--- a/src/services/common/outcomes.ts
+++ b/src/services/common/outcomes.ts
@@ -2,7 +2,8 @@
 import { create } from "@bufbuild/protobuf";
 import { type Outcome, OutcomeSchema } from "../../schema/mod.ts";
 import { ServingError } from "../../sys/errors.ts";
-import { sendResponseHead, type ServerResponse } from "../../sys/http.ts";
+import { FramedResponse } from "../../sys/framed_response.ts";
+import type { ServerResponse } from "../../sys/http.ts";
 import { sendJson } from "./responses.ts";
 
 /**
@@ -20,13 +21,19 @@
     sendJson(res, outcome.status, {});
     return;
   }
-  sendResponseHead(
-    res,
+  const framed = new FramedResponse(res);
+  framed.sendHead(
     outcome.status,
-    { "content-type": outcome.contentType },
-    { isDelimited: !outcome.isUndelimited },
+    {
+      "content-type": outcome.contentType,
+      ...outcome.isUndelimited
+        ? {}
+        : { "content-length": String(outcome.body.length) },
+    },
+    { isUnframed: outcome.isUndelimited },
   );
-  res.end(outcome.body);
+  framed.write(Buffer.from(outcome.body));
+  framed.end();
 }
 
 /** Converts an error to an outcome that can be recorded. */
--- a/src/services/common/responses.ts
+++ b/src/services/common/responses.ts
@@ -8,6 +8,7 @@
   type ServingError,
   VerdictText,
 } from "../../sys/errors.ts";
+import { sendWhole } from "../../sys/framed_response.ts";
 import type { ServerResponse } from "../../sys/http.ts";
 
 /** Creates the body of an error response. */
@@ -30,8 +31,12 @@
   headers: Record<string, string> = {},
 ): void {
   if (res.headersSent) return;
-  res.writeHead(status, { "content-type": "application/json", ...headers });
-  res.end(`${JSON.stringify(value)}\n`);
+  sendWhole(
+    res,
+    status,
+    { "content-type": "application/json", ...headers },
+    `${JSON.stringify(value)}\n`,
+  );
 }
 
 /** Sends an error response, or ends a started stream with an error event. */
@@ -47,11 +52,12 @@
   const retry = error.retryAfterS === undefined
     ? {}
     : { "retry-after": String(error.retryAfterS) };
-  res.writeHead(error.httpStatus, {
-    "content-type": "application/problem+json",
-    ...retry,
-  });
-  res.end(`${JSON.stringify(problem)}\n`);
+  sendWhole(
+    res,
+    error.httpStatus,
+    { "content-type": "application/problem+json", ...retry },
+    `${JSON.stringify(problem)}\n`,
+  );
 }
 
 /** Creates the raw response to a request whose headers exceed the limit. */
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -128,6 +128,7 @@
     const crashDetector = new CrashDetector({
       view,
       clock,
+      log,
       promptPartGuard,
       onSuspicionChange: (suspicion) =>
         this.#peerUpdateSender.sendSuspicion(suspicion),
--- a/src/services/online/completion_service.ts
+++ b/src/services/online/completion_service.ts
@@ -11,6 +11,7 @@
 } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
 import { getReason, ServingError } from "../../sys/errors.ts";
+import { whenWritable } from "../../sys/framed_response.ts";
 import { readBody, type ServerResponse } from "../../sys/http.ts";
 import { MetricName, type Metrics } from "../../sys/metrics.ts";
 import { getDigest, getDigestHex } from "../../sys/random.ts";
@@ -67,15 +68,7 @@
   whenReady(): Promise<void> {
     const res = this.#res;
     if (res === undefined || res.destroyed) return Promise.resolve();
-    return new Promise((resolve) => {
-      const resume = () => {
-        res.off("drain", resume);
-        res.off("close", resume);
-        resolve();
-      };
-      res.on("drain", resume);
-      res.on("close", resume);
-    });
+    return whenWritable(res);
   }
 }
 
--- a/src/services/online/crash_detector.ts
+++ b/src/services/online/crash_detector.ts
@@ -6,7 +6,9 @@
 import type { BackendServer, FleetView } from "../../membership/mod.ts";
 import type { Suspicion } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
+import { AnswerEndCheck } from "../../sys/answer_end_check.ts";
 import { ConnectProbe, ProbeResult } from "../../sys/connect_probe.ts";
+import type { Log } from "../../sys/log.ts";
 import type { PromptPartGuard } from "../common/prompt_part_guard.ts";
 import type { Placement } from "./placement.ts";
 
@@ -17,10 +19,12 @@
   readonly #onSuspicionChange: (suspicion: Suspicion) => void;
   readonly #promptPartGuard: PromptPartGuard;
   readonly #probe: ConnectProbe;
+  readonly #answerEndCheck: AnswerEndCheck;
 
   constructor(options: {
     view: FleetView;
     clock: Clock;
+    log: Log;
     onSuspicionChange: (suspicion: Suspicion) => void;
     promptPartGuard: PromptPartGuard;
   }) {
@@ -28,6 +32,10 @@
     this.#clock = options.clock;
     this.#promptPartGuard = options.promptPartGuard;
     this.#probe = new ConnectProbe(options.clock);
+    this.#answerEndCheck = new AnswerEndCheck({
+      probe: this.#probe,
+      log: options.log,
+    });
     this.#onSuspicionChange = options.onSuspicionChange;
   }
 
@@ -57,6 +65,22 @@
     });
   }
 
+  /**
+   * Whether the server of an answer to `requestId` that ended with its connection
+   * is still there, and has not been started again.
+   */
+  async isServerThere(
+    { server, incarnation }: Placement,
+    requestId: string,
+  ): Promise<boolean> {
+    const isThere = await this.#answerEndCheck.isSenderThere({
+      requestId,
+      sender: server.name,
+      address: server.announcement.address,
+    });
+    return isThere && server.announcement.incarnation <= incarnation;
+  }
+
   /** Clears a suspicion: the request finished without crashing its server. */
   recordSuccess(fingerprint: string): void {
     if (!this.#view.suspicions.isSuspect(fingerprint)) return;
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -15,13 +15,12 @@
 } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
 import { asServingError, ServingError } from "../../sys/errors.ts";
+import { FramedResponse, whenWritable } from "../../sys/framed_response.ts";
 import {
-  abortResponse,
   type HttpResponse,
   type IncomingHttpHeaders,
   readBody,
   removeHopByHopHeaders,
-  sendResponseHead,
 } from "../../sys/http.ts";
 import { getDigest, getDigestHex } from "../../sys/random.ts";
 import type { BackendPool } from "./backend_pool.ts";
@@ -107,7 +106,7 @@
       return;
     }
     const { response, placement } = await this.#sendUntilAnswered(request);
-    forwardResponse(call, response, placement);
+    await this.#forward(call, { response, placement });
   }
 
   /**
@@ -115,10 +114,17 @@
    * items.
    */
   async runToCompletion(request: ServiceRequest): Promise<Outcome> {
-    const { response, placement } = await this.#sendUntilAnswered(request);
+    const open = await this.#sendUntilAnswered(request);
+    const { response, placement } = open;
     try {
       const body = await readBody(response.body, MAX_STORED_BODY_BYTES);
-      if (!response.isComplete()) throw new Error("the answer was cut short");
+      const isWhole = await this.#isWhole(open, request.requestId);
+      if (!isWhole) {
+        throw createAnswerLostError(
+          Verdict.MAY_HAVE_RUN,
+          "the answer was cut short",
+        );
+      }
       placement.release({ isServerFailure: false });
       return create(OutcomeSchema, {
         verdict: Verdict.RAN,
@@ -182,6 +188,45 @@
     });
   }
 
+  /** Streams a response to the caller, with back-pressure. */
+  async #forward(call: CallerRequest, open: OpenResponse): Promise<void> {
+    const { response, placement } = open;
+    const framed = new FramedResponse(call.res);
+    const stop = () => response.body.destroy();
+    call.res.on("close", stop);
+    framed.sendHead(
+      response.status,
+      removeHopByHopHeaders(response.headers),
+      { isUnframed: !response.isDelimited },
+    );
+    let isWhole = false;
+    try {
+      for await (const chunk of response.body) {
+        if (!framed.write(chunk)) await whenWritable(call.res);
+      }
+      isWhole = await this.#isWhole(open, call.id);
+    } catch {
+      // The body broke off, or its caller is gone.
+    } finally {
+      call.res.off("close", stop);
+      placement.release({ isServerFailure: !isWhole });
+      if (isWhole) framed.end();
+      else framed.abort();
+    }
+  }
+
+  /**
+   * Whether all of a response has arrived, as far as it can be known: one that
+   * ends with its connection breaks off if its server ended too.
+   */
+  async #isWhole(
+    { response, placement }: OpenResponse,
+    requestId: string,
+  ): Promise<boolean> {
+    return response.isComplete() && (response.isDelimited ||
+      await this.#detector.isServerThere(placement, requestId));
+  }
+
   /** Sends the request until a server responds, with retries only if safe. */
   async #sendUntilAnswered(request: ServiceRequest): Promise<OpenResponse> {
     const excluded = new Set<string>();
@@ -283,28 +328,3 @@
     parameters: { reason },
   });
 }
-
-/** Streams a response to the caller, with back-pressure. */
-function forwardResponse(
-  call: CallerRequest,
-  response: HttpResponse,
-  placement: Placement,
-): void {
-  const { res } = call;
-  sendResponseHead(
-    res,
-    response.status,
-    removeHopByHopHeaders(response.headers),
-    response,
-  );
-  response.body.pipe(res, { end: false });
-  response.body.on("error", () => abortResponse(res));
-  response.body.on("end", () => {
-    if (response.isComplete()) res.end();
-  });
-  response.body.on("close", () => {
-    placement.release({ isServerFailure: !response.isComplete() });
-    if (!response.isComplete()) abortResponse(res);
-  });
-  res.on("close", () => response.body.destroy());
-}
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import { abortResponse } from "./framed_response.ts";
 import { hasFailedOn, HttpAgent, recordFailedRequest } from "./http_agent.ts";
 import { isolate } from "./isolation.ts";
 
@@ -192,8 +193,8 @@
   readonly body: http.IncomingMessage;
   /**
    * Whether a length or chunks tell where the body ends. Otherwise it ends with
-   * its connection, whole or not, and must not be passed on with a framing that
-   * says that it is whole.
+   * its connection, whole or not: it must not be passed on as whole unless its
+   * sender is still there.
    */
   readonly isDelimited: boolean;
   /**
@@ -411,30 +412,6 @@
     : /(^|,)\s*chunked\s*$/i.test(codings);
 }
 
-/**
- * Sends status and headers of a response to a caller; a list of headers holds
- * alternating names and values. A response that is not to be delimited ends with
- * its connection.
- */
-export function sendResponseHead(
-  res: http.ServerResponse,
-  status: number,
-  headers: http.OutgoingHttpHeaders | readonly string[],
-  options: { isDelimited: boolean },
-): void {
-  if (!options.isDelimited) res.useChunkedEncodingByDefault = false;
-  res.writeHead(status, headers as http.OutgoingHttpHeaders);
-}
-
-/**
- * Closes the connection of a response that broke off. If it has no chunks, only a
- * reset tells the caller reliably that data is missing.
- */
-export function abortResponse(res: http.ServerResponse): void {
-  if (res.headersSent && !res.chunkedEncoding) res.socket?.resetAndDestroy();
-  res.destroy();
-}
-
 /**
  * Records that a response doesn't end its request, which may be sent again: a copy
  * of the response must not answer it then.
--- a/src/test/crash_detector_test.ts
+++ b/src/test/crash_detector_test.ts
@@ -50,6 +50,7 @@
     const detector = new CrashDetector({
       view,
       clock,
+      log: createSilentLog(),
       onSuspicionChange: () => {},
       promptPartGuard: new PromptPartGuard({
         suspicions: view.promptParts,
--- a/src/test/raw_caller.ts
+++ b/src/test/raw_caller.ts
@@ -45,6 +45,7 @@
   const { address, target, httpVersion = "1.1", body = "" } = request;
   const [host, port] = address.split(":");
   const headers = {
+    "Host": address,
     "Content-Length": String(body.length),
     ...request.headers,
   };
