Ask anew whether a server is there when its answer ends

What callers could see: a part of a stream without a framing as a whole one, if its server ends within 200 ms after another answer of it ended. Change: the end of an answer is judged by a probe that began after it; ends that wait share the next probe. Measured: the test passes.

--- a/src/sys/answer_end_check.ts
+++ b/src/sys/answer_end_check.ts
@@ -29,7 +29,8 @@
    * asked counts as gone: what it sent may be a part.
    */
   async isSenderThere(answer: EndedAnswer): Promise<boolean> {
-    const result = await this.#probe.probe(answer.address);
+    // An older result says nothing about a sender that has just ended.
+    const result = await this.#probe.probeAnew(answer.address);
     const { connected, reset } = ProbeResult;
     const isThere = result === connected || result === reset;
     this.#log.info("unframed_answer_ended", {
--- a/src/sys/connect_probe.ts
+++ b/src/sys/connect_probe.ts
@@ -44,6 +44,10 @@
   readonly #clock: Clock;
   readonly #isPartitioned: (address: string) => boolean;
   readonly #probes = new Map<string, Probe>();
+  /** Probes in progress whose results nothing before them may use. */
+  readonly #probesAnew = new Map<string, Promise<ProbeResult>>();
+  /** Probes that begin once those in progress have ended. */
+  readonly #nextProbes = new Map<string, Promise<ProbeResult>>();
 
   /** `isPartitioned` simulates addresses that nothing reaches. */
   constructor(
@@ -66,6 +70,31 @@
     return result;
   }
 
+  /**
+   * Probes an address after this call began, whatever is known of it. Calls that
+   * wait for a probe in progress share the next one.
+   */
+  probeAnew(address: string): Promise<ProbeResult> {
+    const waiting = this.#nextProbes.get(address);
+    if (waiting !== undefined) return waiting;
+    const running = this.#probesAnew.get(address);
+    if (running === undefined) return this.#startAnew(address);
+    const next = running.then(() => {
+      this.#nextProbes.delete(address);
+      return this.#startAnew(address);
+    });
+    this.#nextProbes.set(address, next);
+    return next;
+  }
+
+  #startAnew(address: string): Promise<ProbeResult> {
+    const result = this.#connect(address).finally(() =>
+      this.#probesAnew.delete(address)
+    );
+    this.#probesAnew.set(address, result);
+    return result;
+  }
+
   #connect(address: string): Promise<ProbeResult> {
     if (this.#isPartitioned(address)) {
       return this.#clock.delay(PROBE_TIMEOUT_MS).then(() => ProbeResult.silent);
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -429,6 +429,35 @@
     }
   });
 
+  // Guards against a stream that looks whole because its server was there a moment
+  // before it ended.
+  it("is broken off if its server ends right after another stream", async () => {
+    const only = new PlatformFleet();
+    await only.start({ servers: 1, gateways: 1 });
+    try {
+      const [last] = only.servers;
+      if (last === undefined) throw new Error("no server");
+      last.framing = Framing.none;
+      last.getEventGate = (number) =>
+        number > 2 && last.receivedRequests.length > 1
+          ? new Promise(() => {})
+          : undefined;
+      const whole = only.sendRequest("whole", "/l/");
+      expect((await whole).isComplete).equal(true);
+      let hasBegun = false;
+      const cut = only.sendRequest("cut", "/l/", {
+        onData: (text) => {
+          hasBegun = text.includes("cut-2");
+        },
+      });
+      await only.waitUntil("two events", () => hasBegun);
+      last.crash();
+      expect((await cut).isComplete).equal(false);
+    } finally {
+      await only.close();
+    }
+  });
+
   // Guards against an answer that looks whole because its gateway stops.
   it("is reset by a gateway that closes its connections", async () => {
     fleet.servers.forEach((server) => {
