Answer what a stopping gateway takes late, or say that it has not run

Cause: a gateway that stops took every request that it had read, whatever time was left, and at the end closed all connections.

Change: once it accepts no connections (2.6 s after the signal), a gateway takes only requests whose deadline lies within the grace period, and refuses others at once with 503 host_stopping and Retry-After 0, which another gateway can take; one that another gateway passed on is given back. What is still open at the end gets an answer: not run if no server had it, an unknown outcome otherwise. Jobs and reads of results alike. Responses in progress at the signal close their connections.

Ruled out: to go by the mean time of a service, which doesn't bound the next request.

--- a/src/fleet/caller_response.ts
+++ b/src/fleet/caller_response.ts
@@ -54,6 +54,11 @@
     this.#framed.end();
   }
 
+  /** Has the connection closed after the response, and the caller told so. */
+  closeWhenSent(): void {
+    if (!this.#res.headersSent) this.#res.shouldKeepAlive = false;
+  }
+
   /** Closes the connection, so the caller can detect that data is missing. */
   abort(): void {
     this.#framed.abort();
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -40,8 +40,12 @@
   NOT_RELAYED_HEADER,
   ROUTES_VERSION_HEADER,
 } from "./gateway_relay.ts";
-import { JobClient } from "./job_client.ts";
-import { OnlineRelay, type OnlineRequest } from "./online_relay.ts";
+import { JobClient, MAX_JOB_CALL_MS } from "./job_client.ts";
+import {
+  getDeadlineMs,
+  OnlineRelay,
+  type OnlineRequest,
+} from "./online_relay.ts";
 import {
   OnlyVersionFinder,
   RpcSoftwareVersionsClient,
@@ -72,9 +76,25 @@
 /** Time reserved for exiting after the last response, in milliseconds. */
 const EXIT_MARGIN_MS = 300;
 
+/**
+ * Time for which the responses to requests that are given up at the end of the
+ * grace period may take to be sent, in milliseconds.
+ */
+const GIVE_UP_MS = 100;
+
 /** Interval between checks for open requests while stopping, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 
+/**
+ * Response to a gateway that passed a request on to one that stops and can't be sure
+ * to answer it in time.
+ */
+const STOPPING: LocalResponse = {
+  status: 503,
+  headers: [NOT_RELAYED_HEADER, "it is stopping"],
+  body: "",
+};
+
 /** Response to a gateway that passed a request on and goes by newer routes. */
 const ROUTES_TOO_OLD: LocalResponse = {
   status: 503,
@@ -101,6 +121,10 @@
   #relayListener: HttpListener | undefined;
   readonly #openResponses = new Set<CallerResponse>();
   #stopping = false;
+  /** Set while the gateway stops and takes only what it can answer in time. */
+  #lastDeadlineMs: number | undefined;
+  /** Aborted at the end of the grace period. */
+  readonly #graceEnd = new AbortController();
 
   constructor(
     settings: FleetSettings,
@@ -224,8 +248,9 @@
 
   /**
    * Stops without aborting requests: reports that it isn't ready, stops accepting
-   * connections after a delay, and waits for open requests to finish. Requests
-   * that are still open when the grace period ends are aborted.
+   * connections after a delay, and waits for open requests to finish. From then on
+   * it refuses requests that need not end within the grace period. Those that are
+   * still open at its end get an answer if none has begun, and are reset otherwise.
    */
   async stop(): Promise<void> {
     if (this.#stopping) return;
@@ -234,7 +259,9 @@
     const endMs = clock.getMonotonicMs() + (this.#settings.graceMs ?? 0) -
       EXIT_MARGIN_MS;
     log.info("stopping", { open: this.#openResponses.size });
+    this.#openResponses.forEach((response) => response.closeWhenSent());
     await clock.delay(PRE_DRAIN_DELAY_MS);
+    this.#lastDeadlineMs = endMs;
     const drained = this.#listener?.drain() ?? Promise.resolve();
     const remainingMs = Math.max(0, endMs - clock.getMonotonicMs());
     await Promise.race([drained, clock.delay(remainingMs)]);
@@ -242,9 +269,23 @@
       await clock.delay(DRAIN_POLL_MS);
     }
     log.info("stopped", { open: this.#openResponses.size });
+    if (this.#openResponses.size > 0) {
+      this.#graceEnd.abort();
+      await clock.delay(GIVE_UP_MS);
+    }
     this.halt();
   }
 
+  /**
+   * Throws HOST_STOPPING if a request that may take until `deadlineMs` may be cut
+   * by the end of the grace period.
+   */
+  #throwIfTooLate(deadlineMs: number): void {
+    if (deadlineMs > (this.#lastDeadlineMs ?? Infinity)) {
+      throw createStoppingError();
+    }
+  }
+
   /** Closes all connections immediately; no open response looks complete. */
   halt(): void {
     this.#stopping = true;
@@ -287,7 +328,7 @@
     origin: { readonly isRelayed: boolean },
   ): void {
     const response = new CallerResponse(res);
-    if (this.#stopping) res.shouldKeepAlive = false;
+    if (this.#stopping) response.closeWhenSent();
     this.#openResponses.add(response);
     const served = this.#handle(req, response, origin)
       .catch((thrown) => this.#sendError(req, response, asServingError(thrown)))
@@ -342,7 +383,10 @@
       req.headers,
     );
     if (jobRequest !== undefined) {
-      response.sendLocal(await this.#serveJobRequest(jobRequest));
+      this.#throwIfTooLate(arrivedMs + MAX_JOB_CALL_MS);
+      response.sendLocal(
+        await this.#untilGraceEnd(this.#serveJobRequest(jobRequest)),
+      );
       return;
     }
     const routes = this.#backends.view.routes;
@@ -355,19 +399,57 @@
       });
     }
     const limit = routes.table.bounds?.bodyBytes || DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(req, limit);
+    const body = await this.#readBody(req, limit);
     if (route.kind === RequestKind.BATCH) {
-      response.sendLocal(await this.#submitJob(req, body, route));
+      this.#throwIfTooLate(
+        this.#context.clock.getMonotonicMs() + MAX_JOB_CALL_MS,
+      );
+      const submitted = this.#submitJob(req, body, route);
+      response.sendLocal(await this.#untilGraceEnd(submitted));
       return;
     }
     const online = {
       ...this.#createOnlineRequest(req, body, route),
       arrivedMs,
       isRelayed,
+      graceEnd: this.#graceEnd.signal,
     };
+    const deadlineMs = getDeadlineMs(online);
+    if (isRelayed && deadlineMs > (this.#lastDeadlineMs ?? Infinity)) {
+      response.sendLocal(STOPPING);
+      return;
+    }
+    this.#throwIfTooLate(deadlineMs);
     await this.#relay.serve(online, response);
   }
 
+  /** Reads a body; throws HOST_STOPPING if it is not there in the grace period. */
+  #readBody(req: IncomingMessage, limit: number): Promise<Buffer> {
+    return this.#untilGraceEnd(readBody(req, limit), Verdict.NOT_RUN);
+  }
+
+  /**
+   * Waits for a call, at most until the end of the grace period; throws
+   * HOST_STOPPING then.
+   */
+  async #untilGraceEnd<T>(
+    call: Promise<T>,
+    verdict: Verdict = Verdict.MAY_HAVE_RUN,
+  ): Promise<T> {
+    const { signal } = this.#graceEnd;
+    let stop = () => {};
+    const stopped = new Promise<never>((_, reject) => {
+      stop = () => reject(createStoppingError(verdict));
+    });
+    if (signal.aborted) stop();
+    signal.addEventListener("abort", stop);
+    try {
+      return await Promise.race([call, stopped]);
+    } finally {
+      signal.removeEventListener("abort", stop);
+    }
+  }
+
   /** Whether the gateway that passed a request on goes by newer routes. */
   #hasOlderRoutes(req: IncomingMessage): boolean {
     const version = Number(req.headers[ROUTES_VERSION_HEADER] ?? 0);
@@ -378,7 +460,7 @@
     req: IncomingMessage,
     body: Buffer,
     route: Route,
-  ): Omit<OnlineRequest, "arrivedMs" | "isRelayed"> {
+  ): Omit<OnlineRequest, "arrivedMs" | "isRelayed" | "graceEnd"> {
     const metadata = this.#dialect.readRequestMetadata(req.headers);
     const fraction = this.#context.random.getFraction();
     return {
@@ -440,6 +522,14 @@
   }
 }
 
+/** Creates the error of a request that another gateway can take at once. */
+function createStoppingError(verdict: Verdict = Verdict.NOT_RUN): ServingError {
+  return new ServingError(MessageCode.HOST_STOPPING, {
+    verdict,
+    retryAfterS: verdict === Verdict.NOT_RUN ? 0 : undefined,
+  });
+}
+
 function createNoRoutesError(): ServingError {
   return new ServingError(MessageCode.NO_ROUTES_YET, {
     verdict: Verdict.NOT_RUN,
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -26,6 +26,12 @@
  */
 const REQUEST_TIMEOUT_MS = 2_500;
 
+/** Longest time for which the store lets a request wait for results, in milliseconds. */
+const MAX_RESULTS_WAIT_MS = 1_000;
+
+/** Longest time that a call of a {@linkcode JobClient} takes, in milliseconds. */
+export const MAX_JOB_CALL_MS = REQUEST_TIMEOUT_MS + MAX_RESULTS_WAIT_MS;
+
 /** Client of the jobs in the store group. */
 export class JobClient {
   readonly #stateClient: StateClient;
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -71,6 +71,8 @@
   readonly arrivedMs: number;
   /** Whether another gateway, which reaches no server, passed the request on. */
   readonly isRelayed: boolean;
+  /** Aborted when this gateway ends, in a planned stop. */
+  readonly graceEnd: AbortSignal;
   /**
    * Timeout that the caller set, in milliseconds from `arrivedMs`; undefined
    * if it set none.
@@ -78,6 +80,16 @@
   readonly timeoutMs: number | undefined;
 }
 
+/** Returns the deadline of a request, in monotonic milliseconds. */
+export function getDeadlineMs(
+  { arrivedMs, timeoutMs, route }: Pick<
+    OnlineRequest,
+    "arrivedMs" | "timeoutMs" | "route"
+  >,
+): number {
+  return arrivedMs + Math.min(timeoutMs ?? Infinity, route.timeoutMs);
+}
+
 /** Options of an {@linkcode OnlineRelay}. */
 export interface OnlineRelayOptions {
   readonly view: RoutingView;
@@ -185,8 +197,7 @@
   }
 
   get #deadlineMs(): number {
-    const { arrivedMs, timeoutMs, route } = this.#req;
-    return arrivedMs + Math.min(timeoutMs ?? Infinity, route.timeoutMs);
+    return getDeadlineMs(this.#req);
   }
 
   get #remainingMs(): number {
@@ -198,7 +209,8 @@
       this.#requestAbort.abort();
       this.#attemptAbort.abort();
     };
-    this.#callerResponse.disconnected.addEventListener("abort", abort);
+    const signals = [this.#callerResponse.disconnected, this.#req.graceEnd];
+    signals.forEach((signal) => signal.addEventListener("abort", abort));
     const timer = this.#options.clock.startTimer(
       Math.max(0, this.#remainingMs),
       abort,
@@ -210,7 +222,7 @@
       this.#fail(error);
     } finally {
       timer.cancel();
-      this.#callerResponse.disconnected.removeEventListener("abort", abort);
+      signals.forEach((signal) => signal.removeEventListener("abort", abort));
     }
   }
 
@@ -636,9 +648,11 @@
   }
 
   #createAbortedError(): ServingError {
-    const code = this.#callerResponse.disconnected.aborted
-      ? MessageCode.CALLER_LEFT
+    const { disconnected } = this.#callerResponse;
+    const ownCode = this.#req.graceEnd.aborted
+      ? MessageCode.HOST_STOPPING
       : MessageCode.DEADLINE_PASSED;
+    const code = disconnected.aborted ? MessageCode.CALLER_LEFT : ownCode;
     return new ServingError(code, {
       verdict: this.#possibleRuns > 0 ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
     });
--- a/src/test/process_ends_test.ts
+++ b/src/test/process_ends_test.ts
@@ -5,19 +5,10 @@
  */
 import { expect } from "chai";
 import { range } from "./fleet_helpers.ts";
-import {
-  createConfig,
-  PlatformFleet,
-  sendHttpRequest,
-} from "./platform_fleet.ts";
-import {
-  HOST_IP,
-  HostProcesses,
-  type HostSettings,
-} from "./platform_process.ts";
 import type { TestProcess } from "./daemon_process.ts";
 import { EVENT_COUNT, Framing } from "./platform_server.ts";
-import { type RawAnswer, sendRawRequest } from "./raw_caller.ts";
+import { GatewayProcess } from "./gateway_process.ts";
+import type { RawAnswer } from "./raw_caller.ts";
 
 /** Event that servers hold back until a process has ended. */
 const HELD_EVENT = 3;
@@ -25,15 +16,8 @@
 /** Makes an answer longer than what a gateway buffers of it. */
 const PADDING_BYTES = 150_000;
 
-const TIMEOUT_MS = 20_000;
-
 const GRACE_MS = 3_000;
 
-const GATEWAY_IP = "127.0.0.2";
-
-/** Servers register once, at the start of the fleet. */
-const BEAT_MS = 60_000;
-
 /** Time in which events reach callers, in milliseconds. */
 const PASS_MS = 300;
 
@@ -72,15 +56,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** A configuration whose routes have a long timeout. */
-function createPatientConfig(version: number): string {
-  const config = JSON.parse(createConfig(version));
-  config.Routes.forEach((route: { TimeoutMs: number }) => {
-    route.TimeoutMs = TIMEOUT_MS;
-  });
-  return JSON.stringify(config);
-}
-
 /** A request of a raw caller. */
 interface RequestCase {
   readonly target: string;
@@ -103,38 +78,18 @@
 }
 
 describe("answers in progress", () => {
-  const fleet = new PlatformFleet();
-  const hosts = new HostProcesses();
-  let settings: HostSettings;
+  const gateway = new GatewayProcess();
+  const { fleet } = gateway;
   let releaseEvents = () => {};
-  let sentCount = 0;
 
   before(async () => {
-    await hosts.open();
-    await fleet.start({ servers: 3, gateways: 1 });
-    await fleet.putConfig(createPatientConfig(2));
+    await gateway.open({ servers: 3, graceMs: GRACE_MS });
     fleet.servers.forEach((server, index) => {
       server.framing = Object.values(Framing)[index] ?? Framing.none;
     });
-    await Promise.all(
-      fleet.servers.map((server) =>
-        fleet.registerServer(server, { Slots: 64 })
-      ),
-    );
-    // All hosts of a deployment have the same peer port.
-    const [seed = ""] = fleet.seeds;
-    settings = await hosts.createSettings("gateway", [seed], {
-      ip: GATEWAY_IP,
-      peer_port: Number(seed.split(":")[1]),
-      grace_ms: GRACE_MS,
-      beat_ms: BEAT_MS,
-    });
   });
 
-  after(async () => {
-    await hosts.close();
-    await fleet.close();
-  });
+  after(() => gateway.close());
 
   const holdEvents = () => {
     const released = new Promise<void>((resolve) => {
@@ -148,40 +103,11 @@
 
   afterEach(() => releaseEvents());
 
-  /** Starts a gateway as a process and waits until it serves. */
-  const startGateway = async (): Promise<TestProcess> => {
-    const process = hosts.start(settings);
-    await process.waitFor(/event=ready/);
-    await fleet.waitUntil("the gateway to serve", async () => {
-      sentCount += 1;
-      const { isComplete, status } = await sendHttpRequest(
-        `${HOST_IP}:${settings.listen}`,
-        "POST",
-        "/p/",
-        { headers: createHeaders(`probe-${sentCount}`) },
-      );
-      return status === 200 && isComplete;
-    });
-    return process;
-  };
-
-  const createHeaders = (id: string) => ({
-    "Host": "a.example",
-    "X-Request-Id": id,
-    "X-Deadline-Ms": String(TIMEOUT_MS),
-  });
-
   /** Sends one request of each case; resolves when all are at servers. */
   const sendAll = async (cases: readonly RequestCase[]) => {
     const sent = cases.map((requestCase) => {
-      sentCount += 1;
-      const id = `raw-${sentCount}`;
-      const answer = sendRawRequest({
-        address: `${HOST_IP}:${settings.listen}`,
-        ...requestCase,
-        headers: createHeaders(id),
-      });
-      return { id, answer, requestCase };
+      const id = gateway.createId();
+      return { id, answer: gateway.send(id, requestCase) };
     });
     await fleet.waitUntil(
       "all requests at servers",
@@ -198,7 +124,7 @@
     fleet.servers.forEach((server) => {
       server.paddingBytes = paddingBytes;
     });
-    const process = await startGateway();
+    const process = await gateway.start();
     holdEvents();
     const cases = TARGETS.flatMap((target) =>
       HTTP_VERSIONS.flatMap((httpVersion) =>
--- a/src/test/raw_caller.ts
+++ b/src/test/raw_caller.ts
@@ -36,6 +36,8 @@
   readonly httpVersion?: "1.0" | "1.1";
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Resolves when the last byte of the body is to be sent; at once by default. */
+  readonly whenComplete?: Promise<void>;
   /** Called with all bytes that have arrived, after each read. */
   readonly onData?: (bytes: string) => void;
 }
@@ -64,9 +66,13 @@
     socket.on("close", () => resolve(parseRawAnswer(getText(), end)));
     const lines = Object.entries(headers)
       .map(([name, value]) => `${name}: ${value}\r\n`);
+    const sentBody = request.whenComplete === undefined
+      ? body
+      : body.slice(0, -1);
     socket.write(
-      `POST ${target} HTTP/${httpVersion}\r\n${lines.join("")}\r\n${body}`,
+      `POST ${target} HTTP/${httpVersion}\r\n${lines.join("")}\r\n${sentBody}`,
     );
+    request.whenComplete?.then(() => socket.write(body.slice(-1)));
   });
 }
 
