Answer what a stopping entry takes late, or say that it has not run

Cause and change are those of gateways: StopPeriod, which both share now, says which deadlines still end in time; others are refused at once as not run, and what is open at the end gets an answer if none has begun. An answer that has begun is reset, also if it is framed.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -12,6 +12,7 @@
   Verdict,
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
+import { StopPeriod } from "../services/common/stop_period.ts";
 import { StateClient } from "../services/common/state_client.ts";
 import { asServingError, getCodeName, ServingError } from "../sys/errors.ts";
 import {
@@ -121,10 +122,7 @@
   #relayListener: HttpListener | undefined;
   readonly #openResponses = new Set<CallerResponse>();
   #stopping = false;
-  /** Set while the gateway stops and takes only what it can answer in time. */
-  #lastDeadlineMs: number | undefined;
-  /** Aborted at the end of the grace period. */
-  readonly #graceEnd = new AbortController();
+  readonly #stopPeriod = new StopPeriod();
 
   constructor(
     settings: FleetSettings,
@@ -261,7 +259,7 @@
     log.info("stopping", { open: this.#openResponses.size });
     this.#openResponses.forEach((response) => response.closeWhenSent());
     await clock.delay(PRE_DRAIN_DELAY_MS);
-    this.#lastDeadlineMs = endMs;
+    this.#stopPeriod.begin(endMs);
     const drained = this.#listener?.drain() ?? Promise.resolve();
     const remainingMs = Math.max(0, endMs - clock.getMonotonicMs());
     await Promise.race([drained, clock.delay(remainingMs)]);
@@ -270,22 +268,12 @@
     }
     log.info("stopped", { open: this.#openResponses.size });
     if (this.#openResponses.size > 0) {
-      this.#graceEnd.abort();
+      this.#stopPeriod.end();
       await clock.delay(GIVE_UP_MS);
     }
     this.halt();
   }
 
-  /**
-   * Throws HOST_STOPPING if a request that may take until `deadlineMs` may be cut
-   * by the end of the grace period.
-   */
-  #throwIfTooLate(deadlineMs: number): void {
-    if (deadlineMs > (this.#lastDeadlineMs ?? Infinity)) {
-      throw createStoppingError();
-    }
-  }
-
   /** Closes all connections immediately; no open response looks complete. */
   halt(): void {
     this.#stopping = true;
@@ -383,9 +371,12 @@
       req.headers,
     );
     if (jobRequest !== undefined) {
-      this.#throwIfTooLate(arrivedMs + MAX_JOB_CALL_MS);
+      this.#stopPeriod.throwIfTooLate(arrivedMs + MAX_JOB_CALL_MS);
       response.sendLocal(
-        await this.#untilGraceEnd(this.#serveJobRequest(jobRequest)),
+        await this.#stopPeriod.waitFor(
+          this.#serveJobRequest(jobRequest),
+          Verdict.MAY_HAVE_RUN,
+        ),
       );
       return;
     }
@@ -399,57 +390,35 @@
       });
     }
     const limit = routes.table.bounds?.bodyBytes || DEFAULT_MAX_BODY_BYTES;
-    const body = await this.#readBody(req, limit);
+    const body = await this.#stopPeriod.waitFor(
+      readBody(req, limit),
+      Verdict.NOT_RUN,
+    );
     if (route.kind === RequestKind.BATCH) {
-      this.#throwIfTooLate(
+      this.#stopPeriod.throwIfTooLate(
         this.#context.clock.getMonotonicMs() + MAX_JOB_CALL_MS,
       );
       const submitted = this.#submitJob(req, body, route);
-      response.sendLocal(await this.#untilGraceEnd(submitted));
+      response.sendLocal(
+        await this.#stopPeriod.waitFor(submitted, Verdict.MAY_HAVE_RUN),
+      );
       return;
     }
     const online = {
       ...this.#createOnlineRequest(req, body, route),
       arrivedMs,
       isRelayed,
-      graceEnd: this.#graceEnd.signal,
+      graceEnd: this.#stopPeriod.ended,
     };
     const deadlineMs = getDeadlineMs(online);
-    if (isRelayed && deadlineMs > (this.#lastDeadlineMs ?? Infinity)) {
+    if (isRelayed && this.#stopPeriod.isTooLate(deadlineMs)) {
       response.sendLocal(STOPPING);
       return;
     }
-    this.#throwIfTooLate(deadlineMs);
+    this.#stopPeriod.throwIfTooLate(deadlineMs);
     await this.#relay.serve(online, response);
   }
 
-  /** Reads a body; throws HOST_STOPPING if it is not there in the grace period. */
-  #readBody(req: IncomingMessage, limit: number): Promise<Buffer> {
-    return this.#untilGraceEnd(readBody(req, limit), Verdict.NOT_RUN);
-  }
-
-  /**
-   * Waits for a call, at most until the end of the grace period; throws
-   * HOST_STOPPING then.
-   */
-  async #untilGraceEnd<T>(
-    call: Promise<T>,
-    verdict: Verdict = Verdict.MAY_HAVE_RUN,
-  ): Promise<T> {
-    const { signal } = this.#graceEnd;
-    let stop = () => {};
-    const stopped = new Promise<never>((_, reject) => {
-      stop = () => reject(createStoppingError(verdict));
-    });
-    if (signal.aborted) stop();
-    signal.addEventListener("abort", stop);
-    try {
-      return await Promise.race([call, stopped]);
-    } finally {
-      signal.removeEventListener("abort", stop);
-    }
-  }
-
   /** Whether the gateway that passed a request on goes by newer routes. */
   #hasOlderRoutes(req: IncomingMessage): boolean {
     const version = Number(req.headers[ROUTES_VERSION_HEADER] ?? 0);
@@ -522,14 +491,6 @@
   }
 }
 
-/** Creates the error of a request that another gateway can take at once. */
-function createStoppingError(verdict: Verdict = Verdict.NOT_RUN): ServingError {
-  return new ServingError(MessageCode.HOST_STOPPING, {
-    verdict,
-    retryAfterS: verdict === Verdict.NOT_RUN ? 0 : undefined,
-  });
-}
-
 function createNoRoutesError(): ServingError {
   return new ServingError(MessageCode.NO_ROUTES_YET, {
     verdict: Verdict.NOT_RUN,
--- a/src/services/common/caller_request.ts
+++ b/src/services/common/caller_request.ts
@@ -4,6 +4,7 @@
 import { ServingError } from "../../sys/errors.ts";
 import type { IncomingMessage, ServerResponse } from "../../sys/http.ts";
 import type { Random } from "../../sys/random.ts";
+import type { StopPeriod } from "./stop_period.ts";
 
 /** Names of the request headers that callers may set. */
 export const CallerHeader = {
@@ -34,8 +35,12 @@
   readonly timeoutMs: number | undefined;
   /** Monotonic milliseconds. */
   readonly startMs: number;
-  /** Aborted when the caller disconnects before the response is complete. */
+  /**
+   * Aborted when the caller disconnects before the response is complete, or this
+   * process ends in a planned stop.
+   */
   readonly signal: AbortSignal;
+  readonly stopPeriod: StopPeriod;
 }
 
 function getHeader(req: IncomingMessage, name: string): string {
@@ -73,7 +78,7 @@
 export function createCallerRequest(
   req: IncomingMessage,
   res: ServerResponse,
-  options: { clock: Clock; random: Random },
+  options: { clock: Clock; random: Random; stopPeriod: StopPeriod },
 ): CallerRequest {
   const abortController = new AbortController();
   res.on("close", () => {
@@ -89,7 +94,11 @@
       getHeader(req, CallerHeader.idempotent).toLowerCase() === "false",
     timeoutMs: parseTimeout(getHeader(req, CallerHeader.deadlineMs)),
     startMs: options.clock.getMonotonicMs(),
-    signal: abortController.signal,
+    signal: AbortSignal.any([
+      abortController.signal,
+      options.stopPeriod.ended,
+    ]),
+    stopPeriod: options.stopPeriod,
   };
 }
 
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -28,6 +28,7 @@
 import { createRawHeaderProblem } from "../common/responses.ts";
 import { BackendPool } from "../online/backend_pool.ts";
 import { BatchRunner } from "../batch/batch_runner.ts";
+import { StopPeriod } from "../common/stop_period.ts";
 import { CallerLimits } from "../common/caller_limits.ts";
 import { CompletionService } from "../online/completion_service.ts";
 import { CrashDetector } from "../online/crash_detector.ts";
@@ -49,6 +50,12 @@
 
 const BATCH_LOAD_INTERVAL_MS = 500;
 
+/**
+ * Time for which the responses to requests that are given up at the end of a stop
+ * may take to be sent, in milliseconds.
+ */
+const GIVE_UP_MS = 100;
+
 /** A running entry host. */
 export class EntryHost {
   readonly #settings: EntrySettings;
@@ -75,6 +82,7 @@
   #listener: HttpListener | undefined;
   #batchLoadTimer: Timer | undefined;
   #stopping = false;
+  readonly #stopPeriod = new StopPeriod();
   address = "";
   peerAddress = "";
 
@@ -217,6 +225,7 @@
       plainService: this.#plainService,
       isReady: () => this.isReady,
       isStopping: () => this.#stopping,
+      stopPeriod: this.#stopPeriod,
       onAnnouncement: (announcement) => {
         const effect = this.#applyAnnouncement(announcement);
         if (effect !== AnnouncementEffect.old) {
@@ -299,6 +308,7 @@
     });
     // The load balancer sends requests until it sees the readiness check fail.
     await clock.delay(this.#settings.stopDelayMs ?? 0);
+    this.#stopPeriod.begin(clock.getMonotonicMs() + timeoutMs);
     const drained = this.#listener?.drain() ?? Promise.resolve();
     await Promise.race([
       Promise.all([drained, this.batch.stop(timeoutMs)]),
@@ -308,6 +318,10 @@
       open: this.#callerLimits.openCount,
       held: this.batch.heldCount,
     });
+    if (this.#callerLimits.openCount > 0) {
+      this.#stopPeriod.end();
+      await clock.delay(GIVE_UP_MS);
+    }
     await this.#sessions.close();
     await this.#registrar?.close();
     this.halt();
--- a/src/services/hosts/entry_http.ts
+++ b/src/services/hosts/entry_http.ts
@@ -1,7 +1,8 @@
 /** HTTP API of an entry: health checks, announcements and callers' requests. */
 import { AnnouncementEffect, type FleetView } from "../../membership/mod.ts";
-import { type Announcement, MessageCode } from "../../schema/mod.ts";
+import { type Announcement, MessageCode, Verdict } from "../../schema/mod.ts";
 import { asServingError, ServingError } from "../../sys/errors.ts";
+import { abortResponse } from "../../sys/framed_response.ts";
 import {
   type IncomingMessage,
   readBody,
@@ -23,10 +24,17 @@
 import { JOBS_PATH, type JobService } from "../batch/job_service.ts";
 import type { PlainService } from "../online/plain_service.ts";
 import type { ProcessContext } from "../common/process_context.ts";
+import { createStoppingError, type StopPeriod } from "../common/stop_period.ts";
 
 /** Path at which backend servers announce themselves. */
 export const ANNOUNCE_PATH = "/v1/backend-servers/announce";
 
+/**
+ * Time in which services end what is given up at the end of a planned stop, in
+ * milliseconds.
+ */
+const GIVE_UP_MS = 50;
+
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
 
 /** Options of an {@linkcode EntryHttp}. */
@@ -39,6 +47,7 @@
   readonly plainService: PlainService;
   readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
+  readonly stopPeriod: StopPeriod;
   readonly onAnnouncement: (announcement: Announcement) => AnnouncementEffect;
 }
 
@@ -78,7 +87,12 @@
     if (error.code === MessageCode.INTERNAL) {
       log.error("request_failed", { reason: error.message });
     }
-    if (error.code !== MessageCode.CALLER_LEFT) sendProblem(res, error);
+    const { CALLER_LEFT } = MessageCode;
+    if (this.#options.stopPeriod.ended.aborted) {
+      // An answer that has begun must not end like a whole one.
+      if (res.headersSent) abortResponse(res);
+      else sendProblem(res, createStoppingError(error.verdict));
+    } else if (error.code !== CALLER_LEFT) sendProblem(res, error);
     else if (!res.writableEnded) res.destroy();
   }
 
@@ -97,15 +111,31 @@
     path: string,
   ): Promise<void> {
     const { context, callerLimits } = this.#options;
-    const call = createCallerRequest(req, res, context);
+    const { stopPeriod } = this.#options;
+    const call = createCallerRequest(req, res, { ...context, stopPeriod });
     callerLimits.admit(call.caller);
     res.on("close", () => callerLimits.release(call.caller));
     context.metrics.count(MetricName.requests);
-    await this.#route(call, path);
+    await this.#waitUntilStopped(this.#route(call, path));
     const elapsedMs = context.clock.getMonotonicMs() - call.startMs;
     context.metrics.time(MetricName.requestMs, elapsedMs);
   }
 
+  /**
+   * Waits for a request to be served. At the end of a planned stop, services have
+   * a moment to say whether it has run.
+   */
+  #waitUntilStopped(served: Promise<void>): Promise<void> {
+    const { stopPeriod, context: { clock } } = this.#options;
+    return stopPeriod.waitFor(served, Verdict.MAY_HAVE_RUN).catch(
+      async (error) => {
+        if (!stopPeriod.ended.aborted) throw error;
+        await Promise.race([served, clock.delay(GIVE_UP_MS)]);
+        throw error;
+      },
+    );
+  }
+
   async #route(call: CallerRequest, path: string): Promise<void> {
     const { jobs, completionService, plainService, view } = this.#options;
     if (path === JOBS_PATH || path.startsWith(`${JOBS_PATH}/`)) {
--- a/src/services/online/completion_service.ts
+++ b/src/services/online/completion_service.ts
@@ -164,7 +164,10 @@
 
   /** Serves one request; throws a ServingError on failure. */
   async serve(call: CallerRequest): Promise<void> {
-    const bytes = await readBody(call.req, this.#bodyBytes);
+    const bytes = await call.stopPeriod.waitFor(
+      readBody(call.req, this.#bodyBytes),
+      Verdict.NOT_RUN,
+    );
     const body = parseCompletion(bytes);
     const workload = this.#view.tryFindWorkload({ model: body.model });
     if (workload === undefined) {
@@ -172,6 +175,7 @@
         parameters: { model: body.model },
       });
     }
+    call.stopPeriod.throwIfTooLate(getDeadlineMs(call, workload));
     const request = this.#createRequest(call, body, workload);
     if (call.key === "") {
       await this.#runCompletion(call, request);
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -99,7 +99,11 @@
 
   /** Serves one request; throws a ServingError on failure. */
   async serve(call: CallerRequest, workload: Workload): Promise<void> {
-    const body = await readBody(call.req, this.#bodyBytes);
+    const body = await call.stopPeriod.waitFor(
+      readBody(call.req, this.#bodyBytes),
+      Verdict.NOT_RUN,
+    );
+    call.stopPeriod.throwIfTooLate(getDeadlineMs(call, workload));
     const request = this.#createRequest(call, workload, body);
     if (call.key !== "") {
       await this.#serveKeyed(call, request);
--- a/src/test/planned_stop_test.ts
+++ b/src/test/planned_stop_test.ts
@@ -3,10 +3,10 @@
  * it takes, it answers before it ends, or says that it has not run.
  */
 import { expect } from "chai";
-import { range } from "./fleet_helpers.ts";
+import { range, withFleet } from "./fleet_helpers.ts";
 import { GatewayProcess } from "./gateway_process.ts";
 import { EVENT_COUNT } from "./platform_server.ts";
-import type { RawAnswer } from "./raw_caller.ts";
+import { type RawAnswer, sendRawRequest } from "./raw_caller.ts";
 
 const GRACE_MS = 5_000;
 
@@ -142,3 +142,72 @@
     expect(refused).deep.equal([]);
   });
 });
+
+describe("a planned stop of an entry", () => {
+  const STOP_DELAY_MS = 600;
+  const STOP_TIMEOUT_MS = 1_500;
+  const SERVICE_MS = 700;
+
+  /** Sends receipts whose last bytes come `afterMs` after the stop began. */
+  const stopWhileSending = (
+    check: (requests: {
+      afterMs: number;
+      count: number;
+      answer: RawAnswer;
+    }[]) => void,
+  ) =>
+    withFleet({
+      engines: 0,
+      entrySettings: {
+        stop_delay_ms: STOP_DELAY_MS,
+        stop_timeout_ms: STOP_TIMEOUT_MS,
+      },
+    }, async (fleet) => {
+      fleet.services.forEach((service) => {
+        service.delayMs = SERVICE_MS;
+      });
+      const [entry] = fleet.entries;
+      if (entry === undefined) throw new Error("no entry");
+      let stop = () => {};
+      const whenStopped = new Promise<void>((resolve) => {
+        stop = resolve;
+      });
+      const count = (STOP_DELAY_MS + STOP_TIMEOUT_MS) / INTERVAL_MS;
+      const sent = range(Math.floor(count)).map((index) => {
+        const receipt = `receipt-${index}`;
+        const afterMs = index * INTERVAL_MS;
+        const answer = sendRawRequest({
+          address: entry.address,
+          target: "/receipts",
+          body: JSON.stringify({ receipt }),
+          whenComplete: whenStopped.then(() => delay(afterMs)),
+        });
+        return { receipt, afterMs, answer };
+      });
+      await delay(INTERVAL_MS);
+      stop();
+      await entry.stop();
+      check(
+        await Promise.all(sent.map(async ({ receipt, afterMs, answer }) => ({
+          afterMs,
+          answer: await answer,
+          count: fleet.receiptCounts.get(receipt) ?? 0,
+        }))),
+      );
+    });
+
+  // Guards against requests that come late in a stop and get no answer.
+  it("answers what it takes late, or says that it has not run", () =>
+    stopWhileSending((requests) => {
+      const unanswered = requests
+        .filter(({ answer }) => answer.status !== 200 || !answer.looksWhole)
+        .filter(({ answer, count }) => answer.status !== 503 || count > 0)
+        .map(({ afterMs, answer, count }) =>
+          `complete after ${afterMs} ms: ${answer.status}, ${answer.end}, ` +
+          `run ${count} times`
+        );
+      expect(unanswered).deep.equal([]);
+      const early = requests.filter(({ afterMs }) => afterMs < STOP_DELAY_MS);
+      expect(early.filter(({ answer }) => answer.status !== 200)).length(0);
+    }));
+});
