--- a/src/test/platform_server.ts
+++ b/src/test/platform_server.ts
@@ -333,6 +333,10 @@
     });
     const send = (number: number) => {
       if (res.destroyed) return;
+      if (number > EVENT_COUNT) {
+        res.end();
+        return;
+      }
       const event = this.#createEvent(request.id, number);
       if (behaviour === "break" && number === lastEventNumber + 2) {
         res.write(event.slice(0, event.length / 2));
--- a/src/test/soak/soak_fleet.ts
+++ b/src/test/soak/soak_fleet.ts
@@ -8,7 +8,7 @@
 import path from "node:path";
 import { fileURLToPath } from "node:url";
 import { findFreePorts } from "../../sys/ports.ts";
-import { PlatformServer } from "../platform_server.ts";
+import { Framing, PlatformServer } from "../platform_server.ts";
 import { type Fault, type FaultTargets, LinkMode } from "./fault_plan.ts";
 import { LinkProxy } from "./link_proxy.ts";
 import { SoakProcess } from "./soak_process.ts";
@@ -127,6 +127,14 @@
     this.processes.forEach((process) => process.start());
   }
 
+  /** Has two thirds of the servers frame their answers by a length or not at all. */
+  varyFramings(): void {
+    const framings = Object.values(Framing);
+    this.servers.forEach((server, index) => {
+      server.framing = framings[index % framings.length] ?? Framing.chunks;
+    });
+  }
+
   /** Starts a fault, and returns a function that ends it. */
   startFault(fault: Fault): () => Promise<void> {
     if (fault.kind === "link") return this.#startLinkFault(fault);
--- a/src/test/soak/soak_main.ts
+++ b/src/test/soak/soak_main.ts
@@ -11,6 +11,7 @@
   readonly gateways: string;
   readonly servers: string;
   readonly otherWriter?: boolean;
+  readonly framings?: boolean;
   readonly verbose?: boolean;
 }
 
@@ -39,6 +40,10 @@
     "--other-writer",
     "send odd registrations, which older builds do not bear",
   )
+  .option(
+    "--framings",
+    "vary how servers frame their answers, which older builds do not bear",
+  )
   .option("--verbose", "print a line for each fault")
   .addHelpText("after", "\nExit codes: 0 all guarantees kept, 1 one broken.")
   .parse();
@@ -76,6 +81,7 @@
         servers: Number(servers),
       },
       hasOtherWriter: options.otherWriter === true,
+      variesFramings: options.framings === true,
       onLine: verbose === true
         ? (line) => process.stdout.write(`  ${line}\n`)
         : undefined,
--- a/src/test/soak/soak_run.ts
+++ b/src/test/soak/soak_run.ts
@@ -17,6 +17,8 @@
   readonly size?: SoakFleetSize;
   /** Whether another writer sends odd registrations; true by default. */
   readonly hasOtherWriter?: boolean;
+  /** Whether servers frame their answers in different ways; true by default. */
+  readonly variesFramings?: boolean;
   readonly onLine?: (line: string) => void;
 }
 
@@ -71,6 +73,7 @@
   let faultCount = 0;
   try {
     await fleet.start();
+    if (options.variesFramings ?? true) fleet.varyFramings();
     await waitUntil(
       "the first configuration to be acknowledged",
       history,
