--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -26,7 +26,7 @@
  */
 const REQUEST_TIMEOUT_MS = 2_500;
 
-/** Longest time for which the store lets a request wait for results, in milliseconds. */
+/** Longest time for which a caller may wait for results, in milliseconds. */
 const MAX_RESULTS_WAIT_MS = 1_000;
 
 /** Longest time that a call of a {@linkcode JobClient} takes, in milliseconds. */
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -253,12 +253,7 @@
       }
       this.#onEvents();
       if (!this.caller.headSent) {
-        // Another server may continue the stream with more bytes or fewer.
-        const isStream = isEventStream(response);
-        this.sendHead(
-          response,
-          isStream ? { omitted: LENGTH_HEADERS, isUnframed: false } : {},
-        );
+        this.#sendHead(response);
       }
       await this.caller.write(events.bytes);
     }
@@ -276,14 +271,17 @@
           `one answer alone says that nothing follows event ${startEvent}`,
       };
     }
-    if (!this.caller.headSent) {
-      const isStream = isEventStream(response);
-      this.sendHead(response, isStream ? { isUnframed: false } : {});
-    }
+    if (!this.caller.headSent) this.#sendHead(response);
     if (splitter.rest.length > 0) await this.caller.write(splitter.rest);
     this.caller.end();
     return DONE;
   }
+
+  #sendHead(response: BackendResponse): void {
+    // Another server may continue a stream with more bytes or fewer.
+    const options = { omitted: LENGTH_HEADERS, isUnframed: false };
+    this.sendHead(response, isEventStream(response) ? options : {});
+  }
 }
 
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
--- a/src/services/common/caller_request.ts
+++ b/src/services/common/caller_request.ts
@@ -81,8 +81,13 @@
   options: { clock: Clock; random: Random; stopPeriod: StopPeriod },
 ): CallerRequest {
   const abortController = new AbortController();
+  const { ended } = options.stopPeriod;
+  const abort = () => abortController.abort();
+  if (ended.aborted) abort();
+  ended.addEventListener("abort", abort);
   res.on("close", () => {
-    if (!res.writableFinished) abortController.abort();
+    ended.removeEventListener("abort", abort);
+    if (!res.writableFinished) abort();
   });
   return {
     req,
@@ -94,10 +99,7 @@
       getHeader(req, CallerHeader.idempotent).toLowerCase() === "false",
     timeoutMs: parseTimeout(getHeader(req, CallerHeader.deadlineMs)),
     startMs: options.clock.getMonotonicMs(),
-    signal: AbortSignal.any([
-      abortController.signal,
-      options.stopPeriod.ended,
-    ]),
+    signal: abortController.signal,
     stopPeriod: options.stopPeriod,
   };
 }
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -181,6 +181,7 @@
       crashDetector,
       retryBudget,
       clock,
+      log,
       bodyBytes,
     });
     this.#completionService = new CompletionService({
--- a/src/services/hosts/entry_http.ts
+++ b/src/services/hosts/entry_http.ts
@@ -87,12 +87,13 @@
     if (error.code === MessageCode.INTERNAL) {
       log.error("request_failed", { reason: error.message });
     }
-    const { CALLER_LEFT } = MessageCode;
-    if (this.#options.stopPeriod.ended.aborted) {
-      // An answer that has begun must not end like a whole one.
-      if (res.headersSent) abortResponse(res);
-      else sendProblem(res, createStoppingError(error.verdict));
-    } else if (error.code !== CALLER_LEFT) sendProblem(res, error);
+    const hasStopped = this.#options.stopPeriod.ended.aborted;
+    const isAborted = error.code === MessageCode.CALLER_LEFT;
+    // An answer that has begun must not end like a whole one.
+    if (hasStopped && res.headersSent) abortResponse(res);
+    else if (hasStopped && isAborted) {
+      sendProblem(res, createStoppingError(error.verdict));
+    } else if (!isAborted) sendProblem(res, error);
     else if (!res.writableEnded) res.destroy();
   }
 
@@ -116,7 +117,7 @@
     callerLimits.admit(call.caller);
     res.on("close", () => callerLimits.release(call.caller));
     context.metrics.count(MetricName.requests);
-    await this.#waitUntilStopped(this.#route(call, path));
+    await this.#untilStopped(this.#route(call, path));
     const elapsedMs = context.clock.getMonotonicMs() - call.startMs;
     context.metrics.time(MetricName.requestMs, elapsedMs);
   }
@@ -125,7 +126,7 @@
    * Waits for a request to be served. At the end of a planned stop, services have
    * a moment to say whether it has run.
    */
-  #waitUntilStopped(served: Promise<void>): Promise<void> {
+  #untilStopped(served: Promise<void>): Promise<void> {
     const { stopPeriod, context: { clock } } = this.#options;
     return stopPeriod.waitFor(served, Verdict.MAY_HAVE_RUN).catch(
       async (error) => {
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -14,7 +14,7 @@
   type Workload,
 } from "../../schema/mod.ts";
 import type { Clock } from "../../sys/clock.ts";
-import { asServingError, ServingError } from "../../sys/errors.ts";
+import { asServingError, getReason, ServingError } from "../../sys/errors.ts";
 import { FramedResponse, whenWritable } from "../../sys/framed_response.ts";
 import {
   type HttpResponse,
@@ -22,6 +22,7 @@
   readBody,
   removeHopByHopHeaders,
 } from "../../sys/http.ts";
+import type { Log } from "../../sys/log.ts";
 import { getDigest, getDigestHex } from "../../sys/random.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { Placement } from "./placement.ts";
@@ -77,6 +78,7 @@
   readonly #detector: CrashDetector;
   readonly #retryBudget: RetryBudget;
   readonly #clock: Clock;
+  readonly #log: Log;
   readonly #bodyBytes: number;
 
   constructor(options: {
@@ -86,6 +88,7 @@
     crashDetector: CrashDetector;
     retryBudget: RetryBudget;
     clock: Clock;
+    log: Log;
     bodyBytes: number;
   }) {
     this.#view = options.view;
@@ -94,6 +97,7 @@
     this.#detector = options.crashDetector;
     this.#retryBudget = options.retryBudget;
     this.#clock = options.clock;
+    this.#log = options.log;
     this.#bodyBytes = options.bodyBytes;
   }
 
@@ -209,8 +213,12 @@
         if (!framed.write(chunk)) await whenWritable(call.res);
       }
       isWhole = await this.#isWhole(open, call.id);
-    } catch {
-      // The body broke off, or its caller is gone.
+    } catch (error) {
+      this.#log.info("answer_broken", {
+        request: call.id,
+        server: placement.server.name,
+        reason: getReason(error),
+      });
     } finally {
       call.res.off("close", stop);
       placement.release({ isServerFailure: !isWhole });
--- a/src/sys/framed_response.ts
+++ b/src/sys/framed_response.ts
@@ -35,6 +35,15 @@
   bytes: number;
 }
 
+function hold(
+  status: number,
+  headers: ResponseHeaders,
+  send: typeof sendWhole,
+  maxBytes: number,
+): HeldResponse {
+  return { status, headers, send, maxBytes, chunks: [], bytes: 0 };
+}
+
 /** Options of the head of a response. */
 export interface HeadOptions {
   /** Whether nothing but the end of its connection tells where the body ends. */
@@ -61,16 +70,9 @@
     headers: ResponseHeaders,
     { isUnframed = false }: HeadOptions = {},
   ): void {
-    const held = { status, headers, chunks: [], bytes: 0 };
     if (isUnframed) {
-      this.#held = {
-        ...held,
-        send: sendUnframed,
-        maxBytes: MAX_UNFRAMED_BYTES,
-      };
-    } else if (this.#needsLength(status, headers)) {
-      this.#held = { ...held, send: sendWhole, maxBytes: MAX_MEASURED_BYTES };
-    } else writeHead(this.#res, status, headers);
+      this.#held = hold(status, headers, sendUnframed, MAX_UNFRAMED_BYTES);
+    } else this.#sendFramedHead(status, headers);
   }
 
   /** Writes a part of the body; returns false if the caller reads too slowly. */
@@ -103,22 +105,19 @@
     abortResponse(this.#res);
   }
 
-  /** Sends what was held back, if it is too long for that. */
-  #release({ status, headers, send, chunks, bytes }: HeldResponse): boolean {
+  /** Holds back for another reason, or sends, what became too long. */
+  #release({ status, headers, send, chunks }: HeldResponse): boolean {
     this.#held = undefined;
-    if (send === sendUnframed && this.#needsLength(status, headers)) {
-      this.#held = {
-        status,
-        headers,
-        send: sendWhole,
-        maxBytes: MAX_MEASURED_BYTES,
-        chunks,
-        bytes,
-      };
-      return true;
-    }
-    writeHead(this.#res, status, headers);
-    return this.#res.write(Buffer.concat(chunks));
+    const body = Buffer.concat(chunks);
+    if (send === sendUnframed) this.#sendFramedHead(status, headers);
+    else writeHead(this.#res, status, headers);
+    return this.write(body);
+  }
+
+  #sendFramedHead(status: number, headers: ResponseHeaders): void {
+    if (this.#needsLength(status, headers)) {
+      this.#held = hold(status, headers, sendWhole, MAX_MEASURED_BYTES);
+    } else writeHead(this.#res, status, headers);
   }
 
   #needsLength(status: number, headers: ResponseHeaders): boolean {
