--- a/src/policy/routes.ts
+++ b/src/policy/routes.ts
@@ -10,15 +10,25 @@
   type RouteTable,
   type RouteTarget,
 } from "../schema/mod.ts";
+import { hasPublicJobs } from "./access.ts";
+import {
+  OrganisationIndex,
+  tryFindOrganisationError,
+} from "./organisations.ts";
 
 /** Lookup of routes and services in a route table. */
 export class RouteIndex {
   readonly table: RouteTable;
+  readonly organisations: OrganisationIndex;
+  /** Whether a route accepts jobs without a key. */
+  readonly hasPublicJobs: boolean;
   readonly #byHost = new Map<string, Route[]>();
   readonly #services: ReadonlyMap<string, RoutedService>;
 
   constructor(table: RouteTable) {
     this.table = table;
+    this.organisations = new OrganisationIndex(table.organisations);
+    this.hasPublicJobs = hasPublicJobs(table.routes);
     this.#services = new Map(
       table.services.map((service) => [service.name, service]),
     );
@@ -84,6 +94,8 @@
   if (services.size < table.services.length) {
     return "two services share a name";
   }
+  const organisationError = tryFindOrganisationError(table);
+  if (organisationError !== undefined) return organisationError;
   return table.routes.map((route) => {
     const key = `${route.host.toLowerCase()}${route.pathPrefix}`;
     const isDuplicate = keys.has(key);
