Identify callers by API key at gateways; jobs belong to organisations

Cause: requests with unknown keys ran at servers, servers got the organisation that the caller wrote, and every caller could read and end every job. Change: gateways decide on access before they read the body, remove the key and the organisation's header, and send the name that they found; relayed requests carry the key and are refused by builds that don't identify callers; jobs, reads and ends carry the organisation; JobAdmission and the job machine (command version 2) check it, and the limit of waiting tokens counts for each organisation; items carry owner and priority; tables of older decoders are decoded again.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -4,7 +4,7 @@
  * exchange of loads with other processes.
  */
 import type { GatewayState } from "../membership/mod.ts";
-import type { FleetSettings, StreamOrigin } from "../schema/mod.ts";
+import type { FleetSettings, RouteTable, StreamOrigin } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
 import { ConnectProbe } from "../sys/connect_probe.ts";
@@ -26,6 +26,8 @@
   readonly context: ProcessContext;
   readonly credentials: RpcCredentials;
   readonly dialect: BackendDialect;
+  /** Decodes a route table of an older build again. */
+  readonly upgradeRoutes: (table: RouteTable) => RouteTable;
   /** Whether this process merges the load reports of the other processes. */
   readonly isMerger: boolean;
   /** Called after a load report from another process was accepted. */
@@ -60,6 +62,7 @@
     const { clock, log, random, metrics } = options.context;
     const view = new RoutingView({
       registrationIntervalMs: settings.beatMs ?? 0,
+      upgradeRoutes: options.upgradeRoutes,
       clock,
       log,
     });
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -24,6 +24,10 @@
   /** Headers to forward, as alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation?: string | undefined;
+  /** Priority of the organisation or else of the route; 0 is the highest. */
+  readonly priority?: number;
 }
 
 /** Options of {@linkcode BackendClient.send}. */
@@ -154,6 +158,7 @@
         server: permit.server.id,
         remainingMs: Math.max(1, Math.floor(remainingMs)),
         resumeAfter,
+        organisation: request.organisation,
       }),
       "Content-Length",
       String(request.body.length),
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -3,7 +3,7 @@
  * deployment with its own header names, paths or formats implements these two
  * classes and needs no changes elsewhere.
  */
-import type { Route, SubmitJob } from "../schema/mod.ts";
+import type { Route, RouteTable, SubmitJob } from "../schema/mod.ts";
 import type { ServingError } from "../sys/errors.ts";
 import type { IncomingHttpHeaders } from "../sys/http.ts";
 
@@ -65,6 +65,18 @@
   /** Reads the metadata from a request's headers. */
   abstract readRequestMetadata(headers: IncomingHttpHeaders): RequestMetadata;
 
+  /**
+   * Reads the API key of a caller, as text of one character for each byte; undefined
+   * if there is none.
+   */
+  abstract tryReadApiKey(headers: IncomingHttpHeaders): string | undefined;
+
+  /**
+   * Decodes the document of a route table again if an older build decoded it. Throws
+   * BODY_MALFORMED if it is invalid for this build.
+   */
+  abstract upgradeRouteTable(table: RouteTable): RouteTable;
+
   /** Decodes a request about a job; undefined if it is another request. */
   abstract tryDecodeJobRequest(
     method: string,
@@ -96,6 +108,8 @@
    * start from the beginning.
    */
   readonly resumeAfter: number | undefined;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation?: string | undefined;
 }
 
 /** Metadata that a backend server sends with a response. */
@@ -132,6 +146,12 @@
    */
   abstract readonly reservedHeaders: ReadonlySet<string>;
 
+  /**
+   * Lower-case names of the headers with a caller's key and its organisation. They
+   * are removed from requests of callers that are identified by keys.
+   */
+  abstract readonly identityHeaders: ReadonlySet<string>;
+
   /** Creates headers for a backend server, as alternating names and values. */
   abstract createHeaders(metadata: BackendRequestMetadata): string[];
 
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -2,7 +2,14 @@
  * A gateway accepts callers' requests, relays online requests to backend servers
  * and forwards jobs to the store. It has no durable state.
  */
-import { selectTarget, stripQuery } from "../policy/mod.ts";
+import {
+  type AccessDecision,
+  getEffectivePriority,
+  getJobCaller,
+  type JobCaller,
+  selectTarget,
+  stripQuery,
+} from "../policy/mod.ts";
 import {
   type FleetSettings,
   HostRole,
@@ -20,7 +27,6 @@
   type IncomingMessage,
   listenHttp,
   readBody,
-  removeRawHopByHopHeaders,
   type ServerResponse,
 } from "../sys/http.ts";
 import { openPort } from "../sys/listening.ts";
@@ -28,6 +34,7 @@
 import { createCredentials } from "../sys/rpc.ts";
 import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
+import { CallerAccess } from "./caller_access.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import type {
@@ -38,7 +45,9 @@
 } from "./dialects.ts";
 import {
   GatewayRelay,
+  IDENTIFIED_ROUTES_VERSION_HEADER,
   NOT_RELAYED_HEADER,
+  readRoutesVersion,
   ROUTES_VERSION_HEADER,
 } from "./gateway_relay.ts";
 import { JobClient, MAX_JOB_CALL_MS } from "./job_client.ts";
@@ -115,7 +124,7 @@
   readonly #streamOrigins: RpcStreamOriginsClient;
   readonly #softwareVersions: RpcSoftwareVersionsClient;
   readonly #gatewayRelay: GatewayRelay;
-  readonly #reservedHeaders: ReadonlySet<string>;
+  readonly #access: CallerAccess;
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
   /** Accepts requests of gateways that reach no server. */
@@ -132,10 +141,6 @@
     this.#settings = settings;
     this.#context = context;
     this.#dialect = dialects.caller;
-    this.#reservedHeaders = new Set([
-      ...dialects.backend.reservedHeaders,
-      ROUTES_VERSION_HEADER,
-    ]);
     const { clock, log, random, metrics } = context;
     const credentials = createCredentials(undefined, context.isPartitioned);
     const backends = new BackendAccess({
@@ -143,11 +148,19 @@
       context,
       credentials,
       dialect: dialects.backend,
+      upgradeRoutes: (table) => dialects.caller.upgradeRouteTable(table),
       isMerger: false,
       onReport: () => backends.pool.wakeWaiters(),
       acceptsRelayed: () => this.isReady && !backends.reachability.isCutOff,
     });
     this.#backends = backends;
+    this.#access = new CallerAccess({
+      view: backends.view,
+      settings,
+      dialects,
+      ownHeaders: [ROUTES_VERSION_HEADER, IDENTIFIED_ROUTES_VERSION_HEADER],
+      metrics,
+    });
     const streamOrigins = new RpcStreamOriginsClient(credentials);
     this.#streamOrigins = streamOrigins;
     const originFinder = new StreamOriginFinder({
@@ -363,6 +376,8 @@
       response.sendLocal(ROUTES_TOO_OLD);
       return;
     }
+    const routes = this.#backends.view.routes;
+    if (routes === undefined) throw createNoRoutesError();
     const target = req.url ?? "/";
     const method = req.method ?? "GET";
     const jobRequest = this.#dialect.tryDecodeJobRequest(
@@ -371,19 +386,19 @@
       req.headers,
     );
     if (jobRequest !== undefined) {
+      const caller = getJobCaller(this.#access.admitToJobs(req.headers));
       this.#stopPeriod.throwIfTooLate(arrivedMs + MAX_JOB_CALL_MS);
       response.sendLocal(
         await this.#stopPeriod.waitFor(
-          this.#serveJobRequest(jobRequest),
+          this.#serveJobRequest(jobRequest, caller),
           Verdict.MAY_HAVE_RUN,
         ),
       );
       return;
     }
-    const routes = this.#backends.view.routes;
-    if (routes === undefined) throw createNoRoutesError();
     const path = stripQuery(target);
     const route = routes.tryMatch(req.headers.host ?? "", path);
+    const firstDecision = this.#access.admit(req.headers, route);
     if (route === undefined) {
       throw new ServingError(MessageCode.UNKNOWN_ROUTE, {
         parameters: { path },
@@ -394,18 +409,22 @@
       readBody(req, limit),
       Verdict.NOT_RUN,
     );
+    // A body may arrive so slowly that the key has been removed meanwhile.
+    const decision = this.#backends.view.routes === routes
+      ? firstDecision
+      : this.#access.admit(req.headers, route);
     if (route.kind === RequestKind.BATCH) {
       this.#stopPeriod.throwIfTooLate(
         this.#context.clock.getMonotonicMs() + MAX_JOB_CALL_MS,
       );
-      const submitted = this.#submitJob(req, body, route);
+      const submitted = this.#submitJob(req, body, route, decision);
       response.sendLocal(
         await this.#stopPeriod.waitFor(submitted, Verdict.MAY_HAVE_RUN),
       );
       return;
     }
     const online = {
-      ...this.#createOnlineRequest(req, body, route),
+      ...this.#createOnlineRequest(req, body, route, decision),
       arrivedMs,
       isRelayed,
       graceEnd: this.#stopPeriod.ended,
@@ -421,16 +440,22 @@
 
   /** Whether the gateway that passed a request on goes by newer routes. */
   #hasOlderRoutes(req: IncomingMessage): boolean {
-    const version = Number(req.headers[ROUTES_VERSION_HEADER] ?? 0);
-    return Number(this.#backends.view.routesVersion) < version;
+    return Number(this.#backends.view.routesVersion) <
+      readRoutesVersion(req.headers);
   }
 
   #createOnlineRequest(
     req: IncomingMessage,
     body: Buffer,
     route: Route,
+    decision: AccessDecision,
   ): Omit<OnlineRequest, "arrivedMs" | "isRelayed" | "graceEnd"> {
     const metadata = this.#dialect.readRequestMetadata(req.headers);
+    const { headers, keyHeaders, ...identity } = this.#access.divideHeaders(
+      req.rawHeaders,
+      route,
+      decision,
+    );
     const fraction = this.#context.random.getFraction();
     return {
       route,
@@ -439,12 +464,12 @@
         requestId: metadata.requestId,
         method: req.method ?? "GET",
         target: req.url ?? "/",
-        headers: removeRawHopByHopHeaders(
-          req.rawHeaders,
-          this.#reservedHeaders,
-        ),
+        headers,
         body,
+        ...identity,
       },
+      ...identity,
+      keyHeaders,
       prefix: metadata.prefix,
       resumeAfter: metadata.resumeAfter,
       resumedRequest: metadata.resumedRequest,
@@ -456,8 +481,17 @@
     req: IncomingMessage,
     body: Buffer,
     route: Route,
+    decision: AccessDecision,
   ): Promise<LocalResponse> {
     const job = this.#dialect.decodeJob(body, req.headers, route);
+    job.organisation = getJobCaller(decision);
+    const priority = getEffectivePriority(
+      route,
+      decision.kind === "served" ? decision.organisation : undefined,
+    );
+    job.items.forEach((item) => {
+      item.priority = priority;
+    });
     await this.#jobs.submit(job);
     this.#context.log.info("job_accepted", {
       job: job.id,
@@ -467,7 +501,10 @@
     return { status: 202, headers: [], body: "" };
   }
 
-  async #serveJobRequest(jobRequest: JobRequest): Promise<LocalResponse> {
+  async #serveJobRequest(
+    jobRequest: JobRequest,
+    caller: JobCaller,
+  ): Promise<LocalResponse> {
     switch (jobRequest.kind) {
       case "results":
         return this.#dialect.createJobPage(
@@ -475,16 +512,21 @@
             jobRequest.job,
             jobRequest.after,
             jobRequest.waitMs,
+            caller,
           ),
         );
       case "body":
         return {
           status: 200,
           headers: ["Content-Type", "application/octet-stream"],
-          body: await this.#jobs.readBody(jobRequest.job, jobRequest.item),
+          body: await this.#jobs.readBody(
+            jobRequest.job,
+            jobRequest.item,
+            caller,
+          ),
         };
       case "end":
-        await this.#jobs.end(jobRequest.job);
+        await this.#jobs.end(jobRequest.job, caller);
         this.#context.log.info("job_ended", { job: jobRequest.job });
         return { status: 200, headers: [], body: "" };
     }
--- a/src/fleet/gateway_relay.ts
+++ b/src/fleet/gateway_relay.ts
@@ -16,6 +16,7 @@
   type HttpAgent,
   type HttpResponse,
   HttpSendError,
+  type IncomingHttpHeaders,
   sendHttp,
 } from "../sys/http.ts";
 import type { Log } from "../sys/log.ts";
@@ -34,6 +35,35 @@
  */
 export const ROUTES_VERSION_HEADER = "papayatally-routes-version";
 
+/**
+ * Header with the same version if callers are identified by keys. The other header
+ * has a version then that no routes have, by which builds that don't identify
+ * callers refuse the request: they would pass the key on to a server.
+ */
+export const IDENTIFIED_ROUTES_VERSION_HEADER =
+  "papayatally-identified-routes-version";
+
+const NO_ROUTES_VERSION = String(Number.MAX_SAFE_INTEGER);
+
+/** Reads the version of the routes of a gateway that passed a request on. */
+export function readRoutesVersion(headers: IncomingHttpHeaders): number {
+  return Number(
+    headers[IDENTIFIED_ROUTES_VERSION_HEADER] ??
+      headers[ROUTES_VERSION_HEADER] ?? 0,
+  );
+}
+
+function createVersionHeaders(version: bigint, isIdentified: boolean) {
+  return isIdentified
+    ? [
+      ROUTES_VERSION_HEADER,
+      NO_ROUTES_VERSION,
+      IDENTIFIED_ROUTES_VERSION_HEADER,
+      String(version),
+    ]
+    : [ROUTES_VERSION_HEADER, String(version)];
+}
+
 /** Header of a response by which a gateway says that it serves no such requests. */
 export const NOT_RELAYED_HEADER = "papayatally-not-relayed";
 
@@ -54,6 +84,11 @@
 /** A request to be passed on. */
 export interface RelayOptions {
   readonly request: BackendRequest;
+  /**
+   * Headers with the caller's key, by which the other gateway identifies it;
+   * undefined if callers are not identified.
+   */
+  readonly keyHeaders?: readonly string[] | undefined;
   readonly remainingMs: number;
   readonly resumeAfter: number | undefined;
   /** Opens a new connection instead of reusing an idle one. */
@@ -149,13 +184,16 @@
         path: request.target,
         headers: [
           ...request.headers,
+          ...options.keyHeaders ?? [],
           ...dialect.createHeaders({
             server: address,
             remainingMs: Math.max(1, Math.floor(remainingMs)),
             resumeAfter,
           }),
-          ROUTES_VERSION_HEADER,
-          String(getRoutesVersion()),
+          ...createVersionHeaders(
+            getRoutesVersion(),
+            options.keyHeaders !== undefined,
+          ),
           "Content-Length",
           String(request.body.length),
         ],
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -3,6 +3,7 @@
  * is collected, so that a broken or preempted attempt can be resumed after the
  * last complete event.
  */
+import type { JobCaller } from "../policy/mod.ts";
 import type { JobItem } from "../schema/mod.ts";
 import { EventSplitter, isEventStreamType } from "../relay/mod.ts";
 import { getReason } from "../sys/errors.ts";
@@ -188,15 +189,34 @@
   return `the server responded with status ${status}`;
 }
 
+/** What servers learn of the organisation of an item's job. */
+export interface ItemIdentity {
+  /** Owner of the job; items can't set it by headers of their own. */
+  readonly owner: JobCaller;
+  /** Whether the configuration has organisations now. */
+  readonly areCallersIdentified: boolean;
+  readonly priority: number;
+}
+
 /** Creates the backend request of an item. */
 export function createItemRequest(
   host: string,
   item: JobItem,
-  { requestIdHeader, reservedHeaders }: BackendDialect,
+  { requestIdHeader, reservedHeaders, identityHeaders }: BackendDialect,
+  identity?: ItemIdentity,
 ): BackendRequest {
+  // A job from before the configuration had organisations has no owner, but its
+  // items must not name one.
+  const isIdentified = identity !== undefined &&
+    (identity.owner !== undefined || identity.areCallersIdentified);
   const headers = removeRawHopByHopHeaders(
     item.headers.flatMap(({ name, value }) => [name, value]),
-    new Set([...reservedHeaders, "host", requestIdHeader.toLowerCase()]),
+    new Set([
+      ...reservedHeaders,
+      "host",
+      requestIdHeader.toLowerCase(),
+      ...isIdentified ? identityHeaders : [],
+    ]),
   );
   const { buffer, byteOffset, length } = item.body;
   return {
@@ -205,5 +225,7 @@
     target: item.path,
     headers: ["Host", host, requestIdHeader, item.id, ...headers],
     body: Buffer.from(buffer, byteOffset, length),
+    organisation: identity?.owner || undefined,
+    priority: identity?.priority ?? 0,
   };
 }
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -17,6 +17,7 @@
   type JobItem,
   type RecordRuns,
   RecordRunsSchema,
+  type SubmitJob,
 } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
@@ -28,7 +29,11 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
-import { createItemRequest, runItemAttempt } from "./item_attempt.ts";
+import {
+  createItemRequest,
+  type ItemIdentity,
+  runItemAttempt,
+} from "./item_attempt.ts";
 import { type ItemCandidate, ItemQueue } from "./item_queue.ts";
 import { type ActiveRun, ActiveRuns } from "./active_runs.ts";
 import { AttemptOutcomeHandler } from "./attempt_outcome_handler.ts";
@@ -587,6 +592,7 @@
       queued.job.host,
       item,
       this.#options.dialects.backend,
+      this.#getIdentity(queued.job, item),
     );
     let hasBegun = false;
     const outcome = await runItemAttempt({
@@ -635,6 +641,18 @@
     });
   }
 
+  #getIdentity(
+    { organisation, route }: SubmitJob,
+    item: JobItem,
+  ): ItemIdentity {
+    const { routes } = this.#options.view;
+    return {
+      owner: organisation,
+      areCallersIdentified: routes?.organisations.isEmpty === false,
+      priority: item.priority ?? routes?.tryGetRoute(route)?.priority ?? 0,
+    };
+  }
+
   #getTimeToExpiryMs({ submittedMs, job }: QueuedJob): number {
     return submittedMs + job.retentionMs + CLOCK_SKEW_MARGIN_MS -
       this.#options.context.clock.getWallMs();
--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -1,10 +1,13 @@
 /**
- * Refuses jobs for which the store hosts have no memory. The leader decides before
- * it proposes a job, so a refused one is in no log and never runs.
+ * Refuses jobs for which the store hosts have no memory, and repeats and ends of jobs
+ * that belong to another organisation. The leader decides before it proposes a
+ * command, so a refused job is in no log and never runs, and members of older builds,
+ * which don't know organisations, apply the same commands as the others.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { JobMemory } from "../policy/mod.ts";
+import { type JobCaller, JobMemory, mayUseJob } from "../policy/mod.ts";
 import {
+  type EndJob,
   JobCommandReplySchema,
   JobCommandSchema,
   MessageCode,
@@ -29,12 +32,17 @@
   readonly log: Log;
 }
 
+interface WaitingJob {
+  readonly owner: JobCaller;
+  readonly outcome: Promise<Uint8Array>;
+}
+
 /** Decides on the jobs that a leader is asked to propose. */
 export class JobAdmission implements CommandAdmission {
   readonly #options: JobAdmissionOptions;
   readonly #memory: JobMemory;
   /** Outcomes of jobs that wait to be committed, by id. */
-  readonly #waiting = new Map<string, Promise<Uint8Array>>();
+  readonly #waiting = new Map<string, WaitingJob>();
 
   constructor(options: JobAdmissionOptions) {
     this.#options = options;
@@ -54,10 +62,21 @@
     { canServe, uncommittedBytes, propose }: CommandProposer,
   ): Promise<Uint8Array> {
     const { machine } = this.#options;
-    const job = tryDecodeJob(command);
-    if (job === undefined) return await propose();
+    const { command: body } = fromBinary(JobCommandSchema, command);
+    const isForeign = (body.case === "submit" || body.case === "end") &&
+      this.#isForeign(body.value);
+    if (isForeign) {
+      this.#options.log.info("job_not_owned", {
+        job: body.value.id,
+        request: body.case,
+        organisation: body.value.organisation ?? "",
+      });
+      return UNKNOWN_JOB;
+    }
+    if (body.case !== "submit") return await propose();
+    const job = body.value;
     const waiting = this.#waiting.get(job.id);
-    if (waiting !== undefined) return await waiting;
+    if (waiting !== undefined) return await waiting.outcome;
     const isKnown = machine.tryGetJob(job.id) !== undefined;
     if (isKnown && canServe) return ACCEPTANCE;
     const bytes = command.length;
@@ -72,11 +91,22 @@
       });
     }
     const outcome = propose().finally(() => this.#waiting.delete(job.id));
-    this.#waiting.set(job.id, outcome);
+    this.#waiting.set(job.id, { owner: job.organisation, outcome });
     this.#memory.track(bytes, outcome);
     return await outcome;
   }
 
+  /** Whether a job is known here and belongs to another organisation. */
+  #isForeign({ id, organisation }: SubmitJob | EndJob): boolean {
+    const waiting = this.#waiting.get(id);
+    const queued = this.#options.machine.tryGetJob(id);
+    if (waiting === undefined && queued === undefined) return false;
+    const owner = waiting === undefined
+      ? queued?.job.organisation
+      : waiting.owner;
+    return !mayUseJob(owner, organisation);
+  }
+
   #getRetainedBytes(): number {
     const { machine, clock } = this.#options;
     return machine.retainedBytes - machine.getExpiredBytes(clock.getWallMs());
@@ -96,6 +126,7 @@
 }
 
 const ACCEPTANCE = encodeReply(0);
+const UNKNOWN_JOB = encodeReply(MessageCode.UNKNOWN_JOB);
 const REFUSAL = encodeReply(MessageCode.JOB_MEMORY_SPENT);
 
 function encodeReply(code: number): Uint8Array {
@@ -104,9 +135,3 @@
     create(JobCommandReplySchema, { code }),
   );
 }
-
-/** Returns the job that a command submits; undefined for any other command. */
-function tryDecodeJob(command: Uint8Array): SubmitJob | undefined {
-  const { command: body } = fromBinary(JobCommandSchema, command);
-  return body.case === "submit" ? body.value : undefined;
-}
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -2,6 +2,7 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { MAX_UINT32 } from "../membership/mod.ts";
+import type { JobCaller } from "../policy/mod.ts";
 import {
   ItemEnd,
   JobCommandReplySchema,
@@ -54,14 +55,21 @@
     if (mayRunLater) throw createUnsettledRefusalError();
     throw new ServingError(code, {
       verdict: Verdict.NOT_RUN,
-      parameters: { route: job.route },
+      parameters: { route: job.route, job: job.id },
       retryAfterS: 1,
     });
   }
 
-  /** Ends a job; no effect if the job has already ended or is unknown. */
-  async end(id: string): Promise<void> {
-    await this.#propose({ case: "end", value: { id } });
+  /**
+   * Ends a job; no effect if the job has already ended or is unknown. Throws
+   * UNKNOWN_JOB if it belongs to another organisation.
+   */
+  async end(id: string, caller: JobCaller): Promise<void> {
+    const { code } = await this.#propose({
+      case: "end",
+      value: { id, organisation: caller },
+    });
+    throwIfError(code, id);
   }
 
   /** Reads results from position `after`; throws UNKNOWN_JOB if unknown. */
@@ -69,6 +77,7 @@
     job: string,
     after: number,
     waitMs: number,
+    caller: JobCaller,
   ): Promise<JobPage> {
     const reply = await this.#stateClient.callLeader(
       STORE_GROUP,
@@ -78,6 +87,7 @@
           job,
           after: Math.min(MAX_UINT32, after),
           waitMs,
+          organisation: caller,
         }, { timeoutMs: timeoutMs + waitMs }),
       waitMs + SILENCE_MS,
     );
@@ -94,12 +104,20 @@
   }
 
   /** Reads the body of an open item; throws UNKNOWN_JOB if there is none. */
-  async readBody(job: string, item: string): Promise<Uint8Array> {
+  async readBody(
+    job: string,
+    item: string,
+    caller: JobCaller,
+  ): Promise<Uint8Array> {
     const reply = await this.#stateClient.callLeader(
       STORE_GROUP,
       REQUEST_TIMEOUT_MS,
       (client, timeoutMs) =>
-        client.call(Jobs.method.readBody, { job, item }, { timeoutMs }),
+        client.call(
+          Jobs.method.readBody,
+          { job, item, organisation: caller },
+          { timeoutMs },
+        ),
     );
     throwIfError(reply.code, job);
     return reply.body;
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -64,6 +64,12 @@
   /** Service that was selected among the targets of the route. */
   readonly service: string;
   readonly request: BackendRequest;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation: string | undefined;
+  /** Priority of the organisation or else of the route; 0 is the highest. */
+  readonly priority: number;
+  /** Headers with the caller's key; undefined if callers are not identified. */
+  readonly keyHeaders: readonly string[] | undefined;
   readonly prefix: readonly string[];
   readonly resumeAfter: number | undefined;
   /** Attempt that brought the first event of a stream that is taken up. */
@@ -426,6 +432,7 @@
     }
     const result = await gatewayRelay.send({
       request: this.#req.request,
+      keyHeaders: this.#req.keyHeaders,
       remainingMs: this.#remainingMs,
       resumeAfter: this.#req.resumeAfter,
       useNewConnection: this.#req.route.kind === RequestKind.NON_IDEMPOTENT,
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -13,7 +13,7 @@
   Suspicions,
   tryFindRegistrationError,
 } from "../membership/mod.ts";
-import { RouteIndex } from "../policy/mod.ts";
+import { RouteIndex, withoutDocument } from "../policy/mod.ts";
 import {
   type FleetUpdate,
   type HostList,
@@ -21,6 +21,7 @@
   HostRole,
   type PromptPartSuspicion,
   type Registration,
+  type RouteTable,
   type ServerContact,
   type ServerLimit,
   ServerState,
@@ -28,6 +29,7 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
+import { getReason } from "../sys/errors.ts";
 import { SuspensionDetector } from "../sys/suspension_detector.ts";
 import { getReplicaAddress } from "./host_identity.ts";
 
@@ -35,6 +37,11 @@
 export interface RoutingViewOptions {
   /** Interval at which backend servers register, in milliseconds. */
   readonly registrationIntervalMs: number;
+  /**
+   * Decodes a route table of an older build again, which lacks what that build did
+   * not know. Throws if the table can't be used.
+   */
+  readonly upgradeRoutes?: (table: RouteTable) => RouteTable;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -288,20 +295,46 @@
   }
 
   #applyRoutes(update: FleetUpdate, from: string): boolean {
-    const { routes } = update;
-    if (routes === undefined || routes.version <= this.routesVersion) {
+    const { routes: received } = update;
+    if (received === undefined || received.version <= this.routesVersion) {
       return false;
     }
+    const routes = this.#tryUpgradeRoutes(received, from);
+    if (routes === undefined) return false;
     this.#options.log.info("routes_in_force", {
       version: Number(routes.version),
       before: Number(this.routesVersion),
       routes: routes.routes.length,
+      organisations: routes.organisations.length,
+      decoder: received.decoderVersion,
       from,
     });
-    this.#routes = new RouteIndex(routes);
+    this.#routes = new RouteIndex(withoutDocument(routes));
     return true;
   }
 
+  /**
+   * Returns the table as this build decodes it; undefined if it can't. The routes in
+   * force stay then: the table of the older build may lack the organisations, and
+   * would admit all callers.
+   */
+  #tryUpgradeRoutes(table: RouteTable, from: string): RouteTable | undefined {
+    const { upgradeRoutes = (unchanged: RouteTable) => unchanged } =
+      this.#options;
+    try {
+      return upgradeRoutes(table);
+    } catch (error) {
+      this.#options.log.warn("routes_not_decoded", {
+        version: Number(table.version),
+        before: Number(this.routesVersion),
+        decoder: table.decoderVersion,
+        reason: getReason(error),
+        from,
+      });
+      return undefined;
+    }
+  }
+
   #applyHosts(update: FleetUpdate): boolean {
     const { hosts } = update;
     if (hosts === undefined || hosts.version <= this.#hosts.version) {
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -23,7 +23,7 @@
 import { GatewayRegistry, StreamOrigins } from "../membership/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { StateClient } from "../services/common/state_client.ts";
-import { tryPlanRunners } from "../policy/mod.ts";
+import { mayUseJob, tryPlanRunners } from "../policy/mod.ts";
 import { JobMachine, type QueuedJob } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
@@ -104,6 +104,7 @@
       context,
       credentials: this.#process.credentials,
       dialect: dialects.backend,
+      upgradeRoutes: (table) => dialects.caller.upgradeRouteTable(table),
       isMerger: true,
       onReport: () => this.#itemRunner.requestScheduling(),
       onOrigins: (origins) => {
@@ -395,7 +396,7 @@
     const deadlineMs = this.#context.clock.getMonotonicMs() + req.waitMs;
     for (;;) {
       if (this.#member?.replica.canServe() !== true) return this.#redirect();
-      const queued = this.#machine.tryGetJob(req.job);
+      const queued = this.#tryGetJob(req);
       if (queued === undefined) return { code: MessageCode.UNKNOWN_JOB };
       const remainingMs = deadlineMs - this.#context.clock.getMonotonicMs();
       const canReply = queued.results.length > req.after || queued.isEnded ||
@@ -405,9 +406,22 @@
     }
   }
 
+  /** Returns a job that the caller may use; undefined if there is none. */
+  #tryGetJob({ job, organisation }: ReadJobRequest | ReadBodyRequest) {
+    const queued = this.#machine.tryGetJob(job);
+    if (queued === undefined) return;
+    if (mayUseJob(queued.job.organisation, organisation)) return queued;
+    this.#context.log.info("job_not_owned", {
+      job,
+      request: "read",
+      organisation: organisation ?? "",
+    });
+    return;
+  }
+
   #readBody(req: ReadBodyRequest) {
     if (this.#member?.replica.canServe() !== true) return this.#redirect();
-    const queued = this.#machine.tryGetJob(req.job);
+    const queued = this.#tryGetJob(req);
     const item = queued?.isEnded === true
       ? undefined
       : queued?.open.get(req.item);
--- a/src/policy/access.ts
+++ b/src/policy/access.ts
@@ -59,7 +59,8 @@
 
 /**
  * Whether a caller may read, end or repeat a job. Jobs that were submitted while
- * callers were not identified belong to all organisations.
+ * callers were not identified belong to all organisations. The job state machine
+ * applies this rule, so a change needs a new version of its commands.
  */
 export function mayUseJob(owner: JobCaller, caller: JobCaller): boolean {
   if (caller === undefined || owner === "") return true;
--- a/src/policy/routes.ts
+++ b/src/policy/routes.ts
@@ -87,6 +87,22 @@
   return route.kind !== RequestKind.NON_IDEMPOTENT;
 }
 
+/**
+ * Returns a table without its document, for processes that only route by it: the
+ * document takes memory and contains keys. Hashes are copied, as they would keep the
+ * whole message in memory that the table came with.
+ */
+export function withoutDocument(table: RouteTable): RouteTable {
+  return {
+    ...table,
+    document: new Uint8Array(),
+    organisations: table.organisations.map((organisation) => ({
+      ...organisation,
+      keyHashes: organisation.keyHashes.map((hash) => new Uint8Array(hash)),
+    })),
+  };
+}
+
 /** Returns the first error of a route table; undefined if it is valid. */
 export function tryFindRouteTableError(table: RouteTable): string | undefined {
   const services = new Set(table.services.map((service) => service.name));
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -6,7 +6,9 @@
  * apart by the chains that their attempts belong to.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { mayUseJob } from "../../policy/mod.ts";
 import {
+  type EndJob,
   type FailedRun,
   FailedRunSchema,
   ItemEnd,
@@ -80,15 +82,22 @@
 /** First version of the commands that tells runs apart by their chains. */
 const CHAIN_COMMAND_VERSION = 1;
 
+/**
+ * First version that ends a job only for its organisation, and that limits the
+ * waiting tokens of each organisation instead of those of all callers.
+ */
+const ORGANISATION_COMMAND_VERSION = 2;
+
 /** Replicated state of the store group. */
 export class JobMachine extends StateMachine {
   readonly #endedJobTtlMs: number;
   readonly #jobs = new Map<string, QueuedJob>();
+  /** By the key of a route, and by the key of a route and an organisation. */
   readonly #waitingTokens = new Map<string, bigint>();
   #runners: readonly string[] = [];
   #activeVersion = 0;
   #retainedBytes = 0;
-  override readonly commandVersion = CHAIN_COMMAND_VERSION;
+  override readonly commandVersion = ORGANISATION_COMMAND_VERSION;
 
   constructor(options: JobMachineOptions = {}) {
     super();
@@ -133,9 +142,16 @@
     );
   }
 
-  /** Total tokens of a route's open items; those of ended jobs don't count. */
-  getWaitingTokens(route: string): bigint {
-    return this.#waitingTokens.get(route) ?? 0n;
+  get #separatesOrganisations(): boolean {
+    return this.#activeVersion >= ORGANISATION_COMMAND_VERSION;
+  }
+
+  /**
+   * Total tokens of a route's open items, or of those in jobs of one organisation;
+   * those of ended jobs don't count.
+   */
+  getWaitingTokens(route: string, organisation?: string): bigint {
+    return this.#waitingTokens.get(getTokensKey(route, organisation)) ?? 0n;
   }
 
   override checkCommand(command: Uint8Array): void {
@@ -144,11 +160,12 @@
 
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(JobCommandSchema, command);
-    const code = body.case === "submit"
-      ? this.#submitJob(body.value, context.timeMs)
-      : 0;
+    let code: MessageCode | 0 = 0;
+    if (body.case === "submit") {
+      code = this.#submitJob(body.value, context.timeMs);
+    }
     if (body.case === "recordRuns") this.#recordRuns(body.value);
-    if (body.case === "end") this.#endJob(body.value.id);
+    if (body.case === "end") code = this.#endJob(body.value);
     if (body.case === "setRunners") this.#setRunners(body.value);
     return toBinary(
       JobCommandReplySchema,
@@ -188,14 +205,19 @@
   }
 
   #submitJob(job: SubmitJob, timeMs: number): MessageCode | 0 {
-    if (this.#jobs.has(job.id)) return 0;
+    const known = this.#jobs.get(job.id);
+    if (known !== undefined) {
+      const isRepeat = mayUseJob(known.job.organisation, job.organisation);
+      return isRepeat ? 0 : MessageCode.UNKNOWN_JOB;
+    }
     this.#removeExpiredJobs(timeMs);
     const tokens = job.items.reduce((sum, item) => sum + item.tokens, 0n);
-    const waiting = this.getWaitingTokens(job.route) + tokens;
+    const owner = this.#separatesOrganisations ? job.organisation : undefined;
+    const waiting = this.getWaitingTokens(job.route, owner) + tokens;
     const exceedsLimit = job.waitingTokens > 0n && waiting > job.waitingTokens;
     if (exceedsLimit) return MessageCode.QUOTA_SPENT;
     this.#addJob(createQueuedJob(job, timeMs));
-    this.#waitingTokens.set(job.route, waiting);
+    this.#releaseTokens(job, -tokens);
     return 0;
   }
 
@@ -262,17 +284,26 @@
     queued.results.push({ ...result, text: new Uint8Array(result.text) });
     this.#retainedBytes += result.text.length;
     this.#dropBody(item);
-    if (!queued.isEnded) this.#releaseTokens(queued.job.route, item.tokens);
+    if (!queued.isEnded) this.#releaseTokens(queued.job, item.tokens);
   }
 
-  #endJob(id: string): void {
+  #endJob({ id, organisation }: EndJob): MessageCode | 0 {
     const queued = this.#jobs.get(id);
-    if (queued === undefined || queued.isEnded) return;
+    // An identified caller must not learn whether another organisation has the job.
+    const unknownCode = organisation === undefined
+      ? 0
+      : MessageCode.UNKNOWN_JOB;
+    if (queued === undefined) return unknownCode;
+    const isForeign = this.#separatesOrganisations &&
+      !mayUseJob(queued.job.organisation, organisation);
+    if (isForeign) return MessageCode.UNKNOWN_JOB;
+    if (queued.isEnded) return 0;
     queued.isEnded = true;
     queued.open.forEach((item) => {
-      this.#releaseTokens(queued.job.route, item.tokens);
+      this.#releaseTokens(queued.job, item.tokens);
       this.#dropBody(item);
     });
+    return 0;
   }
 
   #addJob(queued: QueuedJob): void {
@@ -290,8 +321,16 @@
     item.body = EMPTY_BYTES;
   }
 
-  #releaseTokens(route: string, tokens: bigint): void {
-    this.#waitingTokens.set(route, this.getWaitingTokens(route) - tokens);
+  #releaseTokens({ route, organisation }: SubmitJob, tokens: bigint): void {
+    const owners = organisation === undefined
+      ? [undefined]
+      : [undefined, organisation];
+    owners.forEach((owner) => {
+      const remaining = this.getWaitingTokens(route, owner) - tokens;
+      const key = getTokensKey(route, owner);
+      if (remaining === 0n) this.#waitingTokens.delete(key);
+      else this.#waitingTokens.set(key, remaining);
+    });
   }
 
   /** Ended and completed jobs whose time to live has passed. */
@@ -340,7 +379,7 @@
     );
     this.#addJob(queued);
     if (queued.isEnded) return;
-    queued.open.forEach((item) => this.#releaseTokens(job.route, -item.tokens));
+    queued.open.forEach((item) => this.#releaseTokens(job, -item.tokens));
   }
 }
 
@@ -349,6 +388,11 @@
   return create(ItemResultSchema, { id, end: ItemEnd.DEAD_LETTER });
 }
 
+/** JSON keeps names with any characters apart. */
+function getTokensKey(route: string, organisation: string | undefined): string {
+  return JSON.stringify([route, organisation]);
+}
+
 const LINE_FEED = Buffer.from("\n");
 
 /** Joins the parts of an item's progress, separated by line feeds. */
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -36,6 +36,7 @@
   streamsTakenUp: "streams_taken_up",
   limitedSends: "limited_sends",
   relayedRequests: "relayed_requests",
+  accessDecisions: "access_decisions",
   updatesNotSent: "updates_not_sent",
   unexpectedErrors: "unexpected_errors",
 } as const;
--- a/src/test/value_ranges_test.ts
+++ b/src/test/value_ranges_test.ts
@@ -411,7 +411,12 @@
       {},
     );
     if (after?.kind !== "results") expect.fail("no read of results");
-    const page = await client.readResults("j", after.after, 0);
+    const page = await client.readResults(
+      "j",
+      after.after,
+      0,
+      undefined,
+    );
     expect(page).include({ total: 4, after: 999_999_999_999_999 });
     expect(encoded).lengthOf(1);
   });
