--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -162,13 +162,22 @@
   readonly #hostNames = new Map<string, string>();
   readonly #maxStreamMs: number | undefined;
   readonly #beatMs: number;
+  readonly #gatewaySettings: Record<string, unknown>;
   readonly #peerAddresses: string[] = [];
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
   #seeds: string[] = [];
 
   /** Without `maxStreamMs`, hosts assume that streams last as long as they may. */
-  constructor(options: { maxStreamMs?: number; beatMs?: number } = {}) {
+  constructor(
+    options: {
+      maxStreamMs?: number;
+      beatMs?: number;
+      /** Settings of all gateways in addition to those that they need. */
+      gatewaySettings?: Record<string, unknown>;
+    } = {},
+  ) {
+    this.#gatewaySettings = options.gatewaySettings ?? {};
     this.#maxStreamMs = options.maxStreamMs;
     this.#beatMs = options.beatMs ?? 60_000;
   }
@@ -415,6 +424,7 @@
       peer_port: peer,
       listen: `127.0.0.1:${listen}`,
       ready_listen: `127.0.0.1:${ready}`,
+      ...this.#gatewaySettings,
     });
     const context = createProcessContext({
       name: id,
