Settings fail_closed and revoke_ms, and the age of the routes

Cause: a gateway without contact keeps removed keys in force, and a control host that is cut off from its group goes on sending outdated routes. Change: updates carry the time since the leader confirmed the state; a gateway with fail_closed refuses requests that need a key with 503 after revoke_ms. Codec tests of organisations.

--- a/src/fleet/caller_access.ts
+++ b/src/fleet/caller_access.ts
@@ -28,7 +28,7 @@
 
 /** Options of a {@linkcode CallerAccess}. */
 export interface CallerAccessOptions {
-  readonly view: Pick<RoutingView, "routes" | "getControlSilentMs">;
+  readonly view: Pick<RoutingView, "routes" | "getRoutesAgeMs">;
   readonly settings: Pick<FleetSettings, "failClosed" | "revokeMs">;
   readonly dialects: {
     readonly caller: Pick<CallerDialect, "tryReadApiKey">;
@@ -117,12 +117,12 @@
     if (routes === undefined || routes.organisations.isEmpty) {
       return { kind: "open" };
     }
-    const silentMs = view.getControlSilentMs();
+    const ageMs = view.getRoutesAgeMs();
     const decision = decideAccess({
       organisations: routes.organisations,
       key: dialects.caller.tryReadApiKey(headers),
       isPublic,
-      areKeysOutdated: areKeysOutdated(silentMs, {
+      areKeysOutdated: areKeysOutdated(ageMs, {
         failClosed: settings.failClosed ?? false,
         revokeMs: settings.revokeMs ?? 0,
       }),
@@ -136,7 +136,7 @@
     if (decision.kind === "keys outdated") {
       throw new ServingError(MessageCode.KEYS_OUTDATED, {
         verdict: Verdict.NOT_RUN,
-        parameters: { silent_ms: Math.round(silentMs) },
+        parameters: { age_ms: Math.round(ageMs) },
         retryAfterS: KEYS_OUTDATED_RETRY_AFTER_S,
       });
     }
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -39,6 +39,7 @@
   RegistrationHub,
   type RegistrationHubOptions,
 } from "./registration_hub.ts";
+import { StateAge } from "./state_age.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
 /**
@@ -94,8 +95,13 @@
       context,
       getMember: () => this.#member,
     });
+    const stateAge = new StateAge({
+      isCaughtUp: () => this.#member?.replica.isCaughtUp() === true,
+      clock: context.clock,
+    });
     this.#registrationHub = new RegistrationHub({
       getState: () => this.#getState(),
+      getStateAgeMs: () => stateAge.getMs(),
       onServerChange: () => this.#lastViewWriter?.scheduleWrite(),
       registrationIntervalMs: settings.beatMs ?? 0,
       ...options,
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -74,6 +74,8 @@
 export interface RegistrationHubOptions {
   /** Returns the newest routes and hosts that this host knows. */
   readonly getState: () => FleetState;
+  /** Returns the time since the group's leader confirmed the state. */
+  readonly getStateAgeMs?: () => number;
   /** Called when a backend server's registration is new or has changed. */
   readonly onServerChange: () => void;
   /** Interval at which backend servers register, in milliseconds. */
@@ -398,6 +400,7 @@
   }
 
   #takePendingUpdate(follower: Follower): FleetUpdate {
+    const { getStateAgeMs = () => 0 } = this.#options;
     const { routes, hosts } = this.#options.getState();
     const nowMs = this.#options.clock.getMonotonicMs();
     const hasRoutes = routes.version > follower.routesVersion;
@@ -406,6 +409,7 @@
     const update = create(FleetUpdateSchema, {
       routes: hasRoutes ? routes : undefined,
       hosts: hasHosts ? hosts : undefined,
+      stateAgeMs: Math.min(MAX_SILENT_MS, Math.round(getStateAgeMs())),
       servers,
       contacts: this.#getContacts(servers, nowMs),
       heard: [...follower.pendingHeardIds],
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -96,6 +96,10 @@
   readonly #suspensionDetector: SuspensionDetector;
   /** Whether the process may have been suspended since the last update. */
   #wasSuspended = false;
+  /** Monotonic time at which a control group confirmed the routes. */
+  #routesConfirmedMs = -Infinity;
+  /** Newest version of routes that this build can't decode. */
+  #undecodedVersion = 0n;
   #routes: RouteIndex | undefined;
   #hosts: HostList = create(HostListSchema);
 
@@ -156,6 +160,17 @@
       : this.servers.getControlSilentMs(this.#options.clock.getMonotonicMs());
   }
 
+  /**
+   * Time since the leader of the control group confirmed the routes, in
+   * milliseconds; Infinity as for `getControlSilentMs`. Control hosts that are cut off
+   * from their group don't count.
+   */
+  getRoutesAgeMs(): number {
+    return this.getControlSilentMs() === Infinity
+      ? Infinity
+      : this.#options.clock.getMonotonicMs() - this.#routesConfirmedMs;
+  }
+
   /** Calls `listener` after each change. */
   onChange(listener: () => void): void {
     this.#listeners.add(listener);
@@ -219,7 +234,9 @@
   applyUpdate(update: FleetUpdate, from: string): PromptPartSuspicion[] {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.servers.recordControlContact(nowMs);
-    this.#suspensionDetector.check();
+    if (this.#suspensionDetector.check() || this.#wasSuspended) {
+      this.#routesConfirmedMs = -Infinity;
+    }
     this.#wasSuspended = false;
     update.heard.forEach((id) => this.#recordHeartbeat(id, nowMs));
     this.#applySuspicions(update.suspicions, from, nowMs);
@@ -236,10 +253,16 @@
         this.#applyServer(server, contacts.get(server.id), from)
       ),
     ];
+    this.#recordRoutesAge(update.stateAgeMs ?? 0, nowMs);
     if (changes.includes(true)) this.#notify();
     return refutations;
   }
 
+  #recordRoutesAge(ageMs: number, nowMs: number): void {
+    if (this.routesVersion < this.#undecodedVersion) return;
+    this.#routesConfirmedMs = Math.max(this.#routesConfirmedMs, nowMs - ageMs);
+  }
+
   #recordHeartbeat(id: string, nowMs: number): void {
     this.servers.recordHeartbeat(id, nowMs);
     const known = this.servers.tryGet(id);
@@ -324,6 +347,7 @@
     try {
       return upgradeRoutes(table);
     } catch (error) {
+      this.#undecodedVersion = table.version;
       this.#options.log.warn("routes_not_decoded", {
         version: Number(table.version),
         before: Number(this.routesVersion),
--- a/src/policy/access.ts
+++ b/src/policy/access.ts
@@ -67,12 +67,12 @@
   return owner === undefined ? caller !== "" : owner === caller;
 }
 
-/** Whether keys that were last confirmed `silentMs` ago must not be used. */
+/** Whether keys that were last confirmed `ageMs` ago must not be used. */
 export function areKeysOutdated(
-  silentMs: number,
+  ageMs: number,
   { failClosed, revokeMs }: { failClosed: boolean; revokeMs: number },
 ): boolean {
-  return failClosed && silentMs > revokeMs;
+  return failClosed && ageMs > revokeMs;
 }
 
 /** Whether requests about jobs need no key, as jobs can be submitted without. */
--- a/src/test/platform_codec_test.ts
+++ b/src/test/platform_codec_test.ts
@@ -8,11 +8,16 @@
   decodeDeregistration,
   decodeRegistration,
 } from "../../platform/registration_codec.ts";
-import { decodeRouteTable } from "../../platform/routes_codec.ts";
+import {
+  decodeRouteTable,
+  upgradeRouteTable,
+} from "../../platform/routes_codec.ts";
+import { hashApiKey } from "../policy/mod.ts";
 import {
   MessageCode,
   RequestKind,
   RouteSchema,
+  RouteTableSchema,
   ServerState,
   Verdict,
 } from "../schema/mod.ts";
@@ -91,6 +96,52 @@
 }
 
 describe("platform configuration", () => {
+  it("is decoded into organisations and public routes", () => {
+    const [route, ...others] = CONFIG.Routes;
+    const table = decodeRouteTable(encode({
+      ...CONFIG,
+      Routes: [{ ...route, Public: true }, ...others],
+      Tenants: [
+        { Name: "a", ApiKeys: ["k"], Priority: 0, RatePerS: 2.5, Burst: 10 },
+        { Name: "b", ApiKeys: [], Priority: null, RatePerS: null },
+      ],
+    }));
+    expect(table.routes[0]?.public).equal(true);
+    expect(table.routes[1]?.public).equal(false);
+    const [a, b] = table.organisations;
+    expect(a).deep.include({ priority: 0, ratePerS: 2.5, burst: 10 });
+    expect(a?.keyHashes).deep.equal([hashApiKey(Buffer.from("k"))]);
+    expect(b).deep.include({ name: "b", keyHashes: [], ratePerS: 0 });
+    expect(b?.priority).equal(undefined);
+    expect(decodeRouteTable(encode(CONFIG)).organisations).deep.equal([]);
+    const { document } = decodeRouteTable(encode({
+      ...CONFIG,
+      Tenants: [{ Name: "a", ApiKeys: ["k"] }],
+    }));
+    const older = create(RouteTableSchema, { version: 7n, document });
+    expect(upgradeRouteTable(older).organisations).length(1);
+    expect(upgradeRouteTable(table)).equal(table);
+  });
+
+  it("is refused with organisations that are not valid", () => {
+    [
+      {},
+      { Name: "a", ApiKeys: "k" },
+      { Name: "a", ApiKeys: [1] },
+      { Name: "a", ApiKeys: [""] },
+      { Name: "a", RatePerS: -1 },
+      { Name: "a", Burst: "1" },
+      { Name: "a", Priority: 0.5 },
+    ].forEach((organisation) =>
+      expect(
+        getErrorCode(() =>
+          decodeRouteTable(encode({ ...CONFIG, Tenants: [organisation] }))
+        ),
+        JSON.stringify(organisation),
+      ).equal(MessageCode.BODY_MALFORMED)
+    );
+  });
+
   it("is decoded into routes, services and caller limits", () => {
     const document = encode(CONFIG);
     const table = decodeRouteTable(document);
@@ -297,6 +348,7 @@
       server: "i-1",
       remainingMs: 900,
       resumeAfter: 4,
+      organisation: "g\u00fc",
     })).deep.equal([
       "X-Deadline-Ms",
       "900",
@@ -304,9 +356,21 @@
       "i-1",
       "Last-Event-Id",
       "4",
+      "X-Tenant",
+      "g\u00c3\u00bc",
     ]);
   });
 
+  it("reads the key of a caller", () => {
+    const read = (authorization?: string) =>
+      new PlatformCallerDialect().tryReadApiKey({ authorization });
+    expect(read("Token k-1")).equal("k-1");
+    expect(read("token  k 1 ")).equal("k 1");
+    ["", "Token", "Token ", "Bearer k-1", "k-1", undefined].forEach((value) =>
+      expect(read(value), value).equal(undefined)
+    );
+  });
+
   it("takes only X-Not-Run and status 421 as proof of a request not run", () => {
     const read = (status: number, headers: Record<string, string>) =>
       backend.readResponseMetadata(status, headers);
