Name the organisation to older runners; keep routes in a module of their own

Cause: a runner of an older build sends an item's own headers, so a forged organisation or a key would reach servers during an upgrade. Evidence: createItemRequest of earlier builds passes all headers that are not reserved. Change: the gateway removes both headers from a job's items and adds the organisation that it found; 401 says which scheme is needed (RFC 9110); KnownRoutes out of RoutingView; tests of relaying to an older build and of items without an owner.

--- a/src/fleet/caller_access.ts
+++ b/src/fleet/caller_access.ts
@@ -2,16 +2,20 @@
  * Identifies the callers of a gateway by their API keys, and separates the headers
  * with the keys from those that servers get.
  */
+import { create } from "@bufbuild/protobuf";
 import {
   type AccessDecision,
   areKeysOutdated,
   decideAccess,
   getEffectivePriority,
+  getJobCaller,
 } from "../policy/mod.ts";
 import {
   type FleetSettings,
   MessageCode,
+  RequestHeaderSchema,
   type Route,
+  type SubmitJob,
   Verdict,
 } from "../schema/mod.ts";
 import { ServingError } from "../sys/errors.ts";
@@ -34,7 +38,7 @@
     readonly caller: Pick<CallerDialect, "tryReadApiKey">;
     readonly backend: Pick<
       BackendDialect,
-      "identityHeaders" | "reservedHeaders"
+      "identityHeaders" | "reservedHeaders" | "createOrganisationHeaders"
     >;
   };
   /** Lower-case names of further headers that servers don't get. */
@@ -111,6 +115,35 @@
     };
   }
 
+  /**
+   * Makes a submitted job the admitted caller's. Its items keep no identity of their
+   * own, and name the organisation by a header too, for runners of older builds.
+   */
+  assignJob(job: SubmitJob, route: Route, decision: AccessDecision): void {
+    const { backend } = this.#options.dialects;
+    job.organisation = getJobCaller(decision);
+    const organisation = decision.kind === "served"
+      ? decision.organisation
+      : undefined;
+    const priority = getEffectivePriority(route, organisation);
+    const [name, value] = organisation === undefined
+      ? []
+      : backend.createOrganisationHeaders(organisation.name);
+    const ownHeaders = name === undefined || value === undefined
+      ? []
+      : [create(RequestHeaderSchema, { name, value })];
+    job.items.forEach((item) => {
+      item.priority = priority;
+      if (decision.kind === "open") return;
+      item.headers = [
+        ...item.headers.filter((header) =>
+          !backend.identityHeaders.has(header.name.toLowerCase())
+        ),
+        ...ownHeaders,
+      ];
+    });
+  }
+
   #admit(headers: IncomingHttpHeaders, isPublic: boolean): AccessDecision {
     const { view, settings, dialects, metrics } = this.#options;
     const { routes } = view;
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -152,6 +152,12 @@
    */
   abstract readonly identityHeaders: ReadonlySet<string>;
 
+  /**
+   * Creates the headers that tell a backend server the organisation of a caller, as
+   * alternating names and values.
+   */
+  abstract createOrganisationHeaders(organisation: string): string[];
+
   /** Creates headers for a backend server, as alternating names and values. */
   abstract createHeaders(metadata: BackendRequestMetadata): string[];
 
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -4,7 +4,6 @@
  */
 import {
   type AccessDecision,
-  getEffectivePriority,
   getJobCaller,
   type JobCaller,
   selectTarget,
@@ -484,14 +483,7 @@
     decision: AccessDecision,
   ): Promise<LocalResponse> {
     const job = this.#dialect.decodeJob(body, req.headers, route);
-    job.organisation = getJobCaller(decision);
-    const priority = getEffectivePriority(
-      route,
-      decision.kind === "served" ? decision.organisation : undefined,
-    );
-    job.items.forEach((item) => {
-      item.priority = priority;
-    });
+    this.#access.assignJob(job, route, decision);
     await this.#jobs.submit(job);
     this.#context.log.info("job_accepted", {
       job: job.id,
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -13,7 +13,7 @@
   Suspicions,
   tryFindRegistrationError,
 } from "../membership/mod.ts";
-import { RouteIndex, withoutDocument } from "../policy/mod.ts";
+import type { RouteIndex } from "../policy/mod.ts";
 import {
   type FleetUpdate,
   type HostList,
@@ -21,7 +21,6 @@
   HostRole,
   type PromptPartSuspicion,
   type Registration,
-  type RouteTable,
   type ServerContact,
   type ServerLimit,
   ServerState,
@@ -29,19 +28,16 @@
 } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import type { Log } from "../sys/log.ts";
-import { getReason } from "../sys/errors.ts";
 import { SuspensionDetector } from "../sys/suspension_detector.ts";
 import { getReplicaAddress } from "./host_identity.ts";
+import { KnownRoutes, type KnownRoutesOptions } from "./known_routes.ts";
 
 /** Options of a {@linkcode RoutingView}. */
 export interface RoutingViewOptions {
   /** Interval at which backend servers register, in milliseconds. */
   readonly registrationIntervalMs: number;
-  /**
-   * Decodes a route table of an older build again, which lacks what that build did
-   * not know. Throws if the table can't be used.
-   */
-  readonly upgradeRoutes?: (table: RouteTable) => RouteTable;
+  /** See {@linkcode KnownRoutes}. */
+  readonly upgradeRoutes?: KnownRoutesOptions["upgradeRoutes"];
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -96,15 +92,12 @@
   readonly #suspensionDetector: SuspensionDetector;
   /** Whether the process may have been suspended since the last update. */
   #wasSuspended = false;
-  /** Monotonic time at which a control group confirmed the routes. */
-  #routesConfirmedMs = -Infinity;
-  /** Newest version of routes that this build can't decode. */
-  #undecodedVersion = 0n;
-  #routes: RouteIndex | undefined;
+  readonly #routes: KnownRoutes;
   #hosts: HostList = create(HostListSchema);
 
   constructor(options: RoutingViewOptions) {
     this.#options = options;
+    this.#routes = new KnownRoutes(options);
     this.#suspensionDetector = new SuspensionDetector(options.clock);
     this.servers = new ServerRegistry({
       heartbeatMs: options.registrationIntervalMs,
@@ -121,11 +114,11 @@
 
   /** The current routes; undefined until the first ones have been received. */
   get routes(): RouteIndex | undefined {
-    return this.#routes;
+    return this.#routes.index;
   }
 
   get routesVersion(): bigint {
-    return this.#routes?.table.version ?? 0n;
+    return this.#routes.version;
   }
 
   get hosts(): HostList {
@@ -168,7 +161,7 @@
   getRoutesAgeMs(): number {
     return this.getControlSilentMs() === Infinity
       ? Infinity
-      : this.#options.clock.getMonotonicMs() - this.#routesConfirmedMs;
+      : this.#routes.getAgeMs();
   }
 
   /** Calls `listener` after each change. */
@@ -235,7 +228,7 @@
     const nowMs = this.#options.clock.getMonotonicMs();
     this.servers.recordControlContact(nowMs);
     if (this.#suspensionDetector.check() || this.#wasSuspended) {
-      this.#routesConfirmedMs = -Infinity;
+      this.#routes.forgetConfirmation();
     }
     this.#wasSuspended = false;
     update.heard.forEach((id) => this.#recordHeartbeat(id, nowMs));
@@ -247,22 +240,17 @@
       update.contacts.map((contact) => [contact.id, contact] as const),
     );
     const changes = [
-      this.#applyRoutes(update, from),
+      this.#routes.apply(update.routes, from),
       this.#applyHosts(update),
       ...update.servers.map((server) =>
         this.#applyServer(server, contacts.get(server.id), from)
       ),
     ];
-    this.#recordRoutesAge(update.stateAgeMs ?? 0, nowMs);
+    this.#routes.recordConfirmation(update.stateAgeMs ?? 0);
     if (changes.includes(true)) this.#notify();
     return refutations;
   }
 
-  #recordRoutesAge(ageMs: number, nowMs: number): void {
-    if (this.routesVersion < this.#undecodedVersion) return;
-    this.#routesConfirmedMs = Math.max(this.#routesConfirmedMs, nowMs - ageMs);
-  }
-
   #recordHeartbeat(id: string, nowMs: number): void {
     this.servers.recordHeartbeat(id, nowMs);
     const known = this.servers.tryGet(id);
@@ -317,48 +305,6 @@
     this.#listeners.forEach((listener) => listener());
   }
 
-  #applyRoutes(update: FleetUpdate, from: string): boolean {
-    const { routes: received } = update;
-    if (received === undefined || received.version <= this.routesVersion) {
-      return false;
-    }
-    const routes = this.#tryUpgradeRoutes(received, from);
-    if (routes === undefined) return false;
-    this.#options.log.info("routes_in_force", {
-      version: Number(routes.version),
-      before: Number(this.routesVersion),
-      routes: routes.routes.length,
-      organisations: routes.organisations.length,
-      decoder: received.decoderVersion,
-      from,
-    });
-    this.#routes = new RouteIndex(withoutDocument(routes));
-    return true;
-  }
-
-  /**
-   * Returns the table as this build decodes it; undefined if it can't. The routes in
-   * force stay then: the table of the older build may lack the organisations, and
-   * would admit all callers.
-   */
-  #tryUpgradeRoutes(table: RouteTable, from: string): RouteTable | undefined {
-    const { upgradeRoutes = (unchanged: RouteTable) => unchanged } =
-      this.#options;
-    try {
-      return upgradeRoutes(table);
-    } catch (error) {
-      this.#undecodedVersion = table.version;
-      this.#options.log.warn("routes_not_decoded", {
-        version: Number(table.version),
-        before: Number(this.routesVersion),
-        decoder: table.decoderVersion,
-        reason: getReason(error),
-        from,
-      });
-      return undefined;
-    }
-  }
-
   #applyHosts(update: FleetUpdate): boolean {
     const { hosts } = update;
     if (hosts === undefined || hosts.version <= this.#hosts.version) {
--- a/src/test/organisation_fleet_test.ts
+++ b/src/test/organisation_fleet_test.ts
@@ -136,6 +136,7 @@
       for (const target of ["/p/x", "/n/x", "/l/x", "/b/", "/none/"]) {
         const refused = await send("unknown", target, headers);
         expect(refused.status, target).equal(401);
+        expect(refused.headers["www-authenticate"]).equal("Token");
       }
       for (const target of ["/-/lots/off-job", "/-/items/off-job?Id=x"]) {
         expect((await sendAboutJob("GET", target, headers)).status).equal(401);
@@ -243,6 +244,34 @@
     fleet.cutOffGateways.delete(0);
   });
 
+  // Guards against a gateway of an older build, which would send the key to a server:
+  // it knows the first of the two headers only.
+  it("are not passed on to builds that don't identify callers", async () => {
+    const sendRelayed = (id: string, headers: Record<string, string>) =>
+      sendHttpRequest(fleet.getPeerAddress(1), "POST", "/p/x", {
+        headers: {
+          "Host": "a.example",
+          "X-Request-Id": id,
+          "papayatally-routes-version": String(Number.MAX_SAFE_INTEGER),
+          ...withKey("blue-key-2"),
+          ...headers,
+        },
+        body: "b",
+      });
+    const older = await sendRelayed("to-older", {});
+    expect(older.status).equal(503);
+    expect(older.headers["papayatally-not-relayed"]).match(/older/);
+    const newer = await sendRelayed("to-newer", {
+      "papayatally-identified-routes-version": String(version),
+    });
+    expect(newer.status).equal(200);
+    expect(getIdentity("to-newer"))
+      .deep.equal([{ organisation: "blue", authorization: undefined }]);
+    expect(
+      fleet.getReceivedRequests("to-newer")[0]?.headers,
+    ).not.include.keys("papayatally-identified-routes-version");
+  });
+
   // Guards against an older control host, whose table would admit all callers.
   it("are decoded again from a table of an older decoder", async () => {
     version += 1;
--- a/src/test/organisation_jobs_test.ts
+++ b/src/test/organisation_jobs_test.ts
@@ -2,10 +2,13 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { expect } from "chai";
+import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
+import { createItemRequest } from "../fleet/item_attempt.ts";
 import { JobAdmission } from "../fleet/job_admission.ts";
 import {
   JobCommandReplySchema,
   JobCommandSchema,
+  JobItemSchema,
   MessageCode,
 } from "../schema/mod.ts";
 import { JobMachine } from "../state/mod.ts";
@@ -115,6 +118,40 @@
     expect(apply(restored, createSubmit("a2", "a", 11))).equal(QUOTA_SPENT);
   });
 
+  // Guards against items of a job from before the configuration had organisations,
+  // or from an older gateway, that name one by themselves.
+  it("have items that can't set their organisation", () => {
+    const item = create(JobItemSchema, {
+      id: "i",
+      path: "/b/x",
+      headers: [
+        { name: "x-tenant", value: "forged" },
+        { name: "Authorization", value: "Token k" },
+        { name: "X-Model", value: "m" },
+      ],
+    });
+    const read = (owner: string | undefined, areCallersIdentified: boolean) => {
+      const identity = { owner, areCallersIdentified, priority: 1 };
+      const { headers, organisation } = createItemRequest(
+        "h",
+        item,
+        new PlatformBackendDialect(),
+        identity,
+      );
+      return { isForged: headers.includes("forged"), organisation };
+    };
+    expect(read(undefined, false))
+      .deep.equal({ isForged: true, organisation: undefined });
+    [true, false].forEach((isIdentified) => {
+      expect(read("a", isIdentified))
+        .deep.equal({ isForged: false, organisation: "a" });
+      expect(read("", isIdentified))
+        .deep.equal({ isForged: false, organisation: undefined });
+    });
+    expect(read(undefined, true))
+      .deep.equal({ isForged: false, organisation: undefined });
+  });
+
   // Guards against the commands that older members would apply.
   it("are kept from others by the leader before it proposes", async () => {
     const machine = createMachine(1);
