Select servers by expected time where they state their slowdown

Cause: a gateway chose servers by their number of requests only, so it sent requests to servers slowed down by other work on their machine, and those queued there. Change: the fourth figure of X-Server-Load is read and travels with the load reports (two optional fields); steady speeds are learned from response times. Where figures were seen within 10 s, the better of two random servers by expected time is selected, a slow one only after a wait, and short queues at servers of usual speed are joined at once. Elsewhere nothing changes.

--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -11,6 +11,8 @@
   HttpSendError,
   sendHttp,
 } from "../sys/http.ts";
+import type { Clock } from "../sys/clock.ts";
+import { ResponseTimer, type ResponseTimes } from "./response_timer.ts";
 import type { BackendDialect } from "./dialects.ts";
 import type { PoolServer, ServerPermit } from "./server_pool.ts";
 import type { ServerReachability } from "./server_reachability.ts";
@@ -88,6 +90,9 @@
   readonly #onUnreachable: (server: string) => void;
   readonly #onNotConnected: (server: string) => void;
   readonly #onActivity: (server: string) => void;
+  readonly #onSlowdown: (server: string, slowdown: number) => void;
+  readonly #onTimes: (permit: ServerPermit, times: ResponseTimes) => void;
+  readonly #clock: Pick<Clock, "getMonotonicMs"> | undefined;
   readonly #reachability: BackendClientReachability | undefined;
   readonly #isPartitioned: (address: string) => boolean;
 
@@ -103,6 +108,12 @@
     /** Called in addition if no connection could be made. */
     onNotConnected?: (server: string) => void;
     onActivity: (server: string) => void;
+    /** Called with the slowdown that a server states; 1 is usual. */
+    onSlowdown?: (server: string, slowdown: number) => void;
+    /** Called with the times of each response that was read to its end. */
+    onTimes?: (permit: ServerPermit, times: ResponseTimes) => void;
+    /** Measures the times; without it, none are. */
+    clock?: Pick<Clock, "getMonotonicMs">;
     reachability?: BackendClientReachability;
     /** Whether nothing reaches an address; simulates a network partition. */
     isPartitioned?: (address: string) => boolean;
@@ -116,6 +127,9 @@
     this.#onUnreachable = options.onUnreachable;
     this.#onNotConnected = options.onNotConnected ?? (() => {});
     this.#onActivity = options.onActivity;
+    this.#onSlowdown = options.onSlowdown ?? (() => {});
+    this.#onTimes = options.onTimes ?? (() => {});
+    this.#clock = options.clock;
     this.#reachability = options.reachability;
     this.#isPartitioned = options.isPartitioned ?? (() => false);
   }
@@ -198,6 +212,9 @@
       };
     }
     if (meta.load !== undefined) this.#onLoad(permit.server.id, meta.load);
+    if (meta.slowdown !== undefined && !meta.isWrongServer) {
+      this.#onSlowdown(permit.server.id, meta.slowdown);
+    }
     if (meta.isWrongServer) this.#onWrongServer(permit.server.id);
     if (meta.isUnprovenSuccess) {
       response.body.destroy();
@@ -214,7 +231,14 @@
       };
     }
     if (!meta.isNotRun) {
-      const chunks = readChunks(response.body, () => this.#onActivity(id));
+      const timer = this.#createTimer(response.status, meta.slowdown, options);
+      const chunks = readChunks(response.body, {
+        onChunk: () => {
+          this.#onActivity(id);
+          timer?.recordChunk();
+        },
+        onEnd: () => timer?.recordEnd(),
+      });
       return { kind: "response", response: { ...response, chunks } };
     }
     discardBody(response.body);
@@ -225,6 +249,29 @@
     };
   }
 
+  /** Times responses that show how fast the server works. */
+  #createTimer(
+    status: number,
+    slowdown: number | undefined,
+    { permit }: AttemptOptions,
+  ): ResponseTimer | undefined {
+    const { server, startedMs } = permit;
+    const isUsual = status >= 200 && status < 300;
+    // A request that waited in the server's queue tells nothing of its speed, and
+    // without figures from the server nothing is decided by speed.
+    const hasQueued = server.busy >= server.slots;
+    if (this.#clock === undefined || !isUsual || hasQueued) return undefined;
+    if (slowdown === undefined && server.slowdown === undefined) {
+      return undefined;
+    }
+    return new ResponseTimer({
+      startedMs,
+      slowdown: slowdown ?? 1,
+      clock: this.#clock,
+      onTimes: (times) => this.#onTimes(permit, times),
+    });
+  }
+
   #classifyError(error: unknown, options: AttemptOptions): AttemptResult {
     if (options.signal.aborted) return { kind: "aborted" };
     const reason = getReason(error);
@@ -249,12 +296,13 @@
 
 async function* readChunks(
   body: HttpResponse["body"],
-  onChunk: () => void,
+  { onChunk, onEnd }: { onChunk: () => void; onEnd: () => void },
 ): AsyncIterable<Buffer> {
   for await (const chunk of body) {
     onChunk();
     yield chunk;
   }
+  onEnd();
 }
 
 function readRetryAfter(value: string | undefined): number | undefined {
--- a/src/fleet/dialects.ts
+++ b/src/fleet/dialects.ts
@@ -122,6 +122,11 @@
   readonly requestId: string;
   /** Requests running and queued there; undefined if the server sent none. */
   readonly load: number | undefined;
+  /**
+   * How long work takes there at this moment, as a factor (1 is usual); undefined
+   * if the server sent no usable figure.
+   */
+  readonly slowdown: number | undefined;
 }
 
 /** Encodes metadata for backend servers and decodes theirs. */
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -76,6 +76,12 @@
 /** Interval between reports with the same content, in milliseconds. */
 const UNCHANGED_REPORT_INTERVAL_MS = 300;
 
+/**
+ * Time between two equal slowdowns of a server that count as one figure, in
+ * milliseconds. The first would expire ten such intervals after it was stated.
+ */
+const MIN_FIGURE_INTERVAL_MS = 50;
+
 /**
  * Maximum average number of servers in a datagram. Each server takes about 25
  * bytes. Servers are distributed unevenly over the parts; the limit leaves room
@@ -210,12 +216,7 @@
       this.#options;
     const nowMs = clock.getMonotonicMs();
     this.#lastReportMs = nowMs;
-    const own = isCutOff() ? [] : [...loads.getAllOwn()];
-    const ownLoads = own.map(([server, count]) => ({
-      $typeName: "papayatally.v1.ServerLoad" as const,
-      server,
-      ...count,
-    }));
+    const ownLoads = isCutOff() ? [] : loads.getOwnLoads(nowMs);
     this.#partCount = countParts(ownLoads.length);
     const mergers = getMergers();
     this.#selectedMerger = isMerger
@@ -275,7 +276,8 @@
     nowMs: number,
   ): void {
     const rows = body.loads.map((load) =>
-      `${load.server}:${load.online}:${load.batch}`
+      `${load.server}:${load.online}:${load.batch}` +
+      describeSlowdown(load, nowMs)
     );
     const acceptsRelayed = this.#options.acceptsRelayed();
     const text = [body.wantsAnswer, acceptsRelayed, ...rows].join();
@@ -306,6 +308,16 @@
   }
 }
 
+/** Changes with each new figure, but not with the age of one. */
+function describeSlowdown(
+  { slowdownPercent, slowdownAgeMs = 0 }: ServerLoad,
+  nowMs: number,
+): string {
+  if (slowdownPercent === undefined) return "";
+  const interval = Math.round((nowMs - slowdownAgeMs) / MIN_FIGURE_INTERVAL_MS);
+  return `:${slowdownPercent}@${interval}`;
+}
+
 function countParts(servers: number): number {
   return Math.max(1, Math.ceil(servers / TARGET_SERVERS_PER_PART));
 }
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -6,8 +6,11 @@
 import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   decideAdmission,
+  getHoldMs,
   getLimitedWaitMs,
+  getServiceFactor,
   isRetryable,
+  isWithheld,
   jitterRetryAfter,
 } from "../policy/mod.ts";
 import {
@@ -481,7 +484,13 @@
         targetMs: this.#req.route.latencyTargetMs,
         waitedMs: clock.getMonotonicMs() - startMs,
       });
-      const permit = await pool.acquire(this.#createPermitRequest(), maxWaitMs);
+      const permit = await pool.acquire(
+        {
+          ...this.#createPermitRequest(),
+          waitedMs: clock.getMonotonicMs() - startMs,
+        },
+        maxWaitMs,
+      );
       const waitedMs = clock.getMonotonicMs() - startMs;
       if (permit !== undefined) {
         if (this.#requestAbort.signal.aborted) {
@@ -515,15 +524,17 @@
     const decision = decideAdmission({
       busy: leastBusy.busy - leastBusy.batch,
       slots: leastBusy.slots,
-      serviceMs: serviceTimes.getMeanMs(service),
+      serviceMs: serviceTimes.getMeanMs(service) * getServiceFactor(leastBusy),
       targetMs: route.latencyTargetMs,
       waitedMs,
+      isWithheld: isWithheld(leastBusy),
+      firstMs: pool.tryGetFirstMs(service, leastBusy),
     });
     switch (decision.kind) {
       case "send":
         return pool.tryAcquireQueued(this.#createPermitRequest());
       case "wait":
-        await pool.waitForChange(decision.ms);
+        await pool.waitForChange(getHoldMs(decision.ms, leastBusy));
         return undefined;
       case "refuse":
         // A stream that has begun can only go on at servers of its version, and
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -3,8 +3,14 @@
  * acquires a permit before it is sent to a server, and releases it when it has
  * ended.
  */
-import { LoadKind, LoadTracker, SilenceDetector } from "../membership/mod.ts";
 import {
+  LoadKind,
+  LoadTracker,
+  SilenceDetector,
+  TimeKind,
+} from "../membership/mod.ts";
+import {
+  getServiceFactor,
   type ServerCandidate,
   tryGetLeastLoaded,
   trySelectServer,
@@ -14,6 +20,7 @@
 import type { Log } from "../sys/log.ts";
 import type { Random } from "../sys/random.ts";
 import type { RateLimitClient } from "./rate_limit_client.ts";
+import type { ResponseTimes } from "./response_timer.ts";
 import type { RoutingView } from "./routing_view.ts";
 
 /** A backend server and its current load. */
@@ -35,6 +42,13 @@
   readonly excluded: ReadonlySet<string>;
   /** Slots of each server that this request must leave free; 0 by default. */
   readonly reserve?: number;
+  /** Time for which an online request has waited, in milliseconds; 0 by default. */
+  readonly waitedMs?: number;
+  /**
+   * Set for an item: time until it is due, relative to the time that it still needs
+   * on a server of usual speed.
+   */
+  readonly slack?: number;
   /** Ids of the servers to select from; all servers of the service by default. */
   readonly allowed?: ReadonlySet<string>;
   /** Software version that the server must have; any by default. */
@@ -48,6 +62,9 @@
   readonly server: PoolServer;
   /** Monotonic time at which it was acquired, in milliseconds. */
   readonly startedMs: number;
+  /** Service and kind of the request; absent if its times aren't compared. */
+  readonly service?: string;
+  readonly kind?: LoadKind;
   /** Releases the permit. Further calls have no effect. */
   release(): void;
 }
@@ -140,8 +157,16 @@
     const responsive = usable.filter((server) =>
       !this.#silenceDetector.isSuspect(server.id, nowMs)
     );
-    return (responsive.length > 0 ? responsive : usable)
-      .map((server) => this.#createPoolServer(server, nowMs));
+    const servers = responsive.length > 0 ? responsive : usable;
+    const { speeds } = this.loads;
+    if (!speeds.haveFigures(servers, nowMs)) {
+      return servers.map((server) => this.#createPoolServer(server, nowMs));
+    }
+    return servers.map((server) => ({
+      ...this.#createPoolServer(server, nowMs),
+      slowdown: speeds.getSlowdown(server.id, nowMs),
+      speed: speeds.getSpeed(server.id, server.bornMs),
+    }));
   }
 
   /**
@@ -268,6 +293,43 @@
     this.loads.recordServerTotal(server, total, nowMs);
   }
 
+  /** Records the slowdown that a server stated for itself. */
+  recordSlowdown(server: string, slowdown: number): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.loads.speeds.recordSlowdown(server, slowdown, nowMs);
+  }
+
+  /** Learns the speed of a server from the times of a response. */
+  recordTimes(
+    { server, service, kind }: ServerPermit,
+    { firstMs, eventMs, slowdown }: ResponseTimes,
+  ): void {
+    if (service === undefined) return;
+    const { speeds } = this.loads;
+    const isOnline = kind === LoadKind.online;
+    const { id, bornMs } = server;
+    // Items have longer prompts than online requests of the service, and how long
+    // their first event takes depends on where they continue.
+    const group = isOnline ? service : `${service}/${LoadKind.batch}`;
+    const sample = { server: id, bornMs, service: group, slowdown };
+    if (isOnline) {
+      speeds.recordTime({ ...sample, kind: TimeKind.first, ms: firstMs });
+    }
+    if (eventMs !== undefined) {
+      speeds.recordTime({ ...sample, kind: TimeKind.event, ms: eventMs });
+    }
+  }
+
+  /**
+   * Expected time from the start of a request at a server to its first event, in
+   * milliseconds; undefined where the speeds of servers are unknown.
+   */
+  tryGetFirstMs(service: string, server: PoolServer): number | undefined {
+    if (server.slowdown === undefined) return undefined;
+    return this.loads.speeds.getUsualMs(service, TimeKind.first) *
+      getServiceFactor(server);
+  }
+
   #getCandidates(req: PermitRequest): PoolServer[] {
     return this.getServers(req.service, req.softwareVersion).filter((server) =>
       !req.excluded.has(server.id) && req.allowed?.has(server.id) !== false
@@ -282,10 +344,17 @@
       dataCentre: this.#options.dataCentre,
       prefix: req.prefix,
       reserve: req.reserve,
+      waited: this.#getRelativeWait(req),
+      slack: req.slack,
       getFraction: () => this.#options.random.getFraction(),
     });
   }
 
+  #getRelativeWait({ service, waitedMs }: PermitRequest): number {
+    if (waitedMs === undefined) return 0;
+    return waitedMs / this.loads.speeds.getUsualMs(service, TimeKind.first);
+  }
+
   #hasPermission(server: PoolServer): boolean {
     return server.isLimited &&
       this.#options.rateLimits?.hasPrefetched(server) === true;
@@ -342,7 +411,7 @@
 
   #createPermit(
     server: PoolServer,
-    { kind, onSilent }: PermitRequest,
+    { service, kind, onSilent }: PermitRequest,
   ): ServerPermit {
     const startedMs = this.#options.clock.getMonotonicMs();
     const watchedRequest = { server: server.id, onSilent };
@@ -353,6 +422,8 @@
     return {
       server,
       startedMs,
+      service,
+      kind,
       release: () => {
         if (!isHeld) return;
         isHeld = false;
--- a/src/membership/load_tracker.ts
+++ b/src/membership/load_tracker.ts
@@ -9,6 +9,7 @@
  */
 import type { LoadReport, ServerLoad } from "../schema/mod.ts";
 import { MAX_UINT32 } from "./ages.ts";
+import { ServerSpeeds } from "./server_speed.ts";
 
 /** Whether a request is an online request or belongs to a batch job. */
 export const LoadKind = { online: "online", batch: "batch" } as const;
@@ -60,6 +61,8 @@
 
 /** Tracks the load of all servers for one process. */
 export class LoadTracker {
+  /** Speeds of the servers; their slowdowns travel with the load reports. */
+  readonly speeds = new ServerSpeeds();
   readonly #own = new Map<string, LoadCount>();
   readonly #reports = new Map<string, StoredReport>();
   readonly #observations = new Map<string, ServerObservation>();
@@ -81,11 +84,6 @@
     return this.#own.get(server) ?? NO_LOAD;
   }
 
-  /** Own counts of every server where this process has requests. */
-  getAllOwn(): ReadonlyMap<string, LoadCount> {
-    return this.#own;
-  }
-
   /**
    * Stores one part of a report; false if it is not newer than the stored part
    * of the same sender. Merged reports have the same content whichever process
@@ -101,6 +99,7 @@
     if (isOld) return false;
     this.#removeStaleParts(source, Math.max(1, report.parts));
     this.#sums = undefined;
+    this.speeds.acceptReported(report.loads, nowMs);
     this.#reports.set(key, {
       source,
       sender: report.sender,
@@ -149,6 +148,18 @@
     return this.getOwn(server).batch + this.getOthers(server, nowMs).batch;
   }
 
+  /** Own counts, and slowdowns that servers stated here, for a report. */
+  getOwnLoads(nowMs: number): ServerLoad[] {
+    const slowdowns = this.speeds.getReportable(nowMs, false);
+    return [...new Set([...this.#own.keys(), ...slowdowns.keys()])]
+      .map((server) => ({
+        $typeName: "papayatally.v1.ServerLoad" as const,
+        server,
+        ...this.getOwn(server),
+        ...slowdowns.get(server),
+      }));
+  }
+
   /**
    * Counts of every server that has requests, minus those that
    * `excludedSource` reported: the answer to that process.
@@ -159,7 +170,13 @@
     this.#getValidParts(excludedSource, nowMs).forEach((report) =>
       addCounts(excludedCounts, report.counts)
     );
-    return [...new Set([...this.#own.keys(), ...sums.keys()])].map((server) => {
+    const slowdowns = this.speeds.getReportable(nowMs, true);
+    const servers = new Set([
+      ...this.#own.keys(),
+      ...sums.keys(),
+      ...slowdowns.keys(),
+    ]);
+    return [...servers].map((server) => {
       const own = this.getOwn(server);
       const others = sums.get(server) ?? NO_LOAD;
       const excluded = excludedCounts.get(server) ?? NO_LOAD;
@@ -168,8 +185,11 @@
         server,
         online: clampCount(own.online + others.online - excluded.online),
         batch: clampCount(own.batch + others.batch - excluded.batch),
+        ...slowdowns.get(server),
       };
-    }).filter((load) => load.online + load.batch > 0);
+    }).filter((load) =>
+      load.online + load.batch > 0 || slowdowns.has(load.server)
+    );
   }
 
   /** Parts of one source's report that have not expired. */
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -15,6 +15,7 @@
 export * from "./server_limits.ts";
 export * from "./load_tracker.ts";
 export * from "./merger_selector.ts";
+export * from "./server_speed.ts";
 export * from "./silence_detector.ts";
 export * from "./software_versions.ts";
 export * from "./stream_origins.ts";
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -17,6 +17,16 @@
   readonly targetMs: number;
   /** Time for which the request has been held already, in milliseconds. */
   readonly waitedMs: number;
+  /**
+   * Whether the server has a free slot but is slow at this moment, so that the
+   * request waits for another one.
+   */
+  readonly isWithheld?: boolean;
+  /**
+   * Expected time from the start of the service to the first event at the server,
+   * in milliseconds; undefined where the speeds of servers are unknown.
+   */
+  readonly firstMs?: number;
 }
 
 /** Outcome of an admission decision. */
@@ -52,6 +62,13 @@
   return ahead * input.serviceMs / Math.max(1, input.slots);
 }
 
+/**
+ * Predicted wait in a server's queue up to which a request is not held where the
+ * speeds of servers are known, in milliseconds: the interval of load reports. A slot
+ * that becomes free within it is not known here in time.
+ */
+const MAX_UNHELD_QUEUE_MS = 80;
+
 /**
  * Fraction of the latency objective for which a request may wait for a server with
  * a limit. The wait is certain, unlike that for a free slot.
@@ -68,14 +85,26 @@
   return Math.max(0, targetMs * MAX_LIMITED_WAIT_FRACTION - waitedMs);
 }
 
+/**
+ * Longest predicted wait in a server's queue with which a request is still sent, in
+ * milliseconds.
+ */
+function getMaxQueueMs({ targetMs, waitedMs, firstMs }: AdmissionInput) {
+  return firstMs === undefined
+    ? targetMs * MAX_QUEUE_FRACTION
+    : targetMs - waitedMs - firstMs;
+}
+
 /** Decides on a request that finds all slots occupied. */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const queueMs = predictQueueMs(input);
   const holdMs = input.targetMs * MAX_HOLD_FRACTION;
   const remainingMs = holdMs - input.waitedMs;
+  const mustWait = input.isWithheld === true ||
+    queueMs > (input.firstMs === undefined ? 0 : MAX_UNHELD_QUEUE_MS);
   // A request held here can take the first slot that becomes free anywhere.
-  if (remainingMs > 0 && queueMs > 0) return { kind: "wait", ms: remainingMs };
-  if (queueMs <= input.targetMs * MAX_QUEUE_FRACTION) return { kind: "send" };
+  if (remainingMs > 0 && mustWait) return { kind: "wait", ms: remainingMs };
+  if (queueMs <= getMaxQueueMs(input)) return { kind: "send" };
   return { kind: "refuse", retryAfterMs: queueMs };
 }
 
--- a/src/policy/server_selection.ts
+++ b/src/policy/server_selection.ts
@@ -3,8 +3,17 @@
  * and runners. Engines admit requests in order of arrival without priorities,
  * so a request goes to a free slot or waits in this process rather than in the
  * engine.
+ *
+ * Where servers state how long work takes on them at this moment, the expected time
+ * decides (expected_time.ts); elsewhere the number of requests does.
  */
 import { getPlacementHash } from "../sys/random.ts";
+import {
+  getExpectedCost,
+  selectBySlowness,
+  selectOfTwo,
+  selectWorthwhileServers,
+} from "./expected_time.ts";
 
 /** A backend server and its load. */
 export interface ServerCandidate {
@@ -16,6 +25,13 @@
   readonly busy: number;
   /** Batch requests among them, which online requests can preempt. */
   readonly batch: number;
+  /**
+   * Factor by which work takes longer there at this moment (1 is usual); undefined
+   * for all servers of a service whose servers have stated none lately.
+   */
+  readonly slowdown?: number;
+  /** Steady speed (1 is usual); known where `slowdown` is. */
+  readonly speed?: number;
 }
 
 /** Options of a server selection. */
@@ -25,6 +41,16 @@
   readonly prefix: readonly string[];
   /** Slots of each server that this kind of request must leave free. */
   readonly reserve?: number;
+  /**
+   * Time for which the request has waited, relative to the usual time that it
+   * occupies a slot; 0 by default. Decides when a slow server is worthwhile.
+   */
+  readonly waited?: number;
+  /**
+   * Set for an item of a job: time until it is due, relative to the time that it
+   * still needs on a server of usual speed.
+   */
+  readonly slack?: number;
   /** Returns random numbers from 0 to 1, which break ties. */
   readonly getFraction: () => number;
 }
@@ -36,17 +62,26 @@
  */
 const AFFINITY_MAX_LOAD = 0.75;
 
+/**
+ * Expected time at the server that most likely caches the prompt, relative to that
+ * at another server, up to which it is preferred. A shared prompt takes up to half of
+ * the time to the first event.
+ */
+const AFFINITY_MAX_COST = 1.5;
+
 /** Returns the best server with a free slot; undefined if there is none. */
 export function trySelectServer<S extends ServerCandidate>(
   servers: readonly S[],
   options: ServerSelectionOptions,
 ): S | undefined {
   const reserve = options.reserve ?? 0;
-  const free = servers.filter((server) => server.busy + reserve < server.slots);
+  const all = servers.filter((server) => server.busy + reserve < server.slots);
+  const free = hasSpeeds(all) ? selectWorthwhile(all, options) : all;
   const local = free.filter((server) =>
     server.dataCentre === options.dataCentre
   );
   const pool = local.length > 0 ? local : free;
+  if (hasSpeeds(pool)) return trySelectByExpectedTime(pool, options);
   return tryFindAffinityServer(pool, options) ??
     tryGetLowestLoad(pool, (server) => server.busy, options);
 }
@@ -60,6 +95,14 @@
   servers: readonly S[],
   options: ServerSelectionOptions,
 ): S | undefined {
+  if (hasSpeeds(servers)) {
+    return tryGetMaxBy(
+      servers,
+      (server) =>
+        -getExpectedCost(server, server.busy - server.batch) -
+        options.getFraction() * 1e-3,
+    );
+  }
   return tryGetLowestLoad(
     servers,
     (server) => server.busy - server.batch,
@@ -67,6 +110,34 @@
   );
 }
 
+/** Whether servers of this service have stated their slowdown lately. */
+function hasSpeeds(servers: readonly ServerCandidate[]): boolean {
+  return servers[0]?.slowdown !== undefined;
+}
+
+/** Removes servers at which a request would rather wait for another one. */
+function selectWorthwhile<S extends ServerCandidate>(
+  servers: readonly S[],
+  { slack, waited }: ServerSelectionOptions,
+): readonly S[] {
+  return slack === undefined
+    ? selectWorthwhileServers(servers, waited ?? 0)
+    : servers;
+}
+
+function trySelectByExpectedTime<S extends ServerCandidate>(
+  servers: readonly S[],
+  options: ServerSelectionOptions,
+): S | undefined {
+  const { slack, getFraction } = options;
+  const pool = slack === undefined ? servers : selectBySlowness(servers, slack);
+  const chosen = selectOfTwo(pool, getFraction);
+  if (chosen === undefined || options.prefix.length === 0) return chosen;
+  const maxCost = getExpectedCost(chosen) * AFFINITY_MAX_COST;
+  const similar = pool.filter((server) => getExpectedCost(server) <= maxCost);
+  return tryFindAffinityServer(similar, options) ?? chosen;
+}
+
 /**
  * Returns the server that most likely caches the prompt's shared parts. With
  * rendezvous hashing all processes select the same one without coordination.
