Take a slow server at once where all servers are slow

Cause: a request waited for a server of usual speed even if the service had none that was faster than the free one. Evidence: found by reading the code; the case was not run before the change. Change: slow servers are compared with all candidates instead of with the usual speed; a case for it, and tests of the pool. Result: uneven_servers_test and pool_speeds_test, 14 passed.

--- a/src/policy/expected_time.ts
+++ b/src/policy/expected_time.ts
@@ -66,23 +66,25 @@
 }
 
 /**
- * Servers that are not slow at this moment, or not so slow that a request which has
- * waited for `waited` (relative to the usual time in a slot) rather waits on.
+ * Free servers that are not slow at this moment, or not so slow that a request which
+ * has waited for `waited` (relative to the usual time to the first event) rather waits
+ * for another one of `servers`.
  */
 export function selectWorthwhileServers<S extends ServerCandidate>(
+  free: readonly S[],
   servers: readonly S[],
   waited: number,
 ): readonly S[] {
-  if (!servers.some(isSlowNow)) return servers;
-  const usual = servers.reduce(
-    (least, server) => Math.min(least, getServiceFactor(server)),
-    1,
+  if (!free.some(isSlowNow)) return free;
+  const least = servers.reduce(
+    (min, server) => Math.min(min, getServiceFactor(server)),
+    Infinity,
   );
-  return servers.filter((server) => {
+  return free.filter((server) => {
     if (!isSlowNow(server)) return true;
     const factor = getServiceFactor(server);
-    return factor < usual * MIN_WAIT_RATIO ||
-      waited >= (factor - usual) * WAIT_FRACTION;
+    return factor < least * MIN_WAIT_RATIO ||
+      waited >= (factor - least) * WAIT_FRACTION;
   });
 }
 
--- a/src/policy/server_selection.ts
+++ b/src/policy/server_selection.ts
@@ -76,7 +76,7 @@
 ): S | undefined {
   const reserve = options.reserve ?? 0;
   const all = servers.filter((server) => server.busy + reserve < server.slots);
-  const free = hasSpeeds(all) ? selectWorthwhile(all, options) : all;
+  const free = hasSpeeds(all) ? selectWorthwhile(all, servers, options) : all;
   const local = free.filter((server) =>
     server.dataCentre === options.dataCentre
   );
@@ -117,12 +117,13 @@
 
 /** Removes servers at which a request would rather wait for another one. */
 function selectWorthwhile<S extends ServerCandidate>(
+  free: readonly S[],
   servers: readonly S[],
   { slack, waited }: ServerSelectionOptions,
 ): readonly S[] {
   return slack === undefined
-    ? selectWorthwhileServers(servers, waited ?? 0)
-    : servers;
+    ? selectWorthwhileServers(free, servers, waited ?? 0)
+    : free;
 }
 
 function trySelectByExpectedTime<S extends ServerCandidate>(
--- a/src/test/uneven_servers_test.ts
+++ b/src/test/uneven_servers_test.ts
@@ -219,6 +219,9 @@
     expect(select([slow!, usual!], 0)).equal(undefined);
     expect(select([slow!, usual!], 0.5)).equal("a");
     expect(select([slow!, { ...usual!, busy: 5 }], 0.5)).equal("b");
+    // Where all servers are slow, there is nothing to wait for.
+    expect(select([slow!], 0)).equal("a");
+    expect(select([slow!, { ...usual!, slowdown: 2 }], 0)).equal("a");
   });
 
   it("keeps a server with the prompt while it is not much slower", () => {
