--- a/src/test/uneven_servers_test.ts
+++ b/src/test/uneven_servers_test.ts
@@ -10,7 +10,6 @@
   selectOfTwo,
   type ServerCandidate,
   type ServerSelectionOptions,
-  tryGetLeastLoaded,
   trySelectServer,
 } from "../policy/mod.ts";
 import { getPlacementHash, SeededRandom } from "../sys/random.ts";
