--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -38,6 +38,8 @@
   relayedRequests: "relayed_requests",
   accessDecisions: "access_decisions",
   updatesNotSent: "updates_not_sent",
+  slowSends: "slow_sends",
+  slowHolds: "slow_holds",
   unexpectedErrors: "unexpected_errors",
 } as const;
 
