Merge rate limits and fair shares of organisations

Gateways hold tokens that a store host per organisation grants; waiting requests are woken by priority, time left and share.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -59,6 +59,9 @@
   OnlyVersionFinder,
   RpcSoftwareVersionsClient,
 } from "./only_version_finder.ts";
+import { OrganisationLimits } from "./organisation_limits.ts";
+import { RpcTokenCaller } from "./organisation_rate_channel.ts";
+import { OrganisationRateClient } from "./organisation_rate_client.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
 import {
@@ -124,6 +127,8 @@
   readonly #softwareVersions: RpcSoftwareVersionsClient;
   readonly #gatewayRelay: GatewayRelay;
   readonly #access: CallerAccess;
+  readonly #organisationRates: OrganisationRateClient;
+  readonly #limits: OrganisationLimits;
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
   /** Accepts requests of gateways that reach no server. */
@@ -160,6 +165,25 @@
       ownHeaders: [ROUTES_VERSION_HEADER, IDENTIFIED_ROUTES_VERSION_HEADER],
       metrics,
     });
+    this.#organisationRates = new OrganisationRateClient({
+      name: settings.id,
+      getRoutesVersion: () => backends.view.routesVersion,
+      getGranters: () => backends.view.getStoreAddresses(),
+      caller: new RpcTokenCaller(credentials),
+      clock,
+      random,
+      log,
+      metrics,
+    });
+    backends.view.onChange(() => {
+      const { organisations = [] } = backends.view.routes?.table ?? {};
+      const hasLimits = organisations.some(({ ratePerS }) => ratePerS > 0);
+      if (hasLimits) this.#organisationRates.connect();
+    });
+    this.#limits = new OrganisationLimits({
+      client: this.#organisationRates,
+      clock,
+    });
     const streamOrigins = new RpcStreamOriginsClient(credentials);
     this.#streamOrigins = streamOrigins;
     const originFinder = new StreamOriginFinder({
@@ -295,6 +319,7 @@
     this.#relayListener?.close();
     this.#gatewayRelay.close();
     this.#backends.close();
+    this.#organisationRates.close();
     this.#streamOrigins.close();
     this.#softwareVersions.close();
     this.#state.close();
@@ -404,11 +429,16 @@
         parameters: { path },
       });
     }
+    const limited = { decision: firstDecision, route, isRelayed };
+    const firstToken = await this.#limits.admit(limited);
     const limit = routes.table.bounds?.bodyBytes || DEFAULT_MAX_BODY_BYTES;
     const body = await this.#stopPeriod.waitFor(
       readBody(req, limit),
       Verdict.NOT_RUN,
-    );
+    ).catch((error) => {
+      firstToken?.giveBack();
+      throw error;
+    });
     // A body may arrive so slowly that the key has been removed meanwhile.
     const decision = this.#backends.view.routes === routes
       ? firstDecision
@@ -423,8 +453,13 @@
       );
       return;
     }
+    const token = await this.#limits.renew(firstToken, {
+      ...limited,
+      decision,
+    });
     const online = {
       ...this.#createOnlineRequest(req, body, route, decision),
+      onNotRun: token?.giveBack,
       arrivedMs,
       isRelayed,
       graceEnd: this.#stopPeriod.ended,
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -6,6 +6,7 @@
 import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   decideAdmission,
+  type FairWaiter,
   getHoldMs,
   getLimitedWaitMs,
   getServiceFactor,
@@ -75,6 +76,8 @@
   readonly priority: number;
   /** Headers with the caller's key; undefined if callers are not identified. */
   readonly keyHeaders: readonly string[] | undefined;
+  /** Called if the request fails and no server has run it. */
+  readonly onNotRun?: () => void;
   readonly prefix: readonly string[];
   readonly resumeAfter: number | undefined;
   /** Attempt that brought the first event of a stream that is taken up. */
@@ -227,6 +230,7 @@
       abort,
     );
     this.#options.metrics.count(MetricName.requests);
+    this.#recordRequest();
     try {
       await this.#retryUntilDone();
     } catch (error) {
@@ -237,6 +241,14 @@
     }
   }
 
+  #recordRequest(): void {
+    const { pool, clock } = this.#options;
+    const { organisation } = this.#req;
+    if (organisation === undefined) return;
+    const nowMs = clock.getMonotonicMs();
+    pool.shares[LoadKind.online].recordRequest(organisation, nowMs);
+  }
+
   async #retryUntilDone(): Promise<void> {
     if (this.#pin.isTakenUp) await this.#pin.resolve();
     for (;;) {
@@ -547,7 +559,10 @@
       case "send":
         return pool.tryAcquireQueued(this.#createPermitRequest());
       case "wait":
-        await pool.waitForChange(getHoldMs(decision.ms, leastBusy));
+        await pool.waitForChange(
+          getHoldMs(decision.ms, leastBusy),
+          this.#createWaiter(),
+        );
         return undefined;
       case "refuse":
         // A stream that has begun can only go on at servers of its version, and
@@ -573,7 +588,7 @@
     if (refusedMs === undefined) return this.#waitForServer(waitedMs);
     const targetMs = this.#req.route.latencyTargetMs;
     if (refusedMs === 0 && getLimitedWaitMs({ targetMs, waitedMs }) > 0) {
-      await pool.waitForChange(LIMITED_RETRY_MS);
+      await pool.waitForChange(LIMITED_RETRY_MS, this.#createWaiter());
       return;
     }
     throw this.#createNoCapacityError(
@@ -614,7 +629,7 @@
         NO_SERVER_RETRY_AFTER_MS,
       );
     }
-    await pool.waitForChange(decision.ms);
+    await pool.waitForChange(decision.ms, this.#createWaiter());
   }
 
   /**
@@ -639,6 +654,15 @@
     });
   }
 
+  #createWaiter(): FairWaiter {
+    const { organisation, priority, arrivedMs, route } = this.#req;
+    return {
+      organisation,
+      priority,
+      inTimeUntilMs: arrivedMs + route.latencyTargetMs,
+    };
+  }
+
   #createPermitRequest(): PermitRequest {
     return {
       service: this.#pin.service,
@@ -646,6 +670,7 @@
       kind: LoadKind.online,
       prefix: this.#req.prefix,
       excluded: this.#excluded,
+      organisation: this.#req.organisation,
       onSilent: () => this.#abandonSilentServer(),
     };
   }
@@ -687,6 +712,7 @@
       ? thrown
       : this.#createLostError(String(thrown));
     const { log, metrics, dialect, clock } = this.#options;
+    if (error.verdict === Verdict.NOT_RUN) this.#req.onNotRun?.();
     metrics.count(MetricName.ownAnswers, 1, { code: getCodeName(error.code) });
     log.info("request_failed", {
       request: this.#req.request.requestId,
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -5,6 +5,7 @@
 export * from "./batch_order.ts";
 export * from "./batch_capacity.ts";
 export * from "./fair_queue.ts";
+export * from "./fair_shares.ts";
 export * from "./job_memory.ts";
 export * from "./order_schedule.ts";
 export * from "./quantile_tracker.ts";
@@ -21,5 +22,7 @@
 export * from "./server_selection.ts";
 export * from "./admission.ts";
 export * from "./request_pacer.ts";
+export * from "./organisation_rate.ts";
+export * from "./organisation_tokens.ts";
 export * from "./organisations.ts";
 export * from "./access.ts";
