--- a/src/fleet/known_routes.ts
+++ b/src/fleet/known_routes.ts
@@ -2,7 +2,7 @@
  * The routes that one process knows, and when the leader of the control group last
  * confirmed them. Tables that are older than the known one are ignored.
  */
-import { RouteIndex, withoutDocument } from "../policy/mod.ts";
+import { RouteIndex } from "../policy/mod.ts";
 import type { RouteTable } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getReason } from "../sys/errors.ts";
@@ -73,7 +73,7 @@
       decoder: received.decoderVersion,
       from,
     });
-    this.#index = new RouteIndex(withoutDocument(routes));
+    this.#index = new RouteIndex(routes);
     return true;
   }
 
--- a/src/policy/organisations.ts
+++ b/src/policy/organisations.ts
@@ -17,9 +17,12 @@
   readonly #byHash = new Map<string, Organisation | undefined>();
 
   constructor(organisations: readonly Organisation[]) {
-    this.#byName = new Map(organisations.map((one) => [one.name, one]));
-    organisations.forEach((organisation) =>
-      organisation.keyHashes.forEach((hash) => {
+    this.#byName = new Map(
+      organisations.map((one) => [one.name, { ...one, keyHashes: [] }]),
+    );
+    organisations.forEach(({ name, keyHashes }) =>
+      keyHashes.forEach((hash) => {
+        const organisation = this.#byName.get(name);
         const text = toMapKey(hash);
         const known = this.#byHash.get(text);
         // A table that an older build accepted may contain shared keys, which
@@ -35,8 +38,9 @@
     return this.#byName.size === 0;
   }
 
-  get size(): number {
-    return this.#byName.size;
+  /** All organisations, without the hashes of their keys. */
+  getAll(): Organisation[] {
+    return [...this.#byName.values()];
   }
 
   /** Finds an organisation by a key, as text of one character for each byte. */
--- a/src/policy/routes.ts
+++ b/src/policy/routes.ts
@@ -16,7 +16,10 @@
   tryFindOrganisationError,
 } from "./organisations.ts";
 
-/** Lookup of routes and services in a route table. */
+/**
+ * Lookup of routes and services in a route table. The document is not kept: it takes
+ * memory and contains API keys. Hashes of keys are in the index only.
+ */
 export class RouteIndex {
   readonly table: RouteTable;
   readonly organisations: OrganisationIndex;
@@ -26,8 +29,12 @@
   readonly #services: ReadonlyMap<string, RoutedService>;
 
   constructor(table: RouteTable) {
-    this.table = table;
     this.organisations = new OrganisationIndex(table.organisations);
+    this.table = {
+      ...table,
+      document: new Uint8Array(),
+      organisations: this.organisations.getAll(),
+    };
     this.hasPublicJobs = hasPublicJobs(table.routes);
     this.#services = new Map(
       table.services.map((service) => [service.name, service]),
@@ -87,22 +94,6 @@
   return route.kind !== RequestKind.NON_IDEMPOTENT;
 }
 
-/**
- * Returns a table without its document, for processes that only route by it: the
- * document takes memory and contains keys. Hashes are copied, as they would keep the
- * whole message in memory that the table came with.
- */
-export function withoutDocument(table: RouteTable): RouteTable {
-  return {
-    ...table,
-    document: new Uint8Array(),
-    organisations: table.organisations.map((organisation) => ({
-      ...organisation,
-      keyHashes: organisation.keyHashes.map((hash) => new Uint8Array(hash)),
-    })),
-  };
-}
-
 /** Returns the first error of a route table; undefined if it is valid. */
 export function tryFindRouteTableError(table: RouteTable): string | undefined {
   const services = new Set(table.services.map((service) => service.name));
