Divide the rate limits of organisations among the gateways

Cause: an organisation with a limit of 20 requests a second could send any number, as nothing counted its requests across gateways. Change: a store host for each organisation grants tokens from a bucket; saved tokens and those that gateways hold never exceed its capacity. Not called by the gateway yet.

--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -13,6 +13,7 @@
   type Membership,
   MembershipSchema,
   MessageCode,
+  OrganisationRates,
   RateLimits,
   type ReadBodyRequest,
   type ReadJobRequest,
@@ -44,6 +45,7 @@
 import { JobAdmission } from "./job_admission.ts";
 import { ItemOwnership } from "./item_ownership.ts";
 import { LeaderContact } from "./leader_contact.ts";
+import { OrganisationRateService } from "./organisation_rate_service.ts";
 import { RateLimitService } from "./rate_limit_service.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
@@ -78,6 +80,7 @@
   readonly #waitingReaders = new Set<() => void>();
   readonly #streamOrigins = new StreamOrigins();
   readonly #gateways = new GatewayRegistry();
+  readonly #organisationRates: OrganisationRateService;
   #member: GroupMember | undefined;
   #membershipTimer: Timer | undefined;
   #isReportingMembers = false;
@@ -99,6 +102,8 @@
       context,
       getMember: () => this.#member,
     });
+    const organisationRates = new OrganisationRateService(context);
+    this.#organisationRates = organisationRates;
     this.#backends = new BackendAccess({
       settings,
       context,
@@ -110,8 +115,10 @@
         const nowMs = context.clock.getMonotonicMs();
         origins.forEach((origin) => this.#streamOrigins.add(origin, nowMs));
       },
-      onGateway: (gateway) =>
-        this.#gateways.record(gateway, context.clock.getMonotonicMs()),
+      onGateway: (gateway) => {
+        this.#gateways.record(gateway, context.clock.getMonotonicMs());
+        organisationRates.recordReport(gateway.name, gateway.acceptsRelayed);
+      },
     });
     const { view, pool, backendClient, follower, promptPartGuard } =
       this.#backends;
@@ -192,6 +199,9 @@
     server.addService(RateLimits, {
       acquire: (req) => Promise.resolve(rateLimits.acquire(req)),
     });
+    server.addService(OrganisationRates, {
+      acquire: (req) => Promise.resolve(this.#organisationRates.acquire(req)),
+    });
     // The port keeps others from the data folder, so it is opened first.
     await this.#process.listen();
     const folder = await this.#process.openFolder();
@@ -247,6 +257,7 @@
       commandVersion: this.#machine.activeVersion,
       runs: this.#itemRunner.runCount,
       streamOrigins: this.#streamOrigins.size,
+      limitedOrganisations: this.#organisationRates.size,
       replica: this.#member?.getDump(),
       metrics: this.#context.metrics.getSums(),
     };
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -6,6 +6,7 @@
 export * from "./ages.ts";
 export * from "./backend_view.ts";
 export * from "./fleet_view.ts";
+export * from "./gateway_presence.ts";
 export * from "./gateway_registry.ts";
 export * from "./prompt_part_suspicions.ts";
 export * from "./registration_check.ts";
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -20,3 +20,5 @@
 export * from "./server_selection.ts";
 export * from "./admission.ts";
 export * from "./request_pacer.ts";
+export * from "./organisation_rate.ts";
+export * from "./organisation_tokens.ts";
