Let gateways that lose a store host pool their shares of organisations' limits

Change: a stand-in grants the shares of the gateways that ask it, or the whole limit if no process listens at the store host's address; absent gateways are deducted.

--- a/src/fleet/organisation_rate_channel.ts
+++ b/src/fleet/organisation_rate_channel.ts
@@ -59,6 +59,8 @@
   readonly tokens: OrganisationTokens;
   /** Address of the store host that should be asked, but is lost; or empty. */
   readonly standInFor: string;
+  /** Whether no process listens at that address. */
+  readonly isDown: boolean;
 }
 
 /** Outcome of asking for one request; it is admitted if it has an admission. */
@@ -94,10 +96,14 @@
 const BACKOFF_MS = 100;
 
 /**
- * Time without a reply after which another store host is asked, in milliseconds:
- * longer than a store host takes to notice that it hears no more of a gateway.
+ * Time without a reply after which another store host is asked too, in milliseconds.
+ * That host grants from the equal shares of the gateways that ask it, which each of
+ * them might use alone as well.
  */
-const LOST_MS = 1_000;
+const LOST_MS = 300;
+
+/** Code of the operating system in the reason of a failed call. */
+const CONNECTION_REFUSED = "ECONNREFUSED";
 
 /** Time between attempts at a store host that is lost, in milliseconds. */
 const LOST_RETRY_MS = 250;
@@ -110,19 +116,34 @@
   #sequence = 0n;
   #silentSinceMs = Infinity;
   #retryMs = -Infinity;
+  #isDown = false;
 
   constructor(options: ChannelOptions) {
     this.#options = options;
   }
 
+  get address(): string {
+    return this.#options.address;
+  }
+
   get mayCall(): boolean {
     return this.#options.clock.getMonotonicMs() >= this.#retryMs;
   }
 
+  /** Whether the last request has got no reply. */
+  get isSilent(): boolean {
+    return this.#silentSinceMs < Infinity;
+  }
+
+  /** Whether no process listened at the address at the last request. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
   /** Whether the store host has been silent for so long that others are asked. */
   get isLost(): boolean {
     const nowMs = this.#options.clock.getMonotonicMs();
-    return nowMs - this.#silentSinceMs >= LOST_MS;
+    return this.#isDown || nowMs - this.#silentSinceMs >= LOST_MS;
   }
 
   /** Asks for a token; resolves with undefined if there is no reply. */
@@ -133,6 +154,19 @@
     });
   }
 
+  /** Tells a stand-in that it is not asked any more; losing this has little effect. */
+  leave(standInFor: string): void {
+    this.#sequence += 1n;
+    const { caller, name, start } = this.#options;
+    caller.acquire(this.address, {
+      gateway: name,
+      gatewayStart: start,
+      sequence: this.#sequence,
+      standInFor,
+      leaves: true,
+    }, ASK_TIMEOUT_MS).catch(() => {});
+  }
+
   /** Asks for tokens of requests to come. */
   prefetch(waiters: readonly TokenWaiter[]): void {
     if (!this.mayCall) return;
@@ -142,7 +176,8 @@
 
   #flush(): void {
     if (this.#isInFlight || this.#queue.length === 0) return;
-    const [{ standInFor } = { standInFor: "" }] = this.#queue;
+    const [{ standInFor, isDown } = { standInFor: "", isDown: false }] =
+      this.#queue;
     const sent = this.#queue.filter((waiter) =>
       waiter.standInFor === standInFor
     );
@@ -150,7 +185,7 @@
       waiter.standInFor !== standInFor
     );
     this.#isInFlight = true;
-    const called = this.#call(standInFor, sent).finally(() => {
+    const called = this.#call({ standInFor, isDown }, sent).finally(() => {
       this.#isInFlight = false;
       this.#flush();
     });
@@ -158,7 +193,7 @@
   }
 
   async #call(
-    standInFor: string,
+    { standInFor, isDown }: Pick<TokenWaiter, "standInFor" | "isDown">,
     waiters: readonly QueuedWaiter[],
   ): Promise<void> {
     const { address, caller, clock, metrics } = this.#options;
@@ -187,6 +222,7 @@
         routesVersion: this.#options.getRoutesVersion(),
         gateways: this.#options.getGateways(),
         standInFor,
+        isDown,
         demands: demands.map(({ demand }) => demand),
       }, ASK_TIMEOUT_MS);
     } catch (error) {
@@ -221,6 +257,7 @@
     const { address, log } = this.#options;
     if (this.isLost) log.info("organisation_granter_regained", { address });
     this.#silentSinceMs = Infinity;
+    this.#isDown = false;
     this.#retryMs = -Infinity;
   }
 
@@ -229,6 +266,7 @@
     const wasLost = this.isLost;
     const nowMs = clock.getMonotonicMs();
     this.#silentSinceMs = Math.min(this.#silentSinceMs, askedMs);
+    this.#isDown = reason.includes(CONNECTION_REFUSED);
     this.#retryMs = nowMs + (this.isLost ? LOST_RETRY_MS : BACKOFF_MS);
     if (!wasLost && this.isLost) {
       log.warn("organisation_granter_lost", { address, reason });
--- a/src/fleet/organisation_rate_client.ts
+++ b/src/fleet/organisation_rate_client.ts
@@ -18,6 +18,7 @@
   type ChannelOptions,
   OrganisationChannel,
   type TokenCaller,
+  type TokenOutcome,
   type TokenWaiter,
 } from "./organisation_rate_channel.ts";
 
@@ -53,9 +54,6 @@
 /** Number of gateways among which a limit is divided if no store host told it. */
 const DEFAULT_GATEWAYS = 100;
 
-/** Store hosts that are asked for one organisation. */
-const MAX_GRANTERS = 3;
-
 /**
  * Interval between requests for tokens in advance, in milliseconds: a third of the
  * time for which the tokens left at that point last.
@@ -65,8 +63,12 @@
 /** Longest time over which the returns of refused callers are spread. */
 const MAX_SPREAD_MS = 2_000;
 
-/** Shortest time for which requests are refused without asking again. */
+/**
+ * Shortest and longest time for which requests are refused without asking again, in
+ * milliseconds: a token may be free for this gateway earlier than for most callers.
+ */
 const MIN_REFUSED_MS = 10;
+const MAX_REFUSED_MS = 250;
 
 const MS_PER_S = 1_000;
 
@@ -87,6 +89,8 @@
   readonly #start: string;
   readonly #organisations = new Map<string, OrganisationTokens>();
   readonly #channels = new Map<string, OrganisationChannel>();
+  /** Store hosts that are asked in place of others. */
+  readonly #standIns = new Map<OrganisationChannel, OrganisationChannel>();
   readonly #prefetched = new Set<string>();
   readonly #suspensionDetector: SuspensionDetector;
   #prefetchTimer: Timer | undefined;
@@ -120,7 +124,8 @@
       return this.#admit(tokens, admission, "held");
     }
     if (nowMs < tokens.refusedUntilMs) {
-      return this.#refuse(organisation.name, tokens, nowMs);
+      const waitMs = tokens.refusedUntilMs - nowMs;
+      return this.#refuse(organisation.name, tokens, waitMs);
     }
     return this.#ask(organisation.name, tokens);
   }
@@ -150,47 +155,60 @@
     name: string,
     tokens: OrganisationTokens,
   ): Promise<RateAdmission> {
-    const { clock } = this.#options;
-    const granters = this.#selectGranters(name);
-    const [first = ""] = granters;
-    for (const granter of granters) {
-      const channel = this.#getChannel(granter);
-      const standInFor = granter === first ? "" : first;
-      const reply = channel.mayCall
-        ? await channel.request({ name, tokens, standInFor })
-        : undefined;
-      const nowMs = clock.getMonotonicMs();
-      if (reply?.admission !== undefined) {
-        return this.#admit(tokens, reply.admission, "asked");
-      }
-      if (reply !== undefined) {
-        tokens.refusedUntilMs = nowMs +
-          Math.max(MIN_REFUSED_MS, reply.retryAfterMs);
-        return this.#refuse(name, tokens, nowMs);
-      }
-      if (!channel.isLost) return this.#useShare(name, tokens, false);
+    const [first, ...others] = this.#selectGranters(name)
+      .map((address) => this.#getChannel(address));
+    if (first === undefined) return this.#useShare(name, tokens);
+    const waiter = { name, tokens, standInFor: "", isDown: false };
+    const reply = first.mayCall ? await first.request(waiter) : undefined;
+    if (reply !== undefined) {
+      this.#standIns.get(first)?.leave(first.address);
+      this.#standIns.delete(first);
+      return this.#decide(name, tokens, reply);
+    }
+    // Only the first one is asked again while it is silent.
+    const standIn = first.isLost
+      ? others.find((channel) => !channel.isSilent)
+      : undefined;
+    if (standIn !== undefined) this.#standIns.set(first, standIn);
+    const otherReply = await standIn?.request({
+      ...waiter,
+      standInFor: first.address,
+      isDown: first.isDown,
+    });
+    return otherReply === undefined
+      ? this.#useShare(name, tokens)
+      : this.#decide(name, tokens, otherReply);
+  }
+
+  #decide(
+    name: string,
+    tokens: OrganisationTokens,
+    outcome: TokenOutcome,
+  ): RateAdmission {
+    if (outcome.admission !== undefined) {
+      return this.#admit(tokens, outcome.admission, "asked");
     }
-    return this.#useShare(name, tokens, true);
+    const nowMs = this.#options.clock.getMonotonicMs();
+    tokens.refusedUntilMs = nowMs + getRefusedMs(tokens, outcome);
+    return this.#refuse(name, tokens, outcome.retryAfterMs);
   }
 
   /** Decides by the equal share of this gateway. */
   #useShare(
     name: string,
     tokens: OrganisationTokens,
-    isLost: boolean,
   ): RateAdmission {
     const { clock, random } = this.#options;
     const nowMs = clock.getMonotonicMs();
     const admission = tokens.tryTakeShare({
       gateways: this.#gateways,
-      isLost,
       getFraction: () => random.getFraction(),
     }, nowMs);
     if (admission !== undefined) {
       return this.#admit(tokens, admission, "share");
     }
     const waitMs = tokens.getShareWaitMs(this.#gateways);
-    return this.#refuse(name, tokens, nowMs, Math.min(MAX_SPREAD_MS, waitMs));
+    return this.#refuse(name, tokens, Math.min(MAX_SPREAD_MS, waitMs));
   }
 
   #admit(
@@ -211,10 +229,9 @@
   #refuse(
     organisation: string,
     tokens: OrganisationTokens,
-    nowMs: number,
-    waitMs = tokens.refusedUntilMs - nowMs,
+    waitMs: number,
   ): RateAdmission {
-    const { log, metrics, random } = this.#options;
+    const { clock, log, metrics, random } = this.#options;
     metrics.count(MetricName.organisationAdmissions, 1, { outcome: "refused" });
     tokens.refusals += 1;
     // Callers that are refused at one time must not all return at one time.
@@ -227,7 +244,7 @@
       organisation,
       rate_per_s: tokens.limit.ratePerS,
       burst: tokens.limit.burst,
-      demand_per_s: Math.round(tokens.getDemandPerS(nowMs)),
+      demand_per_s: Math.round(tokens.getDemandPerS(clock.getMonotonicMs())),
       retry_after_ms: Math.round(retryAfterMs),
     });
     return { isAdmitted: false, retryAfterMs, giveBack: NOTHING_TO_GIVE_BACK };
@@ -260,7 +277,7 @@
         return;
       }
       const waiters = byGranter.get(granter) ?? [];
-      waiters.push({ name, tokens, standInFor: "" });
+      waiters.push({ name, tokens, standInFor: "", isDown: false });
       byGranter.set(granter, waiters);
     });
     byGranter.forEach((waiters, granter) =>
@@ -268,11 +285,12 @@
     );
   }
 
-  /** The store hosts that are asked for an organisation, in order. */
+  /** The store hosts in the order in which they are asked for an organisation. */
   #selectGranters(name: string): string[] {
-    return selectByRendezvous(name, this.#options.getGranters(), {
+    const addresses = this.#options.getGranters();
+    return selectByRendezvous(name, addresses, {
       getName: (address) => address,
-      count: MAX_GRANTERS,
+      count: addresses.length,
     });
   }
 
@@ -301,3 +319,12 @@
     return added;
   }
 }
+
+/** Time in which the limit allows one request, unless a token is free earlier. */
+function getRefusedMs(
+  { limit }: OrganisationTokens,
+  { retryAfterMs }: TokenOutcome,
+): number {
+  const perTokenMs = Math.min(retryAfterMs, MS_PER_S / limit.ratePerS);
+  return Math.max(MIN_REFUSED_MS, Math.min(MAX_REFUSED_MS, perTokenMs));
+}
--- a/src/fleet/organisation_rate_service.ts
+++ b/src/fleet/organisation_rate_service.ts
@@ -4,7 +4,7 @@
  * has just started begins with few tokens, and the gateways tell it what they hold
  * and what they have admitted without it.
  */
-import { GatewayPresence } from "../membership/mod.ts";
+import { GatewayPresence, HEARD_TTL_MS } from "../membership/mod.ts";
 import {
   type BucketShare,
   getCapacity,
@@ -22,20 +22,31 @@
 
 /**
  * Time after its last request for which a gateway's share belongs to the stand-in
- * of its store host, in milliseconds. Most gateways ask again within it.
+ * of its store host, in milliseconds, unless it says that it leaves. Most gateways ask
+ * again within it.
  */
 const CONTRIBUTOR_TTL_MS = 5_000;
 
+/**
+ * Time after a gateway found that no process listens at the address of its store
+ * host for which that counts, in milliseconds. Gateways try it at least each 250 ms.
+ */
+const DOWN_TTL_MS = 500;
+
 /** Interval between the removals of buckets that are full, in milliseconds. */
 const SWEEP_INTERVAL_MS = 10_000;
 
 /** Time between two log lines about one organisation, in milliseconds. */
 const LOG_INTERVAL_MS = 10_000;
 
+const MS_PER_S = 1_000;
+
 interface KnownBucket {
   readonly bucket: OrganisationBucket;
   /** Version of the routes that its limit comes from. */
   routesVersion: bigint;
+  /** Losses of gateways that have been deducted. */
+  lossCount: number;
   usedMs: number;
   loggedMs: number;
 }
@@ -43,17 +54,27 @@
 /** Gateways that can't reach their store host, and use their shares here. */
 class Contributors {
   readonly #askedMs = new Map<string, number>();
+  #downMs = -Infinity;
 
-  /** Returns whether the gateway brings its share now. */
-  record(gateway: string, nowMs: number): boolean {
-    const askedMs = this.#askedMs.get(gateway) ?? -Infinity;
+  record(gateway: string, isDown: boolean, nowMs: number): void {
     this.#askedMs.set(gateway, nowMs);
-    return nowMs - askedMs > CONTRIBUTOR_TTL_MS;
+    if (isDown) this.#downMs = nowMs;
   }
 
-  count(nowMs: number): number {
+  remove(gateway: string): void {
+    this.#askedMs.delete(gateway);
+  }
+
+  /** Whether the store host of the gateways grants nothing to anyone. */
+  isDown(nowMs: number): boolean {
+    return nowMs - this.#downMs <= DOWN_TTL_MS;
+  }
+
+  /** Number of gateways that asked lately and are still heard from. */
+  count(nowMs: number, isHeard: (gateway: string) => boolean): number {
     this.#askedMs.forEach((askedMs, gateway) => {
-      if (nowMs - askedMs > CONTRIBUTOR_TTL_MS) this.#askedMs.delete(gateway);
+      const isOld = nowMs - askedMs > CONTRIBUTOR_TTL_MS;
+      if (isOld || !isHeard(gateway)) this.#askedMs.delete(gateway);
     });
     return this.#askedMs.size;
   }
@@ -117,14 +138,16 @@
     this.#presence.recordCount(req.gateways, nowMs);
     const { known } = this.#presence.count(nowMs);
     const contributors = this.#getContributors(req.standInFor);
-    const isNewContributor = contributors?.record(req.gateway, nowMs) === true;
+    if (req.leaves) contributors?.remove(req.gateway);
+    else contributors?.record(req.gateway, req.isDown, nowMs);
     const share = this.#getShare(contributors, nowMs);
     const grants = req.demands.map((demand) => {
       const entry = this.#getBucket(req, demand, { share, nowMs });
       const { bucket } = entry;
       bucket.setShare(share, nowMs);
-      if (isNewContributor) bucket.addSharedBurst(known);
-      bucket.settle(req.gateway, demand, nowMs);
+      this.#deductLost(entry, known);
+      const unpaid = this.#countUnpaid(req.gateway, demand, nowMs);
+      bucket.settle(req.gateway, { ...demand, unpaid }, nowMs);
       const grant = bucket.grant(req.gateway, demand, nowMs);
       this.#record(req, demand, { entry, tokens: grant.tokens, nowMs });
       return {
@@ -149,6 +172,36 @@
     return false;
   }
 
+  /**
+   * Requests that the gateway admitted without this host and that the bucket has not
+   * left out: not those before the start of the host, whose bucket saved no tokens of
+   * that time, nor those from the share that was deducted for the gateway.
+   */
+  #countUnpaid(
+    gateway: string,
+    { unpaidAgeMs, ratePerS }: OrganisationDemand,
+    nowMs: number,
+  ): number {
+    if (unpaidAgeMs.length === 0) return 0;
+    const times = unpaidAgeMs.map((ageMs) => nowMs - ageMs)
+      .filter((ms) => ms >= this.#startedMs);
+    const absence = this.#presence.tryGetAbsence(gateway);
+    if (absence === undefined) return times.length;
+    const { fromMs, toMs } = absence;
+    const absent = times.filter((ms) => ms >= fromMs && ms <= toMs).length;
+    const { known } = this.#presence.count(nowMs);
+    const deducted = ratePerS * (toMs - fromMs) / MS_PER_S / known;
+    return times.length - absent + Math.round(Math.max(0, absent - deducted));
+  }
+
+  /** Deducts what gateways used that have not been heard from since. */
+  #deductLost(entry: KnownBucket, known: number): void {
+    const { lossCount } = this.#presence;
+    const lost = lossCount - entry.lossCount;
+    entry.lossCount = lossCount;
+    if (lost > 0) entry.bucket.deductLost({ lost, known }, HEARD_TTL_MS);
+  }
+
   #getContributors(standInFor: string): Contributors | undefined {
     if (standInFor === "") return undefined;
     const known = this.#contributors.get(standInFor) ?? new Contributors();
@@ -156,18 +209,28 @@
     return known;
   }
 
+  #countContributors(contributors: Contributors, nowMs: number): number {
+    return contributors.count(
+      nowMs,
+      (gateway) => this.#presence.isHeard(gateway, nowMs),
+    );
+  }
+
   #getShare(
     contributors: Contributors | undefined,
     nowMs: number,
   ): BucketShare {
     const { known, heard } = this.#presence.count(nowMs);
     if (contributors !== undefined) {
-      const fraction = Math.min(1, contributors.count(nowMs) / known);
-      return { fraction, isPartial: true };
+      const count = contributors.isDown(nowMs)
+        ? heard
+        : this.#countContributors(contributors, nowMs);
+      const fraction = Math.min(1, count / known);
+      return { fraction, isPartial: true, isStandIn: true };
     }
     // An earlier start of this host may have granted tokens that are still held.
     const isPartial = nowMs - this.#startedMs <= LEASE_TTL_MS;
-    return { fraction: heard / known, isPartial };
+    return { fraction: heard / known, isPartial, isStandIn: false };
   }
 
   #getBucket(
@@ -179,15 +242,15 @@
     const limit = { ratePerS, burst };
     const known = this.#buckets.get(key);
     if (known === undefined) {
-      const isStandIn = standInFor !== "";
       const added = {
         bucket: new OrganisationBucket({
           limit,
-          share: isStandIn ? { ...share, fraction: 0 } : share,
+          share,
           nowMs,
           soleForMs: nowMs - this.#startedMs,
         }),
         routesVersion,
+        lossCount: this.#presence.lossCount,
         usedMs: nowMs,
         loggedMs: -Infinity,
       };
@@ -227,7 +290,7 @@
       waiting: demand.waiting,
       saved: Math.floor(entry.bucket.saved),
       held: entry.bucket.held,
-      unpaid: demand.unpaid,
+      unpaid: demand.unpaidAgeMs.length,
       capacity: Math.floor(getCapacity(demand)),
       gateways: known,
       heard,
@@ -246,7 +309,8 @@
       if (isIdle && (isStandIn || bucket.isFull)) this.#buckets.delete(key);
     });
     this.#contributors.forEach((contributors, address) => {
-      if (contributors.count(nowMs) === 0) this.#contributors.delete(address);
+      const count = this.#countContributors(contributors, nowMs);
+      if (count === 0) this.#contributors.delete(address);
     });
     this.#sequences.forEach(({ askedMs }, gateway) => {
       if (nowMs - askedMs > LEASE_TTL_MS) this.#sequences.delete(gateway);
--- a/src/policy/organisation_rate.ts
+++ b/src/policy/organisation_rate.ts
@@ -16,20 +16,31 @@
 export const LIMIT_WINDOW_S = 5;
 
 /**
- * Tokens above the burst, and fraction of a window's requests: part of the
- * tolerance of 20 requests and 10%. Gateways hold these tokens for requests to come.
+ * Tokens above the burst, and fraction of a window's requests: part of the tolerance
+ * of 20 requests and 10%. Gateways hold these tokens for requests to come.
  */
-const HELD_TOKENS = 12;
-const HELD_FRACTION = 0.06;
+const HELD_TOKENS = 8;
+const HELD_FRACTION = 0.04;
 
 /**
  * Tokens of a new bucket on a host that does not know what was granted before. They
  * are taken from the rest of the tolerance.
  */
-const FIRST_TOKENS = 4;
+const FIRST_TOKENS = 3;
 
-/** Part of the burst that gateways without their store host use. */
-const SHARED_BURST_FRACTION = 0.5;
+/**
+ * Tokens and fraction of a window's requests that gateways without their store host
+ * get besides the rate: once for all equal shares, and once for all stand-ins. Another
+ * host may have granted the whole burst just before.
+ */
+const SHARED_TOKENS = 3;
+const SHARED_FRACTION = 0.015;
+
+/**
+ * Time in which a burst arrives at least, in seconds: what the rate adds in this time
+ * need not be saved for it.
+ */
+const MIN_BURST_S = 0.25;
 
 /** Longest time for which a gateway holds a token, in milliseconds. */
 export const TOKEN_TTL_MS = 30_000;
@@ -55,6 +66,8 @@
    * the bucket saves none for expected requests.
    */
   readonly isPartial: boolean;
+  /** Whether the gateways bring their shares, as their store host doesn't reply. */
+  readonly isStandIn: boolean;
 }
 
 /** What a gateway states before it gets tokens. */
@@ -95,9 +108,9 @@
   return limit.burst + HELD_TOKENS + HELD_FRACTION * getWindowCount(limit);
 }
 
-/** Tokens of the burst that gateways without their store host share. */
+/** Tokens besides the rate that all gateways without their store host share. */
 export function getSharedBurst(limit: OrganisationLimit): number {
-  return limit.burst * SHARED_BURST_FRACTION + FIRST_TOKENS;
+  return SHARED_TOKENS + SHARED_FRACTION * getWindowCount(limit);
 }
 
 function getWindowCount({ ratePerS, burst }: OrganisationLimit): number {
@@ -120,10 +133,10 @@
     this.#limit = limit;
     this.#share = share;
     this.#updatedMs = nowMs;
-    this.#saved = Math.min(
-      this.#capacity,
-      (FIRST_TOKENS + limit.ratePerS * soleForMs / MS_PER_S) * share.fraction,
-    );
+    const first = share.isStandIn
+      ? getSharedBurst(limit)
+      : FIRST_TOKENS + limit.ratePerS * soleForMs / MS_PER_S;
+    this.#saved = Math.min(this.#capacity, first * share.fraction);
   }
 
   /** Tokens that gateways hold, as far as this host knows. */
@@ -146,16 +159,31 @@
     this.#saved = Math.min(this.#saved, this.#room);
   }
 
+  /** Changes the share; gateways that join a stand-in bring a part of the burst. */
   setShare(share: BucketShare, nowMs: number): void {
     this.refill(nowMs);
+    const added = share.isStandIn
+      ? Math.max(0, share.fraction - this.#share.fraction)
+      : 0;
     this.#share = share;
-    this.#saved = Math.min(this.#saved, this.#room);
+    this.#saved = Math.min(
+      this.#saved + added * getSharedBurst(this.#limit),
+      this.#room,
+    );
   }
 
-  /** Adds tokens for a gateway that brings its share of the burst. */
-  addSharedBurst(gateways: number): void {
-    const added = getSharedBurst(this.#limit) / gateways;
-    this.#saved = Math.min(this.#room, this.#saved + added);
+  /**
+   * Takes the tokens that a gateway may have used without the bucket before it was
+   * found to be absent, `ms` after it was last heard from.
+   */
+  deductLost(gateways: { lost: number; known: number }, ms: number): void {
+    const used = this.#limit.ratePerS * ms / MS_PER_S +
+      2 * getSharedBurst(this.#limit);
+    const part = gateways.lost / gateways.known;
+    this.#saved = Math.max(
+      -getCapacity(this.#limit),
+      this.#saved - used * part,
+    );
   }
 
   /** Records what a gateway holds, before it gets more. */
@@ -184,7 +212,8 @@
       : available;
     this.#saved -= tokens;
     const lease = this.#leases.get(gateway);
-    if (lease !== undefined) lease.held += tokens;
+    // Requests that wait use their tokens on arrival.
+    if (lease !== undefined && isEnough) lease.held += tokens - demand.waiting;
     return {
       tokens,
       retryAfterMs: isEnough ? 0 : this.#promise(nowMs),
@@ -225,7 +254,9 @@
    * to the gateway that needs it. The rest is left to the gateways that ask next.
    */
   #getExpectedCount(demand: TokenDemand): number {
-    const beyondBurst = this.#saved - demand.waiting - this.#limit.burst;
+    const { ratePerS, burst } = this.#limit;
+    const kept = Math.max(0, burst - ratePerS * MIN_BURST_S);
+    const beyondBurst = this.#saved - demand.waiting - kept;
     return Math.max(0, Math.min(demand.expected, Math.floor(beyondBurst / 2)));
   }
 
--- a/src/policy/organisation_tokens.ts
+++ b/src/policy/organisation_tokens.ts
@@ -49,14 +49,11 @@
 interface OwnShare {
   tokens: number;
   updatedMs: number;
-  hasBurst: boolean;
 }
 
 /** Circumstances in which an equal share is used. */
 export interface ShareConditions {
   readonly gateways: number;
-  /** Whether the store host has been silent so long that it counts without us. */
-  readonly isLost: boolean;
   /** Source of random numbers from 0 to 1. */
   readonly getFraction: () => number;
 }
@@ -162,7 +159,7 @@
       state: {
         held: this.#held,
         returned: this.#returned,
-        unpaid: unpaid.length,
+        unpaidAgeMs: unpaid.map(({ ms }) => Math.round(nowMs - ms)),
       },
       settle: () => {
         unpaid.forEach((admission) => {
@@ -177,7 +174,6 @@
     this.#setGranter(granter);
     this.#held += tokens;
     this.#grantedMs = nowMs;
-    this.#share = undefined;
     this.refusals = 0;
   }
 
@@ -186,27 +182,21 @@
     conditions: ShareConditions,
     nowMs: number,
   ): Admission | undefined {
-    const { gateways, isLost, getFraction } = conditions;
+    const { gateways, getFraction } = conditions;
     const perMs = this.#limit.ratePerS / gateways / MS_PER_S;
     const burst = getSharedBurst(this.#limit) / gateways;
     const known = this.#share;
-    const isNew = known === undefined ||
-      nowMs - known.updatedMs > SHARE_IDLE_MS;
-    // The random part keeps the gateways from sending at the same time.
-    const share = isNew
-      ? { tokens: getFraction(), updatedMs: nowMs, hasBurst: false }
-      : known;
+    const isKnown = known !== undefined &&
+      nowMs - known.updatedMs <= SHARE_IDLE_MS;
+    const share = isKnown
+      ? known
+      : { tokens: getInitialShare(burst, getFraction), updatedMs: nowMs };
     this.#share = share;
     share.tokens = Math.min(
       Math.max(1, burst + 1),
       share.tokens + (nowMs - share.updatedMs) * perMs,
     );
     share.updatedMs = nowMs;
-    if (isLost && !share.hasBurst) {
-      share.hasBurst = true;
-      const whole = Math.floor(burst);
-      share.tokens += whole + (getFraction() < burst - whole ? 1 : 0);
-    }
     if (share.tokens < 1) return undefined;
     share.tokens -= 1;
     return this.#recordAdmission("", nowMs);
@@ -245,3 +235,13 @@
     this.#admissions = kept < 0 ? [] : this.#admissions.slice(kept);
   }
 }
+
+/**
+ * Tokens with which an equal share begins. The random part keeps the gateways from
+ * sending at the same time, and divides a burst that is smaller than their number.
+ */
+function getInitialShare(burst: number, getFraction: () => number): number {
+  const whole = Math.floor(burst);
+  const hasRest = getFraction() < burst - whole;
+  return getFraction() + whole + (hasRest ? 1 : 0);
+}
