Merge organisations by key, and keep their rate limits at gateways

Cause: requests of an organisation above its limit were all served. Change: after the access decision and before the body is read, a request takes a token or gets 429 (RATE_EXCEEDED) with Retry-After; a token comes back if no server has run the request. A gateway whose stand-in replied lately does not use its share as well.

--- a/src/fleet/organisation_rate_client.ts
+++ b/src/fleet/organisation_rate_client.ts
@@ -72,6 +72,13 @@
 
 const MS_PER_S = 1_000;
 
+/**
+ * Time after the reply of a stand-in for which it may grant the share of this
+ * gateway, in milliseconds, and time after which a request is tried again meanwhile.
+ */
+const SHARE_LENT_MS = 5_000;
+const SHARE_LENT_RETRY_MS = 250;
+
 /** Maximum number of organisations; those that sent least recently are dropped. */
 const MAX_ORGANISATIONS = 16_384;
 
@@ -90,7 +97,10 @@
   readonly #organisations = new Map<string, OrganisationTokens>();
   readonly #channels = new Map<string, OrganisationChannel>();
   /** Store hosts that are asked in place of others. */
-  readonly #standIns = new Map<OrganisationChannel, OrganisationChannel>();
+  readonly #standIns = new Map<
+    OrganisationChannel,
+    { channel: OrganisationChannel; usedMs: number }
+  >();
   readonly #prefetched = new Set<string>();
   readonly #suspensionDetector: SuspensionDetector;
   #prefetchTimer: Timer | undefined;
@@ -157,27 +167,40 @@
   ): Promise<RateAdmission> {
     const [first, ...others] = this.#selectGranters(name)
       .map((address) => this.#getChannel(address));
-    if (first === undefined) return this.#useShare(name, tokens);
+    if (first === undefined) return this.#useShare(name, tokens, undefined);
     const waiter = { name, tokens, standInFor: "", isDown: false };
     const reply = first.mayCall ? await first.request(waiter) : undefined;
     if (reply !== undefined) {
-      this.#standIns.get(first)?.leave(first.address);
-      this.#standIns.delete(first);
+      this.#setStandIn(first, undefined);
       return this.#decide(name, tokens, reply);
     }
-    // Only the first one is asked again while it is silent.
     const standIn = first.isLost
-      ? others.find((channel) => !channel.isSilent)
+      ? others.find((channel) => channel.mayCall)
       : undefined;
-    if (standIn !== undefined) this.#standIns.set(first, standIn);
     const otherReply = await standIn?.request({
       ...waiter,
       standInFor: first.address,
       isDown: first.isDown,
     });
-    return otherReply === undefined
-      ? this.#useShare(name, tokens)
-      : this.#decide(name, tokens, otherReply);
+    if (standIn === undefined || otherReply === undefined) {
+      return this.#useShare(name, tokens, first);
+    }
+    this.#setStandIn(first, standIn);
+    return this.#decide(name, tokens, otherReply);
+  }
+
+  /** Records which store host has the share of this gateway in place of another. */
+  #setStandIn(
+    first: OrganisationChannel,
+    channel: OrganisationChannel | undefined,
+  ): void {
+    const before = this.#standIns.get(first)?.channel;
+    if (before !== undefined && before !== channel) before.leave(first.address);
+    if (channel === undefined) this.#standIns.delete(first);
+    else {
+      const usedMs = this.#options.clock.getMonotonicMs();
+      this.#standIns.set(first, { channel, usedMs });
+    }
   }
 
   #decide(
@@ -197,9 +220,15 @@
   #useShare(
     name: string,
     tokens: OrganisationTokens,
+    first: OrganisationChannel | undefined,
   ): RateAdmission {
     const { clock, random } = this.#options;
     const nowMs = clock.getMonotonicMs();
+    // A stand-in that replied lately may still grant the share of this gateway.
+    const standIn = first === undefined ? undefined : this.#standIns.get(first);
+    if (standIn !== undefined && nowMs - standIn.usedMs <= SHARE_LENT_MS) {
+      return this.#refuse(name, tokens, SHARE_LENT_RETRY_MS);
+    }
     const admission = tokens.tryTakeShare({
       gateways: this.#gateways,
       getFraction: () => random.getFraction(),
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -22,3 +22,5 @@
 export * from "./request_pacer.ts";
 export * from "./organisation_rate.ts";
 export * from "./organisation_tokens.ts";
+export * from "./organisations.ts";
+export * from "./access.ts";
--- a/src/policy/organisation_rate.ts
+++ b/src/policy/organisation_rate.ts
@@ -36,12 +36,6 @@
 const SHARED_TOKENS = 3;
 const SHARED_FRACTION = 0.015;
 
-/**
- * Time in which a burst arrives at least, in seconds: what the rate adds in this time
- * need not be saved for it.
- */
-const MIN_BURST_S = 0.25;
-
 /** Longest time for which a gateway holds a token, in milliseconds. */
 export const TOKEN_TTL_MS = 30_000;
 
@@ -254,9 +248,7 @@
    * to the gateway that needs it. The rest is left to the gateways that ask next.
    */
   #getExpectedCount(demand: TokenDemand): number {
-    const { ratePerS, burst } = this.#limit;
-    const kept = Math.max(0, burst - ratePerS * MIN_BURST_S);
-    const beyondBurst = this.#saved - demand.waiting - kept;
+    const beyondBurst = this.#saved - demand.waiting - this.#limit.burst;
     return Math.max(0, Math.min(demand.expected, Math.floor(beyondBurst / 2)));
   }
 
--- a/src/policy/routes.ts
+++ b/src/policy/routes.ts
@@ -10,15 +10,25 @@
   type RouteTable,
   type RouteTarget,
 } from "../schema/mod.ts";
+import { hasPublicJobs } from "./access.ts";
+import {
+  OrganisationIndex,
+  tryFindOrganisationError,
+} from "./organisations.ts";
 
 /** Lookup of routes and services in a route table. */
 export class RouteIndex {
   readonly table: RouteTable;
+  readonly organisations: OrganisationIndex;
+  /** Whether a route accepts jobs without a key. */
+  readonly hasPublicJobs: boolean;
   readonly #byHost = new Map<string, Route[]>();
   readonly #services: ReadonlyMap<string, RoutedService>;
 
   constructor(table: RouteTable) {
     this.table = table;
+    this.organisations = new OrganisationIndex(table.organisations);
+    this.hasPublicJobs = hasPublicJobs(table.routes);
     this.#services = new Map(
       table.services.map((service) => [service.name, service]),
     );
@@ -77,6 +87,22 @@
   return route.kind !== RequestKind.NON_IDEMPOTENT;
 }
 
+/**
+ * Returns a table without its document, for processes that only route by it: the
+ * document takes memory and contains keys. Hashes are copied, as they would keep the
+ * whole message in memory that the table came with.
+ */
+export function withoutDocument(table: RouteTable): RouteTable {
+  return {
+    ...table,
+    document: new Uint8Array(),
+    organisations: table.organisations.map((organisation) => ({
+      ...organisation,
+      keyHashes: organisation.keyHashes.map((hash) => new Uint8Array(hash)),
+    })),
+  };
+}
+
 /** Returns the first error of a route table; undefined if it is valid. */
 export function tryFindRouteTableError(table: RouteTable): string | undefined {
   const services = new Set(table.services.map((service) => service.name));
@@ -84,6 +110,8 @@
   if (services.size < table.services.length) {
     return "two services share a name";
   }
+  const organisationError = tryFindOrganisationError(table);
+  if (organisationError !== undefined) return organisationError;
   return table.routes.map((route) => {
     const key = `${route.host.toLowerCase()}${route.pathPrefix}`;
     const isDuplicate = keys.has(key);
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -39,6 +39,7 @@
   organisationCalls: "organisation_calls",
   organisationGrants: "organisation_grants",
   relayedRequests: "relayed_requests",
+  accessDecisions: "access_decisions",
   updatesNotSent: "updates_not_sent",
   unexpectedErrors: "unexpected_errors",
 } as const;
