--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -176,6 +176,11 @@
       log,
       metrics,
     });
+    backends.view.onChange(() => {
+      const { organisations = [] } = backends.view.routes?.table ?? {};
+      const hasLimits = organisations.some(({ ratePerS }) => ratePerS > 0);
+      if (hasLimits) this.#organisationRates.connect();
+    });
     this.#limits = new OrganisationLimits({
       client: this.#organisationRates,
       clock,
--- a/src/fleet/organisation_rate_channel.ts
+++ b/src/fleet/organisation_rate_channel.ts
@@ -92,6 +92,9 @@
 /** Timeout of a request, in milliseconds: as for permissions of servers. */
 const ASK_TIMEOUT_MS = 100;
 
+/** Timeout of the request that opens a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 2_000;
+
 /** Time for which a store host that did not reply is not asked, in milliseconds. */
 const BACKOFF_MS = 100;
 
@@ -154,6 +157,19 @@
     });
   }
 
+  /** Opens the connection, which takes longer than a request may wait. */
+  connect(): void {
+    this.#sequence += 1n;
+    const { caller, name, start, onReply } = this.#options;
+    caller.acquire(this.address, {
+      gateway: name,
+      gatewayStart: start,
+      sequence: this.#sequence,
+    }, CONNECT_TIMEOUT_MS)
+      .then(({ gateways }) => onReply(gateways))
+      .catch(() => {});
+  }
+
   /** Tells a stand-in that it is not asked any more; losing this has little effect. */
   leave(standInFor: string): void {
     this.#sequence += 1n;
--- a/src/fleet/organisation_rate_client.ts
+++ b/src/fleet/organisation_rate_client.ts
@@ -118,6 +118,16 @@
     this.#options.caller.close();
   }
 
+  /**
+   * Opens connections to the store hosts, so that the first requests need not wait
+   * for them. Has an effect once for each store host.
+   */
+  connect(): void {
+    this.#options.getGranters()
+      .filter((address) => !this.#channels.has(address))
+      .forEach((address) => this.#getChannel(address).connect());
+  }
+
   /** Decides on a request; at once unless a store host has to be asked. */
   admit(
     organisation: LimitedOrganisation,
