Order waiting requests and items by the shares of their organisations

Cause: waiters for a slot were woken by arrival alone, so one organisation at seven times its rate took slots from all others. Change: FairShares keeps the decayed cost of each organisation; ServerPool wakes waiters by priority, by what can be in time, and by cost. Items of organisations far above their share come last, and runs of the lowest priority are preempted first. Nothing changes without organisations.

--- a/src/fleet/item_queue.ts
+++ b/src/fleet/item_queue.ts
@@ -48,12 +48,17 @@
       getRemainingMs: (queued: QueuedJob, item: JobItem) => number;
       /** Whether an item is running, has an outcome or may not start here yet. */
       isExcluded: (key: string, queued: QueuedJob, item: JobItem) => boolean;
+      /** Whether an organisation uses much more than its share of the slots. */
+      isOverShare: (organisation: string) => boolean;
     },
   ): ItemCandidate[] {
-    const { nowMs, wallMs, getRemainingMs, isExcluded } = options;
+    const { nowMs, wallMs, getRemainingMs, isExcluded, isOverShare } = options;
     return jobs.flatMap((queued) => {
       const dueMs = queued.submittedMs + queued.job.dueMs;
       const urgentFromMs = getUrgentFromMs(queued.submittedMs, dueMs);
+      const { organisation } = queued.job;
+      const hasOrganisation = organisation !== undefined;
+      const isLast = hasOrganisation && isOverShare(organisation);
       return [...queued.open.values()].flatMap((item): ItemCandidate[] => {
         const key = getItemKey(queued.job.id, item.id);
         const mayStart = (this.#retryAfterMs.get(key) ?? 0) <= nowMs &&
@@ -66,6 +71,8 @@
           urgentFromMs,
           remainingMs: getRemainingMs(queued, item),
           openJobItems: queued.open.size,
+          priority: hasOrganisation ? item.priority : undefined,
+          isOverShare: isLast,
         }];
       });
     }).sort((a, b) => compareWaitingItems(a, b, wallMs));
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -485,13 +485,16 @@
   }
 
   #getWaiting(jobs: readonly QueuedJob[]): ItemCandidate[] {
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    const shares = this.#options.pool.shares[LoadKind.batch];
     return this.#queue.getWaiting(jobs, {
-      nowMs: this.#options.context.clock.getMonotonicMs(),
+      nowMs,
       wallMs: this.#options.context.clock.getWallMs(),
       getRemainingMs: (queued, item) => this.#getRemainingMs(queued, item),
       isExcluded: (key, queued, item) =>
         this.#activeRuns.has(key) || !this.#options.ownership.canStart(key) ||
         !this.#recorder.mayStart(queued.job.id, item.id),
+      isOverShare: (organisation) => shares.isOverShare(organisation, nowMs),
     });
   }
 
@@ -516,6 +519,8 @@
       kind: LoadKind.batch,
       prefix: this.#getPrefix(item),
       excluded: new Set(),
+      organisation: queued.job.organisation,
+      cost: Math.max(1, Number(item.tokens)),
       onSilent: () => abortController.abort(),
     });
     if (permit === undefined) return false;
@@ -529,6 +534,7 @@
       server: permit.server.id,
       abortController,
       startedMs: clock.getMonotonicMs(),
+      priority: candidate.priority,
       dueMs: candidate.dueMs,
       urgentFromMs: candidate.urgentFromMs,
       // A getter, because the remaining time decreases while the item runs.
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -6,6 +6,7 @@
 import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   decideAdmission,
+  type FairWaiter,
   getHoldMs,
   getLimitedWaitMs,
   getServiceFactor,
@@ -227,6 +228,7 @@
       abort,
     );
     this.#options.metrics.count(MetricName.requests);
+    this.#recordRequest();
     try {
       await this.#retryUntilDone();
     } catch (error) {
@@ -237,6 +239,14 @@
     }
   }
 
+  #recordRequest(): void {
+    const { pool, clock } = this.#options;
+    const { organisation } = this.#req;
+    if (organisation === undefined) return;
+    const nowMs = clock.getMonotonicMs();
+    pool.shares[LoadKind.online].recordRequest(organisation, nowMs);
+  }
+
   async #retryUntilDone(): Promise<void> {
     if (this.#pin.isTakenUp) await this.#pin.resolve();
     for (;;) {
@@ -543,7 +553,10 @@
       case "send":
         return pool.tryAcquireQueued(this.#createPermitRequest());
       case "wait":
-        await pool.waitForChange(getHoldMs(decision.ms, leastBusy));
+        await pool.waitForChange(
+          getHoldMs(decision.ms, leastBusy),
+          this.#createWaiter(),
+        );
         return undefined;
       case "refuse":
         // A stream that has begun can only go on at servers of its version, and
@@ -569,7 +582,7 @@
     if (refusedMs === undefined) return this.#waitForServer(waitedMs);
     const targetMs = this.#req.route.latencyTargetMs;
     if (refusedMs === 0 && getLimitedWaitMs({ targetMs, waitedMs }) > 0) {
-      await pool.waitForChange(LIMITED_RETRY_MS);
+      await pool.waitForChange(LIMITED_RETRY_MS, this.#createWaiter());
       return;
     }
     throw this.#createNoCapacityError(
@@ -610,7 +623,7 @@
         NO_SERVER_RETRY_AFTER_MS,
       );
     }
-    await pool.waitForChange(decision.ms);
+    await pool.waitForChange(decision.ms, this.#createWaiter());
   }
 
   /**
@@ -635,6 +648,15 @@
     });
   }
 
+  #createWaiter(): FairWaiter {
+    const { organisation, priority, arrivedMs, route } = this.#req;
+    return {
+      organisation,
+      priority,
+      inTimeUntilMs: arrivedMs + route.latencyTargetMs,
+    };
+  }
+
   #createPermitRequest(): PermitRequest {
     return {
       service: this.#pin.service,
@@ -642,6 +664,7 @@
       kind: LoadKind.online,
       prefix: this.#req.prefix,
       excluded: this.#excluded,
+      organisation: this.#req.organisation,
       onSilent: () => this.#abandonSilentServer(),
     };
   }
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -10,6 +10,8 @@
   TimeKind,
 } from "../membership/mod.ts";
 import {
+  FairShares,
+  type FairWaiter,
   getServiceFactor,
   type ServerCandidate,
   tryGetLeastLoaded,
@@ -53,6 +55,10 @@
   readonly allowed?: ReadonlySet<string>;
   /** Software version that the server must have; any by default. */
   readonly softwareVersion?: string;
+  /** Organisation whose share the request uses; undefined if it has none. */
+  readonly organisation?: string;
+  /** Cost of the request, in units of its kind; 1 by default. */
+  readonly cost?: number;
   /** Called at each check that finds the selected server silent. */
   readonly onSilent?: () => void;
 }
@@ -101,7 +107,13 @@
   readonly #options: ServerPoolOptions;
   readonly loads = new LoadTracker();
   readonly #silenceDetector = new SilenceDetector();
-  readonly #waiters = new Set<() => void>();
+  /** Shares of organisations in the slots, by kind of request. */
+  readonly shares: Readonly<Record<LoadKind, FairShares>> = {
+    [LoadKind.online]: new FairShares(),
+    [LoadKind.batch]: new FairShares(),
+  };
+  /** What each of them waits for; undefined if it is not a request. */
+  readonly #waiters = new Map<() => void, FairWaiter | undefined>();
   readonly #silenceCheckTimer: Timer;
 
   constructor(options: ServerPoolOptions) {
@@ -256,7 +268,7 @@
   }
 
   /** Resolves when a slot may have become free, or after `ms` milliseconds. */
-  waitForChange(ms: number): Promise<void> {
+  waitForChange(ms: number, waiter?: FairWaiter): Promise<void> {
     return new Promise((resolve) => {
       const resume = () => {
         timer.cancel();
@@ -264,13 +276,20 @@
         resolve();
       };
       const timer = this.#options.clock.startTimer(ms, resume);
-      this.#waiters.add(resume);
+      this.#waiters.set(resume, waiter);
     });
   }
 
-  /** Wakes all waiters, in the order in which they began to wait. */
+  /**
+   * Wakes all waiters, in the order in which they get slots: that in which they began
+   * to wait, or by the shares of their organisations.
+   */
   wakeWaiters(): void {
-    [...this.#waiters].forEach((waiter) => waiter());
+    this.shares[LoadKind.online].order(
+      [...this.#waiters.keys()],
+      (resume) => this.#waiters.get(resume),
+      this.#options.clock.getMonotonicMs(),
+    ).forEach((resume) => resume());
   }
 
   /**
@@ -411,9 +430,12 @@
 
   #createPermit(
     server: PoolServer,
-    { service, kind, onSilent }: PermitRequest,
+    { service, kind, organisation, cost = 1, onSilent }: PermitRequest,
   ): ServerPermit {
     const startedMs = this.#options.clock.getMonotonicMs();
+    if (organisation !== undefined) {
+      this.shares[kind].recordStart(organisation, cost, startedMs);
+    }
     const watchedRequest = { server: server.id, onSilent };
     this.loads.begin(server.id, kind);
     if (server.busy >= server.slots) this.#options.onQueued?.();
--- a/src/policy/batch_fill.ts
+++ b/src/policy/batch_fill.ts
@@ -17,6 +17,8 @@
   readonly urgentFromMs: number;
   /** Estimated remaining run time, in milliseconds. */
   readonly remainingMs: number;
+  /** Priority if its job has an organisation; 0 is the highest. */
+  readonly priority?: number;
 }
 
 /**
@@ -74,7 +76,7 @@
 }
 
 /**
- * Selects the runs to preempt: first those that can't finish by their due time,
+ * Selects the runs to preempt: those of the lowest priority, then those that can't finish by their due time,
  * then those due last, and among these the most recently started.
  */
 export function selectRunsToPreempt<R extends BatchRun>(
@@ -84,6 +86,7 @@
 ): R[] {
   return [...runs]
     .sort((a, b) =>
+      (b.priority ?? 0) - (a.priority ?? 0) ||
       Number(isInfeasible(b, wallMs)) - Number(isInfeasible(a, wallMs)) ||
       b.dueMs - a.dueMs || b.startedMs - a.startedMs
     )
@@ -94,11 +97,16 @@
 export interface WaitingItem extends ItemTiming {
   /** Number of items of its job that have no result yet. */
   readonly openJobItems: number;
+  /** Priority if its job has an organisation; 0 is the highest. */
+  readonly priority?: number;
+  /** Whether its organisation uses much more than its share of the slots. */
+  readonly isOverShare?: boolean;
 }
 
 /**
- * Compares waiting items by the order in which they start: first those that can
- * finish by their due time, then by due time, and then by the number of open
+ * Compares waiting items by the order in which they start: by the priority of their
+ * organisations, then those that can finish by their due time, then those of
+ * organisations within their share, then by due time, and then by the number of open
  * items of the job, so that jobs are completed before new ones start.
  */
 export function compareWaitingItems(
@@ -106,6 +114,8 @@
   b: WaitingItem,
   wallMs: number,
 ): number {
-  return Number(isInfeasible(a, wallMs)) - Number(isInfeasible(b, wallMs)) ||
+  return (a.priority ?? 0) - (b.priority ?? 0) ||
+    Number(isInfeasible(a, wallMs)) - Number(isInfeasible(b, wallMs)) ||
+    Number(a.isOverShare ?? false) - Number(b.isOverShare ?? false) ||
     a.dueMs - b.dueMs || a.openJobItems - b.openJobItems;
 }
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -5,6 +5,7 @@
 export * from "./batch_order.ts";
 export * from "./batch_capacity.ts";
 export * from "./fair_queue.ts";
+export * from "./fair_shares.ts";
 export * from "./job_memory.ts";
 export * from "./order_schedule.ts";
 export * from "./quantile_tracker.ts";
