--- a/src/fleet/organisation_rate_channel.ts
+++ b/src/fleet/organisation_rate_channel.ts
@@ -75,7 +75,6 @@
   readonly name: string;
   /** Random id of this start of the gateway. */
   readonly start: string;
-  readonly getRoutesVersion: () => bigint;
   readonly getGateways: () => number;
   readonly onReply: (gateways: number) => void;
   readonly caller: TokenCaller;
@@ -222,6 +221,7 @@
         organisation: name,
         ratePerS: tokens.limit.ratePerS,
         burst: tokens.limit.burst,
+        routesVersion: tokens.routesVersion,
         ...statement.state,
         waiting: waiting.length,
         expected: tokens.getExpected(askedMs),
@@ -235,7 +235,6 @@
         gateway: this.#options.name,
         gatewayStart: this.#options.start,
         sequence: this.#sequence,
-        routesVersion: this.#options.getRoutesVersion(),
         gateways: this.#options.getGateways(),
         standInFor,
         isDown,
--- a/src/fleet/organisation_rate_client.ts
+++ b/src/fleet/organisation_rate_client.ts
@@ -41,6 +41,7 @@
 /** Options of an {@linkcode OrganisationRateClient}. */
 export interface OrganisationRateClientOptions {
   readonly name: string;
+  /** Returns the version of the routes from which `admit` gets its limits. */
   readonly getRoutesVersion: () => bigint;
   /** Returns the addresses of the store hosts. */
   readonly getGranters: () => readonly string[];
@@ -154,6 +155,7 @@
     const known = this.#organisations.get(name);
     const tokens = known ?? new OrganisationTokens({ ratePerS, burst });
     tokens.setLimit({ ratePerS, burst });
+    tokens.routesVersion = this.#options.getRoutesVersion();
     this.#organisations.delete(name);
     this.#organisations.set(name, tokens);
     if (this.#organisations.size > MAX_ORGANISATIONS) {
@@ -336,11 +338,9 @@
   #getChannel(address: string): OrganisationChannel {
     const known = this.#channels.get(address);
     if (known !== undefined) return known;
-    const { name, getRoutesVersion, caller, clock, log, metrics } =
-      this.#options;
+    const { name, caller, clock, log, metrics } = this.#options;
     const options: ChannelOptions = {
       name,
-      getRoutesVersion,
       caller,
       clock,
       log,
--- a/src/fleet/organisation_rate_service.ts
+++ b/src/fleet/organisation_rate_service.ts
@@ -234,8 +234,8 @@
   }
 
   #getBucket(
-    { standInFor, routesVersion }: AcquireTokensRequest,
-    { organisation, ratePerS, burst }: OrganisationDemand,
+    { standInFor }: AcquireTokensRequest,
+    { organisation, ratePerS, burst, routesVersion }: OrganisationDemand,
     { share, nowMs }: { share: BucketShare; nowMs: number },
   ): KnownBucket {
     const key = `${standInFor}/${organisation}`;
--- a/src/policy/organisation_tokens.ts
+++ b/src/policy/organisation_tokens.ts
@@ -70,6 +70,8 @@
   #admissions: Admission[] = [];
   #share: OwnShare | undefined;
   #drops = 0;
+  /** Version of the routes that the limit comes from. */
+  routesVersion = 0n;
   /** Time before which asking is in vain. */
   refusedUntilMs = -Infinity;
   /** Requests refused since the last reply. */
--- a/src/test/organisation_rate_fleet_test.ts
+++ b/src/test/organisation_rate_fleet_test.ts
@@ -175,6 +175,26 @@
     expect(fleet.admittedMs.get("large")?.length).at.least(0.8 * 10 * 15);
   });
 
+  // Guards against a gateway that asks for tokens in advance by the old limit after
+  // its routes have changed, and so puts the old limit in force again.
+  it("stay lowered while a gateway goes by the limit before", async () => {
+    const fleet = new OrganisationFleet({
+      seed: 6,
+      gateways: 24,
+      storeHosts: 6,
+    });
+    const high = { name: "large", ratePerS: 100, burst: 50 };
+    const low = { name: "large", ratePerS: 10, burst: 5 };
+    await fleet.run(3_000, () => sendAtRate(fleet, high, { perS: 90 }));
+    fleet.routesVersion = 2n;
+    // No request follows, but tokens are asked for in advance.
+    await fleet.run(500);
+    fleet.admittedMs.clear();
+    await fleet.run(10_000, () => sendAtRate(fleet, low, { perS: 90 }));
+    expect(fleet.getMaxCount("large", WINDOW_MS))
+      .at.most(getAllowedCount(low));
+  });
+
   // Guards against a store host whose loss refuses what the limit allows.
   it("are kept by another store host, with its whole rate, after a loss", async () => {
     const fleet = new OrganisationFleet({
