--- a/src/test/gateway_process.ts
+++ b/src/test/gateway_process.ts
@@ -32,8 +32,9 @@
 const SLOTS = 64;
 
 /** A configuration whose routes have a long timeout. */
-function createPatientConfig(version: number): string {
+function createPatientConfig(version: number, maxBodyBytes?: number): string {
   const config = JSON.parse(createConfig(version));
+  config.Limits.MaxBodyBytes = maxBodyBytes ?? config.Limits.MaxBodyBytes;
   config.Routes.forEach((route: { TimeoutMs: number }) => {
     route.TimeoutMs = TIMEOUT_MS;
   });
@@ -45,23 +46,30 @@
   readonly fleet = new PlatformFleet();
   readonly #hosts = new HostProcesses();
   #settings: HostSettings | undefined;
+  #nodeOptions: readonly string[] = [];
   #sentCount = 0;
 
-  async open(options: { servers: number; graceMs: number }): Promise<void> {
+  async open(options: {
+    servers: number;
+    graceMs: number;
+    nodeOptions?: readonly string[];
+    /** Further settings of the gateway. */
+    settings?: Readonly<Record<string, unknown>>;
+    /** Limit of a body in the configuration, in bytes. */
+    maxBodyBytes?: number;
+  }): Promise<void> {
+    this.#nodeOptions = options.nodeOptions ?? [];
     await this.#hosts.open();
     await this.fleet.start({ servers: options.servers, gateways: 1 });
-    await this.fleet.putConfig(createPatientConfig(2));
-    await Promise.all(
-      this.fleet.servers.map((server) =>
-        this.fleet.registerServer(server, { Slots: SLOTS })
-      ),
-    );
+    await this.fleet.putConfig(createPatientConfig(2, options.maxBodyBytes));
+    await this.registerServers();
     const [seed = ""] = this.fleet.seeds;
     this.#settings = await this.#hosts.createSettings("gateway", [seed], {
       ip: GATEWAY_IP,
       peer_port: Number(seed.split(":")[1]),
       grace_ms: options.graceMs,
       beat_ms: BEAT_MS,
+      ...options.settings,
     });
   }
 
@@ -70,10 +78,19 @@
     await this.fleet.close();
   }
 
+  /** Registers the servers again, for tests that last longer than a beat. */
+  async registerServers(): Promise<void> {
+    await Promise.all(
+      this.fleet.servers.map((server) =>
+        this.fleet.registerServer(server, { Slots: SLOTS })
+      ),
+    );
+  }
+
   /** Starts the gateway and waits until it serves. */
   async start(): Promise<TestProcess> {
     if (this.#settings === undefined) throw new Error("not opened");
-    const process = this.#hosts.start(this.#settings);
+    const process = this.#hosts.start(this.#settings, this.#nodeOptions);
     await process.waitFor(/event=ready/);
     await this.fleet.waitUntil("the gateway to serve", async () => {
       const { status, isComplete } = await sendHttpRequest(
@@ -91,6 +108,10 @@
     return `${HOST_IP}:${this.#settings?.listen}`;
   }
 
+  get readyAddress(): string {
+    return `${HOST_IP}:${this.#settings?.ready}`;
+  }
+
   /** Returns an id that no other request has. */
   createId(): string {
     this.#sentCount += 1;
--- a/src/test/platform_process.ts
+++ b/src/test/platform_process.ts
@@ -1,8 +1,9 @@
 /** Hosts of a fleet on the platform as processes of their own, on loopback. */
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
+import { parse } from "smol-toml";
 import { findFreePorts } from "../sys/ports.ts";
 import { TestProcess } from "./daemon_process.ts";
 
@@ -12,6 +13,20 @@
 
 export const HOST_IP = "127.0.0.1";
 
+/** How the platform starts each role. */
+const SYSTEM_PATH = fileURLToPath(
+  new URL("../../../deploy/system.toml", import.meta.url),
+);
+
+/** Returns the options of Node.js with which the platform starts a role. */
+export async function readNodeOptions(role: string): Promise<string[]> {
+  const system = parse(await readFile(SYSTEM_PATH, "utf8")) as {
+    roles: Record<string, { run: string }>;
+  };
+  const words = system.roles[role]?.run.split(" ") ?? [];
+  return words.filter((word) => word.startsWith("--"));
+}
+
 /** The settings file of a host, its data folder and its ports. */
 export interface HostSettings {
   readonly role: string;
@@ -78,8 +93,11 @@
     return { role, file, text, dataFolder, peer, listen, ready, metrics };
   }
 
-  start({ file }: HostSettings): TestProcess {
-    const process = new TestProcess([MAIN_PATH, file]);
+  start(
+    { file }: HostSettings,
+    nodeOptions: readonly string[] = [],
+  ): TestProcess {
+    const process = new TestProcess([...nodeOptions, MAIN_PATH, file]);
     this.#processes.push(process);
     return process;
   }
