Bound what callers take of a process

Change: caller_guard applies the budget at the ports of gateways (callers, readiness, relayed), control hosts, metrics, entries and the health port of state hosts. request_body acquires bytes before it reads them, waits up to 1 s, then refuses with 503 (PT3024); a slow body gets 408 (PT2014). Requests of one connection are served in order. Jobs also acquire for their JSON values.

--- a/src/daemons/state_daemon.ts
+++ b/src/daemons/state_daemon.ts
@@ -2,6 +2,7 @@
 import { StateSettingsSchema } from "../schema/mod.ts";
 import { type HttpListener, listenHttp } from "../sys/http.ts";
 import { openPort } from "../sys/listening.ts";
+import { createCallerGuard } from "../services/common/caller_faults.ts";
 import { addStateOperators, StateHost } from "../services/mod.ts";
 import { runDaemon } from "./daemon.ts";
 
@@ -22,7 +23,7 @@
               const isReadinessProbe = req.url === "/readyz";
               res.statusCode = isReadinessProbe && !host.isReady ? 503 : 200;
               res.end();
-            }),
+            }, { guard: createCallerGuard(context) }),
           context,
         );
         await host.start();
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -11,20 +11,31 @@
   type Route,
   Verdict,
 } from "../schema/mod.ts";
+import { BoundedLog } from "../services/common/bounded_log.ts";
+import { createCallerGuard } from "../services/common/caller_faults.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import { StopPeriod } from "../services/common/stop_period.ts";
 import { StateClient } from "../services/common/state_client.ts";
+import type { CallerGuard } from "../sys/caller_guard.ts";
 import { asServingError, getCodeName, ServingError } from "../sys/errors.ts";
 import {
+  type HttpHandler,
   type HttpListener,
   type IncomingMessage,
   listenHttp,
+  type ListenOptions,
   readBody,
   removeRawHopByHopHeaders,
   type ServerResponse,
 } from "../sys/http.ts";
+import { countJsonValues } from "../sys/json_values.ts";
 import { openPort } from "../sys/listening.ts";
 import { MetricName } from "../sys/metrics.ts";
+import {
+  acquireForCaller,
+  hasLargeRest,
+  ignoreBody,
+} from "../sys/request_body.ts";
 import { createCredentials } from "../sys/rpc.ts";
 import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
@@ -83,6 +94,15 @@
  */
 const GIVE_UP_MS = 100;
 
+/** Copies of a job's body that exist while it is decoded and submitted. */
+const JOB_COPIES = 3;
+
+/** Bytes that a value of JSON takes beside its text once it is parsed. */
+const JSON_VALUE_BYTES = 128;
+
+/** Bytes that are acquired before the body of an item is read from a store host. */
+const ITEM_BODY_BYTES = 1 << 20;
+
 /** Interval between checks for open requests while stopping, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 
@@ -108,6 +128,8 @@
   readonly #settings: FleetSettings;
   readonly #context: ProcessContext;
   readonly #dialect: CallerDialect;
+  readonly #callerGuard: CallerGuard;
+  readonly #refusalLog: BoundedLog;
   readonly #backends: BackendAccess;
   readonly #relay: OnlineRelay;
   readonly #state: StateClient;
@@ -132,6 +154,9 @@
     this.#settings = settings;
     this.#context = context;
     this.#dialect = dialects.caller;
+    this.#refusalLog = new BoundedLog(context);
+    this.#callerGuard = context.callerGuard ??
+      createCallerGuard(context, settings);
     this.#reservedHeaders = new Set([
       ...dialects.backend.reservedHeaders,
       ROUTES_VERSION_HEADER,
@@ -235,8 +260,16 @@
     );
   }
 
-  #listen(...listening: Parameters<typeof listenHttp>): Promise<HttpListener> {
-    return openPort(() => listenHttp(...listening), this.#context);
+  #listen(
+    address: string,
+    handler: HttpHandler,
+    options: ListenOptions = {},
+  ): Promise<HttpListener> {
+    const guarded = { ...options, guard: this.#callerGuard };
+    return openPort(
+      () => listenHttp(address, handler, guarded),
+      this.#context,
+    );
   }
 
   /** Replaces the initial addresses of control hosts. */
@@ -340,7 +373,7 @@
     this.#context.metrics.count(MetricName.ownAnswers, 1, {
       code: getCodeName(error.code),
     });
-    this.#context.log.info("request_refused", {
+    this.#refusalLog.info("request_refused", getCodeName(error.code), {
       request: requestId,
       host: req.headers.host ?? "",
       target: req.url ?? "",
@@ -349,6 +382,7 @@
       reason: error.message,
       routes: Number(this.#backends.view.routesVersion),
     });
+    if (hasLargeRest(req)) response.closeWhenSent();
     if (response.headSent) response.abort();
     else response.sendLocal(this.#dialect.createErrorResponse(error));
   }
@@ -371,10 +405,11 @@
       req.headers,
     );
     if (jobRequest !== undefined) {
+      ignoreBody(req);
       this.#stopPeriod.throwIfTooLate(arrivedMs + MAX_JOB_CALL_MS);
       response.sendLocal(
         await this.#stopPeriod.waitFor(
-          this.#serveJobRequest(jobRequest),
+          this.#serveJobRequest(req, jobRequest),
           Verdict.MAY_HAVE_RUN,
         ),
       );
@@ -390,11 +425,12 @@
       });
     }
     const limit = routes.table.bounds?.bodyBytes || DEFAULT_MAX_BODY_BYTES;
+    const isJob = route.kind === RequestKind.BATCH;
     const body = await this.#stopPeriod.waitFor(
-      readBody(req, limit),
+      readBody(req, limit, { copies: isJob ? JOB_COPIES : 1 }),
       Verdict.NOT_RUN,
     );
-    if (route.kind === RequestKind.BATCH) {
+    if (isJob) {
       this.#stopPeriod.throwIfTooLate(
         this.#context.clock.getMonotonicMs() + MAX_JOB_CALL_MS,
       );
@@ -457,6 +493,7 @@
     body: Buffer,
     route: Route,
   ): Promise<LocalResponse> {
+    await acquireForCaller(req, countJsonValues(body) * JSON_VALUE_BYTES);
     const job = this.#dialect.decodeJob(body, req.headers, route);
     await this.#jobs.submit(job);
     this.#context.log.info("job_accepted", {
@@ -467,16 +504,25 @@
     return { status: 202, headers: [], body: "" };
   }
 
-  async #serveJobRequest(jobRequest: JobRequest): Promise<LocalResponse> {
+  async #serveJobRequest(
+    req: IncomingMessage,
+    jobRequest: JobRequest,
+  ): Promise<LocalResponse> {
+    if (jobRequest.kind === "body") {
+      await acquireForCaller(req, ITEM_BODY_BYTES);
+    }
     switch (jobRequest.kind) {
-      case "results":
-        return this.#dialect.createJobPage(
+      case "results": {
+        const page = this.#dialect.createJobPage(
           await this.#jobs.readResults(
             jobRequest.job,
             jobRequest.after,
             jobRequest.waitMs,
           ),
         );
+        await acquireForCaller(req, page.body.length);
+        return page;
+      }
       case "body":
         return {
           status: 200,
--- a/src/services/common/process_context.ts
+++ b/src/services/common/process_context.ts
@@ -1,4 +1,5 @@
 /** Dependencies of a process on its environment, which tests can replace. */
+import type { CallerGuard } from "../../sys/caller_guard.ts";
 import { type Clock, SystemClock } from "../../sys/clock.ts";
 import { createSilentLog, type Log } from "../../sys/log.ts";
 import { Metrics } from "../../sys/metrics.ts";
@@ -10,6 +11,8 @@
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Guards all HTTP ports of the process; without it, each host makes its own. */
+  readonly callerGuard?: CallerGuard;
   /** Whether messages to an address are lost; simulates network partitions. */
   readonly isPartitioned?: (address: string) => boolean;
 }
@@ -25,6 +28,7 @@
     clock: options.clock ?? new SystemClock(),
     random: options.random ?? new SystemRandom(),
     log: options.log ?? createSilentLog(),
+    callerGuard: options.callerGuard,
     isPartitioned: options.isPartitioned,
     metrics: options.metrics ?? new Metrics({ prefix: options.name }),
   };
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -41,6 +41,7 @@
 import { countOpenWork } from "../control/open_counts.ts";
 import { addOperatorService } from "../control/operator_service.ts";
 import { PlainService } from "../online/plain_service.ts";
+import { createCallerGuard } from "../common/caller_faults.ts";
 import type { ProcessContext } from "../common/process_context.ts";
 import { PromptPartGuard } from "../common/prompt_part_guard.ts";
 import { PeerUpdateSender } from "../control/peer_update_sender.ts";
@@ -261,6 +262,9 @@
           {
             maxHeaderBytes: headerBytes,
             headersTooLargeResponse: createRawHeaderProblem(headerBytes),
+            guard: createCallerGuard(this.#context, {
+              largestBodyBytes: this.#settings.limits?.bodyBytes,
+            }),
           },
         ),
       { clock, log },
--- a/src/sys/framed_response.ts
+++ b/src/sys/framed_response.ts
@@ -143,7 +143,40 @@
       ? [...headers, "Content-Length", length]
       : { ...headers, "content-length": length },
   );
-  res.end(body);
+  if (res.shouldKeepAlive || res.req.complete) res.end(body);
+  else endAfterRest(res, body);
+}
+
+/**
+ * Maximum time for which a connection that is closed after a refusal stays open
+ * for what is still on its way, in milliseconds. The system discards a response
+ * that has not been read if bytes arrive at a closed connection.
+ */
+const MAX_REST_MS = 500;
+
+/** Maximum number of bytes that are discarded in this time: one legal body. */
+const MAX_REST_BYTES = 4 << 20;
+
+/** Counted for each piece beside its bytes, which bounds the number of pieces. */
+const PIECE_BYTES = 1_024;
+
+function endAfterRest(res: ServerResponse, body: Uint8Array | string): void {
+  const { req } = res;
+  let bytes = 0;
+  const end = () => {
+    clearTimeout(timer);
+    res.end();
+  };
+  const timer = setTimeout(end, MAX_REST_MS);
+  res.write(body);
+  req.on("data", (piece: Buffer) => {
+    bytes += piece.length + PIECE_BYTES;
+    if (bytes > MAX_REST_BYTES) end();
+  });
+  req.resume();
+  req.on("end", end);
+  req.on("error", end);
+  res.on("close", () => clearTimeout(timer));
 }
 
 /**
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -7,10 +7,12 @@
 import type { AddressInfo, Socket } from "node:net";
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
+import type { CallerGuard } from "./caller_guard.ts";
 import { abortResponse } from "./framed_response.ts";
 import { hasFailedOn, HttpAgent, recordFailedRequest } from "./http_agent.ts";
 import { isolate } from "./isolation.ts";
 
+export { readBody } from "./request_body.ts";
 export type {
   IncomingHttpHeaders,
   IncomingMessage,
@@ -67,6 +69,8 @@
   readonly headersTooLargeResponse?: string;
   /** Returns the current bounds; undefined for the defaults. */
   readonly getBounds?: () => { readonly idleTimeoutMs: number } | undefined;
+  /** Bounds what callers take of the process; undefined for no bounds. */
+  readonly guard?: CallerGuard;
 }
 
 /** Opens a server; fails with PORT_BUSY if it cannot listen on the address. */
@@ -75,7 +79,7 @@
   handler: HttpHandler,
   options: ListenOptions = {},
 ): Promise<HttpListener> {
-  const { getBounds } = options;
+  const { getBounds, guard } = options;
   const serve = isolate(handler, (_, res) => abortResponse(res));
   const server = http.createServer({
     maxHeaderSize: options.maxHeaderBytes,
@@ -88,8 +92,10 @@
     if (idleMs > 0) server.keepAliveTimeout = idleMs;
     // Without a listener, a failed write would be an error of the process.
     res.on("error", () => res.destroy());
-    serve(req, res);
+    if (guard === undefined) serve(req, res);
+    else guard.admit(req, res, () => serve(req, res));
   });
+  guard?.attach(server);
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
     const response = error.code === "HPE_HEADER_OVERFLOW"
       ? options.headersTooLargeResponse
@@ -445,30 +451,6 @@
   body.on("close", () => clearTimeout(timer));
 }
 
-/** Reads a complete body; fails with BODY_TOO_LARGE above `limit` bytes. */
-export async function readBody(
-  body: http.IncomingMessage,
-  limit: number,
-): Promise<Buffer> {
-  const declaredBytes = Number(body.headers["content-length"] ?? 0);
-  if (declaredBytes > limit) throw createBodyTooLargeError(limit);
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > limit) throw createBodyTooLargeError(limit);
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
-
-function createBodyTooLargeError(limit: number): ServingError {
-  return new ServingError(MessageCode.BODY_TOO_LARGE, {
-    verdict: Verdict.NOT_RUN,
-    parameters: { limit },
-  });
-}
-
 /** Hop-by-hop headers, which apply to one connection and are not forwarded. */
 const HOP_BY_HOP_HEADERS = new Set([
   "connection",
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -5,7 +5,7 @@
  */
 import { StatsD } from "hot-shots";
 import { Counter, Histogram, Registry } from "prom-client";
-import { type HttpListener, listenHttp } from "./http.ts";
+import { type HttpListener, listenHttp, type ListenOptions } from "./http.ts";
 
 /** Names of all metrics; docs/METRICS.md explains them. */
 export const MetricName = {
@@ -38,6 +38,7 @@
   relayedRequests: "relayed_requests",
   updatesNotSent: "updates_not_sent",
   unexpectedErrors: "unexpected_errors",
+  callerFaults: "caller_faults",
 } as const;
 
 /** Name of a metric. */
@@ -100,7 +101,10 @@
   }
 
   /** Serves the metrics on `address`. */
-  listen(address: string): Promise<HttpListener> {
+  listen(
+    address: string,
+    options: ListenOptions = {},
+  ): Promise<HttpListener> {
     return listenHttp(address, (req, res) => {
       if (req.url !== METRICS_PATH) {
         res.writeHead(404).end();
@@ -113,7 +117,7 @@
         },
         (error) => res.writeHead(500).end(String(error)),
       );
-    });
+    }, options);
   }
 
   close(): void {
