Encode load reports once, add up loads by difference, ask local mergers

Cause: each process formatted and encoded its report for each of up to 12 mergers, and a merger added up the reports of all processes again after each one that arrived. Unchanged reports of processes that accept no relayed requests are repeated every 0.9 s after three repetitions. Every store host still gets the unmerged reports of all processes, as older builds expect.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -137,6 +137,8 @@
       bindAddress: getBindAddress(settings),
       loads: pool.loads,
       getMergers: () => view.getStoreAddresses(),
+      isLocalMerger: (address) =>
+        view.getDataCentre(address) === settings.dataCentre,
       isMerger: options.isMerger,
       onReport: options.onReport,
       onOrigins: options.onOrigins ?? (() => {}),
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -34,6 +34,7 @@
 import { openPort } from "../sys/listening.ts";
 import type { Log } from "../sys/log.ts";
 import { getPlacementHash } from "../sys/random.ts";
+import { areEqualLoads, SentReports } from "./sent_reports.ts";
 
 /** Options of a {@linkcode LoadExchange}. */
 export interface LoadExchangeOptions {
@@ -44,6 +45,8 @@
   readonly loads: LoadTracker;
   /** Returns the addresses of the processes that merge reports. */
   readonly getMergers: () => readonly string[];
+  /** Whether a merger is in the own data centre; all are by default. */
+  readonly isLocalMerger?: (address: string) => boolean;
   /** Whether this process merges the reports of the other processes. */
   readonly isMerger: boolean;
   readonly onReport: () => void;
@@ -73,9 +76,6 @@
  */
 const MIN_REPORT_INTERVAL_MS = 10;
 
-/** Interval between reports with the same content, in milliseconds. */
-const UNCHANGED_REPORT_INTERVAL_MS = 300;
-
 /**
  * Maximum average number of servers in a datagram. Each server takes about 25
  * bytes. Servers are distributed unevenly over the parts; the limit leaves room
@@ -104,12 +104,21 @@
   readonly #options: LoadExchangeOptions;
   readonly #mergerSelector: MergerSelector;
   readonly #reporters = new Map<string, { name: string; receivedMs: number }>();
-  readonly #lastSent = new Map<string, { text: string; sentMs: number }>();
+  /** Own reports as last sent, by merger. */
+  readonly #sentOwn = new SentReports();
+  /** Merged reports as last sent, by reporter. */
+  readonly #sentMerged = new SentReports();
+  /** Own loads; the same list as long as they are equal. */
+  #ownLoads: { readonly rows: ServerLoad[]; readonly revision: number } = {
+    rows: [],
+    revision: 0,
+  };
   #socket: DatagramSocket | undefined;
   #reportTimer: Timer | undefined;
   /** Origins that have been sent once. */
   #repeatedOrigins: StreamOrigin[] = [];
-  #selectedMerger = "";
+  /** Mergers that are asked for answers: one, or two while it changes. */
+  #askedMergers: ReadonlySet<string> = new Set();
   /** Number of parts of the last report. */
   #partCount = 1;
   #sequence = 0n;
@@ -117,7 +126,10 @@
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
-    this.#mergerSelector = new MergerSelector({ name: options.name });
+    this.#mergerSelector = new MergerSelector({
+      name: options.name,
+      isLocal: options.isLocalMerger,
+    });
   }
 
   async start(): Promise<void> {
@@ -201,47 +213,84 @@
     if (report.wantsAnswer) {
       this.#reporters.set(from, { name: report.sender, receivedMs: nowMs });
     } else if (this.#reporters.delete(from)) {
-      this.#lastSent.delete(`${from}/true`);
+      this.#sentMerged.delete(from);
     }
   }
 
   #sendReports(): void {
-    const { clock, loads, getMergers, isMerger, address, isCutOff } =
-      this.#options;
+    const { clock, getMergers, isMerger } = this.#options;
     const nowMs = clock.getMonotonicMs();
     this.#lastReportMs = nowMs;
-    const own = isCutOff() ? [] : [...loads.getAllOwn()];
-    const ownLoads = own.map(([server, count]) => ({
+    const mergers = getMergers();
+    this.#updateOwnLoads();
+    this.#partCount = countParts(this.#ownLoads.rows.length);
+    const selector = this.#mergerSelector;
+    this.#askedMergers = new Set(
+      isMerger ? [] : [
+        selector.select(mergers, nowMs),
+        selector.selectCandidate(mergers, nowMs),
+      ],
+    );
+    this.#sendOwnReports(mergers, nowMs);
+    this.repeatOrigins();
+    if (isMerger) this.#sendMergedReports(nowMs);
+  }
+
+  /** Sends the own loads to the mergers whose last report differs or is old. */
+  #sendOwnReports(mergers: readonly string[], nowMs: number): void {
+    const { address } = this.#options;
+    const { rows: loads, revision } = this.#ownLoads;
+    const acceptsRelayed = this.#options.acceptsRelayed();
+    const recipients = mergers.filter((merger) => merger !== address);
+    [true, false].forEach((wantsAnswer) => {
+      const due = recipients.filter((merger) => {
+        const isAsked = this.#askedMergers.has(merger);
+        return isAsked === wantsAnswer && this.#sentOwn.recordIfDue(merger, {
+          loads,
+          revision,
+          wantsAnswer,
+          acceptsRelayed,
+          isAnswer: false,
+          sentMs: nowMs,
+        });
+      });
+      if (due.length === 0) return;
+      this.#sendParts(due, loads, { merged: false, wantsAnswer });
+    });
+    this.#sentOwn.retainOnly(recipients);
+  }
+
+  /** Reads the own loads anew if they may have changed. */
+  #updateOwnLoads(): void {
+    const { loads, isCutOff } = this.#options;
+    // No revision is negative, so the loads are read anew after a change.
+    const revision = isCutOff() ? -1 : loads.ownRevision;
+    if (revision === this.#ownLoads.revision) return;
+    const own = revision < 0 ? [] : [...loads.getAllOwn()];
+    const rows = own.map(([server, count]) => ({
       $typeName: "papayatally.v1.ServerLoad" as const,
       server,
       ...count,
     }));
-    this.#partCount = countParts(ownLoads.length);
-    const mergers = getMergers();
-    this.#selectedMerger = isMerger
-      ? ""
-      : this.#mergerSelector.select(mergers, nowMs);
-    mergers.filter((merger) => merger !== address).forEach((merger) => {
-      const wantsAnswer = merger === this.#selectedMerger;
-      this.#send(
-        merger,
-        { loads: ownLoads, merged: false, wantsAnswer },
-        nowMs,
-      );
-    });
-    this.repeatOrigins();
-    if (isMerger) this.#sendMergedReports(nowMs);
+    this.#ownLoads = {
+      rows: areEqualLoads(rows, this.#ownLoads.rows)
+        ? this.#ownLoads.rows
+        : rows,
+      revision,
+    };
   }
 
   /** Sends origins as parts beyond the last one, which hold no loads. */
   #sendOrigins(origins: readonly StreamOrigin[]): void {
     const mergers = this.#options.getMergers();
     const parts = this.#partCount;
+    const asked = mergers.filter((merger) => this.#askedMergers.has(merger));
+    const others = mergers.filter((merger) => !this.#askedMergers.has(merger));
     for (let sent = 0; sent < origins.length; sent += ORIGINS_PER_DATAGRAM) {
-      mergers.forEach((merger) =>
-        this.#sendReport(merger, {
+      [asked, others].forEach((recipients) =>
+        this.#sendReport(recipients, {
           merged: false,
-          wantsAnswer: merger === this.#selectedMerger,
+          wantsAnswer: recipients === asked,
           // Builds that go by the loads of this part as well find none.
           part: parts,
           parts,
@@ -252,47 +301,51 @@
   }
 
   #sendMergedReports(nowMs: number): void {
+    const { loads: tracker } = this.#options;
+    const acceptsRelayed = this.#options.acceptsRelayed();
+    const revision = tracker.getRevision(nowMs);
     this.#reporters.forEach(({ name, receivedMs }, address) => {
       if (nowMs - receivedMs > REPORTER_TIMEOUT_MS) {
         this.#reporters.delete(address);
-        this.#lastSent.delete(`${address}/true`);
+        this.#sentMerged.delete(address);
         return;
       }
-      const loads = this.#options.loads.getMerged(nowMs, name);
-      const body = { loads, merged: true, wantsAnswer: false };
-      this.#send(address, body, nowMs);
+      const sent = this.#sentMerged.get(address);
+      const isDue = this.#sentMerged.recordIfDue(address, {
+        loads: sent?.revision === revision
+          ? sent.loads
+          : tracker.getMerged(nowMs, name),
+        revision,
+        wantsAnswer: false,
+        acceptsRelayed,
+        isAnswer: true,
+        sentMs: nowMs,
+      });
+      if (!isDue) return;
+      const sentLoads = this.#sentMerged.get(address)?.loads ?? [];
+      this.#sendParts([address], sentLoads, {
+        merged: true,
+        wantsAnswer: false,
+      });
     });
   }
 
-  /** Sends a report; skips it if an identical one was sent recently. */
-  #send(
-    to: string,
-    body: {
-      loads: ServerLoad[];
-      merged: boolean;
-      wantsAnswer: boolean;
-    },
-    nowMs: number,
+  /** Sends loads in as many datagrams as they need; each is encoded once. */
+  #sendParts(
+    recipients: readonly string[],
+    allLoads: readonly ServerLoad[],
+    kind: { merged: boolean; wantsAnswer: boolean },
   ): void {
-    const rows = body.loads.map((load) =>
-      `${load.server}:${load.online}:${load.batch}`
-    );
-    const acceptsRelayed = this.#options.acceptsRelayed();
-    const text = [body.wantsAnswer, acceptsRelayed, ...rows].join();
-    const key = `${to}/${body.merged}`;
-    const sent = this.#lastSent.get(key);
-    const isRepeat = sent?.text === text;
-    if (isRepeat && nowMs - sent.sentMs < UNCHANGED_REPORT_INTERVAL_MS) return;
-    this.#lastSent.set(key, { text, sentMs: nowMs });
-    splitLoads(body.loads).forEach((loads, part, all) =>
-      this.#sendReport(to, { ...body, loads, part, parts: all.length })
+    splitLoads(allLoads).forEach((loads, part, { length: parts }) =>
+      this.#sendReport(recipients, { ...kind, loads, part, parts })
     );
   }
 
   #sendReport(
-    to: string,
+    recipients: readonly string[],
     values: MessageInitShape<typeof LoadReportSchema>,
   ): void {
+    if (recipients.length === 0) return;
     const acceptsRelayed = this.#options.acceptsRelayed();
     this.#sequence += 1n;
     const report = create(LoadReportSchema, {
@@ -302,7 +355,8 @@
       acceptsRelayed,
       dataCentre: acceptsRelayed ? this.#options.dataCentre : "",
     });
-    this.#socket?.send(toBinary(LoadReportSchema, report), to);
+    const bytes = toBinary(LoadReportSchema, report);
+    recipients.forEach((to) => this.#socket?.send(bytes, to));
   }
 }
 
--- a/src/fleet/routing_view.ts
+++ b/src/fleet/routing_view.ts
@@ -138,6 +138,12 @@
       : this.getAddresses(HostRole.STORE);
   }
 
+  /** Returns the data centre of the host at an address; empty if unknown. */
+  getDataCentre(address: string): string {
+    return this.#hosts.hosts.find((host) => host.address === address)
+      ?.dataCentre ?? "";
+  }
+
   /**
    * Time since a control host was heard of, in milliseconds; Infinity before the
    * first time, and since a possible suspension, which the clock does not count.
--- /dev/null
+++ b/src/fleet/sent_reports.ts
@@ -0,0 +1,103 @@
+/**
+ * The load reports that a process sent last to each other process. They tell which
+ * ones have to be sent now: those whose content has changed, and the others at longer
+ * intervals. Lists of loads are compared by identity first, so a report whose loads
+ * have not changed costs nothing.
+ */
+import type { ServerLoad } from "../schema/mod.ts";
+
+/** A report as it was last sent to one process. */
+export interface SentReport {
+  readonly loads: readonly ServerLoad[];
+  /** Revision of the loads that it was made of. */
+  readonly revision: number;
+  readonly wantsAnswer: boolean;
+  readonly acceptsRelayed: boolean;
+  /** Whether the recipient asked for it. */
+  readonly isAnswer: boolean;
+  readonly sentMs: number;
+  /** Times that it was sent again with the same content. */
+  readonly repeats: number;
+}
+
+/**
+ * Interval between reports with the same content, in milliseconds. A process selects
+ * another merger if it has no answer for 450 ms, and mergers forget a gateway that
+ * accepts requests of others after 700 ms.
+ */
+const UNCHANGED_REPORT_INTERVAL_MS = 300;
+
+/**
+ * Repetitions after which a report with the same content is sent less often if
+ * nothing but its loads depends on it. Until then, it repairs losses.
+ */
+const MAX_FREQUENT_REPEATS = 3;
+
+/**
+ * Interval between such reports, in milliseconds: a merger forgets a report after 2 s
+ * and may lose one.
+ */
+const STEADY_REPORT_INTERVAL_MS = 900;
+
+/** Reports of one kind, by the process that they were sent to. */
+export class SentReports {
+  readonly #reports = new Map<string, SentReport>();
+
+  get(to: string): SentReport | undefined {
+    return this.#reports.get(to);
+  }
+
+  delete(to: string): void {
+    this.#reports.delete(to);
+  }
+
+  /** Removes the reports to all other processes. */
+  retainOnly(recipients: readonly string[]): void {
+    if (this.#reports.size <= recipients.length) return;
+    const known = new Set(recipients);
+    [...this.#reports.keys()].filter((to) => !known.has(to))
+      .forEach((to) => this.#reports.delete(to));
+  }
+
+  /** Records a report as sent, and returns true, if it has to be sent now. */
+  recordIfDue(to: string, report: Omit<SentReport, "repeats">): boolean {
+    const sent = this.#reports.get(to);
+    const isRepeat = sent !== undefined &&
+      sent.wantsAnswer === report.wantsAnswer &&
+      sent.acceptsRelayed === report.acceptsRelayed &&
+      areEqualLoads(sent.loads, report.loads);
+    if (isRepeat && report.sentMs - sent.sentMs < getIntervalMs(sent)) {
+      const { revision } = report;
+      if (sent.revision !== revision) {
+        this.#reports.set(to, { ...sent, revision });
+      }
+      return false;
+    }
+    this.#reports.set(to, {
+      ...report,
+      repeats: isRepeat ? sent.repeats + 1 : 0,
+    });
+    return true;
+  }
+}
+
+/** Time after which a report is sent again with the same content. */
+function getIntervalMs(sent: SentReport): number {
+  const isSteady = !sent.wantsAnswer && !sent.acceptsRelayed &&
+    !sent.isAnswer && sent.repeats >= MAX_FREQUENT_REPEATS;
+  return isSteady ? STEADY_REPORT_INTERVAL_MS : UNCHANGED_REPORT_INTERVAL_MS;
+}
+
+/** Whether the same servers have the same loads, in any order. */
+export function areEqualLoads(
+  a: readonly ServerLoad[],
+  b: readonly ServerLoad[],
+): boolean {
+  if (a === b) return true;
+  if (a.length !== b.length) return false;
+  const byServer = new Map(a.map((load) => [load.server, load]));
+  return b.every(({ server, online, batch }) => {
+    const other = byServer.get(server);
+    return other?.online === online && other.batch === batch;
+  });
+}
--- a/src/membership/load_tracker.ts
+++ b/src/membership/load_tracker.ts
@@ -5,7 +5,10 @@
  * totals are both delayed, by different amounts, so the larger estimate is
  * used.
  *
- * A large report is sent in parts, each of which covers some of the servers.
+ * A large report is sent in parts, each of which covers some of the servers. The
+ * sums over all reports are kept up to date by the difference that each part makes,
+ * because summing up the reports of a large fleet again after each one takes most of
+ * the time of a process that receives them all.
  */
 import type { LoadReport, ServerLoad } from "../schema/mod.ts";
 import { MAX_UINT32 } from "./ages.ts";
@@ -23,8 +26,6 @@
 }
 
 interface StoredReport {
-  /** Process that the counts belong to, or {@linkcode MERGED_SOURCE}. */
-  readonly source: string;
   /** Process that sent the report. */
   readonly sender: string;
   readonly sequence: bigint;
@@ -50,22 +51,36 @@
  */
 const OBSERVATION_TTL_MS = 300;
 
-/** Time for which sums are cached if no report arrives, in milliseconds. */
-const SUMS_TTL_MS = 50;
-
 /** Source name of merged reports; no process has an empty name. */
 const MERGED_SOURCE = "";
 
 const NO_LOAD: LoadCount = { online: 0, batch: 0 };
 
+const NO_COUNTS: ReadonlyMap<string, LoadCount> = new Map();
+
 /** Tracks the load of all servers for one process. */
 export class LoadTracker {
   readonly #own = new Map<string, LoadCount>();
-  readonly #reports = new Map<string, StoredReport>();
+  /** Parts of the reports of each source, by number. */
+  readonly #reports = new Map<string, Map<number, StoredReport>>();
   readonly #observations = new Map<string, ServerObservation>();
-  #sums:
-    | { readonly atMs: number; readonly counts: ReadonlyMap<string, LoadCount> }
-    | undefined;
+  /** Sums over all stored reports; changed by the difference of each report. */
+  readonly #sums = new Map<string, LoadCount>();
+  /** No stored report expires earlier, in monotonic milliseconds. */
+  #nextExpiryMs = Infinity;
+  #ownRevision = 0;
+  #othersRevision = 0;
+
+  /** Changes whenever the own counts do. */
+  get ownRevision(): number {
+    return this.#ownRevision;
+  }
+
+  /** Changes whenever the own counts or those of the stored reports do. */
+  getRevision(nowMs: number): number {
+    this.#removeExpired(nowMs);
+    return this.#ownRevision + this.#othersRevision;
+  }
 
   /** Counts a request that this process starts at a server. */
   begin(server: string, kind: LoadKind): void {
@@ -93,25 +108,28 @@
    */
   acceptReport(report: LoadReport, nowMs: number): boolean {
     const source = report.merged ? MERGED_SOURCE : report.sender;
-    const key = `${source}/${report.part}`;
-    const known = this.#reports.get(key);
+    const parts = this.#reports.get(source) ?? new Map<number, StoredReport>();
+    const known = parts.get(report.part);
     const isOld = known?.sender === report.sender &&
       known.sequence >= report.sequence &&
       nowMs - known.atMs < REPORT_TTL_MS;
     if (isOld) return false;
-    this.#removeStaleParts(source, Math.max(1, report.parts));
-    this.#sums = undefined;
-    this.#reports.set(key, {
-      source,
-      sender: report.sender,
-      sequence: report.sequence,
-      atMs: nowMs,
-      counts: new Map(
-        report.loads.map(({ server, online, batch }) =>
-          [server, { online, batch }] as const
-        ),
+    this.#removeStaleParts(parts, Math.max(1, report.parts));
+    const counts = new Map(
+      report.loads.map(({ server, online, batch }) =>
+        [server, { online, batch }] as const
       ),
-    });
+    );
+    const previous = parts.get(report.part)?.counts ?? NO_COUNTS;
+    if (!areEqual(previous, counts)) {
+      this.#othersRevision += 1;
+      this.#add(previous, -1);
+      this.#add(counts, 1);
+    }
+    const { sender, sequence } = report;
+    parts.set(report.part, { sender, sequence, atMs: nowMs, counts });
+    this.#reports.set(source, parts);
+    this.#nextExpiryMs = Math.min(this.#nextExpiryMs, nowMs + REPORT_TTL_MS);
     return true;
   }
 
@@ -127,7 +145,8 @@
 
   /** Requests of all other processes at a server, from their reports. */
   getOthers(server: string, nowMs: number): LoadCount {
-    return this.#getSums(nowMs).get(server) ?? NO_LOAD;
+    this.#removeExpired(nowMs);
+    return this.#sums.get(server) ?? NO_LOAD;
   }
 
   /** Requests of all processes at a server or on their way to it. */
@@ -154,15 +173,19 @@
    * `excludedSource` reported: the answer to that process.
    */
   getMerged(nowMs: number, excludedSource: string): ServerLoad[] {
-    const sums = this.#getSums(nowMs);
-    const excludedCounts = new Map<string, LoadCount>();
-    this.#getValidParts(excludedSource, nowMs).forEach((report) =>
-      addCounts(excludedCounts, report.counts)
-    );
-    return [...new Set([...this.#own.keys(), ...sums.keys()])].map((server) => {
+    this.#removeExpired(nowMs);
+    const sums = this.#sums;
+    const excludedParts = [
+      ...this.#reports.get(excludedSource)?.values() ?? [],
+    ];
+    const servers = new Set([...this.#own.keys(), ...sums.keys()]);
+    return [...servers].map((server) => {
       const own = this.getOwn(server);
       const others = sums.get(server) ?? NO_LOAD;
-      const excluded = excludedCounts.get(server) ?? NO_LOAD;
+      const excluded = excludedParts.reduce(
+        (sum, { counts }) => sumLoadCounts(sum, counts.get(server) ?? NO_LOAD),
+        NO_LOAD,
+      );
       return {
         $typeName: "papayatally.v1.ServerLoad" as const,
         server,
@@ -172,48 +195,57 @@
     }).filter((load) => load.online + load.batch > 0);
   }
 
-  /** Parts of one source's report that have not expired. */
-  #getValidParts(source: string, nowMs: number): StoredReport[] {
-    const parts: StoredReport[] = [];
-    for (let part = 0;; part += 1) {
-      const report = this.#reports.get(`${source}/${part}`);
-      if (report === undefined) return parts;
-      if (nowMs - report.atMs < REPORT_TTL_MS) parts.push(report);
-    }
-  }
-
-  #getValidReports(nowMs: number): StoredReport[] {
-    return [...this.#reports.values()].filter((report) =>
-      nowMs - report.atMs < REPORT_TTL_MS
-    );
-  }
-
-  /** Sums over all valid reports, cached for repeated queries. */
-  #getSums(nowMs: number): ReadonlyMap<string, LoadCount> {
-    const known = this.#sums;
-    if (known !== undefined && nowMs - known.atMs < SUMS_TTL_MS) {
-      return known.counts;
-    }
-    const counts = new Map<string, LoadCount>();
-    this.#getValidReports(nowMs).forEach((report) =>
-      addCounts(counts, report.counts)
-    );
-    this.#sums = { atMs: nowMs, counts };
-    return counts;
+  /** Removes the reports that have expired, if any can have. */
+  #removeExpired(nowMs: number): void {
+    if (nowMs < this.#nextExpiryMs) return;
+    this.#nextExpiryMs = Infinity;
+    this.#reports.forEach((parts, source) => {
+      parts.forEach((report, part) => {
+        const expiryMs = report.atMs + REPORT_TTL_MS;
+        if (nowMs >= expiryMs) this.#removePart(parts, part, report);
+        else this.#nextExpiryMs = Math.min(this.#nextExpiryMs, expiryMs);
+      });
+      if (parts.size === 0) this.#reports.delete(source);
+    });
   }
 
   /**
    * Removes parts beyond the current number of parts of a source. Their servers
    * moved to other parts and would be counted twice.
    */
-  #removeStaleParts(source: string, parts: number): void {
-    this.#reports.forEach((report, key) => {
-      const part = Number(key.slice(key.lastIndexOf("/") + 1));
-      if (report.source === source && part >= parts) this.#reports.delete(key);
+  #removeStaleParts(parts: Map<number, StoredReport>, count: number): void {
+    parts.forEach((report, part) => {
+      if (part >= count) this.#removePart(parts, part, report);
+    });
+  }
+
+  #removePart(
+    parts: Map<number, StoredReport>,
+    part: number,
+    { counts }: StoredReport,
+  ): void {
+    parts.delete(part);
+    if (counts.size === 0) return;
+    this.#othersRevision += 1;
+    this.#add(counts, -1);
+  }
+
+  /** Adds counts to the sums, or subtracts them if `sign` is -1. */
+  #add(counts: ReadonlyMap<string, LoadCount>, sign: 1 | -1): void {
+    counts.forEach(({ online, batch }, server) => {
+      const sum = this.#sums.get(server) ?? NO_LOAD;
+      const changed = {
+        online: sum.online + sign * online,
+        batch: sum.batch + sign * batch,
+      };
+      if (changed.online === 0 && changed.batch === 0) {
+        this.#sums.delete(server);
+      } else this.#sums.set(server, changed);
     });
   }
 
   #adjustOwn(server: string, kind: LoadKind, delta: number): void {
+    this.#ownRevision += 1;
     const own = this.getOwn(server);
     const changed = { ...own, [kind]: own[kind] + delta };
     if (changed.online + changed.batch === 0) this.#own.delete(server);
@@ -221,13 +253,14 @@
   }
 }
 
-function addCounts(
-  sums: Map<string, LoadCount>,
-  counts: ReadonlyMap<string, LoadCount>,
-): void {
-  counts.forEach((count, server) =>
-    sums.set(server, sumLoadCounts(sums.get(server) ?? NO_LOAD, count))
-  );
+function areEqual(
+  a: ReadonlyMap<string, LoadCount>,
+  b: ReadonlyMap<string, LoadCount>,
+): boolean {
+  return a.size === b.size && [...a].every(([server, count]) => {
+    const other = b.get(server);
+    return other?.online === count.online && other.batch === count.batch;
+  });
 }
 
 /** Keeps a sum of counts of other processes within what a report can hold. */
