--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -3,6 +3,7 @@
  * the request may be retried.
  */
 import { Verdict } from "../schema/mod.ts";
+import { BodyChunks } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
 import {
   discardBody,
@@ -214,7 +215,10 @@
       };
     }
     if (!meta.isNotRun) {
-      const chunks = readChunks(response.body, () => this.#onActivity(id));
+      const chunks = new BodyChunks(
+        response.body,
+        () => this.#onActivity(id),
+      );
       return { kind: "response", response: { ...response, chunks } };
     }
     discardBody(response.body);
@@ -247,16 +251,6 @@
   }
 }
 
-async function* readChunks(
-  body: HttpResponse["body"],
-  onChunk: () => void,
-): AsyncIterable<Buffer> {
-  for await (const chunk of body) {
-    onChunk();
-    yield chunk;
-  }
-}
-
 function readRetryAfter(value: string | undefined): number | undefined {
   return value !== undefined && DECIMAL_PATTERN.test(value.trim())
     ? Math.min(MAX_RETRY_AFTER_MS, Number(value) * MS_PER_S)
--- a/src/fleet/caller_response.ts
+++ b/src/fleet/caller_response.ts
@@ -46,8 +46,16 @@
    * (backpressure), or when the connection has closed.
    */
   async write(bytes: Buffer): Promise<void> {
-    if (this.disconnected.aborted || this.#framed.write(bytes)) return;
-    await whenWritable(this.#res);
+    await this.push(bytes);
+  }
+
+  /**
+   * Writes a chunk of the body. Returns true if the next one can be written at once,
+   * and otherwise a promise of it.
+   */
+  push(bytes: Buffer): true | Promise<true> {
+    if (this.disconnected.aborted || this.#framed.write(bytes)) return true;
+    return whenWritable(this.#res).then(() => true);
   }
 
   end(): void {
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -5,8 +5,8 @@
  */
 import type { JobItem } from "../schema/mod.ts";
 import { EventSplitter, isEventStreamType } from "../relay/mod.ts";
+import { forEachChunk, observeFirstChunk } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
-import { observeFirst } from "../sys/routines.ts";
 import {
   readBody,
   rejectAnswer,
@@ -76,7 +76,7 @@
   });
   if (result.kind === "response") {
     const { response } = result;
-    const chunks = observeFirst(response.chunks, onBegin);
+    const chunks = observeFirstChunk(response.chunks, onBegin);
     const outcome = await readResponse(
       { ...response, chunks },
       progress,
@@ -144,9 +144,11 @@
   }
   const splitter = new EventSplitter();
   const startEvent = progress.last;
-  for await (const chunk of response.chunks) {
+  const isContinuous = await forEachChunk(response.chunks, (chunk) => {
     const events = splitter.push(chunk);
-    if (events === undefined || progress.appendEvents(events.bytes)) continue;
+    return events === undefined || progress.appendEvents(events.bytes);
+  });
+  if (!isContinuous) {
     response.body.destroy();
     progress.reset();
     return {
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -17,13 +17,13 @@
   Verdict,
 } from "../schema/mod.ts";
 import type { PromptPartGuard } from "../services/common/prompt_part_guard.ts";
+import { observeFirstChunk } from "../sys/body_chunks.ts";
 import type { Clock } from "../sys/clock.ts";
 import { getCodeName, ServingError } from "../sys/errors.ts";
 import { discardBody, rejectAnswer } from "../sys/http.ts";
 import type { Log } from "../sys/log.ts";
 import { MetricName, type Metrics } from "../sys/metrics.ts";
 import type { Random } from "../sys/random.ts";
-import { observeFirst } from "../sys/routines.ts";
 import {
   BufferedForwarder,
   ChunkForwarder,
@@ -328,7 +328,7 @@
       this.#hasAnswerBegun = true;
       this.#options.promptPartGuard.recordAnswerBegun(this.#promptParts);
     };
-    return { ...response, chunks: observeFirst(response.chunks, onBegin) };
+    return { ...response, chunks: observeFirstChunk(response.chunks, onBegin) };
   }
 
   #createServerRun({ server }: ServerPermit): ServerRun {
--- /dev/null
+++ b/src/fleet/response_forwarders.js
@@ -0,0 +1,242 @@
+/**
+ * Forwards a backend server's response to the caller: streamed as it arrives,
+ * buffered until it is complete, or split at event boundaries so that another
+ * server can continue it.
+ */
+import { EventBoundaryDetector, EventSequence, EventSplitter, isEventStreamType, parseEvents, } from "../relay/mod.js";
+import { forEachChunk } from "../sys/body_chunks.js";
+import { getReason } from "../sys/errors.js";
+import { discardBody, removeRawHopByHopHeaders } from "../sys/http.js";
+const DONE = { kind: "done" };
+/**
+ * Maximum size of a response that is buffered until it is complete, in bytes.
+ * Once a response exceeds it, the rest is streamed.
+ */
+const MAX_BUFFERED_BYTES = 256 * 1024;
+/**
+ * Forwards the responses to one request to its caller. There are several if an
+ * attempt fails and the request is retried.
+ */
+export class ResponseForwarder {
+    caller;
+    #isSenderThere = () => Promise.resolve(true);
+    constructor(caller) {
+        this.caller = caller;
+    }
+    /**
+     * Forwards a response until it ends or `signal` is aborted. Errors are
+     * returned as a "broken" result. `isSenderThere` tells whether the sender of the
+     * response still is, and is asked if the response ended with its connection.
+     */
+    async forward(response, signal, isSenderThere = () => Promise.resolve(true)) {
+        this.#isSenderThere = isSenderThere;
+        const abort = () => response.body.destroy();
+        signal.addEventListener("abort", abort);
+        try {
+            return await this.forwardBody(response);
+        }
+        catch (error) {
+            return { kind: "broken", reason: getReason(error) };
+        }
+        finally {
+            signal.removeEventListener("abort", abort);
+        }
+    }
+    /**
+     * Whether all of a response has arrived, as far as it can be known: one that
+     * ends with its connection breaks off if its sender ended too.
+     */
+    async isWhole(response) {
+        return response.isComplete() &&
+            (response.isDelimited || await this.#isSenderThere());
+    }
+    /** Sends the head of a response without the headers in `omitted`. */
+    sendHead(response, options = {}) {
+        const { omitted, isUnframed = !response.isDelimited } = options;
+        this.caller.sendHead(response.status, removeRawHopByHopHeaders(response.body.rawHeaders, omitted), { isUnframed });
+    }
+}
+/** Forwards each chunk as it arrives. */
+export class ChunkForwarder extends ResponseForwarder {
+    get resumeAfter() {
+        return undefined;
+    }
+    get canContinue() {
+        return !this.caller.headSent;
+    }
+    async forwardBody(response) {
+        this.sendHead(response);
+        await forEachChunk(response.chunks, (chunk) => this.caller.push(chunk));
+        if (!(await this.isWhole(response)))
+            return createTruncatedResult();
+        this.caller.end();
+        return DONE;
+    }
+}
+/** Forwards the chunks of a stream of events that no other server continues. */
+export class StreamForwarder extends ChunkForwarder {
+    #resumeAfter;
+    constructor(caller, resumeAfter) {
+        super(caller);
+        this.#resumeAfter = resumeAfter;
+    }
+    get resumeAfter() {
+        return this.#resumeAfter;
+    }
+    async forwardBody(response) {
+        if (!isEventStream(response))
+            return await super.forwardBody(response);
+        // Its events tell whether it broke off within one.
+        this.sendHead(response, { isUnframed: false });
+        const boundaryDetector = new EventBoundaryDetector();
+        await forEachChunk(response.chunks, (chunk) => {
+            boundaryDetector.push(chunk);
+            return this.caller.push(chunk);
+        });
+        if (!(await this.isWhole(response)))
+            return createTruncatedResult();
+        if (boundaryDetector.isInsideEvent)
+            return ENDED_INSIDE_EVENT;
+        this.caller.end();
+        return DONE;
+    }
+}
+/**
+ * Buffers a response until it is complete, unless it exceeds
+ * {@linkcode MAX_BUFFERED_BYTES}. Until then, another server can be tried.
+ */
+export class BufferedForwarder extends ResponseForwarder {
+    get resumeAfter() {
+        return undefined;
+    }
+    get canContinue() {
+        return !this.caller.headSent;
+    }
+    async forwardBody(response) {
+        const buffered = [];
+        let bytes = 0;
+        for await (const chunk of response.chunks) {
+            bytes += chunk.length;
+            if (this.caller.headSent)
+                await this.caller.write(chunk);
+            else
+                buffered.push(chunk);
+            if (bytes > MAX_BUFFERED_BYTES)
+                await this.#flush(response, buffered);
+        }
+        if (!(await this.isWhole(response)))
+            return createTruncatedResult();
+        await this.#flush(response, buffered);
+        this.caller.end();
+        return DONE;
+    }
+    async #flush(response, buffered) {
+        if (this.caller.headSent)
+            return;
+        this.sendHead(response);
+        for (const chunk of buffered.splice(0))
+            await this.caller.write(chunk);
+    }
+}
+/**
+ * Forwards only complete events, so that another server can continue after the
+ * last one. The status and headers are those of the first server's response.
+ */
+export class EventForwarder extends ResponseForwarder {
+    #sequence;
+    /** Number of the event after which an answer ended without any event. */
+    #emptyAfter;
+    #onEvents;
+    /** `onEvents` is called before events of a response are sent to the caller. */
+    constructor(caller, resumeAfter, onEvents = () => { }) {
+        super(caller);
+        this.#sequence = new EventSequence(resumeAfter);
+        this.#onEvents = onEvents;
+    }
+    get resumeAfter() {
+        return this.#sequence.last;
+    }
+    /**
+     * Whether another server can continue the response: before the status and
+     * headers are sent, or if events are numbered.
+     */
+    get canContinue() {
+        return !this.caller.headSent || this.#sequence.last !== undefined;
+    }
+    async forwardBody(response) {
+        const isContinuation = this.caller.headSent;
+        if (isContinuation && response.status !== 200) {
+            discardBody(response.body);
+            return { kind: "broken", reason: `status ${response.status}` };
+        }
+        if (isContinuation && !isEventStream(response)) {
+            response.body.destroy();
+            return { kind: "broken", reason: "the answer is no stream of events" };
+        }
+        const startEvent = this.#sequence.last;
+        const splitter = new EventSplitter();
+        const isContiguous = await forEachChunk(response.chunks, (chunk) => {
+            const events = splitter.push(chunk);
+            return events === undefined ||
+                this.#forwardEvents(events.bytes, response);
+        });
+        if (!isContiguous) {
+            response.body.destroy();
+            return {
+                kind: "broken",
+                reason: "an event is missing, or is none of the stream",
+            };
+        }
+        if (!(await this.isWhole(response)))
+            return createTruncatedResult();
+        if (splitter.isInsideEvent && isEventStream(response)) {
+            return ENDED_INSIDE_EVENT;
+        }
+        const isEmptyContinuation = startEvent !== undefined &&
+            this.#sequence.last === startEvent && isEventStream(response);
+        if (isEmptyContinuation && this.#emptyAfter !== startEvent) {
+            this.#emptyAfter = startEvent;
+            return {
+                kind: "broken",
+                reason: `one answer alone says that nothing follows event ${startEvent}`,
+            };
+        }
+        if (!this.caller.headSent)
+            this.#sendHead(response);
+        if (splitter.rest.length > 0)
+            await this.caller.write(splitter.rest);
+        this.caller.end();
+        return DONE;
+    }
+    /** Forwards complete events; false if they don't follow those before. */
+    #forwardEvents(bytes, response) {
+        const lastForwarded = this.#sequence.last;
+        const isContiguous = parseEvents(bytes).every((event) => this.#sequence.accept(event));
+        if (!isContiguous) {
+            this.#sequence = new EventSequence(lastForwarded);
+            return false;
+        }
+        this.#onEvents();
+        if (!this.caller.headSent)
+            this.#sendHead(response);
+        return this.caller.push(bytes);
+    }
+    #sendHead(response) {
+        // Another server may continue a stream with more bytes or fewer.
+        const options = { omitted: LENGTH_HEADERS, isUnframed: false };
+        this.sendHead(response, isEventStream(response) ? options : {});
+    }
+}
+const LENGTH_HEADERS = new Set(["content-length"]);
+const ENDED_INSIDE_EVENT = {
+    kind: "broken",
+    reason: "the stream ended inside an event",
+};
+/** Whether the body of a response to a streaming request consists of events. */
+function isEventStream({ status, headers }) {
+    return status >= 200 && status < 300 && isEventStreamType(headers);
+}
+function createTruncatedResult() {
+    return { kind: "broken", reason: "the answer was cut short" };
+}
+//# sourceMappingURL=response_forwarders.js.map
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -10,6 +10,7 @@
   isEventStreamType,
   parseEvents,
 } from "../relay/mod.ts";
+import { forEachChunk } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
 import type { HeadOptions } from "../sys/framed_response.ts";
 import { discardBody, removeRawHopByHopHeaders } from "../sys/http.ts";
@@ -114,7 +115,7 @@
     response: BackendResponse,
   ): Promise<ForwardResult> {
     this.sendHead(response);
-    for await (const chunk of response.chunks) await this.caller.write(chunk);
+    await forEachChunk(response.chunks, (chunk) => this.caller.push(chunk));
     if (!(await this.isWhole(response))) return createTruncatedResult();
     this.caller.end();
     return DONE;
@@ -141,10 +142,10 @@
     // Its events tell whether it broke off within one.
     this.sendHead(response, { isUnframed: false });
     const boundaryDetector = new EventBoundaryDetector();
-    for await (const chunk of response.chunks) {
+    await forEachChunk(response.chunks, (chunk) => {
       boundaryDetector.push(chunk);
-      await this.caller.write(chunk);
-    }
+      return this.caller.push(chunk);
+    });
     if (!(await this.isWhole(response))) return createTruncatedResult();
     if (boundaryDetector.isInsideEvent) return ENDED_INSIDE_EVENT;
     this.caller.end();
@@ -236,26 +237,17 @@
     }
     const startEvent = this.#sequence.last;
     const splitter = new EventSplitter();
-    for await (const chunk of response.chunks) {
+    const isContiguous = await forEachChunk(response.chunks, (chunk) => {
       const events = splitter.push(chunk);
-      if (events === undefined) continue;
-      const lastForwarded = this.#sequence.last;
-      const isContiguous = parseEvents(events.bytes).every((event) =>
-        this.#sequence.accept(event)
-      );
-      if (!isContiguous) {
-        this.#sequence = new EventSequence(lastForwarded);
-        response.body.destroy();
-        return {
-          kind: "broken",
-          reason: "an event is missing, or is none of the stream",
-        };
-      }
-      this.#onEvents();
-      if (!this.caller.headSent) {
-        this.#sendHead(response);
-      }
-      await this.caller.write(events.bytes);
+      return events === undefined ||
+        this.#forwardEvents(events.bytes, response);
+    });
+    if (!isContiguous) {
+      response.body.destroy();
+      return {
+        kind: "broken",
+        reason: "an event is missing, or is none of the stream",
+      };
     }
     if (!(await this.isWhole(response))) return createTruncatedResult();
     if (splitter.isInsideEvent && isEventStream(response)) {
@@ -277,6 +269,24 @@
     return DONE;
   }
 
+  /** Forwards complete events; false if they don't follow those before. */
+  #forwardEvents(
+    bytes: Buffer,
+    response: BackendResponse,
+  ): boolean | Promise<boolean> {
+    const lastForwarded = this.#sequence.last;
+    const isContiguous = parseEvents(bytes).every((event) =>
+      this.#sequence.accept(event)
+    );
+    if (!isContiguous) {
+      this.#sequence = new EventSequence(lastForwarded);
+      return false;
+    }
+    this.#onEvents();
+    if (!this.caller.headSent) this.#sendHead(response);
+    return this.caller.push(bytes);
+  }
+
   #sendHead(response: BackendResponse): void {
     // Another server may continue a stream with more bytes or fewer.
     const options = { omitted: LENGTH_HEADERS, isUnframed: false };
--- /dev/null
+++ b/src/fleet/server_pool.js
@@ -0,0 +1,244 @@
+/**
+ * Selects backend servers for online requests and job items. A request
+ * acquires a permit before it is sent to a server, and releases it when it has
+ * ended.
+ */
+import { LoadKind, LoadTracker, SilenceDetector } from "../membership/mod.js";
+import { tryGetLeastLoaded, trySelectServer, } from "../policy/mod.js";
+/** Interval between checks for silent servers, in milliseconds. */
+const SILENCE_CHECK_INTERVAL_MS = 100;
+/** Initial backoff after a server has fallen silent, in milliseconds. */
+const SILENT_BACKOFF_MS = 2_000;
+/** Initial backoff after a connection failure, in milliseconds. */
+const FAILURE_BACKOFF_MS = 500;
+/** Servers with a limit that are asked for one request. */
+const MAX_ASKED_SERVERS = 8;
+/** The backend servers that one process sends requests to, and their loads. */
+export class ServerPool {
+    #options;
+    loads = new LoadTracker();
+    #silenceDetector = new SilenceDetector();
+    #waiters = new Set();
+    #silenceCheckTimer;
+    constructor(options) {
+        this.#options = options;
+        options.view.onChange(() => this.wakeWaiters());
+        this.#silenceCheckTimer = options.clock.startInterval(SILENCE_CHECK_INTERVAL_MS, () => this.#handleSilentServers());
+    }
+    close() {
+        this.#silenceCheckTimer.cancel();
+    }
+    /** Records that data arrived from a server, and resets its backoff. */
+    recordActivity(server) {
+        this.#silenceDetector.recordData(server, this.#options.clock.getMonotonicMs());
+        this.#options.view.servers.recordResponse(server);
+    }
+    /**
+     * Backs off from silent servers and notifies the requests in progress there,
+     * which are retried on other servers if that is allowed.
+     */
+    #handleSilentServers() {
+        const { clock, view, log } = this.#options;
+        const nowMs = clock.getMonotonicMs();
+        const { onSuspect = () => { } } = this.#options;
+        this.#silenceDetector.getSuspects(nowMs).forEach(onSuspect);
+        this.#silenceDetector.failSilentServers(nowMs).forEach((server) => {
+            if (view.servers.isBackingOff(server, nowMs))
+                return;
+            log.info("backend_server_silent", { server });
+            view.servers.backOffSilent(server, nowMs, SILENT_BACKOFF_MS);
+        });
+    }
+    /**
+     * Returns the servers of a service that accept requests, with their loads.
+     * Servers that haven't responded for a while are included only if the service
+     * has no others. With `softwareVersion`, only servers of this version.
+     */
+    getServers(service, softwareVersion) {
+        const nowMs = this.#options.clock.getMonotonicMs();
+        const usable = this.#options.view.servers.getAvailable(service, nowMs, softwareVersion);
+        const responsive = usable.filter((server) => !this.#silenceDetector.isSuspect(server.id, nowMs));
+        return (responsive.length > 0 ? responsive : usable)
+            .map((server) => this.#createPoolServer(server, nowMs));
+    }
+    /**
+     * Acquires a permit for a free slot without waiting; undefined if no slot is
+     * free. At a server with a limit, only a permission that was asked for in
+     * advance counts; for a request of a job, one is asked for.
+     */
+    tryAcquire(req) {
+        const candidates = this.#getCandidates(req);
+        const permitted = this.#trySelect(candidates.filter((server) => this.#hasPermission(server)), req);
+        if (permitted !== undefined) {
+            this.#options.rateLimits?.takePrefetched(permitted);
+            return this.#createPermit(permitted, req);
+        }
+        if (req.kind === LoadKind.batch)
+            this.#prefetch(candidates, req);
+        const server = this.#trySelect(candidates.filter((candidate) => !candidate.isLimited), req);
+        return server === undefined ? undefined : this.#createPermit(server, req);
+    }
+    /**
+     * Acquires a permit for a free slot; undefined if no slot is free. Permission is
+     * asked for at servers with a limit if the others are full, and may be waited
+     * for.
+     */
+    async acquire(req, maxWaitMs) {
+        const asked = new Set();
+        while (asked.size < MAX_ASKED_SERVERS) {
+            const server = this.#trySelectLimited(req, asked);
+            if (server === undefined)
+                break;
+            asked.add(server.id);
+            const isGranted = await this.#options.rateLimits?.acquire(server, {
+                isBatch: false,
+                maxWaitMs,
+            });
+            // The server may have failed or begun to leave in the meantime.
+            const current = this.#getCandidates(req)
+                .find(({ id, bornMs }) => id === server.id && bornMs === server.bornMs);
+            if (isGranted === true && current !== undefined) {
+                return this.#createPermit(current, req);
+            }
+        }
+        return this.tryAcquire(req);
+    }
+    /**
+     * Time until a server with a limit may take a request, in milliseconds;
+     * undefined if no server for the request has one.
+     */
+    tryGetLimitedMs(req) {
+        const waits = this.#getCandidates(req).filter((server) => server.isLimited)
+            .map((server) => this.#options.rateLimits?.getRefusedMs(server, false) ?? 0);
+        return waits.length === 0 ? undefined : Math.min(...waits);
+    }
+    /**
+     * Returns the least busy server without a limit, even if it has no free slot;
+     * undefined if there is none.
+     */
+    tryGetLeastBusy(req) {
+        const unlimited = this.#getCandidates(req)
+            .filter((server) => !server.isLimited);
+        return tryGetLeastLoaded(unlimited, {
+            dataCentre: this.#options.dataCentre,
+            prefix: req.prefix,
+            getFraction: () => this.#options.random.getFraction(),
+        });
+    }
+    /**
+     * Acquires a permit for the least busy server without a limit, where the request
+     * queues if no slot is free; undefined if there is none.
+     */
+    tryAcquireQueued(req) {
+        const server = this.tryGetLeastBusy(req);
+        return server === undefined ? undefined : this.#createPermit(server, req);
+    }
+    /** Resolves when a slot may have become free, or after `ms` milliseconds. */
+    waitForChange(ms) {
+        return new Promise((resolve) => {
+            const resume = () => {
+                timer.cancel();
+                this.#waiters.delete(resume);
+                resolve();
+            };
+            const timer = this.#options.clock.startTimer(ms, resume);
+            this.#waiters.add(resume);
+        });
+    }
+    /** Wakes all waiters, in the order in which they began to wait. */
+    wakeWaiters() {
+        [...this.#waiters].forEach((waiter) => waiter());
+    }
+    /**
+     * Records that a server could not be reached or broke the connection, and
+     * backs off from it.
+     */
+    recordFailure(server) {
+        const nowMs = this.#options.clock.getMonotonicMs();
+        this.#options.view.servers.backOff(server, nowMs, FAILURE_BACKOFF_MS);
+    }
+    /** Records that another server responded at this server's address. */
+    recordWrongServer(server) {
+        this.#options.view.servers.recordIdentityMismatch(server);
+    }
+    /** Records the number of requests that a server reported for itself. */
+    recordReportedLoad(server, total) {
+        const nowMs = this.#options.clock.getMonotonicMs();
+        this.loads.recordServerTotal(server, total, nowMs);
+    }
+    #getCandidates(req) {
+        return this.getServers(req.service, req.softwareVersion).filter((server) => !req.excluded.has(server.id) && req.allowed?.has(server.id) !== false);
+    }
+    #trySelect(candidates, req) {
+        return trySelectServer(candidates, {
+            dataCentre: this.#options.dataCentre,
+            prefix: req.prefix,
+            reserve: req.reserve,
+            getFraction: () => this.#options.random.getFraction(),
+        });
+    }
+    #hasPermission(server) {
+        return server.isLimited &&
+            this.#options.rateLimits?.hasPrefetched(server) === true;
+    }
+    /**
+     * Selects a server with a limit to ask for permission; undefined if a server
+     * without one has a free slot, or if no permission can be had now.
+     */
+    #trySelectLimited(req, asked) {
+        const candidates = this.#getCandidates(req);
+        const hasFreeServer = candidates.some((server) => !server.isLimited && server.busy < server.slots);
+        if (hasFreeServer)
+            return undefined;
+        const askable = candidates.filter((server) => server.isLimited && !asked.has(server.id) &&
+            this.#options.rateLimits?.mayAsk(server, false) === true);
+        return this.#trySelect(askable, req);
+    }
+    /** Asks in advance for permission for a request of a job. */
+    #prefetch(candidates, req) {
+        const limited = candidates.filter((server) => server.isLimited &&
+            this.#options.rateLimits?.mayAsk(server, true) === true);
+        const server = this.#trySelect(limited, req);
+        if (server === undefined)
+            return;
+        this.#options.rateLimits?.prefetchBatch(server, () => this.wakeWaiters());
+    }
+    #createPoolServer(registration, nowMs) {
+        const { id, address, bornMs, softwareVersion, dataCentre, slots } = registration;
+        const busy = this.loads.getBusyCount(id, nowMs);
+        const batch = this.loads.getBatchCount(id, nowMs);
+        return {
+            id,
+            address,
+            bornMs,
+            softwareVersion,
+            dataCentre,
+            slots,
+            busy,
+            batch,
+            isLimited: this.#options.rateLimits?.isLimited(registration) === true,
+        };
+    }
+    #createPermit(server, { kind, onSilent }) {
+        const startedMs = this.#options.clock.getMonotonicMs();
+        const watchedRequest = { server: server.id, onSilent };
+        this.loads.begin(server.id, kind);
+        if (server.busy >= server.slots)
+            this.#options.onQueued?.();
+        this.#silenceDetector.begin(watchedRequest, startedMs);
+        let isHeld = true;
+        return {
+            server,
+            startedMs,
+            release: () => {
+                if (!isHeld)
+                    return;
+                isHeld = false;
+                this.loads.end(server.id, kind);
+                this.#silenceDetector.end(watchedRequest);
+                this.wakeWaiters();
+            },
+        };
+    }
+}
+//# sourceMappingURL=server_pool.js.map
