--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -3,6 +3,7 @@
  * the request may be retried.
  */
 import { Verdict } from "../schema/mod.ts";
+import { BodyChunks } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
 import {
   discardBody,
@@ -237,13 +238,14 @@
     }
     if (!meta.isNotRun) {
       const timer = this.#createTimer(response.status, meta.slowdown, options);
-      const chunks = readChunks(response.body, {
-        onChunk: () => {
+      const chunks = new BodyChunks(
+        response.body,
+        () => {
           this.#onActivity(id);
           timer?.recordChunk();
         },
-        onEnd: () => timer?.recordEnd(),
-      });
+        () => timer?.recordEnd(),
+      );
       return { kind: "response", response: { ...response, chunks } };
     }
     discardBody(response.body);
@@ -299,17 +301,6 @@
   }
 }
 
-async function* readChunks(
-  body: HttpResponse["body"],
-  { onChunk, onEnd }: { onChunk: () => void; onEnd: () => void },
-): AsyncIterable<Buffer> {
-  for await (const chunk of body) {
-    onChunk();
-    yield chunk;
-  }
-  onEnd();
-}
-
 function readRetryAfter(value: string | undefined): number | undefined {
   return value !== undefined && DECIMAL_PATTERN.test(value.trim())
     ? Math.min(MAX_RETRY_AFTER_MS, Number(value) * MS_PER_S)
--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -6,8 +6,8 @@
 import type { JobCaller } from "../policy/mod.ts";
 import type { JobItem } from "../schema/mod.ts";
 import { EventSplitter, isEventStreamType } from "../relay/mod.ts";
+import { forEachChunk, observeFirstChunk } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
-import { observeFirst } from "../sys/routines.ts";
 import {
   readBody,
   rejectAnswer,
@@ -77,7 +77,7 @@
   });
   if (result.kind === "response") {
     const { response } = result;
-    const chunks = observeFirst(response.chunks, onBegin);
+    const chunks = observeFirstChunk(response.chunks, onBegin);
     const outcome = await readResponse(
       { ...response, chunks },
       progress,
@@ -145,9 +145,11 @@
   }
   const splitter = new EventSplitter();
   const startEvent = progress.last;
-  for await (const chunk of response.chunks) {
+  const isContinuous = await forEachChunk(response.chunks, (chunk) => {
     const events = splitter.push(chunk);
-    if (events === undefined || progress.appendEvents(events.bytes)) continue;
+    return events === undefined || progress.appendEvents(events.bytes);
+  });
+  if (!isContinuous) {
     response.body.destroy();
     progress.reset();
     return {
