Run silence checks and scheduling passes only while there is something to do

Cause: every process checked servers for silence each 100 ms without a request in flight; every store host ran a scheduling pass each 40 ms, and one for each load report, without an open item. Change: silence checks run while requests are in flight. Scheduling passes stop while no item is open or runs, no outcome waits and the applied state is the one that the last pass saw. Repeated origins of streams travel within the report of the loads if both are small: 12 datagrams fewer for each stream with 12 store hosts, still two of each origin.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -174,19 +174,45 @@
   }
 
   start(): void {
-    this.#schedulingTimer = this.#options.context.clock.startInterval(
-      SCHEDULING_INTERVAL_MS,
-      () => this.schedule(),
-    );
+    this.#startRegularPasses();
     this.#progressTimer = this.#options.context.clock.startInterval(
       PROGRESS_INTERVAL_MS,
       () => {
         if (!this.#isRecordingProgress) this.#startRecordingProgress();
         this.#logUtilization();
+        this.#startRegularPasses();
       },
     );
   }
 
+  /** Starts regular scheduling passes, which end when there is nothing to do. */
+  #startRegularPasses(): void {
+    if (this.#stopped || this.#isIdle) return;
+    this.#schedulingTimer ??= this.#options.context.clock.startInterval(
+      SCHEDULING_INTERVAL_MS,
+      () => {
+        if (!this.#isIdle) this.schedule();
+        else {
+          this.#schedulingTimer?.cancel();
+          this.#schedulingTimer = undefined;
+        }
+      },
+    );
+  }
+
+  /**
+   * Whether a scheduling pass has nothing to do: no item is open or runs, no outcome
+   * waits, and the last pass has seen the current state. Entries that are applied
+   * change that state.
+   */
+  get #isIdle(): boolean {
+    const { getAppliedIndex, getOpenJobs } = this.#options;
+    return this.#openItemsIndex !== undefined &&
+      this.#openItemsIndex === getAppliedIndex() &&
+      this.#activeRuns.size === 0 && !this.#recorder.hasOutcomes &&
+      getOpenJobs().length === 0;
+  }
+
   /**
    * Stops all runs and records their output and outcomes, within `limitMs`. The
    * other runners of the group resume the items.
@@ -206,6 +232,8 @@
 
   /** Requests a scheduling pass after a change; requests are coalesced. */
   requestScheduling(): void {
+    if (this.#isIdle) return;
+    this.#startRegularPasses();
     const { clock } = this.#options.context;
     const dueMs = this.#lastPassMs + MIN_SCHEDULING_INTERVAL_MS -
       clock.getMonotonicMs();
--- a/src/fleet/load_exchange.ts
+++ b/src/fleet/load_exchange.ts
@@ -9,7 +9,8 @@
  *
  * The origins of streams go to all mergers too, as parts of a report beyond its last
  * one: at once, before the caller gets the first event, since the stream may have to
- * go on elsewhere from then on, and once more with the next report.
+ * go on elsewhere from then on, and once more with the next report, within it if both
+ * are small.
  */
 import {
   create,
@@ -33,9 +34,11 @@
 import { getReason } from "../sys/errors.ts";
 import { openPort } from "../sys/listening.ts";
 import type { Log } from "../sys/log.ts";
-import { getPlacementHash } from "../sys/random.ts";
+import { countParts, splitLoads } from "./load_report_parts.ts";
 import { areEqualLoads, SentReports } from "./sent_reports.ts";
 
+export { splitLoads };
+
 /** Options of a {@linkcode LoadExchange}. */
 export interface LoadExchangeOptions {
   readonly name: string;
@@ -76,14 +79,6 @@
  */
 const MIN_REPORT_INTERVAL_MS = 10;
 
-/**
- * Maximum average number of servers in a datagram. Each server takes about 25
- * bytes. Servers are distributed unevenly over the parts; the limit leaves room
- * for the largest part to stay below 1,472 bytes, the largest UDP payload that isn't
- * fragmented.
- */
-const TARGET_SERVERS_PER_PART = 32;
-
 /**
  * Time without a report after which a reporter is removed, in milliseconds:
  * more than two intervals of unchanged reports.
@@ -96,6 +91,13 @@
  */
 const ORIGINS_PER_DATAGRAM = 16;
 
+/**
+ * Number of origins, and of servers, up to which origins are repeated within the report
+ * of the loads, so that they need no datagram of their own.
+ */
+const MAX_ORIGINS_WITH_LOADS = 8;
+const MAX_SERVERS_WITH_ORIGINS = 16;
+
 /** Origins that wait to be repeated; the oldest are dropped. */
 const MAX_REPEATED_ORIGINS = 1_024;
 
@@ -231,18 +233,35 @@
         selector.selectCandidate(mergers, nowMs),
       ],
     );
-    this.#sendOwnReports(mergers, nowMs);
+    const origins = this.#takeFewOrigins(mergers);
+    const informed = this.#sendOwnReports(mergers, origins, nowMs);
+    const others = mergers.filter((merger) => !informed.has(merger));
+    this.#sendOrigins(origins, others);
     this.repeatOrigins();
     if (isMerger) this.#sendMergedReports(nowMs);
   }
 
-  /** Sends the own loads to the mergers whose last report differs or is old. */
-  #sendOwnReports(mergers: readonly string[], nowMs: number): void {
+  /** Takes the origins to repeat if they fit into the report of the own loads. */
+  #takeFewOrigins(mergers: readonly string[]): readonly StreamOrigin[] {
+    const isFew = this.#repeatedOrigins.length <= MAX_ORIGINS_WITH_LOADS &&
+      this.#ownLoads.rows.length <= MAX_SERVERS_WITH_ORIGINS;
+    return isFew && mergers.length > 0 ? this.#repeatedOrigins.splice(0) : [];
+  }
+
+  /**
+   * Sends the own loads, with `origins`, to the mergers whose last report differs or
+   * is old; returns those.
+   */
+  #sendOwnReports(
+    mergers: readonly string[],
+    origins: readonly StreamOrigin[],
+    nowMs: number,
+  ): ReadonlySet<string> {
     const { address } = this.#options;
     const { rows: loads, revision } = this.#ownLoads;
     const acceptsRelayed = this.#options.acceptsRelayed();
     const recipients = mergers.filter((merger) => merger !== address);
-    [true, false].forEach((wantsAnswer) => {
+    const informed = [true, false].flatMap((wantsAnswer) => {
       const due = recipients.filter((merger) => {
         const isAsked = this.#askedMergers.has(merger);
         return isAsked === wantsAnswer && this.#sentOwn.recordIfDue(merger, {
@@ -254,10 +273,17 @@
           sentMs: nowMs,
         });
       });
-      if (due.length === 0) return;
-      this.#sendParts(due, loads, { merged: false, wantsAnswer });
+      if (due.length > 0) {
+        this.#sendParts(due, loads, {
+          merged: false,
+          wantsAnswer,
+          origins: [...origins],
+        });
+      }
+      return due;
     });
     this.#sentOwn.retainOnly(recipients);
+    return new Set(informed);
   }
 
   /** Reads the own loads anew if they may have changed. */
@@ -281,8 +307,10 @@
   }
 
   /** Sends origins as parts beyond the last one, which hold no loads. */
-  #sendOrigins(origins: readonly StreamOrigin[]): void {
-    const mergers = this.#options.getMergers();
+  #sendOrigins(
+    origins: readonly StreamOrigin[],
+    mergers = this.#options.getMergers(),
+  ): void {
     const parts = this.#partCount;
     const asked = mergers.filter((merger) => this.#askedMergers.has(merger));
     const others = mergers.filter((merger) => !this.#askedMergers.has(merger));
@@ -334,7 +362,7 @@
   #sendParts(
     recipients: readonly string[],
     allLoads: readonly ServerLoad[],
-    kind: { merged: boolean; wantsAnswer: boolean },
+    kind: { merged: boolean; wantsAnswer: boolean; origins?: StreamOrigin[] },
   ): void {
     splitLoads(allLoads).forEach((loads, part, { length: parts }) =>
       this.#sendReport(recipients, { ...kind, loads, part, parts })
@@ -359,21 +387,3 @@
     recipients.forEach((to) => this.#socket?.send(bytes, to));
   }
 }
-
-function countParts(servers: number): number {
-  return Math.max(1, Math.ceil(servers / TARGET_SERVERS_PER_PART));
-}
-
-/**
- * Splits loads into parts that fit into one datagram each. A server is always in
- * the same part while the number of parts is constant, so the loss of a datagram
- * affects only the loads of the servers in it.
- */
-export function splitLoads(loads: readonly ServerLoad[]): ServerLoad[][] {
-  const count = countParts(loads.length);
-  const parts = Array.from({ length: count }, (): ServerLoad[] => []);
-  loads.forEach((load) =>
-    parts[getPlacementHash(load.server) % count]?.push(load)
-  );
-  return parts;
-}
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -85,6 +85,12 @@
     this.#options = options;
   }
 
+  /** Whether outcomes wait to be recorded or to be applied. */
+  get hasOutcomes(): boolean {
+    return this.#unapplied.size > 0 || this.#isRecording ||
+      this.#finished.length > 0 || this.#failed.length > 0;
+  }
+
   /** Whether an item has a final outcome here that is not applied yet. */
   hasOutcome(job: string, item: string): boolean {
     const outcome = this.#unapplied.get(getItemKey(job, item));
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -85,19 +85,31 @@
   readonly loads = new LoadTracker();
   readonly #silenceDetector = new SilenceDetector();
   readonly #waiters = new Set<() => void>();
-  readonly #silenceCheckTimer: Timer;
+  /** Runs while requests are in flight. */
+  #silenceCheckTimer: Timer | undefined;
+  #isClosed = false;
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
     options.view.onChange(() => this.wakeWaiters());
-    this.#silenceCheckTimer = options.clock.startInterval(
-      SILENCE_CHECK_INTERVAL_MS,
-      () => this.#handleSilentServers(),
-    );
   }
 
   close(): void {
-    this.#silenceCheckTimer.cancel();
+    this.#isClosed = true;
+    this.#silenceCheckTimer?.cancel();
+  }
+
+  #startSilenceChecks(): void {
+    if (this.#isClosed) return;
+    this.#silenceCheckTimer ??= this.#options.clock.startInterval(
+      SILENCE_CHECK_INTERVAL_MS,
+      () => {
+        this.#handleSilentServers();
+        if (!this.#silenceDetector.isIdle) return;
+        this.#silenceCheckTimer?.cancel();
+        this.#silenceCheckTimer = undefined;
+      },
+    );
   }
 
   /** Records that data arrived from a server, and resets its backoff. */
@@ -349,6 +361,7 @@
     this.loads.begin(server.id, kind);
     if (server.busy >= server.slots) this.#options.onQueued?.();
     this.#silenceDetector.begin(watchedRequest, startedMs);
+    this.#startSilenceChecks();
     let isHeld = true;
     return {
       server,
--- a/src/membership/silence_detector.ts
+++ b/src/membership/silence_detector.ts
@@ -45,6 +45,11 @@
     this.#timeouts = timeouts;
   }
 
+  /** Whether no request is in flight, so that no server can be silent. */
+  get isIdle(): boolean {
+    return this.#servers.size === 0;
+  }
+
   begin(request: TrackedRequest, nowMs: number): void {
     const known = this.#servers.get(request.server);
     if (known !== undefined) {
