--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -109,7 +109,9 @@
   };
   /** What each of them waits for; undefined if it is not a request. */
   readonly #waiters = new Map<() => void, FairWaiter | undefined>();
-  readonly #silenceCheckTimer: Timer;
+  /** Runs while requests are in flight. */
+  #silenceCheckTimer: Timer | undefined;
+  #isClosed = false;
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
@@ -118,14 +120,24 @@
       this.loads.speeds.retainOnly(options.view.servers.getAll());
       this.wakeWaiters();
     });
-    this.#silenceCheckTimer = options.clock.startInterval(
-      SILENCE_CHECK_INTERVAL_MS,
-      () => this.#handleSilentServers(),
-    );
   }
 
   close(): void {
-    this.#silenceCheckTimer.cancel();
+    this.#isClosed = true;
+    this.#silenceCheckTimer?.cancel();
+  }
+
+  #startSilenceChecks(): void {
+    if (this.#isClosed) return;
+    this.#silenceCheckTimer ??= this.#options.clock.startInterval(
+      SILENCE_CHECK_INTERVAL_MS,
+      () => {
+        this.#handleSilentServers();
+        if (!this.#silenceDetector.isIdle) return;
+        this.#silenceCheckTimer?.cancel();
+        this.#silenceCheckTimer = undefined;
+      },
+    );
   }
 
   /** Records that data arrived from a server, and resets its backoff. */
@@ -393,6 +405,7 @@
     this.loads.begin(server.id, kind);
     if (server.busy >= server.slots) this.#options.onQueued?.();
     this.#silenceDetector.begin(watchedRequest, startedMs);
+    this.#startSilenceChecks();
     let isHeld = true;
     return {
       server,
