Decide which requests leave their data centre, and how many

Cause: a gateway uses its own data centre while one server there has a free slot, and any server after that, so a burst takes what the other data centre's callers need. Change: policy/data_centre_flow.ts decides by the wait here, the price of bytes and the headroom above the reserve of each data centre; off unless the settings state a price or a reserve. Bytes between data centres are counted by kind.

--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -14,7 +14,9 @@
 import type { BackendDialect } from "./dialects.ts";
 import { FleetFollower } from "./fleet_follower.ts";
 import { LoadExchange } from "./load_exchange.ts";
+import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { RateLimitClient, RpcGranterCaller } from "./rate_limit_client.ts";
+import { tryCreateRemoteFlow } from "./remote_flow.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
 import { ServerReachability } from "./server_reachability.ts";
@@ -107,6 +109,7 @@
       random,
       log,
       rateLimits: this.#rateLimits,
+      remoteFlow: tryCreateRemoteFlow(settings, options.context),
       onSuspect: (server) => this.reachability.recordUnreachable(server),
       onQueued: () => this.#exchange.tryReportNow(),
     });
@@ -129,6 +132,7 @@
         view.servers.recordUnreachable(server, clock.getMonotonicMs()),
       onActivity: (server) => pool.recordActivity(server),
       reachability: this.reachability,
+      onBytes: createRemoteByteCounter(settings.dataCentre, metrics),
       isPartitioned: options.context.isPartitioned,
     });
     this.#exchange = new LoadExchange({
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -12,6 +12,11 @@
   sendHttp,
 } from "../sys/http.ts";
 import type { BackendDialect } from "./dialects.ts";
+import {
+  type ByteCounter,
+  getHeaderBytes,
+  RemoteByteKind,
+} from "./remote_bytes.ts";
 import type { PoolServer, ServerPermit } from "./server_pool.ts";
 import type { ServerReachability } from "./server_reachability.ts";
 
@@ -89,6 +94,7 @@
   readonly #onNotConnected: (server: string) => void;
   readonly #onActivity: (server: string) => void;
   readonly #reachability: BackendClientReachability | undefined;
+  readonly #onBytes: ByteCounter;
   readonly #isPartitioned: (address: string) => boolean;
 
   constructor(options: {
@@ -104,6 +110,8 @@
     onNotConnected?: (server: string) => void;
     onActivity: (server: string) => void;
     reachability?: BackendClientReachability;
+    /** Called with the bytes sent to and received from a data centre. */
+    onBytes?: ByteCounter;
     /** Whether nothing reaches an address; simulates a network partition. */
     isPartitioned?: (address: string) => boolean;
   }) {
@@ -117,18 +125,25 @@
     this.#onNotConnected = options.onNotConnected ?? (() => {});
     this.#onActivity = options.onActivity;
     this.#reachability = options.reachability;
+    this.#onBytes = options.onBytes ?? (() => {});
     this.#isPartitioned = options.isPartitioned ?? (() => false);
   }
 
   /** Sends a request and waits for the head of the response. */
   async send(options: AttemptOptions): Promise<AttemptResult> {
     const { request, permit } = options;
+    const headers = this.#createHeaders(options);
+    this.#onBytes(
+      permit.server.dataCentre,
+      RemoteByteKind.requests,
+      request.target.length + getHeaderBytes(headers) + request.body.length,
+    );
     try {
       const response = await sendHttp({
         address: permit.server.address,
         method: request.method,
         path: request.target,
-        headers: this.#createHeaders(options),
+        headers,
         body: request.body,
         // A response to a request without an id can't be told from others that
         // are late on the same connection.
@@ -165,8 +180,11 @@
     options: AttemptOptions,
   ): AttemptResult {
     const { request, permit } = options;
-    const { id } = permit.server;
+    const { id, dataCentre } = permit.server;
     this.#onActivity(id);
+    const countBytes = (bytes: number) =>
+      this.#onBytes(dataCentre, RemoteByteKind.responses, bytes);
+    countBytes(getHeaderBytes(response.body.rawHeaders));
     const meta = this.#dialect.readResponseMetadata(
       response.status,
       response.headers,
@@ -214,7 +232,10 @@
       };
     }
     if (!meta.isNotRun) {
-      const chunks = readChunks(response.body, () => this.#onActivity(id));
+      const chunks = readChunks(response.body, {
+        onChunk: () => this.#onActivity(id),
+        onEnd: countBytes,
+      });
       return { kind: "response", response: { ...response, chunks } };
     }
     discardBody(response.body);
@@ -249,11 +270,21 @@
 
 async function* readChunks(
   body: HttpResponse["body"],
-  onChunk: () => void,
+  { onChunk, onEnd }: {
+    readonly onChunk: () => void;
+    /** Called with the bytes that were read, whole or not. */
+    readonly onEnd: (bytes: number) => void;
+  },
 ): AsyncIterable<Buffer> {
-  for await (const chunk of body) {
-    onChunk();
-    yield chunk;
+  let bytes = 0;
+  try {
+    for await (const chunk of body) {
+      onChunk();
+      bytes += chunk.length;
+      yield chunk;
+    }
+  } finally {
+    onEnd(bytes);
   }
 }
 
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -51,6 +51,7 @@
   OnlyVersionFinder,
   RpcSoftwareVersionsClient,
 } from "./only_version_finder.ts";
+import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
 import {
@@ -169,6 +170,7 @@
       getRoutesVersion: () => backends.view.routesVersion,
       dialect: dialects.backend,
       credentials,
+      onBytes: createRemoteByteCounter(settings.dataCentre, metrics),
       clock,
       random,
       log,
--- a/src/fleet/gateway_relay.ts
+++ b/src/fleet/gateway_relay.ts
@@ -27,6 +27,12 @@
   BackendResponse,
 } from "./backend_client.ts";
 import type { BackendDialect } from "./dialects.ts";
+import {
+  type ByteCounter,
+  countChunks,
+  getHeaderBytes,
+  RemoteByteKind,
+} from "./remote_bytes.ts";
 
 /**
  * Header of a request that another gateway passed on: the version of the routes by
@@ -46,6 +52,8 @@
   readonly getRoutesVersion: () => bigint;
   readonly dialect: BackendDialect;
   readonly credentials: RpcCredentials;
+  /** Called with the bytes sent to and received from a data centre. */
+  readonly onBytes?: ByteCounter;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -124,12 +132,12 @@
       const gateway = await this.#select(tried);
       if (options.signal.aborted) return { kind: "aborted" };
       if (gateway === undefined) break;
-      tried.add(gateway);
+      tried.add(gateway.address);
       const result = await this.#sendTo(gateway, options);
       if (result.kind !== "notRun") return result;
-      reason = `gateway ${gateway}: ${result.reason}`;
+      reason = `gateway ${gateway.address}: ${result.reason}`;
       this.#backoffs.set(
-        gateway,
+        gateway.address,
         this.#options.clock.getMonotonicMs() + GATEWAY_BACKOFF_MS,
       );
     }
@@ -137,34 +145,41 @@
   }
 
   async #sendTo(
-    address: string,
+    { address, dataCentre }: KnownGateway,
     options: RelayOptions,
   ): Promise<RelayResult> {
     const { request, remainingMs, resumeAfter, signal } = options;
     const { dialect, getRoutesVersion, log } = this.#options;
+    const countBytes = (bytes: number) =>
+      this.#options.onBytes?.(dataCentre, RemoteByteKind.relayed, bytes);
+    const headers = [
+      ...request.headers,
+      ...dialect.createHeaders({
+        server: address,
+        remainingMs: Math.max(1, Math.floor(remainingMs)),
+        resumeAfter,
+      }),
+      ROUTES_VERSION_HEADER,
+      String(getRoutesVersion()),
+      "Content-Length",
+      String(request.body.length),
+    ];
+    countBytes(
+      request.target.length + getHeaderBytes(headers) + request.body.length,
+    );
     try {
       const response = await sendHttp({
         address,
         method: request.method,
         path: request.target,
-        headers: [
-          ...request.headers,
-          ...dialect.createHeaders({
-            server: address,
-            remainingMs: Math.max(1, Math.floor(remainingMs)),
-            resumeAfter,
-          }),
-          ROUTES_VERSION_HEADER,
-          String(getRoutesVersion()),
-          "Content-Length",
-          String(request.body.length),
-        ],
+        headers,
         body: request.body,
         usesNewConnection: options.useNewConnection,
         requestId: request.requestId,
         agent: this.#agent,
         signal,
       });
+      countBytes(getHeaderBytes(response.body.rawHeaders));
       const refusal = response.headers[NOT_RELAYED_HEADER];
       if (refusal !== undefined) {
         discardBody(response.body);
@@ -186,7 +201,10 @@
       });
       return {
         kind: "response",
-        response: { ...response, chunks: response.body } as BackendResponse,
+        response: {
+          ...response,
+          chunks: countChunks(response.body, countBytes),
+        },
         isGatewayThere: () =>
           this.#answerEndCheck.isSenderThere({
             requestId: request.requestId,
@@ -225,7 +243,9 @@
   }
 
   /** Selects a gateway, of this data centre if there is one. */
-  async #select(tried: ReadonlySet<string>): Promise<string | undefined> {
+  async #select(
+    tried: ReadonlySet<string>,
+  ): Promise<KnownGateway | undefined> {
     const { clock, dataCentre, random } = this.#options;
     const nowMs = clock.getMonotonicMs();
     if (nowMs - this.#foundMs > FOUND_TTL_MS) {
@@ -240,7 +260,7 @@
     );
     const local = usable.filter((gateway) => gateway.dataCentre === dataCentre);
     const candidates = local.length > 0 ? local : usable;
-    return candidates[random.getIntegerBelow(candidates.length)]?.address;
+    return candidates[random.getIntegerBelow(candidates.length)];
   }
 
   /** Asks all mergers; the first reply counts. */
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -33,6 +33,7 @@
 import { type ActiveRun, ActiveRuns } from "./active_runs.ts";
 import { AttemptOutcomeHandler } from "./attempt_outcome_handler.ts";
 import { ProgressTracker } from "./progress_tracker.ts";
+import { createItemNeed } from "./item_flow_need.ts";
 import type { RoutingView } from "./routing_view.ts";
 import { getItemKey, RunRecorder } from "./run_recorder.ts";
 import type { ItemOwnership } from "./item_ownership.ts";
@@ -511,6 +512,7 @@
       kind: LoadKind.batch,
       prefix: this.#getPrefix(item),
       excluded: new Set(),
+      need: createItemNeed(candidate, clock.getWallMs()),
       onSilent: () => abortController.abort(),
     });
     if (permit === undefined) return false;
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -6,6 +6,7 @@
 import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   decideAdmission,
+  getHoldMs,
   getLimitedWaitMs,
   isRetryable,
   jitterRetryAfter,
@@ -52,6 +53,7 @@
   ServerPermit,
   ServerPool,
 } from "./server_pool.ts";
+import { EXPECTED_RESPONSE_BYTES, type FlowNeed } from "./remote_flow.ts";
 import type { RoutingView } from "./routing_view.ts";
 import type { ServerReachability } from "./server_reachability.ts";
 import type { ServiceTimes } from "./service_times.ts";
@@ -622,10 +624,25 @@
       kind: LoadKind.online,
       prefix: this.#req.prefix,
       excluded: this.#excluded,
+      need: this.#createFlowNeed(),
       onSilent: () => this.#abandonSilentServer(),
     };
   }
 
+  #createFlowNeed(): FlowNeed {
+    const { clock, serviceTimes } = this.#options;
+    const { request, route, arrivedMs } = this.#req;
+    return {
+      request: request.requestId,
+      serviceMs: serviceTimes.getMeanMs(this.#pin.service),
+      lateAfterMs: getHoldMs({
+        targetMs: route.latencyTargetMs,
+        waitedMs: clock.getMonotonicMs() - arrivedMs,
+      }),
+      bytes: request.body.length + EXPECTED_RESPONSE_BYTES,
+    };
+  }
+
   #createNoCapacityError(reason: string, retryAfterMs: number | undefined) {
     if (this.#possibleRuns > 0) return this.#createLostError(reason);
     const { random } = this.#options;
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -14,6 +14,7 @@
 import type { Log } from "../sys/log.ts";
 import type { Random } from "../sys/random.ts";
 import type { RateLimitClient } from "./rate_limit_client.ts";
+import type { FlowNeed, RemoteFlow } from "./remote_flow.ts";
 import type { RoutingView } from "./routing_view.ts";
 
 /** A backend server and its current load. */
@@ -39,6 +40,8 @@
   readonly allowed?: ReadonlySet<string>;
   /** Software version that the server must have; any by default. */
   readonly softwareVersion?: string;
+  /** What it says about leaving its data centre. */
+  readonly need?: FlowNeed;
   /** Called at each check that finds the selected server silent. */
   readonly onSilent?: () => void;
 }
@@ -61,6 +64,8 @@
   readonly log: Log;
   /** Permissions for servers with a limit; without it, limits are not kept. */
   readonly rateLimits?: RateLimitClient;
+  /** Decides about other data centres; without it, all may be used. */
+  readonly remoteFlow?: RemoteFlow;
   /** Called with a server that sends no data although requests wait there. */
   readonly onSuspect?: (server: string) => void;
   /** Called when a request is sent to a server that has no free slot. */
@@ -92,7 +97,10 @@
     options.view.onChange(() => this.wakeWaiters());
     this.#silenceCheckTimer = options.clock.startInterval(
       SILENCE_CHECK_INTERVAL_MS,
-      () => this.#handleSilentServers(),
+      () => {
+        this.#handleSilentServers();
+        this.#observeFlow();
+      },
     );
   }
 
@@ -125,6 +133,14 @@
     });
   }
 
+  /** Records loads also while nothing is sent, so that a return is noticed. */
+  #observeFlow(): void {
+    const { remoteFlow } = this.#options;
+    remoteFlow?.services.forEach((service) =>
+      remoteFlow.observe(service, this.getServers(service), this.loads)
+    );
+  }
+
   /**
    * Returns the servers of a service that accept requests, with their loads.
    * Servers that haven't responded for a while are included only if the service
@@ -216,6 +232,7 @@
       .filter((server) => !server.isLimited);
     return tryGetLeastLoaded(unlimited, {
       dataCentre: this.#options.dataCentre,
+      remote: this.#getUsable(unlimited, req, { queues: true }),
       prefix: req.prefix,
       getFraction: () => this.#options.random.getFraction(),
     });
@@ -274,12 +291,28 @@
     );
   }
 
+  /** Other data centres that a request may use; undefined for all. */
+  #getUsable(
+    candidates: readonly PoolServer[],
+    req: PermitRequest,
+    { queues }: { readonly queues: boolean },
+  ): ReadonlySet<string> | undefined {
+    return this.#options.remoteFlow?.getUsable({
+      ...req,
+      reserve: req.reserve ?? 0,
+      getServers: () => this.getServers(req.service),
+      candidates,
+      queues,
+    }, this.loads);
+  }
+
   #trySelect(
     candidates: readonly PoolServer[],
     req: PermitRequest,
   ): PoolServer | undefined {
     return trySelectServer(candidates, {
       dataCentre: this.#options.dataCentre,
+      remote: this.#getUsable(candidates, req, { queues: false }),
       prefix: req.prefix,
       reserve: req.reserve,
       getFraction: () => this.#options.random.getFraction(),
@@ -342,11 +375,13 @@
 
   #createPermit(
     server: PoolServer,
-    { kind, onSilent }: PermitRequest,
+    req: PermitRequest,
   ): ServerPermit {
+    const { kind, onSilent } = req;
     const startedMs = this.#options.clock.getMonotonicMs();
     const watchedRequest = { server: server.id, onSilent };
     this.loads.begin(server.id, kind);
+    this.#options.remoteFlow?.recordSend(server, req);
     if (server.busy >= server.slots) this.#options.onQueued?.();
     this.#silenceDetector.begin(watchedRequest, startedMs);
     let isHeld = true;
--- a/src/membership/load_tracker.ts
+++ b/src/membership/load_tracker.ts
@@ -63,6 +63,7 @@
   readonly #own = new Map<string, LoadCount>();
   readonly #reports = new Map<string, StoredReport>();
   readonly #observations = new Map<string, ServerObservation>();
+  #newestReportMs = -Infinity;
   #sums:
     | { readonly atMs: number; readonly counts: ReadonlyMap<string, LoadCount> }
     | undefined;
@@ -101,6 +102,7 @@
     if (isOld) return false;
     this.#removeStaleParts(source, Math.max(1, report.parts));
     this.#sums = undefined;
+    this.#newestReportMs = nowMs;
     this.#reports.set(key, {
       source,
       sender: report.sender,
@@ -115,6 +117,11 @@
     return true;
   }
 
+  /** Age of the newest report, in milliseconds; infinite if there was none. */
+  getReportAgeMs(nowMs: number): number {
+    return nowMs - this.#newestReportMs;
+  }
+
   /** Records the total that a server returned with a response. */
   recordServerTotal(server: string, total: number, nowMs: number): void {
     const own = this.getOwn(server);
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -40,6 +40,13 @@
  */
 const MAX_QUEUE_FRACTION = 0.3;
 
+/** Time for which a request may still be held in the gateway, in milliseconds. */
+export function getHoldMs(
+  { targetMs, waitedMs }: Pick<AdmissionInput, "targetMs" | "waitedMs">,
+): number {
+  return targetMs * MAX_HOLD_FRACTION - waitedMs;
+}
+
 /**
  * Predicts the time until a queued request gets a slot at a server: the
  * requests ahead of it times the service time, divided by the number of slots.
@@ -71,8 +78,7 @@
 /** Decides on a request that finds all slots occupied. */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const queueMs = predictQueueMs(input);
-  const holdMs = input.targetMs * MAX_HOLD_FRACTION;
-  const remainingMs = holdMs - input.waitedMs;
+  const remainingMs = getHoldMs(input);
   // A request held here can take the first slot that becomes free anywhere.
   if (remainingMs > 0 && queueMs > 0) return { kind: "wait", ms: remainingMs };
   if (queueMs <= input.targetMs * MAX_QUEUE_FRACTION) return { kind: "send" };
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -17,6 +17,8 @@
 export * from "./runner_assignment.ts";
 export * from "./membership_plan.ts";
 export * from "./routes.ts";
+export * from "./data_centre_flow.ts";
+export * from "./data_centre_loads.ts";
 export * from "./server_selection.ts";
 export * from "./admission.ts";
 export * from "./request_pacer.ts";
--- a/src/policy/server_selection.ts
+++ b/src/policy/server_selection.ts
@@ -5,6 +5,7 @@
  * engine.
  */
 import { getPlacementHash } from "../sys/random.ts";
+import { filterByDataCentre, preferOwnDataCentre } from "./data_centre_flow.ts";
 
 /** A backend server and its load. */
 export interface ServerCandidate {
@@ -21,6 +22,8 @@
 /** Options of a server selection. */
 export interface ServerSelectionOptions {
   readonly dataCentre: string;
+  /** Other data centres that may be used; undefined for all. */
+  readonly remote?: ReadonlySet<string>;
   /** Parts of the prompt that other requests share, in order; may be empty. */
   readonly prefix: readonly string[];
   /** Slots of each server that this kind of request must leave free. */
@@ -43,10 +46,7 @@
 ): S | undefined {
   const reserve = options.reserve ?? 0;
   const free = servers.filter((server) => server.busy + reserve < server.slots);
-  const local = free.filter((server) =>
-    server.dataCentre === options.dataCentre
-  );
-  const pool = local.length > 0 ? local : free;
+  const pool = preferOwnDataCentre(free, options);
   return tryFindAffinityServer(pool, options) ??
     tryGetLowestLoad(pool, (server) => server.busy, options);
 }
@@ -61,7 +61,7 @@
   options: ServerSelectionOptions,
 ): S | undefined {
   return tryGetLowestLoad(
-    servers,
+    filterByDataCentre(servers, options),
     (server) => server.busy - server.batch,
     options,
   );
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -36,6 +36,9 @@
   streamsTakenUp: "streams_taken_up",
   limitedSends: "limited_sends",
   relayedRequests: "relayed_requests",
+  remoteSends: "remote_sends",
+  remoteStays: "remote_stays",
+  remoteBytes: "remote_bytes",
   updatesNotSent: "updates_not_sent",
   unexpectedErrors: "unexpected_errors",
 } as const;
--- a/src/sys/settings.ts
+++ b/src/sys/settings.ts
@@ -11,6 +11,7 @@
   hasOption,
   type JsonValue,
   type MessageShape,
+  ScalarType,
 } from "@bufbuild/protobuf";
 import { parse, TomlError } from "smol-toml";
 import { MessageCode, rule as ruleOption } from "../schema/mod.ts";
@@ -27,6 +28,9 @@
   | { readonly ok: true; readonly settings: T }
   | { readonly ok: false; readonly faults: SettingsFault[] };
 
+/** Type name of settings that may have a fraction. */
+const DECIMAL = "decimal";
+
 type Table = { [key: string]: unknown };
 
 function getTypeName(value: unknown): string {
@@ -117,9 +121,9 @@
 
   #checkScalar(field: DescField, value: unknown, key: string): unknown {
     const defaultValue = parseDefault(getOption(field, ruleOption).fallback);
-    const typeName = typeof defaultValue === "string"
-      ? "string"
-      : typeof defaultValue;
+    const isDecimal = field.fieldKind === "scalar" &&
+      field.scalar === ScalarType.DOUBLE;
+    const typeName = isDecimal ? DECIMAL : typeof defaultValue;
     const checked = this.#checkType(typeName, value, key);
     if (typeof checked === "number") this.#checkRange(field, checked, key);
     return checked;
@@ -128,10 +132,13 @@
   #checkType(typeName: string, value: unknown, key: string): unknown {
     const isExpectedType = typeName === "number"
       ? typeof value === "number" && Number.isInteger(value)
+      : typeName === DECIMAL
+      ? typeof value === "number" && Number.isFinite(value)
       : getTypeName(value) === typeName;
     if (isExpectedType) return value;
     const expected = {
       number: "a whole number",
+      [DECIMAL]: "a number",
       string: "a string",
       boolean: "true or false",
     }[typeName] ?? typeName;
