Run items at assigned servers of other data centres; let late items leave

Cause: a runner that is limited to its data centre would leave servers idle that are assigned to it elsewhere, since no other runner sends items there. A server with a limit would not be asked while another data centre has free slots that may not be used. Change: assigned servers count as local; an item that can't start in time may use servers of other runners, within the headroom; only usable servers count as free.

--- a/src/fleet/item_ownership.ts
+++ b/src/fleet/item_ownership.ts
@@ -85,6 +85,23 @@
     return getAssignedServers(this.#options.getId(), servers, runners);
   }
 
+  /**
+   * Data centres of those servers of one service which get items from no process but
+   * this one and runners like it: of its assigned servers, or, if each runner may use
+   * all of them, those without a runner.
+   */
+  getAssignedDataCentres(servers: readonly PoolServer[]): ReadonlySet<string> {
+    const { getDataCentre } = this.#options;
+    const served = new Set(this.#runners.map((id) => getDataCentre(id)));
+    const allowed = this.getAllowedServers(servers);
+    const isShared = servers.length < this.#runners.length;
+    return new Set(
+      servers.filter(({ id, dataCentre }) =>
+        isShared ? !served.has(dataCentre) : allowed.has(id)
+      ).map(({ dataCentre }) => dataCentre),
+    );
+  }
+
   /** Drops the state of all items except the given ones. */
   retainOnly(open: ReadonlySet<string>): void {
     [...this.#items.keys()].filter((key) => !open.has(key))
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -8,6 +8,7 @@
 import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
 import {
   getReservedSlots,
+  isItemShortOfTime,
   PreemptionCooldown,
   RunTimeEstimator,
   selectTarget,
@@ -33,7 +34,7 @@
 import { type ActiveRun, ActiveRuns } from "./active_runs.ts";
 import { AttemptOutcomeHandler } from "./attempt_outcome_handler.ts";
 import { ProgressTracker } from "./progress_tracker.ts";
-import { createItemNeed } from "./item_flow_need.ts";
+import { createItemNeed, getItemLateAfterMs } from "./item_flow_need.ts";
 import type { RoutingView } from "./routing_view.ts";
 import { getItemKey, RunRecorder } from "./run_recorder.ts";
 import type { ItemOwnership } from "./item_ownership.ts";
@@ -120,11 +121,19 @@
  */
 const MAX_CANDIDATES_PER_PASS = 512;
 
-/** Servers of a service that an item may use. */
-interface ItemPlacement {
-  readonly service: string;
+const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
+
+/** Servers of a service that items may use. */
+interface UsableServers {
   /** Ids of the servers. */
   readonly allowed: ReadonlySet<string>;
+  /** Data centres of servers that are assigned to this process. */
+  readonly assigned: ReadonlySet<string>;
+}
+
+/** Servers of a service that one item may use. */
+interface ItemPlacement extends UsableServers {
+  readonly service: string;
   /** Slots of each server that the item must leave free. */
   readonly reserve: number;
 }
@@ -341,11 +350,11 @@
    * same holds for the servers of each software version.
    */
   #startWaitingItems(jobs: readonly QueuedJob[]): void {
-    const { pool, ownership, context } = this.#options;
+    const { context } = this.#options;
     const nowMs = context.clock.getWallMs();
     /** Whether other servers have free slots, by exhausted slots. */
     const exhausted = new Map<string, boolean>();
-    const allowedByService = new Map<string, ReadonlySet<string>>();
+    const usableByService = new Map<string, UsableServers>();
     this.#getWaiting(jobs).slice(0, MAX_CANDIDATES_PER_PASS).forEach(
       (candidate) => {
         const service = this.#tryGetService(candidate);
@@ -355,13 +364,13 @@
         if (this.#options.promptPartGuard.getRejectionMs(parts) > 0) return;
         const reserve = getReservedSlots(candidate, nowMs);
         const softwareVersion = this.#getRequiredVersion(candidate, service);
-        const slotsKey = `${service}/${softwareVersion ?? ""}/${reserve}`;
-        const allowed = allowedByService.get(service) ??
-          this.#excludeBurstingServers(
-            ownership.getAllowedServers(pool.getServers(service)),
-          );
-        allowedByService.set(service, allowed);
-        const placement = { service, allowed, reserve };
+        const mayLeave = this.#mayLeaveDataCentre(candidate, nowMs);
+        const serviceKey = `${service}/${mayLeave}`;
+        const slotsKey = `${serviceKey}/${softwareVersion ?? ""}/${reserve}`;
+        const usable = usableByService.get(serviceKey) ??
+          this.#getUsableServers(service, { mayLeave });
+        usableByService.set(serviceKey, usable);
+        const placement = { service, reserve, ...usable };
         if (!exhausted.has(slotsKey)) {
           const isStarted = this.#tryStart(candidate, {
             ...placement,
@@ -456,6 +465,33 @@
     this.#versionWaits.delete(key);
   }
 
+  /**
+   * Whether an item may use servers of other runners, as far as the flow between data
+   * centres has slots for it.
+   */
+  #mayLeaveDataCentre(candidate: ItemCandidate, wallMs: number): boolean {
+    return this.#options.pool.hasRemoteFlow &&
+      isItemShortOfTime(getItemLateAfterMs(candidate, wallMs));
+  }
+
+  #getUsableServers(
+    service: string,
+    { mayLeave }: { readonly mayLeave: boolean },
+  ): UsableServers {
+    const { pool, ownership } = this.#options;
+    const servers = pool.getServers(service);
+    return {
+      allowed: this.#excludeBurstingServers(
+        mayLeave
+          ? new Set(servers.map(({ id }) => id))
+          : ownership.getAllowedServers(servers),
+      ),
+      assigned: pool.hasRemoteFlow
+        ? ownership.getAssignedDataCentres(servers)
+        : NO_DATA_CENTRES,
+    };
+  }
+
   /** Filters out servers on which a burst of online requests preempted items. */
   #excludeBurstingServers(servers: ReadonlySet<string>): ReadonlySet<string> {
     const nowMs = this.#options.context.clock.getMonotonicMs();
@@ -512,7 +548,7 @@
       kind: LoadKind.batch,
       prefix: this.#getPrefix(item),
       excluded: new Set(),
-      need: createItemNeed(candidate, clock.getWallMs()),
+      need: createItemNeed(candidate, clock.getWallMs(), placement.assigned),
       onSilent: () => abortController.abort(),
     });
     if (permit === undefined) return false;
--- a/src/fleet/remote_flow.ts
+++ b/src/fleet/remote_flow.ts
@@ -26,6 +26,8 @@
   readonly lateAfterMs: number;
   /** Bytes that are sent to the server and back. */
   readonly bytes: number;
+  /** Other data centres with servers that nobody else uses for such requests. */
+  readonly assigned?: ReadonlySet<string>;
 }
 
 /** A selection for which the usable data centres are decided. */
@@ -65,6 +67,9 @@
 
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
+/** Reason of items at servers that are assigned to this process. */
+const ASSIGNED = "assigned";
+
 const PERCENT = 100;
 
 /** The flow of one process to other data centres. */
@@ -77,13 +82,17 @@
     this.#options = options;
   }
 
-  /** Services whose loads must be observed regularly. */
-  get services(): string[] {
-    return this.#options.flow.services;
+  /** Records the loads of all servers of the services that were used. */
+  observeAll(
+    getServers: (service: string) => readonly PoolServer[],
+    loads: LoadTracker,
+  ): void {
+    this.#options.flow.services.forEach((service) =>
+      this.#observe(service, getServers(service), loads)
+    );
   }
 
-  /** Records the loads of all servers of a service. */
-  observe(
+  #observe(
     service: string,
     servers: readonly PoolServer[],
     loads: LoadTracker,
@@ -100,14 +109,15 @@
   ): ReadonlySet<string> {
     const { clock, dataCentre, flow, metrics } = this.#options;
     const { service, kind, candidates, reserve, queues } = selection;
+    const assigned = selection.need?.assigned ?? NO_DATA_CENTRES;
     const local = candidates.filter((server) =>
-      server.dataCentre === dataCentre
+      server.dataCentre === dataCentre || assigned.has(server.dataCentre)
     );
     const isLocalFree = !queues &&
       local.some((server) => server.busy + reserve < server.slots);
-    if (isLocalFree || candidates.length === 0) return NO_DATA_CENTRES;
+    if (isLocalFree || candidates.length === 0) return assigned;
     const servers = selection.getServers();
-    this.observe(service, servers, loads);
+    this.#observe(service, servers, loads);
     const need = selection.need ?? DEFAULT_NEED;
     const decision = flow.decide({
       ...need,
@@ -121,7 +131,9 @@
     if (decision.remote.size === 0) {
       metrics.count(MetricName.remoteStays, 1, { reason: decision.reason });
     }
-    return decision.remote;
+    return assigned.size === 0
+      ? decision.remote
+      : new Set([...decision.remote, ...assigned]);
   }
 
   /** Records that a request is sent to a server. */
@@ -131,9 +143,12 @@
   ): void {
     const { dataCentre, clock, flow, log, metrics } = this.#options;
     if (server.dataCentre === dataCentre) return;
-    flow.recordLeaving(service, server.dataCentre, clock.getMonotonicMs());
+    const isAssigned = need?.assigned?.has(server.dataCentre) === true;
+    if (!isAssigned) {
+      flow.recordLeaving(service, server.dataCentre, clock.getMonotonicMs());
+    }
     const decision = this.#decisions.get(service);
-    const reason = decision?.reason ?? "";
+    const reason = isAssigned ? ASSIGNED : decision?.reason ?? "";
     metrics.count(MetricName.remoteSends, 1, { reason });
     log.info("request_leaves_data_centre", {
       request: need?.request ?? "",
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -5,6 +5,7 @@
  */
 import { LoadKind, LoadTracker, SilenceDetector } from "../membership/mod.ts";
 import {
+  filterByDataCentre,
   type ServerCandidate,
   tryGetLeastLoaded,
   trySelectServer,
@@ -99,11 +100,20 @@
       SILENCE_CHECK_INTERVAL_MS,
       () => {
         this.#handleSilentServers();
-        this.#observeFlow();
+        // Also while nothing is sent, so that a return of servers is noticed.
+        options.remoteFlow?.observeAll(
+          (service) => this.getServers(service),
+          this.loads,
+        );
       },
     );
   }
 
+  /** Whether the use of other data centres is limited. */
+  get hasRemoteFlow(): boolean {
+    return this.#options.remoteFlow !== undefined;
+  }
+
   close(): void {
     this.#silenceCheckTimer.cancel();
   }
@@ -133,14 +143,6 @@
     });
   }
 
-  /** Records loads also while nothing is sent, so that a return is noticed. */
-  #observeFlow(): void {
-    const { remoteFlow } = this.#options;
-    remoteFlow?.services.forEach((service) =>
-      remoteFlow.observe(service, this.getServers(service), this.loads)
-    );
-  }
-
   /**
    * Returns the servers of a service that accept requests, with their loads.
    * Servers that haven't responded for a while are included only if the service
@@ -333,10 +335,12 @@
     asked: ReadonlySet<string>,
   ): PoolServer | undefined {
     const candidates = this.#getCandidates(req);
-    const hasFreeServer = candidates.some((server) =>
-      !server.isLimited && server.busy < server.slots
-    );
-    if (hasFreeServer) return undefined;
+    const unlimited = candidates.filter((server) => !server.isLimited);
+    const usable = filterByDataCentre(unlimited, {
+      dataCentre: this.#options.dataCentre,
+      remote: this.#getUsable(unlimited, req, { queues: false }),
+    });
+    if (usable.some(({ busy, slots }) => busy < slots)) return undefined;
     const askable = candidates.filter((server) =>
       server.isLimited && !asked.has(server.id) &&
       this.#options.rateLimits?.mayAsk(server, false) === true
--- a/src/policy/data_centre_flow.ts
+++ b/src/policy/data_centre_flow.ts
@@ -249,6 +249,14 @@
   }
 }
 
+/**
+ * Whether an item may have to leave its data centre to end in time; `lateAfterMs` is
+ * the time until its latest start. One that can't end in time anywhere stays.
+ */
+export function isItemShortOfTime(lateAfterMs: number): boolean {
+  return lateAfterMs >= 0 && lateAfterMs < ITEM_MARGIN_MS;
+}
+
 function tryGetReasonToLeave(
   { kind, lateAfterMs }: FlowRequest,
   { waitMs, costMs, roundTripMs }: {
@@ -258,9 +266,7 @@
   },
 ): FlowReason | undefined {
   if (kind === "batch") {
-    // An item that can't end in time anywhere stays.
-    const isShort = lateAfterMs >= 0 && lateAfterMs < ITEM_MARGIN_MS;
-    return isShort ? FlowReason.late : undefined;
+    return isItemShortOfTime(lateAfterMs) ? FlowReason.late : undefined;
   }
   if (waitMs > lateAfterMs && waitMs > roundTripMs) return FlowReason.late;
   return waitMs > costMs ? FlowReason.wait : undefined;
--- a/src/test/item_ownership_test.ts
+++ b/src/test/item_ownership_test.ts
@@ -89,6 +89,31 @@
     expect(owned.every((key) => ownership.canStart(key))).equal(true);
   });
 
+  // Guards against servers that no runner uses while the flow to other data centres
+  // is limited.
+  it("knows the data centres of the servers that wait for a runner", () => {
+    const { ownership } = createOwnership("a");
+    const getAssigned = (dataCentres: string[]) => {
+      const servers = createServers(dataCentres).map((server) => ({
+        ...server,
+        address: "",
+        bornMs: 1n,
+        softwareVersion: "",
+        isLimited: false,
+        slots: 8,
+        busy: 0,
+        batch: 0,
+      }));
+      return [...ownership.getAssignedDataCentres(servers)].sort();
+    };
+    const even = range(18).map((index) => `dc-${index % 3 + 1}`);
+    expect(getAssigned(even)).deep.equal(["dc-1"]);
+    expect(getAssigned(range(18).map(() => "dc-2"))).deep.equal(["dc-2"]);
+    // With fewer servers than runners, each may use all of them.
+    expect(getAssigned(["dc-1", "dc-2"])).deep.equal([]);
+    expect(getAssigned(["dc-1", "dc-4"])).deep.equal(["dc-4"]);
+  });
+
   it("distributes servers evenly, preferring the runner's data centre", () => {
     const runners = RUNNERS.map((id) => ({
       id,
--- a/src/test/remote_flow_test.ts
+++ b/src/test/remote_flow_test.ts
@@ -153,6 +153,17 @@
     expect(other.acquire(30, short)).include("b");
   });
 
+  // Guards against servers without items because their runner is elsewhere.
+  it("uses assigned servers of another data centre as its own", () => {
+    const { acquire, metrics } = createPool("remote_reserve = 20");
+    const assigned = new Set(["b"]);
+    const used = acquire(41, { ...ITEM, need: { ...ITEM.need!, assigned } });
+    expect(used.slice(0, 20)).not.include("b");
+    expect(used.slice(20, 40)).not.include("none");
+    expect(used[40]).equal("none");
+    expect(metrics.getSums()["remote_sends.assigned"]).equal(20);
+  });
+
   it("logs the request that leaves, with what decided", () => {
     const { acquire, log } = createPool("remote_reserve = 20");
     acquire(21);
