--- a/src/fleet/remote_flow.ts
+++ b/src/fleet/remote_flow.ts
@@ -82,7 +82,10 @@
     this.#options = options;
   }
 
-  /** Records the loads of all servers of the services that were used. */
+  /**
+   * Records the loads of all servers of the services that were used; must be called
+   * also while nothing is sent, so that a return of servers is noticed.
+   */
   observeAll(
     getServers: (service: string) => readonly PoolServer[],
     loads: LoadTracker,
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -7,6 +7,7 @@
 import {
   filterByDataCentre,
   type ServerCandidate,
+  type ServerSelectionOptions,
   tryGetLeastLoaded,
   trySelectServer,
 } from "../policy/mod.ts";
@@ -100,7 +101,6 @@
       SILENCE_CHECK_INTERVAL_MS,
       () => {
         this.#handleSilentServers();
-        // Also while nothing is sent, so that a return of servers is noticed.
         options.remoteFlow?.observeAll(
           (service) => this.getServers(service),
           this.loads,
@@ -232,12 +232,10 @@
   tryGetLeastBusy(req: PermitRequest): PoolServer | undefined {
     const unlimited = this.#getCandidates(req)
       .filter((server) => !server.isLimited);
-    return tryGetLeastLoaded(unlimited, {
-      dataCentre: this.#options.dataCentre,
-      remote: this.#getUsable(unlimited, req, { queues: true }),
-      prefix: req.prefix,
-      getFraction: () => this.#options.random.getFraction(),
-    });
+    return tryGetLeastLoaded(
+      unlimited,
+      this.#getSelection(unlimited, req, { queues: true }),
+    );
   }
 
   /**
@@ -293,19 +291,21 @@
     );
   }
 
-  /** Other data centres that a request may use; undefined for all. */
-  #getUsable(
+  #getSelection(
     candidates: readonly PoolServer[],
     req: PermitRequest,
     { queues }: { readonly queues: boolean },
-  ): ReadonlySet<string> | undefined {
-    return this.#options.remoteFlow?.getUsable({
+  ): ServerSelectionOptions {
+    const { dataCentre, remoteFlow, random } = this.#options;
+    const remote = remoteFlow?.getUsable({
       ...req,
       reserve: req.reserve ?? 0,
       getServers: () => this.getServers(req.service),
       candidates,
       queues,
     }, this.loads);
+    const getFraction = () => random.getFraction();
+    return { dataCentre, remote, prefix: req.prefix, getFraction };
   }
 
   #trySelect(
@@ -313,11 +313,8 @@
     req: PermitRequest,
   ): PoolServer | undefined {
     return trySelectServer(candidates, {
-      dataCentre: this.#options.dataCentre,
-      remote: this.#getUsable(candidates, req, { queues: false }),
-      prefix: req.prefix,
+      ...this.#getSelection(candidates, req, { queues: false }),
       reserve: req.reserve,
-      getFraction: () => this.#options.random.getFraction(),
     });
   }
 
@@ -336,10 +333,8 @@
   ): PoolServer | undefined {
     const candidates = this.#getCandidates(req);
     const unlimited = candidates.filter((server) => !server.isLimited);
-    const usable = filterByDataCentre(unlimited, {
-      dataCentre: this.#options.dataCentre,
-      remote: this.#getUsable(unlimited, req, { queues: false }),
-    });
+    const selection = this.#getSelection(unlimited, req, { queues: false });
+    const usable = filterByDataCentre(unlimited, selection);
     if (usable.some(({ busy, slots }) => busy < slots)) return undefined;
     const askable = candidates.filter((server) =>
       server.isLimited && !asked.has(server.id) &&
