Add the command placement: where a gateway would send a request now

Cause: an operator couldn't see why a request leaves its data centre or stays. Change: a page on the gateway's metrics address decides on a copy of the flow's state; the command prints it.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -18,6 +18,7 @@
 import { addOperatorCommands } from "./operator_commands.ts";
 import { createUsageError } from "./order_actions.ts";
 import { Output } from "./output.ts";
+import { addPlacementCommand } from "./placement_command.ts";
 import { createMessagesPage, createSettingsPage } from "./schema_pages.ts";
 
 const EXIT_CODES = `
@@ -60,6 +61,7 @@
 addOperatorCommands(program, getOutput);
 addJobCommands(program, getOutput);
 addExplainCommand(program, getOutput);
+addPlacementCommand(program, getOutput);
 addBenchCommands(program, getOutput);
 
 program.command("schema-pages")
--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -16,7 +16,7 @@
 import { LoadExchange } from "./load_exchange.ts";
 import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { RateLimitClient, RpcGranterCaller } from "./rate_limit_client.ts";
-import { tryCreateRemoteFlow } from "./remote_flow.ts";
+import { type RemoteFlow, tryCreateRemoteFlow } from "./remote_flow.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
 import { ServerReachability } from "./server_reachability.ts";
@@ -51,6 +51,7 @@
   readonly view: RoutingView;
   readonly follower: FleetFollower;
   readonly pool: ServerPool;
+  readonly remoteFlow: RemoteFlow | undefined;
   readonly backendClient: BackendClient;
   readonly promptPartGuard: PromptPartGuard;
   readonly reachability: ServerReachability;
@@ -102,6 +103,7 @@
         this.#exchange.tryReportNow();
       },
     });
+    this.remoteFlow = tryCreateRemoteFlow(settings, options.context);
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       view,
@@ -109,7 +111,7 @@
       random,
       log,
       rateLimits: this.#rateLimits,
-      remoteFlow: tryCreateRemoteFlow(settings, options.context),
+      remoteFlow: this.remoteFlow,
       onSuspect: (server) => this.reachability.recordUnreachable(server),
       onQueued: () => this.#exchange.tryReportNow(),
     });
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -24,7 +24,7 @@
   type ServerResponse,
 } from "../sys/http.ts";
 import { openPort } from "../sys/listening.ts";
-import { MetricName } from "../sys/metrics.ts";
+import { MetricName, type OperatorPage } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
 import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
@@ -51,6 +51,8 @@
   OnlyVersionFinder,
   RpcSoftwareVersionsClient,
 } from "./only_version_finder.ts";
+import { PLACEMENT_PATH } from "./placement.ts";
+import { PlacementPreview } from "./placement_preview.ts";
 import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
@@ -106,6 +108,8 @@
 
 /** Runs a gateway in this process. */
 export class GatewayHost {
+  /** Pages for operators, on the metrics address. */
+  readonly pages: ReadonlyMap<string, OperatorPage>;
   readonly #settings: FleetSettings;
   readonly #context: ProcessContext;
   readonly #dialect: CallerDialect;
@@ -175,6 +179,18 @@
       random,
       log,
     });
+    const serviceTimes = new ServiceTimes();
+    const placement = new PlacementPreview({
+      dataCentre: settings.dataCentre,
+      view: backends.view,
+      pool: backends.pool,
+      remoteFlow: backends.remoteFlow,
+      serviceTimes,
+      metrics,
+    });
+    this.pages = new Map([
+      [PLACEMENT_PATH, (query) => placement.answer(query)],
+    ]);
     this.#relay = new OnlineRelay({
       view: backends.view,
       pool: backends.pool,
@@ -199,7 +215,7 @@
       }),
       repeatOrigins: () => backends.repeatOrigins(),
       dialect: this.#dialect,
-      serviceTimes: new ServiceTimes(),
+      serviceTimes,
       clock,
       random,
       log,
--- a/src/fleet/remote_flow.ts
+++ b/src/fleet/remote_flow.ts
@@ -8,6 +8,7 @@
   DataCentreFlow,
   type DataCentreSummary,
   type FlowDecision,
+  type FlowRequest,
 } from "../policy/mod.ts";
 import type { FleetSettings } from "../schema/mod.ts";
 import type { Clock } from "../sys/clock.ts";
@@ -111,7 +112,7 @@
     loads: LoadTracker,
   ): ReadonlySet<string> {
     const { clock, dataCentre, flow, metrics } = this.#options;
-    const { service, kind, candidates, reserve, queues } = selection;
+    const { service, candidates, reserve, queues } = selection;
     const assigned = selection.need?.assigned ?? NO_DATA_CENTRES;
     const local = candidates.filter((server) =>
       server.dataCentre === dataCentre || assigned.has(server.dataCentre)
@@ -119,17 +120,11 @@
     const isLocalFree = !queues &&
       local.some((server) => server.busy + reserve < server.slots);
     if (isLocalFree || candidates.length === 0) return assigned;
-    const servers = selection.getServers();
-    this.#observe(service, servers, loads);
-    const need = selection.need ?? DEFAULT_NEED;
-    const decision = flow.decide({
-      ...need,
-      service,
-      kind,
-      queues,
-      hasLocalServer: local.length > 0,
-      own: servers.reduce((sum, { id }) => sum + loads.getOwn(id)[kind], 0),
-    }, clock.getMonotonicMs());
+    this.#observe(service, selection.getServers(), loads);
+    const decision = flow.decide(
+      this.#createRequest(selection, local.length > 0, loads),
+      clock.getMonotonicMs(),
+    );
     this.#decisions.set(service, decision);
     if (decision.remote.size === 0) {
       metrics.count(MetricName.remoteStays, 1, { reason: decision.reason });
@@ -139,6 +134,32 @@
       : new Set([...decision.remote, ...assigned]);
   }
 
+  /** What would be decided on a request that finds no free slot here. */
+  preview(selection: FlowSelection, loads: LoadTracker): FlowDecision {
+    const { clock, dataCentre, flow } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const hasLocalServer = selection.candidates.some((server) =>
+      server.dataCentre === dataCentre
+    );
+    return flow.preview(
+      this.#createRequest(selection, hasLocalServer, loads),
+      summarize(selection.getServers(), loads.getReportAgeMs(nowMs)),
+      nowMs,
+    );
+  }
+
+  #createRequest(
+    { service, kind, queues, need = DEFAULT_NEED, getServers }: FlowSelection,
+    hasLocalServer: boolean,
+    loads: LoadTracker,
+  ): FlowRequest {
+    const own = getServers().reduce(
+      (sum, { id }) => sum + loads.getOwn(id)[kind],
+      0,
+    );
+    return { ...need, service, kind, queues, hasLocalServer, own };
+  }
+
   /** Records that a request is sent to a server. */
   recordSend(
     server: PoolServer,
--- a/src/policy/data_centre_flow.ts
+++ b/src/policy/data_centre_flow.ts
@@ -114,15 +114,64 @@
 class ServiceFlow {
   readonly loads: DataCentreLoads;
   readonly #options: DataCentreFlowOptions;
-  readonly #shares = new Map<string, Share>();
+  readonly #shares: Map<string, Share>;
 
-  constructor(options: DataCentreFlowOptions) {
+  constructor(
+    options: DataCentreFlowOptions,
+    loads = new DataCentreLoads(options),
+    shares = new Map<string, Share>(),
+  ) {
     this.#options = options;
-    this.loads = new DataCentreLoads(options);
+    this.loads = loads;
+    this.#shares = shares;
+  }
+
+  clone(options: DataCentreFlowOptions): ServiceFlow {
+    const shares = structuredClone(this.#shares);
+    return new ServiceFlow(options, this.loads.clone(), shares);
+  }
+
+  /** Decides on a request that finds no free slot in its data centre. */
+  decide(req: FlowRequest, nowMs: number): FlowDecision {
+    const remote = this.loads.getRemote();
+    const { latencyMs, byteCostMs } = this.#options;
+    const costMs = 2 * latencyMs + req.bytes / BYTES_PER_KB * byteCostMs;
+    const waitMs = this.loads.getExpectedWaitMs(req);
+    const withHeadroom = remote.filter((dataCentre) =>
+      this.loads.getHeadroom(dataCentre, req.kind) > 0
+    );
+    const headroom = withHeadroom.reduce(
+      (sum, dataCentre) => sum + this.loads.getHeadroom(dataCentre, req.kind),
+      0,
+    );
+    const create = (reason: FlowReason, names: readonly string[] = []) => ({
+      reason,
+      remote: new Set(names),
+      waitMs,
+      costMs,
+      headroom,
+    });
+    if (!req.hasLocalServer) {
+      const usable = withHeadroom.length > 0 ? withHeadroom : remote;
+      return create(FlowReason.noLocalServer, usable);
+    }
+    const reason = tryGetReasonToLeave(req, {
+      waitMs,
+      costMs,
+      roundTripMs: 2 * latencyMs,
+    });
+    if (reason === undefined) return create(FlowReason.cost);
+    if (withHeadroom.length === 0) return create(FlowReason.reserve);
+    const usable = withHeadroom.filter((dataCentre) =>
+      this.#mayLeave(dataCentre, req, nowMs)
+    );
+    return usable.length === 0
+      ? create(FlowReason.amount)
+      : create(reason, usable);
   }
 
   /** Whether the part of this process allows a request to leave now. */
-  mayLeave(dataCentre: string, req: FlowRequest, nowMs: number): boolean {
+  #mayLeave(dataCentre: string, req: FlowRequest, nowMs: number): boolean {
     const limit = this.loads.getHeadroom(dataCentre, req.kind) *
       this.#getOwnPart(dataCentre, req);
     const share = this.#shares.get(dataCentre) ?? {
@@ -197,42 +246,21 @@
 
   /** Decides on a request that finds no free slot in its data centre. */
   decide(req: FlowRequest, nowMs: number): FlowDecision {
-    const flow = this.#getOrCreate(req.service);
-    const remote = flow.loads.getRemote();
-    const { latencyMs, byteCostMs } = this.#options;
-    const costMs = 2 * latencyMs + req.bytes / BYTES_PER_KB * byteCostMs;
-    const waitMs = flow.loads.getExpectedWaitMs(req);
-    const withHeadroom = remote.filter((dataCentre) =>
-      flow.loads.getHeadroom(dataCentre, req.kind) > 0
-    );
-    const headroom = withHeadroom.reduce(
-      (sum, dataCentre) => sum + flow.loads.getHeadroom(dataCentre, req.kind),
-      0,
-    );
-    const create = (reason: FlowReason, names: readonly string[] = []) => ({
-      reason,
-      remote: new Set(names),
-      waitMs,
-      costMs,
-      headroom,
-    });
-    if (!req.hasLocalServer) {
-      const usable = withHeadroom.length > 0 ? withHeadroom : remote;
-      return create(FlowReason.noLocalServer, usable);
-    }
-    const reason = tryGetReasonToLeave(req, {
-      waitMs,
-      costMs,
-      roundTripMs: 2 * latencyMs,
-    });
-    if (reason === undefined) return create(FlowReason.cost);
-    if (withHeadroom.length === 0) return create(FlowReason.reserve);
-    const usable = withHeadroom.filter((dataCentre) =>
-      flow.mayLeave(dataCentre, req, nowMs)
-    );
-    return usable.length === 0
-      ? create(FlowReason.amount)
-      : create(reason, usable);
+    return this.#getOrCreate(req.service).decide(req, nowMs);
+  }
+
+  /** What would be decided by the given loads; later decisions are not affected. */
+  preview(
+    req: FlowRequest,
+    summaries: readonly DataCentreSummary[],
+    nowMs: number,
+  ): FlowDecision {
+    // Half is the mean of the random numbers that decisions use.
+    const options = { ...this.#options, getFraction: () => 0.5 };
+    const flow = this.#services.get(req.service)?.clone(options) ??
+      new ServiceFlow(options);
+    flow.loads.observe(summaries, nowMs);
+    return flow.decide(req, nowMs);
   }
 
   /** Records that a request has left for another data centre. */
--- a/src/policy/data_centre_loads.ts
+++ b/src/policy/data_centre_loads.ts
@@ -77,10 +77,18 @@
 /** The loads of one service. */
 export class DataCentreLoads {
   readonly #options: DataCentreLoadsOptions;
-  readonly #states = new Map<string, LoadState>();
+  readonly #states: Map<string, LoadState>;
 
-  constructor(options: DataCentreLoadsOptions) {
+  constructor(
+    options: DataCentreLoadsOptions,
+    states = new Map<string, LoadState>(),
+  ) {
     this.#options = options;
+    this.#states = states;
+  }
+
+  clone(): DataCentreLoads {
+    return new DataCentreLoads(this.#options, structuredClone(this.#states));
   }
 
   get summaries(): DataCentreSummary[] {
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -39,6 +39,7 @@
   remoteSends: "remote_sends",
   remoteStays: "remote_stays",
   remoteBytes: "remote_bytes",
+  placementPreviews: "placement_previews",
   updatesNotSent: "updates_not_sent",
   unexpectedErrors: "unexpected_errors",
 } as const;
@@ -49,6 +50,9 @@
 /** Labels that distinguish the kinds of what one metric counts. */
 export type MetricLabels = Readonly<Record<string, string>>;
 
+/** Returns the content of a page that changes nothing, by its query. */
+export type OperatorPage = (query: URLSearchParams) => unknown;
+
 /** Upper bounds of the latency histograms, in milliseconds. */
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
@@ -102,9 +106,19 @@
     return Object.fromEntries([...this.#sums].sort());
   }
 
-  /** Serves the metrics on `address`. */
-  listen(address: string): Promise<HttpListener> {
+  /** Serves the metrics on `address`, and pages for operators by their path. */
+  listen(
+    address: string,
+    pages: ReadonlyMap<string, OperatorPage> = new Map(),
+  ): Promise<HttpListener> {
     return listenHttp(address, (req, res) => {
+      const [path = "", query] = (req.url ?? "").split("?", 2);
+      const page = pages.get(path);
+      if (page !== undefined && req.method === "GET") {
+        res.writeHead(200, { "content-type": "application/json" });
+        res.end(JSON.stringify(page(new URLSearchParams(query))));
+        return;
+      }
       if (req.url !== METRICS_PATH) {
         res.writeHead(404).end();
         return;
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -162,13 +162,22 @@
   readonly #hostNames = new Map<string, string>();
   readonly #maxStreamMs: number | undefined;
   readonly #beatMs: number;
+  readonly #settings: Record<string, unknown>;
   readonly #peerAddresses: string[] = [];
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
   #seeds: string[] = [];
 
   /** Without `maxStreamMs`, hosts assume that streams last as long as they may. */
-  constructor(options: { maxStreamMs?: number; beatMs?: number } = {}) {
+  constructor(
+    options: {
+      maxStreamMs?: number;
+      beatMs?: number;
+      /** Further settings of all hosts. */
+      settings?: Record<string, unknown>;
+    } = {},
+  ) {
+    this.#settings = options.settings ?? {};
     this.#maxStreamMs = options.maxStreamMs;
     this.#beatMs = options.beatMs ?? 60_000;
   }
@@ -355,6 +364,7 @@
       seeds: this.#seeds,
       first_start: true,
       beat_ms: this.#beatMs,
+      ...this.#settings,
       ...values,
     });
   }
