Count full servers of the own data centre as servers that may serve a request

Cause: a selection among a part of the candidates, such as servers with a limit, saw no server of its own data centre and let the request leave without regard to price and reserve. Evidence: found by reading; the new test in remote_flow_test covers excluded servers.

--- a/src/fleet/placement_preview.ts
+++ b/src/fleet/placement_preview.ts
@@ -84,6 +84,7 @@
         kind,
         need: this.#createNeed(service, route, Number(query.get("bytes"))),
         getServers: () => all,
+        getAllCandidates: () => all,
         candidates,
         reserve: 0,
         queues,
--- a/src/fleet/remote_flow.ts
+++ b/src/fleet/remote_flow.ts
@@ -38,7 +38,9 @@
   readonly need?: FlowNeed;
   /** Returns all servers of the service. */
   readonly getServers: () => readonly PoolServer[];
-  /** The servers that the request may use. */
+  /** Returns the servers that the request may use. */
+  readonly getAllCandidates: () => readonly PoolServer[];
+  /** Those of them among which one is selected. */
   readonly candidates: readonly PoolServer[];
   /** Slots of each server that it must leave free. */
   readonly reserve: number;
@@ -111,18 +113,17 @@
     selection: FlowSelection,
     loads: LoadTracker,
   ): ReadonlySet<string> {
-    const { clock, dataCentre, flow, metrics } = this.#options;
+    const { clock, flow, metrics } = this.#options;
     const { service, candidates, reserve, queues } = selection;
     const assigned = selection.need?.assigned ?? NO_DATA_CENTRES;
-    const local = candidates.filter((server) =>
-      server.dataCentre === dataCentre || assigned.has(server.dataCentre)
-    );
     const isLocalFree = !queues &&
-      local.some((server) => server.busy + reserve < server.slots);
+      candidates.some((server) =>
+        server.busy + reserve < server.slots && this.#isLocal(server, selection)
+      );
     if (isLocalFree || candidates.length === 0) return assigned;
     this.#observe(service, selection.getServers(), loads);
     const decision = flow.decide(
-      this.#createRequest(selection, local.length > 0, loads),
+      this.#createRequest(selection, loads),
       clock.getMonotonicMs(),
     );
     this.#decisions.set(service, decision);
@@ -136,23 +137,29 @@
 
   /** What would be decided on a request that finds no free slot here. */
   preview(selection: FlowSelection, loads: LoadTracker): FlowDecision {
-    const { clock, dataCentre, flow } = this.#options;
+    const { clock, flow } = this.#options;
     const nowMs = clock.getMonotonicMs();
-    const hasLocalServer = selection.candidates.some((server) =>
-      server.dataCentre === dataCentre
-    );
     return flow.preview(
-      this.#createRequest(selection, hasLocalServer, loads),
+      this.#createRequest(selection, loads),
       summarize(selection.getServers(), loads.getReportAgeMs(nowMs)),
       nowMs,
     );
   }
 
+  #isLocal({ dataCentre }: PoolServer, { need }: FlowSelection): boolean {
+    return dataCentre === this.#options.dataCentre ||
+      need?.assigned?.has(dataCentre) === true;
+  }
+
   #createRequest(
-    { service, kind, queues, need = DEFAULT_NEED, getServers }: FlowSelection,
-    hasLocalServer: boolean,
+    selection: FlowSelection,
     loads: LoadTracker,
   ): FlowRequest {
+    const { service, kind, queues, need = DEFAULT_NEED, getServers } =
+      selection;
+    const hasLocalServer = selection.getAllCandidates().some((server) =>
+      this.#isLocal(server, selection)
+    );
     const own = getServers().reduce(
       (sum, { id }) => sum + loads.getOwn(id)[kind],
       0,
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -301,6 +301,7 @@
       ...req,
       reserve: req.reserve ?? 0,
       getServers: () => this.getServers(req.service),
+      getAllCandidates: () => this.#getCandidates(req),
       candidates,
       queues,
     }, this.loads);
--- a/src/test/remote_flow_test.ts
+++ b/src/test/remote_flow_test.ts
@@ -130,6 +130,17 @@
       .equal(true);
   });
 
+  // Guards against a request that leaves because only servers elsewhere were left
+  // after those here had been set aside.
+  it("counts full servers here as servers that may serve a request", () => {
+    const { acquire } = createPool("remote_byte_cost = 20.5");
+    acquire(20);
+    const excluded = new Set(["a1"]);
+    expect(acquire(1, { ...ONLINE, excluded })).deep.equal(["none"]);
+    const allExcluded = new Set(["a1", "a2"]);
+    expect(acquire(1, { ...ONLINE, excluded: allExcluded })).deep.equal(["b"]);
+  });
+
   it("queues a request here if the other data centre is at its reserve", () => {
     const { acquire, pool } = createPool("remote_reserve = 90");
     acquire(20);
