--- a/src/fleet/backend_access.ts
+++ b/src/fleet/backend_access.ts
@@ -14,7 +14,9 @@
 import type { BackendDialect } from "./dialects.ts";
 import { FleetFollower } from "./fleet_follower.ts";
 import { LoadExchange } from "./load_exchange.ts";
+import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { RateLimitClient, RpcGranterCaller } from "./rate_limit_client.ts";
+import { type RemoteFlow, tryCreateRemoteFlow } from "./remote_flow.ts";
 import { RoutingView } from "./routing_view.ts";
 import { ServerPool } from "./server_pool.ts";
 import { ServerReachability } from "./server_reachability.ts";
@@ -51,6 +53,7 @@
   readonly view: RoutingView;
   readonly follower: FleetFollower;
   readonly pool: ServerPool;
+  readonly remoteFlow: RemoteFlow | undefined;
   readonly backendClient: BackendClient;
   readonly promptPartGuard: PromptPartGuard;
   readonly reachability: ServerReachability;
@@ -103,6 +106,7 @@
         this.#exchange.tryReportNow();
       },
     });
+    this.remoteFlow = tryCreateRemoteFlow(settings, options.context);
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       view,
@@ -110,6 +114,7 @@
       random,
       log,
       rateLimits: this.#rateLimits,
+      remoteFlow: this.remoteFlow,
       onSuspect: (server) => this.reachability.recordUnreachable(server),
       onQueued: () => this.#exchange.tryReportNow(),
     });
@@ -136,6 +141,7 @@
       onTimes: (permit, times) => pool.speeds.recordTimes(permit, times),
       clock,
       reachability: this.reachability,
+      onBytes: createRemoteByteCounter(settings.dataCentre, metrics),
       isPartitioned: options.context.isPartitioned,
     });
     this.#exchange = new LoadExchange({
--- a/src/fleet/backend_client.ts
+++ b/src/fleet/backend_client.ts
@@ -14,6 +14,11 @@
 import type { Clock } from "../sys/clock.ts";
 import { ResponseTimer, type ResponseTimes } from "./response_timer.ts";
 import type { BackendDialect } from "./dialects.ts";
+import {
+  type ByteCounter,
+  getHeaderBytes,
+  RemoteByteKind,
+} from "./remote_bytes.ts";
 import type { PoolServer, ServerPermit } from "./server_pool.ts";
 import type { ServerReachability } from "./server_reachability.ts";
 
@@ -98,6 +103,7 @@
   readonly #onTimes: (permit: ServerPermit, times: ResponseTimes) => void;
   readonly #clock: Pick<Clock, "getMonotonicMs"> | undefined;
   readonly #reachability: BackendClientReachability | undefined;
+  readonly #onBytes: ByteCounter;
   readonly #isPartitioned: (address: string) => boolean;
 
   constructor(options: {
@@ -119,6 +125,8 @@
     /** Measures the times; without it, none are. */
     clock?: Pick<Clock, "getMonotonicMs">;
     reachability?: BackendClientReachability;
+    /** Called with the bytes sent to and received from a data centre. */
+    onBytes?: ByteCounter;
     /** Whether nothing reaches an address; simulates a network partition. */
     isPartitioned?: (address: string) => boolean;
   }) {
@@ -135,18 +143,25 @@
     this.#onTimes = options.onTimes ?? (() => {});
     this.#clock = options.clock;
     this.#reachability = options.reachability;
+    this.#onBytes = options.onBytes ?? (() => {});
     this.#isPartitioned = options.isPartitioned ?? (() => false);
   }
 
   /** Sends a request and waits for the head of the response. */
   async send(options: AttemptOptions): Promise<AttemptResult> {
     const { request, permit } = options;
+    const headers = this.#createHeaders(options);
+    this.#onBytes(
+      permit.server.dataCentre,
+      RemoteByteKind.requests,
+      request.target.length + getHeaderBytes(headers) + request.body.length,
+    );
     try {
       const response = await sendHttp({
         address: permit.server.address,
         method: request.method,
         path: request.target,
-        headers: this.#createHeaders(options),
+        headers,
         body: request.body,
         // A response to a request without an id can't be told from others that
         // are late on the same connection.
@@ -184,8 +199,11 @@
     options: AttemptOptions,
   ): AttemptResult {
     const { request, permit } = options;
-    const { id } = permit.server;
+    const { id, dataCentre } = permit.server;
     this.#onActivity(id);
+    const countBytes = (bytes: number) =>
+      this.#onBytes(dataCentre, RemoteByteKind.responses, bytes);
+    countBytes(getHeaderBytes(response.body.rawHeaders));
     const meta = this.#dialect.readResponseMetadata(
       response.status,
       response.headers,
@@ -243,6 +261,7 @@
           timer?.recordChunk();
         },
         onEnd: () => timer?.recordEnd(),
+        onBytes: countBytes,
       });
       return { kind: "response", response: { ...response, chunks } };
     }
@@ -301,11 +320,23 @@
 
 async function* readChunks(
   body: HttpResponse["body"],
-  { onChunk, onEnd }: { onChunk: () => void; onEnd: () => void },
+  { onChunk, onEnd, onBytes }: {
+    readonly onChunk: () => void;
+    /** Called if the body was read to its end. */
+    readonly onEnd: () => void;
+    /** Called with the bytes that were read, whole or not. */
+    readonly onBytes: (bytes: number) => void;
+  },
 ): AsyncIterable<Buffer> {
-  for await (const chunk of body) {
-    onChunk();
-    yield chunk;
+  let bytes = 0;
+  try {
+    for await (const chunk of body) {
+      onChunk();
+      bytes += chunk.length;
+      yield chunk;
+    }
+  } finally {
+    onBytes(bytes);
   }
   onEnd();
 }
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -29,7 +29,7 @@
   type ServerResponse,
 } from "../sys/http.ts";
 import { openPort } from "../sys/listening.ts";
-import { MetricName } from "../sys/metrics.ts";
+import { MetricName, type OperatorPage } from "../sys/metrics.ts";
 import { createCredentials } from "../sys/rpc.ts";
 import { logRejection } from "../sys/unexpected_errors.ts";
 import { BackendAccess } from "./backend_access.ts";
@@ -62,6 +62,9 @@
 import { OrganisationLimits } from "./organisation_limits.ts";
 import { RpcTokenCaller } from "./organisation_rate_channel.ts";
 import { OrganisationRateClient } from "./organisation_rate_client.ts";
+import { PLACEMENT_PATH } from "./placement.ts";
+import { PlacementPreview } from "./placement_preview.ts";
+import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
 import {
@@ -116,6 +119,8 @@
 
 /** Runs a gateway in this process. */
 export class GatewayHost {
+  /** Pages for operators, on the metrics address. */
+  readonly pages: ReadonlyMap<string, OperatorPage>;
   readonly #settings: FleetSettings;
   readonly #context: ProcessContext;
   readonly #dialect: CallerDialect;
@@ -205,10 +210,23 @@
       getRoutesVersion: () => backends.view.routesVersion,
       dialect: dialects.backend,
       credentials,
+      onBytes: createRemoteByteCounter(settings.dataCentre, metrics),
       clock,
       random,
       log,
     });
+    const serviceTimes = new ServiceTimes();
+    const placement = new PlacementPreview({
+      dataCentre: settings.dataCentre,
+      view: backends.view,
+      pool: backends.pool,
+      remoteFlow: backends.remoteFlow,
+      serviceTimes,
+      metrics,
+    });
+    this.pages = new Map([
+      [PLACEMENT_PATH, (query) => placement.answer(query)],
+    ]);
     this.#relay = new OnlineRelay({
       view: backends.view,
       pool: backends.pool,
@@ -233,7 +251,7 @@
       }),
       repeatOrigins: () => backends.repeatOrigins(),
       dialect: this.#dialect,
-      serviceTimes: new ServiceTimes(),
+      serviceTimes,
       clock,
       random,
       log,
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -7,7 +7,9 @@
 import {
   FairShares,
   type FairWaiter,
+  filterByDataCentre,
   type ServerCandidate,
+  type ServerSelectionOptions,
   tryGetLeastLoaded,
   trySelectServer,
 } from "../policy/mod.ts";
@@ -17,6 +19,7 @@
 import type { Random } from "../sys/random.ts";
 import type { RateLimitClient } from "./rate_limit_client.ts";
 import { PoolSpeeds } from "./pool_speeds.ts";
+import type { FlowNeed, RemoteFlow } from "./remote_flow.ts";
 import type { RoutingView } from "./routing_view.ts";
 
 /** A backend server and its current load. */
@@ -53,6 +56,8 @@
   readonly organisation?: string;
   /** Cost of the request, in units of its kind; 1 by default. */
   readonly cost?: number;
+  /** What it says about leaving its data centre. */
+  readonly need?: FlowNeed;
   /** Called at each check that finds the selected server silent. */
   readonly onSilent?: () => void;
 }
@@ -78,6 +83,8 @@
   readonly log: Log;
   /** Permissions for servers with a limit; without it, limits are not kept. */
   readonly rateLimits?: RateLimitClient;
+  /** Decides about other data centres; without it, all may be used. */
+  readonly remoteFlow?: RemoteFlow;
   /** Called with a server that sends no data although requests wait there. */
   readonly onSuspect?: (server: string) => void;
   /** Called when a request is sent to a server that has no free slot. */
@@ -120,10 +127,21 @@
     });
     this.#silenceCheckTimer = options.clock.startInterval(
       SILENCE_CHECK_INTERVAL_MS,
-      () => this.#handleSilentServers(),
+      () => {
+        this.#handleSilentServers();
+        options.remoteFlow?.observeAll(
+          (service) => this.getServers(service),
+          this.loads,
+        );
+      },
     );
   }
 
+  /** Whether the use of other data centres is limited. */
+  get hasRemoteFlow(): boolean {
+    return this.#options.remoteFlow !== undefined;
+  }
+
   close(): void {
     this.#silenceCheckTimer.cancel();
   }
@@ -246,11 +264,10 @@
   tryGetLeastBusy(req: PermitRequest): PoolServer | undefined {
     const unlimited = this.#getCandidates(req)
       .filter((server) => !server.isLimited);
-    return tryGetLeastLoaded(unlimited, {
-      dataCentre: this.#options.dataCentre,
-      prefix: req.prefix,
-      getFraction: () => this.#options.random.getFraction(),
-    });
+    return tryGetLeastLoaded(
+      unlimited,
+      this.#getSelection(unlimited, req, { queues: true }),
+    );
   }
 
   /**
@@ -313,17 +330,37 @@
     );
   }
 
+  #getSelection(
+    candidates: readonly PoolServer[],
+    req: PermitRequest,
+    { queues }: { readonly queues: boolean },
+  ): ServerSelectionOptions {
+    const { dataCentre, remoteFlow, random } = this.#options;
+    const remote = remoteFlow?.getUsable({
+      ...req,
+      reserve: req.reserve ?? 0,
+      getServers: () => this.getServers(req.service),
+      getAllCandidates: () => this.#getCandidates(req),
+      candidates,
+      queues,
+    }, this.loads);
+    return {
+      dataCentre,
+      remote,
+      prefix: req.prefix,
+      waited: this.speeds.getRelativeWait(req),
+      slack: req.slack,
+      getFraction: () => random.getFraction(),
+    };
+  }
+
   #trySelect(
     candidates: readonly PoolServer[],
     req: PermitRequest,
   ): PoolServer | undefined {
     return trySelectServer(candidates, {
-      dataCentre: this.#options.dataCentre,
-      prefix: req.prefix,
+      ...this.#getSelection(candidates, req, { queues: false }),
       reserve: req.reserve,
-      waited: this.speeds.getRelativeWait(req),
-      slack: req.slack,
-      getFraction: () => this.#options.random.getFraction(),
     });
   }
 
@@ -341,10 +378,10 @@
     asked: ReadonlySet<string>,
   ): PoolServer | undefined {
     const candidates = this.#getCandidates(req);
-    const hasFreeServer = candidates.some((server) =>
-      !server.isLimited && server.busy < server.slots
-    );
-    if (hasFreeServer) return undefined;
+    const unlimited = candidates.filter((server) => !server.isLimited);
+    const selection = this.#getSelection(unlimited, req, { queues: false });
+    const usable = filterByDataCentre(unlimited, selection);
+    if (usable.some(({ busy, slots }) => busy < slots)) return undefined;
     const askable = candidates.filter((server) =>
       server.isLimited && !asked.has(server.id) &&
       this.#options.rateLimits?.mayAsk(server, false) === true
@@ -383,14 +420,16 @@
 
   #createPermit(
     server: PoolServer,
-    { service, kind, organisation, cost = 1, onSilent }: PermitRequest,
+    req: PermitRequest,
   ): ServerPermit {
+    const { service, kind, organisation, cost = 1, onSilent } = req;
     const startedMs = this.#options.clock.getMonotonicMs();
     if (organisation !== undefined) {
       this.shares[kind].recordStart(organisation, cost, startedMs);
     }
     const watchedRequest = { server: server.id, onSilent };
     this.loads.begin(server.id, kind);
+    this.#options.remoteFlow?.recordSend(server, req);
     if (server.busy >= server.slots) this.#options.onQueued?.();
     this.#silenceDetector.begin(watchedRequest, startedMs);
     let isHeld = true;
--- a/src/policy/server_selection.ts
+++ b/src/policy/server_selection.ts
@@ -8,6 +8,7 @@
  * decides (expected_time.ts); elsewhere the number of requests does.
  */
 import { getPlacementHash } from "../sys/random.ts";
+import { filterByDataCentre, preferOwnDataCentre } from "./data_centre_flow.ts";
 import {
   getExpectedCost,
   selectBySlowness,
@@ -37,6 +38,8 @@
 /** Options of a server selection. */
 export interface ServerSelectionOptions {
   readonly dataCentre: string;
+  /** Other data centres that may be used; undefined for all. */
+  readonly remote?: ReadonlySet<string>;
   /** Parts of the prompt that other requests share, in order; may be empty. */
   readonly prefix: readonly string[];
   /** Slots of each server that this kind of request must leave free. */
@@ -75,12 +78,11 @@
   options: ServerSelectionOptions,
 ): S | undefined {
   const reserve = options.reserve ?? 0;
-  const all = servers.filter((server) => server.busy + reserve < server.slots);
-  const free = hasSpeeds(all) ? selectWorthwhile(all, servers, options) : all;
-  const local = free.filter((server) =>
-    server.dataCentre === options.dataCentre
-  );
-  const pool = local.length > 0 ? local : free;
+  // A request doesn't wait for a faster server that it may not use.
+  const usable = filterByDataCentre(servers, options);
+  const all = usable.filter((server) => server.busy + reserve < server.slots);
+  const free = hasSpeeds(all) ? selectWorthwhile(all, usable, options) : all;
+  const pool = preferOwnDataCentre(free, options);
   if (hasSpeeds(pool)) return trySelectByExpectedTime(pool, options);
   return tryFindAffinityServer(pool, options) ??
     tryGetLowestLoad(pool, (server) => server.busy, options);
@@ -95,16 +97,17 @@
   servers: readonly S[],
   options: ServerSelectionOptions,
 ): S | undefined {
-  if (hasSpeeds(servers)) {
+  const usable = filterByDataCentre(servers, options);
+  if (hasSpeeds(usable)) {
     return tryGetMaxBy(
-      servers,
+      usable,
       (server) =>
         -getExpectedCost(server, server.busy - server.batch) -
         options.getFraction() * 1e-3,
     );
   }
   return tryGetLowestLoad(
-    servers,
+    usable,
     (server) => server.busy - server.batch,
     options,
   );
--- a/src/test/platform_fleet.ts
+++ b/src/test/platform_fleet.ts
@@ -163,6 +163,7 @@
   readonly #maxStreamMs: number | undefined;
   readonly #beatMs: number;
   readonly #gatewaySettings: Record<string, unknown>;
+  readonly #settings: Record<string, unknown>;
   readonly #peerAddresses: string[] = [];
   readonly #controlFronts: ControlHttpServer[] = [];
   #folder = "";
@@ -175,9 +176,12 @@
       beatMs?: number;
       /** Settings of all gateways in addition to those that they need. */
       gatewaySettings?: Record<string, unknown>;
+      /** Further settings of all hosts. */
+      settings?: Record<string, unknown>;
     } = {},
   ) {
     this.#gatewaySettings = options.gatewaySettings ?? {};
+    this.#settings = options.settings ?? {};
     this.#maxStreamMs = options.maxStreamMs;
     this.#beatMs = options.beatMs ?? 60_000;
   }
@@ -364,6 +368,7 @@
       seeds: this.#seeds,
       first_start: true,
       beat_ms: this.#beatMs,
+      ...this.#settings,
       ...values,
     });
   }
