Merge the flow between data centres and the command placement

- Merge the flow between data centres
- Add the command placement: where a gateway would send a request now
- Pages of the flow between data centres

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -35,7 +35,7 @@
 } from "../sys/http.ts";
 import { countJsonValues } from "../sys/json_values.ts";
 import { openPort } from "../sys/listening.ts";
-import { MetricName } from "../sys/metrics.ts";
+import { MetricName, type OperatorPage } from "../sys/metrics.ts";
 import {
   acquireForCaller,
   hasLargeRest,
@@ -73,6 +73,9 @@
 import { OrganisationLimits } from "./organisation_limits.ts";
 import { RpcTokenCaller } from "./organisation_rate_channel.ts";
 import { OrganisationRateClient } from "./organisation_rate_client.ts";
+import { PLACEMENT_PATH } from "./placement.ts";
+import { PlacementPreview } from "./placement_preview.ts";
+import { createRemoteByteCounter } from "./remote_bytes.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { getBindAddress } from "./state_process.ts";
 import {
@@ -136,6 +139,8 @@
 
 /** Runs a gateway in this process. */
 export class GatewayHost {
+  /** Pages for operators, on the metrics address. */
+  readonly pages: ReadonlyMap<string, OperatorPage>;
   readonly #settings: FleetSettings;
   readonly #context: ProcessContext;
   readonly #dialect: CallerDialect;
@@ -230,10 +235,23 @@
       getRoutesVersion: () => backends.view.routesVersion,
       dialect: dialects.backend,
       credentials,
+      onBytes: createRemoteByteCounter(settings.dataCentre, metrics),
       clock,
       random,
       log,
     });
+    const serviceTimes = new ServiceTimes();
+    const placement = new PlacementPreview({
+      dataCentre: settings.dataCentre,
+      view: backends.view,
+      pool: backends.pool,
+      remoteFlow: backends.remoteFlow,
+      serviceTimes,
+      metrics,
+    });
+    this.pages = new Map([
+      [PLACEMENT_PATH, (query) => placement.answer(query)],
+    ]);
     this.#relay = new OnlineRelay({
       view: backends.view,
       pool: backends.pool,
@@ -258,7 +276,7 @@
       }),
       repeatOrigins: () => backends.repeatOrigins(),
       dialect: this.#dialect,
-      serviceTimes: new ServiceTimes(),
+      serviceTimes,
       clock,
       random,
       log,
--- a/src/fleet/online_relay.ts
+++ b/src/fleet/online_relay.ts
@@ -7,8 +7,8 @@
 import {
   decideAdmission,
   type FairWaiter,
-  getHoldMs,
   getLimitedWaitMs,
+  getRecheckMs,
   getServiceFactor,
   isRetryable,
   isSlowNow,
@@ -50,6 +50,7 @@
   NOT_RELAYED_HEADER,
   type RelayResult,
 } from "./gateway_relay.ts";
+import { createOnlineNeed } from "./online_flow_need.ts";
 import type { OnlyVersionFinder } from "./only_version_finder.ts";
 import type {
   PermitRequest,
@@ -560,7 +561,7 @@
         return pool.tryAcquireQueued(this.#createPermitRequest());
       case "wait":
         await pool.waitForChange(
-          getHoldMs(decision.ms, leastBusy),
+          getRecheckMs(decision.ms, leastBusy),
           this.#createWaiter(),
         );
         return undefined;
@@ -664,6 +665,8 @@
   }
 
   #createPermitRequest(): PermitRequest {
+    const { clock, serviceTimes } = this.#options;
+    const { request, route, arrivedMs } = this.#req;
     return {
       service: this.#pin.service,
       softwareVersion: this.#pin.softwareVersion,
@@ -671,6 +674,13 @@
       prefix: this.#req.prefix,
       excluded: this.#excluded,
       organisation: this.#req.organisation,
+      need: createOnlineNeed({
+        request: request.requestId,
+        serviceMs: serviceTimes.getMeanMs(this.#pin.service),
+        targetMs: route.latencyTargetMs,
+        waitedMs: clock.getMonotonicMs() - arrivedMs,
+        bodyBytes: request.body.length,
+      }),
       onSilent: () => this.#abandonSilentServer(),
     };
   }
--- a/src/membership/load_tracker.ts
+++ b/src/membership/load_tracker.ts
@@ -67,6 +67,7 @@
   /** Parts of the reports of each source, by number. */
   readonly #reports = new Map<string, Map<number, StoredReport>>();
   readonly #observations = new Map<string, ServerObservation>();
+  #newestReportMs = -Infinity;
   /** Sums over all stored reports; changed by the difference of each report. */
   readonly #sums = new Map<string, LoadCount>();
   /** No stored report expires earlier, in monotonic milliseconds. */
@@ -121,6 +122,7 @@
     if (isOld) return false;
     this.#removeStaleParts(parts, Math.max(1, report.parts));
     this.speeds.acceptReported(report.loads, nowMs);
+    this.#newestReportMs = nowMs;
     const counts = new Map(
       report.loads.map(({ server, online, batch }) =>
         [server, { online, batch }] as const
@@ -139,6 +141,11 @@
     return true;
   }
 
+  /** Age of the newest report, in milliseconds; infinite if there was none. */
+  getReportAgeMs(nowMs: number): number {
+    return nowMs - this.#newestReportMs;
+  }
+
   /** Records the total that a server returned with a response. */
   recordServerTotal(server: string, total: number, nowMs: number): void {
     const own = this.getOwn(server);
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -50,6 +50,13 @@
  */
 const MAX_QUEUE_FRACTION = 0.3;
 
+/** Time for which a request may still be held in the gateway, in milliseconds. */
+export function getHoldMs(
+  { targetMs, waitedMs }: Pick<AdmissionInput, "targetMs" | "waitedMs">,
+): number {
+  return targetMs * MAX_HOLD_FRACTION - waitedMs;
+}
+
 /**
  * Predicts the time until a queued request gets a slot at a server: the
  * requests ahead of it times the service time, divided by the number of slots.
@@ -98,8 +105,7 @@
 /** Decides on a request that finds all slots occupied. */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const queueMs = predictQueueMs(input);
-  const holdMs = input.targetMs * MAX_HOLD_FRACTION;
-  const remainingMs = holdMs - input.waitedMs;
+  const remainingMs = getHoldMs(input);
   const mustWait = input.isWithheld === true ||
     queueMs > (input.firstMs === undefined ? 0 : MAX_UNHELD_QUEUE_MS);
   // A request held here can take the first slot that becomes free anywhere.
--- a/src/policy/expected_time.ts
+++ b/src/policy/expected_time.ts
@@ -36,7 +36,10 @@
 }
 
 /** Time after which a request that waits for up to `ms` checks again. */
-export function getHoldMs(ms: number, { slowdown }: ServerCandidate): number {
+export function getRecheckMs(
+  ms: number,
+  { slowdown }: ServerCandidate,
+): number {
   return slowdown === undefined ? ms : Math.min(ms, HOLD_CHECK_MS);
 }
 
--- a/src/policy/mod.ts
+++ b/src/policy/mod.ts
@@ -18,6 +18,8 @@
 export * from "./runner_assignment.ts";
 export * from "./membership_plan.ts";
 export * from "./routes.ts";
+export * from "./data_centre_flow.ts";
+export * from "./data_centre_loads.ts";
 export * from "./expected_time.ts";
 export * from "./server_selection.ts";
 export * from "./admission.ts";
