--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -8,6 +8,7 @@
  * Gateways use server_selection.ts instead.
  */
 import { getPlacementHash } from "../sys/random.ts";
+import { preferOwnDataCentre } from "./data_centre_flow.ts";
 
 /** State of a backend server, as far as routing needs it. */
 export interface ServerStatus {
@@ -34,6 +35,8 @@
 /** Requirements of an online request. */
 export interface RouteRequest {
   readonly dataCentre: string;
+  /** Other data centres that may be used; undefined for all. */
+  readonly remote?: ReadonlySet<string>;
   /** Empty for a plain service. */
   readonly model: string;
   readonly adapter: string;
@@ -140,11 +143,8 @@
   const fit = servers.filter((server) => isEligible(server, req, nowMs));
   if (fit.length === 0) return { kind: servers.length > 0 ? "wait" : "none" };
   const available = fit.filter((server) => hasCapacity(server, nowMs));
-  const local = available.filter((server) =>
-    server.dataCentre === req.dataCentre
-  );
   const chosen = selectByAffinityOrLoad(
-    local.length > 0 ? local : available,
+    preferOwnDataCentre(available, req),
     req,
   );
   if (chosen === undefined) return { kind: "wait" };
--- a/src/services/hosts/entry_host.ts
+++ b/src/services/hosts/entry_host.ts
@@ -33,6 +33,7 @@
 import { CompletionService } from "../online/completion_service.ts";
 import { CrashDetector } from "../online/crash_detector.ts";
 import { EngineRunner } from "../online/engine_runner.ts";
+import { tryCreateEntryFlow } from "../online/entry_flow.ts";
 import { EntryHttp } from "./entry_http.ts";
 import { EntryRegistrar } from "../control/entry_registration.ts";
 import { ItemSessions } from "../common/item_sessions.ts";
@@ -118,6 +119,7 @@
     });
     this.pool = new BackendPool({
       suspectLeases: this.#suspectLeases,
+      flow: tryCreateEntryFlow(settings, context),
       entryId: settings.id,
       dataCentre: settings.dataCentre,
       view,
--- a/src/services/online/backend_pool.ts
+++ b/src/services/online/backend_pool.ts
@@ -14,6 +14,7 @@
 import type { Clock, Timer } from "../../sys/clock.ts";
 import { createAbortError, ServingError } from "../../sys/errors.ts";
 import { MetricName, type Metrics } from "../../sys/metrics.ts";
+import type { EntryFlow } from "./entry_flow.ts";
 import {
   ActivePlacement,
   type Placement,
@@ -60,6 +61,8 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly suspectLeases: SuspectLeases;
+  /** Decides about other data centres; without it, all may be used. */
+  readonly flow?: EntryFlow;
   /** Asks the owner of a server to preempt batch sequences there. */
   readonly requestPreemption: (
     owner: string,
@@ -70,6 +73,9 @@
 
 const TICK_MS = 100;
 
+/** Run time that is assumed until online requests have ended, in milliseconds. */
+const UNKNOWN_SERVICE_MS = 200;
+
 const SUSPECT_RETRY_INTERVAL_MS = 50;
 const MIN_SEQUENCE_TARGET = 2;
 
@@ -318,10 +324,14 @@
   #tryPlaceOnline(req: PlacementRequest): Placement | "none" | undefined {
     const { clock, dataCentre, entryId, view, requestPreemption } =
       this.#options;
-    const decision = chooseServer(
-      this.#getServingServers(req.deployment).map((server) =>
-        getServerStatus(server)
-      ),
+    const servers = this.#getServingServers(req.deployment);
+    const statuses = servers.map((server) => getServerStatus(server));
+    const decision = this.#options.flow?.choose(statuses, {
+      ...req,
+      dataCentre,
+      ...this.#getOwnLoad(req.deployment, servers),
+    }) ?? chooseServer(
+      statuses,
       { ...req, dataCentre },
       clock.getMonotonicMs(),
     );
@@ -343,6 +353,28 @@
     return this.#startPlacement(server, { isBatch: false });
   }
 
+  /** Own online sequences, and how long they run by the rate at which they end. */
+  #getOwnLoad(
+    deployment: string,
+    servers: readonly BackendServer[],
+  ): { own: number; serviceMs: number } {
+    const own = servers.reduce((sum, server) => sum + server.own.online, 0);
+    const rate = this.#completionRates.get(deployment) ?? 0;
+    const serviceMs = rate > 0 ? own / rate * TICK_MS : UNKNOWN_SERVICE_MS;
+    return { own, serviceMs };
+  }
+
+  #observeFlow(): void {
+    const { flow } = this.#options;
+    flow?.deployments.forEach((deployment) =>
+      flow.observe(
+        deployment,
+        this.#getServingServers(deployment)
+          .map((server) => getServerStatus(server)),
+      )
+    );
+  }
+
   #startPlacement(
     server: BackendServer,
     options: { isBatch: boolean; onEnd?: () => void },
@@ -440,6 +472,7 @@
       view.backends.removeExpired(nowMs)
         .forEach((server) => this.abortPlacements(server.name));
     }
+    this.#observeFlow();
     this.serveQueues();
   }
 
