--- a/src/policy/expected_time.ts
+++ b/src/policy/expected_time.ts
@@ -55,7 +55,7 @@
 
 /**
  * Expected time of a request, relative to the usual time in a slot: the wait for a
- * slot, the service, and an allowance for requests that are not yet reported, which
+ * slot, the service, and a margin for requests that are not yet reported, which
  * grows with the load.
  */
 export function getExpectedCost(
