Log at which index store hosts apply jobs and their ends

Change: job_applied, job_end_applied and jobs_restored, and the metric job_ends with found=false for ends of unknown jobs. No decision changes.

--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -43,6 +43,7 @@
 } from "./host_identity.ts";
 import { ItemRunner } from "./item_runner.ts";
 import { JobAdmission } from "./job_admission.ts";
+import { JobLog } from "./job_log.ts";
 import { ItemOwnership } from "./item_ownership.ts";
 import { LeaderContact } from "./leader_contact.ts";
 import { OrganisationRateService } from "./organisation_rate_service.ts";
@@ -96,7 +97,10 @@
   ) {
     this.#settings = settings;
     this.#context = context;
-    this.#machine = new JobMachine({ endedJobTtlMs: settings.statusMs });
+    this.#machine = new JobMachine({
+      endedJobTtlMs: settings.statusMs,
+      observer: new JobLog(context),
+    });
     this.#process = new StateHostProcess({
       settings,
       context,
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -62,8 +62,31 @@
   readonly open: Map<string, JobItem>;
 }
 
+/** Log position of a command and what it did to the job that it names. */
+export interface JobChange {
+  readonly job: string;
+  readonly index: number;
+  readonly term: number;
+  readonly timeMs: number;
+  /** Whether the job was known before. */
+  readonly wasKnown: boolean;
+  /** Whether the job was known and had ended before. */
+  readonly wasEnded: boolean;
+  /** Reason of a refusal, otherwise zero. */
+  readonly code: MessageCode | 0;
+}
+
+/** Is told of changes of jobs; must not change the state. */
+export interface JobObserver {
+  onSubmitted(change: JobChange): void;
+  onEnded(change: JobChange): void;
+  /** Called with the numbers of all jobs and of those that may run. */
+  onRestored(jobs: number, open: number): void;
+}
+
 /** Options of a {@linkcode JobMachine}. */
 export interface JobMachineOptions {
+  readonly observer?: JobObserver;
   /**
    * Time for which an ended or completed job stays readable after its retention
    * time, in milliseconds.
@@ -91,6 +114,7 @@
 /** Replicated state of the store group. */
 export class JobMachine extends StateMachine {
   readonly #endedJobTtlMs: number;
+  readonly #observer: JobObserver | undefined;
   readonly #jobs = new Map<string, QueuedJob>();
   /** By the key of a route, and by the key of a route and an organisation. */
   readonly #waitingTokens = new Map<string, bigint>();
@@ -102,6 +126,7 @@
   constructor(options: JobMachineOptions = {}) {
     super();
     this.#endedJobTtlMs = options.endedJobTtlMs ?? DEFAULT_ENDED_JOB_TTL_MS;
+    this.#observer = options.observer;
   }
 
   /** The job with the given id; undefined if unknown or expired. */
@@ -162,10 +187,16 @@
     const { command: body } = fromBinary(JobCommandSchema, command);
     let code: MessageCode | 0 = 0;
     if (body.case === "submit") {
+      const getChange = this.#observeChange(body.value.id, context);
       code = this.#submitJob(body.value, context.timeMs);
+      this.#observer?.onSubmitted(getChange(code));
     }
     if (body.case === "recordRuns") this.#recordRuns(body.value);
-    if (body.case === "end") code = this.#endJob(body.value);
+    if (body.case === "end") {
+      const getChange = this.#observeChange(body.value.id, context);
+      code = this.#endJob(body.value);
+      this.#observer?.onEnded(getChange(code));
+    }
     if (body.case === "setRunners") this.#setRunners(body.value);
     return toBinary(
       JobCommandReplySchema,
@@ -197,6 +228,20 @@
     this.#activeVersion = 0;
     parts.map((part) => fromBinary(StoredJobSchema, part))
       .forEach((stored) => this.#restoreJob(stored));
+    this.#observer?.onRestored(this.#jobs.size, this.getOpenJobs().length);
+  }
+
+  /** Notes the state of a job; the result describes a change by its reply code. */
+  #observeChange(
+    job: string,
+    { index, term, timeMs }: CommandContext,
+  ): (code: MessageCode | 0) => JobChange {
+    const known = this.#jobs.get(job);
+    const state = {
+      wasKnown: known !== undefined,
+      wasEnded: known?.isEnded === true,
+    };
+    return (code) => ({ job, index, term, timeMs, ...state, code });
   }
 
   #setRunners({ ids, commandVersion }: RunnerList): void {
--- a/src/sys/metrics.ts
+++ b/src/sys/metrics.ts
@@ -49,6 +49,7 @@
   slowHolds: "slow_holds",
   unexpectedErrors: "unexpected_errors",
   callerFaults: "caller_faults",
+  jobEnds: "job_ends",
 } as const;
 
 /** Name of a metric. */
