Keep ends of jobs for jobs that come after them

Cause: an end of a job that the store group did not know was answered 0 and changed nothing. A submission that was committed after it, from a gateway where it had waited or from a later attempt, was a new, open job. The same held for a job whose record had been dropped. Change: each end is recorded in the replicated state for status_ms, at least two minutes, with its organisation; a job that is committed after its end has ended from the start. Command version 3, so members of older builds apply the same state as before. Ends of unknown jobs are bounded to 8 MB.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -1,6 +1,6 @@
 /**
- * Refuses jobs for which the store hosts have no memory, and repeats and ends of jobs
- * that belong to another organisation. The leader decides before it proposes a
+ * Refuses jobs and ends for which the store hosts have no memory, and repeats and ends
+ * of jobs that belong to another organisation. The leader decides before it proposes a
  * command, so a refused job is in no log and never runs, and members of older builds,
  * which don't know organisations, apply the same commands as the others.
  */
@@ -20,11 +20,17 @@
 import type { Log } from "../sys/log.ts";
 import type { CommandAdmission, CommandProposer } from "./group_member.ts";
 
+/**
+ * Memory from which on ends of unknown jobs are refused, in bytes: some 30,000 ends,
+ * which are kept for two minutes each.
+ */
+const MAX_END_BYTES = 8 << 20;
+
 /** Options of a {@linkcode JobAdmission}. */
 export interface JobAdmissionOptions {
   readonly machine: Pick<
     JobMachine,
-    "tryGetJob" | "retainedBytes" | "getExpiredBytes"
+    "tryGetJob" | "retainedBytes" | "endBytes" | "getExpiredBytes"
   >;
   /** Memory of the process, in bytes. */
   readonly processBytes: number;
@@ -73,6 +79,7 @@
       });
       return UNKNOWN_JOB;
     }
+    if (body.case === "end" && this.#isEndRefused(body.value)) return REFUSAL;
     if (body.case !== "submit") return await propose();
     const job = body.value;
     const waiting = this.#waiting.get(job.id);
@@ -107,6 +114,17 @@
     return !mayUseJob(owner, organisation);
   }
 
+  /** Whether there is no memory for the end of a job that is not known. */
+  #isEndRefused({ id }: EndJob): boolean {
+    const { machine, log } = this.#options;
+    const hasRoom = machine.endBytes < MAX_END_BYTES ||
+      this.#waiting.has(id) || machine.tryGetJob(id) !== undefined;
+    if (!hasRoom) {
+      log.info("job_end_refused", { job: id, retained: machine.endBytes });
+    }
+    return !hasRoom;
+  }
+
   #getRetainedBytes(): number {
     const { machine, clock } = this.#options;
     return machine.retainedBytes - machine.getExpiredBytes(clock.getWallMs());
--- /dev/null
+++ b/src/state/machines/job_ends.ts
@@ -0,0 +1,96 @@
+/**
+ * Ends of jobs, kept for a while whether or not the job is known. A submission may be
+ * committed after the end of its job: it may have waited in a gateway, or come again at
+ * another one. Such a job has ended from the start.
+ */
+import { create } from "@bufbuild/protobuf";
+import { type JobCaller, mayUseJob } from "../../policy/mod.ts";
+import {
+  type EndJob,
+  type RecordedEnd,
+  RecordedEndSchema,
+} from "../../schema/mod.ts";
+
+/** Estimated memory of an end besides its job's id, in bytes. */
+const END_OVERHEAD_BYTES = 256;
+
+/** The recorded ends of one state machine. */
+export class JobEnds {
+  readonly #ttlMs: number;
+  /** By job and organisation, in the order of their times. */
+  readonly #ends = new Map<string, RecordedEnd>();
+  /** Callers that ended a job, by its id. */
+  readonly #callers = new Map<string, readonly JobCaller[]>();
+  #retainedBytes = 0;
+
+  /** `ttlMs` is the time for which an end is kept, in milliseconds. */
+  constructor(ttlMs: number) {
+    this.#ttlMs = ttlMs;
+  }
+
+  /** Approximate memory of all ends, in bytes. */
+  get retainedBytes(): number {
+    return this.#retainedBytes;
+  }
+
+  /** Whether a caller that may use a job of the given owner has ended it. */
+  hasEnded(job: string, owner: JobCaller): boolean {
+    const callers = this.#callers.get(job) ?? [];
+    return callers.some((caller) => mayUseJob(owner, caller));
+  }
+
+  /** Records an end; a repeated one is kept as long as a new one. */
+  record(end: EndJob, timeMs: number): void {
+    this.removeExpired(timeMs);
+    this.#remove(end);
+    this.#add(
+      create(RecordedEndSchema, { end, endedMs: BigInt(timeMs) }),
+    );
+  }
+
+  /** Removes ends whose time to live has passed. */
+  removeExpired(nowMs: number): void {
+    for (const { end, endedMs } of this.#ends.values()) {
+      if (nowMs <= Number(endedMs) + this.#ttlMs) return;
+      if (end !== undefined) this.#remove(end);
+    }
+  }
+
+  capture(): readonly RecordedEnd[] {
+    return [...this.#ends.values()];
+  }
+
+  restore(ends: readonly RecordedEnd[]): void {
+    this.#ends.clear();
+    this.#callers.clear();
+    this.#retainedBytes = 0;
+    ends.forEach((end) => this.#add(end));
+  }
+
+  #add(recorded: RecordedEnd): void {
+    const { end } = recorded;
+    if (end === undefined) return;
+    this.#ends.set(getEndKey(end), recorded);
+    const callers = this.#callers.get(end.id) ?? [];
+    this.#callers.set(end.id, [...callers, end.organisation]);
+    this.#retainedBytes += getRetainedBytes(end);
+  }
+
+  #remove(end: EndJob): void {
+    if (!this.#ends.delete(getEndKey(end))) return;
+    const callers = (this.#callers.get(end.id) ?? [])
+      .filter((caller) => caller !== end.organisation);
+    if (callers.length === 0) this.#callers.delete(end.id);
+    else this.#callers.set(end.id, callers);
+    this.#retainedBytes -= getRetainedBytes(end);
+  }
+}
+
+/** JSON keeps names with any characters apart. */
+function getEndKey({ id, organisation }: EndJob): string {
+  return JSON.stringify([id, organisation]);
+}
+
+function getRetainedBytes({ id, organisation = "" }: EndJob): number {
+  return END_OVERHEAD_BYTES + id.length + organisation.length;
+}
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -1,9 +1,10 @@
 /**
  * State machine of the store group, which gateways and runners use: jobs of
  * opaque requests. Submitting a job is idempotent, results are append-only, and
- * an item has at most one result. The state includes the list of runners, but
- * not which runner runs an item. What two runners record for one item is told
- * apart by the chains that their attempts belong to.
+ * an item has at most one result. The end of a job holds whether it comes before or
+ * after the job. The state includes the list of runners, but not which runner runs an
+ * item. What two runners record for one item is told apart by the chains that their
+ * attempts belong to.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { mayUseJob } from "../../policy/mod.ts";
@@ -18,6 +19,7 @@
   JobCommandSchema,
   type JobItem,
   MessageCode,
+  type RecordedEnd,
   type RecordRuns,
   type RunnerList,
   RunnerListSchema,
@@ -26,6 +28,7 @@
   StoredJobSchema,
   type SubmitJob,
 } from "../../schema/mod.ts";
+import { JobEnds } from "./job_ends.ts";
 import {
   type CommandContext,
   decodeProposedCommand,
@@ -97,6 +100,12 @@
 /** Default of {@linkcode JobMachineOptions.endedJobTtlMs}. */
 const DEFAULT_ENDED_JOB_TTL_MS = 120_000;
 
+/**
+ * Shortest time for which an end is recorded, in milliseconds. Attempts to submit a job
+ * may be older than its end by the time for which a process was frozen.
+ */
+const MIN_END_TTL_MS = 120_000;
+
 const EMPTY_BYTES = new Uint8Array();
 
 /** Estimated memory of an item besides its body and its result, in bytes. */
@@ -111,21 +120,26 @@
  */
 const ORGANISATION_COMMAND_VERSION = 2;
 
+/** First version in which the end of a job also holds for a job that comes after it. */
+const EARLY_END_COMMAND_VERSION = 3;
+
 /** Replicated state of the store group. */
 export class JobMachine extends StateMachine {
   readonly #endedJobTtlMs: number;
   readonly #observer: JobObserver | undefined;
   readonly #jobs = new Map<string, QueuedJob>();
+  readonly #ends: JobEnds;
   /** By the key of a route, and by the key of a route and an organisation. */
   readonly #waitingTokens = new Map<string, bigint>();
   #runners: readonly string[] = [];
   #activeVersion = 0;
   #retainedBytes = 0;
-  override readonly commandVersion = ORGANISATION_COMMAND_VERSION;
+  override readonly commandVersion = EARLY_END_COMMAND_VERSION;
 
   constructor(options: JobMachineOptions = {}) {
     super();
     this.#endedJobTtlMs = options.endedJobTtlMs ?? DEFAULT_ENDED_JOB_TTL_MS;
+    this.#ends = new JobEnds(Math.max(MIN_END_TTL_MS, this.#endedJobTtlMs));
     this.#observer = options.observer;
   }
 
@@ -134,9 +148,9 @@
     return this.#jobs.get(id);
   }
 
-  /** Approximate memory of all jobs, in bytes. */
+  /** Approximate memory of all jobs and recorded ends, in bytes. */
   get retainedBytes(): number {
-    return this.#retainedBytes;
+    return this.#retainedBytes + this.#ends.retainedBytes;
   }
 
   /** Part of it that the next job frees, since its jobs have expired. */
@@ -145,6 +159,11 @@
       .reduce((sum, queued) => sum + getRetainedBytes(queued), 0);
   }
 
+  /** Approximate memory of the recorded ends, in bytes. */
+  get endBytes(): number {
+    return this.#ends.retainedBytes;
+  }
+
   /** Ids of the group members that run items. */
   get runners(): readonly string[] {
     return this.#runners;
@@ -167,6 +186,10 @@
     );
   }
 
+  get #keepsEnds(): boolean {
+    return this.#activeVersion >= EARLY_END_COMMAND_VERSION;
+  }
+
   get #separatesOrganisations(): boolean {
     return this.#activeVersion >= ORGANISATION_COMMAND_VERSION;
   }
@@ -194,7 +217,7 @@
     if (body.case === "recordRuns") this.#recordRuns(body.value);
     if (body.case === "end") {
       const getChange = this.#observeChange(body.value.id, context);
-      code = this.#endJob(body.value);
+      code = this.#endJob(body.value, context.timeMs);
       this.#observer?.onEnded(getChange(code));
     }
     if (body.case === "setRunners") this.#setRunners(body.value);
@@ -217,7 +240,8 @@
       ids: [...this.#runners],
       commandVersion: this.#activeVersion,
     });
-    return encodeSnapshotParts(runners, jobs);
+    const ends = [...this.#ends.capture()];
+    return encodeSnapshotParts({ runners, ends }, jobs);
   }
 
   override restore(parts: readonly Uint8Array[]): void {
@@ -226,6 +250,7 @@
     this.#retainedBytes = 0;
     this.#runners = [];
     this.#activeVersion = 0;
+    this.#ends.restore([]);
     parts.map((part) => fromBinary(StoredJobSchema, part))
       .forEach((stored) => this.#restoreJob(stored));
     this.#observer?.onRestored(this.#jobs.size, this.getOpenJobs().length);
@@ -256,6 +281,10 @@
       return isRepeat ? 0 : MessageCode.UNKNOWN_JOB;
     }
     this.#removeExpiredJobs(timeMs);
+    if (this.#ends.hasEnded(job.id, job.organisation)) {
+      this.#addEndedJob(job, timeMs);
+      return 0;
+    }
     const tokens = job.items.reduce((sum, item) => sum + item.tokens, 0n);
     const owner = this.#separatesOrganisations ? job.organisation : undefined;
     const waiting = this.getWaitingTokens(job.route, owner) + tokens;
@@ -332,16 +361,18 @@
     if (!queued.isEnded) this.#releaseTokens(queued.job, item.tokens);
   }
 
-  #endJob({ id, organisation }: EndJob): MessageCode | 0 {
+  #endJob(end: EndJob, timeMs: number): MessageCode | 0 {
+    const { id, organisation } = end;
     const queued = this.#jobs.get(id);
     // An identified caller must not learn whether another organisation has the job.
     const unknownCode = organisation === undefined
       ? 0
       : MessageCode.UNKNOWN_JOB;
-    if (queued === undefined) return unknownCode;
-    const isForeign = this.#separatesOrganisations &&
+    const isForeign = queued !== undefined && this.#separatesOrganisations &&
       !mayUseJob(queued.job.organisation, organisation);
     if (isForeign) return MessageCode.UNKNOWN_JOB;
+    if (this.#keepsEnds) this.#ends.record(end, timeMs);
+    if (queued === undefined) return unknownCode;
     if (queued.isEnded) return 0;
     queued.isEnded = true;
     queued.open.forEach((item) => {
@@ -351,6 +382,14 @@
     return 0;
   }
 
+  /** Adds a job whose end came first: it can be read, and none of its items runs. */
+  #addEndedJob(job: SubmitJob, timeMs: number): void {
+    const queued = createQueuedJob(job, timeMs);
+    queued.isEnded = true;
+    this.#addJob(queued);
+    queued.open.forEach((item) => this.#dropBody(item));
+  }
+
   #addJob(queued: QueuedJob): void {
     this.#jobs.set(queued.job.id, queued);
     this.#retainedBytes += getRetainedBytes(queued);
@@ -388,6 +427,7 @@
   }
 
   #removeExpiredJobs(nowMs: number): void {
+    this.#ends.removeExpired(nowMs);
     this.#getExpiredJobs(nowMs).forEach((queued) => {
       this.#jobs.delete(queued.job.id);
       this.#retainedBytes -= getRetainedBytes(queued);
@@ -396,7 +436,10 @@
 
   #restoreJob(stored: StoredJob): void {
     const { job } = stored;
-    if (stored.runners !== undefined) this.#setRunners(stored.runners);
+    if (stored.runners !== undefined) {
+      this.#setRunners(stored.runners);
+      this.#ends.restore(stored.ends);
+    }
     if (job === undefined) return;
     const queued = createQueuedJob(job, Number(stored.submittedMs));
     queued.isEnded = stored.ended;
@@ -474,10 +517,10 @@
 }
 
 function* encodeSnapshotParts(
-  runners: RunnerList,
+  header: { runners: RunnerList; ends: RecordedEnd[] },
   jobs: readonly QueuedJob[],
 ): Iterable<Uint8Array> {
-  yield toBinary(StoredJobSchema, create(StoredJobSchema, { runners }));
+  yield toBinary(StoredJobSchema, create(StoredJobSchema, header));
   for (const job of jobs) yield toBinary(StoredJobSchema, createStoredJob(job));
 }
 
--- a/src/test/ended_jobs_test.ts
+++ b/src/test/ended_jobs_test.ts
@@ -211,7 +211,7 @@
 
   // Guards against items that run on when job and end pass each other on the way.
   it("stop soon when job and end are sent at the same moment", async () => {
-    const jobs = Array.from({ length: 6 }, createJob);
+    const jobs = Array.from({ length: 16 }, createJob);
     const endedMs = await Promise.all(
       jobs.map(async (job, index) => {
         const [first, second] = index % 2 === 0
