Don't acknowledge ends while a group has no command version

Cause: ends are recorded from command version 3 on, and a new group has none until its leader has heard all members; the end of an unknown job was acknowledged in that time and not recorded. Change: the leader answers that the outcome is open, and clients ask again, until the version is settled or a member of an older build is known.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -14,7 +14,7 @@
   type SubmitJob,
   Verdict,
 } from "../schema/mod.ts";
-import type { JobMachine } from "../state/mod.ts";
+import { EARLY_END_COMMAND_VERSION, type JobMachine } from "../state/mod.ts";
 import type { Clock } from "../sys/clock.ts";
 import { ServingError } from "../sys/errors.ts";
 import type { Log } from "../sys/log.ts";
@@ -30,8 +30,14 @@
 export interface JobAdmissionOptions {
   readonly machine: Pick<
     JobMachine,
-    "tryGetJob" | "retainedBytes" | "endBytes" | "getExpiredBytes"
+    | "tryGetJob"
+    | "retainedBytes"
+    | "endBytes"
+    | "keepsEnds"
+    | "getExpiredBytes"
   >;
+  /** Versions of commands that the members apply; 0 while that is not known. */
+  readonly getMemberVersions: () => readonly number[];
   /** Memory of the process, in bytes. */
   readonly processBytes: number;
   readonly clock: Pick<Clock, "getWallMs">;
@@ -79,7 +85,10 @@
       });
       return UNKNOWN_JOB;
     }
-    if (body.case === "end" && this.#isEndRefused(body.value)) return REFUSAL;
+    if (body.case === "end" && !this.#isKnown(body.value)) {
+      if (this.#mayLoseEnd()) throw createNotSettledError();
+      if (!this.#hasRoomForEnd(body.value)) return REFUSAL;
+    }
     if (body.case !== "submit") return await propose();
     const job = body.value;
     const waiting = this.#waiting.get(job.id);
@@ -114,15 +123,29 @@
     return !mayUseJob(owner, organisation);
   }
 
-  /** Whether there is no memory for the end of a job that is not known. */
-  #isEndRefused({ id }: EndJob): boolean {
+  #isKnown({ id }: EndJob): boolean {
+    return this.#waiting.has(id) ||
+      this.#options.machine.tryGetJob(id) !== undefined;
+  }
+
+  /**
+   * Whether an end would not be recorded now, but is soon: the group is new, or its last
+   * member of an older build has just been replaced.
+   */
+  #mayLoseEnd(): boolean {
+    const { machine, getMemberVersions } = this.#options;
+    return !machine.keepsEnds &&
+      getMemberVersions().every((version) =>
+        version === 0 || version >= EARLY_END_COMMAND_VERSION
+      );
+  }
+
+  /** Whether there is memory for the end of a job that is not known. */
+  #hasRoomForEnd({ id }: EndJob): boolean {
     const { machine, log } = this.#options;
-    const hasRoom = machine.endBytes < MAX_END_BYTES ||
-      this.#waiting.has(id) || machine.tryGetJob(id) !== undefined;
-    if (!hasRoom) {
-      log.info("job_end_refused", { job: id, retained: machine.endBytes });
-    }
-    return !hasRoom;
+    if (machine.endBytes < MAX_END_BYTES) return true;
+    log.info("job_end_refused", { job: id, retained: machine.endBytes });
+    return false;
   }
 
   #getRetainedBytes(): number {
@@ -143,6 +166,14 @@
   }
 }
 
+/** Others of the same call may have been proposed, so the outcome is open. */
+function createNotSettledError(): ServingError {
+  return new ServingError(MessageCode.MAY_HAVE_COMMITTED, {
+    verdict: Verdict.MAY_HAVE_RUN,
+    parameters: { reason: "the members' command versions are not known yet" },
+  });
+}
+
 const ACCEPTANCE = encodeReply(0);
 const UNKNOWN_JOB = encodeReply(MessageCode.UNKNOWN_JOB);
 const REFUSAL = encodeReply(MessageCode.JOB_MEMORY_SPENT);
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -342,6 +342,9 @@
       getRetired: () => new Set(this.#backends.view.hosts.retired),
       admission: new JobAdmission({
         machine: this.#machine,
+        getMemberVersions: () =>
+          (this.#member?.replica.getMemberHealth() ?? [])
+            .map(({ commandVersion }) => commandVersion),
         processBytes: getProcessBytes(this.#settings),
         clock: this.#context.clock,
         log: this.#context.log,
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -121,7 +121,7 @@
 const ORGANISATION_COMMAND_VERSION = 2;
 
 /** First version in which the end of a job also holds for a job that comes after it. */
-const EARLY_END_COMMAND_VERSION = 3;
+export const EARLY_END_COMMAND_VERSION = 3;
 
 /** Replicated state of the store group. */
 export class JobMachine extends StateMachine {
@@ -179,6 +179,11 @@
     return this.#activeVersion >= CHAIN_COMMAND_VERSION;
   }
 
+  /** Whether ends of jobs are recorded. */
+  get keepsEnds(): boolean {
+    return this.#activeVersion >= EARLY_END_COMMAND_VERSION;
+  }
+
   /** Jobs that have open items and were not ended, oldest first. */
   getOpenJobs(): QueuedJob[] {
     return [...this.#jobs.values()].filter((queued) =>
@@ -186,10 +191,6 @@
     );
   }
 
-  get #keepsEnds(): boolean {
-    return this.#activeVersion >= EARLY_END_COMMAND_VERSION;
-  }
-
   get #separatesOrganisations(): boolean {
     return this.#activeVersion >= ORGANISATION_COMMAND_VERSION;
   }
@@ -371,7 +372,7 @@
     const isForeign = queued !== undefined && this.#separatesOrganisations &&
       !mayUseJob(queued.job.organisation, organisation);
     if (isForeign) return MessageCode.UNKNOWN_JOB;
-    if (this.#keepsEnds) this.#ends.record(end, timeMs);
+    if (this.keepsEnds) this.#ends.record(end, timeMs);
     if (queued === undefined) return unknownCode;
     if (queued.isEnded) return 0;
     queued.isEnded = true;
--- a/src/test/job_ends_test.ts
+++ b/src/test/job_ends_test.ts
@@ -13,6 +13,7 @@
   MessageCode,
 } from "../schema/mod.ts";
 import { JobMachine } from "../state/mod.ts";
+import type { ServingError } from "../sys/errors.ts";
 import { createSilentLog } from "../sys/log.ts";
 
 type Command = MessageInitShape<typeof JobCommandSchema>["command"];
@@ -144,6 +145,48 @@
     expect(listOpen(machine)).deep.equal(["j"]);
   });
 
+  // Guards against an end in the moment before a new group has agreed on a version.
+  it("waits until the members' versions are known, or one of them is old", async () => {
+    const machine = createMachine(0);
+    let versions = [3, 0, 3];
+    const admission = new JobAdmission({
+      machine,
+      getMemberVersions: () => versions,
+      processBytes: 220 << 20,
+      clock: { getWallMs: () => 0 },
+      log: createSilentLog(),
+    });
+    const end = (id: string) =>
+      admission.admit(encode(createEnd(id)), {
+        canServe: true,
+        uncommittedBytes: 0,
+        propose: () =>
+          Promise.resolve(
+            machine.apply(encode(createEnd(id)), {
+              index: 1,
+              term: 1,
+              timeMs: 0,
+            }),
+          ),
+      }).then(readCode, (error: ServingError) => error.code);
+    expect(await end("j")).equal(MessageCode.MAY_HAVE_COMMITTED);
+    versions = [3, 3, 3];
+    expect(await end("j")).equal(MessageCode.MAY_HAVE_COMMITTED);
+    // The end of a known job needs no record.
+    apply(machine, createSubmit("known"));
+    expect(await end("known")).equal(0);
+    versions = [3, 2, 3];
+    expect(await end("old")).equal(0);
+    versions = [3, 3, 3];
+    apply(machine, {
+      case: "setRunners",
+      value: { ids: ["r"], commandVersion: 3 },
+    });
+    expect(await end("j")).equal(0);
+    apply(machine, createSubmit("j"));
+    expect(listOpen(machine)).deep.equal([]);
+  });
+
   it("has the same effect before and after its job, in any number", () => {
     const ids = ["a", "b"];
     const organisations = [undefined, "", "x", "y"];
@@ -184,6 +227,7 @@
     const machine = createMachine();
     const admission = new JobAdmission({
       machine,
+      getMemberVersions: () => [3],
       processBytes: 220 << 20,
       clock: { getWallMs: () => 0 },
       log: createSilentLog(),
--- a/src/test/job_memory_test.ts
+++ b/src/test/job_memory_test.ts
@@ -109,6 +109,7 @@
   const createAdmission = (machine: JobMachine, processMb: number) =>
     new JobAdmission({
       machine,
+      getMemberVersions: () => [2],
       processBytes: processMb * MB,
       clock: { getWallMs: () => wallMs },
       log: new MemoryLog(),
--- a/src/test/organisation_jobs_test.ts
+++ b/src/test/organisation_jobs_test.ts
@@ -158,6 +158,7 @@
     apply(machine, createSubmit("j", "a"));
     const admission = new JobAdmission({
       machine,
+      getMemberVersions: () => [2],
       processBytes: 220 << 20,
       clock: { getWallMs: () => 0 },
       log: createSilentLog(),
