Soak: end jobs before, while and after they arrive

Three of ten jobs are ended from 5 s before to 3 s after their first attempt, half of them come again up to 6 s after the end, and no item may reach a server more than 3 s after the acknowledgement.

--- a/src/test/soak/run_history.ts
+++ b/src/test/soak/run_history.ts
@@ -82,6 +82,12 @@
   results: { id: string; state: string; text: string }[];
 }
 
+/** A job that its caller has ended. */
+export interface EndedJob extends SoakJob {
+  /** Monotonic time of the acknowledgement, in milliseconds; Infinity before. */
+  endedMs: number;
+}
+
 /** The outcome of one read of the configuration. */
 export interface ConfigRead {
   readonly version: number;
@@ -92,10 +98,17 @@
 /** Statuses that guarantee that no backend server ran the request. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
+/**
+ * Time after the acknowledgement of a job's end from which no item may reach a server,
+ * in milliseconds.
+ */
+const END_KNOWN_MS = 3_000;
+
 /** The observations of one run. */
 export class RunHistory {
   readonly attempts: CallerAttempt[] = [];
   readonly jobs: SoakJob[] = [];
+  readonly endedJobs: EndedJob[] = [];
   /** Ids of the items of all submitted jobs, accepted or not. */
   readonly items = new Set<string>();
   readonly configReads: ConfigRead[] = [];
@@ -139,6 +152,9 @@
           "been acknowledged"
         ),
       ...this.#getBodyViolations(receivedRequests),
+      ...this.endedJobs.flatMap((job) =>
+        getEndViolations(job, receivedRequests)
+      ),
     ];
   }
 
@@ -192,6 +208,19 @@
   return violations;
 }
 
+function getEndViolations(
+  { id, items, endedMs }: EndedJob,
+  receivedRequests: readonly ReceivedRequest[],
+): string[] {
+  return receivedRequests.filter((request) =>
+    items.includes(request.id) && request.receivedMs > endedMs + END_KNOWN_MS
+  ).map((request) =>
+    `item ${request.id} reached a server ${
+      Math.round(request.receivedMs - endedMs)
+    } ms after the end of job ${id}`
+  );
+}
+
 function getJobViolations(job: SoakJob): string[] {
   const missing = job.items.filter((id) =>
     !job.results.some((result) => result?.id === id)
--- a/src/test/soak/soak_load.ts
+++ b/src/test/soak/soak_load.ts
@@ -17,9 +17,11 @@
 } from "./other_writer.ts";
 import {
   type CallerAttempt,
+  type EndedJob,
   getStreamPart,
   NO_STREAM_PART,
   type RunHistory,
+  type SoakJob,
   SoakRequestKind,
   type SoakRequestKindName,
   type StreamPart,
@@ -45,6 +47,22 @@
 
 const ITEMS_PER_JOB = 5;
 
+/** Share of the jobs that their caller ends, if any are. */
+const ENDED_SHARE = 0.3;
+
+/**
+ * Range of the time from the first attempt to submit a job to the first attempt to end
+ * it, in milliseconds: from before until its items have run.
+ */
+const MIN_END_MS = -5_000;
+const MAX_END_MS = 3_000;
+
+/** Longest time until a job that has ended comes again, in milliseconds. */
+const MAX_REPEAT_MS = 6_000;
+
+/** Time between two attempts of a call about a job, in milliseconds. */
+const RETRY_DELAY_MS = 300;
+
 const KINDS = Object.keys(SoakRequestKind) as SoakRequestKindName[];
 
 /**
@@ -93,13 +111,24 @@
    * {@linkcode SoakLoad.stop}, and servers register until
    * {@linkcode SoakLoad.close}.
    */
-  start({ hasOtherWriter }: { hasOtherWriter: boolean }): void {
+  start(
+    { hasOtherWriter, endsJobs }: {
+      hasOtherWriter: boolean;
+      endsJobs: boolean;
+    },
+  ): void {
     this.#isRunning = true;
     this.#repeat(
       REQUEST_INTERVAL_MS,
       () => this.sendRequest(this.#pickRandom(KINDS)),
     );
-    this.#repeat(JOB_INTERVAL_MS, () => this.submit());
+    this.#repeat(
+      JOB_INTERVAL_MS,
+      () =>
+        endsJobs && this.#random.getFraction() < ENDED_SHARE
+          ? this.#submitAndEnd()
+          : this.submit(),
+    );
     this.#repeat(CONFIG_INTERVAL_MS, () => this.changeConfig());
     this.#repeat(CONFIG_INTERVAL_MS, () => this.readConfig());
     if (hasOtherWriter) {
@@ -190,8 +219,42 @@
     return attempt;
   }
 
-  /** Submits a job in up to three attempts, and records it if accepted. */
+  /** Submits a job, and records it if accepted. */
   async submit(): Promise<void> {
+    const job = this.#createJob();
+    if (await this.#submit(job)) this.#history.jobs.push(job);
+  }
+
+  /**
+   * Submits a job and ends it before, while or after it arrives. Some come again after
+   * their end.
+   */
+  async #submitAndEnd(): Promise<void> {
+    const job: EndedJob = { ...this.#createJob(), endedMs: Infinity };
+    this.#history.endedJobs.push(job);
+    const endMs = MIN_END_MS +
+      this.#random.getFraction() * (MAX_END_MS - MIN_END_MS);
+    const repeatMs = this.#random.getFraction() * MAX_REPEAT_MS;
+    const isRepeated = this.#random.getFraction() < 0.5;
+    const submitted = delay(Math.max(0, -endMs)).then(() => this.#submit(job));
+    await delay(Math.max(0, endMs));
+    while (job.endedMs === Infinity && !this.#isClosed) {
+      const { status } = await this.#sendHttpRequest(
+        this.#pickRandom(this.#fleet.targets.gateways),
+        "DELETE",
+        `/-/lots/${job.id}`,
+        {},
+      );
+      if (status === 200) job.endedMs = performance.now();
+      else await delay(RETRY_DELAY_MS);
+    }
+    await submitted;
+    if (!isRepeated) return;
+    await delay(repeatMs);
+    await this.#submit(job);
+  }
+
+  #createJob(): SoakJob {
     this.#sentCount += 1;
     const id = `j${this.#sentCount}`;
     const items = Array.from(
@@ -199,6 +262,11 @@
       (_, index) => `${id}-${index}`,
     );
     items.forEach((item) => this.#history.items.add(item));
+    return { id, items, results: [] };
+  }
+
+  /** Submits a job in up to three attempts; returns whether it was accepted. */
+  async #submit({ id, items }: SoakJob): Promise<boolean> {
     const body = JSON.stringify({
       Items: items.map((item) => ({
         Id: item,
@@ -213,12 +281,10 @@
       const { status } = await this.#sendHttpRequest(gateway, "POST", "/b/", {
         "X-Request-Id": id,
       }, body);
-      if (status === 202) {
-        this.#history.jobs.push({ id, items, results: [] });
-        return;
-      }
-      await delay(300);
+      if (status === 202) return true;
+      await delay(RETRY_DELAY_MS);
     }
+    return false;
   }
 
   /**
--- a/src/test/soak/soak_main.ts
+++ b/src/test/soak/soak_main.ts
@@ -12,6 +12,7 @@
   readonly servers: string;
   readonly otherWriter?: boolean;
   readonly framings?: boolean;
+  readonly jobEnds?: boolean;
   readonly verbose?: boolean;
 }
 
@@ -44,17 +45,21 @@
     "--framings",
     "vary how servers frame their answers, which older builds do not bear",
   )
+  .option(
+    "--job-ends",
+    "end jobs before, while and after they arrive, which older builds do not bear",
+  )
   .option("--verbose", "print a line for each fault")
   .addHelpText("after", "\nExit codes: 0 all guarantees kept, 1 one broken.")
   .parse();
 
 async function printReport(report: SoakReport): Promise<void> {
-  const { seed, requests, served, jobs, takenUp, continued, faultCount } =
-    report;
+  const { seed, requests, served, jobs, ended } = report;
+  const { takenUp, continued, faultCount } = report;
   const verdict = report.faults.length === 0 ? "kept" : "BROKEN";
   process.stdout.write(
     `seed=${seed} ${verdict} requests=${requests} served=${served} ` +
-      `jobs=${jobs} taken_up=${takenUp} continued=${continued} faults=${faultCount}\n`,
+      `jobs=${jobs} ended=${ended} taken_up=${takenUp} continued=${continued} faults=${faultCount}\n`,
   );
   if (report.faults.length === 0) {
     await rm(report.folder, { recursive: true, force: true });
@@ -82,6 +87,7 @@
       },
       hasOtherWriter: options.otherWriter === true,
       variesFramings: options.framings === true,
+      endsJobs: options.jobEnds === true,
       onLine: verbose === true
         ? (line) => process.stdout.write(`  ${line}\n`)
         : undefined,
--- a/src/test/soak/soak_run.ts
+++ b/src/test/soak/soak_run.ts
@@ -17,6 +17,8 @@
   readonly size?: SoakFleetSize;
   /** Whether another writer sends odd registrations; true by default. */
   readonly hasOtherWriter?: boolean;
+  /** Whether callers end some jobs; true by default. */
+  readonly endsJobs?: boolean;
   /** Whether servers frame their answers in different ways; true by default. */
   readonly variesFramings?: boolean;
   readonly onLine?: (line: string) => void;
@@ -30,6 +32,8 @@
   readonly requests: number;
   readonly served: number;
   readonly jobs: number;
+  /** Jobs whose end was acknowledged. */
+  readonly ended: number;
   /** Broken streams that callers took up, and those of them that were completed. */
   readonly takenUp: number;
   readonly continued: number;
@@ -79,7 +83,10 @@
       history,
       () => load.changeConfig(),
     );
-    load.start({ hasOtherWriter: options.hasOtherWriter ?? true });
+    load.start({
+      hasOtherWriter: options.hasOtherWriter ?? true,
+      endsJobs: options.endsJobs ?? true,
+    });
     await waitUntilServed(fleet, load, history, "after the start");
     await stopEachGateway(fleet, history);
     await leaveEachServer(fleet, history);
@@ -134,6 +141,7 @@
       attempts.filter((attempt) => attempt.status === 200 && attempt.isComplete)
         .length,
     jobs: jobs.length,
+    ended: history.endedJobs.filter(({ endedMs }) => endedMs < Infinity).length,
     takenUp: takenUp.length,
     continued: takenUp.filter(({ isComplete }) => isComplete).length,
     faultCount,
--- a/src/test/soak_test.ts
+++ b/src/test/soak_test.ts
@@ -62,6 +62,7 @@
         expect(report.faults, `logs: ${report.folder}`).deep.equal([]);
         expect(report.served).above(0);
         expect(report.jobs).above(0);
+        expect(report.ended).above(0);
         await rm(report.folder, { recursive: true, force: true });
       }).timeout(1_200_000);
     },
