Record in the fleet group which servers leave

What callers saw: requests reach a server after its time to drain, though a control host had acknowledged that it leaves, once that host has lost its disk and all processes were killed. Cause: the departure was known to the host that heard it and to processes that ran; other control hosts had saved the server as ready and passed that on. Change: a departure is committed with the server's start before it is acknowledged; control hosts tell it to each follower and save it. Without a quorum it is saved on the disk of the host, then acknowledged. Why it works: the record outlives any host and any restart, and its start tells it apart from a new start of the server.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -20,12 +20,15 @@
   MessageCode,
   type Registration,
   type RouteTable,
+  ServerStartSchema,
+  ServerState,
   StoreMembersSchema,
   Verdict,
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import type { StateClient } from "../services/common/state_client.ts";
 import { createUnsettledRefusalError } from "../services/common/state_errors.ts";
+import { tryFindRegistrationError } from "../membership/mod.ts";
 import { FleetMachine } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
@@ -48,6 +51,12 @@
  */
 const OPERATOR_TIMEOUT_MS = 900;
 
+/**
+ * Timeout of the record that a server leaves, in milliseconds: the server waits for one
+ * second in all.
+ */
+const RECORD_LEFT_TIMEOUT_MS = 500;
+
 /** Interval between attempts to form the store group, in milliseconds. */
 const STORE_FORMATION_CHECK_INTERVAL_MS = 250;
 
@@ -89,6 +98,7 @@
     this.#context = context;
     this.#machine = new FleetMachine({
       minStoreHosts: getRequiredVoters(settings.lostHosts ?? 0),
+      onServerLeft: (server) => this.#registrationHub.recordLeaving(server),
     });
     this.#process = new StateHostProcess({
       settings,
@@ -243,9 +253,32 @@
     return storeNow !== undefined && !storeNow.ids.includes(host.id);
   }
 
-  /** Accepts the registration of a backend server. */
-  register(registration: Registration): void {
+  /**
+   * Accepts the registration of a backend server. If it says that the server leaves,
+   * resolves once that is recorded in the group. Without a quorum it is saved here
+   * alone, since the server leaves in any case.
+   */
+  async register(registration: Registration): Promise<void> {
     this.#registrationHub.accept(registration);
+    if (registration.state === ServerState.READY) return;
+    if (tryFindRegistrationError(registration) !== undefined) return;
+    const { id, bornMs } = registration;
+    const server = create(ServerStartSchema, { id, bornMs });
+    if (this.#machine.hasLeft(server)) return;
+    const command = encodeFleetCommand({ case: "recordLeft", value: server });
+    try {
+      await this.#fleetClient.propose(
+        FLEET_GROUP,
+        command,
+        RECORD_LEFT_TIMEOUT_MS,
+      );
+    } catch (error) {
+      this.#context.log.warn("departure_not_recorded", {
+        server: id,
+        reason: getReason(error),
+      });
+      await this.#lastViewWriter?.flush();
+    }
   }
 
   /** Registration of a backend server; undefined if it is unknown. */
@@ -316,6 +349,7 @@
       hosts: saved?.hosts !== undefined && saved.hosts.version > hosts.version
         ? saved.hosts
         : hosts,
+      left: this.#machine.left,
     };
   }
 
@@ -325,6 +359,9 @@
     this.#lastView?.servers.forEach((server) =>
       this.#registrationHub.restore(server)
     );
+    this.#lastView?.leaving.forEach((server) =>
+      this.#registrationHub.recordLeaving(server)
+    );
     log.info("last_view", {
       routes: Number(this.#lastView?.routes?.version ?? 0),
       servers: this.#lastView?.servers.length ?? 0,
@@ -337,6 +374,7 @@
         create(FleetUpdateSchema, {
           ...this.#getState(),
           servers: this.#registrationHub.getAll(),
+          leaving: this.#registrationHub.getLeaving(),
         }),
     });
   }
--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -83,6 +83,13 @@
     logRejection(this.#written, this.#options.log, "write of the last view");
   }
 
+  /** Writes the current view; resolves once it is on the disk, or can't be written. */
+  async flush(): Promise<void> {
+    this.scheduleWrite();
+    while (this.#isDirty && !this.#isClosed) await this.#written;
+    await this.#written;
+  }
+
   /** Writes what is left; the file is not touched once this has resolved. */
   async close(): Promise<void> {
     this.#isClosed = true;
--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -68,6 +68,8 @@
 export interface FleetState {
   readonly routes: RouteTable;
   readonly hosts: HostList;
+  /** Servers that are recorded as leaving. */
+  readonly left?: readonly ServerStart[];
 }
 
 /** Options of a {@linkcode RegistrationHub}. */
@@ -161,6 +163,24 @@
     return this.#serverRegistry.getAll();
   }
 
+  /** Servers that leave: those registered here, and those that the group recorded. */
+  getLeaving(): ServerStart[] {
+    const registered = this.#serverRegistry.getAll()
+      .filter((server) => this.#serverRegistry.isLeaving(server))
+      .map(({ id, bornMs }) => create(ServerStartSchema, { id, bornMs }));
+    return [...this.#options.getState().left ?? [], ...registered];
+  }
+
+  /** Accepts that a server leaves, from the group or from before a restart. */
+  recordLeaving(server: ServerStart): void {
+    this.acceptReport({
+      suspicions: [],
+      leaving: [server],
+      promptParts: [],
+      limits: [],
+    });
+  }
+
   /** Software versions of a service's servers that registered here lately. */
   findSoftwareVersions(
     service: string,
@@ -309,10 +329,7 @@
         this.#promptParts.getAll(nowMs).map((update) => [update.part, update]),
       ),
       pendingLeaving: new Map(
-        this.#serverRegistry.getAll()
-          .filter((server) => this.#serverRegistry.isLeaving(server))
-          .map(({ id, bornMs }) => create(ServerStartSchema, { id, bornMs }))
-          .map((server) => [getServerStart(server), server]),
+        this.getLeaving().map((server) => [getServerStart(server), server]),
       ),
       pendingLimits: new Map(
         this.#limits.getAll(nowMs)
--- a/src/state/machines/fleet_machine.ts
+++ b/src/state/machines/fleet_machine.ts
@@ -1,8 +1,8 @@
 /**
  * State machine of the fleet group, which runs on the control hosts: the
- * current route table and the hosts that hold replicated state. The route table
- * with the highest version wins, regardless of the order in which versions
- * arrive.
+ * current route table, the hosts that hold replicated state and the backend servers
+ * that have left. The route table with the highest version wins, regardless of the
+ * order in which versions arrive. A server that has left stays so in its start.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import {
@@ -19,6 +19,7 @@
   type ReadState,
   type RouteTable,
   RouteTableSchema,
+  type ServerStart,
   type StoreMembers,
 } from "../../schema/mod.ts";
 import {
@@ -31,17 +32,29 @@
 export interface FleetMachineOptions {
   /** Minimum number of store hosts that must remain when one is retired. */
   readonly minStoreHosts?: number;
+  /** Called for each server that leaves, also when the state is restored. */
+  readonly onServerLeft?: (server: ServerStart) => void;
 }
 
+/**
+ * Maximum number of starts of servers that have left; the oldest are dropped. Exceeds
+ * those of a large fleet for as long as any process may know them from before.
+ */
+const MAX_LEFT_STARTS = 4_096;
+
 /** Replicated state of the fleet group. */
 export class FleetMachine extends StateMachine {
   readonly #minStoreHosts: number;
   #routes: RouteTable = create(RouteTableSchema);
   #hosts: HostList = create(HostListSchema);
+  readonly #onServerLeft: (server: ServerStart) => void;
+  /** Servers that leave or have left, by start. */
+  readonly #left = new Map<string, ServerStart>();
 
   constructor(options: FleetMachineOptions = {}) {
     super();
     this.#minStoreHosts = options.minStoreHosts ?? 1;
+    this.#onServerLeft = options.onServerLeft ?? (() => {});
   }
 
   /** The current route table; its version is 0 until one is set. */
@@ -53,6 +66,15 @@
     return this.#hosts;
   }
 
+  /** Servers that leave or have left, oldest first. */
+  get left(): ServerStart[] {
+    return [...this.#left.values()];
+  }
+
+  hasLeft(server: ServerStart): boolean {
+    return this.#left.has(getStartKey(server));
+  }
+
   override checkCommand(command: Uint8Array): void {
     decodeProposedCommand(FleetCommandSchema, command);
   }
@@ -82,6 +104,9 @@
       case "reportStore":
         this.#reportStore(body.value);
         break;
+      case "recordLeft":
+        this.#recordLeft(body.value);
+        break;
       default:
         break;
     }
@@ -96,6 +121,7 @@
     const snapshot = create(FleetSnapshotSchema, {
       routes: this.#routes,
       hosts: this.#hosts,
+      left: this.left,
     });
     return [toBinary(FleetSnapshotSchema, snapshot)];
   }
@@ -107,6 +133,8 @@
     );
     this.#routes = snapshot.routes ?? create(RouteTableSchema);
     this.#hosts = snapshot.hosts ?? create(HostListSchema);
+    this.#left.clear();
+    snapshot.left.forEach((server) => this.#recordLeft(server));
   }
 
   /**
@@ -165,6 +193,16 @@
     return 0;
   }
 
+  #recordLeft(server: ServerStart): void {
+    if (this.hasLeft(server)) return;
+    this.#left.set(getStartKey(server), server);
+    if (this.#left.size > MAX_LEFT_STARTS) {
+      const [oldest = ""] = this.#left.keys();
+      this.#left.delete(oldest);
+    }
+    this.#onServerLeft(server);
+  }
+
   /** Stores the store group's members unless a newer report is known. */
   #reportStore(report: StoreMembers): void {
     const current = this.#hosts.storeNow;
@@ -181,3 +219,7 @@
     });
   }
 }
+
+function getStartKey({ id, bornMs }: ServerStart): string {
+  return `${id}/${bornMs}`;
+}
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -251,6 +251,33 @@
     report(["c"], 3n, 1n);
     expect(machine.hosts.storeNow?.ids).deep.equal(["c"]);
   });
+
+  // Guards against a server that comes back once the host that heard it leave is lost.
+  it("keeps the starts of servers that have left, also in a snapshot", () => {
+    const told: string[] = [];
+    const onServerLeft = ({ id, bornMs }: { id: string; bornMs: bigint }) =>
+      told.push(`${id}/${bornMs}`);
+    const machine = new FleetMachine({ onServerLeft });
+    const leave = (id: string, bornMs: bigint) =>
+      applyFleetCommand(machine, {
+        case: "recordLeft",
+        value: { id, bornMs },
+      });
+    leave("a", 1n);
+    leave("a", 1n);
+    leave("b", 1n);
+    expect(told).deep.equal(["a/1", "b/1"]);
+    const [first] = machine.left;
+    expect(first !== undefined && machine.hasLeft(first)).equal(true);
+    // Another start of the server may be used.
+    expect(first !== undefined && machine.hasLeft({ ...first, bornMs: 2n }))
+      .equal(false);
+    restoreFromSnapshot(machine, new FleetMachine({ onServerLeft }));
+    expect(told).deep.equal(["a/1", "b/1", "a/1", "b/1"]);
+    for (let index = 0; index < 5_000; index += 1) leave(`c${index}`, 1n);
+    expect(machine.left.length).equal(4_096);
+    expect(machine.left.at(-1)?.id).equal("c4999");
+  });
 });
 
 describe("job machine", () => {
