--- a/src/test/platform_fleet_test.ts
+++ b/src/test/platform_fleet_test.ts
@@ -353,7 +353,7 @@
     fleet.waitUntil(
       "all store hosts to apply commands of version 1",
       () =>
-        fleet.stores.every((store) => store.getDump()["commandVersion"] === 2),
+        fleet.stores.every((store) => store.getDump()["commandVersion"] === 3),
     ));
 
   it("refuses to retire a store host when too few would remain", async () => {
