Don't count expired ends of jobs as memory

What callers saw: once 30,000 ends of unknown jobs had come within two minutes, each later end of an unknown job was refused (503) for as long as no new job was committed, and new jobs had up to 8 MB less. Cause: expired ends are removed with the next end or job that is applied, but the leader counted them when it decided whether that command may be proposed. Change: the bound and the room for jobs leave out what the command frees, as for jobs.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -33,6 +33,7 @@
     | "tryGetJob"
     | "retainedBytes"
     | "endBytes"
+    | "getExpiredEndBytes"
     | "keepsEnds"
     | "getExpiredBytes"
   >;
@@ -142,9 +143,11 @@
 
   /** Whether there is memory for the end of a job that is not known. */
   #hasRoomForEnd({ id }: EndJob): boolean {
-    const { machine, log } = this.#options;
-    if (machine.endBytes < MAX_END_BYTES) return true;
-    log.info("job_end_refused", { job: id, retained: machine.endBytes });
+    const { machine, clock, log } = this.#options;
+    const expired = machine.getExpiredEndBytes(clock.getWallMs());
+    const retained = machine.endBytes - expired;
+    if (retained < MAX_END_BYTES) return true;
+    log.info("job_end_refused", { job: id, retained });
     return false;
   }
 
--- a/src/state/machines/job_ends.ts
+++ b/src/state/machines/job_ends.ts
@@ -33,6 +33,12 @@
     return this.#retainedBytes;
   }
 
+  /** Part of it that the next end frees, since its ends have expired. */
+  getExpiredBytes(nowMs: number): number {
+    return this.#getExpired(nowMs)
+      .reduce((sum, end) => sum + getRetainedBytes(end), 0);
+  }
+
   /** Whether a caller that may use a job of the given owner has ended it. */
   hasEnded(job: string, owner: JobCaller): boolean {
     const callers = this.#callers.get(job) ?? [];
@@ -50,10 +56,7 @@
 
   /** Removes ends whose time to live has passed. */
   removeExpired(nowMs: number): void {
-    for (const { end, endedMs } of this.#ends.values()) {
-      if (nowMs <= Number(endedMs) + this.#ttlMs) return;
-      if (end !== undefined) this.#remove(end);
-    }
+    this.#getExpired(nowMs).forEach((end) => this.#remove(end));
   }
 
   capture(): readonly RecordedEnd[] {
@@ -67,6 +70,15 @@
     ends.forEach((end) => this.#add(end));
   }
 
+  #getExpired(nowMs: number): EndJob[] {
+    const expired: EndJob[] = [];
+    for (const { end, endedMs } of this.#ends.values()) {
+      if (nowMs <= Number(endedMs) + this.#ttlMs) break;
+      if (end !== undefined) expired.push(end);
+    }
+    return expired;
+  }
+
   #add(recorded: RecordedEnd): void {
     const { end } = recorded;
     if (end === undefined) return;
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -153,10 +153,12 @@
     return this.#retainedBytes + this.#ends.retainedBytes;
   }
 
-  /** Part of it that the next job frees, since its jobs have expired. */
+  /** Part of it that the next job frees, since its jobs and ends have expired. */
   getExpiredBytes(nowMs: number): number {
-    return this.#getExpiredJobs(nowMs)
-      .reduce((sum, queued) => sum + getRetainedBytes(queued), 0);
+    return this.#getExpiredJobs(nowMs).reduce(
+      (sum, queued) => sum + getRetainedBytes(queued),
+      this.getExpiredEndBytes(nowMs),
+    );
   }
 
   /** Approximate memory of the recorded ends, in bytes. */
@@ -164,6 +166,11 @@
     return this.#ends.retainedBytes;
   }
 
+  /** Part of it that the next end or job frees, since its ends have expired. */
+  getExpiredEndBytes(nowMs: number): number {
+    return this.#ends.getExpiredBytes(nowMs);
+  }
+
   /** Ids of the group members that run items. */
   get runners(): readonly string[] {
     return this.#runners;
--- a/src/test/job_ends_test.ts
+++ b/src/test/job_ends_test.ts
@@ -222,6 +222,28 @@
     return machine;
   };
 
+  const createAdmission = () => {
+    const machine = createMachine();
+    const clock = { nowMs: 0, getWallMs: () => clock.nowMs };
+    const admission = new JobAdmission({
+      machine,
+      getMemberVersions: () => [3],
+      processBytes: 220 << 20,
+      clock,
+      log: createSilentLog(),
+    });
+    const end = async (id: string, organisation?: string) => {
+      const command = encode(createEnd(id, organisation));
+      const propose = () =>
+        Promise.resolve(
+          machine.apply(command, { index: 1, term: 1, timeMs: clock.nowMs }),
+        );
+      const proposer = { canServe: true, uncommittedBytes: 0, propose };
+      return readCode(await admission.admit(command, proposer));
+    };
+    return { machine, clock, end };
+  };
+
   // Guards against FAULT: memory that grows with ends of jobs that never come.
   it("takes memory that is freed, and is refused if there are too many", async () => {
     const machine = createMachine();
@@ -257,6 +279,18 @@
     expect(await end("one more", TTL_MS + 1)).equal(0);
   });
 
+  // Guards against ends that are refused for good once there were too many of them.
+  it("is accepted again once the others have expired, also with no job between", async () => {
+    const { machine, clock, end } = createAdmission();
+    let count = 0;
+    while (count < 100_000 && (await end(`j${count}`)) === 0) count += 1;
+    expect(await end("one more")).equal(JOB_MEMORY_SPENT);
+    clock.nowMs = TTL_MS + 1;
+    expect(machine.getExpiredBytes(clock.nowMs)).equal(machine.retainedBytes);
+    expect(await end("one more")).equal(0);
+    expect(machine.endBytes).below(1_000);
+  });
+
   it("takes no memory for the bodies of a job that comes after it", () => {
     const machine = createMachine();
     apply(machine, createEnd("j"));
