Don't refuse ends of jobs that are recorded already

What callers saw: while the bound of recorded ends was reached, an end that was sent again because its reply was lost was refused as not run, though it holds. Cause: the bound was checked for each end of an unknown job, also for a repeat, which takes no further memory. Evidence: the new case of job_ends_test fails on the code before (3023 instead of 0). Change: a repeat of a recorded end, by the same organisation, passes. Result: job_ends_test, 12 of 12.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -34,6 +34,7 @@
     | "retainedBytes"
     | "endBytes"
     | "getExpiredEndBytes"
+    | "isEndRecorded"
     | "keepsEnds"
     | "getExpiredBytes"
   >;
@@ -142,12 +143,13 @@
   }
 
   /** Whether there is memory for the end of a job that is not known. */
-  #hasRoomForEnd({ id }: EndJob): boolean {
+  #hasRoomForEnd(end: EndJob): boolean {
     const { machine, clock, log } = this.#options;
+    if (machine.isEndRecorded(end)) return true;
     const expired = machine.getExpiredEndBytes(clock.getWallMs());
     const retained = machine.endBytes - expired;
     if (retained < MAX_END_BYTES) return true;
-    log.info("job_end_refused", { job: id, retained });
+    log.info("job_end_refused", { job: end.id, retained });
     return false;
   }
 
--- a/src/state/machines/job_ends.ts
+++ b/src/state/machines/job_ends.ts
@@ -39,6 +39,11 @@
       .reduce((sum, end) => sum + getRetainedBytes(end), 0);
   }
 
+  /** Whether the caller has ended the job. */
+  isRecorded(end: EndJob): boolean {
+    return this.#ends.has(getEndKey(end));
+  }
+
   /** Whether a caller that may use a job of the given owner has ended it. */
   hasEnded(job: string, owner: JobCaller): boolean {
     const callers = this.#callers.get(job) ?? [];
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -171,6 +171,11 @@
     return this.#ends.getExpiredBytes(nowMs);
   }
 
+  /** Whether this end is recorded already. */
+  isEndRecorded(end: EndJob): boolean {
+    return this.#ends.isRecorded(end);
+  }
+
   /** Ids of the group members that run items. */
   get runners(): readonly string[] {
     return this.#runners;
--- a/src/test/job_ends_test.ts
+++ b/src/test/job_ends_test.ts
@@ -291,6 +291,16 @@
     expect(machine.endBytes).below(1_000);
   });
 
+  // Guards against a refusal that isn't true: the end holds, its reply was lost.
+  it("that is recorded is not refused when it is repeated", async () => {
+    const { end } = createAdmission();
+    let count = 0;
+    while (count < 100_000 && (await end(`j${count}`)) === 0) count += 1;
+    expect(await end("one more")).equal(JOB_MEMORY_SPENT);
+    expect(await end("j0")).equal(0);
+    expect(await end("j0", "x")).equal(JOB_MEMORY_SPENT);
+  });
+
   it("takes no memory for the bodies of a job that comes after it", () => {
     const machine = createMachine();
     apply(machine, createEnd("j"));
