Don't wait for later writes of a view that is flushed

What callers saw: without a quorum, a server that leaves gets no acknowledgement while other servers register, since the flush that it waits for ends only with a write during which nothing changes. Cause: the flush waited until the view was unchanged, not for the next write. Change: a flush resolves with the first write that begins after it.

--- a/src/fleet/last_view.ts
+++ b/src/fleet/last_view.ts
@@ -58,6 +58,8 @@
   };
   #isDirty = false;
   #isClosed = false;
+  /** Resolve the flushes that wait for the next write. */
+  #flushes: (() => void)[] = [];
   /** Resolves when no write is in progress. */
   #written: Promise<void> | undefined;
 
@@ -83,11 +85,15 @@
     logRejection(this.#written, this.#options.log, "write of the last view");
   }
 
-  /** Writes the current view; resolves once it is on the disk, or can't be written. */
+  /**
+   * Writes the current view; resolves once it is on the disk, or can't be written. What
+   * changes during that write doesn't delay it.
+   */
   async flush(): Promise<void> {
+    if (this.#isClosed) return await this.#written;
+    const flushed = new Promise<void>((resolve) => this.#flushes.push(resolve));
     this.scheduleWrite();
-    while (this.#isDirty && !this.#isClosed) await this.#written;
-    await this.#written;
+    await flushed;
   }
 
   /** Writes what is left; the file is not touched once this has resolved. */
@@ -101,12 +107,15 @@
     while (this.#isDirty) {
       await clock.delay(WRITE_DELAY_MS);
       this.#isDirty = false;
+      const flushes = this.#flushes;
+      this.#flushes = [];
       try {
         await folder.replace(FILE_NAME, encodeView(getView(), log));
       } catch (error) {
         // The file only speeds up a restart; the group holds the durable state.
         log.warn("last_view_not_written", { reason: getReason(error) });
       }
+      flushes.forEach((resolve) => resolve());
     }
   }
 }
