Save on a control host which servers gateways found to leave

What callers may see (not run with processes): a control host that had saved a server as ready, and was told by a gateway that it leaves, gives it out as ready after a restart. Cause: the view was saved when a registration changed or the group applied a command, not when a gateway told that a server leaves. Change: each newly heard departure schedules a write of the view.

--- a/src/fleet/registration_hub.ts
+++ b/src/fleet/registration_hub.ts
@@ -78,7 +78,7 @@
   readonly getState: () => FleetState;
   /** Returns the time since the group's leader confirmed the state. */
   readonly getStateAgeMs?: () => number;
-  /** Called when a backend server's registration is new or has changed. */
+  /** Called when a backend server is new, has changed or is heard to leave. */
   readonly onServerChange: () => void;
   /** Interval at which backend servers register, in milliseconds. */
   readonly registrationIntervalMs: number;
@@ -274,6 +274,7 @@
     const leaving = report.leaving.filter((server) =>
       this.#serverRegistry.recordLeaving(server)
     );
+    if (leaving.length > 0) this.#options.onServerChange();
     const promptParts = report.promptParts.filter((update) =>
       this.#promptParts.merge(update, nowMs)
     ).map(({ part }) => this.#promptParts.getUpdate(part, nowMs));
--- a/src/test/registration_hub_test.ts
+++ b/src/test/registration_hub_test.ts
@@ -8,6 +8,7 @@
   HostListSchema,
   RegistrationSchema,
   RouteTableSchema,
+  ServerStartSchema,
   ServerState,
 } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
@@ -27,14 +28,14 @@
 }
 
 describe("a follower of a control host", () => {
-  const createHub = () => {
+  const createHub = (onServerChange = () => {}) => {
     const clock = new ManualClock();
     const hub = new RegistrationHub({
       getState: () => ({
         routes: create(RouteTableSchema),
         hosts: create(HostListSchema),
       }),
-      onServerChange: () => {},
+      onServerChange,
       registrationIntervalMs: 1_000,
       clock,
       log: createSilentLog(),
@@ -61,7 +62,7 @@
         silentMs,
         restored,
       }));
-    return { hub, clock, getContacts };
+    return { hub, clock, follow, getContacts };
   };
 
   // Guards against a server that was started again elsewhere passing for one that
@@ -87,4 +88,31 @@
       { id: "a", silentMs: 0, restored: true },
     ]);
   });
+
+  // Guards against a host that has saved a server as ready, restarts without a quorum
+  // and gives out the server again, though it had heard that it leaves.
+  it("is told after a restart which servers leave, whoever heard it", () => {
+    let saveCount = 0;
+    const { hub } = createHub(() => saveCount += 1);
+    hub.accept(createRegistration("a", 1));
+    hub.accept(createRegistration("b", 1));
+    saveCount = 0;
+    hub.recordLeaving(create(ServerStartSchema, { id: "a", bornMs: 1n }));
+    expect(saveCount).equal(1);
+    hub.recordLeaving(create(ServerStartSchema, { id: "a", bornMs: 1n }));
+    expect(saveCount).equal(1);
+    hub.acceptReport({
+      suspicions: [],
+      leaving: [create(ServerStartSchema, { id: "b", bornMs: 1n })],
+      promptParts: [],
+      limits: [],
+    });
+    expect(saveCount).equal(2);
+    const saved = { servers: hub.getAll(), leaving: hub.getLeaving() };
+    const restarted = createHub();
+    saved.servers.forEach((server) => restarted.hub.restore(server));
+    saved.leaving.forEach((server) => restarted.hub.recordLeaving(server));
+    expect(restarted.follow().leaving.map(({ id }) => id))
+      .deep.equal(["a", "b"]);
+  });
 });
