Don't record departures of servers that don't tell their start

What callers may see: a server whose registrations have no time of its start leaves, starts again under its id, and gets no requests any more. Cause: its start is decoded as 0, and the record of that start, which does not expire, holds for all its starts. Evidence: the new case of deregistrations_test fails on the commit before: the record is proposed for a start of 0. Change: such a departure holds as before, at the hosts that hear of it.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -264,6 +264,8 @@
     if (registration.state === ServerState.READY) return;
     if (tryFindRegistrationError(registration) !== undefined) return;
     const { id, bornMs } = registration;
+    // Without the time of its start, the record would hold for each later start.
+    if (bornMs === 0n) return;
     const server = create(ServerStartSchema, { id, bornMs });
     if (this.#machine.hasLeft(server)) return;
     const command = encodeFleetCommand({ case: "recordLeft", value: server });
--- a/src/test/deregistrations_test.ts
+++ b/src/test/deregistrations_test.ts
@@ -2,17 +2,21 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { ControlHttpServer } from "../../platform/control_http_server.ts";
-import type { ControlHost } from "../fleet/mod.ts";
+import { ControlHost } from "../fleet/mod.ts";
 import { RegistrationHub } from "../fleet/registration_hub.ts";
 import { RoutingView } from "../fleet/routing_view.ts";
 import {
+  FleetSettingsSchema,
   type FleetUpdate,
   FollowRequestSchema,
   HostListSchema,
+  RegistrationSchema,
   RouteTableSchema,
+  ServerState,
 } from "../schema/mod.ts";
+import { createProcessContext } from "../services/common/process_context.ts";
 import { ManualClock } from "../sys/clock.ts";
-import { createSilentLog } from "../sys/log.ts";
+import { createSilentLog, MemoryLog } from "../sys/log.ts";
 import { Metrics } from "../sys/metrics.ts";
 import { findFreePorts } from "../sys/ports.ts";
 import { sendHttpRequest } from "./platform_fleet.ts";
@@ -128,4 +132,32 @@
     expect(await call(unknowing, "DELETE", { born })).equal(200);
     expect(hosts.view.servers.getReadyCount()).equal(0);
   });
+
+  // Guards against a server without a time of its start that leaves once, and is kept
+  // away for good when it starts again.
+  it("are recorded for one start of a server, not for its id", async () => {
+    const log = new MemoryLog();
+    const settings = create(FleetSettingsSchema, { id: "c", ip: "127.0.0.1" });
+    const host = new ControlHost(
+      settings,
+      createProcessContext({ name: "c", log }),
+    );
+    const leave = (bornMs: bigint) =>
+      host.register(create(RegistrationSchema, {
+        id: "i-1",
+        bornMs,
+        service: "s",
+        address: "10.0.0.1:80",
+        state: ServerState.DRAINING,
+        slots: 4,
+      }));
+    // No group can be reached, so each attempt to record one is logged.
+    const countAttempts = () =>
+      log.lines.filter((line) => line.includes("departure_not_recorded"))
+        .length;
+    await leave(0n);
+    expect(countAttempts()).equal(0);
+    await leave(1n);
+    expect(countAttempts()).equal(1);
+  });
 });
