Don't refuse an end while another attempt at it may be carried out

What callers may see: the end of a job is refused as not run, and the job ends all the same, since an earlier attempt reached a host that lost its lead and was committed. Cause: the client of the store group left out what is known of earlier attempts when an end was refused; for submissions it did not. Evidence: the new case of late_calls_test fails on the commit before (not run instead of unknown). Change: such a refusal says that the outcome is unknown, as for submissions.

--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -61,14 +61,17 @@
   }
 
   /**
-   * Ends a job; no effect if the job has already ended or is unknown. Throws
-   * UNKNOWN_JOB if it belongs to another organisation.
+   * Ends a job, also one that comes later; no effect if it has already ended. Throws
+   * UNKNOWN_JOB if it belongs to another organisation, or is unknown and the caller is
+   * identified; JOB_MEMORY_SPENT (not run) if it is unknown and too many ends are
+   * recorded; or STATE_UNREACHABLE (may have run) if the outcome is unknown.
    */
   async end(id: string, caller: JobCaller): Promise<void> {
-    const { code } = await this.#propose({
+    const { code, mayRunLater } = await this.#propose({
       case: "end",
       value: { id, organisation: caller },
     });
+    if (code !== 0 && mayRunLater) throw createUnsettledRefusalError();
     throwIfError(code, id);
   }
 
--- a/src/test/late_calls_test.ts
+++ b/src/test/late_calls_test.ts
@@ -245,6 +245,24 @@
     });
   });
 
+  // Guards against a job that ends though its caller was told that its end is not run.
+  it("that end a job are refused only if that is final", async () => {
+    const code = MessageCode.JOB_MEMORY_SPENT;
+    leader.reply = toBinary(
+      JobCommandReplySchema,
+      create(JobCommandReplySchema, { code }),
+    );
+    const end = () =>
+      new JobClient(state).end(JOB, undefined).then(
+        () => expect.fail("a refusal"),
+        (error: ServingError) => error,
+      );
+    first.code = MessageCode.NOT_LEADER;
+    expect(await end()).include({ code, verdict: Verdict.NOT_RUN });
+    first.code = MessageCode.MAY_HAVE_COMMITTED;
+    expectUnknown(await end());
+  });
+
   // Guards against a job that is acknowledged and kept by nobody.
   it("are not accepted by a reply without an outcome", async () => {
     firstAddress = leader.address;
