--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -111,6 +111,7 @@
     });
     this.#registrationHub = new RegistrationHub({
       getState: () => this.#getState(),
+      getLeft: () => this.#machine.left,
       getStateAgeMs: () => stateAge.getMs(),
       onServerChange: () => this.#lastViewWriter?.scheduleWrite(),
       registrationIntervalMs: settings.beatMs ?? 0,
@@ -144,6 +145,8 @@
     });
     await this.#openLastView(folder);
     this.#member = await this.#createMember(folder, id, members);
+    // The log tells of servers that leave, which the last view may have as ready.
+    await this.#member.start();
     // Followers ask again until there is a view to follow.
     server.addService(Fleet, {
       follow: (req, stream) => this.#registrationHub.serve(req, stream),
@@ -154,7 +157,6 @@
       findSoftwareVersions: ({ service }) =>
         Promise.resolve(this.#registrationHub.findSoftwareVersions(service)),
     });
-    await this.#member.start();
     this.#registrationHub.start();
     this.#storeFormationTimer = this.#context.clock.startInterval(
       STORE_FORMATION_CHECK_INTERVAL_MS,
@@ -263,6 +265,8 @@
     if (registration.state === ServerState.READY) return;
     if (tryFindRegistrationError(registration) !== undefined) return;
     const { id, bornMs } = registration;
+    // Without the time of its start, the record would hold for each later start.
+    if (bornMs === 0n) return;
     const server = create(ServerStartSchema, { id, bornMs });
     if (this.#machine.hasLeft(server)) return;
     const command = encodeFleetCommand({ case: "recordLeft", value: server });
@@ -349,7 +353,6 @@
       hosts: saved?.hosts !== undefined && saved.hosts.version > hosts.version
         ? saved.hosts
         : hosts,
-      left: this.#machine.left,
     };
   }
 
--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -33,6 +33,8 @@
     | "tryGetJob"
     | "retainedBytes"
     | "endBytes"
+    | "getExpiredEndBytes"
+    | "isEndRecorded"
     | "keepsEnds"
     | "getExpiredBytes"
   >;
@@ -141,10 +143,13 @@
   }
 
   /** Whether there is memory for the end of a job that is not known. */
-  #hasRoomForEnd({ id }: EndJob): boolean {
-    const { machine, log } = this.#options;
-    if (machine.endBytes < MAX_END_BYTES) return true;
-    log.info("job_end_refused", { job: id, retained: machine.endBytes });
+  #hasRoomForEnd(end: EndJob): boolean {
+    const { machine, clock, log } = this.#options;
+    if (machine.isEndRecorded(end)) return true;
+    const expired = machine.getExpiredEndBytes(clock.getWallMs());
+    const retained = machine.endBytes - expired;
+    if (retained < MAX_END_BYTES) return true;
+    log.info("job_end_refused", { job: end.id, retained });
     return false;
   }
 
