Keep departures in force before the fleet group has a leader

What callers saw: after all processes were killed and started, requests reached a server later than its time to drain, though its departure was acknowledged and in the log of the control host that they went by. Cause: a replica applies its log only once it hears from a leader what is committed. Until then the host gives out the server as the last view has it; that view is written up to 0.2 s after the acknowledgement. Change: at a start the machine is told of the commands in the log, and the fleet's tells of servers that leave, before followers are served. It changes no state: such a server leaves in any case, committed or not.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -145,6 +145,8 @@
     });
     await this.#openLastView(folder);
     this.#member = await this.#createMember(folder, id, members);
+    // The log tells of servers that leave, which the last view may have as ready.
+    await this.#member.start();
     // Followers ask again until there is a view to follow.
     server.addService(Fleet, {
       follow: (req, stream) => this.#registrationHub.serve(req, stream),
@@ -155,7 +157,6 @@
       findSoftwareVersions: ({ service }) =>
         Promise.resolve(this.#registrationHub.findSoftwareVersions(service)),
     });
-    await this.#member.start();
     this.#registrationHub.start();
     this.#storeFormationTimer = this.#context.clock.startInterval(
       STORE_FORMATION_CHECK_INTERVAL_MS,
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -164,6 +164,10 @@
     const recovered = await this.#store.recover();
     this.recoveredBytes = recovered.recoveredBytes;
     this.#options.machine.restore(recovered.snapshotParts);
+    recovered.entries.forEach(({ payload }) => {
+      if (payload.case !== "command") return;
+      this.#options.machine.foreseeCommand(payload.value);
+    });
     this.#appliedIndex = Number(recovered.mark.index);
     // A log that was not compacted before the last stop goes on growing.
     this.#bytesSinceSnapshot = recovered.entries.reduce(
--- a/src/state/machines/fleet_machine.ts
+++ b/src/state/machines/fleet_machine.ts
@@ -32,7 +32,7 @@
 export interface FleetMachineOptions {
   /** Minimum number of store hosts that must remain when one is retired. */
   readonly minStoreHosts?: number;
-  /** Called for each server that leaves, also when the state is restored. */
+  /** Called for each server that leaves, also at a start; may be called repeatedly. */
   readonly onServerLeft?: (server: ServerStart) => void;
 }
 
@@ -79,6 +79,15 @@
     decodeProposedCommand(FleetCommandSchema, command);
   }
 
+  /**
+   * A server that said that it leaves does so even if that is not committed. Until the
+   * group has a leader, nothing else tells that it does.
+   */
+  override foreseeCommand(command: Uint8Array): void {
+    const { command: body } = fromBinary(FleetCommandSchema, command);
+    if (body.case === "recordLeft") this.#onServerLeft(body.value);
+  }
+
   override apply(command: Uint8Array, context: CommandContext): Uint8Array {
     const { command: body } = fromBinary(FleetCommandSchema, command);
     let code = 0;
--- a/src/state/machines/state_machine.ts
+++ b/src/state/machines/state_machine.ts
@@ -52,6 +52,12 @@
    */
   checkCommand(_command: Uint8Array): void {}
 
+  /**
+   * Is told at a start of each command in the log after the snapshot. It is applied
+   * later if it is found to be committed, so this must not change the state.
+   */
+  foreseeCommand(_command: Uint8Array): void {}
+
   /** Applies a committed command and returns the reply to its proposer. */
   abstract apply(command: Uint8Array, context: CommandContext): Uint8Array;
 
--- a/src/test/fleet_state_machines_test.ts
+++ b/src/test/fleet_state_machines_test.ts
@@ -274,6 +274,17 @@
       .equal(false);
     restoreFromSnapshot(machine, new FleetMachine({ onServerLeft }));
     expect(told).deep.equal(["a/1", "b/1", "a/1", "b/1"]);
+    const later = new FleetMachine({ onServerLeft });
+    later.foreseeCommand(
+      toBinary(
+        FleetCommandSchema,
+        create(FleetCommandSchema, {
+          command: { case: "recordLeft", value: { id: "d", bornMs: 1n } },
+        }),
+      ),
+    );
+    expect(told.at(-1)).equal("d/1");
+    expect(later.left).deep.equal([]);
     for (let index = 0; index < 5_000; index += 1) leave(`c${index}`, 1n);
     expect(machine.left.length).equal(4_096);
     expect(machine.left.at(-1)?.id).equal("c4999");
--- a/src/test/removed_servers_test.ts
+++ b/src/test/removed_servers_test.ts
@@ -179,6 +179,21 @@
       expect(await countLate(server, leftMs)).equal(0);
     }).timeout(TIMEOUT_MS);
 
+    // Guards against DRAIN: a departure that a host has in its log, but knows again only
+    // once the group has a leader, while it gives out the server as it had saved it.
+    it(`stay away before there is a leader after they were ${state}`, async () => {
+      const [server] = fleet.servers as [PlatformServer];
+      const leftMs = await leave(server, state);
+      const processes = fleet.processes;
+      await Promise.all(processes.map((process) => process.end("SIGKILL")));
+      await delay(leftMs + DRAIN_MS - performance.now());
+      // One control host of three has no quorum.
+      const [heard, ...others] = processes;
+      heard?.start();
+      others.slice(2).forEach((process) => process.start());
+      expect(await countLate(server, leftMs)).equal(0);
+    }).timeout(TIMEOUT_MS);
+
     // Guards against a departure that only the host with the lost disk had saved.
     it(`stay away when the host is lost that heard they were ${state}`, async () => {
       const [server] = fleet.servers as [PlatformServer];
