Send heartbeats of replicas on a connection of their own

Cause: the messages of all groups to a host shared one HTTP/2 connection, of which the library's server reads 64 KB per turn of its event loop. A heartbeat behind 1 MB of entries came after 25 or 26 turns; at turns of 0.2 s an election timeout has 3.

Evidence: slow_hosts_test, known red.

A request without entries goes over the second one if no entries are in flight. While some are, it stays behind them, as its rejection reveals their loss, and with each heartbeat the leader also sends a request after the member's match index, which the member accepts before the entries; it commits no further than that index and acknowledges no more. The messages are the same ones as before, so that older builds accept them. The other choice, to bound the bytes in flight by the receive window, would allow 64 KB per turn and member and leave the groups of a host sharing it.

Tests: slow_hosts_test used one stream, which the product no longer does; it now sends the same bytes through ReplicaLinks, within the same number of turns. The simulated group can delay all but heartbeats and replies, in a test of its own and as a further fault of the seeded runs. Without the request after the match index the new test fails.

--- a/src/services/control/replica_links.ts
+++ b/src/services/control/replica_links.ts
@@ -1,6 +1,8 @@
 /**
  * Links from one state host to the others. The messages of all groups to a host
- * share its link.
+ * share its links: one carries entries and snapshots, the other the rest. A
+ * receiver reads at most one flow-control window per turn of its event loop, so
+ * heartbeats on a shared connection would wait behind entries.
  */
 import { type ReplicaMessage, Replicas } from "../../schema/mod.ts";
 import { ReplicaTransport } from "../../state/mod.ts";
@@ -18,23 +20,27 @@
   queue: ReplicaMessage[];
 }
 
-/** Maximum number of queued messages per host; excess messages are dropped. */
+/** Links by the address of the host. */
+type Links = Map<string, Link>;
+
+/** Maximum number of queued messages per link; excess messages are dropped. */
 const MAX_QUEUED_MESSAGES = 10_000;
 
 /**
- * Time without messages from a host after which the connection to it is
+ * Time without messages from a host after which the connections to it are
  * replaced, in milliseconds: two election timeouts of 600 ms plus a margin.
  */
 const LINK_TIMEOUT_MS = 1_500;
 
 /**
- * Sends messages of replicas over gRPC. Messages to a host that are sent in the
- * same turn of the event loop share a batch.
+ * Sends messages of replicas over gRPC. Messages that are sent over a link in
+ * the same turn of the event loop share a batch.
  */
 export class ReplicaLinks extends ReplicaTransport {
   readonly #credentials: RpcCredentials;
   readonly #getAddress: (id: string) => string | undefined;
-  readonly #links = new Map<string, Link>();
+  readonly #bulkLinks: Links = new Map();
+  readonly #promptLinks: Links = new Map();
   readonly #clock: Clock;
   readonly #lastReceivedMs = new Map<string, number>();
   #isFlushScheduled = false;
@@ -52,9 +58,19 @@
   }
 
   override send(message: ReplicaMessage): void {
+    const isBulk = message.body.case === "appendRequest" ||
+      message.body.case === "snapshotRequest";
+    this.#enqueue(message, isBulk ? this.#bulkLinks : this.#promptLinks);
+  }
+
+  override sendHeartbeat(message: ReplicaMessage): void {
+    this.#enqueue(message, this.#promptLinks);
+  }
+
+  #enqueue(message: ReplicaMessage, links: Links): void {
     const address = this.#getAddress(message.to);
     if (address === undefined || this.#closed) return;
-    const link = this.#getLink(address);
+    const link = this.#getLink(address, links);
     if (link.queue.length >= MAX_QUEUED_MESSAGES) return;
     link.queue.push(message);
     if (this.#isFlushScheduled) return;
@@ -64,7 +80,9 @@
 
   override isCongested(id: string): boolean {
     const address = this.#getAddress(id);
-    const link = address === undefined ? undefined : this.#links.get(address);
+    const link = address === undefined
+      ? undefined
+      : this.#bulkLinks.get(address);
     return link !== undefined &&
       (link.queue.length > 0 || link.sender?.isBufferFull === true);
   }
@@ -78,15 +96,17 @@
 
   close(): void {
     this.#closed = true;
-    this.#links.forEach((link) => {
-      link.sender?.close();
-      link.client.close();
+    [this.#promptLinks, this.#bulkLinks].forEach((links) => {
+      links.forEach((link) => {
+        link.sender?.close();
+        link.client.close();
+      });
+      links.clear();
     });
-    this.#links.clear();
   }
 
-  #getLink(address: string): Link {
-    const current = this.#links.get(address);
+  #getLink(address: string, links: Links): Link {
+    const current = links.get(address);
     const nowMs = this.#clock.getMonotonicMs();
     if (current !== undefined && !this.#isSilent(address, current, nowMs)) {
       return current;
@@ -95,7 +115,7 @@
     current?.client.close();
     const client = new RpcClient(address, this.#credentials);
     const link: Link = { client, queue: [], openedMs: nowMs };
-    this.#links.set(address, link);
+    links.set(address, link);
     return link;
   }
 
@@ -110,7 +130,9 @@
 
   #flush(): void {
     this.#isFlushScheduled = false;
-    this.#links.forEach((link) => this.#flushLink(link));
+    [this.#promptLinks, this.#bulkLinks].forEach((links) =>
+      links.forEach((link) => this.#flushLink(link))
+    );
   }
 
   #flushLink(link: Link): void {
--- a/src/state/agreement/core_types.ts
+++ b/src/state/agreement/core_types.ts
@@ -25,6 +25,8 @@
 /** Output that depends on no pending write and must not wait for the disk. */
 export interface ImmediateOutput {
   readonly messages: ReplicaMessage[];
+  /** Messages of a leader that a member accepts before entries sent earlier. */
+  readonly heartbeats: ReplicaMessage[];
   /** Newly committed entries to apply, in order. */
   readonly committed: LogEntry[];
   /** Members that need a snapshot, since the log lacks their next entry. */
--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -50,6 +50,11 @@
 export abstract class ReplicaTransport {
   abstract send(message: ReplicaMessage): void;
 
+  /** Sends a message that must not wait behind entries and snapshots. */
+  sendHeartbeat(message: ReplicaMessage): void {
+    this.send(message);
+  }
+
   /** Whether earlier messages to a replica still wait to be sent. */
   isCongested(_id: string): boolean {
     return false;
@@ -540,6 +545,7 @@
       const output = core.tryTakeImmediateOutput();
       this.#reportRoleChange(core);
       if (output === undefined) continue;
+      output.heartbeats.forEach((message) => this.#sendHeartbeat(message));
       output.messages.forEach((message) => this.#send(message));
       this.#applyAll(output.committed);
       output.snapshotRecipients.forEach((id) =>
@@ -560,6 +566,12 @@
     this.#options.transport.send(message);
   }
 
+  #sendHeartbeat(message: ReplicaMessage): void {
+    if (this.#stopped) return;
+    this.#options.metrics.count(MetricName.replicaMessages);
+    this.#options.transport.sendHeartbeat(message);
+  }
+
   #reportRoleChange(core: ReplicaCore): void {
     if (core.role === this.#reportedRole) return;
     const wasLeader = this.#reportedRole === Role.leader;
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -114,6 +114,7 @@
   /** Whether no contact counts as lost at the last tick because of a stall. */
   #defersElection = false;
   #immediateMessages: ReplicaMessage[] = [];
+  #heartbeats: ReplicaMessage[] = [];
   #messagesAfterSync: ReplicaMessage[] = [];
   #records: LogRecord[] = [];
   /** Lowest entry index in `#records`; Infinity if it holds no entries. */
@@ -465,13 +466,15 @@
     this.#broadcastDue = false;
     const committed = this.#takeCommitted();
     const messages = this.#immediateMessages;
+    const heartbeats = this.#heartbeats;
     const snapshotRecipients = [...this.#snapshotRecipients];
-    if (messages.length + committed.length + snapshotRecipients.length === 0) {
-      return undefined;
-    }
+    const count = messages.length + heartbeats.length + committed.length +
+      snapshotRecipients.length;
+    if (count === 0) return undefined;
     this.#immediateMessages = [];
+    this.#heartbeats = [];
     this.#snapshotRecipients.clear();
-    return { messages, committed, snapshotRecipients };
+    return { messages, heartbeats, committed, snapshotRecipients };
   }
 
   /** Takes the records to persist next; undefined when there is no output. */
@@ -515,6 +518,9 @@
     if (this.#nowMs < this.#heartbeatDueMs) return;
     this.#heartbeatDueMs = this.#nowMs + this.#timing.heartbeatMs;
     this.#broadcast();
+    this.#progressTracker.forEach((progress, id) => {
+      if (progress.sent.length > 0) this.#sendMatchedAppend(id, progress);
+    });
   }
 
   /**
@@ -729,17 +735,57 @@
       : [];
     const bytes = entries.reduce((sum, entry) => sum + getEntryBytes(entry), 0);
     this.#progressTracker.recordSent(progress, entries.length, bytes);
-    this.#sendImmediately(id, {
+    const message = this.#createAppend(id, progress, {
+      previousIndex,
+      previousTerm,
+      entries,
+    });
+    // A request after entries in flight reveals their loss, so it must not
+    // overtake them.
+    if (progress.sent.length > 0) this.#immediateMessages.push(message);
+    else this.#heartbeats.push(message);
+  }
+
+  /**
+   * Sends a heartbeat after the last entry that the member is known to have. It
+   * is accepted even if it overtakes entries in flight.
+   */
+  #sendMatchedAppend(id: string, progress: Progress): void {
+    const previousIndex = progress.matchIndex;
+    const previousTerm = this.#log.tryGetTerm(previousIndex);
+    if (previousTerm === undefined) {
+      this.#sendEmptyAppend(id, progress);
+      return;
+    }
+    this.#heartbeats.push(
+      this.#createAppend(id, progress, {
+        previousIndex,
+        previousTerm,
+        entries: [],
+      }),
+    );
+  }
+
+  #createAppend(
+    id: string,
+    progress: Progress,
+    options: {
+      previousIndex: number;
+      previousTerm: number;
+      entries: LogEntry[];
+    },
+  ): ReplicaMessage {
+    return this.#createMessage(id, {
       case: "appendRequest",
       value: {
-        previousIndex: BigInt(previousIndex),
-        previousTerm: BigInt(previousTerm),
+        previousIndex: BigInt(options.previousIndex),
+        previousTerm: BigInt(options.previousTerm),
         commitIndex: BigInt(this.#commitIndex),
-        entries,
+        entries: options.entries,
         round: BigInt(this.#progressTracker.round),
         contactCheck: progress.contactCheck,
       },
-    });
+    }, this.term);
   }
 
   #getEntriesFrom(index: number): LogEntry[] {
@@ -764,15 +810,13 @@
 
   /** Sends a heartbeat to a member whose log cannot be matched yet. */
   #sendEmptyAppend(id: string, progress: Progress): void {
-    this.#sendImmediately(id, {
-      case: "appendRequest",
-      value: {
-        previousIndex: 0n,
-        commitIndex: BigInt(this.#commitIndex),
-        round: BigInt(this.#progressTracker.round),
-        contactCheck: progress.contactCheck,
-      },
-    });
+    this.#heartbeats.push(
+      this.#createAppend(id, progress, {
+        previousIndex: 0,
+        previousTerm: 0,
+        entries: [],
+      }),
+    );
   }
 
   #recordLeaderContact(from: string): void {
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -59,6 +59,8 @@
   readonly blockedLinks = new Set<string>();
   readonly #suspensionDetectors = new Map<string, SuspensionDetector>();
   #messages: ReplicaMessage[] = [];
+  /** Messages that wait until `delaysEntries` is cleared. */
+  #delayed: ReplicaMessage[] = [];
   #nowMs = 1_000;
   #proposalCount = 0;
   /** Newest index that any host has applied. */
@@ -68,6 +70,8 @@
   /** Number of requests for votes and pre-votes that were sent. */
   voteRequestCount = 0;
   faults: NetworkFaults = { loss: 0, duplication: 0 };
+  /** Whether heartbeats and replies overtake all other messages. */
+  delaysEntries = false;
   /** Whether a lease holder that lacks committed entries ends the run. */
   checksLease = true;
   /** Whether a lease holder has lacked committed entries at any time. */
@@ -176,6 +180,7 @@
   heal(ms: number): void {
     this.faults = { loss: 0, duplication: 0 };
     this.blockedLinks.clear();
+    this.delaysEntries = false;
     this.hosts.filter((host) => !host.isUp).forEach((host) =>
       this.restart(host)
     );
@@ -207,7 +212,12 @@
     this.#getRunning().forEach((host) => {
       this.#checkSuspension(host);
       const prompt = host.core.tryTakeImmediateOutput();
-      this.#enqueue(prompt?.messages ?? []);
+      this.#enqueue(prompt?.heartbeats ?? []);
+      if (this.delaysEntries) this.#delayed.push(...prompt?.messages ?? []);
+      else {this.#enqueue([
+          ...this.#delayed.splice(0),
+          ...prompt?.messages ?? [],
+        ]);}
       (prompt?.committed ?? []).forEach((entry) => this.#apply(host, entry));
       if (host.pending === undefined) {
         host.pending = host.core.tryTakeDurableOutput();
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -30,6 +30,7 @@
     else if (roll < 0.065) group.blockedLinks.add(`${host.id}>${peer.id}`);
     else if (roll < 0.067) group.blockedLinks.clear();
     else if (roll < 0.068) host.core.transferLeadership();
+    else if (roll < 0.073) group.delaysEntries = !group.delaysEntries;
     group.step();
   });
   return group;
@@ -210,6 +211,34 @@
     expect(peer.core.commitIndex).equal(leader.core.commitIndex);
   });
 
+  it("holds no election while heartbeats overtake entries", () => {
+    const group = new SimulatedGroup(15, 3);
+    group.heal(STABILIZATION_MS);
+    const leader = group.tryGetLeader();
+    if (leader === undefined) throw new Error("no leader");
+    const { commitIndex, term } = leader.core;
+    const before = group.voteRequestCount;
+    group.delaysEntries = true;
+    // More than may be in flight, in several requests.
+    for (let count = 0; count < 30; count += 1) {
+      group.propose(leader, 100_000);
+      group.run(100);
+      expect(leader.core.holdsLease(group.getHostMs(leader))).equal(true);
+    }
+    expect(group.voteRequestCount).equal(before);
+    group.hosts.filter((host) => host !== leader).forEach((host) => {
+      expect(host.core.leader).equal(leader.id);
+      expect(leader.core.getMatchIndex(host.id)).equal(commitIndex);
+    });
+    expect(leader.core.commitIndex).equal(commitIndex);
+    group.delaysEntries = false;
+    group.run(STABILIZATION_MS);
+    expect(leader.core.term).equal(term);
+    group.hosts.forEach((host) =>
+      expect(host.core.commitIndex).equal(commitIndex + 30)
+    );
+  });
+
   it("holds no election when one follower loses only the leader", () => {
     const group = new SimulatedGroup(23, 3);
     group.heal(STABILIZATION_MS);
--- a/src/test/slow_hosts_test.ts
+++ b/src/test/slow_hosts_test.ts
@@ -1,11 +1,13 @@
 /**
  * Links between replicas when the event loop of the receiving process turns slowly.
  */
+import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { Worker } from "node:worker_threads";
-import { Replicas } from "../schema/mod.ts";
+import { ReplicaMessageSchema } from "../schema/mod.ts";
+import { ReplicaLinks } from "../services/control/replica_links.ts";
+import { SystemClock } from "../sys/clock.ts";
 import { createCredentials } from "../sys/rpc.ts";
-import { RpcClient } from "../sys/rpc_client.ts";
 import { DEFAULT_TIMING, MAX_APPEND_BYTES } from "../state/agreement/timing.ts";
 
 /** Turns of members' event loops under a flood of jobs, in milliseconds. */
@@ -70,19 +72,21 @@
         else resolve(message.address);
       })
     );
-    const client = new RpcClient(address, createCredentials(undefined));
-    const sender = client.openSender(Replicas.method.exchange, () => {});
-    const send = (term: number, bytes: number) => {
+    const links = new ReplicaLinks({
+      credentials: createCredentials(undefined),
+      getAddress: () => address,
+      clock: new SystemClock(),
+    });
+    const createRequest = (term: number, bytes: number) => {
       const payload = {
         case: "command",
         value: new Uint8Array(bytes),
       } as const;
       const entries = bytes === 0 ? [] : [{ index: 1n, term: 1n, payload }];
-      sender.send({
-        messages: [{
-          term: BigInt(term),
-          body: { case: "appendRequest", value: { entries } },
-        }],
+      return create(ReplicaMessageSchema, {
+        to: "slow",
+        term: BigInt(term),
+        body: { case: "appendRequest", value: { entries } },
       });
     };
     const waitFor = async (term: number): Promise<Arrival> => {
@@ -93,15 +97,18 @@
       }
     };
     try {
-      send(1, 0);
-      const { turn } = await waitFor(1);
-      send(2, MAX_APPEND_BYTES);
-      send(3, 0);
-      const heartbeat = await waitFor(3);
+      // Opens both connections, as hosts in operation have done.
+      links.send(createRequest(1, 0));
+      links.sendHeartbeat(createRequest(2, 0));
+      await waitFor(1);
+      await waitFor(2);
+      const turn = Math.max(...arrivals.map((arrival) => arrival.turn));
+      links.send(createRequest(3, MAX_APPEND_BYTES));
+      links.sendHeartbeat(createRequest(4, 0));
+      const heartbeat = await waitFor(4);
       expect(heartbeat.turn - turn).most(MAX_TURNS);
     } finally {
-      sender.close();
-      client.close();
+      links.close();
       await worker.terminate();
     }
   });
