Don't refuse waiting requests for want of a measured rate

Cause: the wait of an online request was estimated from the requests that ended per tick. No request ends before the first tick, so the rate was zero and the wait infinite: from eight waiting requests on, a gateway refused the rest of its first burst with PT3002. While a gateway was idle the rate fell towards zero, and after some seconds the next burst met the same. A new server takes four sequences, so requests wait early.

Change: until a rate is measured, requests are assumed to end after the run time that the flow between data centres assumes already. The rate falls only on ticks with waiting requests, which show the capacity; others may raise it.

Measured: all 120 requests of both bursts are served (new test, 40 refusals before).

--- a/src/services/online/backend_pool.ts
+++ b/src/services/online/backend_pool.ts
@@ -102,7 +102,11 @@
   readonly #options: BackendPoolOptions;
   readonly #activePlacements = new Map<string, Set<ActivePlacement>>();
   readonly #queues = new Map<string, FairQueue<QueuedRequest>>();
-  /** Smoothed number of online requests that end per tick, by deployment. */
+  /**
+   * Smoothed number of online requests that end per tick while others wait, by
+   * deployment. Ticks without waiting requests show the demand, which the capacity
+   * is not below.
+   */
   readonly #completionRates = new Map<string, number>();
   readonly #completedThisTick = new Map<string, number>();
   readonly #timer: Timer;
@@ -364,6 +368,15 @@
     return { own, serviceMs };
   }
 
+  /** Online requests that end per tick; assumed until it has been measured. */
+  #getCompletionRate(deployment: string): number {
+    const measured = this.#completionRates.get(deployment);
+    if (measured !== undefined) return measured;
+    const servers = this.#getServingServers(deployment);
+    const { own, serviceMs } = this.#getOwnLoad(deployment, servers);
+    return own / serviceMs * TICK_MS;
+  }
+
   #observeFlow(): void {
     const { flow } = this.#options;
     flow?.deployments.forEach((deployment) =>
@@ -438,7 +451,7 @@
   ): ServingError | undefined {
     const remainingMs = req.deadlineMs - this.#options.clock.getMonotonicMs();
     if (remainingMs <= 0) return new ServingError(MessageCode.DEADLINE_PASSED);
-    const rate = this.#completionRates.get(req.deployment) ?? 0;
+    const rate = this.#getCompletionRate(req.deployment);
     if (queueLength < MIN_ESTIMATED_QUEUE_LENGTH) return undefined;
     const waitMs = rate > 0 ? (queueLength + 1) / rate * TICK_MS : Infinity;
     if (waitMs <= remainingMs) return undefined;
@@ -487,9 +500,11 @@
   }
 
   #updateCompletionRates(): void {
-    this.#queues.forEach((_, deployment) => {
+    this.#queues.forEach((queue, deployment) => {
       const completed = this.#completedThisTick.get(deployment) ?? 0;
-      const rate = this.#completionRates.get(deployment) ?? completed;
+      const measured = this.#completionRates.get(deployment) ?? Infinity;
+      if (queue.length === 0 && completed <= measured) return;
+      const rate = this.#getCompletionRate(deployment);
       this.#completionRates.set(
         deployment,
         rate * RATE_DECAY + completed * (1 - RATE_DECAY),
--- a/src/test/serving_test.ts
+++ b/src/test/serving_test.ts
@@ -48,6 +48,73 @@
       expect(wrong).deep.equal([]);
     }));
 
+  // Guards against refusals of requests that servers could take in time, because
+  // none has ended yet or for a while.
+  it("queues bursts that reach an idle gateway", () =>
+    withFleet({
+      engines: 3,
+      entries: 1,
+      engine: {
+        ...QUICK_ENGINE,
+        baseStepMs: 20,
+        maxSequences: 4,
+        leaseMs: LASTING_LEASE_MS,
+      },
+    }, async (fleet) => {
+      const address = fleet.getEntryAddresses()[0] ?? "";
+      const sendBurst = async () => {
+        const answers = await Promise.all(
+          range(60).map((index) =>
+            streamCompletion(address, {
+              model,
+              prompt: `question ${index}`,
+              max_tokens: 5,
+            })
+          ),
+        );
+        return answers.filter((answer) => !answer.isDone);
+      };
+      expect(await sendBurst()).deep.equal([]);
+      await fleet.clock.delay(5_000);
+      expect(await sendBurst()).deep.equal([]);
+    }));
+
+  it("refuses at once what waits behind requests that don't end", () =>
+    withFleet({
+      engines: 3,
+      entries: 1,
+      engine: { ...QUICK_ENGINE, maxSequences: 4, leaseMs: LASTING_LEASE_MS },
+    }, async (fleet) => {
+      const address = fleet.getEntryAddresses()[0] ?? "";
+      const aborts = range(32).map(() => new AbortController());
+      const held = aborts.map(({ signal }) =>
+        streamCompletion(
+          address,
+          { model, prompt: "long", max_tokens: 1e6 },
+          { signal },
+        ).catch(() => undefined)
+      );
+      await waitUntil(
+        fleet.clock,
+        "20 waiting requests",
+        () => fleet.entries[0]?.pool.waitingCount === 20,
+      );
+      await fleet.clock.delay(2_000);
+      const startMs = fleet.clock.getMonotonicMs();
+      const refused = await sendRequest(address, "/v1/completions", {
+        model,
+        prompt: "short",
+      }, { headers: { "papayatally-deadline-ms": "1000" } });
+      expect(fleet.clock.getMonotonicMs() - startMs).below(500);
+      expect(refused.status).equal(503);
+      expect(JSON.parse(refused.text)).include({
+        code: "PT3002",
+        verdict: "not run",
+      });
+      aborts.forEach((abort) => abort.abort());
+      await Promise.all(held);
+    }));
+
   it("frees the engine's sequence when the caller disconnects", () =>
     withFleet({ engines: 1 }, async (fleet) => {
       const abort = new AbortController();
