Keep store hosts retired that lose their disks

What operators saw: a store host was acknowledged to retire and lost its disk; GET of its retirement answered 404 from then on, and the host could become a member of the store group again. Cause: a retirement names the replica id. A host that lost its disk registers under a new id, and its old record is removed. Change: the leader of the fleet group that is asked to register a host in place of a retired one of that name and address puts a retirement by name behind it in the log. A host is empty once no replica at its address is a member. Why it works: both are existing commands, in one batch of the log, so older builds apply the same, and no state changes its format.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -35,7 +35,8 @@
 import type { Folder } from "../sys/files.ts";
 import { FLEET_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
-import { openFounderIdentity } from "./host_identity.ts";
+import { HostAdmission } from "./host_admission.ts";
+import { getReplicaAddress, openFounderIdentity } from "./host_identity.ts";
 import { LastViewWriter, tryReadLastView } from "./last_view.ts";
 import {
   type FleetState,
@@ -250,7 +251,9 @@
         parameters: { host: name },
       });
     }
-    return storeNow !== undefined && !storeNow.ids.includes(host.id);
+    // A member at its address is the replica of a disk that it has lost.
+    return storeNow !== undefined &&
+      storeNow.ids.every((id) => getReplicaAddress(id) !== host.address);
   }
 
   /**
@@ -407,6 +410,10 @@
         this.#machine.hosts.hosts.filter((host) =>
           host.role === HostRole.CONTROL
         ),
+      admission: new HostAdmission({
+        getHosts: () => this.#machine.hosts,
+        log: this.#context.log,
+      }),
       onApplied: () => {
         this.#registrationHub.sendChanges();
         this.#lastViewWriter?.scheduleWrite();
--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -27,7 +27,7 @@
   readonly canServe: boolean;
   /** Bytes of entries in the log that are not committed. */
   readonly uncommittedBytes: number;
-  propose(): Promise<Uint8Array>;
+  propose(command: Uint8Array): Promise<Uint8Array>;
 }
 
 /** Decides on commands of other processes before they are proposed. */
@@ -179,12 +179,14 @@
 
   #admit(command: Uint8Array): Promise<Uint8Array> {
     const { admission } = this.#options;
-    const propose = () => this.replica.propose(command);
-    if (admission === undefined || !this.replica.isLeader) return propose();
+    const { replica } = this;
+    if (admission === undefined || !replica.isLeader) {
+      return replica.propose(command);
+    }
     return admission.admit(command, {
-      canServe: this.replica.canServe(),
-      uncommittedBytes: this.replica.uncommittedBytes,
-      propose,
+      canServe: replica.canServe(),
+      uncommittedBytes: replica.uncommittedBytes,
+      propose: (each) => replica.propose(each),
     });
   }
 
--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -89,7 +89,7 @@
       if (this.#mayLoseEnd()) throw createNotSettledError();
       if (!this.#hasRoomForEnd(body.value)) return REFUSAL;
     }
-    if (body.case !== "submit") return await propose();
+    if (body.case !== "submit") return await propose(command);
     const job = body.value;
     const waiting = this.#waiting.get(job.id);
     if (waiting !== undefined) return await waiting.outcome;
@@ -106,7 +106,9 @@
         parameters: { reason: "there is no memory for the job" },
       });
     }
-    const outcome = propose().finally(() => this.#waiting.delete(job.id));
+    const outcome = propose(command).finally(() =>
+      this.#waiting.delete(job.id)
+    );
     this.#waiting.set(job.id, { owner: job.organisation, outcome });
     this.#memory.track(bytes, outcome);
     return await outcome;
