Check jobs against the newest limit of waiting tokens

What callers saw: a job of 500 tokens is accepted with 202 although a limit of 100 had been acknowledged 2.5 s before. Cause: the gateway puts the limit that it knows into the job, and the store group goes by that. A gateway that was frozen serves the jobs that wait on its open connections before it reads the update of its routes. Change: the leader of the store group replaces the limit in a job by that of its own routes if a leader of the control group confirmed these in the last 2.5 s. Why it works: the leader decides before it proposes the job, so all members, also those of older builds, apply the same limit.

--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -2,7 +2,8 @@
  * Refuses jobs and ends for which the store hosts have no memory, and repeats and ends
  * of jobs that belong to another organisation. The leader decides before it proposes a
  * command, so a refused job is in no log and never runs, and members of older builds,
- * which don't know organisations, apply the same commands as the others.
+ * which don't know organisations, apply the same commands as the others. It also puts the
+ * newest limit of waiting tokens into a job: a gateway may have known an older one.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { type JobCaller, JobMemory, mayUseJob } from "../policy/mod.ts";
@@ -38,6 +39,11 @@
   >;
   /** Versions of commands that the members apply; 0 while that is not known. */
   readonly getMemberVersions: () => readonly number[];
+  /**
+   * Returns the limit of the waiting tokens of a route; undefined if the route is not
+   * known, or the routes known here may be outdated.
+   */
+  readonly tryGetTokenLimit?: (route: string) => bigint | undefined;
   /** Memory of the process, in bytes. */
   readonly processBytes: number;
   readonly clock: Pick<Clock, "getWallMs">;
@@ -106,7 +112,7 @@
         parameters: { reason: "there is no memory for the job" },
       });
     }
-    const outcome = propose(command).finally(() =>
+    const outcome = propose(this.#renewLimit(command, job)).finally(() =>
       this.#waiting.delete(job.id)
     );
     this.#waiting.set(job.id, { owner: job.organisation, outcome });
@@ -114,6 +120,23 @@
     return await outcome;
   }
 
+  /** Replaces the limit that the gateway knew when it submitted the job. */
+  #renewLimit(command: Uint8Array, job: SubmitJob): Uint8Array {
+    const limit = this.#options.tryGetTokenLimit?.(job.route);
+    if (limit === undefined || limit === job.waitingTokens) return command;
+    this.#options.log.info("job_limit_renewed", {
+      job: job.id,
+      route: job.route,
+      submitted: Number(job.waitingTokens),
+      limit: Number(limit),
+    });
+    const value = { ...job, waitingTokens: limit };
+    return toBinary(
+      JobCommandSchema,
+      create(JobCommandSchema, { command: { case: "submit", value } }),
+    );
+  }
+
   /** Whether a job is known here and belongs to another organisation. */
   #isForeign({ id, organisation }: SubmitJob | EndJob): boolean {
     const waiting = this.#waiting.get(id);
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -67,6 +67,12 @@
 /** Memory of a process besides its heap, unless its settings name the memory. */
 const MEMORY_BESIDE_HEAP_BYTES = 100 * BYTES_PER_MB;
 
+/**
+ * Age up to which routes are taken for the newest, in milliseconds: control hosts
+ * confirm them once per second.
+ */
+const MAX_ROUTES_AGE_MS = 2_500;
+
 /** A running store host. */
 export class StoreHost {
   readonly #settings: FleetSettings;
@@ -302,6 +308,14 @@
     return Number.isFinite(silentMs) ? Math.round(silentMs) : undefined;
   }
 
+  /** Limit of a route's waiting tokens, unless the routes may be outdated. */
+  #tryGetTokenLimit(route: string): bigint | undefined {
+    const { view } = this.#backends;
+    return view.getRoutesAgeMs() <= MAX_ROUTES_AGE_MS
+      ? view.routes?.tryGetRoute(route)?.waitingTokens
+      : undefined;
+  }
+
   #waitForFounders(): Promise<string[]> {
     return new Promise((resolve) => {
       const check = () => {
@@ -345,6 +359,7 @@
         getMemberVersions: () =>
           (this.#member?.replica.getMemberHealth() ?? [])
             .map(({ commandVersion }) => commandVersion),
+        tryGetTokenLimit: (route) => this.#tryGetTokenLimit(route),
         processBytes: getProcessBytes(this.#settings),
         clock: this.#context.clock,
         log: this.#context.log,
--- a/src/test/revocations_test.ts
+++ b/src/test/revocations_test.ts
@@ -376,6 +376,41 @@
     expect(count).most(2 * LIMIT_WINDOW_S * LIMIT_FACTOR + LIMIT_SLACK);
   }).timeout(TIMEOUT_MS);
 
+  // Guards against a gateway that submits a job with the limit that it knew.
+  it("holds for waiting tokens at a gateway that was frozen", async () => {
+    const submit = (gateway: string, job: string, timeoutMs?: number) =>
+      call(gateway, "POST", "/b/", {
+        headers: {
+          "Host": "a.example",
+          "Authorization": "Token kept",
+          "X-Request-Id": job,
+        },
+        body: JSON.stringify({
+          Items: [{
+            Id: `${job}-item`,
+            Path: "/b/x",
+            Headers: {},
+            Body: "",
+            Tokens: 500,
+          }],
+        }),
+        timeoutMs,
+      });
+    await waitUntil(
+      "a job to be accepted",
+      async () => (await submit(GATEWAYS[0], "first")).status === 202,
+    );
+    const thaw = startFault("pause", GATEWAYS[0]);
+    const late = submit(GATEWAYS[0], "late", FROZEN_TIMEOUT_MS);
+    await delay(POLL_INTERVAL_MS);
+    await configure({ hasAll: true, waitingTokens: 100 });
+    await delay(CONFIG_MS);
+    await thaw();
+    const { status } = await late;
+    expect(status).not.equal(202);
+    expect((await submit(GATEWAYS[1], "other")).status).equal(429);
+  }).timeout(TIMEOUT_MS);
+
   const retire = (method: string, name: string, control = "control-1") =>
     call(control, method, `/-/retire/${name}`, {
       body: method === "POST" ? JSON.stringify({ DurationS: 10 }) : "",
