Replace both links to a host that was silent

Cause: with heartbeats on a connection of their own, a connection for entries that broke without a reset was not replaced: by its next use the other one had shown that the host is there. Found by reading. Evidence: replica_links_test fails without the change (5 s; no new connection). Result: replica_links_test passes.

--- a/src/services/control/replica_links.ts
+++ b/src/services/control/replica_links.ts
@@ -111,14 +111,23 @@
     if (current !== undefined && !this.#isSilent(address, current, nowMs)) {
       return current;
     }
-    current?.sender?.close();
-    current?.client.close();
+    // The other one may have broken as well, and messages on this one would hide it.
+    if (current !== undefined) this.#closeLinks(address);
     const client = new RpcClient(address, this.#credentials);
     const link: Link = { client, queue: [], openedMs: nowMs };
     links.set(address, link);
     return link;
   }
 
+  #closeLinks(address: string): void {
+    [this.#promptLinks, this.#bulkLinks].forEach((links) => {
+      const link = links.get(address);
+      link?.sender?.close();
+      link?.client.close();
+      links.delete(address);
+    });
+  }
+
   /**
    * Whether nothing has arrived from the host for LINK_TIMEOUT_MS. Nothing else
    * reveals a connection that broke without a reset.
