Read updates before items start after a freeze

What servers saw: items of a route reach them 2.5 s after the route's end was acknowledged, within 50 ms of the thawing of the store hosts. Cause: after SIGCONT the first scheduling pass runs before the process has read the updates that arrived meanwhile. Change: a pass that is over a second late is left out; the next one follows 40 ms later. Why it works: what is in the buffers of the sockets is read between two passes. Updates that have not arrived by then come too late, as for any other host.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -105,6 +105,9 @@
 /** Interval between regular scheduling passes, in milliseconds. */
 const SCHEDULING_INTERVAL_MS = 40;
 
+/** Time without a regular pass after which the process was frozen, in milliseconds. */
+const FROZEN_MS = 1_000;
+
 /** Minimum interval between scheduling passes, in milliseconds. */
 const MIN_SCHEDULING_INTERVAL_MS = 15;
 
@@ -269,7 +272,13 @@
     if (this.#stopped) return;
     this.#pendingPass?.cancel();
     this.#pendingPass = undefined;
-    this.#lastPassMs = this.#options.context.clock.getMonotonicMs();
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    const wasFrozen = this.#schedulingTimer !== undefined &&
+      nowMs - this.#lastPassMs > FROZEN_MS;
+    this.#lastPassMs = nowMs;
+    // The routes, servers and ends of that time have arrived and are read first; the
+    // next regular pass follows.
+    if (wasFrozen) return;
     // Outcomes are kept while no items may run, so that the items don't start
     // again on a state without them.
     this.#recorder.removeApplied(this.#options.getOpenJobs(), {
