--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -105,6 +105,9 @@
 /** Interval between regular scheduling passes, in milliseconds. */
 const SCHEDULING_INTERVAL_MS = 40;
 
+/** Time without a regular pass after which the process was frozen, in milliseconds. */
+const FROZEN_MS = 1_000;
+
 /** Minimum interval between scheduling passes, in milliseconds. */
 const MIN_SCHEDULING_INTERVAL_MS = 15;
 
@@ -205,7 +208,12 @@
   /** Starts regular scheduling passes, which end when there is nothing to do. */
   #startRegularPasses(): void {
     if (this.#stopped || this.#isIdle) return;
-    this.#schedulingTimer ??= this.#options.context.clock.startInterval(
+    const { clock } = this.#options.context;
+    // The passes before were left out because there was nothing to do.
+    if (this.#schedulingTimer === undefined) {
+      this.#lastPassMs = clock.getMonotonicMs() - MIN_SCHEDULING_INTERVAL_MS;
+    }
+    this.#schedulingTimer ??= clock.startInterval(
       SCHEDULING_INTERVAL_MS,
       () => {
         if (!this.#isIdle) this.schedule();
@@ -269,7 +277,13 @@
     if (this.#stopped) return;
     this.#pendingPass?.cancel();
     this.#pendingPass = undefined;
-    this.#lastPassMs = this.#options.context.clock.getMonotonicMs();
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    const wasFrozen = this.#schedulingTimer !== undefined &&
+      nowMs - this.#lastPassMs > FROZEN_MS;
+    this.#lastPassMs = nowMs;
+    // The routes, servers and ends of that time have arrived and are read first; the
+    // next regular pass follows.
+    if (wasFrozen) return;
     // Outcomes are kept while no items may run, so that the items don't start
     // again on a state without them.
     this.#recorder.removeApplied(this.#options.getOpenJobs(), {
