--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -20,19 +20,17 @@
   MessageCode,
   type Registration,
   type RouteTable,
-  ServerStartSchema,
-  ServerState,
   StoreMembersSchema,
   Verdict,
 } from "../schema/mod.ts";
 import type { ProcessContext } from "../services/common/process_context.ts";
 import type { StateClient } from "../services/common/state_client.ts";
 import { createUnsettledRefusalError } from "../services/common/state_errors.ts";
-import { tryFindRegistrationError } from "../membership/mod.ts";
 import { FleetMachine } from "../state/mod.ts";
 import type { Timer } from "../sys/clock.ts";
 import { getReason, ServingError } from "../sys/errors.ts";
 import type { Folder } from "../sys/files.ts";
+import { DepartureRecorder } from "./departure_recorder.ts";
 import { FLEET_GROUP } from "./groups.ts";
 import { GroupMember } from "./group_member.ts";
 import { HostAdmission } from "./host_admission.ts";
@@ -52,12 +50,6 @@
  */
 const OPERATOR_TIMEOUT_MS = 900;
 
-/**
- * Timeout of the record that a server leaves, in milliseconds: the server waits for one
- * second in all.
- */
-const RECORD_LEFT_TIMEOUT_MS = 500;
-
 /** Interval between attempts to form the store group, in milliseconds. */
 const STORE_FORMATION_CHECK_INTERVAL_MS = 250;
 
@@ -78,6 +70,7 @@
   readonly #machine: FleetMachine;
   readonly #registrationHub: RegistrationHub;
   readonly #fleetClient: StateClient;
+  readonly #departures: DepartureRecorder;
   #member: GroupMember | undefined;
   /** Fleet state that was saved before the last restart. */
   #lastView: FleetUpdate | undefined;
@@ -125,6 +118,12 @@
       () => this.#getControlAddresses(),
       () => this.#member?.getLeaderAddress(),
     );
+    this.#departures = new DepartureRecorder({
+      fleetClient: this.#fleetClient,
+      isRecorded: (server) => this.#machine.hasLeft(server),
+      save: async () => await this.#lastViewWriter?.flush(),
+      log: context.log,
+    });
   }
 
   /** Whether the replica knows a leader and the host is not stopping. */
@@ -260,32 +259,11 @@
 
   /**
    * Accepts the registration of a backend server. If it says that the server leaves,
-   * resolves once that is recorded in the group. Without a quorum it is saved here
-   * alone, since the server leaves in any case.
+   * resolves once that is recorded.
    */
   async register(registration: Registration): Promise<void> {
     this.#registrationHub.accept(registration);
-    if (registration.state === ServerState.READY) return;
-    if (tryFindRegistrationError(registration) !== undefined) return;
-    const { id, bornMs } = registration;
-    // Without the time of its start, the record would hold for each later start.
-    if (bornMs === 0n) return;
-    const server = create(ServerStartSchema, { id, bornMs });
-    if (this.#machine.hasLeft(server)) return;
-    const command = encodeFleetCommand({ case: "recordLeft", value: server });
-    try {
-      await this.#fleetClient.propose(
-        FLEET_GROUP,
-        command,
-        RECORD_LEFT_TIMEOUT_MS,
-      );
-    } catch (error) {
-      this.#context.log.warn("departure_not_recorded", {
-        server: id,
-        reason: getReason(error),
-      });
-      await this.#lastViewWriter?.flush();
-    }
+    await this.#departures.record(registration);
   }
 
   /** Registration of a backend server; undefined if it is unknown. */
--- a/src/fleet/host_admission.ts
+++ b/src/fleet/host_admission.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps a store host retired when it registers under a new id because it lost its
- * disk: an operator was told that it is to be taken away. The leader of the fleet group decides before it proposes the registration, so
- * members of older builds apply the same commands as the others.
+ * disk: an operator was told that it is to be taken away. The leader of the fleet group
+ * decides before it proposes the registration, so members of older builds apply the same
+ * commands as the others.
  */
 import { fromBinary } from "@bufbuild/protobuf";
 import {
--- a/src/test/ended_jobs_test.ts
+++ b/src/test/ended_jobs_test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
 import { createConfig, sendHttpRequest } from "./platform_fleet.ts";
+import { pollUntil } from "./poll_until.ts";
 import { SoakFleet } from "./soak/soak_fleet.ts";
 
 /**
@@ -27,9 +28,6 @@
 
 const POLL_INTERVAL_MS = 100;
 
-/** Polls before a wait times out, after two minutes. */
-const MAX_POLLS = 1_200;
-
 /** Time of a test on a machine that is ten times as slow, in milliseconds. */
 const TIMEOUT_MS = 240_000;
 
@@ -65,17 +63,6 @@
       });
     });
 
-  const waitUntil = async (
-    description: string,
-    condition: () => Promise<boolean>,
-  ) => {
-    for (let poll = 0; poll < MAX_POLLS; poll += 1) {
-      if (await condition()) return;
-      await delay(POLL_INTERVAL_MS);
-    }
-    throw new Error(`timed out waiting for ${description}`);
-  };
-
   const createJob = () => {
     jobCount += 1;
     return `job-${jobCount}`;
@@ -119,11 +106,11 @@
   /** Submits another job and waits until it is done, so that others could have run. */
   const runOtherJob = async () => {
     const job = createJob();
-    await waitUntil(
+    await pollUntil(
       "another job to be accepted",
       async () => (await submit(job, GATEWAYS[1])) === 202,
     );
-    await waitUntil(
+    await pollUntil(
       "another job to finish",
       async () => (await read(job, GATEWAYS[0]))?.results === ITEMS_PER_JOB,
     );
@@ -137,7 +124,7 @@
   };
 
   const waitUntilReady = () =>
-    waitUntil("all gateways to serve", async () => {
+    pollUntil("all gateways to serve", async () => {
       const statuses = await Promise.all(
         GATEWAYS.map(async (gateway) => {
           const job = createJob();
@@ -155,7 +142,7 @@
       server.eventIntervalMs = EVENT_INTERVAL_MS;
     });
     heartbeats = setInterval(sendHeartbeats, HEARTBEAT_INTERVAL_MS);
-    await waitUntil(
+    await pollUntil(
       "the configuration to be acknowledged",
       async () => {
         const { status } = await send("control-1", "PUT", "/-/config", {
--- a/src/test/endless_servers_test.ts
+++ b/src/test/endless_servers_test.ts
@@ -8,9 +8,9 @@
 import { rm } from "node:fs/promises";
 import http from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
 import { createConfig, sendHttpRequest } from "./platform_fleet.ts";
+import { pollUntil } from "./poll_until.ts";
 import { PlatformServer } from "./platform_server.ts";
 import { SoakFleet } from "./soak/soak_fleet.ts";
 
@@ -33,10 +33,6 @@
 const REQUEST_TIMEOUT_MS = 3_000;
 
 const HEARTBEAT_INTERVAL_MS = 400;
-const POLL_INTERVAL_MS = 50;
-
-/** Polls before a wait times out, after two minutes. */
-const MAX_POLLS = 2_400;
 
 /** Time of a test on a machine that is ten times as slow, in milliseconds. */
 const TIMEOUT_MS = 240_000;
@@ -270,23 +266,12 @@
       req.end("body");
     });
 
-  const waitUntil = async (
-    description: string,
-    condition: () => boolean | Promise<boolean>,
-  ) => {
-    for (let poll = 0; poll < MAX_POLLS; poll += 1) {
-      if (await condition()) return;
-      await delay(POLL_INTERVAL_MS);
-    }
-    throw new Error(`timed out waiting for ${description}`);
-  };
-
   before(async function () {
     this.timeout(TIMEOUT_MS);
     await fleet.start();
     await faulty.start();
     heartbeats = setInterval(register, HEARTBEAT_INTERVAL_MS);
-    await waitUntil("the configuration to be acknowledged", async () => {
+    await pollUntil("the configuration to be acknowledged", async () => {
       const { status } = await sendHttpRequest(
         fleet.getAddress("control-1"),
         "PUT",
@@ -296,7 +281,7 @@
       return status === 200;
     });
     for (const path of PATHS) {
-      await waitUntil(
+      await pollUntil(
         `${path} to be served`,
         async () => (await send(path)).status === 200,
       );
@@ -324,13 +309,13 @@
         const answers = await Promise.all(PATHS.map(send));
         largest = Math.max(largest, ...answers.map(({ bytes }) => bytes));
       };
-      await waitUntil("requests to reach the faulty server", async () => {
+      await pollUntil("requests to reach the faulty server", async () => {
         await sendToEach();
         return faulty.counts.online >= 2 && faulty.counts.items >= 1;
       });
       expect(jobs).not.deep.equal([]);
       await Promise.all(jobs.map(end));
-      await waitUntil(
+      await pollUntil(
         "the connections to be closed",
         () => faulty.openCount === 0,
       );
@@ -341,7 +326,7 @@
         expect(unexpectedExits, name).deep.equal([]);
       });
       expect(fleet.getMemoryViolations()).deep.equal([]);
-      await waitUntil("an ordinary request to be served", async () => {
+      await pollUntil("an ordinary request to be served", async () => {
         const { status, bytes } = await send("/p/");
         return status === 200 && bytes < MAX_ANSWER_BYTES;
       });
--- a/src/test/removed_servers_test.ts
+++ b/src/test/removed_servers_test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
 import { createConfig, sendHttpRequest } from "./platform_fleet.ts";
+import { pollUntil } from "./poll_until.ts";
 import type { PlatformServer } from "./platform_server.ts";
 import { SoakFleet } from "./soak/soak_fleet.ts";
 
@@ -19,14 +20,10 @@
 const REQUEST_TIMEOUT_MS = 2_500;
 const REQUEST_INTERVAL_MS = 40;
 const HEARTBEAT_INTERVAL_MS = 400;
-const POLL_INTERVAL_MS = 50;
 
 /** Time in which control hosts save what they know, in milliseconds. */
 const SAVED_MS = 1_500;
 
-/** Polls before a wait times out, after two minutes. */
-const MAX_POLLS = 2_400;
-
 /** Time of a test on a machine that is ten times as slow, in milliseconds. */
 const TIMEOUT_MS = 240_000;
 
@@ -85,20 +82,9 @@
     return status;
   };
 
-  const waitUntil = async (
-    description: string,
-    condition: () => Promise<boolean>,
-  ) => {
-    for (let poll = 0; poll < MAX_POLLS; poll += 1) {
-      if (await condition()) return;
-      await delay(POLL_INTERVAL_MS);
-    }
-    throw new Error(`timed out waiting for ${description}`);
-  };
-
   const waitUntilServed = async () => {
     for (const gateway of GATEWAYS) {
-      await waitUntil(
+      await pollUntil(
         `${gateway} to serve`,
         async () => (await send(gateway)) === 200,
       );
@@ -116,7 +102,7 @@
     });
     await fleet.start();
     heartbeats = setInterval(register, HEARTBEAT_INTERVAL_MS);
-    await waitUntil("the configuration to be acknowledged", async () => {
+    await pollUntil("the configuration to be acknowledged", async () => {
       const { status } = await call(
         "control-1",
         "PUT",
--- a/src/test/revocations_test.ts
+++ b/src/test/revocations_test.ts
@@ -8,6 +8,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
 import { createConfig, sendHttpRequest } from "./platform_fleet.ts";
+import { pollUntil } from "./poll_until.ts";
 import type { Fault } from "./soak/fault_plan.ts";
 import { SoakFleet } from "./soak/soak_fleet.ts";
 
@@ -37,9 +38,6 @@
 /** More items than the servers take while the job is observed. */
 const ITEMS = 150;
 
-/** Polls before a wait times out, after two minutes. */
-const MAX_POLLS = 2_400;
-
 /** Time of a test on a machine that is ten times as slow, in milliseconds. */
 const TIMEOUT_MS = 240_000;
 
@@ -101,17 +99,6 @@
     mode: Fault["mode"] = "pass",
   ) => fleet.startFault({ kind, target, mode, startMs: 0, durationMs: 0 });
 
-  const waitUntil = async (
-    description: string,
-    condition: () => Promise<boolean>,
-  ) => {
-    for (let poll = 0; poll < MAX_POLLS; poll += 1) {
-      if (await condition()) return;
-      await delay(POLL_INTERVAL_MS);
-    }
-    throw new Error(`timed out waiting for ${description}`);
-  };
-
   const createDocument = (
     number: number,
     { hasAll, hasJobs = true, ratePerS = 0, waitingTokens = 1_000 }: Grants,
@@ -143,7 +130,7 @@
   /** Sends a new configuration until it is acknowledged. */
   const configure = async (grants: Grants, control = "control-2") => {
     const { number, body } = createVersion(grants);
-    await waitUntil("the configuration to be acknowledged", async () => {
+    await pollUntil("the configuration to be acknowledged", async () => {
       const { status } = await call(control, "PUT", "/-/config", { body });
       return status === 200;
     });
@@ -174,7 +161,7 @@
     request: { path: string; key: string },
   ) => {
     for (const gateway of GATEWAYS) {
-      await waitUntil(
+      await pollUntil(
         `${gateway} to serve`,
         async () => (await send(gateway, request)).status === 200,
       );
@@ -328,7 +315,7 @@
     const olderAgain = createVersion({ hasAll: true });
     const newer = createVersion({ hasAll: false });
     const put = (control: string, body: string) =>
-      waitUntil(
+      pollUntil(
         "an acknowledgement",
         async () =>
           (await call(control, "PUT", "/-/config", { body })).status === 200,
@@ -405,7 +392,7 @@
         }),
         timeoutMs,
       });
-    await waitUntil(
+    await pollUntil(
       "a job to be accepted",
       async () => (await submit(GATEWAYS[0], "first")).status === 202,
     );
@@ -430,7 +417,7 @@
     const getItems = () =>
       fleet.servers.flatMap((server) => server.receivedRequests)
         .filter(({ id }) => id.startsWith(job));
-    await waitUntil("a job to be accepted", async () => {
+    await pollUntil("a job to be accepted", async () => {
       const { status } = await call(GATEWAYS[0], "POST", "/b/", {
         headers: {
           "Host": "a.example",
@@ -449,7 +436,7 @@
       });
       return status === 202;
     });
-    await waitUntil(
+    await pollUntil(
       "items to run",
       () => Promise.resolve(getItems().length > 0),
     );
@@ -472,7 +459,7 @@
     });
 
   const waitUntilRetired = (name: string, statuses: number[]) =>
-    waitUntil(`${name} to be empty`, async () => {
+    pollUntil(`${name} to be empty`, async () => {
       const { status, text } = await retire("GET", name);
       if (!statuses.includes(status)) statuses.push(status);
       return status === 200 && JSON.parse(text).State === "done";
@@ -480,7 +467,7 @@
 
   // Guards against a retirement that is known only of the replica on a lost disk.
   it("holds for a store host that loses its disk while it is retired", async () => {
-    await waitUntil(
+    await pollUntil(
       "the order to be acknowledged",
       async () => (await retire("POST", RETIRED)).status === 200,
     );
