Remove lost voters before their replacements become voters

With a control machine no configuration is acknowledged any more.

Cause: a learner was promoted while the voter that it replaces was still a member, and also if the learner no longer answered. If its disk is lost before the removal, the group has four voters, two of which never answer again, and a quorum of three: no change is committed and no leader elected. The logs show the addition and no promotion after it; each start has a new id, so it is no double vote.

Change: a voter whose disk is lost leaves first, a silent one before the learner is promoted; the quorum of an odd number of voters is the same without one of them. A learner is promoted only while it answers. A voter that answers (of a retired host) leaves afterwards, as before. A member that answers isn't taken for lost by an old record at its address. Silence counts for each member since this leader has seen it, no longer since the last change of any.

--- a/src/fleet/group_member.ts
+++ b/src/fleet/group_member.ts
@@ -99,8 +99,8 @@
   readonly #firstSeenMs = new Map<string, number>();
   /** Time until which a removed host is not added again, by host id. */
   readonly #excludedUntilMs = new Map<string, number>();
-  /** Monotonic time of the last membership change made here. */
-  #lastChangeMs = -Infinity;
+  /** Monotonic time at which this leader first saw a member, by its id. */
+  #memberSinceMs = new Map<string, number>();
 
   constructor(options: GroupMemberOptions) {
     this.#options = options;
@@ -224,14 +224,21 @@
   #repairMembership(): void {
     this.#recordNewHosts();
     const memberHealth = this.replica.getMemberHealth();
+    const nowMs = this.#options.context.clock.getMonotonicMs();
+    this.#memberSinceMs = new Map(
+      memberHealth.map(({ member: { id } }) => [
+        id,
+        this.#memberSinceMs.get(id) ?? nowMs,
+      ]),
+    );
     if (memberHealth.length === 0 || this.#hasPendingChange) return;
-    // A member that has just been added has had no time to respond, so silence is
-    // counted from the last change at the earliest.
-    const sinceChangeMs = this.#options.context.clock.getMonotonicMs() -
-      this.#lastChangeMs;
+    // A member that has just been added has had no time to respond.
     const members = memberHealth.map((health) => ({
       ...health,
-      silentMs: Math.min(health.silentMs, sinceChangeMs),
+      silentMs: Math.min(
+        health.silentMs,
+        nowMs - (this.#memberSinceMs.get(health.member.id) ?? nowMs),
+      ),
     }));
     const change = tryPlanChange({
       members,
@@ -271,7 +278,6 @@
       )
       .finally(() => {
         this.#hasPendingChange = false;
-        this.#lastChangeMs = clock.getMonotonicMs();
       });
   }
 }
--- a/src/policy/membership_plan.ts
+++ b/src/policy/membership_plan.ts
@@ -3,9 +3,13 @@
  * A member that lost its disk comes back under another id and is replaced at
  * once. A silent member is replaced after a timeout, if there is a spare host.
  * The timeout is shorter if the spare host registered after the silence began,
- * since it is then probably the successor of the failed host. A replacement
- * joins as a learner and is promoted to voter when it has caught up; only then
- * is the lost member removed.
+ * since it is then probably the successor of the failed host.
+ *
+ * A replacement joins as a learner and is promoted to voter when it has caught
+ * up. A voter that doesn't answer is removed before that: its removal doesn't
+ * raise the quorum, while a further voter would, and if the replacement were lost
+ * as well, the group could neither elect a leader nor repair itself. A voter that
+ * still answers, such as that of a retired host, is removed afterwards.
  */
 import type { HostRecord, Member } from "../schema/mod.ts";
 
@@ -55,50 +59,62 @@
   return 2 * lostHosts + 1;
 }
 
+/**
+ * Time without an answer after which a member counts as unresponsive, in
+ * milliseconds: some heartbeats.
+ */
+const UNRESPONSIVE_AFTER_MS = 500;
+
 /** Returns the next change; undefined if none is needed. */
 export function tryPlanChange(
   input: MembershipPlanInput,
 ): PlannedChange | undefined {
-  const learner = input.members.find((health) => health.member.learner);
-  if (learner !== undefined) return planLearner(input, learner);
   const voters = input.members.filter((health) => !health.member.learner);
+  const hasOtherVoter = voters.length > 1;
+  // It never answers again, so in the group it only raises the quorum.
+  const gone = voters.find((health) => isGone(input, health));
+  if (gone !== undefined && hasOtherVoter) return createRemoval(gone);
   const lost = voters.filter((health) => isLost(input, health));
-  const healthyCount = voters.length - lost.length;
   const requiredCount = getRequiredVoters(input.lostHosts);
-  // A member may have come back after its replacement was added.
+  const isShort = voters.length - lost.length < requiredCount;
+  const learner = input.members.find((health) => health.member.learner);
+  if (learner !== undefined) {
+    if (isStuck(input, learner)) return createRemoval(learner);
+    if (!learner.isCurrent || isUnresponsive(learner)) return undefined;
+    // A voter that was lost may have come back meanwhile.
+    if (!isShort) return createRemoval(learner);
+    const unresponsive = lost.find(isUnresponsive);
+    return unresponsive !== undefined && hasOtherVoter
+      ? createRemoval(unresponsive)
+      : { kind: "promote", id: learner.member.id };
+  }
   const excess = voters.length > requiredCount
     ? lost[0] ?? selectExcessVoter(input, voters)
     : undefined;
-  if (excess !== undefined) return { kind: "remove", id: excess.member.id };
-  const spare = healthyCount < requiredCount
-    ? tryFindSpareHost(input)
-    : undefined;
-  if (spare !== undefined) return { kind: "add", host: spare };
-  // Without a spare host, a superseded member only raises the quorum: its host
-  // is already registered under a new id at the same address.
-  const superseded = lost.find((health) => isSuperseded(input, health.member));
-  return superseded === undefined || voters.length <= 1
-    ? undefined
-    : { kind: "remove", id: superseded.member.id };
+  if (excess !== undefined) return createRemoval(excess);
+  const spare = isShort ? tryFindSpareHost(input) : undefined;
+  return spare === undefined ? undefined : { kind: "add", host: spare };
 }
 
-function planLearner(
-  input: MembershipPlanInput,
-  learner: MemberHealth,
-): PlannedChange | undefined {
-  if (learner.isCurrent) return { kind: "promote", id: learner.member.id };
-  const isStuck = learner.silentMs > input.learnerTimeoutMs ||
-    isSuperseded(input, learner.member);
-  return isStuck ? { kind: "remove", id: learner.member.id } : undefined;
+function createRemoval({ member }: MemberHealth): PlannedChange {
+  return { kind: "remove", id: member.id };
+}
+
+function isStuck(input: MembershipPlanInput, learner: MemberHealth): boolean {
+  return learner.silentMs > input.learnerTimeoutMs || isGone(input, learner);
+}
+
+function isUnresponsive({ silentMs }: MemberHealth): boolean {
+  return silentMs >= UNRESPONSIVE_AFTER_MS;
 }
 
 function isLost(input: MembershipPlanInput, health: MemberHealth): boolean {
   return input.retired.has(health.member.id) ||
-    isSuperseded(input, health.member) ||
+    isGone(input, health) ||
     health.silentMs > input.replaceAfterMs || hasNewerSpare(input, health);
 }
 
-/** Whether a host that is not a member registered after the silence began. */
+/** Whether a host that is not a voter registered after the silence began. */
 function hasNewerSpare(
   input: MembershipPlanInput,
   health: MemberHealth,
@@ -106,18 +122,21 @@
   if (health.silentMs <= input.replaceBySpareAfterMs) return false;
   return input.hosts.some((host) =>
     input.getHostAgeMs(host.id) < health.silentMs + ELECTION_MARGIN_MS &&
-    input.members.every((other) => other.member.address !== host.address)
+    input.members.every(({ member }) =>
+      member.learner || member.address !== host.address
+    )
   );
 }
 
 /**
- * Whether another id is registered at the member's address: its host has lost
- * the disk.
+ * Whether a member's host has lost its disk: another id is registered at its
+ * address, and it doesn't answer. A member that answers is newer than that
+ * record, of which this process knows an old version.
  */
-function isSuperseded(input: MembershipPlanInput, member: Member): boolean {
-  return input.hosts.some((host) =>
-    host.address === member.address && host.id !== member.id
-  );
+function isGone(input: MembershipPlanInput, health: MemberHealth): boolean {
+  const { address, id } = health.member;
+  return isUnresponsive(health) &&
+    input.hosts.some((host) => host.address === address && host.id !== id);
 }
 
 /** Prefers the host record, since initial members may have no data centre. */
