Take answers for whole only if their connection wasn't reset

Cause: bytes and a reset that arrive together are reported by the runtime as these bytes and an orderly end, without an error. sendHttp went by the errors. During an upload the failed write is reported, but after the response ended.

Change: when the end of such a connection is read, a write of no bytes asks the system for the pending error. ECONNRESET: the answer is a part. EPIPE: the other side had closed in an orderly way before the reset, and the answer is whole. isComplete resolves once that is known, and all that read answers wait for it: forwarders, items, plain services, engines.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -157,7 +157,8 @@
       reason: "the response skipped or repeated an event, or is too long",
     };
   }
-  if (response.isComplete() && splitter.rest.length === 0) {
+  const isComplete = await response.isComplete();
+  if (isComplete && splitter.rest.length === 0) {
     const isKnown = progress.recordEnd(startEvent, response);
     return isKnown ? { kind: "done" } : {
       kind: "unconfirmed",
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -93,7 +93,7 @@
    * ends with its connection breaks off if its sender ended too.
    */
   protected async isWhole(response: BackendResponse): Promise<boolean> {
-    return response.isComplete() &&
+    return await response.isComplete() &&
       (response.isDelimited || await this.#isSenderThere());
   }
 
--- a/src/relay/engine_stream.ts
+++ b/src/relay/engine_stream.ts
@@ -101,7 +101,9 @@
     });
     if (response.status !== 200) {
       const body = await readBody(response.body, MAX_RESPONSE_BYTES);
-      if (!response.isComplete()) throw new Error("the answer was cut short");
+      if (!(await response.isComplete())) {
+        throw new Error("the answer was cut short");
+      }
       return {
         kind: "answered",
         status: response.status,
--- a/src/services/online/plain_service.ts
+++ b/src/services/online/plain_service.ts
@@ -235,7 +235,7 @@
     { response, placement }: OpenResponse,
     requestId: string,
   ): Promise<boolean> {
-    return response.isComplete() && (response.isDelimited ||
+    return await response.isComplete() && (response.isDelimited ||
       await this.#detector.isServerThere(placement, requestId));
   }
 
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -8,6 +8,7 @@
 import { MessageCode, Verdict } from "../schema/mod.ts";
 import { getReason, ServingError } from "./errors.ts";
 import type { CallerGuard } from "./caller_guard.ts";
+import { watchConnectionEnd } from "./connection_end.ts";
 import { abortResponse } from "./framed_response.ts";
 import { hasFailedOn, HttpAgent, recordFailedRequest } from "./http_agent.ts";
 import { isolate } from "./isolation.ts";
@@ -204,10 +205,11 @@
    */
   readonly isDelimited: boolean;
   /**
-   * Whether the whole body has arrived, or, of a body that is not delimited, all
-   * that the server sent before it closed the connection in an orderly way.
+   * Resolves with whether the whole body has arrived, or, of a body that is not
+   * delimited, all that the server sent before it closed the connection in an
+   * orderly way. Must be called once the body has ended.
    */
-  isComplete(): boolean;
+  isComplete(): Promise<boolean>;
 }
 
 /** A request that failed before its response headers arrived. */
@@ -333,7 +335,6 @@
   return new Promise((resolve, reject) => {
     let isConnected = false;
     let hasTimedOut = false;
-    let hasFailedInBody = false;
     const req = createRequest(request);
     const failWithTimeout = () => {
       hasTimedOut = true;
@@ -366,23 +367,21 @@
     });
     req.on("response", (response) => {
       clearTimers();
-      // After the headers, a failed connection is reported by the body alone.
-      req.on("error", () => {
-        hasFailedInBody = true;
-      });
       const { headers, statusCode: status = 0, socket } = response;
       connections.set(response, socket);
       if (!isSuccessStatus(status)) {
         recordFailedRequest(socket, requestId);
       }
       const isDelimited = hasDelimitedBody(request.method, status, headers);
+      const hasClosedOrderly = isDelimited
+        ? Promise.resolve(true)
+        : watchConnectionEnd(socket);
       resolve({
         status,
         headers,
         body: response,
         isDelimited,
-        isComplete: () =>
-          response.complete && (isDelimited || !hasFailedInBody),
+        isComplete: async () => response.complete && await hasClosedOrderly,
       });
     });
     req.on("error", (error: NodeJS.ErrnoException) => {
--- a/src/test/foreign_answers_test.ts
+++ b/src/test/foreign_answers_test.ts
@@ -84,7 +84,8 @@
     const result = await sendRequest(id);
     if (result.kind !== "response") return result.kind;
     const body = await readBody(result.response.body, MAX_BODY_BYTES);
-    return result.response.isComplete() ? body.toString() : "incomplete";
+    const isComplete = await result.response.isComplete();
+    return isComplete ? body.toString() : "incomplete";
   };
 
   const runItem = (id: string, progress: ItemProgress) =>
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -272,7 +272,7 @@
       body,
       chunks: body,
       isDelimited: true,
-      isComplete: () => body.complete,
+      isComplete: () => Promise.resolve(body.complete),
     };
     return Promise.resolve({ kind: "response", response });
   }
@@ -499,6 +499,6 @@
     body,
     chunks: body,
     isDelimited: true,
-    isComplete: () => body.complete,
+    isComplete: () => Promise.resolve(body.complete),
   };
 }
