Decide what counts as a response before the runtime's parser

Change: heads are checked against RFC 9110 and 9112 as they arrive, in one module that all of sendHttp's callers go through; the parser's result is used only if the head ended where the check found its end. Transfer codings other than chunked, in HTTP/1.0 or beside a length, are refused, trailers that are no fields make an answer incomplete.

--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -12,6 +12,12 @@
 import { abortResponse } from "./framed_response.ts";
 import { hasFailedOn, HttpAgent, recordFailedRequest } from "./http_agent.ts";
 import { isolate } from "./isolation.ts";
+import {
+  areValidTrailers,
+  hasDelimitedBody,
+  ResponseHeadCheck,
+  tryFindFramingFault,
+} from "./response_head.ts";
 
 export { readBody } from "./request_body.ts";
 export type {
@@ -322,6 +328,21 @@
   req.once("close", () => socket.off("data", count));
 }
 
+/** Checks the heads of the response before the runtime reads them. */
+function checkHeads(
+  req: http.ClientRequest,
+  socket: Socket,
+): ResponseHeadCheck {
+  const check = new ResponseHeadCheck();
+  const push = (chunk: Buffer) => {
+    if (!check.push(chunk)) req.destroy(new Error(check.fault));
+    if (check.isDone) socket.off("data", push);
+  };
+  socket.prependListener("data", push);
+  req.once("close", () => socket.off("data", push));
+  return check;
+}
+
 /** Connections of responses, which they no longer name once they have ended. */
 const connections = new WeakMap<http.IncomingMessage, Socket>();
 
@@ -335,6 +356,7 @@
   return new Promise((resolve, reject) => {
     let isConnected = false;
     let hasTimedOut = false;
+    let headCheck: ResponseHeadCheck | undefined;
     const req = createRequest(request);
     const failWithTimeout = () => {
       hasTimedOut = true;
@@ -359,6 +381,7 @@
         return;
       }
       boundBodilessBytes(req, socket);
+      headCheck = checkHeads(req, socket);
       if (!socket.connecting) isConnected = true;
       else {socket.once("connect", () => {
           isConnected = true;
@@ -367,7 +390,13 @@
     });
     req.on("response", (response) => {
       clearTimers();
-      const { headers, statusCode: status = 0, socket } = response;
+      const { headers, statusCode: status = 0, socket, httpVersion } = response;
+      const fault = headCheck?.fault ??
+        tryFindFramingFault(httpVersion, headers);
+      if (fault !== undefined) {
+        req.destroy(new Error(fault));
+        return;
+      }
       connections.set(response, socket);
       if (!isSuccessStatus(status)) {
         recordFailedRequest(socket, requestId);
@@ -381,7 +410,9 @@
         headers,
         body: response,
         isDelimited,
-        isComplete: async () => response.complete && await hasClosedOrderly,
+        isComplete: async () =>
+          response.complete && areValidTrailers(response.rawTrailers) &&
+          await hasClosedOrderly,
       });
     });
     req.on("error", (error: NodeJS.ErrnoException) => {
@@ -431,20 +462,6 @@
   });
 }
 
-/** Whether a response tells where its body ends (RFC 9112, section 6.3). */
-function hasDelimitedBody(
-  method: string,
-  status: number,
-  headers: http.IncomingHttpHeaders,
-): boolean {
-  const hasNoBody = method === "HEAD" || status === 204 || status === 304;
-  const codings = headers["transfer-encoding"];
-  if (hasNoBody) return true;
-  return codings === undefined
-    ? headers["content-length"] !== undefined
-    : /(^|,)\s*chunked\s*$/i.test(codings);
-}
-
 /**
  * Records that a response doesn't end its request, which may be sent again: a copy
  * of the response must not answer it then.
