--- a/src/test/scripted_server.ts
+++ b/src/test/scripted_server.ts
@@ -6,8 +6,8 @@
 export class ScriptedServer {
   /** All connections that were made, also those that are closed. */
   readonly connections = new Set<Socket>();
-  /** Called with each request that has arrived whole. */
-  serve: (id: string, socket: Socket) => void = () => {};
+  /** Called with each request that has arrived whole, and with its bytes. */
+  serve: (id: string, socket: Socket, bytes: string) => void = () => {};
   readonly #server: Server;
   address = "";
 
@@ -16,8 +16,9 @@
       this.connections.add(socket);
       socket.on("error", () => {});
       socket.on("data", (bytes) => {
-        const id = /x-request-id: (\S+)/i.exec(bytes.toString())?.[1] ?? "";
-        this.serve(id, socket);
+        const text = bytes.toString();
+        const id = /x-request-id: (\S+)/i.exec(text)?.[1] ?? "";
+        this.serve(id, socket, text);
       });
     });
   }
