Keep all header fields of requests and responses

Cause: the runtime drops the fields of a head beyond maxHeadersCount without a word, in its server and in its client. Heads are bounded by their size already, and the guard charges callers for each field.

Change: no limit on the number of fields, for requests and for responses.

Evidence: many_fields_test sends 1,501 fields each way.

--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -102,6 +102,9 @@
     if (guard === undefined) serve(req, res);
     else guard.admit(req, res, () => serve(req, res));
   });
+  // A head is bounded by its size. Beyond a number of fields, the runtime would drop the
+  // rest of them and go on.
+  server.maxHeadersCount = 0;
   guard?.attach(server);
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
     const response = error.code === "HPE_HEADER_OVERFLOW"
@@ -281,7 +284,7 @@
     );
   }
   try {
-    return http.request({
+    const req = http.request({
       ...target,
       method: request.method,
       path: request.path,
@@ -291,6 +294,9 @@
         : request.agent ?? sharedAgent,
       signal: request.signal,
     });
+    // As for the heads of requests.
+    req.maxHeadersCount = 0;
+    return req;
   } catch (error) {
     // The runtime rejects characters of the method, the path and the headers.
     throw new HttpSendError(getReason(error), {
