Read API keys with many blanks in linear time

Cause: a lazy group before optional blanks at the end of the pattern, so each blank was tried as the beginning of the end.

The other patterns that read heads were looked through for the same.

--- a/src/test/platform_codec_test.ts
+++ b/src/test/platform_codec_test.ts
@@ -371,6 +371,17 @@
     );
   });
 
+  // Guards against requests that hold the process up: with blanks inside a key, the time
+  // was quadratic. It would exceed the time limit of the test.
+  it("reads keys with many blanks in linear time", () => {
+    const read = (authorization: string) =>
+      new PlatformCallerDialect().tryReadApiKey({ authorization });
+    const blanks = " ".repeat(500_000);
+    expect(read(`Token a${blanks}b`)).equal(`a${blanks}b`);
+    expect(read(`Token${blanks}a${blanks}`)).equal("a");
+    expect(read(`Token${blanks}`)).equal(undefined);
+  });
+
   it("takes only X-Not-Run and status 421 as proof of a request not run", () => {
     const read = (status: number, headers: Record<string, string>) =>
       backend.readResponseMetadata(status, headers);
