Leave comments of event streams out of the text of items

Cause: each block of lines counted as an event, also one without data.

Change: a block with neither an id nor data adds nothing to the text.

--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -142,7 +142,8 @@
     if (this.#eventBytes > MAX_TEXT_BYTES) return false;
     return parseEvents(bytes).every((event) => {
       if (!this.#sequence.accept(event)) return false;
-      const { id, data } = event;
+      const { id, data, isEmpty } = event;
+      if (isEmpty) return true;
       this.#events.push({ event: id ?? (this.last ?? 0) + 1, data });
       return true;
     });
--- a/src/relay/event_parser.ts
+++ b/src/relay/event_parser.ts
@@ -9,6 +9,8 @@
   /** Id of the event; undefined if it has none that is a number of 53 bits. */
   readonly id: number | undefined;
   readonly data: string;
+  /** Whether it has neither an id nor data, as a comment, which is no event. */
+  readonly isEmpty: boolean;
   /** Whether all of its lines are fields that the format defines, or comments. */
   readonly isWellFormed: boolean;
 }
@@ -50,12 +52,13 @@
     };
   });
   const id = fields.find((field) => field.name === "id")?.value ?? "";
+  const dataFields = fields.filter((field) => field.name === "data");
   return {
     id: /^\d+$/.test(id) && Number.isSafeInteger(Number(id))
       ? Number(id)
       : undefined,
-    data: fields.filter((field) => field.name === "data")
-      .map((field) => field.value).join("\n"),
+    data: dataFields.map((field) => field.value).join("\n"),
+    isEmpty: id === "" && dataFields.length === 0,
     isWellFormed: fields.every(({ name }) => FIELD_NAMES.includes(name)),
   };
 }
--- a/src/test/item_streams_test.ts
+++ b/src/test/item_streams_test.ts
@@ -24,6 +24,9 @@
 const ATTEMPT_TIMEOUT_MS = 4_000;
 const MAX_PAUSE_MS = 4;
 
+/** What may follow an event: comments, which are no events. */
+const COMMENTS = ["", "", ": still at work\n\n", ":\n\n: a\n: b\n\n"];
+
 /** A run of an item at a server. */
 interface Run {
   readonly item: string;
@@ -53,7 +56,10 @@
     const run = runs.push({ item: id, after }) - 1;
     const events = range(EVENT_COUNT).map((index) => index + 1)
       .filter((event) => event > after)
-      .map((event) => `id: ${event}\ndata: ${run}-${event}\n\n`).join("");
+      .map((event) =>
+        `id: ${event}\ndata: ${run}-${event}\n\n${pick(COMMENTS)}`
+      )
+      .join("");
     const framing = pick(["chunks", "length", "none"]);
     const fields = {
       chunks: "Transfer-Encoding: chunked",
