Bound the pages of results that callers hold at a time

Cause: room for a page was acquired once the page was there, so each read held one of 512 KB, at the leader and at the gateway.

What a page doesn't need is released. Older builds ignore the new field and send 0.

--- a/src/fleet/caller_response.ts
+++ b/src/fleet/caller_response.ts
@@ -13,11 +13,15 @@
   readonly #res: ServerResponse;
   readonly #framed: FramedResponse;
   readonly #disconnected = new AbortController();
+  #isClosed = false;
+  #onClosed: () => void = () => {};
 
   constructor(res: ServerResponse) {
     this.#res = res;
     this.#framed = new FramedResponse(res);
     res.on("close", () => {
+      this.#isClosed = true;
+      this.#onClosed();
       if (!res.writableFinished) this.#disconnected.abort();
     });
   }
@@ -27,6 +31,12 @@
     return this.#disconnected.signal;
   }
 
+  /** Calls `action` once the response was sent or its connection has closed. */
+  whenClosed(action: () => void): void {
+    if (this.#isClosed) action();
+    else this.#onClosed = action;
+  }
+
   /** Whether the status and headers can't be changed any more. */
   get headSent(): boolean {
     return this.#framed.hasHead;
--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -40,6 +40,8 @@
   acquireForCaller,
   hasLargeRest,
   ignoreBody,
+  releaseForCaller,
+  tryAcquireForCaller,
 } from "../sys/request_body.ts";
 import { createCredentials } from "../sys/rpc.ts";
 import { logRejection } from "../sys/unexpected_errors.ts";
@@ -61,6 +63,7 @@
   ROUTES_VERSION_HEADER,
 } from "./gateway_relay.ts";
 import { JobClient, MAX_JOB_CALL_MS } from "./job_client.ts";
+import { MIN_PAGE_BYTES, PageReads } from "./page_reads.ts";
 import {
   getDeadlineMs,
   OnlineRelay,
@@ -156,6 +159,7 @@
   readonly #access: CallerAccess;
   readonly #organisationRates: OrganisationRateClient;
   readonly #limits: OrganisationLimits;
+  readonly #pageReads = new PageReads();
   #listener: HttpListener | undefined;
   #readyListener: HttpListener | undefined;
   /** Accepts requests of gateways that reach no server. */
@@ -469,7 +473,7 @@
       this.#stopPeriod.throwIfTooLate(arrivedMs + MAX_JOB_CALL_MS);
       response.sendLocal(
         await this.#stopPeriod.waitFor(
-          this.#serveJobRequest(req, jobRequest, caller),
+          this.#serveJobRequest({ req, response }, jobRequest, caller),
           Verdict.MAY_HAVE_RUN,
         ),
       );
@@ -586,27 +590,33 @@
   }
 
   async #serveJobRequest(
-    req: IncomingMessage,
+    { req, response }: { req: IncomingMessage; response: CallerResponse },
     jobRequest: JobRequest,
     caller: JobCaller,
   ): Promise<LocalResponse> {
-    if (jobRequest.kind === "body") {
-      await acquireForCaller(req, ITEM_BODY_BYTES);
-    }
     switch (jobRequest.kind) {
       case "results": {
+        const share = this.#pageReads.open();
+        response.whenClosed(() => this.#pageReads.close());
+        // Before the page is asked for: a request that waits for room holds none.
+        const hasRoom = tryAcquireForCaller(req, share);
+        const maxBytes = hasRoom ? share : MIN_PAGE_BYTES;
+        if (!hasRoom) await acquireForCaller(req, maxBytes);
         const page = this.#dialect.createJobPage(
           await this.#jobs.readResults(
             jobRequest.job,
             jobRequest.after,
-            jobRequest.waitMs,
+            { waitMs: jobRequest.waitMs, maxBytes },
             caller,
           ),
         );
-        await acquireForCaller(req, page.body.length);
+        const unused = maxBytes - page.body.length;
+        if (unused > 0) releaseForCaller(req, unused);
+        else await acquireForCaller(req, -unused);
         return page;
       }
       case "body":
+        await acquireForCaller(req, ITEM_BODY_BYTES);
         return {
           status: 200,
           headers: ["Content-Type", "application/octet-stream"],
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -79,7 +79,7 @@
   async readResults(
     job: string,
     after: number,
-    waitMs: number,
+    { waitMs, maxBytes }: { waitMs: number; maxBytes: number },
     caller: JobCaller,
   ): Promise<JobPage> {
     const reply = await this.#stateClient.callLeader(
@@ -91,6 +91,7 @@
           after: Math.min(MAX_UINT32, after),
           waitMs,
           organisation: caller,
+          maxBytes,
         }, { timeoutMs: timeoutMs + waitMs }),
       waitMs + SILENCE_MS,
     );
--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -46,6 +46,7 @@
 import { JobLog } from "./job_log.ts";
 import { ItemOwnership } from "./item_ownership.ts";
 import { LeaderContact } from "./leader_contact.ts";
+import { MAX_PAGE_BYTES } from "./page_reads.ts";
 import { OrganisationRateService } from "./organisation_rate_service.ts";
 import { RateLimitService } from "./rate_limit_service.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
@@ -59,9 +60,6 @@
 /** Timeout for recording the outcomes of runs, in milliseconds. */
 const RECORD_TIMEOUT_MS = 2_000;
 
-/** Maximum size of a page of results, in bytes: half of the callers' limit. */
-const MAX_PAGE_BYTES = 512 * 1024;
-
 const BYTES_PER_MB = 1 << 20;
 
 /** Memory of a process besides its heap, unless its settings name the memory. */
@@ -436,7 +434,7 @@
       const remainingMs = deadlineMs - this.#context.clock.getMonotonicMs();
       const canReply = queued.results.length > req.after || queued.isEnded ||
         queued.open.size === 0 || remainingMs <= 0;
-      if (canReply) return createResultPage(queued, req.after);
+      if (canReply) return createResultPage(queued, req);
       await this.#waitForApplied(remainingMs);
     }
   }
@@ -531,12 +529,17 @@
  * Creates the page of results that starts at position `after`. The first result
  * is included even if it exceeds the maximum page size.
  */
-function createResultPage(queued: QueuedJob, after: number) {
+function createResultPage(
+  queued: QueuedJob,
+  { after, maxBytes }: Pick<ReadJobRequest, "after" | "maxBytes">,
+) {
+  // Older builds name no size.
+  const limit = Math.min(maxBytes || MAX_PAGE_BYTES, MAX_PAGE_BYTES);
   const results = queued.results.slice(after);
   let bytes = 0;
   const end = results.findIndex((result, index) => {
     bytes += result.text.length;
-    return index > 0 && bytes > MAX_PAGE_BYTES;
+    return index > 0 && bytes > limit;
   });
   return {
     total: queued.job.items.length,
--- a/src/sys/request_body.ts
+++ b/src/sys/request_body.ts
@@ -63,6 +63,21 @@
   if (connection !== undefined) await acquire(connection, bytes);
 }
 
+/** Acquires bytes for a caller's request if there is room for them now. */
+export function tryAcquireForCaller(
+  req: IncomingMessage,
+  bytes: number,
+): boolean {
+  const connection = tryGetConnection(req);
+  return connection === undefined ||
+    connection.budget.acquire(bytes) === undefined;
+}
+
+/** Releases bytes of a caller's request before its response has ended. */
+export function releaseForCaller(req: IncomingMessage, bytes: number): void {
+  tryGetConnection(req)?.budget.release(bytes);
+}
+
 /**
  * Whether a body that was not read may take long to arrive, so that its connection
  * should be closed after a refusal.
--- a/src/test/value_ranges_test.ts
+++ b/src/test/value_ranges_test.ts
@@ -414,7 +414,7 @@
     const page = await client.readResults(
       "j",
       after.after,
-      0,
+      { waitMs: 0, maxBytes: 0 },
       undefined,
     );
     expect(page).include({ total: 4, after: 999_999_999_999_999 });
