Leave room for other callers' ends of unknown jobs

What callers saw: after one caller's 31,000 ends of unknown jobs, all others get 503 for two minutes for the ends of jobs that the store group doesn't know.

Cause: the 8 MB for such ends were one total.

Change: an end carries its caller's address, and an organisation, or else an address, holds half of the total at most. Members of older builds ignore the address; gateways of older builds name none and count as one caller.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -627,7 +627,11 @@
           ),
         };
       case "end":
-        await this.#jobs.end(jobRequest.job, caller);
+        await this.#jobs.end(
+          jobRequest.job,
+          caller,
+          req.socket.remoteAddress ?? "",
+        );
         this.#context.log.info("job_ended", { job: jobRequest.job });
         return { status: 200, headers: [], body: "" };
     }
--- a/src/fleet/job_admission.ts
+++ b/src/fleet/job_admission.ts
@@ -27,6 +27,9 @@
  */
 const MAX_END_BYTES = 8 << 20;
 
+/** Part of it for the ends of one caller, so that it leaves room for others. */
+const CALLER_SHARE = 1 / 2;
+
 /** Options of a {@linkcode JobAdmission}. */
 export interface JobAdmissionOptions {
   readonly machine: Pick<
@@ -35,6 +38,7 @@
     | "retainedBytes"
     | "endBytes"
     | "getExpiredEndBytes"
+    | "getCallerEndBytes"
     | "isEndRecorded"
     | "keepsEnds"
     | "getExpiredBytes"
@@ -171,10 +175,13 @@
   #hasRoomForEnd(end: EndJob): boolean {
     const { machine, clock, log } = this.#options;
     if (machine.isEndRecorded(end)) return true;
-    const expired = machine.getExpiredEndBytes(clock.getWallMs());
-    const retained = machine.endBytes - expired;
-    if (retained < MAX_END_BYTES) return true;
-    log.info("job_end_refused", { job: end.id, retained });
+    const nowMs = clock.getWallMs();
+    const retained = machine.endBytes - machine.getExpiredEndBytes(nowMs);
+    const ofCaller = machine.getCallerEndBytes(end, nowMs);
+    const hasRoom = retained < MAX_END_BYTES &&
+      ofCaller < MAX_END_BYTES * CALLER_SHARE;
+    if (hasRoom) return true;
+    log.info("job_end_refused", { job: end.id, retained, of_caller: ofCaller });
     return false;
   }
 
--- a/src/state/machines/job_ends.ts
+++ b/src/state/machines/job_ends.ts
@@ -22,6 +22,8 @@
   /** Callers that ended a job, by its id. */
   readonly #callers = new Map<string, readonly JobCaller[]>();
   #retainedBytes = 0;
+  /** The same by caller. */
+  readonly #bytesByCaller = new Map<string, number>();
 
   /** `ttlMs` is the time for which an end is kept, in milliseconds. */
   constructor(ttlMs: number) {
@@ -39,6 +41,15 @@
       .reduce((sum, end) => sum + getRetainedBytes(end), 0);
   }
 
+  /** Approximate memory of a caller's ends that have not expired, in bytes. */
+  getCallerBytes(caller: EndJob, nowMs: number): number {
+    const key = getCallerKey(caller);
+    const expired = this.#getExpired(nowMs)
+      .filter((end) => getCallerKey(end) === key)
+      .reduce((sum, end) => sum + getRetainedBytes(end), 0);
+    return (this.#bytesByCaller.get(key) ?? 0) - expired;
+  }
+
   /** Whether the caller has ended the job. */
   isRecorded(end: EndJob): boolean {
     return this.#ends.has(getEndKey(end));
@@ -72,6 +83,7 @@
     this.#ends.clear();
     this.#callers.clear();
     this.#retainedBytes = 0;
+    this.#bytesByCaller.clear();
     ends.forEach((end) => this.#add(end));
   }
 
@@ -90,24 +102,45 @@
     this.#ends.set(getEndKey(end), recorded);
     const callers = this.#callers.get(end.id) ?? [];
     this.#callers.set(end.id, [...callers, end.organisation]);
-    this.#retainedBytes += getRetainedBytes(end);
+    this.#countBytes(end, getRetainedBytes(end));
+  }
+
+  #countBytes(end: EndJob, bytes: number): void {
+    this.#retainedBytes += bytes;
+    const key = getCallerKey(end);
+    const callerBytes = (this.#bytesByCaller.get(key) ?? 0) + bytes;
+    if (callerBytes === 0) this.#bytesByCaller.delete(key);
+    else this.#bytesByCaller.set(key, callerBytes);
   }
 
-  #remove(end: EndJob): void {
-    if (!this.#ends.delete(getEndKey(end))) return;
+  #remove({ id, organisation }: EndJob): void {
+    const key = getEndKey({ id, organisation });
+    // A repeated end may come from another address.
+    const end = this.#ends.get(key)?.end;
+    if (end === undefined) return;
+    this.#ends.delete(key);
     const callers = (this.#callers.get(end.id) ?? [])
       .filter((caller) => caller !== end.organisation);
     if (callers.length === 0) this.#callers.delete(end.id);
     else this.#callers.set(end.id, callers);
-    this.#retainedBytes -= getRetainedBytes(end);
+    this.#countBytes(end, -getRetainedBytes(end));
   }
 }
 
 /** JSON keeps names with any characters apart. */
-function getEndKey({ id, organisation }: EndJob): string {
+function getEndKey(
+  { id, organisation }: Pick<EndJob, "id" | "organisation">,
+): string {
   return JSON.stringify([id, organisation]);
 }
 
-function getRetainedBytes({ id, organisation = "" }: EndJob): number {
-  return END_OVERHEAD_BYTES + id.length + organisation.length;
+/** An organisation is one caller, wherever its requests come from. */
+function getCallerKey({ organisation, source }: EndJob): string {
+  return JSON.stringify(
+    organisation === undefined ? ["", source] : [organisation],
+  );
+}
+
+function getRetainedBytes({ id, organisation = "", source }: EndJob): number {
+  return END_OVERHEAD_BYTES + id.length + organisation.length + source.length;
 }
--- a/src/state/machines/job_machine.ts
+++ b/src/state/machines/job_machine.ts
@@ -171,6 +171,11 @@
     return this.#ends.getExpiredBytes(nowMs);
   }
 
+  /** Approximate memory of the unexpired ends of the caller of `end`, in bytes. */
+  getCallerEndBytes(end: EndJob, nowMs: number): number {
+    return this.#ends.getCallerBytes(end, nowMs);
+  }
+
   /** Whether this end is recorded already. */
   isEndRecorded(end: EndJob): boolean {
     return this.#ends.isRecorded(end);
