Confirm contact with the leader after a stall

Cause: isCaughtUp went by the last message of the leader, however old, and after the stop by messages that had waited since before it. A suspension is seen by clocks that disagree; after SIGSTOP they agree.

Change: if a replica's time moves on by more than an election timeout between two uses, contact counts only once an exchange that begins then is complete, as after a suspension. A leader holds no lease until then; its lease had ended.

--- a/src/state/agreement/replica.ts
+++ b/src/state/agreement/replica.ts
@@ -259,7 +259,10 @@
   isCaughtUp(): boolean {
     this.#checkSuspension();
     return !this.#stopped &&
-      this.#core?.isCaughtUp(this.#appliedIndex) === true;
+      this.#core?.isCaughtUp(
+          this.#appliedIndex,
+          this.#options.clock.getMonotonicMs(),
+        ) === true;
   }
 
   /** Whether the replica has been caught up since its start. */
--- a/src/state/agreement/replica_core.ts
+++ b/src/state/agreement/replica_core.ts
@@ -179,9 +179,10 @@
    * was committed when the known leader sent its last message. A leader alone
    * proves nothing about that state: a member that was cut off, suspended or
    * removed may hear of a leader long before it has the entries. After a
-   * suspension, the messages that waited meanwhile prove nothing either.
+   * suspension or a stall, the messages that waited meanwhile prove nothing either.
    */
-  isCaughtUp(appliedIndex: number): boolean {
+  isCaughtUp(appliedIndex: number, nowMs: number): boolean {
+    this.#advanceTo(nowMs);
     return this.#leader !== "" && this.#isContactConfirmed() &&
       appliedIndex >= Math.max(this.#commitIndex, this.#leaderCommitIndex) &&
       this.#log.tryGetTerm(appliedIndex) === this.term;
@@ -260,6 +261,19 @@
     this.#contactCheck += 1n;
   }
 
+  /**
+   * Sets the time. A process that stood still for an election timeout, as one that is
+   * stopped by a signal, has missed what was committed meanwhile, and reads first what
+   * was sent before: as after a suspension, contact must be confirmed anew.
+   */
+  #advanceTo(nowMs: number): void {
+    const elapsedMs = nowMs - this.#nowMs;
+    this.#nowMs = nowMs;
+    if (elapsedMs > this.#timing.electionTimeoutMs) {
+      this.recordSuspension(nowMs);
+    }
+  }
+
   #isContactConfirmed(): boolean {
     return this.#role === Role.leader
       ? this.#getQuorumContactMs() > this.#suspendedMs
@@ -274,7 +288,7 @@
    */
   tick(nowMs: number): void {
     const hasStalled = nowMs - this.#tickedMs > this.#timing.heartbeatMs;
-    this.#nowMs = nowMs;
+    this.#advanceTo(nowMs);
     this.#tickedMs = nowMs;
     this.#defersElection = hasStalled && !this.#defersElection;
     if (this.#role === Role.leader) {
@@ -327,7 +341,7 @@
 
   /** Handles a message from another replica. */
   receive(message: ReplicaMessage, nowMs: number): void {
-    this.#nowMs = nowMs;
+    this.#advanceTo(nowMs);
     const { body } = message;
     if (body.case === undefined) return;
     if (body.case === "voteRequest") {
--- a/src/test/agreement_harness.ts
+++ b/src/test/agreement_harness.ts
@@ -122,14 +122,18 @@
     host.isStalled = true;
   }
 
-  /** Continues a stalled host, whose timers fire before it reads messages. */
-  endStall(host: SimulatedHost): void {
+  /**
+   * Continues a stalled host, whose timers fire before it reads messages. Of these it
+   * reads the first `readCount` at once.
+   */
+  endStall(host: SimulatedHost, { readCount = Infinity } = {}): void {
     host.isStalled = false;
     host.core.tick(this.getHostMs(host));
     this.drainOutputs();
-    host.waiting.splice(0).forEach((message) =>
+    host.waiting.splice(0, readCount).forEach((message) =>
       host.core.receive(message, this.getHostMs(host))
     );
+    this.#messages.push(...host.waiting.splice(0));
     this.drainOutputs();
   }
 
--- a/src/test/agreement_test.ts
+++ b/src/test/agreement_test.ts
@@ -134,7 +134,8 @@
       }
       group.run(STABILIZATION_MS);
       const { commitIndex } = successor.core;
-      const isCaughtUp = () => old.core.isCaughtUp(getAppliedIndex(old));
+      const isCaughtUp = () =>
+        old.core.isCaughtUp(getAppliedIndex(old), group.getHostMs(old));
       expect(isCaughtUp()).equal(false);
       group.blockedLinks.clear();
       let knewLeaderBefore = 0;
@@ -158,7 +159,7 @@
     const isSound = (host: typeof leader) =>
       host === leader
         ? host.core.holdsLease(group.getHostMs(host))
-        : host.core.isCaughtUp(getAppliedIndex(host));
+        : host.core.isCaughtUp(getAppliedIndex(host), group.getHostMs(host));
     expect(group.hosts.map(isSound)).deep.equal([true, true, true]);
     group.hosts.forEach((host) =>
       host.core.recordSuspension(group.getHostMs(host))
@@ -189,7 +190,9 @@
       }),
       nowMs,
     );
-    expect(follower.core.isCaughtUp(getAppliedIndex(follower))).equal(true);
+    expect(follower.core.isCaughtUp(getAppliedIndex(follower), nowMs)).equal(
+      true,
+    );
   });
 
   it("bounds the unacknowledged bytes of an unreachable member", () => {
@@ -438,6 +441,37 @@
     });
   });
 
+  // Guards against UNASKED: a stopped process that goes on and starts items by a state
+  // from before, while the messages that tell the end of their job wait to be read.
+  it("doesn't count a member as caught up after a stall before it has heard anew", () => {
+    Array.from({ length: 50 }, (_, seed) => seed).forEach((seed) => {
+      const group = new SimulatedGroup(seed, 3);
+      group.heal(STABILIZATION_MS);
+      const leader = group.tryGetLeader();
+      if (leader === undefined) throw new Error("none");
+      const follower = group.hosts.find((host) => host !== leader);
+      if (follower === undefined) throw new Error("none");
+      const isCaughtUp = () =>
+        follower.core.isCaughtUp(
+          getAppliedIndex(follower),
+          group.getHostMs(follower),
+        );
+      expect(isCaughtUp(), `seed ${seed}`).equal(true);
+      group.stall(follower);
+      group.run(1_000);
+      group.propose(leader);
+      group.run(1_000);
+      const { commitIndex } = leader.core;
+      expect(getAppliedIndex(follower)).below(commitIndex);
+      // A timer of the process may ask before anything is read.
+      expect(isCaughtUp(), `seed ${seed}`).equal(false);
+      group.endStall(follower, { readCount: 1 });
+      expect(isCaughtUp(), `seed ${seed}`).equal(false);
+      while (!isCaughtUp()) group.step();
+      expect(getAppliedIndex(follower), `seed ${seed}`).least(commitIndex);
+    });
+  });
+
   it("elects a leader after a stall during which the leader was lost", () => {
     Array.from({ length: 50 }, (_, seed) => seed).forEach((seed) => {
       const group = new SimulatedGroup(seed, 3);
--- a/src/test/leader_contact_test.ts
+++ b/src/test/leader_contact_test.ts
@@ -95,7 +95,11 @@
         get appliedIndex() {
           return getAppliedIndex(host);
         },
-        isCaughtUp: () => host.core.isCaughtUp(getAppliedIndex(host)),
+        isCaughtUp: () =>
+          host.core.isCaughtUp(
+            getAppliedIndex(host),
+            this.group.getHostMs(host),
+          ),
       };
       this.#contacts.set(
         host.id,
