Split the read of results from the other requests about jobs

Read as a newcomer: the branch for results in #serveJobRequest had grown to acquire, read, and settle the room of a page.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -589,32 +589,34 @@
     return { status: 202, headers: [], body: "" };
   }
 
+  async #readResults(
+    { req, response }: { req: IncomingMessage; response: CallerResponse },
+    { job, after, waitMs }: Extract<JobRequest, { kind: "results" }>,
+    caller: JobCaller,
+  ): Promise<LocalResponse> {
+    const share = this.#pageReads.open();
+    response.whenClosed(() => this.#pageReads.close());
+    // Before the page is asked for: a request that waits for room holds none.
+    const hasRoom = tryAcquireForCaller(req, share);
+    const maxBytes = hasRoom ? share : MIN_PAGE_BYTES;
+    if (!hasRoom) await acquireForCaller(req, maxBytes);
+    const page = this.#dialect.createJobPage(
+      await this.#jobs.readResults(job, after, { waitMs, maxBytes }, caller),
+    );
+    const unused = maxBytes - page.body.length;
+    if (unused > 0) releaseForCaller(req, unused);
+    else await acquireForCaller(req, -unused);
+    return page;
+  }
+
   async #serveJobRequest(
     { req, response }: { req: IncomingMessage; response: CallerResponse },
     jobRequest: JobRequest,
     caller: JobCaller,
   ): Promise<LocalResponse> {
     switch (jobRequest.kind) {
-      case "results": {
-        const share = this.#pageReads.open();
-        response.whenClosed(() => this.#pageReads.close());
-        // Before the page is asked for: a request that waits for room holds none.
-        const hasRoom = tryAcquireForCaller(req, share);
-        const maxBytes = hasRoom ? share : MIN_PAGE_BYTES;
-        if (!hasRoom) await acquireForCaller(req, maxBytes);
-        const page = this.#dialect.createJobPage(
-          await this.#jobs.readResults(
-            jobRequest.job,
-            jobRequest.after,
-            { waitMs: jobRequest.waitMs, maxBytes },
-            caller,
-          ),
-        );
-        const unused = maxBytes - page.body.length;
-        if (unused > 0) releaseForCaller(req, unused);
-        else await acquireForCaller(req, -unused);
-        return page;
-      }
+      case "results":
+        return await this.#readResults({ req, response }, jobRequest, caller);
       case "body":
         await acquireForCaller(req, ITEM_BODY_BYTES);
         return {
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -64,7 +64,8 @@
    * Ends a job, also one that comes later; no effect if it has already ended. Throws
    * UNKNOWN_JOB if it belongs to another organisation, or is unknown and the caller is
    * identified; JOB_MEMORY_SPENT (not run) if it is unknown and too many ends are
-   * recorded, in all or of callers at the address `source`; or STATE_UNREACHABLE (may have run) if the outcome is unknown.
+   * recorded, in all or of the caller, which is an organisation or else the address
+   * `source`; or STATE_UNREACHABLE (may have run) if the outcome is unknown.
    */
   async end(id: string, caller: JobCaller, source: string): Promise<void> {
     const { code, mayRunLater } = await this.#propose({
