Test that resets don't end the text of an item

Streams without a length count as ended once two in a row bring nothing, and ones that were reset at once counted.

It doesn't explain the users' lot, whose text goes on with another run.

--- a/src/test/reset_answers_test.ts
+++ b/src/test/reset_answers_test.ts
@@ -6,12 +6,18 @@
  */
 import { expect } from "chai";
 import type { Socket } from "node:net";
+import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
+import { BackendClient } from "../fleet/backend_client.ts";
+import { runItemAttempt } from "../fleet/item_attempt.ts";
+import { ItemProgress } from "../fleet/item_progress.ts";
+import type { PoolServer } from "../fleet/server_pool.ts";
 import {
   createHttpAgent,
   type HttpAgent,
   readBody,
   sendHttp,
 } from "../sys/http.ts";
+import { SeededRandom } from "../sys/random.ts";
 import { createConfig, PlatformFleet } from "./platform_fleet.ts";
 import { createAnswer, ScriptedServer } from "./scripted_server.ts";
 
@@ -197,6 +203,52 @@
     })
   );
 
+  // Guards against MIXED: the text of an item that lacks its last events, as streams that
+  // were reset at once counted as ends without output.
+  it("don't end the text of an item", async () => {
+    const headers = ["Content-Type: text/event-stream"];
+    let answered = 0;
+    server.serve = (id, socket) => {
+      answered += 1;
+      const events = answered === 1 ? "id: 1\ndata: a\n\n" : "";
+      socket.write(createUnframedAnswer(id, events, headers));
+      reset(socket);
+    };
+    const client = new BackendClient({
+      dialect: new PlatformBackendDialect(),
+      agent,
+      onLoad: () => {},
+      onWrongServer: () => {},
+      onLeaving: () => {},
+      onLimit: () => {},
+      onUnreachable: () => {},
+      onActivity: () => {},
+    });
+    const progress = new ItemProgress({ random: new SeededRandom(1) });
+    for (let attempt = 0; attempt < REPEATS; attempt += 1) {
+      const { kind } = await runItemAttempt({
+        backendClient: client,
+        request: {
+          requestId: "r",
+          method: "POST",
+          target: "/x",
+          headers: ["Host", "a.example", "X-Request-Id", "r"],
+          body: Buffer.alloc(0),
+        },
+        permit: {
+          server: { id: "s", address: server.address } as PoolServer,
+          startedMs: 0,
+          release: () => {},
+        },
+        timeoutMs: REQUEST_TIMEOUT_MS,
+        progress,
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      });
+      expect(kind).equal("broken");
+    }
+    expect(answered).equal(REPEATS);
+  });
+
   // Guards against ORDER: a stream that ends as complete before its last piece.
   (["/s/x", "/l/x", "/p/x", "/n/x"] as const).forEach((path) =>
     it(`don't reach callers of ${path} as whole`, async () => {
