Count the heads of all parsed requests in the budget of callers

What was seen: since all header fields are kept, a gateway of 178 MB ended for its heap, or held 179 MB, while 64 callers sent requests with 1,500 short fields, five a second on each connection.

Cause: such a request takes 177 KB once it is parsed and 300 KB while it is sent on (heap per request, Node.js 20.19). The guard counted 196 KB, and nothing for requests that wait for an earlier one on their connection, of which one read brings six.

Change: a request is counted when it is parsed, at 128 bytes for each name or value. One without room is refused behind the responses before it, its fields are freed, and what follows on the connection isn't served.

--- a/src/sys/caller_guard.ts
+++ b/src/sys/caller_guard.ts
@@ -70,8 +70,11 @@
 /** Bytes of memory that a parsed request takes, without its fields and body. */
 const REQUEST_BYTES = 4_096;
 
-/** Bytes of memory that each name or value of a head takes beside its text. */
-const FIELD_BYTES = 64;
+/**
+ * Bytes of memory that each name or value of a head takes while its request is served:
+ * in the lists and the table of the runtime, and in copies to forward.
+ */
+const FIELD_BYTES = 128;
 
 const BUSY_RESPONSE = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" +
   "Content-Length: 0\r\nConnection: close\r\n\r\n";
@@ -103,6 +106,17 @@
   return connections.get(req);
 }
 
+/** Returns the bytes of memory that a request takes without its body. */
+function getHeadBytes(req: IncomingMessage): number {
+  return REQUEST_BYTES + req.rawHeaders.length * FIELD_BYTES;
+}
+
+/** Frees the fields of a request that isn't served. */
+function dropHead(req: IncomingMessage): void {
+  req.rawHeaders = [];
+  req.headers = {};
+}
+
 /** One connection of a caller. */
 export class GuardedConnection {
   readonly socket: Socket;
@@ -110,7 +124,11 @@
   readonly address: string;
   readonly #guard: CallerGuard;
   readonly #waiting: PendingRequest[] = [];
+  /** Bytes of the heads of the requests that wait. */
+  #waitingBytes = 0;
   #current: PendingRequest | undefined;
+  /** Whether a request was refused, whose response closes the connection. */
+  #hasRefused = false;
   #body: WatchedBody | undefined;
   #isCut = false;
   /** Start of the period that the current check is about. */
@@ -149,12 +167,23 @@
   /** Serves a request once those before it on the connection are answered. */
   admit(request: PendingRequest): void {
     if (this.#isCut) return;
+    if (this.#hasRefused) {
+      dropHead(request.req);
+      return;
+    }
     connections.set(request.req, this);
+    const bytes = getHeadBytes(request.req);
+    const cause = this.budget.acquire(bytes);
+    if (cause !== undefined) {
+      this.#refuse(request, cause);
+      return;
+    }
     if (this.#current === undefined) {
       this.#start(request);
       return;
     }
     this.#waiting.push(request);
+    this.#waitingBytes += bytes;
     this.socket.pause();
     if (this.#waiting.length > MAX_WAITING) this.cut(CallerFault.pipelining);
   }
@@ -189,16 +218,19 @@
   }
 
   #start(request: PendingRequest): void {
-    const { req, res, serve } = request;
     this.#current = request;
-    const bytes = REQUEST_BYTES + req.rawHeaders.length * FIELD_BYTES;
-    const cause = this.budget.acquire(bytes);
-    res.on("close", () => this.#finish(request));
-    if (cause === undefined) {
-      serve();
-      return;
-    }
+    request.res.on("close", () => this.#finish(request));
+    request.serve();
+  }
+
+  /**
+   * Refuses a request without room for its head. The runtime sends the response after
+   * those to the requests before it, and closes the connection then.
+   */
+  #refuse({ req, res }: PendingRequest, cause: BudgetCause): void {
+    this.#hasRefused = true;
     this.report(cause);
+    dropHead(req);
     res.shouldKeepAlive = false;
     res.writeHead(503, { "Retry-After": "1", "Content-Length": "0" }).end();
   }
@@ -206,10 +238,13 @@
   #finish(request: PendingRequest): void {
     if (this.#current !== request) return;
     this.#current = undefined;
-    this.budget.release(this.budget.bytes - this.#unreadBytes);
+    this.budget.release(
+      this.budget.bytes - this.#unreadBytes - this.#waitingBytes,
+    );
     this.#restartPeriod();
     this.#endBytes = this.socket.bytesRead;
     const next = this.#waiting.shift();
+    if (next !== undefined) this.#waitingBytes -= getHeadBytes(next.req);
     if (this.#waiting.length === 0) this.socket.resume();
     if (next !== undefined) this.#start(next);
     else if (!request.req.complete) this.#watchRest(request.req);
--- a/src/test/caller_guard_test.ts
+++ b/src/test/caller_guard_test.ts
@@ -93,6 +93,27 @@
     expect(faults).eql([CallerFault.pipelining]);
   });
 
+  // Guards against a process that ends for its memory: heads of requests that wait
+  // were held without being counted.
+  it("refuses pipelined requests without room for their heads", async () => {
+    const budget = await listen((req, res) => {
+      setTimeout(() => reply(req, res), 5);
+    });
+    const fields = "a:\r\n".repeat(1_500);
+    const paths = range(9).map((index) => `/${index}`);
+    const text = await exchange(
+      paths.map((path) => createRequest(path, fields)).join(""),
+    );
+    const answers = text.match(/\/\w+ 1;|HTTP\/1.1 503/g) ?? [];
+    expect(answers).eql([
+      ...paths.slice(0, answers.length - 1).map((path) => `${path} 1;`),
+      "HTTP/1.1 503",
+    ]);
+    expect(answers.length).within(2, paths.length - 1);
+    expect(faults).eql([CallerFault.connectionMemory]);
+    expect([budget.bytes, budget.connections]).eql([0, 0]);
+  });
+
   // Guards against a refusal that the caller can't read, or that is not a 503.
   it("refuses a body without room for it, and closes the connection", async () => {
     const budget = await listen(reply);
--- a/src/test/misbehaving_callers_test.ts
+++ b/src/test/misbehaving_callers_test.ts
@@ -41,6 +41,9 @@
 
 const GRACE_MS = 3_000;
 
+/** Characters of the output that a failure shows. */
+const OUTPUT_CHARS = 4_000;
+
 /** Paths of a gateway, by kind. */
 const TARGETS: Readonly<
   Record<string, { method: string; target: string; isReady?: boolean }>
@@ -88,6 +91,12 @@
     await process.ended;
   });
 
+  /** Expects the gateway to run; a failure shows what it wrote last. */
+  function expectRunning(): void {
+    const lastOutput = process.output.slice(-OUTPUT_CHARS);
+    expect(process.isRunning, `the gateway runs:\n${lastOutput}`).equal(true);
+  }
+
   /** Waits until an ordinary request is answered; a refusal is tried again. */
   async function waitForAnswer(): Promise<void> {
     const { status } = await sendHttpRequest(gateway.address, "POST", "/p/", {
@@ -98,7 +107,7 @@
       },
       body: "an ordinary request",
     });
-    expect(process.isRunning, "the gateway runs").equal(true);
+    expectRunning();
     if (status === 200) return;
     await delay(CHECK_MS);
     await waitForAnswer();
@@ -117,7 +126,7 @@
       peakFiles = Math.max(peakFiles, await countFiles(pid).catch(() => 0));
     }
     callers.stopSending();
-    expect(process.isRunning, "the gateway runs").equal(true);
+    expectRunning();
     await waitForAnswer();
     const peakMb = await readPeakBytes(pid) / (1 << 20);
     expect(peakMb, "resident MB").below(MEMORY_MB);
