Test chains of runs whose streams break off

Now both at once: streams are cut between two events or inside one, with and without a length, by a reset that the runtime reports or hides, hold comments, or never begin.

--- a/src/test/run_chains_test.ts
+++ b/src/test/run_chains_test.ts
@@ -11,6 +11,7 @@
 import {
   RecordFate,
   RunnerSimulation,
+  type RunnerSimulationOptions,
   type SimulatedRunner,
 } from "./runner_simulation.ts";
 
@@ -32,6 +33,9 @@
 
 const SEEDS = range(50);
 
+/** Seeds of the runs whose streams break off. */
+const FAULT_SEEDS = range(12);
+
 function restore(runner: SimulatedRunner, random: Random): void {
   runner.recordDelayMs = 10;
   runner.applyLagMs = 10;
@@ -142,26 +146,40 @@
   await simulation.advance(RECOVERY_MS);
 }
 
+async function checkChains(
+  seed: number,
+  options: Pick<RunnerSimulationOptions, "streamFaults"> = {},
+): Promise<void> {
+  const simulation = new RunnerSimulation(["a", "b", "c"], {
+    eventCount: EVENT_COUNT,
+    ...options,
+  });
+  await runTroubles(simulation, new SeededRandom(seed));
+  expect(simulation.committed.getOpenJobs()).deep.equal([]);
+  range(STEP_COUNT).filter((step) => step % 12 === 0).forEach((step) =>
+    simulation.committed.tryGetJob(`j${step}`)?.results
+      .forEach((result) => checkResult(simulation, result))
+  );
+  const endMs = 33 * STEP_MS + JOB_END_LIMIT_MS;
+  expect(
+    simulation.streamRuns.filter(({ item, atMs }) =>
+      item.startsWith("ended") && atMs > endMs
+    ),
+  ).deep.equal([]);
+}
+
 describe("run chains", () => {
   // Guards against texts in which two runners' output was joined, because the
   // number of an event can't tell their runs apart.
   SEEDS.forEach((seed) => {
-    it(`records one line of runs under random troubles, seed ${seed}`, async () => {
-      const simulation = new RunnerSimulation(["a", "b", "c"], {
-        eventCount: EVENT_COUNT,
-      });
-      await runTroubles(simulation, new SeededRandom(seed));
-      expect(simulation.committed.getOpenJobs()).deep.equal([]);
-      range(STEP_COUNT).filter((step) => step % 12 === 0).forEach((step) =>
-        simulation.committed.tryGetJob(`j${step}`)?.results
-          .forEach((result) => checkResult(simulation, result))
-      );
-      const endMs = 33 * STEP_MS + JOB_END_LIMIT_MS;
-      expect(
-        simulation.streamRuns.filter(({ item, atMs }) =>
-          item.startsWith("ended") && atMs > endMs
-        ),
-      ).deep.equal([]);
-    }).timeout(0);
+    it(`records one line of runs under random troubles, seed ${seed}`, () =>
+      checkChains(seed)).timeout(0);
+  });
+
+  // Guards against texts that go on with a run that was asked for another part: streams
+  // are cut between events and inside them, in any framing, or hold comments.
+  FAULT_SEEDS.forEach((seed) => {
+    it(`records one line of runs while streams break off, seed ${seed}`, () =>
+      checkChains(seed, { streamFaults: new SeededRandom(seed) })).timeout(0);
   });
 });
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -28,7 +28,7 @@
 import { JobMachine } from "../state/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { MemoryLog } from "../sys/log.ts";
-import { SeededRandom } from "../sys/random.ts";
+import { type Random, SeededRandom } from "../sys/random.ts";
 import { range } from "./fleet_helpers.ts";
 
 /** What becomes of the records that a runner offers. */
@@ -86,6 +86,46 @@
   readonly eventCount?: number;
   /** Rules by which the replicated state tells runs apart. */
   readonly commandVersion?: number;
+  /** Draws what becomes of each stream; by default all are whole. */
+  readonly streamFaults?: Random;
+}
+
+/** What becomes of a stream, and after how many events of it. */
+interface StreamFault {
+  readonly kind:
+    | "whole"
+    | "reset"
+    | "reset at once"
+    | "inside an event"
+    | "lost"
+    | "not run";
+  readonly events: number;
+  readonly isDelimited: boolean;
+}
+
+const WHOLE_STREAM: StreamFault = {
+  kind: "whole",
+  events: Infinity,
+  isDelimited: true,
+};
+
+const COMMENT = ": still at work\n\n";
+
+/** Most of the streams that break off do so soon. */
+function drawStreamFault(random: Random): StreamFault {
+  const fraction = random.getFraction();
+  const isDelimited = random.getFraction() < 0.5;
+  const events = random.getIntegerBelow(random.getFraction() < 0.5 ? 3 : 40);
+  const kinds: readonly [number, StreamFault["kind"]][] = [
+    [0.3, "whole"],
+    [0.5, "reset"],
+    [0.65, "reset at once"],
+    [0.85, "inside an event"],
+    [0.95, "lost"],
+    [1, "not run"],
+  ];
+  const [, kind = "whole"] = kinds.find(([limit]) => fraction < limit) ?? [];
+  return { kind, isDelimited, events: kind === "whole" ? Infinity : events };
 }
 
 type JobCommandInit = MessageInitShape<typeof JobCommandSchema>["command"];
@@ -245,20 +285,52 @@
   #sendStream(
     { request, permit, resumeAfter = 0 }: AttemptOptions,
   ): Promise<AttemptResult> {
-    const { streamRuns, eventCount, nowMs } = this.#simulation;
+    const { streamRuns, eventCount, nowMs, streamFaults } = this.#simulation;
     const item = request.requestId;
+    const fault = streamFaults === undefined
+      ? WHOLE_STREAM
+      : drawStreamFault(streamFaults);
+    if (fault.kind === "not run") {
+      return Promise.resolve({
+        kind: "notRun",
+        reason: "full",
+        retryAfterMs: undefined,
+      });
+    }
     const run = streamRuns.push({
       item,
       runner: this.id,
       resumeAfter,
       atMs: nowMs,
     }) - 1;
+    if (fault.kind === "lost") {
+      return Promise.resolve({ kind: "lost", reason: "gone" });
+    }
     const body = new IncomingMessage(new Socket());
+    body.on("error", () => {});
+    const breakOff = (event: number) => {
+      if (fault.kind === "reset") body.destroy(new Error("reset"));
+      else {
+        if (fault.kind === "inside an event") {
+          body.push(`id: ${event}\ndata: ${run}.${event}\n`);
+        }
+        body.push(null);
+      }
+    };
     const pushEvent = (event: number) => {
       if (body.destroyed) return;
       this.pool.recordActivity(permit.server.id);
+      if (event > resumeAfter + fault.events) {
+        breakOff(event);
+        return;
+      }
       if (event <= eventCount) {
-        body.push(`id: ${event}\ndata: ${run}.${event}\n\n`);
+        const isCommented = streamFaults !== undefined && event % 3 === 0;
+        body.push(
+          `${
+            isCommented ? COMMENT : ""
+          }id: ${event}\ndata: ${run}.${event}\n\n`,
+        );
         this.clock.startTimer(EVENT_INTERVAL_MS, () => pushEvent(event + 1));
         return;
       }
@@ -271,8 +343,13 @@
       headers: {},
       body,
       chunks: body,
-      isDelimited: true,
-      isComplete: () => Promise.resolve(body.complete),
+      isDelimited: fault.isDelimited,
+      // Without a length, a body also ends in an orderly way if it is cut off.
+      isComplete: () =>
+        Promise.resolve(
+          body.complete ||
+            fault.kind === "inside an event" && !fault.isDelimited,
+        ),
     };
     return Promise.resolve({ kind: "response", response });
   }
@@ -313,6 +390,7 @@
   #startCount = 0;
   /** Number of events of an item with status 200; 0 without streams. */
   readonly eventCount: number;
+  readonly streamFaults: Random | undefined;
   /** Clock of the messages under way. */
   readonly network = new ManualClock(0);
   readonly streamRuns: StreamRun[] = [];
@@ -326,6 +404,7 @@
 
   constructor(ids: readonly string[], options: RunnerSimulationOptions = {}) {
     this.eventCount = options.eventCount ?? 0;
+    this.streamFaults = options.streamFaults;
     this.#commandVersion = options.commandVersion ?? 1;
     this.#runners = ids.map((id) => new SimulatedRunner(id, this));
     this.setRunners(ids);
