--- a/src/test/continued_streams_test.ts
+++ b/src/test/continued_streams_test.ts
@@ -3,21 +3,23 @@
  * something else than the rest of the stream: an error, a page, no event at all.
  */
 import { expect } from "chai";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
 import {
   FleetName,
   getCompletion,
   streamCompletion,
   waitUntil,
 } from "../bench/mod.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { CallerResponse } from "../fleet/caller_response.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
 import { EventForwarder } from "../fleet/response_forwarders.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { createHttpAgent, type HttpAgent, listenHttp } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { range, withFleet } from "./fleet_helpers.ts";
 import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
 import { getCompleteText, getEventData } from "./platform_server.ts";
@@ -143,28 +145,9 @@
   };
 
   const createAttempt = () => ({
-    backendClient: new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    }),
-    request: {
-      requestId: "r",
-      method: "POST",
-      target: "/x",
-      headers: ["Host", "a.example", "X-Request-Id", "r"],
-      body: Buffer.alloc(0),
-    },
-    permit: {
-      server: { id: "s", address: server.address } as PoolServer,
-      startedMs: 0,
-      release: () => {},
-    },
+    backendClient: createBackendClient(agent),
+    request: createBackendRequest(),
+    permit: createPermit(server.address),
     signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
   });
 
--- a/src/test/endless_answers_test.ts
+++ b/src/test/endless_answers_test.ts
@@ -6,8 +6,6 @@
 import { expect } from "chai";
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import type { CallerResponse } from "../fleet/caller_response.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
@@ -15,10 +13,14 @@
   ChunkForwarder,
   EventForwarder,
 } from "../fleet/response_forwarders.ts";
-import type { PoolServer, ServerPermit } from "../fleet/server_pool.ts";
 import { EventBoundaryDetector, runEngineAttempt } from "../relay/mod.ts";
 import { createHttpAgent, type HttpAgent } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 
 const REQUEST_TIMEOUT_MS = 20_000;
 
@@ -94,36 +96,12 @@
     server.close();
   });
 
-  const createClient = () =>
-    new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
-
-  const createPermit = (): ServerPermit => ({
-    server: { id: "s", address: server.address } as PoolServer,
-    startedMs: 0,
-    release: () => {},
-  });
-
-  const request = {
-    requestId: "r",
-    method: "POST",
-    target: "/x",
-    headers: ["Host", "a.example", "X-Request-Id", "r"],
-    body: Buffer.alloc(0),
-  };
+  const request = createBackendRequest();
 
   const send = () =>
-    createClient().send({
+    createBackendClient(agent).send({
       request,
-      permit: createPermit(),
+      permit: createPermit(server.address),
       remainingMs: REQUEST_TIMEOUT_MS,
       resumeAfter: undefined,
       useNewConnection: false,
@@ -250,9 +228,9 @@
 
   const runItem = (progress: ItemProgress) =>
     runItemAttempt({
-      backendClient: createClient(),
+      backendClient: createBackendClient(agent),
       request,
-      permit: createPermit(),
+      permit: createPermit(server.address),
       timeoutMs: REQUEST_TIMEOUT_MS,
       progress,
       signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
--- a/src/test/foreign_answers_test.ts
+++ b/src/test/foreign_answers_test.ts
@@ -9,9 +9,9 @@
 import { BackendClient } from "../fleet/backend_client.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { createHttpAgent, type HttpAgent, readBody } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import { createPermit } from "./backend_calls.ts";
 import {
   createAnswer,
   createResponse,
@@ -63,11 +63,7 @@
       headers: ["Host", "a.example", "X-Request-Id", id],
       body: Buffer.alloc(0),
     },
-    permit: {
-      server: { id: "s", address: server.address } as PoolServer,
-      startedMs: 0,
-      release: () => {},
-    },
+    permit: createPermit(server.address),
     signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
   });
 
--- a/src/test/item_streams_test.ts
+++ b/src/test/item_streams_test.ts
@@ -6,13 +6,15 @@
 import { expect } from "chai";
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { createHttpAgent, type HttpAgent } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { range } from "./fleet_helpers.ts";
 import { ScriptedServer } from "./scripted_server.ts";
 
@@ -117,21 +119,9 @@
     } else serve(socket, id, after);
   };
 
-  const createClient = () =>
-    new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
-
   const runItem = async (item: string) => {
     const progress = new ItemProgress({ random });
-    const backendClient = createClient();
+    const backendClient = createBackendClient(agent);
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       const { address } = pick(servers);
       const abortController = new AbortController();
@@ -143,18 +133,8 @@
         : undefined;
       const { kind } = await runItemAttempt({
         backendClient,
-        request: {
-          requestId: item,
-          method: "POST",
-          target: "/x",
-          headers: ["Host", "a.example", "X-Request-Id", item],
-          body: Buffer.alloc(0),
-        },
-        permit: {
-          server: { id: "s", address } as PoolServer,
-          startedMs: 0,
-          release: () => {},
-        },
+        request: createBackendRequest(item),
+        permit: createPermit(address),
         timeoutMs: ATTEMPT_TIMEOUT_MS,
         progress,
         signal: abortController.signal,
--- a/src/test/late_answers_test.ts
+++ b/src/test/late_answers_test.ts
@@ -5,10 +5,8 @@
  */
 import { expect } from "chai";
 import type { Socket } from "node:net";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { createHttpAgent, type HttpAgent, readBody } from "../sys/http.ts";
+import { createBackendClient, createPermit } from "./backend_calls.ts";
 import { createAnswer, ScriptedServer } from "./scripted_server.ts";
 
 const IDLE_TIMEOUT_MS = 10_000;
@@ -42,16 +40,7 @@
 
   /** Sends a request; returns the body of its answer, or how it ended. */
   async function send(id: string): Promise<string> {
-    const client = new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
+    const client = createBackendClient(agent);
     const result = await client.send({
       request: {
         requestId: id,
@@ -60,11 +49,7 @@
         headers: ["Host", "a.example", "X-Request-Id", id],
         body: Buffer.alloc(0),
       },
-      permit: {
-        server: { id: "s", address: server.address } as PoolServer,
-        startedMs: 0,
-        release: () => {},
-      },
+      permit: createPermit(server.address),
       remainingMs: REQUEST_TIMEOUT_MS,
       resumeAfter: undefined,
       useNewConnection: false,
--- a/src/test/repeated_refusals_test.ts
+++ b/src/test/repeated_refusals_test.ts
@@ -4,14 +4,12 @@
  * is sent there again, while the server runs it.
  */
 import { expect } from "chai";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { callService, runEngineAttempt } from "../relay/mod.ts";
 import { createHttpAgent, type HttpAgent, readBody } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import { createBackendClient, createPermit } from "./backend_calls.ts";
 import { range } from "./fleet_helpers.ts";
 import { PlatformFleet } from "./platform_fleet.ts";
 import { getCompleteText } from "./platform_server.ts";
@@ -69,18 +67,6 @@
   const waitUntilIdle = () =>
     new Promise((resolve) => setTimeout(resolve, IDLE_DELAY_MS));
 
-  const createClient = () =>
-    new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
-
   const createAttempt = (id: string) => ({
     request: {
       requestId: id,
@@ -89,17 +75,13 @@
       headers: ["Host", "a.example", "X-Request-Id", id],
       body: Buffer.from("body"),
     },
-    permit: {
-      server: { id: "s", address: server.address } as PoolServer,
-      startedMs: 0,
-      release: () => {},
-    },
+    permit: createPermit(server.address),
     signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
   });
 
   /** Sends a request; returns the body of its answer, or how it ended. */
   const send = async (id: string): Promise<string> => {
-    const result = await createClient().send({
+    const result = await createBackendClient(agent).send({
       ...createAttempt(id),
       remainingMs: REQUEST_TIMEOUT_MS,
       resumeAfter: undefined,
@@ -113,7 +95,7 @@
   const runItem = async (id: string) => {
     const outcome = await runItemAttempt({
       ...createAttempt(id),
-      backendClient: createClient(),
+      backendClient: createBackendClient(agent),
       timeoutMs: REQUEST_TIMEOUT_MS,
       progress: new ItemProgress({ random: new SeededRandom(1) }),
     });
--- a/src/test/reset_answers_test.ts
+++ b/src/test/reset_answers_test.ts
@@ -6,11 +6,8 @@
  */
 import { expect } from "chai";
 import type { Socket } from "node:net";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import {
   createHttpAgent,
   type HttpAgent,
@@ -18,6 +15,11 @@
   sendHttp,
 } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { createConfig, PlatformFleet } from "./platform_fleet.ts";
 import { createAnswer, ScriptedServer } from "./scripted_server.ts";
 
@@ -214,32 +216,13 @@
       socket.write(createUnframedAnswer(id, events, headers));
       reset(socket);
     };
-    const client = new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
+    const client = createBackendClient(agent);
     const progress = new ItemProgress({ random: new SeededRandom(1) });
     for (let attempt = 0; attempt < REPEATS; attempt += 1) {
       const { kind } = await runItemAttempt({
         backendClient: client,
-        request: {
-          requestId: "r",
-          method: "POST",
-          target: "/x",
-          headers: ["Host", "a.example", "X-Request-Id", "r"],
-          body: Buffer.alloc(0),
-        },
-        permit: {
-          server: { id: "s", address: server.address } as PoolServer,
-          startedMs: 0,
-          release: () => {},
-        },
+        request: createBackendRequest(),
+        permit: createPermit(server.address),
         timeoutMs: REQUEST_TIMEOUT_MS,
         progress,
         signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
--- a/src/test/response_head_test.ts
+++ b/src/test/response_head_test.ts
@@ -5,11 +5,8 @@
  */
 import { expect } from "chai";
 import type { Socket } from "node:net";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import {
   createHttpAgent,
   type HttpAgent,
@@ -18,6 +15,11 @@
 } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { ResponseHeadCheck, tryFindHeadFault } from "../sys/response_head.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { range } from "./fleet_helpers.ts";
 import { createConfig, PlatformFleet } from "./platform_fleet.ts";
 import { ScriptedServer } from "./scripted_server.ts";
@@ -255,16 +257,7 @@
   ];
 
   it("count for items as for online requests", async () => {
-    const client = new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
+    const client = createBackendClient(agent);
     for (const what of FAULTS) {
       const bytes = NO_RESPONSES[what] ?? "";
       const events = "id: 1\ndata: a\n\n";
@@ -279,18 +272,8 @@
       );
       const outcome = await runItemAttempt({
         backendClient: client,
-        request: {
-          requestId: "r",
-          method: "POST",
-          target: "/x",
-          headers: ["Host", "a.example", "X-Request-Id", "r"],
-          body: Buffer.alloc(0),
-        },
-        permit: {
-          server: { id: "s", address: server.address } as PoolServer,
-          startedMs: 0,
-          release: () => {},
-        },
+        request: createBackendRequest(),
+        permit: createPermit(server.address),
         timeoutMs: REQUEST_TIMEOUT_MS,
         progress: new ItemProgress({ random: new SeededRandom(1) }),
         signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
--- a/src/test/truncated_heads_test.ts
+++ b/src/test/truncated_heads_test.ts
@@ -5,15 +5,17 @@
 import { expect } from "chai";
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
 import { sendRequest, ServiceFault } from "../bench/mod.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { callService, runEngineAttempt } from "../relay/mod.ts";
 import { createHttpAgent, type HttpAgent, readBody } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { withFleet } from "./fleet_helpers.ts";
 
 const REQUEST_TIMEOUT_MS = 5_000;
@@ -75,28 +77,9 @@
   });
 
   const createAttempt = () => ({
-    backendClient: new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    }),
-    request: {
-      requestId: "r",
-      method: "POST",
-      target: "/x",
-      headers: ["Host", "a.example", "X-Request-Id", "r"],
-      body: Buffer.alloc(0),
-    },
-    permit: {
-      server: { id: "s", address } as PoolServer,
-      startedMs: 0,
-      release: () => {},
-    },
+    backendClient: createBackendClient(agent),
+    request: createBackendRequest(),
+    permit: createPermit(address),
     signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
   });
 
--- a/src/test/unframed_answers_test.ts
+++ b/src/test/unframed_answers_test.ts
@@ -5,8 +5,6 @@
 import { expect } from "chai";
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { CallerResponse } from "../fleet/caller_response.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
@@ -16,11 +14,15 @@
   type ResponseForwarder,
   StreamForwarder,
 } from "../fleet/response_forwarders.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { createHttpAgent, type HttpAgent, listenHttp } from "../sys/http.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { EventBoundaryDetector } from "../relay/mod.ts";
 import { sendRequest, ServiceFault } from "../bench/mod.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { range, withFleet } from "./fleet_helpers.ts";
 import { sendRawRequest } from "./raw_caller.ts";
 import { PlatformFleet, sendHttpRequest } from "./platform_fleet.ts";
@@ -67,40 +69,18 @@
   });
 
   const createAttempt = (signal: AbortSignal) => ({
-    request: {
-      requestId: "r",
-      method: "POST",
-      target: "/x",
-      headers: ["Host", "a.example", "X-Request-Id", "r"],
-      body: Buffer.alloc(0),
-    },
-    permit: {
-      server: { id: "s", address } as PoolServer,
-      startedMs: 0,
-      release: () => {},
-    },
+    request: createBackendRequest(),
+    permit: createPermit(address),
     signal,
   });
 
-  const createClient = () =>
-    new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
-
   const createProgress = () =>
     new ItemProgress({ random: new SeededRandom(1) });
 
   const runItem = (signal: AbortSignal, progress = createProgress()) =>
     runItemAttempt({
       ...createAttempt(signal),
-      backendClient: createClient(),
+      backendClient: createBackendClient(agent),
       timeoutMs: REQUEST_TIMEOUT_MS,
       progress,
     });
@@ -116,7 +96,7 @@
   ) =>
     listenHttp("127.0.0.1:0", async (_, res) => {
       const caller = new CallerResponse(res);
-      const result = await createClient().send({
+      const result = await createBackendClient(agent).send({
         ...createAttempt(signal),
         remainingMs: REQUEST_TIMEOUT_MS,
         resumeAfter: undefined,
@@ -359,7 +339,7 @@
         const forwarder = new EventForwarder(caller, undefined);
         const kinds: string[] = [];
         for (const _ of answers) {
-          const result = await createClient().send({
+          const result = await createBackendClient(agent).send({
             ...createAttempt(never()),
             remainingMs: REQUEST_TIMEOUT_MS,
             resumeAfter: forwarder.resumeAfter,
--- a/src/test/unproven_answers_test.ts
+++ b/src/test/unproven_answers_test.ts
@@ -5,17 +5,20 @@
  */
 import { expect } from "chai";
 import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
-import { BackendClient } from "../fleet/backend_client.ts";
 import { GatewayRelay } from "../fleet/gateway_relay.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
-import type { PoolServer } from "../fleet/server_pool.ts";
 import { Gateways } from "../schema/mod.ts";
 import { SystemClock } from "../sys/clock.ts";
 import { createHttpAgent, type HttpAgent, readBody } from "../sys/http.ts";
 import { MemoryLog } from "../sys/log.ts";
 import { SeededRandom } from "../sys/random.ts";
 import { createCredentials, RpcServer } from "../sys/rpc.ts";
+import {
+  createBackendClient,
+  createBackendRequest,
+  createPermit,
+} from "./backend_calls.ts";
 import { createResponse, ScriptedServer } from "./scripted_server.ts";
 
 const IDLE_TIMEOUT_MS = 10_000;
@@ -45,31 +48,9 @@
     server.serve = (_, socket) => socket.write(bytes);
   };
 
-  const createClient = () =>
-    new BackendClient({
-      dialect: new PlatformBackendDialect(),
-      agent,
-      onLoad: () => {},
-      onWrongServer: () => {},
-      onLeaving: () => {},
-      onLimit: () => {},
-      onUnreachable: () => {},
-      onActivity: () => {},
-    });
-
   const createAttempt = () => ({
-    request: {
-      requestId: "r",
-      method: "POST",
-      target: "/x",
-      headers: ["Host", "a.example", "X-Request-Id", "r"],
-      body: Buffer.alloc(0),
-    },
-    permit: {
-      server: { id: "s", address: server.address } as PoolServer,
-      startedMs: 0,
-      release: () => {},
-    },
+    request: createBackendRequest(),
+    permit: createPermit(server.address),
     remainingMs: REQUEST_TIMEOUT_MS,
     resumeAfter: undefined,
     useNewConnection: false,
@@ -78,7 +59,7 @@
 
   /** Sends a request; returns the status of its answer, or how it ended. */
   const send = async () => {
-    const result = await createClient().send(createAttempt());
+    const result = await createBackendClient(agent).send(createAttempt());
     if (result.kind !== "response") return result.kind;
     await readBody(result.response.body, MAX_BODY_BYTES);
     return result.response.status;
@@ -114,7 +95,7 @@
       const progress = new ItemProgress({ random: new SeededRandom(1) });
       const outcome = await runItemAttempt({
         ...createAttempt(),
-        backendClient: createClient(),
+        backendClient: createBackendClient(agent),
         timeoutMs: REQUEST_TIMEOUT_MS,
         progress,
       });
