Preempt items while their streams break off

In the users' record the item of the joined text gave way several times within a second: its runs were cut by our side, 17 ms after they began, or before. The chains of runs are now also tested beside bursts of online requests, which preempt items that have just begun, on all runners.

--- a/src/test/run_chains_test.ts
+++ b/src/test/run_chains_test.ts
@@ -4,6 +4,7 @@
  * which was asked to continue at the event where it joins the text.
  */
 import { expect } from "chai";
+import { LoadKind } from "../membership/mod.ts";
 import { ItemEnd, type ItemResult } from "../schema/mod.ts";
 import { joinProgressParts } from "../state/mod.ts";
 import { type Random, SeededRandom } from "../sys/random.ts";
@@ -31,6 +32,10 @@
 const MAX_LAG_MS = 3_000;
 const MAX_THAW_DELAY_MS = 400;
 
+/** More than the slots of all servers. */
+const BURST_REQUESTS = 48;
+const MAX_BURST_MS = 600;
+
 const SEEDS = range(50);
 
 /** Seeds of the runs whose streams break off. */
@@ -82,6 +87,24 @@
   actions[random.getIntegerBelow(actions.length)]?.();
 }
 
+/** Fills the servers with online requests, which preempt items. */
+function startBurst(runner: SimulatedRunner, random: Random): void {
+  const permits = range(BURST_REQUESTS).map(() =>
+    runner.pool.tryAcquire({
+      service: "s",
+      kind: LoadKind.online,
+      prefix: [],
+      excluded: new Set(),
+    })
+  );
+  permits.forEach((permit) =>
+    runner.clock.startTimer(
+      random.getIntegerBelow(MAX_BURST_MS),
+      () => permit?.release(),
+    )
+  );
+}
+
 /** Throws unless the lines follow one line of runs, from the first event on. */
 function checkLines(simulation: RunnerSimulation, text: string): void {
   let previousRun = -1;
@@ -139,6 +162,10 @@
     if (random.getFraction() < 0.03) {
       simulation.runners.forEach((runner) => simulation.restart(runner));
     }
+    if (simulation.streamFaults !== undefined) {
+      simulation.runners.filter(() => random.getFraction() < 0.5)
+        .forEach((runner) => startBurst(runner, random));
+    }
     await simulation.advance(STEP_MS);
     checkProgress(simulation);
   }
