Count requests behind a refusal among those that wait

Found when the diff was read: since a request without room for its head is refused, and what follows on its connection is dropped. If the refusal waits behind a request that is served, the runtime keeps a response for each dropped request, and they were not counted: a caller could send on without end.

Change: refused and dropped requests count towards the limit of waiting ones, from which the connection is closed.

Evidence: the new test of caller_guard_test sends 100 requests behind one that is not answered; before, the connection stayed open (time limit), now it is closed.

--- a/src/sys/caller_guard.ts
+++ b/src/sys/caller_guard.ts
@@ -111,12 +111,6 @@
   return REQUEST_BYTES + req.rawHeaders.length * FIELD_BYTES;
 }
 
-/** Frees the fields of a request that isn't served. */
-function dropHead(req: IncomingMessage): void {
-  req.rawHeaders = [];
-  req.headers = {};
-}
-
 /** One connection of a caller. */
 export class GuardedConnection {
   readonly socket: Socket;
@@ -127,8 +121,11 @@
   /** Bytes of the heads of the requests that wait. */
   #waitingBytes = 0;
   #current: PendingRequest | undefined;
-  /** Whether a request was refused, whose response closes the connection. */
-  #hasRefused = false;
+  /**
+   * Requests that are not served: one that was refused, whose response closes the
+   * connection, and those that came after it.
+   */
+  #unservedCount = 0;
   #body: WatchedBody | undefined;
   #isCut = false;
   /** Start of the period that the current check is about. */
@@ -167,8 +164,8 @@
   /** Serves a request once those before it on the connection are answered. */
   admit(request: PendingRequest): void {
     if (this.#isCut) return;
-    if (this.#hasRefused) {
-      dropHead(request.req);
+    if (this.#unservedCount > 0) {
+      this.#drop(request);
       return;
     }
     connections.set(request.req, this);
@@ -185,7 +182,13 @@
     this.#waiting.push(request);
     this.#waitingBytes += bytes;
     this.socket.pause();
-    if (this.#waiting.length > MAX_WAITING) this.cut(CallerFault.pipelining);
+    this.#checkWaiting();
+  }
+
+  /** Cuts the connection if too many requests wait; the runtime keeps each of them. */
+  #checkWaiting(): void {
+    const count = this.#waiting.length + this.#unservedCount;
+    if (count > MAX_WAITING) this.cut(CallerFault.pipelining);
   }
 
   /** Watches the rate of a body until the returned function is called. */
@@ -227,12 +230,20 @@
    * Refuses a request without room for its head. The runtime sends the response after
    * those to the requests before it, and closes the connection then.
    */
-  #refuse({ req, res }: PendingRequest, cause: BudgetCause): void {
-    this.#hasRefused = true;
+  #refuse(request: PendingRequest, cause: BudgetCause): void {
+    const { res } = request;
     this.report(cause);
-    dropHead(req);
     res.shouldKeepAlive = false;
     res.writeHead(503, { "Retry-After": "1", "Content-Length": "0" }).end();
+    this.#drop(request);
+  }
+
+  /** Frees the fields of a request that isn't served. */
+  #drop({ req }: PendingRequest): void {
+    this.#unservedCount += 1;
+    req.rawHeaders = [];
+    req.headers = {};
+    this.#checkWaiting();
   }
 
   #finish(request: PendingRequest): void {
--- a/src/test/caller_guard_test.ts
+++ b/src/test/caller_guard_test.ts
@@ -114,6 +114,21 @@
     expect([budget.bytes, budget.connections]).eql([0, 0]);
   });
 
+  // Guards against requests without end that are parsed and kept behind a refusal which
+  // can't be sent yet.
+  it("closes a connection that sends on after a refusal that waits", async () => {
+    let served = 0;
+    const budget = await listen(() => {
+      served += 1;
+    });
+    const other = budget.openConnection("other");
+    if (typeof other === "string") throw new Error(other);
+    other.charge(4 * MB - 6_000);
+    await exchange(range(100).map(() => createRequest("/")).join(""));
+    expect(served).equal(1);
+    expect(faults).eql([CallerFault.memory, CallerFault.pipelining]);
+  });
+
   // Guards against a refusal that the caller can't read, or that is not a 503.
   it("refuses a body without room for it, and closes the connection", async () => {
     const budget = await listen(reply);
