Log what each run of an item brought and who ended it

From an item's id, the log did not tell what a run brought, whether this host or the server ended it, nor which run a line of the text is from: item_attempt_ended leaves out runs that this host stops, and nothing names recorded output. item_run_ended and item_restored do, for each run. No decision changes.

--- a/src/fleet/active_runs.ts
+++ b/src/fleet/active_runs.ts
@@ -8,10 +8,27 @@
   type ServerCandidate,
 } from "../policy/mod.ts";
 
+/** Reasons for which a process stops a run of its own. */
+export const StopReason = {
+  /** An online request needs the slot. */
+  gaveWay: "gave_way",
+  /** The item is closed, or another process runs it now. */
+  notOwned: "not_owned",
+  /** The time slice of the run is over. */
+  sliceOver: "slice_over",
+  /** The server has been silent for too long. */
+  silent: "silent",
+  expired: "expired",
+  hostStops: "host_stops",
+} as const;
+export type StopReason = typeof StopReason[keyof typeof StopReason];
+
 /** An item that is running on a backend server. */
 export interface ActiveRun extends BatchRun {
   readonly job: string;
   readonly server: string;
+  /** Number of the run in the log of this process. */
+  readonly number: number;
   readonly abortController: AbortController;
 }
 
@@ -35,18 +52,18 @@
     this.#runs.delete(key);
   }
 
-  stop(key: string): void {
-    this.#runs.get(key)?.abortController.abort();
+  stop(key: string, reason: StopReason): void {
+    this.#runs.get(key)?.abortController.abort(reason);
   }
 
-  stopAll(): void {
-    this.#runs.forEach((run) => run.abortController.abort());
+  stopAll(reason: StopReason): void {
+    this.#runs.forEach((run) => run.abortController.abort(reason));
   }
 
   /** Stops the runs of all items except the given ones. */
   stopAllExcept(keys: ReadonlySet<string>): void {
     this.#runs.forEach((run, key) => {
-      if (!keys.has(key)) run.abortController.abort();
+      if (!keys.has(key)) run.abortController.abort(StopReason.notOwned);
     });
   }
 
@@ -76,7 +93,9 @@
       return selectRunsToPreempt(preemptible, count, wallMs)
         .map((run) => ({ run, server }));
     });
-    preempted.forEach(({ run }) => run.abortController.abort());
+    preempted.forEach(({ run }) =>
+      run.abortController.abort(StopReason.gaveWay)
+    );
     return preempted;
   }
 }
--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -13,6 +13,16 @@
   /** Number of the event, or of the next one if it has none. */
   readonly event: number;
   readonly data: string;
+  /** Run that brought it. */
+  readonly run: number;
+}
+
+/** Consecutive lines of a text that one run brought. */
+interface RunLines {
+  readonly first: number;
+  last: number;
+  /** Number of the run; undefined for lines that were restored. */
+  readonly run: number | undefined;
 }
 
 /** Output that continues what is recorded. */
@@ -57,6 +67,10 @@
   #softwareVersion: string;
   readonly #events: EventData[] = [];
   #eventBytes = 0;
+  /** Run in progress, or the last one. */
+  #run = 0;
+  /** Blocks of that run that have data and no number. */
+  #unnumberedBlocks = 0;
   /** Successive responses without output that ended with their connection. */
   #emptyUndelimitedEnds = 0;
   /**
@@ -104,6 +118,38 @@
     if (!this.hasEvents) this.#softwareVersion = softwareVersion;
   }
 
+  /** Begins a run; `run` is its number in the log of this process. */
+  startRun(run: number): void {
+    this.#run = run;
+    this.#unnumberedBlocks = 0;
+  }
+
+  /** Blocks with data and without a number that the last run brought. */
+  get unnumberedBlocks(): number {
+    return this.#unnumberedBlocks;
+  }
+
+  /**
+   * Runs by the lines of the text that they brought, for the log, such as
+   * `1-40:recorded,41-60:7`.
+   */
+  describeLines(): string {
+    const restoredLines = this.#restored?.split("\n").length ?? 0;
+    const lines: RunLines[] = restoredLines === 0
+      ? []
+      : [{ first: 1, last: restoredLines, run: undefined }];
+    this.#events.forEach(({ run }) => {
+      const previous = lines.at(-1);
+      const position = (previous?.last ?? 0) + 1;
+      if (previous !== undefined && previous.run === run) {
+        previous.last = position;
+      } else lines.push({ first: position, last: position, run });
+    });
+    return lines.map(({ first, last, run }) =>
+      `${first}-${last}:${run ?? "recorded"}`
+    ).join();
+  }
+
   /** Number of the last event; undefined before the first event. */
   get last(): number | undefined {
     return this.#sequence.last;
@@ -144,7 +190,12 @@
       if (!this.#sequence.accept(event)) return false;
       const { id, data, isEmpty } = event;
       if (isEmpty) return true;
-      this.#events.push({ event: id ?? (this.last ?? 0) + 1, data });
+      if (id === undefined) this.#unnumberedBlocks += 1;
+      this.#events.push({
+        event: id ?? (this.last ?? 0) + 1,
+        data,
+        run: this.#run,
+      });
       return true;
     });
   }
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -33,13 +33,15 @@
 import type { CrashDetector } from "./crash_detector.ts";
 import type { BackendDialect, CallerDialect } from "./dialects.ts";
 import {
+  type AttemptOutcome,
   createItemRequest,
   type ItemIdentity,
   runItemAttempt,
 } from "./item_attempt.ts";
 import { type ItemCandidate, ItemQueue } from "./item_queue.ts";
-import { type ActiveRun, ActiveRuns } from "./active_runs.ts";
+import { type ActiveRun, ActiveRuns, StopReason } from "./active_runs.ts";
 import { AttemptOutcomeHandler } from "./attempt_outcome_handler.ts";
+import type { ItemProgress } from "./item_progress.ts";
 import { ProgressTracker } from "./progress_tracker.ts";
 import { createItemNeed, getItemLateAfterMs } from "./item_flow_need.ts";
 import type { RoutingView } from "./routing_view.ts";
@@ -162,6 +164,8 @@
   readonly #versionWaits = new Map<string, number>();
   /** Parts of the prompts that items share with others. */
   readonly #prefixes = new WeakMap<JobItem, readonly string[]>();
+  /** Number of the run that was started last. */
+  #lastRun = 0;
   #lastPassMs = -Infinity;
   /** Applied index of the open items seen last; undefined if none might run. */
   #openItemsIndex: number | undefined;
@@ -173,7 +177,7 @@
 
   constructor(options: ItemRunnerOptions) {
     this.#options = options;
-    this.#progress = new ProgressTracker(options.context.random);
+    this.#progress = new ProgressTracker(options.context);
     this.#recorder = new RunRecorder({
       record: options.record,
       canRecord: options.canStart,
@@ -247,7 +251,7 @@
     this.#schedulingTimer?.cancel();
     this.#pendingPass?.cancel();
     this.#progressTimer?.cancel();
-    this.#activeRuns.stopAll();
+    this.#activeRuns.stopAll(StopReason.hostStops);
     const { clock } = this.#options.context;
     await Promise.all([
       Promise.race([this.#recordProgress(), clock.delay(limitMs)]),
@@ -387,7 +391,10 @@
           if (!isOwned || this.#recorder.hasOutcome(queued.job.id, item.id)) {
             return;
           }
-          this.#activeRuns.stop(getKey(queued, item.id));
+          this.#activeRuns.stop(
+            getKey(queued, item.id),
+            StopReason.expired,
+          );
           this.#outcomeHandler.moveToDeadLetters(
             queued,
             item,
@@ -608,17 +615,19 @@
       organisation: queued.job.organisation,
       cost: Math.max(1, Number(item.tokens)),
       need: createItemNeed(candidate, clock.getWallMs(), placement.assigned),
-      onSilent: () => abortController.abort(),
+      onSilent: () => abortController.abort(StopReason.silent),
     });
     if (permit === undefined) return false;
     this.#versionWaits.delete(key);
     const promptParts = this.#getPromptParts(item, placement.service);
     promptPartGuard.recordStart(promptParts);
     const getRemainingMs = () => this.#getRemainingMs(queued, item);
+    this.#lastRun += 1;
     const run: ActiveRun = {
       job: queued.job.id,
       item: item.id,
       server: permit.server.id,
+      number: this.#lastRun,
       abortController,
       startedMs: clock.getMonotonicMs(),
       priority: candidate.priority,
@@ -632,7 +641,7 @@
     this.#activeRuns.add(key, run);
     const sliceTimer = clock.startTimer(
       getTimeSliceMs(permit.server),
-      () => abortController.abort(),
+      () => abortController.abort(StopReason.sliceOver),
     );
     this.#run(candidate, {
       permit,
@@ -665,9 +674,11 @@
     const { crashDetector, promptPartGuard } = this.#options;
     const progress = this.#progress.getOrCreate(queued, item);
     progress.startAt(permit.server.softwareVersion);
+    progress.startRun(run.number);
     this.#options.context.log.info("item_started", {
       job: run.job,
       item: run.item,
+      run: run.number,
       server: run.server,
       version: permit.server.softwareVersion,
       chain: String(progress.chain),
@@ -726,6 +737,7 @@
     if (outcome.kind === "done") {
       this.#runTimeEstimator.recordItemEvents(queued.job.route, lastEvent);
     }
+    this.#logEndOfRun({ run, outcome, progress, startEvent, ranMs });
     this.#outcomeHandler.handle({
       queued,
       item,
@@ -735,6 +747,36 @@
     });
   }
 
+  /** Logs what a run brought, who ended it, and which run each line is from. */
+  #logEndOfRun(
+    { run, outcome, progress, startEvent, ranMs }: {
+      readonly run: ActiveRun;
+      readonly outcome: AttemptOutcome;
+      readonly progress: ItemProgress;
+      readonly startEvent: number;
+      readonly ranMs: number;
+    },
+  ): void {
+    const { signal } = run.abortController;
+    this.#options.context.log.info("item_run_ended", {
+      job: run.job,
+      item: run.item,
+      run: run.number,
+      server: run.server,
+      chain: String(progress.chain),
+      ending: outcome.kind,
+      ended_by: outcome.kind === "stopped" ? "host" : "server",
+      // A run may be stopped while its server ends it.
+      stopped_for: signal.aborted ? String(signal.reason) : "",
+      reason: "reason" in outcome ? outcome.reason : "",
+      asked_after: startEvent,
+      last_event: progress.last ?? 0,
+      unnumbered: progress.unnumberedBlocks,
+      lines: progress.describeLines(),
+      ran_ms: Math.round(ranMs),
+    });
+  }
+
   #getIdentity(
     { organisation, route }: SubmitJob,
     item: JobItem,
--- a/src/fleet/progress_tracker.ts
+++ b/src/fleet/progress_tracker.ts
@@ -10,6 +10,7 @@
   RunProgressSchema,
 } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
+import type { Log } from "../sys/log.ts";
 import type { Random } from "../sys/random.ts";
 import { ItemProgress } from "./item_progress.ts";
 import { getItemKey } from "./run_recorder.ts";
@@ -17,10 +18,12 @@
 /** Partial output of the items that one process has run. */
 export class ProgressTracker {
   readonly #random: Random;
+  readonly #log: Log;
   readonly #progressByKey = new Map<string, ItemProgress>();
 
-  constructor(random: Random) {
+  constructor({ random, log }: { readonly random: Random; readonly log: Log }) {
     this.#random = random;
+    this.#log = log;
   }
 
   tryGet(key: string): ItemProgress | undefined {
@@ -30,13 +33,24 @@
   /** Returns an item's progress, restored from recorded output on first use. */
   getOrCreate({ job, progress }: QueuedJob, item: JobItem): ItemProgress {
     const key = getItemKey(job.id, item.id);
+    const known = this.#progressByKey.get(key);
+    if (known !== undefined) return known;
     const recorded = progress.get(item.id);
-    const itemProgress = this.#progressByKey.get(key) ??
-      new ItemProgress({
-        random: this.#random,
-        ...recorded === undefined ? {} : { recorded },
-      });
+    const itemProgress = new ItemProgress({
+      random: this.#random,
+      ...recorded === undefined ? {} : { recorded },
+    });
     this.#progressByKey.set(key, itemProgress);
+    if (recorded !== undefined) {
+      this.#log.info("item_restored", {
+        job: job.id,
+        item: item.id,
+        last_event: recorded.last,
+        from_chain: String(recorded.chain),
+        chain: String(itemProgress.chain),
+        version: recorded.softwareVersion,
+      });
+    }
     return itemProgress;
   }
 
--- a/src/test/uneven_items_test.ts
+++ b/src/test/uneven_items_test.ts
@@ -20,6 +20,7 @@
     job: "j",
     item: "i",
     server: "s",
+    number: 1,
     abortController: new AbortController(),
     startedMs: STARTED_MS,
     dueMs: WALL_MS + 18_000,
