--- a/src/test/item_streams_test.ts
+++ b/src/test/item_streams_test.ts
@@ -16,6 +16,7 @@
   createPermit,
 } from "./backend_calls.ts";
 import { range } from "./fleet_helpers.ts";
+import { type RecordedRun, tryFindJoinFault } from "./run_lines.ts";
 import { ScriptedServer } from "./scripted_server.ts";
 
 const SEEDS = range(12);
@@ -29,13 +30,6 @@
 /** What may follow an event: comments, which are no events. */
 const COMMENTS = ["", "", ": still at work\n\n", ":\n\n: a\n: b\n\n"];
 
-/** A run of an item at a server. */
-interface Run {
-  readonly item: string;
-  /** Number of the event after which it was asked to go on. */
-  readonly after: number;
-}
-
 /** Resets at once; the public method closes in an orderly way before. */
 function reset(socket: Socket): void {
   const { _handle: handle } = socket as unknown as {
@@ -49,13 +43,13 @@
   let servers: ScriptedServer[];
   let agent: HttpAgent;
   let random: SeededRandom;
-  let runs: Run[];
+  let runs: RecordedRun[];
 
   const pick = <T>(choices: readonly T[]): T =>
     choices[random.getIntegerBelow(choices.length)] as T;
 
   const serve = (socket: Socket, id: string, after: number) => {
-    const run = runs.push({ item: id, after }) - 1;
+    const run = runs.push({ id, after }) - 1;
     const events = range(EVENT_COUNT).map((index) => index + 1)
       .filter((event) => event > after)
       .map((event) =>
@@ -145,20 +139,6 @@
     throw new Error(`item ${item} isn't done after ${MAX_ATTEMPTS} attempts`);
   };
 
-  /** Why a text doesn't follow a line of runs; undefined if it does. */
-  const tryFindFault = (item: string, text: string): string | undefined => {
-    let last: number | undefined;
-    const parts = text.split("\n").map((part) => part.split("-").map(Number));
-    const position = parts.findIndex(([run = -1, event = -1], index) => {
-      const isOwn = runs[run]?.item === item;
-      const isJoined = run === last || runs[run]?.after === index;
-      last = run;
-      return event !== index + 1 || !isOwn || !isJoined;
-    });
-    if (position >= 0) return `${text} at event ${position + 1}`;
-    return parts.length === EVENT_COUNT ? undefined : `${text} ends early`;
-  };
-
   beforeEach(async () => {
     runs = [];
     agent = createHttpAgent({ idleTimeoutMs: 10_000 });
@@ -183,7 +163,12 @@
       const faults: string[] = [];
       const work = async () => {
         for (let item = items.pop(); item !== undefined; item = items.pop()) {
-          const fault = tryFindFault(item, await runItem(item));
+          const text = await runItem(item);
+          const fault = tryFindJoinFault(text.split("\n"), {
+            id: item,
+            runs,
+            eventCount: EVENT_COUNT,
+          });
           if (fault !== undefined) faults.push(`${item}: ${fault}`);
         }
       };
