--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 # built by the command of the deploy file.
 set -e
 cd "$(dirname "$0")"
-for file in lab-3.mjs links-3.mjs 1[1-5]/run.mjs; do
+for file in lab-3.mjs 1[1-5]/run.mjs; do
   [ ! -f "$file" ] || node --check "$file"
 done
--- a/review/lab-3.mjs
+++ b/review/lab-3.mjs
@@ -12,7 +12,6 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
-import { Links } from "./links-3.mjs";
 
 export const ROOT = fileURLToPath(new URL("../", import.meta.url));
 export const TROUBLE = process.env.TROUBLE !== "0";
@@ -78,9 +77,7 @@
 
 /** The processes of the fleet. Each host has an address of its own; ports are shared. */
 export class Fleet {
-  /** With `hasLinks`, hosts reach each other through proxies; see links-3.mjs. */
-  constructor(record, { controls = 3, stores = 3, gateways = 2, zones = 3, hasLinks = false } = {}) {
-    this.hasLinks = hasLinks;
+  constructor(record, { controls = 3, stores = 3, gateways = 2, zones = 3 } = {}) {
     this.record = record;
     this.sizes = { control: controls, store: stores, gateway: gateways };
     this.zones = zones;
@@ -111,17 +108,10 @@
         };
         const template = readFileSync(path.join(ROOT, `deploy/${role}.tmpl`), "utf8");
         const settings = path.join(folder, "settings.conf");
-        const bindIp = this.hasLinks ? `127.43.0.${number}` : ip;
-        const links = this.hasLinks ? `bind_ip = ${JSON.stringify(bindIp)}\n` : "";
-        writeFileSync(settings, fillTemplate(template, fields) + links);
-        const zone = fields.Zone;
-        this.hosts.set(name, { name, role, ip, bindIp, zone, folder, settings, exits: [] });
+        writeFileSync(settings, fillTemplate(template, fields));
+        this.hosts.set(name, { name, role, ip, zone: fields.Zone, folder, settings, exits: [] });
       }
     }
-    if (this.hasLinks) {
-      this.links = new Links(this);
-      await this.links.start();
-    }
     this.hosts.forEach((host) => this.startHost(host.name));
   }
 
@@ -189,7 +179,6 @@
       host.child.kill("SIGKILL");
       await host.ended;
     }
-    this.links?.close();
     if (process.env.KEEP !== "1") rmSync(this.folder, { recursive: true, force: true });
     else console.log(this.folder);
   }
