--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,84 +1,105 @@
 /**
- * Batch jobs number their items from 1. A server writes some answers a second time, late,
- * where the answer to the next request on that channel is due. That request is the first
- * item of another job, so it has the same id, and the copy is taken for its answer.
+ * The operator takes a batch route away while many of its items wait. From then on, items
+ * of a batch job on another route, which stays, aren't started, though its servers are idle.
  */
 import { fileURLToPath } from "node:url";
-import { BATCH_ROUTE, createConfig, createId, putConfig, readJob, runCase, Server, sleep, submitJob, TROUBLE } from "../lab-3.mjs";
+import { BATCH_ROUTE, callGateway, createConfig, createId, putConfig, readJob, runCase, sendEvents, Server, sleep, TROUBLE } from "../lab-3.mjs";
 
-const JOBS = 400;
-const JOBS_PER_S = 90;
-const EVENTS = 4;
-/** `garble` with `extra late`: share (.6) of the servers spoil x (.03) of their answers for 5 s. */
-const GARBLE_MS = 5_000;
-const SERVERS = 2;
-const GARBLING_SERVERS = 1;
-const GARBLED_PART = 0.03;
-const READ_LIMIT_MS = 10_000;
+const OLD_ROUTE = { ...BATCH_ROUTE, Name: "old-route", PathPrefix: "/old/", Service: "old-models" };
+const KEPT_ROUTE = { ...BATCH_ROUTE, Name: "kept-route", PathPrefix: "/kept/", Service: "kept-models" };
+/** Output of an item at the servers of each service. */
+const OUTPUTS = {
+  "old-models": { events: 5, gapMs: 20 },
+  "kept-models": { events: 20, gapMs: 150 },
+};
+const SERVICES = Object.keys(OUTPUTS);
+const SERVERS_PER_SERVICE = 6;
 
-const createText = (word) => Array.from({ length: EVENTS }, (_, index) => `${word} ${index + 1}`).join("\n");
+/** Batch jobs on the route that is taken away, each with as many items as one may have. */
+const OLD_JOBS = 5;
+const OLD_JOB_ITEMS = 200;
+const KEPT_JOB_ITEMS = 12;
+/** Tokens of an item, as on the sheet: in all, 350,000 of the 1,400,000 that may wait. */
+const ITEM_TOKENS = 350;
+/** Time after the traffic in which batch jobs must end (`FinishS`). */
+const FINISH_MS = 18_000;
+const CALM_MS = 5_000;
+
+function submit(fleet, prefix, id, count) {
+  const items = Array.from({ length: count }, () => ({ Id: createId(), Path: `${prefix}${createId()}`,
+    Headers: { "X-Model": "m" }, Body: "q83v", Tokens: ITEM_TOKENS }));
+  return callGateway(fleet, "gateway-1", { method: "POST", path: `${prefix}submit`,
+    headers: { "X-Request-Id": id, "Content-Type": "application/json" }, body: JSON.stringify({ Items: items }) });
+}
+
+/** Number of items that are listed; the last one known if the job can't be read now. */
+async function countListed(fleet, id, known) {
+  const reply = await readJob(fleet, "gateway-2", id).catch((error) => error);
+  return reply.status === 200 ? JSON.parse(reply.body).Results.length : known;
+}
 
 const folder = fileURLToPath(new URL(".", import.meta.url));
 await runCase(folder, async ({ fleet, record, servers }) => {
-  /** Answers that are still to be written once more, by channel. */
-  const copies = new Map();
-  let answers = 0;
-  let copied = 0;
-  let firstMs;
-  const handle = ({ req, res, server, body }) => {
-    const word = body.toString();
-    const item = req.headers["x-request-id"];
-    record.add("run", { server: server.id, item, body: word });
-    const { socket } = req;
-    const copy = copies.get(socket);
-    if (copy !== undefined) {
-      copies.delete(socket);
-      copied += 1;
-      record.add("copy-written", { server: server.id, item, copy_of: copy.word, instead_of: word });
-      socket.write(copy.bytes);
-    }
-    const events = createText(word).split("\n").map((data, index) => `id: ${index + 1}\ndata: ${data}\n\n`).join("");
-    const headers = { ...server.headers(req), "Content-Type": "text/event-stream", "Content-Length": events.length };
-    res.writeHead(200, headers).end(events);
-    answers += 1;
-    firstMs ??= performance.now();
-    const isDisturbed = TROUBLE && performance.now() - firstMs < GARBLE_MS;
-    const isGarbled = isDisturbed && servers.indexOf(server) < GARBLING_SERVERS && answers * GARBLED_PART % 1 < GARBLED_PART;
-    const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-    if (isGarbled) copies.set(socket, { word, bytes: `HTTP/1.1 200 OK\r\n${head}\r\n${events}` });
+  let oldRuns = 0;
+  let lastRunMs = -Infinity;
+  const handle = async (exchange) => {
+    const { service, id } = exchange.server;
+    if (service === "old-models") oldRuns += 1;
+    else record.add("run", { server: id, item: exchange.req.headers["x-request-id"] });
+    await sendEvents(exchange, { ...OUTPUTS[service], getData: (number) => `word ${number}` });
+    lastRunMs = performance.now();
   };
-  for (let index = 0; index < SERVERS; index += 1) {
-    const server = new Server(fleet, { service: "models", zone: `zone-${index + 1}`, handle });
-    servers.push(server);
-    await server.start();
+  for (const service of SERVICES) {
+    for (let index = 0; index < SERVERS_PER_SERVICE; index += 1) {
+      const server = new Server(fleet, { service, zone: `zone-${index % 3 + 1}`, slots: 8, handle });
+      servers.push(server);
+      await server.start();
+    }
   }
-  const isReady = await putConfig(fleet, createConfig(3, [BATCH_ROUTE])) && await fleet.waitUntilReady();
+  const isReady = await putConfig(fleet, createConfig(3, [OLD_ROUTE, KEPT_ROUTE], SERVICES)) &&
+    await fleet.waitUntilReady();
   if (!isReady) return { code: 2, reason: "the fleet did not start" };
   await sleep(4_000);
-  const wrong = [];
-  const unread = [];
-  const run = async () => {
-    const job = createId();
-    const word = `output-of-${job}`;
-    const { status } = await submitJob(fleet, "gateway-1", job, [{ id: "1", body: Buffer.from(word).toString("base64") }]);
-    record.add("submitted", { job, status });
-    const endMs = performance.now() + READ_LIMIT_MS;
-    let results = [];
-    while (status === 202 && results.length === 0 && performance.now() < endMs) {
-      const reply = await readJob(fleet, "gateway-2", job, 1_000);
-      results = reply.status === 200 ? JSON.parse(reply.body).Results : [];
-    }
-    record.add("read", { job, results });
-    if (results.length === 0) unread.push(job);
-    else if (results[0].State === "done" && results[0].Text !== createText(word)) wrong.push(job);
-  };
-  const runs = [];
-  for (let number = 1; number <= JOBS; number += 1) {
-    runs.push(run());
-    await sleep(1_000 / JOBS_PER_S);
+
+  // A batch job on the kept route before: its items take some three seconds each.
+  const firstJob = createId();
+  const first = await submit(fleet, "/kept/", firstJob, KEPT_JOB_ITEMS);
+  if (first.status !== 202) return { code: 2, reason: "the first batch job was not accepted" };
+  const firstEndMs = performance.now() + FINISH_MS;
+  for (let listed = 0; listed < KEPT_JOB_ITEMS; listed = await countListed(fleet, firstJob, listed)) {
+    if (performance.now() > firstEndMs) return { code: 2, reason: "the first batch job was not done" };
+    await sleep(250);
   }
-  await Promise.all(runs);
-  if (unread.length > 0) return { code: 2, reason: `${unread.length} jobs have no result` };
-  record.add("wrong", { jobs: wrong });
-  return { code: wrong.length > 0 ? 1 : 0, reason: `${wrong.length} of ${JOBS} jobs were given the output of another one; ${copied} of ${answers} answers were written twice` };
+  record.add("first-job-done", { job: firstJob });
+
+  const oldJobs = Array.from({ length: OLD_JOBS }, () => createId());
+  for (const id of oldJobs) {
+    const { status } = await submit(fleet, "/old/", id, OLD_JOB_ITEMS);
+    record.add("submitted", { route: "old", job: id, items: OLD_JOB_ITEMS, status });
+    if (status !== 202) return { code: 2, reason: "a batch job on the old route was not accepted" };
+  }
+  if (TROUBLE && !await putConfig(fleet, createConfig(8, [KEPT_ROUTE], SERVICES))) {
+    return { code: 2, reason: "the config was not acknowledged" };
+  }
+  const job = createId();
+  const { status } = await submit(fleet, "/kept/", job, KEPT_JOB_ITEMS);
+  record.add("submitted", { route: "kept", job, items: KEPT_JOB_ITEMS, status });
+  if (status !== 202) return { code: 2, reason: "the batch job was not accepted" };
+
+  const endMs = performance.now() + FINISH_MS;
+  let listed = 0;
+  while (performance.now() < endMs) {
+    listed = await countListed(fleet, job, listed);
+    record.add("read", { job, listed, old_runs: oldRuns, running: servers.reduce((sum, { running }) => sum + running, 0) });
+    if (listed === KEPT_JOB_ITEMS) return { code: 0, reason: "all items on the kept route are listed" };
+    await sleep(500);
+  }
+  let oldListed = 0;
+  for (const id of oldJobs) oldListed += await countListed(fleet, id, 0);
+  const idleMs = Math.round(performance.now() - lastRunMs);
+  const isCalm = idleMs > CALM_MS && servers.every(({ running }) => running === 0);
+  return {
+    code: isCalm ? 1 : 2,
+    reason: `${listed} of ${KEPT_JOB_ITEMS} items on the kept route and ${oldListed} of ${OLD_JOBS * OLD_JOB_ITEMS} on the old one are listed when FinishS is over; the last run ended ${idleMs} ms before`,
+  };
 });
