--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -1,73 +1,87 @@
 /**
- * One of seven servers fails two of five requests, with a text of two lines that end as
- * in HTTP, by a carriage return and a line feed. The gateway drops the carriage returns
- * and keeps the length of the answer, so its callers wait for bytes that never come.
+ * Servers stream the output of items. One of them spoils a few of its answers: after the
+ * head of a stream come bytes of another response, and the channel is reset before the
+ * announced length. The item is run again from its beginning, and the spoiled bytes stay
+ * in front of its text.
  */
-import http from "node:http";
 import { fileURLToPath } from "node:url";
-import { callGateway, createConfig, createId, putConfig, runCase, sendEvents, Server, sleep, STREAM_ROUTE, TROUBLE } from "../lab-3.mjs";
+import { BATCH_ROUTE, createConfig, createId, putConfig, readJob, runCase, Server, sleep, submitJob, TROUBLE } from "../lab-3.mjs";
 
-const SERVERS = 7;
-/** `srv_grey`: share (.15) of the servers fail x (.4) of their requests. */
-const FAILING_SERVERS = 1;
-const FAILING_PART = 0.4;
-const REQUESTS = 160;
-/** All requests are sent within 6.5 s, the length of `srv_grey`. */
-const GAP_MS = 40;
-const CHANNELS = 40;
-const TIMEOUT_MS = 2_000;
-const FAILURE = "the model failed:\r\nout of memory\r\n";
-const ROUTE = { ...STREAM_ROUTE, TimeoutMs: TIMEOUT_MS, Attempts: 1 };
+const JOBS = 400;
+const JOBS_PER_S = 90;
+const EVENTS = 4;
+/** `garble`: share (.35) of the servers spoil x (.02) of their answers for 5.5 s. */
+const GARBLE_MS = 5_500;
+const SERVERS = 3;
+const GARBLED_PART = 0.02;
+const READ_LIMIT_MS = 10_000;
+/** Bytes that are no part of the announced stream. */
+const SPOILED_BYTES = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/event-stream\r\n\r\nevent: error\ndata: failed\n\n";
+
+const createText = (word) => Array.from({ length: EVENTS }, (_, index) => `${word} ${index + 1}`).join("\n");
 
 const folder = fileURLToPath(new URL(".", import.meta.url));
 await runCase(folder, async ({ fleet, record, servers }) => {
-  const failed = new Set();
-  let count = 0;
-  const handle = (exchange) => {
-    const { req, res, server } = exchange;
-    const isGrey = TROUBLE && servers.indexOf(server) < FAILING_SERVERS;
-    count += isGrey ? 1 : 0;
-    if (!isGrey || count * FAILING_PART % 1 >= FAILING_PART) {
-      return sendEvents(exchange, { events: 5, gapMs: 15, getData: (number) => `word ${number}` });
+  let answers = 0;
+  let spoiled = 0;
+  let firstMs;
+  /** The server that ran the first item: others may get few of them. */
+  let faulty;
+  const handle = ({ req, res, server, body }) => {
+    const word = body.toString();
+    const item = req.headers["x-request-id"];
+    const after = Number(req.headers["last-event-id"] ?? 0);
+    firstMs ??= performance.now();
+    faulty ??= server;
+    const isDisturbed = TROUBLE && performance.now() - firstMs < GARBLE_MS;
+    const isGarbling = isDisturbed && server === faulty;
+    if (isGarbling) answers += 1;
+    const isSpoiled = isGarbling && answers * GARBLED_PART % 1 < GARBLED_PART;
+    record.add("run", { server: server.id, item, after, spoiled: isSpoiled });
+    const events = createText(word).split("\n").slice(after).map((data, index) => `id: ${after + index + 1}\ndata: ${data}\n\n`).join("");
+    res.writeHead(200, { ...server.headers(req), "Content-Type": "text/event-stream", "Content-Length": events.length });
+    if (!isSpoiled) {
+      res.end(events);
+      return;
     }
-    failed.add(req.headers["x-request-id"]);
-    res.writeHead(500, { ...server.headers(req), "Content-Type": "text/plain", "Content-Length": FAILURE.length }).end(FAILURE);
+    spoiled += 1;
+    const { socket } = res;
+    // Reset a moment later, so that the bytes have left.
+    res.write(SPOILED_BYTES, () => setTimeout(() => socket.resetAndDestroy(), 50));
   };
   for (let index = 0; index < SERVERS; index += 1) {
-    const server = new Server(fleet, { service: "models", zone: `zone-${index % 3 + 1}`, handle });
+    const server = new Server(fleet, { service: "models", zone: `zone-${index + 1}`, handle });
     servers.push(server);
     await server.start();
   }
-  const isReady = await putConfig(fleet, createConfig(3, [ROUTE])) && await fleet.waitUntilReady();
+  const isReady = await putConfig(fleet, createConfig(3, [BATCH_ROUTE])) && await fleet.waitUntilReady();
   if (!isReady) return { code: 2, reason: "the fleet did not start" };
   await sleep(4_000);
-
-  const agent = new http.Agent({ keepAlive: true, maxSockets: CHANNELS });
-  const outcomes = [];
-  const send = async (gateway) => {
-    const id = createId();
-    const sentMs = performance.now();
-    const getMs = () => Math.round(performance.now() - sentMs);
-    const outcome = await callGateway(fleet, gateway, { method: "POST", path: "/stream/question", body: "question", agent,
-      headers: { "X-Request-Id": id, "X-Deadline-Ms": "5000" }, timeoutMs: 20_000 }).then(
-      ({ status, headers, body }) => ({ status, hasStamp: headers["x-server-stamp"] !== undefined, text: body.toString(), ms: getMs() }),
-      (error) => ({ reason: error.message, ms: getMs() }),
-    );
-    outcomes.push({ id, ...outcome });
+  const wrong = [];
+  const unread = [];
+  const run = async () => {
+    const job = createId();
+    const word = `output-of-${job}`;
+    const item = `item-${job}`;
+    const { status } = await submitJob(fleet, "gateway-1", job, [{ id: item, body: Buffer.from(word).toString("base64") }]);
+    record.add("submitted", { job, status });
+    const endMs = performance.now() + READ_LIMIT_MS;
+    let results = [];
+    while (status === 202 && results.length === 0 && performance.now() < endMs) {
+      const reply = await readJob(fleet, "gateway-2", job, 1_000);
+      results = reply.status === 200 ? JSON.parse(reply.body).Results : [];
+    }
+    record.add("read", { job, results });
+    if (results.length === 0) unread.push(job);
+    else if (results[0].State === "done" && results[0].Text !== createText(word)) wrong.push(job);
   };
-  const sent = [];
-  for (let number = 0; number < REQUESTS; number += 1) {
-    sent.push(send(`gateway-${number % 2 + 1}`));
-    await sleep(GAP_MS);
-  }
-  await Promise.all(sent);
-  outcomes.forEach(({ id, status, ms, reason, text }) => record.add("request", { id, server: failed.has(id) ? "500" : "200", status, ms, reason, text: status === 200 ? undefined : text }));
-  const silent = outcomes.filter(({ ms }) => ms > TIMEOUT_MS);
-  const unanswered = silent.filter(({ ms }) => ms > TIMEOUT_MS + 500);
-  const lost = unanswered.filter(({ status }) => status === undefined);
-  const figures = `${outcomes.length} requests, ${failed.size} failed by a server; ${unanswered.length} of the ${silent.length} without an answer at TimeoutMs have none half a second later; of ${lost.length} the channel was closed without one`;
-  if (outcomes.some(({ id, status, hasStamp }) => !failed.has(id) && !(status === 200 && hasStamp))) {
-    record.add("note", { text: "requests that no server failed were not served" });
+  const runs = [];
+  for (let number = 1; number <= JOBS; number += 1) {
+    runs.push(run());
+    await sleep(1_000 / JOBS_PER_S);
   }
-  return { code: unanswered.length > silent.length / 2 && lost.length > 3 ? 1 : 0, reason: figures };
+  await Promise.all(runs);
+  if (unread.length > 0) return { code: 2, reason: `${unread.length} jobs have no result` };
+  record.add("wrong", { jobs: wrong });
+  return { code: wrong.length > 0 ? 1 : 0, reason: `${wrong.length} of ${JOBS} jobs are done with a text that isn't their output; ${spoiled} of ${answers} answers of the faulty server were spoiled` };
 });
