Review: let case 13 judge the results that were read

The script ended with 2 as soon as one of 400 jobs had no result: in 2 of 2 runs beside an installation of packages, where 52 and 4 jobs were answered 504. A run now counts if three quarters of the jobs have a result, or if one of the results is wrong.

--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -14,7 +14,9 @@
 const GARBLE_MS = 5_500;
 const SERVERS = 3;
 const GARBLED_PART = 0.02;
-const READ_LIMIT_MS = 10_000;
+const READ_LIMIT_MS = 18_000;
+/** Share of the jobs that must have a result, so that a run counts. */
+const READ_PART = 0.75;
 /** Bytes that are no part of the announced stream. */
 const SPOILED_BYTES = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/event-stream\r\n\r\nevent: error\ndata: failed\n\n";
 
@@ -58,7 +60,7 @@
   if (!isReady) return { code: 2, reason: "the fleet did not start" };
   await sleep(4_000);
   const wrong = [];
-  const unread = [];
+  let read = 0;
   const run = async () => {
     const job = createId();
     const word = `output-of-${job}`;
@@ -72,8 +74,9 @@
       results = reply.status === 200 ? JSON.parse(reply.body).Results : [];
     }
     record.add("read", { job, results });
-    if (results.length === 0) unread.push(job);
-    else if (results[0].State === "done" && results[0].Text !== createText(word)) wrong.push(job);
+    if (results.length === 0) return;
+    read += 1;
+    if (results[0].State === "done" && results[0].Text !== createText(word)) wrong.push(job);
   };
   const runs = [];
   for (let number = 1; number <= JOBS; number += 1) {
@@ -81,7 +84,7 @@
     await sleep(1_000 / JOBS_PER_S);
   }
   await Promise.all(runs);
-  if (unread.length > 0) return { code: 2, reason: `${unread.length} jobs have no result` };
   record.add("wrong", { jobs: wrong });
-  return { code: wrong.length > 0 ? 1 : 0, reason: `${wrong.length} of ${JOBS} jobs are done with a text that isn't their output; ${spoiled} of ${answers} answers of the faulty server were spoiled` };
+  if (wrong.length === 0 && read < JOBS * READ_PART) return { code: 2, reason: `only ${read} jobs have a result` };
+  return { code: wrong.length > 0 ? 1 : 0, reason: `${wrong.length} of ${read} jobs are done with a text that isn't their output (${JOBS} were sent); ${spoiled} of ${answers} answers of the faulty server were spoiled` };
 });
