Tell a torn frame of a log by what the store wrote

What callers saw: after store hosts were killed while a job with bodies that look like frames was written, a host ended with code 5 at each start.

Cause: a start took the bytes after the last valid frame for damage if a valid frame began anywhere in them, also inside the payload of the frame that was cut. Callers choose a part of these bytes.

Change: the header of the frame, which callers have no part in, and the order of writes decide: a frame is written only once the one before is durable, so a valid header with bytes beyond its length is damage, and without them a cut. A header that was not written leaves zero bytes up to the end of a page. Only for other invalid headers, which no crash leaves, are later headers looked for, in one pass. The format stays as it is, so each build reads the logs of the other.

Why this works: after a crash, what follows the last valid frame is a part of one frame; none of its rows depends on the payload. A damaged durable frame is followed by a header or by bytes beyond its length, also if the next frame was cut.

--- a/src/state/log/frame.ts
+++ b/src/state/log/frame.ts
@@ -9,6 +9,9 @@
 /** Bytes of the header that precedes the payload. */
 export const FRAME_HEADER_BYTES = 12;
 
+/** Bytes of a file that reach a disk together, or not at all. */
+const PAGE_BYTES = 4096;
+
 const LENGTH_OFFSET = 0;
 const PAYLOAD_CRC_OFFSET = 4;
 const HEADER_CRC_OFFSET = 8;
@@ -66,12 +69,44 @@
   return { payload, endOffset: start + header.length };
 }
 
-/** Whether a valid, non-empty frame starts at `offset` or anywhere after it. */
-export function hasFrameAfter(bytes: Uint8Array, offset: number): boolean {
+/**
+ * Whether a crash alone explains that `bytes`, which follow the last valid frame of a
+ * file and begin at `offset` in it, are no valid frame: they are what has reached the
+ * disk of one frame. Otherwise a frame that was durable is damaged. Payloads have no
+ * influence on this, since callers choose a part of their bytes.
+ */
+export function isTornFrame(bytes: Uint8Array, offset: number): boolean {
+  if (bytes.length < FRAME_HEADER_BYTES) return true;
+  const header = tryDecodeHeader(bytes.subarray(0, FRAME_HEADER_BYTES));
+  // A frame is written only once the one before is durable.
+  if (header !== undefined) {
+    return bytes.length <= FRAME_HEADER_BYTES + header.length;
+  }
+  return isHeaderMissing(bytes, offset) || !hasHeader(bytes);
+}
+
+/**
+ * Whether the header was not written to the disk, though later bytes may have been. A
+ * file has zero bytes in place of a missing write, up to the end of a page at least.
+ */
+function isHeaderMissing(bytes: Uint8Array, offset: number): boolean {
+  const start = bytes.subarray(0, FRAME_HEADER_BYTES)
+    .findLastIndex((byte) => byte !== 0) + 1;
+  if (start === FRAME_HEADER_BYTES) return false;
+  const length = bytes.subarray(start).findIndex((byte) => byte !== 0);
+  if (length < 0) return true;
+  const pageEnd = (Math.floor((offset + start) / PAGE_BYTES) + 1) * PAGE_BYTES;
+  return length >= FRAME_HEADER_BYTES && offset + start + length >= pageEnd;
+}
+
+/** Whether a valid header of a frame that is not empty starts anywhere. */
+function hasHeader(bytes: Uint8Array): boolean {
   const last = bytes.length - FRAME_HEADER_BYTES;
-  for (let start = offset; start <= last; start += 1) {
-    const frame = tryDecodeFrame(bytes, start);
-    if (frame !== undefined && frame.payload.length > 0) return true;
+  for (let start = 0; start <= last; start += 1) {
+    const header = tryDecodeHeader(
+      bytes.subarray(start, start + FRAME_HEADER_BYTES),
+    );
+    if (header !== undefined && header.length > 0) return true;
   }
   return false;
 }
--- a/src/state/log/replica_store.ts
+++ b/src/state/log/replica_store.ts
@@ -22,7 +22,7 @@
 } from "../../schema/mod.ts";
 import type { AppendFile, Folder, ReadFile } from "../../sys/files.ts";
 import { ServingError } from "../../sys/errors.ts";
-import { findFrame, FrameDecoder, hasFrameAfter } from "./frame.ts";
+import { findFrame, FrameDecoder, isTornFrame } from "./frame.ts";
 import {
   createEntryRecord,
   createHardStateRecord,
@@ -296,8 +296,8 @@
       );
       const end = start + decoder.validBytes;
       const rest = await file.read(end, file.bytes - end);
-      const isTruncated = rest.length > 0;
-      if (isTruncated && (!options.last || hasFrameAfter(rest, 0))) {
+      const isCut = rest.length > 0;
+      if (isCut && (!options.last || !isTornFrame(rest, end))) {
         throw this.#createCorruptError(
           name,
           end,
