Decide in one place what the events of a stream are

Cause: the splitter, the parser of ids, the sequence of numbers and the log of completions each had rules of their own for what an event is. What was kept of an attempt (blocks) was not what decides where the next one goes on (a number), and carriage returns were removed from what was passed on.

Change: event_stream.ts decides for items, recorded progress, callers' streams, streams from other gateways and completions. An event is a block with data, its id is its number, the first is event 1. Data without a number ends its answer and is not kept; what is kept are the blocks before it, however they were divided into chunks. Blocks reach callers byte for byte. Blocks before a stream's first event wait for it, so that an attempt that breaks off leaves nothing. Answers that are no streams are buffered and passed on as they are. An item's answer that ends with its connection before the first event is never taken for whole.

Why this works: what is kept and what is asked for next come from the same value, the number of the last event.

Tests: stream_blocks_test reads streams as the format says; before, its parser took no mark of the byte order, and dropped a last event that ends with a carriage return, which went unnoticed because both were to be changed on the way. It now also compares the bytes that callers get with those sent. event_splitter_test expects the bytes as they are, where it expected them without carriage returns. EventBoundaryDetector is gone; its tests check the splitter, which now decides the same. value_ranges_test reads its ids with EventStream. completion_blocks_test is new.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -5,7 +5,7 @@
  */
 import type { JobCaller } from "../policy/mod.ts";
 import type { JobItem } from "../schema/mod.ts";
-import { EventSplitter, isEventStreamType } from "../relay/mod.ts";
+import { isEventStreamType } from "../relay/mod.ts";
 import { forEachChunk, observeFirstChunk } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
 import {
@@ -143,22 +143,14 @@
     response.body.destroy();
     return { kind: "broken", reason: "the response is no stream of events" };
   }
-  const splitter = new EventSplitter();
   const startEvent = progress.last;
-  const isContinuous = await forEachChunk(response.chunks, (chunk) => {
-    const events = splitter.push(chunk);
-    return events === undefined || progress.appendEvents(events.bytes);
+  progress.startAnswer();
+  await forEachChunk(response.chunks, (chunk) => {
+    progress.appendChunk(chunk);
+    return true;
   });
-  if (!isContinuous) {
-    response.body.destroy();
-    progress.reset();
-    return {
-      kind: "broken",
-      reason: "the response skipped or repeated an event, or is too long",
-    };
-  }
   const isComplete = await response.isComplete();
-  if (isComplete && splitter.rest.length === 0) {
+  if (isComplete && !progress.isInsideEvent) {
     const isKnown = progress.recordEnd(startEvent, response);
     return isKnown ? { kind: "done" } : {
       kind: "unconfirmed",
--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -4,27 +4,20 @@
  * chain tells its parts in the log from those of other processes, whose text
  * differs although the events have the same numbers.
  */
-import { EventSequence, parseEvents } from "../relay/mod.ts";
+import {
+  type EventAnswer,
+  EventStream,
+  EventStreamError,
+  type NumberedEvent,
+} from "../relay/mod.ts";
 import { type ItemProgressRecord, joinProgressParts } from "../state/mod.ts";
 import type { Random } from "../sys/random.ts";
 
-/** Data of an event. */
-interface EventData {
-  /** Number of the event, or of the next one if it has none. */
-  readonly event: number;
-  readonly data: string;
-  /** Run that brought it. */
+/** An event and the run that brought it. */
+interface RunEvent extends NumberedEvent {
   readonly run: number;
 }
 
-/** Consecutive lines of a text that one run brought. */
-interface RunLines {
-  readonly first: number;
-  last: number;
-  /** Number of the run; undefined for lines that were restored. */
-  readonly run: number | undefined;
-}
-
 /** Output that continues what is recorded. */
 export interface UnrecordedOutput {
   readonly after: number;
@@ -57,7 +50,9 @@
 /** Output that an item has produced so far. */
 export class ItemProgress {
   readonly #random: Random;
-  #sequence: EventSequence;
+  #stream: EventStream;
+  /** Answer of the current run. */
+  #answer: EventAnswer<NumberedEvent>;
   #chain: bigint;
   /** Number of the event after which the chain began. */
   #chainAfter: number;
@@ -65,12 +60,10 @@
   #restored: string | undefined;
   /** Software version of the servers that made the output; empty if unknown. */
   #softwareVersion: string;
-  readonly #events: EventData[] = [];
+  readonly #events: RunEvent[] = [];
   #eventBytes = 0;
   /** Run in progress, or the last one. */
   #run = 0;
-  /** Blocks of that run that have data and no number. */
-  #unnumberedBlocks = 0;
   /** Successive responses without output that ended with their connection. */
   #emptyUndelimitedEnds = 0;
   /**
@@ -82,7 +75,8 @@
   constructor({ random, recorded }: ItemProgressOptions) {
     this.#random = random;
     this.#chain = createChain(random);
-    this.#sequence = new EventSequence(recorded?.last);
+    this.#stream = new EventStream(recorded?.last);
+    this.#answer = this.#stream.readAnswer();
     this.#chainAfter = recorded?.last ?? 0;
     this.#softwareVersion = recorded?.softwareVersion ?? "";
     this.#restored = recorded === undefined
@@ -121,38 +115,26 @@
   /** Begins a run; `run` is its number in the log of this process. */
   startRun(run: number): void {
     this.#run = run;
-    this.#unnumberedBlocks = 0;
-  }
-
-  /** Blocks with data and without a number that the last run brought. */
-  get unnumberedBlocks(): number {
-    return this.#unnumberedBlocks;
   }
 
   /**
-   * Runs by the lines of the text that they brought, for the log, such as
+   * Runs by the events of the text that they brought, for the log, such as
    * `1-40:recorded,41-60:7`.
    */
-  describeLines(): string {
-    const restoredLines = this.#restored?.split("\n").length ?? 0;
-    const lines: RunLines[] = restoredLines === 0
-      ? []
-      : [{ first: 1, last: restoredLines, run: undefined }];
-    this.#events.forEach(({ run }) => {
-      const previous = lines.at(-1);
-      const position = (previous?.last ?? 0) + 1;
-      if (previous !== undefined && previous.run === run) {
-        previous.last = position;
-      } else lines.push({ first: position, last: position, run });
+  describeEvents(): string {
+    const runs = [...new Set(this.#events.map(({ run }) => run))];
+    const own = runs.map((run) => {
+      const events = this.#events.filter((event) => event.run === run);
+      return `${events[0]?.number}-${events.at(-1)?.number}:${run}`;
     });
-    return lines.map(({ first, last, run }) =>
-      `${first}-${last}:${run ?? "recorded"}`
-    ).join();
+    return this.#restored === undefined
+      ? own.join()
+      : [`1-${this.#chainAfter}:recorded`, ...own].join();
   }
 
   /** Number of the last event; undefined before the first event. */
   get last(): number | undefined {
-    return this.#sequence.last;
+    return this.#stream.last;
   }
 
   /** Data of all events in order, separated by line feeds. */
@@ -170,40 +152,49 @@
     recorded: Pick<ItemProgressRecord, "last" | "chain"> | undefined,
   ): UnrecordedOutput | undefined {
     const after = recorded?.last ?? 0;
-    const last = this.#sequence.last ?? 0;
+    const last = this.last ?? 0;
     const isOwn = recorded?.chain === this.#chain || after === this.#chainAfter;
     if (!isOwn || last <= after) return undefined;
     const text = this.#events
-      .filter(({ event }) => event > after && event <= last)
+      .filter(({ number }) => number > after)
       .map(({ data }) => data).join("\n");
     return { after, last, text };
   }
 
+  /** Begins to read an answer to a request for the output after the last event. */
+  startAnswer(): void {
+    this.#answer = this.#stream.readAnswer();
+  }
+
+  /** Whether the answer so far ends inside an event. */
+  get isInsideEvent(): boolean {
+    return this.#answer.isInsideEvent;
+  }
+
   /**
-   * Appends complete events; returns false on a gap, a repeated event or too much
-   * output.
+   * Appends the events that are complete with a chunk of the answer. Throws if the answer
+   * is not the output that was asked for, or if the output is too long. Output that the
+   * answer can't be continued after is discarded: a server that can't go on after an
+   * event runs the item from its beginning.
    */
-  appendEvents(bytes: Buffer): boolean {
+  appendChunk(chunk: Buffer): void {
+    const { bytes, events, fault } = this.#answer.push(chunk);
     this.#eventBytes += bytes.length;
-    if (this.#eventBytes > MAX_TEXT_BYTES) return false;
-    return parseEvents(bytes).every((event) => {
-      if (!this.#sequence.accept(event)) return false;
-      const { id, data, isEmpty } = event;
-      if (isEmpty) return true;
-      if (id === undefined) this.#unnumberedBlocks += 1;
-      this.#events.push({
-        event: id ?? (this.last ?? 0) + 1,
-        data,
-        run: this.#run,
-      });
-      return true;
-    });
+    if (this.#eventBytes > MAX_TEXT_BYTES) {
+      this.reset();
+      throw new Error(`the output is longer than ${MAX_TEXT_BYTES} bytes`);
+    }
+    events.forEach((event) => this.#events.push({ ...event, run: this.#run }));
+    if (fault === undefined) return;
+    if (fault instanceof EventStreamError && fault.isMisnumbered) this.reset();
+    throw fault;
   }
 
   /**
    * Records a whole response that was asked for the output after event `startEvent`.
    * Returns whether it is known now that no output follows. One response alone can't
-   * tell if it brought none.
+   * tell if it brought none, and any number of them can't if they end with their
+   * connections before the first event.
    */
   recordEnd(
     startEvent: number | undefined,
@@ -214,6 +205,7 @@
     const hadEndedHere = this.#endedAfter === last;
     this.#endedAfter = last;
     if (isDelimited) return !isEmpty || hadEndedHere;
+    if (!this.hasEvents) return false;
     this.#emptyUndelimitedEnds = isEmpty ? this.#emptyUndelimitedEnds + 1 : 0;
     return this.#emptyUndelimitedEnds >= MIN_EMPTY_UNDELIMITED_ENDS;
   }
@@ -221,7 +213,8 @@
   /** Discards all output and begins a chain with the first event. */
   reset(): void {
     this.#chain = createChain(this.#random);
-    this.#sequence = new EventSequence(undefined);
+    this.#stream = new EventStream();
+    this.#answer = this.#stream.readAnswer();
     this.#chainAfter = 0;
     this.#restored = undefined;
     this.#events.length = 0;
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -747,7 +747,7 @@
     });
   }
 
-  /** Logs what a run brought, who ended it, and which run each line is from. */
+  /** Logs what a run brought, who ended it, and which run each event is from. */
   #logEndOfRun(
     { run, outcome, progress, startEvent, ranMs }: {
       readonly run: ActiveRun;
@@ -771,8 +771,7 @@
       reason: "reason" in outcome ? outcome.reason : "",
       asked_after: startEvent,
       last_event: progress.last ?? 0,
-      unnumbered: progress.unnumberedBlocks,
-      lines: progress.describeLines(),
+      lines: progress.describeEvents(),
       ran_ms: Math.round(ranMs),
     });
   }
--- a/src/fleet/response_forwarders.ts
+++ b/src/fleet/response_forwarders.ts
@@ -4,11 +4,11 @@
  * server can continue it.
  */
 import {
-  EventBoundaryDetector,
-  EventSequence,
+  type AcceptedBlocks,
   EventSplitter,
+  EventStream,
   isEventStreamType,
-  parseEvents,
+  type NumberedEvent,
 } from "../relay/mod.ts";
 import { forEachChunk, limitChunks } from "../sys/body_chunks.ts";
 import { getReason } from "../sys/errors.ts";
@@ -155,13 +155,13 @@
     if (!isEventStream(response)) return await super.forwardBody(response);
     // Its events tell whether it broke off within one.
     this.sendHead(response, { isUnframed: false });
-    const boundaryDetector = new EventBoundaryDetector();
+    const splitter = new EventSplitter();
     await forEachChunk(response.chunks, (chunk) => {
-      boundaryDetector.push(chunk);
+      splitter.push(chunk);
       return this.caller.push(chunk);
     });
     if (!(await this.isWhole(response))) return createTruncatedResult();
-    if (boundaryDetector.isInsideEvent) return ENDED_INSIDE_EVENT;
+    if (splitter.isInsideEvent) return ENDED_INSIDE_EVENT;
     this.caller.end();
     return DONE;
   }
@@ -172,7 +172,7 @@
  * {@linkcode MAX_BUFFERED_BYTES}. Until then, another server can be tried.
  */
 export class BufferedForwarder extends ResponseForwarder {
-  override get resumeAfter(): undefined {
+  override get resumeAfter(): number | undefined {
     return undefined;
   }
 
@@ -205,37 +205,42 @@
 }
 
 /**
- * Forwards only complete events, so that another server can continue after the
- * last one. The status and headers are those of the first server's response.
+ * Forwards only complete events, so that another server can continue after the last
+ * one. The status and headers are those of the first response that brought an event;
+ * a response that breaks off before leaves nothing. A response that is no stream of
+ * events is buffered.
  */
-export class EventForwarder extends ResponseForwarder {
-  #sequence: EventSequence;
+export class EventForwarder extends BufferedForwarder {
+  readonly #stream: EventStream;
+  /** Blocks before the first event, which are no events. */
+  readonly #heldBlocks: Buffer[] = [];
+  #heldBytes = 0;
   /** Number of the event after which an answer ended without any event. */
   #emptyAfter: number | undefined;
-  readonly #onEvents: () => void;
+  readonly #onEvent: () => void;
 
-  /** `onEvents` is called before events of a response are sent to the caller. */
+  /**
+   * `onEvent` is called before an event of a response becomes part of the caller's
+   * stream, and throws if it must not.
+   */
   constructor(
     caller: CallerResponse,
     resumeAfter: number | undefined,
-    onEvents: () => void = () => {},
+    onEvent: () => void = () => {},
     options: ForwarderOptions = {},
   ) {
     super(caller, options);
-    this.#sequence = new EventSequence(resumeAfter);
-    this.#onEvents = onEvents;
+    this.#stream = new EventStream(resumeAfter);
+    this.#onEvent = onEvent;
   }
 
   override get resumeAfter(): number | undefined {
-    return this.#sequence.last;
+    return this.#stream.last;
   }
 
-  /**
-   * Whether another server can continue the response: before the status and
-   * headers are sent, or if events are numbered.
-   */
+  /** Whether another server can continue: nothing was sent, or events were. */
   override get canContinue(): boolean {
-    return !this.caller.headSent || this.#sequence.last !== undefined;
+    return !this.caller.headSent || this.#stream.last !== undefined;
   }
 
   protected override async forwardBody(
@@ -246,30 +251,33 @@
       discardBody(response.body);
       return { kind: "broken", reason: `status ${response.status}` };
     }
-    if (isContinuation && !isEventStream(response)) {
+    if (isEventStream(response)) return await this.#forwardStream(response);
+    if (isContinuation) {
       response.body.destroy();
       return { kind: "broken", reason: "the answer is no stream of events" };
     }
-    const startEvent = this.#sequence.last;
-    const splitter = new EventSplitter();
-    const isContiguous = await forEachChunk(response.chunks, (chunk) => {
-      const events = splitter.push(chunk);
-      return events === undefined ||
-        this.#forwardEvents(events.bytes, response);
+    return await super.forwardBody(response);
+  }
+
+  async #forwardStream(response: BackendResponse): Promise<ForwardResult> {
+    const startEvent = this.#stream.last;
+    const answer = this.#stream.readAnswer({
+      onEvent: this.#onEvent,
+      isContinuation: this.caller.headSent,
+    });
+    this.#takeHeld();
+    await forEachChunk(response.chunks, (chunk) => {
+      const blocks = answer.push(chunk);
+      const forwarded = this.#forwardBlocks(blocks, response);
+      if (blocks.fault === undefined) return forwarded;
+      return Promise.resolve(forwarded).then(() => {
+        throw blocks.fault;
+      });
     });
-    if (!isContiguous) {
-      response.body.destroy();
-      return {
-        kind: "broken",
-        reason: "an event is missing, or is none of the stream",
-      };
-    }
     if (!(await this.isWhole(response))) return createTruncatedResult();
-    if (splitter.isInsideEvent && isEventStream(response)) {
-      return ENDED_INSIDE_EVENT;
-    }
+    if (answer.isInsideEvent) return ENDED_INSIDE_EVENT;
     const isEmptyContinuation = startEvent !== undefined &&
-      this.#sequence.last === startEvent && isEventStream(response);
+      this.#stream.last === startEvent;
     if (isEmptyContinuation && this.#emptyAfter !== startEvent) {
       this.#emptyAfter = startEvent;
       return {
@@ -278,34 +286,49 @@
           `one answer alone says that nothing follows event ${startEvent}`,
       };
     }
-    if (!this.caller.headSent) this.#sendHead(response);
-    if (splitter.rest.length > 0) await this.caller.write(splitter.rest);
+    await this.#sendHeld(response);
+    if (answer.rest.length > 0) await this.caller.write(answer.rest);
     this.caller.end();
     return DONE;
   }
 
-  /** Forwards complete events; false if they don't follow those before. */
-  #forwardEvents(
-    bytes: Buffer,
+  /** Forwards complete blocks; before the first event, they are held back. */
+  #forwardBlocks(
+    { bytes, events }: AcceptedBlocks<NumberedEvent>,
     response: BackendResponse,
-  ): boolean | Promise<boolean> {
-    const lastForwarded = this.#sequence.last;
-    const isContiguous = parseEvents(bytes).every((event) =>
-      this.#sequence.accept(event)
-    );
-    if (!isContiguous) {
-      this.#sequence = new EventSequence(lastForwarded);
-      return false;
+  ): true | Promise<true> {
+    if (bytes.length === 0) return true;
+    if (events.length === 0 && !this.caller.headSent) {
+      this.#hold(bytes);
+      return true;
     }
-    this.#onEvents();
-    if (!this.caller.headSent) this.#sendHead(response);
-    return this.caller.push(bytes);
+    const held = this.#sendHeld(response);
+    return held === true
+      ? this.caller.push(bytes)
+      : held.then(() => this.caller.push(bytes));
   }
 
-  #sendHead(response: BackendResponse): void {
+  #hold(bytes: Buffer): void {
+    this.#heldBlocks.push(bytes);
+    this.#heldBytes += bytes.length;
+    if (this.#heldBytes > MAX_BUFFERED_BYTES) {
+      throw new Error(`${MAX_BUFFERED_BYTES} bytes came without an event`);
+    }
+  }
+
+  /** Sends the head, if it is not sent yet, and what was held back before it. */
+  #sendHeld(response: BackendResponse): true | Promise<true> {
     // Another server may continue a stream with more bytes or fewer.
-    const options = { omitted: LENGTH_HEADERS, isUnframed: false };
-    this.sendHead(response, isEventStream(response) ? options : {});
+    if (!this.caller.headSent) {
+      this.sendHead(response, { omitted: LENGTH_HEADERS, isUnframed: false });
+    }
+    const held = this.#takeHeld();
+    return held.length === 0 || this.caller.push(held);
+  }
+
+  #takeHeld(): Buffer {
+    this.#heldBytes = 0;
+    return Buffer.concat(this.#heldBlocks.splice(0));
   }
 }
 
--- a/src/relay/engine_stream.ts
+++ b/src/relay/engine_stream.ts
@@ -12,9 +12,13 @@
   setIdleTimeout,
 } from "../sys/http.ts";
 
-import type { Progress } from "./event_log.ts";
-import { isEventStreamType } from "./event_parser.ts";
-import { type CompleteEvents, EventSplitter } from "./event_splitter.ts";
+import { DONE_DATA, type Progress } from "./event_log.ts";
+import {
+  type AcceptedBlocks,
+  EventAnswer,
+  EventStreamError,
+  isEventStreamType,
+} from "./event_stream.ts";
 
 /** Request body of a completion, as callers send it and engines accept it. */
 export interface CompletionBody {
@@ -28,8 +32,11 @@
 
 /** Consumes the events of a stream. */
 export interface EventSink {
-  /** Consumes complete events; returns false to apply back-pressure. */
-  onEvents(events: Buffer, count: number): boolean;
+  /**
+   * Consumes complete blocks, with `count` events among them; returns false to apply
+   * back-pressure.
+   */
+  onEvents(blocks: Buffer, count: number): boolean;
   /** Resolves when the sink can accept events again. */
   whenReady(): Promise<void>;
 }
@@ -61,6 +68,8 @@
   readonly progress: Progress;
   readonly requestId: string;
   readonly usesNewConnection: boolean;
+  /** Whether the sink has got blocks of an earlier attempt; false by default. */
+  readonly isContinuation?: boolean;
   /**
    * Maximum wait for the response headers and between chunks of the body, in
    * milliseconds.
@@ -148,7 +157,8 @@
     let isDone = false;
     let isStalled = false;
     let isPaused = false;
-    let isTooLarge = false;
+    /** Why the answer is none of the completion's; undefined if it may be. */
+    let fault: unknown;
     setIdleTimeout(body, attempt.stallTimeoutMs, () => {
       // While a slow sink has paused the stream, silence is not the engine's
       // failure.
@@ -164,11 +174,11 @@
           kind: "broken",
           reason: isStalled
             ? "the stream stalled"
-            : isTooLarge
-            ? "an event is too large"
-            : "the stream broke off",
+            : fault === undefined
+            ? "the stream broke off"
+            : getReason(fault),
           verdict: Verdict.MAY_HAVE_RUN,
-          isConnectionLost: !isStalled && !isTooLarge,
+          isConnectionLost: !isStalled && fault === undefined,
         });
       }
     };
@@ -181,17 +191,17 @@
         body.resume();
       });
     };
-    const splitter = new EventSplitter();
+    const answer = new EventAnswer({
+      accept: acceptCompletionEvent,
+      isContinuation: attempt.isContinuation ?? false,
+    });
     body.on("data", (chunk: Buffer) => {
-      const events = tryPush(splitter, chunk);
-      if (events === "tooLarge") {
-        isTooLarge = true;
-        body.destroy();
-        return;
-      }
-      if (events === undefined) return;
-      isDone ||= events.isDone;
-      if (!sink.onEvents(events.bytes, events.count)) pause();
+      const { bytes, events, fault: reason } = tryPush(answer, chunk);
+      isDone ||= events.includes(DONE_DATA);
+      if (bytes.length > 0 && !sink.onEvents(bytes, events.length)) pause();
+      if (reason === undefined) return;
+      fault = reason;
+      body.destroy();
     });
     body.on("end", finish);
     body.on("error", () => {});
@@ -199,14 +209,22 @@
   });
 }
 
+/** Returns the data of an event; throws unless a completion may have such an event. */
+function acceptCompletionEvent({ data }: { readonly data: string }): string {
+  if (data !== "" && data !== DONE_DATA && !data.startsWith("{")) {
+    throw new EventStreamError("an event is no part of a completion");
+  }
+  return data;
+}
+
 /** Pushes a chunk within an event handler, where nothing catches an error. */
 function tryPush(
-  splitter: EventSplitter,
+  answer: EventAnswer<string>,
   chunk: Buffer,
-): CompleteEvents | undefined | "tooLarge" {
+): AcceptedBlocks<string> {
   try {
-    return splitter.push(chunk);
-  } catch {
-    return "tooLarge";
+    return answer.push(chunk);
+  } catch (error) {
+    return { bytes: Buffer.alloc(0), events: [], fault: error };
   }
 }
--- a/src/relay/event_log.ts
+++ b/src/relay/event_log.ts
@@ -3,7 +3,7 @@
  * bytes and parsed lazily, only when their text is needed: to resume the
  * completion on another server or to build a response that is not streamed.
  */
-import { createParser } from "eventsource-parser";
+import { parseEvents } from "./event_stream.ts";
 
 /** Output that a completion has produced so far. */
 export interface Progress {
@@ -12,7 +12,7 @@
 }
 
 /** Data of the event that terminates a stream. */
-const DONE_DATA = "[DONE]";
+export const DONE_DATA = "[DONE]";
 
 /** Returns the text that an event adds to a completion. */
 export function getTokenText(data: string): string {
@@ -26,20 +26,11 @@
 
 /** Events of one completion, across all of its attempts. */
 export class EventLog {
-  readonly #chunks: Uint8Array[] = [];
+  readonly #chunks: Buffer[] = [];
   #parsedCount = 0;
   #text: string;
   #tokens: number;
   #lastEvent = "";
-  readonly #parser = createParser({
-    onEvent: ({ data }) => {
-      if (data === DONE_DATA) return;
-      const token = getTokenText(data);
-      this.#lastEvent = data;
-      this.#text += token;
-      if (token !== "") this.#tokens += 1;
-    },
-  });
 
   /** Continues from `progress`, which was made earlier. */
   constructor(progress: Progress = { text: "", tokens: 0 }) {
@@ -51,8 +42,8 @@
     return this.#chunks.length === 0;
   }
 
-  /** Appends complete events. */
-  append(events: Uint8Array): void {
+  /** Appends blocks of events that an attempt accepted. */
+  append(events: Buffer): void {
     this.#chunks.push(events);
   }
 
@@ -74,10 +65,14 @@
   }
 
   #parseNewChunks(): void {
-    const decoder = new TextDecoder();
-    this.#chunks.slice(this.#parsedCount).forEach((chunk) =>
-      this.#parser.feed(decoder.decode(chunk))
-    );
+    this.#chunks.slice(this.#parsedCount).flatMap(parseEvents)
+      .filter(({ data }) => data !== DONE_DATA)
+      .forEach(({ data }) => {
+        const token = getTokenText(data);
+        this.#lastEvent = data;
+        this.#text += token;
+        if (token !== "") this.#tokens += 1;
+      });
     this.#parsedCount = this.#chunks.length;
   }
 }
--- a/src/relay/event_splitter.ts
+++ b/src/relay/event_splitter.ts
@@ -1,15 +1,14 @@
 /**
- * Splits a byte stream at the boundaries of server-sent events, without parsing
- * them. An event that is truncated by a failed connection is never forwarded,
- * so that a resumed stream delivers each token exactly once.
+ * Splits a byte stream into the blocks of server-sent events, without parsing them. A
+ * block ends with an empty line; lines end with line feeds, carriage returns or pairs
+ * of them. All bytes are kept as they are, so that callers get what servers sent.
  */
 
-/** Complete events that became available together. */
-export interface CompleteEvents {
+/** Complete blocks that became available together. */
+export interface CompleteBlocks {
+  /** Bytes of all blocks. */
   readonly bytes: Buffer;
-  readonly count: number;
-  /** Whether the last event is the one that terminates the stream. */
-  readonly isDone: boolean;
+  readonly blocks: readonly Buffer[];
 }
 
 /**
@@ -20,64 +19,75 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const EVENT_DELIMITER = Buffer.from("\n\n");
-/** Ends of an event, with either form of a line end. */
-const EVENT_ENDS = [EVENT_DELIMITER, Buffer.from("\n\r\n")];
-const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
+const EMPTY_LINE = Buffer.from("\n\n");
+const EMPTY_RETURN_LINE = Buffer.from("\r\r");
+/** A line end and the first byte of an empty line that may end with a pair. */
+const EMPTY_PAIR_LINE_START = Buffer.from("\n\r");
+const EMPTY_LINE_PATTERN = /(?:\r\n|\n|\r(?!\n)){2}/g;
+const RETURN_PATTERN = /\r\n?/g;
+
+/** Mark that may precede the first block. */
+const BYTE_ORDER_MARK = Buffer.from("\uFEFF");
+
+/** Returns `bytes` without a mark of the byte order at their start. */
+export function removeByteOrderMark(bytes: Buffer): Buffer {
+  const { length } = BYTE_ORDER_MARK;
+  return bytes.subarray(0, length).equals(BYTE_ORDER_MARK)
+    ? bytes.subarray(length)
+    : bytes;
+}
+
+/** Returns blocks as text whose lines end with line feeds. */
+export function decodeBlocks(bytes: Buffer): string {
+  return bytes.toString("utf8").replaceAll(RETURN_PATTERN, "\n");
+}
 
-/** Buffers chunks of a stream and splits them into complete events. */
+/** Buffers chunks of a stream and splits them into complete blocks. */
 export class EventSplitter {
-  /** Begins with the incomplete event; there may be space after it. */
+  /** Begins with the incomplete block; there may be space after it. */
   #buffer: Buffer = Buffer.alloc(0);
   #restBytes = 0;
+  #isFirstBlock = true;
 
-  /** Bytes of an event that is still incomplete. */
+  /** Bytes of a block that is still incomplete. */
   get rest(): Buffer {
     return this.#buffer.subarray(0, this.#restBytes);
   }
 
-  /** Whether more than line ends between two events has arrived since the last. */
+  /** Whether more than comments and empty lines has arrived since the last block. */
   get isInsideEvent(): boolean {
-    return this.rest.some((byte) => byte !== LINE_FEED);
+    const rest = this.#isFirstBlock
+      ? removeByteOrderMark(this.rest)
+      : this.rest;
+    return decodeBlocks(rest).split("\n")
+      .some((line) => line !== "" && !line.startsWith(":"));
   }
 
   /**
-   * Adds a chunk and returns the events that are complete with it, or undefined
-   * if there are none. Throws if an event is too large.
+   * Adds a chunk and returns the blocks that are complete with it, or undefined
+   * if there are none. Throws if a block is too large.
    */
-  push(chunk: Buffer): CompleteEvents | undefined {
-    // Lines of an event stream may also end with carriage returns. They can all
-    // be removed, because JSON data contains none.
-    const normalized = chunk.includes(0x0d)
-      ? Buffer.from(chunk.toString("latin1").replaceAll("\r", ""), "latin1")
-      : chunk;
-    // The bytes before hold no delimiter, except for its beginning.
-    const searchStart = Math.max(
-      0,
-      this.#restBytes - (EVENT_DELIMITER.length - 1),
-    );
-    this.#append(normalized);
+  push(chunk: Buffer): CompleteBlocks | undefined {
+    // The bytes before hold no end of a block, except for its beginning.
+    const searchStart = Math.max(0, this.#restBytes - EMPTY_LINE.length);
+    this.#append(chunk);
     const buffered = this.rest;
-    const position = buffered.subarray(searchStart)
-      .lastIndexOf(EVENT_DELIMITER);
-    if (position < 0) {
+    const length = findLastEnd(buffered.subarray(searchStart));
+    if (length === undefined) {
       checkEventSize(buffered.length);
       return undefined;
     }
-    const end = searchStart + position + EVENT_DELIMITER.length;
+    const end = searchStart + length;
     this.#buffer = buffered.subarray(end);
     this.#restBytes = this.#buffer.length;
+    this.#isFirstBlock = false;
     const bytes = buffered.subarray(0, end);
-    return {
-      bytes,
-      count: countEvents(bytes),
-      isDone: endsWithDoneEvent(bytes),
-    };
+    return { bytes, blocks: splitBlocks(bytes) };
   }
 
   /**
-   * Adds bytes to the incomplete event. The buffer doubles when it is full, so that
-   * the cost of an event grows with its size and not with its number of chunks.
+   * Adds bytes to the incomplete block. The buffer doubles when it is full, so that
+   * the cost of a block grows with its size and not with its number of chunks.
    */
   #append(bytes: Buffer): void {
     const length = this.#restBytes + bytes.length;
@@ -103,70 +113,45 @@
   }
 }
 
-/** Tells whether a stream of events has stopped inside an event, unbuffered. */
-export class EventBoundaryDetector {
-  #isEmpty = true;
-  /** Bytes since the end of an event. */
-  #eventBytes = 0;
-  /** Line feeds at the end of the stream so far. */
-  #trailingLineFeeds = 0;
-
-  /** Whether the last byte so far belongs to an event that has not ended. */
-  get isInsideEvent(): boolean {
-    return !this.#isEmpty &&
-      this.#trailingLineFeeds < EVENT_DELIMITER.length;
-  }
-
-  /** Adds a chunk. Throws if an event is too large. */
-  push(chunk: Buffer): void {
-    this.#countEventBytes(chunk);
-    const contentEnd =
-      chunk.findLastIndex((byte) =>
-        byte !== LINE_FEED && byte !== CARRIAGE_RETURN
-      ) + 1;
-    if (contentEnd > 0) this.#trailingLineFeeds = 0;
-    this.#isEmpty &&= contentEnd === 0;
-    this.#trailingLineFeeds += chunk.subarray(contentEnd)
-      .filter((byte) => byte === LINE_FEED).length;
-  }
-
-  #countEventBytes(chunk: Buffer): void {
-    // An end that is divided between two chunks.
-    if (!this.isInsideEvent) this.#eventBytes = 0;
-    const end = getLastEventEnd(chunk);
-    this.#eventBytes = chunk.length - end + (end > 0 ? 0 : this.#eventBytes);
-    checkEventSize(this.#eventBytes);
-  }
+/** Returns the position after the last block that ends in `bytes`, if there is one. */
+function findLastEnd(bytes: Buffer): number | undefined {
+  const position = bytes.includes(CARRIAGE_RETURN)
+    ? Math.max(
+      bytes.lastIndexOf(EMPTY_LINE),
+      bytes.lastIndexOf(EMPTY_RETURN_LINE),
+      // The next byte tells whether it belongs to the end of the empty line.
+      bytes.subarray(0, -1).lastIndexOf(EMPTY_PAIR_LINE_START),
+    )
+    : bytes.lastIndexOf(EMPTY_LINE);
+  if (position < 0) return undefined;
+  const end = position + EMPTY_LINE.length;
+  const isPair = bytes[end - 1] === CARRIAGE_RETURN && bytes[end] === LINE_FEED;
+  return isPair ? end + 1 : end;
 }
 
-/** Returns the position after the last end of an event in a chunk; 0 for none. */
-function getLastEventEnd(chunk: Buffer): number {
-  return Math.max(
-    ...EVENT_ENDS.map((end) => {
-      const position = chunk.lastIndexOf(end);
-      return position < 0 ? 0 : position + end.length;
-    }),
-  );
+/** Splits bytes that end with a block, or with an additional line end after one. */
+function splitBlocks(bytes: Buffer): Buffer[] {
+  const ends = bytes.includes(CARRIAGE_RETURN)
+    ? findAllEnds(bytes)
+    : findPlainEnds(bytes);
+  return ends.map((end, index) => bytes.subarray(ends[index - 1] ?? 0, end));
 }
 
-function countEvents(bytes: Buffer): number {
-  let count = 0;
-  let position = bytes.indexOf(EVENT_DELIMITER);
-  while (position >= 0) {
-    count += 1;
-    position = bytes.indexOf(
-      EVENT_DELIMITER,
-      position + EVENT_DELIMITER.length,
-    );
-  }
-  return count;
+/** Returns the ends of blocks with any line ends; the last one is that of `bytes`. */
+function findAllEnds(bytes: Buffer): number[] {
+  const ends = [...bytes.toString("latin1").matchAll(EMPTY_LINE_PATTERN)]
+    .map((match) => match.index + match[0].length);
+  return ends.at(-1) === bytes.length ? ends : [...ends, bytes.length];
 }
 
-function endsWithDoneEvent(bytes: Buffer): boolean {
-  const start = bytes.length - DONE_EVENT.length;
-  if (start < 0 || !bytes.subarray(start).equals(DONE_EVENT)) return false;
-  return start === 0 ||
-    bytes.subarray(start - EVENT_DELIMITER.length, start).equals(
-      EVENT_DELIMITER,
-    );
+/** The same for blocks whose lines end with line feeds. */
+function findPlainEnds(bytes: Buffer): number[] {
+  const ends: number[] = [];
+  let end = 0;
+  while (end < bytes.length) {
+    const position = bytes.indexOf(EMPTY_LINE, end);
+    end = position < 0 ? bytes.length : position + EMPTY_LINE.length;
+    ends.push(end);
+  }
+  return ends;
 }
--- a/src/services/online/engine_runner.ts
+++ b/src/services/online/engine_runner.ts
@@ -171,16 +171,17 @@
       // have crashed during the request. A suspect would be refused for that.
       usesNewConnection: request.isNonIdempotent ||
         this.#view.suspicions.isSuspect(request.fingerprint),
+      isContinuation: hadBegun,
       stallTimeoutMs: Math.min(EVENT_TIMEOUT_MS, remainingMs),
       signal,
     }, {
-      onEvents: (events, count) => {
-        if (!hasBegun) {
+      onEvents: (blocks, count) => {
+        if (!hasBegun && count > 0) {
           this.#promptPartGuard.recordAnswerBegun(request.promptParts);
         }
-        hasBegun = true;
-        gapMeter.recordEvents(count);
-        return sink.onEvents(events, count);
+        hasBegun ||= count > 0;
+        if (count > 0) gapMeter.recordEvents(count);
+        return sink.onEvents(blocks, count);
       },
       whenReady: () => sink.whenReady(),
     });
