Count empty answers of an item only after the same event

What callers saw: nothing that is known; a run of item_streams_test gave a text without its last event (1 of 26 runs of the file).

Cause: two answers that end with their connections and bring nothing mean that the output has ended. They counted also if an answer in between had brought events and had broken off.

Change: an empty answer after another event begins a new count.

--- a/src/fleet/item_progress.ts
+++ b/src/fleet/item_progress.ts
@@ -64,7 +64,10 @@
   #eventBytes = 0;
   /** Run in progress, or the last one. */
   #run = 0;
-  /** Successive responses without output that ended with their connection. */
+  /**
+   * Successive responses without output after the same event that ended with their
+   * connection.
+   */
   #emptyUndelimitedEnds = 0;
   /**
    * Number of the event after which a whole response ended last, 0 for none;
@@ -206,7 +209,8 @@
     this.#endedAfter = last;
     if (isDelimited) return !isEmpty || hadEndedHere;
     if (!this.hasEvents) return false;
-    this.#emptyUndelimitedEnds = isEmpty ? this.#emptyUndelimitedEnds + 1 : 0;
+    const endsBefore = hadEndedHere ? this.#emptyUndelimitedEnds : 0;
+    this.#emptyUndelimitedEnds = isEmpty ? endsBefore + 1 : 0;
     return this.#emptyUndelimitedEnds >= MIN_EMPTY_UNDELIMITED_ENDS;
   }
 
