Let no item that can't start hold up others

Cause: a scheduling pass looked at the first 512 waiting items of all services, also at those that can't start, which kept their places. Nothing ended the items of a removed route but their retention time.

Change: items that need the same slots form a queue (waiting_items.ts), which is left out of a pass once the slots are taken. Items without a route, of services without a free slot and with a held part are in none. Key, route and parts of an item are read once. A job says by which version of the routes it was accepted (SubmitJob.routes_version); its items end as dead letters once newer routes have neither its route nor a match for the item. Older builds keep the field and ignore it; items of jobs that they accepted wait for their retention time.

Why this works: what can't start is in no queue that has a bound, and only as many items are taken from a queue as start. A host whose routes are older than those by which a job was accepted can't take a new route for a removed one.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -506,7 +506,11 @@
       this.#stopPeriod.throwIfTooLate(
         this.#context.clock.getMonotonicMs() + MAX_JOB_CALL_MS,
       );
-      const submitted = this.#submitJob(req, body, route, decision);
+      const submitted = this.#submitJob(req, body, {
+        route,
+        routesVersion: routes.table.version,
+        decision,
+      });
       response.sendLocal(
         await this.#stopPeriod.waitFor(submitted, Verdict.MAY_HAVE_RUN),
       );
@@ -574,11 +578,15 @@
   async #submitJob(
     req: IncomingMessage,
     body: Buffer,
-    route: Route,
-    decision: AccessDecision,
+    { route, routesVersion, decision }: {
+      readonly route: Route;
+      readonly routesVersion: bigint;
+      readonly decision: AccessDecision;
+    },
   ): Promise<LocalResponse> {
     await acquireForCaller(req, countJsonValues(body) * JSON_VALUE_BYTES);
     const job = this.#dialect.decodeJob(body, req.headers, route);
+    job.routesVersion = routesVersion;
     this.#access.assignJob(job, route, decision);
     await this.#jobs.submit(job);
     this.#context.log.info("job_accepted", {
--- a/src/fleet/item_flow_need.ts
+++ b/src/fleet/item_flow_need.ts
@@ -1,5 +1,5 @@
 /** What an item of a job says about leaving its data centre. */
-import type { ItemCandidate } from "./item_queue.ts";
+import type { ItemCandidate } from "./waiting_items.ts";
 import { EXPECTED_RESPONSE_BYTES, type FlowNeed } from "./remote_flow.ts";
 
 /** Time until the latest start at which an item still ends in time. */
--- a/src/fleet/item_queue.ts
+++ b/src/fleet/item_queue.ts
@@ -1,23 +1,25 @@
 /**
- * Selects and orders the items of open jobs that wait for a server. After a
- * failed attempt, the next attempt of the item is delayed, so that the item does
- * not fail again in every scheduling pass.
+ * Facts about the open items of jobs that scheduling passes need again and again: the
+ * key, the route and the parts of the prompt of an item, and until when its next attempt
+ * is delayed. After a failed attempt it is, so that the item does not fail again in
+ * every pass.
  */
-import {
-  compareWaitingItems,
-  getUrgentFromMs,
-  type WaitingItem,
-} from "../policy/mod.ts";
-import type { JobItem } from "../schema/mod.ts";
+import { getPromptPartKey } from "../membership/mod.ts";
+import { type RouteIndex, stripQuery } from "../policy/mod.ts";
+import type { JobItem, Route } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
+import type { CallerDialect } from "./dialects.ts";
 import { getItemKey } from "./run_recorder.ts";
 
-/** An item that may be eligible to run. */
-export interface ItemCandidate extends WaitingItem {
-  readonly queued: QueuedJob;
-  readonly item: JobItem;
-  /** Key of the item, unique across all jobs. */
+/** What is known of an item. */
+interface ItemFacts {
   readonly key: string;
+  /** Parts of the prompt that it shares with others. */
+  prefix?: readonly string[];
+  /** Keys of these parts at the service that was asked for last. */
+  parts?: { readonly service: string; readonly keys: readonly string[] };
+  /** Route by the table that was asked for last. */
+  match?: { readonly routes: RouteIndex; readonly route: Route | undefined };
 }
 
 /** Delay before an item is retried after a failed attempt, in milliseconds. */
@@ -25,56 +27,83 @@
 
 /** Queue of the items that wait in one process. */
 export class ItemQueue {
+  readonly #dialect: Pick<CallerDialect, "readRequestMetadata">;
+  readonly #facts = new WeakMap<JobItem, ItemFacts>();
   readonly #retryAfterMs = new Map<string, number>();
 
+  constructor(dialect: Pick<CallerDialect, "readRequestMetadata">) {
+    this.#dialect = dialect;
+  }
+
   /** Delays the next attempt of an item after a failed one. */
   delayRetry(key: string, nowMs: number): void {
     this.#retryAfterMs.set(key, nowMs + RETRY_DELAY_MS);
   }
 
-  /** Drops the state of all items except the given ones. */
+  /** Whether the next attempt of an item is not delayed any more. */
+  mayRetry(key: string, nowMs: number): boolean {
+    return (this.#retryAfterMs.get(key) ?? 0) <= nowMs;
+  }
+
+  /** Drops the delays of all items except the given ones. */
   retainOnly(open: ReadonlySet<string>): void {
     [...this.#retryAfterMs.keys()].filter((key) => !open.has(key))
       .forEach((key) => this.#retryAfterMs.delete(key));
   }
 
-  /** Returns the items that may start now, in the order to start them. */
-  getWaiting(
-    jobs: readonly QueuedJob[],
-    options: {
-      nowMs: number;
-      wallMs: number;
-      /** Estimated slot time that an item still needs, in milliseconds. */
-      getRemainingMs: (queued: QueuedJob, item: JobItem) => number;
-      /** Whether an item is running, has an outcome or may not start here yet. */
-      isExcluded: (key: string, queued: QueuedJob, item: JobItem) => boolean;
-      /** Whether an organisation uses much more than its share of the slots. */
-      isOverShare: (organisation: string) => boolean;
-    },
-  ): ItemCandidate[] {
-    const { nowMs, wallMs, getRemainingMs, isExcluded, isOverShare } = options;
-    return jobs.flatMap((queued) => {
-      const dueMs = queued.submittedMs + queued.job.dueMs;
-      const urgentFromMs = getUrgentFromMs(queued.submittedMs, dueMs);
-      const { organisation } = queued.job;
-      const hasOrganisation = organisation !== undefined;
-      const isLast = hasOrganisation && isOverShare(organisation);
-      return [...queued.open.values()].flatMap((item): ItemCandidate[] => {
-        const key = getItemKey(queued.job.id, item.id);
-        const mayStart = (this.#retryAfterMs.get(key) ?? 0) <= nowMs &&
-          !isExcluded(key, queued, item);
-        return !mayStart ? [] : [{
-          queued,
-          item,
-          key,
-          dueMs,
-          urgentFromMs,
-          remainingMs: getRemainingMs(queued, item),
-          openJobItems: queued.open.size,
-          priority: hasOrganisation ? item.priority : undefined,
-          isOverShare: isLast,
-        }];
-      });
-    }).sort((a, b) => compareWaitingItems(a, b, wallMs));
+  /** Key of an item, unique across all jobs. */
+  getKey({ job }: QueuedJob, item: JobItem): string {
+    return this.#getFacts(job.id, item).key;
+  }
+
+  /** Route of an item; undefined if there is none. */
+  tryGetRoute(
+    { job }: QueuedJob,
+    item: JobItem,
+    routes: RouteIndex,
+  ): Route | undefined {
+    const facts = this.#getFacts(job.id, item);
+    if (facts.match?.routes !== routes) {
+      const route = routes.tryMatch(job.host, stripQuery(item.path));
+      facts.match = { routes, route };
+    }
+    return facts.match?.route;
+  }
+
+  /** Parts of an item's prompt that it shares with others. */
+  getPrefix({ job }: QueuedJob, item: JobItem): readonly string[] {
+    const facts = this.#getFacts(job.id, item);
+    facts.prefix ??= this.#readPrefix(item);
+    return facts.prefix;
+  }
+
+  /** Keys of these parts at a service. */
+  getPromptParts(
+    queued: QueuedJob,
+    item: JobItem,
+    service: string,
+  ): readonly string[] {
+    const facts = this.#getFacts(queued.job.id, item);
+    if (facts.parts?.service !== service) {
+      const keys = this.getPrefix(queued, item)
+        .map((part) => getPromptPartKey(service, part));
+      facts.parts = { service, keys };
+    }
+    return facts.parts?.keys ?? [];
+  }
+
+  #readPrefix(item: JobItem): readonly string[] {
+    const headers = Object.fromEntries(
+      item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
+    );
+    return this.#dialect.readRequestMetadata(headers).prefix;
+  }
+
+  #getFacts(job: string, item: JobItem): ItemFacts {
+    const known = this.#facts.get(item);
+    if (known !== undefined) return known;
+    const facts = { key: getItemKey(job, item.id) };
+    this.#facts.set(item, facts);
+    return facts;
   }
 }
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -5,20 +5,22 @@
  * recorded periodically, so that another member can resume the item.
  */
 import { create } from "@bufbuild/protobuf";
-import { getPromptPartKey, LoadKind } from "../membership/mod.ts";
+import { LoadKind } from "../membership/mod.ts";
 import {
   getReservedSlots,
   getSlack,
+  getUrgentFromMs,
   isItemShortOfTime,
   PreemptionCooldown,
+  type RouteIndex,
   RunTimeEstimator,
   selectTarget,
-  stripQuery,
 } from "../policy/mod.ts";
 import {
   type JobItem,
   type RecordRuns,
   RecordRunsSchema,
+  type Route,
   type SubmitJob,
 } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
@@ -38,14 +40,14 @@
   type ItemIdentity,
   runItemAttempt,
 } from "./item_attempt.ts";
-import { type ItemCandidate, ItemQueue } from "./item_queue.ts";
+import { ItemQueue } from "./item_queue.ts";
 import { type ActiveRun, ActiveRuns, StopReason } from "./active_runs.ts";
 import { AttemptOutcomeHandler } from "./attempt_outcome_handler.ts";
 import type { ItemProgress } from "./item_progress.ts";
 import { ProgressTracker } from "./progress_tracker.ts";
 import { createItemNeed, getItemLateAfterMs } from "./item_flow_need.ts";
 import type { RoutingView } from "./routing_view.ts";
-import { getItemKey, RunRecorder } from "./run_recorder.ts";
+import { RunRecorder } from "./run_recorder.ts";
 import type { ItemOwnership } from "./item_ownership.ts";
 import type {
   PermitRequest,
@@ -53,6 +55,11 @@
   ServerPermit,
   ServerPool,
 } from "./server_pool.ts";
+import {
+  type ItemCandidate,
+  type ItemSlots,
+  WaitingItems,
+} from "./waiting_items.ts";
 
 /** Options of an {@linkcode ItemRunner}. */
 export interface ItemRunnerOptions {
@@ -128,10 +135,10 @@
 const VERSION_WAIT_MS = 3_000;
 
 /**
- * Maximum number of waiting items examined in one scheduling pass; exceeds the
- * total number of slots of a large fleet.
+ * Time after which a wait for a software version begins anew, in milliseconds, if no
+ * pass in between has found the item waiting.
  */
-const MAX_CANDIDATES_PER_PASS = 512;
+const VERSION_WAIT_GAP_MS = 500;
 
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
@@ -144,10 +151,13 @@
 }
 
 /** Servers of a service that one item may use. */
-interface ItemPlacement extends UsableServers {
-  readonly service: string;
-  /** Slots of each server that the item must leave free. */
-  readonly reserve: number;
+type ItemPlacement = UsableServers & Pick<ItemSlots, "service" | "reserve">;
+
+/** Wait of an item for a slot at servers of its software version. */
+interface VersionWait {
+  /** Monotonic times, in milliseconds. */
+  readonly sinceMs: number;
+  readonly seenMs: number;
 }
 
 /** Schedules and runs the items that one process owns. */
@@ -155,15 +165,13 @@
   readonly #options: ItemRunnerOptions;
   readonly #activeRuns = new ActiveRuns();
   readonly #progress: ProgressTracker;
-  readonly #queue = new ItemQueue();
+  readonly #queue: ItemQueue;
   readonly #preemptionCooldown = new PreemptionCooldown();
   readonly #runTimeEstimator = new RunTimeEstimator();
   readonly #recorder: RunRecorder;
   readonly #outcomeHandler: AttemptOutcomeHandler;
   /** Start of the wait for a slot at a software version, by item key. */
-  readonly #versionWaits = new Map<string, number>();
-  /** Parts of the prompts that items share with others. */
-  readonly #prefixes = new WeakMap<JobItem, readonly string[]>();
+  readonly #versionWaits = new Map<string, VersionWait>();
   /** Number of the run that was started last. */
   #lastRun = 0;
   #lastPassMs = -Infinity;
@@ -178,6 +186,7 @@
   constructor(options: ItemRunnerOptions) {
     this.#options = options;
     this.#progress = new ProgressTracker(options.context);
+    this.#queue = new ItemQueue(options.dialects.caller);
     this.#recorder = new RunRecorder({
       record: options.record,
       canRecord: options.canStart,
@@ -331,7 +340,9 @@
     const { ownership } = this.#options;
     const open = new Set(
       jobs.flatMap((queued) =>
-        [...queued.open.keys()].map((id) => getKey(queued, id))
+        [...queued.open.values()].map((item) =>
+          this.#queue.getKey(queued, item)
+        )
       ),
     );
     const owned = new Set([...open].filter((key) => ownership.isOwned(key)));
@@ -385,16 +396,9 @@
     jobs.filter(isExpired)
       .forEach((queued) =>
         queued.open.forEach((item) => {
-          const isOwned = this.#options.ownership.isOwned(
-            getKey(queued, item.id),
-          );
-          if (!isOwned || this.#recorder.hasOutcome(queued.job.id, item.id)) {
-            return;
-          }
-          this.#activeRuns.stop(
-            getKey(queued, item.id),
-            StopReason.expired,
-          );
+          const key = this.#queue.getKey(queued, item);
+          if (!this.#mayGiveUp(key)) return;
+          this.#activeRuns.stop(key, StopReason.expired);
           this.#outcomeHandler.moveToDeadLetters(
             queued,
             item,
@@ -404,52 +408,166 @@
       );
   }
 
+  /** Whether this process may record that an item has ended without a result. */
+  #mayGiveUp(key: string): boolean {
+    return this.#options.ownership.isOwned(key) &&
+      !this.#recorder.hasOutcome(key);
+  }
+
   /**
-   * Starts waiting items in order. Once a service has no free slot beyond a given
-   * reserve, its remaining items with that reserve are skipped in this pass. The
-   * same holds for the servers of each software version.
+   * Starts waiting items in order. Once the slots that an item needs are taken, others
+   * that need the same ones are left out of this pass.
    */
   #startWaitingItems(jobs: readonly QueuedJob[]): void {
-    const { context } = this.#options;
-    const nowMs = context.clock.getWallMs();
-    /** Whether other servers have free slots, by exhausted slots. */
-    const exhausted = new Map<string, boolean>();
+    const waiting = this.#findWaitingItems(jobs);
     const usableByService = new Map<string, UsableServers>();
-    this.#getWaiting(jobs).slice(0, MAX_CANDIDATES_PER_PASS).forEach(
-      (candidate) => {
-        const service = this.#tryGetService(candidate);
-        if (service === undefined) return;
-        const parts = this.#getPromptParts(candidate.item, service);
-        // The item stays owed and waits until its part may be tried again.
-        if (this.#options.promptPartGuard.getRejectionMs(parts) > 0) return;
-        const reserve = getReservedSlots(candidate, nowMs);
-        const softwareVersion = this.#getRequiredVersion(candidate, service);
-        const mayLeave = this.#mayLeaveDataCentre(candidate, nowMs);
-        const serviceKey = `${service}/${mayLeave}`;
-        const slotsKey = `${serviceKey}/${softwareVersion ?? ""}/${reserve}`;
-        const usable = usableByService.get(serviceKey) ??
-          this.#getUsableServers(service, { mayLeave });
-        usableByService.set(serviceKey, usable);
-        const placement = { service, reserve, ...usable };
-        if (!exhausted.has(slotsKey)) {
-          const isStarted = this.#tryStart(candidate, {
-            ...placement,
-            softwareVersion,
-          });
-          if (isStarted) return;
-          exhausted.set(
-            slotsKey,
-            softwareVersion !== undefined && this.#hasFreeSlot(placement),
-          );
+    let next = waiting.tryTake();
+    while (next !== undefined) {
+      const { item, slots } = next;
+      const { service, mayLeave, softwareVersion } = slots;
+      const serviceKey = `${service}/${mayLeave}`;
+      const usable = usableByService.get(serviceKey) ??
+        this.#getUsableServers(service, { mayLeave });
+      usableByService.set(serviceKey, usable);
+      const placement = { ...slots, ...usable };
+      // An item that was started in this pass may try the same part of a prompt.
+      const isHeld = this.#isHeld(item, service);
+      if (!isHeld && !this.#tryStart(item, placement)) {
+        const others = waiting.removeAll(slots);
+        if (softwareVersion !== undefined) {
+          this.#leaveSoftwareVersion([item, ...others], placement);
         }
-        const isFreeElsewhere = exhausted.get(slotsKey) === true;
-        if (!this.#hasWaitedTooLong(candidate.key, isFreeElsewhere)) return;
-        this.#discardOutput(candidate);
-        this.#tryStart(candidate, placement);
-      },
+      }
+      next = waiting.tryTake();
+    }
+  }
+
+  /** Finds the items that may start, unless the slots they need are all taken. */
+  #findWaitingItems(jobs: readonly QueuedJob[]): WaitingItems {
+    const { view, pool, context } = this.#options;
+    const { routes } = view;
+    const nowMs = context.clock.getMonotonicMs();
+    const wallMs = context.clock.getWallMs();
+    const waiting = new WaitingItems(wallMs);
+    if (routes === undefined) return waiting;
+    const freeSlots = new Map<string, number>();
+    const getFreeSlots = (service: string) => {
+      const slots = freeSlots.get(service) ?? pool.getMostFreeSlots(service);
+      freeSlots.set(service, slots);
+      return slots;
+    };
+    jobs.forEach((queued) => {
+      const { hasPriorities, ...order } = this.#getJobOrder(queued, nowMs);
+      queued.open.forEach((item) => {
+        const route = this.#queue.tryGetRoute(queued, item, routes);
+        if (route === undefined) {
+          this.#giveUpWithoutRoute(queued, item, routes);
+          return;
+        }
+        const service = this.#trySelectService(route);
+        if (service === undefined || getFreeSlots(service) <= 0) return;
+        const key = this.#queue.getKey(queued, item);
+        if (!this.#mayStart(key, nowMs)) return;
+        const candidate: ItemCandidate = {
+          ...order,
+          queued,
+          item,
+          key,
+          priority: hasPriorities ? item.priority : undefined,
+          remainingMs: this.#getRemainingMs(queued, item),
+        };
+        const reserve = getReservedSlots(candidate, wallMs);
+        if (getFreeSlots(service) <= reserve) return;
+        if (this.#isHeld(candidate, service)) return;
+        waiting.add(candidate, {
+          service,
+          softwareVersion: this.#getRequiredVersion(candidate, service),
+          mayLeave: this.#mayLeaveDataCentre(candidate, wallMs),
+          reserve,
+        });
+      });
+    });
+    return waiting;
+  }
+
+  /**
+   * Whether a part of an item's prompt may not be tried now. The item stays owed and
+   * waits until it may.
+   */
+  #isHeld({ queued, item }: ItemCandidate, service: string): boolean {
+    const parts = this.#queue.getPromptParts(queued, item, service);
+    return this.#options.promptPartGuard.getRejectionMs(parts) > 0;
+  }
+
+  /** What the order of the waiting items of a job has in common. */
+  #getJobOrder({ job, submittedMs, open }: QueuedJob, nowMs: number) {
+    const shares = this.#options.pool.shares[LoadKind.batch];
+    const { organisation } = job;
+    const dueMs = submittedMs + job.dueMs;
+    return {
+      dueMs,
+      urgentFromMs: getUrgentFromMs(submittedMs, dueMs),
+      openJobItems: open.size,
+      hasPriorities: organisation !== undefined,
+      isOverShare: organisation !== undefined &&
+        shares.isOverShare(organisation, nowMs),
+    };
+  }
+
+  /** Whether an item of this process neither runs, nor has an outcome, nor is delayed. */
+  #mayStart(key: string, nowMs: number): boolean {
+    return this.#queue.mayRetry(key, nowMs) && !this.#activeRuns.has(key) &&
+      this.#options.ownership.canStart(key) && this.#recorder.mayStart(key);
+  }
+
+  #trySelectService(route: Route): string | undefined {
+    const { random } = this.#options.context;
+    return route.targets.length === 1
+      ? route.targets[0]?.service
+      : selectTarget(route, random.getFraction())?.service;
+  }
+
+  /**
+   * Ends an item whose route has been removed since its job was accepted. A job of an
+   * older build doesn't say by which routes it was.
+   */
+  #giveUpWithoutRoute(
+    queued: QueuedJob,
+    item: JobItem,
+    routes: RouteIndex,
+  ): void {
+    const { routesVersion, route } = queued.job;
+    const isRouteRemoved = routesVersion > 0n &&
+      routes.table.version > routesVersion &&
+      routes.tryGetRoute(route) === undefined;
+    const key = this.#queue.getKey(queued, item);
+    const mayGiveUp = isRouteRemoved && !this.#activeRuns.has(key) &&
+      this.#mayGiveUp(key);
+    if (!mayGiveUp) return;
+    this.#outcomeHandler.moveToDeadLetters(
+      queued,
+      item,
+      `route "${route}" has been removed`,
     );
   }
 
+  /**
+   * Starts items anew that have waited too long for servers of their software version
+   * while others have free slots.
+   */
+  #leaveSoftwareVersion(
+    items: readonly ItemCandidate[],
+    { service, reserve, allowed, assigned }: ItemPlacement,
+  ): void {
+    const placement = { service, reserve, allowed, assigned };
+    const isFreeElsewhere = this.#hasFreeSlot(placement);
+    items.filter(({ key }) => this.#hasWaitedTooLong(key, isFreeElsewhere))
+      .forEach((item) => {
+        this.#discardOutput(item);
+        this.#tryStart(item, placement);
+      });
+  }
+
   /**
    * Software version that servers must have to continue an item; undefined if any
    * may run it. Output that no server can continue any more is discarded.
@@ -490,28 +608,14 @@
       return false;
     }
     const nowMs = this.#options.context.clock.getMonotonicMs();
-    const sinceMs = this.#versionWaits.get(key) ?? nowMs;
-    this.#versionWaits.set(key, sinceMs);
+    const wait = this.#versionWaits.get(key);
+    const isWaiting = wait !== undefined &&
+      nowMs - wait.seenMs < VERSION_WAIT_GAP_MS;
+    const sinceMs = isWaiting ? wait.sinceMs : nowMs;
+    this.#versionWaits.set(key, { sinceMs, seenMs: nowMs });
     return nowMs - sinceMs >= VERSION_WAIT_MS;
   }
 
-  #getPrefix(item: JobItem): readonly string[] {
-    const known = this.#prefixes.get(item);
-    if (known !== undefined) return known;
-    const headers = Object.fromEntries(
-      item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
-    );
-    const { caller } = this.#options.dialects;
-    const { prefix } = caller.readRequestMetadata(headers);
-    this.#prefixes.set(item, prefix);
-    return prefix;
-  }
-
-  /** Keys of the parts of an item's prompt at a service. */
-  #getPromptParts(item: JobItem, service: string): string[] {
-    return this.#getPrefix(item).map((part) => getPromptPartKey(service, part));
-  }
-
   /** Discards the output of an item, so that any server may run it anew. */
   #discardOutput({ queued, item, key }: ItemCandidate): void {
     const progress = this.#progress.getOrCreate(queued, item);
@@ -562,34 +666,14 @@
     );
   }
 
-  #getRemainingMs({ job, progress }: QueuedJob, item: JobItem): number {
+  #getRemainingMs(queued: QueuedJob, item: JobItem): number {
+    const { job, progress } = queued;
     const lastEvent =
-      this.#progress.tryGet(getItemKey(job.id, item.id))?.last ??
+      this.#progress.tryGet(this.#queue.getKey(queued, item))?.last ??
         progress.get(item.id)?.last ?? 0;
     return this.#runTimeEstimator.getRemainingMs(job.route, lastEvent);
   }
 
-  #tryGetService({ queued, item }: ItemCandidate): string | undefined {
-    const { view, context } = this.#options;
-    const route = view.routes?.tryMatch(queued.job.host, stripQuery(item.path));
-    if (route === undefined) return undefined;
-    return selectTarget(route, context.random.getFraction())?.service;
-  }
-
-  #getWaiting(jobs: readonly QueuedJob[]): ItemCandidate[] {
-    const nowMs = this.#options.context.clock.getMonotonicMs();
-    const shares = this.#options.pool.shares[LoadKind.batch];
-    return this.#queue.getWaiting(jobs, {
-      nowMs,
-      wallMs: this.#options.context.clock.getWallMs(),
-      getRemainingMs: (queued, item) => this.#getRemainingMs(queued, item),
-      isExcluded: (key, queued, item) =>
-        this.#activeRuns.has(key) || !this.#options.ownership.canStart(key) ||
-        !this.#recorder.mayStart(queued.job.id, item.id),
-      isOverShare: (organisation) => shares.isOverShare(organisation, nowMs),
-    });
-  }
-
   /** Starts an item; returns false if its service has no free slot. */
   #tryStart(
     candidate: ItemCandidate,
@@ -609,7 +693,7 @@
     const permit = pool.tryAcquire({
       ...placement,
       kind: LoadKind.batch,
-      prefix: this.#getPrefix(item),
+      prefix: this.#queue.getPrefix(queued, item),
       slack: getSlack(candidate, clock.getWallMs()),
       excluded: new Set(),
       organisation: queued.job.organisation,
@@ -619,7 +703,11 @@
     });
     if (permit === undefined) return false;
     this.#versionWaits.delete(key);
-    const promptParts = this.#getPromptParts(item, placement.service);
+    const promptParts = this.#queue.getPromptParts(
+      queued,
+      item,
+      placement.service,
+    );
     promptPartGuard.recordStart(promptParts);
     const getRemainingMs = () => this.#getRemainingMs(queued, item);
     this.#lastRun += 1;
@@ -817,7 +905,7 @@
   async #recordProgress(): Promise<void> {
     const progress = this.#progress.getUnrecorded(
       this.#getRunnableJobs(),
-      (job, item) => this.#recorder.hasOutcome(job, item),
+      (key) => this.#recorder.hasOutcome(key),
     );
     if (progress.length === 0) return;
     this.#isRecordingProgress = true;
@@ -837,7 +925,3 @@
 function getTimeSliceMs(server: PoolServer): number {
   return server.isLimited ? LIMITED_TIME_SLICE_MS : TIME_SLICE_MS;
 }
-
-function getKey(queued: QueuedJob, item: string): string {
-  return getItemKey(queued.job.id, item);
-}
--- a/src/fleet/progress_tracker.ts
+++ b/src/fleet/progress_tracker.ts
@@ -63,12 +63,16 @@
   /** Returns what the applied state lacks of items without an outcome. */
   getUnrecorded(
     jobs: readonly QueuedJob[],
-    hasOutcome: (job: string, item: string) => boolean,
+    hasOutcome: (key: string) => boolean,
   ): RunProgress[] {
+    if (this.#progressByKey.size === 0) return [];
     return jobs.flatMap(({ job, open, progress }) =>
-      [...open.keys()].filter((item) => !hasOutcome(job.id, item))
+      [...open.keys()]
         .flatMap((item) => {
-          const own = this.#progressByKey.get(getItemKey(job.id, item));
+          const key = getItemKey(job.id, item);
+          const own = hasOutcome(key)
+            ? undefined
+            : this.#progressByKey.get(key);
           const output = own?.tryGetUnrecorded(progress.get(item));
           return own === undefined || output === undefined
             ? []
--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -91,9 +91,9 @@
       this.#finished.length > 0 || this.#failed.length > 0;
   }
 
-  /** Whether an item has a final outcome here that is not applied yet. */
-  hasOutcome(job: string, item: string): boolean {
-    const outcome = this.#unapplied.get(getItemKey(job, item));
+  /** Whether the item with a key has a final outcome here that is not applied yet. */
+  hasOutcome(key: string): boolean {
+    const outcome = this.#unapplied.get(key);
     return outcome !== undefined && outcome.failure === undefined;
   }
 
@@ -101,8 +101,8 @@
    * Whether the applied state contains every outcome of an item that this process
    * has seen. Without them the state shows too many attempts as left.
    */
-  mayStart(job: string, item: string): boolean {
-    return !this.#unapplied.has(getItemKey(job, item));
+  mayStart(key: string): boolean {
+    return !this.#unapplied.has(key);
   }
 
   /**
@@ -172,7 +172,7 @@
     const startMs = clock.getMonotonicMs();
     const getElapsedMs = () => clock.getMonotonicMs() - startMs;
     const finished = this.#finished.filter(({ job, result }) =>
-      this.hasOutcome(job, result?.id ?? "")
+      this.hasOutcome(getItemKey(job, result?.id ?? ""))
     );
     const failed = this.#failed.filter(({ job, item, chain }) =>
       this.#unapplied.get(getItemKey(job, item))?.failure?.chain === chain
--- a/src/fleet/server_pool.ts
+++ b/src/fleet/server_pool.ts
@@ -215,6 +215,19 @@
     });
   }
 
+  /**
+   * Free slots of the server of a service that has most of them; infinite if a server
+   * has a limit, since only a request for a permit tells what it takes.
+   */
+  getMostFreeSlots(service: string): number {
+    return Math.max(
+      0,
+      ...this.getServers(service).map(({ isLimited, slots, busy }) =>
+        isLimited ? Infinity : slots - busy
+      ),
+    );
+  }
+
   /**
    * Acquires a permit for a free slot without waiting; undefined if no slot is
    * free. At a server with a limit, only a permission that was asked for in
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -3,6 +3,7 @@
  * must not start an item again on state that lacks the outcome of its last run.
  */
 import { expect } from "chai";
+import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
 import { AttemptOutcomeHandler } from "../fleet/attempt_outcome_handler.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
@@ -321,7 +322,7 @@
         addOutcome: (_job, result) => results.push(result),
         addFailure: () => {},
       },
-      queue: new ItemQueue(),
+      queue: new ItemQueue(new PlatformCallerDialect()),
       pool: { recordFailure: () => {} },
       context: createProcessContext({ name: "test", clock: runner.clock }),
     });
--- a/src/test/run_recorder_test.ts
+++ b/src/test/run_recorder_test.ts
@@ -1,7 +1,11 @@
 /** Batching of item outcomes, and retries after a record has failed. */
 import { expect } from "chai";
 import { create } from "@bufbuild/protobuf";
-import { type AppliedJob, RunRecorder } from "../fleet/run_recorder.ts";
+import {
+  type AppliedJob,
+  getItemKey,
+  RunRecorder,
+} from "../fleet/run_recorder.ts";
 import { ItemEnd, JobItemSchema, type RecordRuns } from "../schema/mod.ts";
 import { ManualClock } from "../sys/clock.ts";
 import { createSilentLog } from "../sys/log.ts";
@@ -63,14 +67,14 @@
     const { recorder, advanceClock, finish, getFinished } = createRecorder();
     finish("a");
     finish("b");
-    expect(recorder.hasOutcome("j", "a")).equal(true);
+    expect(recorder.hasOutcome(getItemKey("j", "a"))).equal(true);
     await advanceClock(50);
     expect(getFinished()).deep.equal(["a,b"]);
     // The outcome is kept, because the record may not be applied here yet.
-    expect(recorder.hasOutcome("j", "a")).equal(true);
+    expect(recorder.hasOutcome(getItemKey("j", "a"))).equal(true);
     recorder.removeApplied([createJob(["b"])], CHAINS);
-    expect(recorder.hasOutcome("j", "a")).equal(false);
-    expect(recorder.hasOutcome("j", "b")).equal(true);
+    expect(recorder.hasOutcome(getItemKey("j", "a"))).equal(false);
+    expect(recorder.hasOutcome(getItemKey("j", "b"))).equal(true);
   });
 
   it("retries a failed record while it may record", async () => {
@@ -80,14 +84,14 @@
     finish("a");
     recorder.addFailure("j", "f", { count: 1, chain: 7n });
     await advanceClock(60);
-    expect(recorder.hasOutcome("j", "a")).equal(true);
+    expect(recorder.hasOutcome(getItemKey("j", "a"))).equal(true);
     state.isFailing = false;
     await advanceClock(300);
     expect(getFinished()).deep.equal(["a", "a"]);
     expect(records.map((record) => record.failed.map((run) => run.count)))
       .deep.equal([[1], [1]]);
     recorder.removeApplied([], CHAINS);
-    expect(recorder.hasOutcome("j", "a")).equal(false);
+    expect(recorder.hasOutcome(getItemKey("j", "a"))).equal(false);
   });
 
   it("keeps outcomes while it may not record, and offers them afterwards", async () => {
@@ -99,9 +103,9 @@
     recorder.addFailure("j", "f", { count: 2, chain: 7n });
     await advanceClock(300);
     expect(getFinished()).deep.equal(["a"]);
-    expect(recorder.hasOutcome("j", "a")).equal(true);
-    expect(recorder.mayStart("j", "a")).equal(false);
-    expect(recorder.mayStart("j", "f")).equal(false);
+    expect(recorder.hasOutcome(getItemKey("j", "a"))).equal(true);
+    expect(recorder.mayStart(getItemKey("j", "a"))).equal(false);
+    expect(recorder.mayStart(getItemKey("j", "f"))).equal(false);
     state.isFailing = false;
     state.canRecord = true;
     await advanceClock(300);
@@ -116,12 +120,12 @@
     await advanceClock(50);
     // Another runner's failure got the same number.
     recorder.removeApplied([createJob(["f"], { f: 2 }, { f: [8n] })], CHAINS);
-    expect(recorder.mayStart("j", "f")).equal(false);
+    expect(recorder.mayStart(getItemKey("j", "f"))).equal(false);
     recorder.removeApplied(
       [createJob(["f"], { f: 3 }, { f: [8n, 7n] })],
       CHAINS,
     );
-    expect(recorder.mayStart("j", "f")).equal(true);
+    expect(recorder.mayStart(getItemKey("j", "f"))).equal(true);
   });
 
   it("goes by the number of a failure until chains are told apart", async () => {
@@ -130,9 +134,9 @@
     recorder.addFailure("j", "f", { count: 2, chain: 7n });
     await advanceClock(50);
     recorder.removeApplied([createJob(["f"], { f: 1 })], numbers);
-    expect(recorder.mayStart("j", "f")).equal(false);
+    expect(recorder.mayStart(getItemKey("j", "f"))).equal(false);
     recorder.removeApplied([createJob(["f"], { f: 2 }, { f: [8n] })], numbers);
-    expect(recorder.mayStart("j", "f")).equal(true);
+    expect(recorder.mayStart(getItemKey("j", "f"))).equal(true);
   });
 
   it("doesn't offer an outcome again that was applied meanwhile", async () => {
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -12,6 +12,7 @@
 import { PlatformBackendDialect } from "../../platform/backend_dialect.ts";
 import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
 import type { AttemptOptions, AttemptResult } from "../fleet/backend_client.ts";
+import { Header } from "../../platform/wire_names.ts";
 import { ItemOwnership } from "../fleet/item_ownership.ts";
 import { ItemRunner } from "../fleet/item_runner.ts";
 import { LeaderContact } from "../fleet/leader_contact.ts";
@@ -51,7 +52,7 @@
 const DATA_INTERVAL_MS = 500;
 const RECORD_TIMEOUT_MS = 2_000;
 const SERVER_COUNT = 4;
-const HOST = "a.example";
+export const HOST = "a.example";
 const START_WALL_MS = 1_000_000;
 const MAX_ATTEMPTS = 3;
 
@@ -383,6 +384,18 @@
   }
 }
 
+/** Options of a job that is submitted. */
+export interface SubmitOptions {
+  readonly route?: string;
+  readonly path?: string;
+  /** Shared parts of the prompts of its items; empty for none. */
+  readonly prefix?: string;
+  /** Version of the routes by which it was accepted; 0 as from older builds. */
+  readonly routesVersion?: bigint;
+  /** Time from its submission until its results are due, in milliseconds. */
+  readonly dueMs?: number;
+}
+
 /** Several runners over one replicated log. */
 export class RunnerSimulation {
   readonly #runners: SimulatedRunner[];
@@ -456,7 +469,17 @@
   }
 
   /** Submits a job of one item per status; their ids are `JOB-POSITION`. */
-  submit(job: string, statuses: readonly ItemStatus[]): string[] {
+  submit(
+    job: string,
+    statuses: readonly ItemStatus[],
+    {
+      route = "jobs",
+      path = "/b/x",
+      prefix = "",
+      routesVersion = 1n,
+      dueMs = 600_000,
+    }: SubmitOptions = {},
+  ): string[] {
     const ids = statuses.map((status, index) => {
       this.statuses.set(`${job}-${index}`, status);
       return `${job}-${index}`;
@@ -466,12 +489,20 @@
         case: "submit",
         value: {
           id: job,
-          route: "jobs",
+          route,
+          routesVersion,
           host: HOST,
-          dueMs: 600_000,
+          dueMs,
           retentionMs: 600_000,
           maxAttempts: MAX_ATTEMPTS,
-          items: ids.map((id) => ({ id, path: "/b/x", tokens: 1n })),
+          items: ids.map((id) => ({
+            id,
+            path,
+            tokens: 1n,
+            headers: prefix === ""
+              ? []
+              : [{ name: Header.prefix, value: prefix }],
+          })),
         },
       },
     );
