Refuse responses that switch to a protocol nobody asked for

What callers saw: the status 101 of a server as the answer to a POST that asked for no upgrade.

Cause: the check of heads took a 101 for a final response, as the runtime does. No request of this program offers another protocol, and by RFC 9110 a server may switch only to one that was offered.

Evidence: response_head_test, "status 101", fails on the commit before: the 101 is taken for an answer.

Change: tryFindHeadFault names it as a fault, so the request counts as one that may have run, for online requests, items and what gateways pass on.

--- a/src/sys/response_head.ts
+++ b/src/sys/response_head.ts
@@ -27,6 +27,9 @@
   String.raw`^${STATUS_LINE}\r\n(?:${FIELD_LINE}\r\n)*\r\n$`,
 );
 
+/** No request of this program asks for another protocol (RFC 9110, section 7.8). */
+const SWITCHING_HEAD_PATTERN = /^HTTP\/1\.\d 101/;
+
 const INTERIM_HEAD_PATTERN = /^HTTP\/1\.\d 1(?!01)/;
 
 const HEAD_END = "\r\n\r\n";
@@ -82,6 +85,9 @@
 
 /** Returns why a head is not that of a response; undefined if it is. */
 export function tryFindHeadFault(head: string): string | undefined {
+  if (SWITCHING_HEAD_PATTERN.test(head)) {
+    return "the response switches to a protocol that was not asked for";
+  }
   if (HEAD_PATTERN.test(head)) return undefined;
   const [statusLine = "", ...fields] = head.slice(0, -HEAD_END.length)
     .split("\r\n");
--- a/src/test/response_head_test.ts
+++ b/src/test/response_head_test.ts
@@ -92,6 +92,13 @@
         createResponse(`${protocol} 200 OK`),
       ]),
   ),
+  "status 101": createResponse("HTTP/1.1 101 Switching Protocols"),
+  "status 101 that names a protocol": createResponse(
+    "HTTP/1.1 101 Switching Protocols",
+    ["Connection: Upgrade", "Upgrade: x", LENGTH],
+  ),
+  "status 101 before another response":
+    createInterim([], "101 Switching Protocols") + createResponse(OK),
   "two blanks before the status": createResponse("HTTP/1.1  200 OK"),
   "a tab before the status": createResponse("HTTP/1.1\t200 OK"),
   "no blank before the reason phrase": createResponse("HTTP/1.1 200OK"),
@@ -249,6 +256,7 @@
   /** Bytes that versions of the runtime take, and those that all of them do. */
   const FAULTS = [
     "status 000",
+    "status 101",
     '" " in a name',
     '" " in a name of an interim response',
     '" " in a name of a trailer',
