Keep items apart whose ids hold slashes

Cause: the key of an item joined the ids of its job and of itself with a slash, which both may hold.

Change: slashes and percent signs of the job's id are escaped. All other keys stay, as builds of both kinds give items to runners by them.

--- a/src/fleet/run_recorder.ts
+++ b/src/fleet/run_recorder.ts
@@ -45,9 +45,12 @@
 /** Delay before a failed record is retried, in milliseconds. */
 const RETRY_DELAY_MS = 100;
 
-/** Key of an item, unique across all jobs. */
+/**
+ * Key of an item, unique across all jobs. Slashes of the job's id are escaped. All
+ * builds give the same items to a runner by this key, so other ids stay as they are.
+ */
 export function getItemKey(job: string, item: string): string {
-  return `${job}/${item}`;
+  return `${job.replaceAll(/[%/]/g, encodeURIComponent)}/${item}`;
 }
 
 /** Applied state of a job, as far as outcomes are concerned. */
--- a/src/test/runner_simulation.ts
+++ b/src/test/runner_simulation.ts
@@ -394,6 +394,8 @@
   readonly routesVersion?: bigint;
   /** Time from its submission until its results are due, in milliseconds. */
   readonly dueMs?: number;
+  /** Ids of its items; `JOB-POSITION` by default. */
+  readonly itemIds?: readonly string[];
 }
 
 /** Several runners over one replicated log. */
@@ -478,11 +480,13 @@
       prefix = "",
       routesVersion = 1n,
       dueMs = 600_000,
+      itemIds = [],
     }: SubmitOptions = {},
   ): string[] {
     const ids = statuses.map((status, index) => {
-      this.statuses.set(`${job}-${index}`, status);
-      return `${job}-${index}`;
+      const id = itemIds[index] ?? `${job}-${index}`;
+      this.statuses.set(id, status);
+      return id;
     });
     this.commit(
       {
