Don't use a connection twice for the same id of an item

Cause: answers are matched by ids, and a connection was left out only for ids of requests that had failed on it. Ids of items are unique only within a job.

Change: a connection isn't used for an item's id again, whatever its answer was, and is closed after 256 items.

--- a/src/fleet/item_attempt.ts
+++ b/src/fleet/item_attempt.ts
@@ -10,7 +10,7 @@
 import { getReason } from "../sys/errors.ts";
 import {
   readBody,
-  rejectAnswer,
+  recordRepeatableAnswer,
   removeRawHopByHopHeaders,
 } from "../sys/http.ts";
 import type {
@@ -83,9 +83,8 @@
       progress,
       signal,
     );
-    if (outcome.kind !== "done") {
-      rejectAnswer(response, options.request.requestId);
-    }
+    // Ids of items are unique only within a job.
+    recordRepeatableAnswer(response, options.request.requestId);
     const isWhole = outcome.kind === "done" && startEvent === undefined;
     if (
       isWhole || progress.last === startEvent ||
--- a/src/sys/http.ts
+++ b/src/sys/http.ts
@@ -10,7 +10,12 @@
 import type { CallerGuard } from "./caller_guard.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
 import { abortResponse } from "./framed_response.ts";
-import { hasFailedOn, HttpAgent, recordFailedRequest } from "./http_agent.ts";
+import {
+  HttpAgent,
+  isIdSpent,
+  recordFailedRequest,
+  recordRepeatableRequest,
+} from "./http_agent.ts";
 import { isolate } from "./isolation.ts";
 import {
   areValidTrailers,
@@ -379,7 +384,7 @@
       clearTimeout(headTimer);
     };
     req.on("socket", (socket) => {
-      if (hasFailedOn(socket, requestId)) {
+      if (isIdSpent(socket, requestId)) {
         // Nothing has been written yet.
         clearTimers();
         req.destroy();
@@ -480,6 +485,18 @@
   if (socket !== undefined) recordFailedRequest(socket, requestId);
 }
 
+/**
+ * Records that other requests may have the id of one that is answered: a copy of the
+ * response must not answer them.
+ */
+export function recordRepeatableAnswer(
+  { body }: Pick<HttpResponse, "body">,
+  requestId: string,
+): void {
+  const socket = connections.get(body);
+  if (socket !== undefined) recordRepeatableRequest(socket, requestId);
+}
+
 /** Maximum size of a body that is discarded before its connection is closed. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 
--- a/src/sys/http_agent.ts
+++ b/src/sys/http_agent.ts
@@ -9,13 +9,16 @@
 import type { Duplex } from "node:stream";
 
 /**
- * Number of ids that are kept for a connection. One on which more requests failed
- * is closed.
+ * Number of ids of failed requests that are kept for a connection. One on which more
+ * requests failed is closed.
  */
 const MAX_FAILED_IDS = 64;
 
-/** Ids of the requests that failed on a connection. */
-const failedIds = new WeakMap<Duplex, Set<string>>();
+/** The same for requests whose ids may come again after a success. */
+const MAX_REPEATABLE_IDS = 256;
+
+/** Ids for which a connection is not used any more. */
+const spentIds = new WeakMap<Duplex, Set<string>>();
 
 /** Connections that are closed as soon as their answer has ended. */
 const closingConnections = new WeakSet<Duplex>();
@@ -29,16 +32,28 @@
   socket: Duplex,
   id: string | undefined,
 ): void {
-  const ids = failedIds.get(socket) ?? new Set();
-  if (id !== undefined) failedIds.set(socket, ids.add(id));
-  if (id === undefined || ids.size > MAX_FAILED_IDS) {
-    closingConnections.add(socket);
-  }
+  if (id === undefined) closingConnections.add(socket);
+  else spendId(socket, id, MAX_FAILED_IDS);
+}
+
+/**
+ * Records that a connection must not be used for another request with the same id, such
+ * as an item of another job, which a copy of the answer could be taken to answer.
+ */
+export function recordRepeatableRequest(socket: Duplex, id: string): void {
+  spendId(socket, id, MAX_REPEATABLE_IDS);
+}
+
+/** Whether a connection must not be used for a request with an id. */
+export function isIdSpent(socket: Duplex, id: string | undefined): boolean {
+  return id !== undefined && spentIds.get(socket)?.has(id) === true;
 }
 
-/** Whether the request with an id failed on a connection. */
-export function hasFailedOn(socket: Duplex, id: string | undefined): boolean {
-  return id !== undefined && failedIds.get(socket)?.has(id) === true;
+/** The connection is closed if it has more ids than `maxIds`. */
+function spendId(socket: Duplex, id: string, maxIds: number): void {
+  const ids = spentIds.get(socket) ?? new Set();
+  spentIds.set(socket, ids.add(id));
+  if (ids.size > maxIds) closingConnections.add(socket);
 }
 
 /** A pool of connections that are reused while they are idle. */
