Read a few bodies of items at a time

Cause: the leader encodes each body at once and holds it until it is sent; only the gateways' own budgets bounded how many they asked for, 32 each.

Change: JobClient reads two bodies at a time. Others wait for their turn, for up to 1 s, and those of callers who left are passed over.

--- a/src/fleet/gateway_host.ts
+++ b/src/fleet/gateway_host.ts
@@ -634,6 +634,7 @@
             jobRequest.job,
             jobRequest.item,
             caller,
+            response.disconnected,
           ),
         };
       case "end":
--- a/src/fleet/job_client.ts
+++ b/src/fleet/job_client.ts
@@ -1,6 +1,7 @@
 /** Access of gateways to jobs, through the leader of the store group. */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { MessageInitShape } from "@bufbuild/protobuf";
+import pLimit from "p-limit";
 import { MAX_UINT32 } from "../membership/mod.ts";
 import type { JobCaller } from "../policy/mod.ts";
 import {
@@ -30,11 +31,22 @@
 /** Longest time for which a caller may wait for results, in milliseconds. */
 const MAX_RESULTS_WAIT_MS = 1_000;
 
+/**
+ * Bodies of items that are read at the same time. The leader of the store group holds
+ * each until it is sent, and many gateways may have callers who ask for many.
+ */
+const MAX_OPEN_BODY_READS = 2;
+
+/** Longest time for which the read of a body waits for its turn, in milliseconds. */
+const MAX_TURN_WAIT_MS = 1_000;
+
 /** Longest time that a call of a {@linkcode JobClient} takes, in milliseconds. */
 export const MAX_JOB_CALL_MS = REQUEST_TIMEOUT_MS + MAX_RESULTS_WAIT_MS;
 
 /** Client of the jobs in the store group. */
 export class JobClient {
+  /** Runs the reads of bodies. */
+  readonly #bodyReads = pLimit(MAX_OPEN_BODY_READS);
   readonly #stateClient: StateClient;
 
   constructor(state: StateClient) {
@@ -108,22 +120,32 @@
     };
   }
 
-  /** Reads the body of an open item; throws UNKNOWN_JOB if there is none. */
+  /**
+   * Reads the body of an open item; throws UNKNOWN_JOB if there is none. Bodies are read
+   * a few at a time, in the order of the calls; one whose `signal` is aborted before its
+   * turn is not read.
+   */
   async readBody(
     job: string,
     item: string,
     caller: JobCaller,
+    signal?: AbortSignal,
   ): Promise<Uint8Array> {
-    const reply = await this.#stateClient.callLeader(
-      STORE_GROUP,
-      REQUEST_TIMEOUT_MS,
-      (client, timeoutMs) =>
-        client.call(
-          Jobs.method.readBody,
-          { job, item, organisation: caller },
-          { timeoutMs },
-        ),
-    );
+    const turnLimit = AbortSignal.timeout(MAX_TURN_WAIT_MS);
+    const reply = await this.#bodyReads(() => {
+      signal?.throwIfAborted();
+      if (turnLimit.aborted) throw createBusyError();
+      return this.#stateClient.callLeader(
+        STORE_GROUP,
+        REQUEST_TIMEOUT_MS,
+        (client, timeoutMs) =>
+          client.call(
+            Jobs.method.readBody,
+            { job, item, organisation: caller },
+            { timeoutMs },
+          ),
+      );
+    });
     throwIfError(reply.code, job);
     return reply.body;
   }
@@ -145,6 +167,13 @@
   }
 }
 
+function createBusyError(): ServingError {
+  return new ServingError(MessageCode.STATE_UNREACHABLE, {
+    verdict: Verdict.NOT_RUN,
+    parameters: { reason: "too many bodies of items are read" },
+  });
+}
+
 function throwIfError(code: MessageCode, job: string): void {
   if (code === 0) return;
   throw new ServingError(code, {
--- a/src/test/silent_readers_test.ts
+++ b/src/test/silent_readers_test.ts
@@ -6,7 +6,9 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
+import { JobClient } from "../fleet/job_client.ts";
 import { MAX_PAGE_BYTES, PageReads } from "../fleet/page_reads.ts";
+import type { StateClient } from "../services/common/state_client.ts";
 import { range } from "./fleet_helpers.ts";
 import { createConfig, sendHttpRequest } from "./platform_fleet.ts";
 import { pollUntil } from "./poll_until.ts";
@@ -44,6 +46,30 @@
     expect(reads.open()).equal(MAX_PAGE_BYTES);
   });
 
+  // Guards against a leader that takes more memory than its host has, for bodies that
+  // gateways ask for all at once.
+  it("have the bodies of items read a few at a time", async () => {
+    let open = 0;
+    let mostOpen = 0;
+    const client = new JobClient({
+      callLeader: async () => {
+        open += 1;
+        mostOpen = Math.max(mostOpen, open);
+        await delay(1);
+        open -= 1;
+        return { code: 0, body: Buffer.from("body") };
+      },
+    } as unknown as StateClient);
+    const gone = client.readBody("job", "gone", undefined, AbortSignal.abort())
+      .catch(() => undefined);
+    const bodies = await Promise.all(
+      range(50).map((index) => client.readBody("job", `${index}`, undefined)),
+    );
+    expect(bodies).length(50);
+    expect(await gone).equal(undefined);
+    expect(mostOpen).equal(2);
+  });
+
   describe("in a fleet of real processes", () => {
     let fleet: SoakFleet;
     let server: ScriptedServer;
