Grant the limit that a server names at one store host

Cause: each process decides alone which store host grants. The gateway beside the cut host still reached it, the other one asked the stand-in, and both hosts granted all of the limit.

Change: RateLimitGranter grants only while its host is in contact with the leader of its group, and a stand-in passes requests on to the host that grants for the server; it grants itself only if that one doesn't reply to it. The messages are the same, so gateways of older builds get the same replies.

--- a/src/fleet/store_host.ts
+++ b/src/fleet/store_host.ts
@@ -48,6 +48,8 @@
 import { LeaderContact } from "./leader_contact.ts";
 import { MAX_PAGE_BYTES } from "./page_reads.ts";
 import { OrganisationRateService } from "./organisation_rate_service.ts";
+import { RpcGranterCaller } from "./rate_limit_client.ts";
+import { RateLimitGranter } from "./rate_limit_granter.ts";
 import { RateLimitService } from "./rate_limit_service.ts";
 import { encodeFleetCommand, StateHostProcess } from "./state_process.ts";
 
@@ -79,6 +81,8 @@
   readonly #machine: JobMachine;
   readonly #backends: BackendAccess;
   readonly #itemRunner: ItemRunner;
+  readonly #rateLimits: RateLimitGranter;
+  readonly #granterCaller: RpcGranterCaller;
   readonly #fleetClient: StateClient;
   /** Client of the leader of the store group. */
   readonly #storeClient: StateClient;
@@ -145,6 +149,15 @@
       clock: context.clock,
       log: context.log,
     });
+    this.#granterCaller = new RpcGranterCaller(this.#process.credentials);
+    this.#rateLimits = new RateLimitGranter({
+      service: new RateLimitService(context.clock),
+      isCurrent: () => leaderContact.isCurrent(),
+      getGranters: () => view.getStoreAddresses(),
+      caller: this.#granterCaller,
+      clock: context.clock,
+      log: context.log,
+    });
     this.#itemRunner = new ItemRunner({
       getOpenJobs: () => this.#machine.getOpenJobs(),
       canStart: () => leaderContact.isCurrent(),
@@ -204,9 +217,8 @@
           ),
         }),
     });
-    const rateLimits = new RateLimitService(this.#context.clock);
     server.addService(RateLimits, {
-      acquire: (req) => Promise.resolve(rateLimits.acquire(req)),
+      acquire: (req) => this.#rateLimits.acquire(req),
     });
     server.addService(OrganisationRates, {
       acquire: (req) => Promise.resolve(this.#organisationRates.acquire(req)),
@@ -253,6 +265,7 @@
     this.#backends.close();
     this.#fleetClient.close();
     this.#storeClient.close();
+    this.#granterCaller.close();
     this.#process.server.close();
   }
 
--- a/src/test/rate_limits_test.ts
+++ b/src/test/rate_limits_test.ts
@@ -6,6 +6,7 @@
 import { expect } from "chai";
 import { create } from "@bufbuild/protobuf";
 import { GranterCaller, RateLimitClient } from "../fleet/rate_limit_client.ts";
+import { RateLimitGranter } from "../fleet/rate_limit_granter.ts";
 import { RateLimitService } from "../fleet/rate_limit_service.ts";
 import { getServerStart, ServerLimits } from "../membership/mod.ts";
 import {
@@ -37,17 +38,56 @@
 
 type AcquireReply = Pick<AcquireSendReply, "granted" | "waitMs" | "senders">;
 
+/**
+ * Time from a cut between store hosts until one that is cut off knows it, in
+ * milliseconds. Gateways ask a stand-in after 1 s without a reply.
+ */
+const CONTACT_LOST_MS = 1_000;
+
 /** A store host that handles nothing while it stalls, and then all at once. */
 class SimulatedGranter {
   readonly #clock: ManualClock;
-  #service: RateLimitService;
+  readonly #getCaller: () => GranterCaller;
+  readonly #getGranters: () => readonly string[];
+  #service: RateLimitGranter;
   #cutUntilMs = -Infinity;
+  /** Time at which the other store hosts were cut off from this one. */
+  #isolatedMs = Infinity;
   #blockedUntilMs = -Infinity;
   #downUntilMs = -Infinity;
 
-  constructor(clock: ManualClock) {
-    this.#clock = clock;
-    this.#service = new RateLimitService(clock);
+  constructor(options: {
+    readonly clock: ManualClock;
+    readonly getCaller: () => GranterCaller;
+    readonly getGranters: () => readonly string[];
+  }) {
+    this.#clock = options.clock;
+    this.#getCaller = options.getCaller;
+    this.#getGranters = options.getGranters;
+    this.#service = this.#createService();
+  }
+
+  get isIsolated(): boolean {
+    return this.#isolatedMs < Infinity;
+  }
+
+  /** Cuts all other store hosts off from this one, or joins them again. */
+  setIsolated(isIsolated: boolean): void {
+    this.#isolatedMs = isIsolated ? this.#clock.getMonotonicMs() : Infinity;
+  }
+
+  #createService(): RateLimitGranter {
+    return new RateLimitGranter({
+      service: new RateLimitService(this.#clock),
+      isCurrent: () =>
+        this.#clock.getMonotonicMs() - this.#isolatedMs < CONTACT_LOST_MS,
+      getGranters: this.#getGranters,
+      caller: {
+        acquire: (...args) => this.#getCaller().acquire(...args),
+      },
+      clock: this.#clock,
+      log: createSilentLog(),
+    });
   }
 
   stall(ms: number): void {
@@ -62,7 +102,7 @@
   /** Loses what the host knew. */
   crash(downMs: number): void {
     this.#downUntilMs = this.#clock.getMonotonicMs() + downMs;
-    this.#service = new RateLimitService(this.#clock);
+    this.#service = this.#createService();
   }
 
   /** Resolves once the host has handled the request. */
@@ -78,7 +118,9 @@
     }
     const blockedMs = this.#blockedUntilMs - this.#clock.getMonotonicMs();
     if (blockedMs > 0) await this.#clock.delay(blockedMs);
-    const reply = this.#service.acquire(create(AcquireSendRequestSchema, req));
+    const reply = await this.#service.acquire(
+      create(AcquireSendRequestSchema, req),
+    );
     await this.#clock.delay(LATENCY_MS);
     return reply;
   }
@@ -87,14 +129,17 @@
 class SimulatedCaller extends GranterCaller {
   readonly #clock: ManualClock;
   readonly #granters: ReadonlyMap<string, SimulatedGranter>;
+  readonly #isReachable: (granter: SimulatedGranter) => boolean;
 
   constructor(
     clock: ManualClock,
     granters: ReadonlyMap<string, SimulatedGranter>,
+    isReachable: (granter: SimulatedGranter) => boolean,
   ) {
     super();
     this.#clock = clock;
     this.#granters = granters;
+    this.#isReachable = isReachable;
   }
 
   override acquire(
@@ -105,7 +150,9 @@
     const granter = this.#granters.get(address);
     if (granter === undefined) throw new Error(`no granter "${address}"`);
     return Promise.race([
-      granter.acquire(req),
+      this.#isReachable(granter)
+        ? granter.acquire(req)
+        : new Promise<never>(() => {}),
       this.#clock.delay(timeoutMs).then(() => {
         throw new Error("no answer in time");
       }),
@@ -121,12 +168,15 @@
   readonly granters = new Map(
     ["state-1", "state-2", "state-3"].map((name) => [
       name,
-      new SimulatedGranter(this.clock),
+      this.#createGranter(name),
     ]),
   );
   /** Store hosts in the order in which they are asked. */
   readonly order: readonly SimulatedGranter[];
   readonly sentMs: number[] = [];
+  /** Whether a process reaches a store host, by their position and name. */
+  isReachable: (index: number, granter: SimulatedGranter) => boolean = () =>
+    true;
   readonly #clients: readonly RateLimitClient[];
 
   constructor(options: { readonly limitPerS: number; readonly count: number }) {
@@ -138,7 +188,11 @@
         name: `gateway-${index}`,
         limits,
         getGranters: () => [...this.granters.keys()],
-        caller: new SimulatedCaller(this.clock, this.granters),
+        caller: new SimulatedCaller(
+          this.clock,
+          this.granters,
+          (granter) => this.isReachable(index, granter),
+        ),
         clock: this.clock,
         random,
         log: createSilentLog(),
@@ -152,6 +206,16 @@
     ).map(([, granter]) => granter);
   }
 
+  #createGranter(name: string): SimulatedGranter {
+    const isJoined = (granter: SimulatedGranter) =>
+      !granter.isIsolated && this.granters.get(name)?.isIsolated === false;
+    return new SimulatedGranter({
+      clock: this.clock,
+      getCaller: () => new SimulatedCaller(this.clock, this.granters, isJoined),
+      getGranters: () => [...this.granters.keys()],
+    });
+  }
+
   /** Lets each process ask each {@linkcode ASK_STEPS} steps. */
   async run(ms: number, onStep: () => void = () => {}): Promise<void> {
     const endMs = this.clock.getMonotonicMs() + ms;
@@ -263,6 +327,35 @@
     })
   );
 
+  // Guards against LIMIT: two store hosts that both grant all of a limit, as some
+  // processes reach the one and some the other.
+  [2, 16, 40].forEach((limitPerS) => {
+    it(`of ${limitPerS} a second hold while the store host is cut off from the others`, async () => {
+      const senders = new SimulatedSenders({ limitPerS, count: 8 });
+      await senders.run(4_000);
+      const [first] = senders.order;
+      first?.setIsolated(true);
+      senders.isReachable = (index, granter) => granter !== first || index < 4;
+      await senders.run(8_000);
+      first?.setIsolated(false);
+      senders.isReachable = () => true;
+      await senders.run(6_000);
+      expect(senders.getMaxCount()).at.most(getAllowedCount(limitPerS));
+    });
+
+    it(`of ${limitPerS} a second hold while some processes don't reach the store host`, async () => {
+      const senders = new SimulatedSenders({ limitPerS, count: 8 });
+      await senders.run(4_000);
+      const [first] = senders.order;
+      senders.isReachable = (index, granter) => granter !== first || index < 4;
+      await senders.run(8_000);
+      expect(senders.getMaxCount()).at.most(getAllowedCount(limitPerS));
+      const sentBefore = senders.sentMs.length;
+      await senders.run(4_000);
+      expect(senders.sentMs.length - sentBefore).at.least(0.9 * 4 * limitPerS);
+    });
+  });
+
   // Guards against servers left without requests once their store host is lost.
   it("are granted by another store host while the first is down", async () => {
     const senders = new SimulatedSenders({ limitPerS: 5, count: 8 });
