Look at items in a pass only while a slot is free for them

Cause: a pass made a candidate of each waiting item of a service with any free slot, also where items must leave the last slot of each server free, which is the usual state beside a backlog.

Change: the slots that items of a job must leave free at least are compared first, and a candidate is made only of an item that may start.

--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -431,7 +431,7 @@
       usableByService.set(serviceKey, usable);
       const placement = { ...slots, ...usable };
       // An item that was started in this pass may try the same part of a prompt.
-      const isHeld = this.#isHeld(item, service);
+      const isHeld = this.#isHeld(item.queued, item.item, service);
       if (!isHeld && !this.#tryStart(item, placement)) {
         const others = waiting.removeAll(slots);
         if (softwareVersion !== undefined) {
@@ -457,7 +457,13 @@
       return slots;
     };
     jobs.forEach((queued) => {
-      const { hasPriorities, ...order } = this.#getJobOrder(queued, nowMs);
+      const order = this.#getJobOrder(queued, nowMs);
+      const { dueMs, urgentFromMs, openJobItems, isOverShare } = order;
+      // No item of the job may leave fewer slots free than one that is nearly done.
+      const leastReserve = getReservedSlots(
+        { dueMs, urgentFromMs, remainingMs: 0 },
+        wallMs,
+      );
       queued.open.forEach((item) => {
         const route = this.#queue.tryGetRoute(queued, item, routes);
         if (route === undefined) {
@@ -465,20 +471,26 @@
           return;
         }
         const service = this.#trySelectService(route);
-        if (service === undefined || getFreeSlots(service) <= 0) return;
+        if (service === undefined) return;
+        const slots = getFreeSlots(service);
+        if (slots <= leastReserve) return;
         const key = this.#queue.getKey(queued, item);
         if (!this.#mayStart(key, nowMs)) return;
+        const remainingMs = this.#getRemainingMs(queued, item);
+        const timing = { dueMs, urgentFromMs, remainingMs };
+        const reserve = getReservedSlots(timing, wallMs);
+        if (slots <= reserve || this.#isHeld(queued, item, service)) return;
         const candidate: ItemCandidate = {
-          ...order,
           queued,
           item,
           key,
-          priority: hasPriorities ? item.priority : undefined,
-          remainingMs: this.#getRemainingMs(queued, item),
+          dueMs,
+          urgentFromMs,
+          remainingMs,
+          openJobItems,
+          isOverShare,
+          priority: order.hasPriorities ? item.priority : undefined,
         };
-        const reserve = getReservedSlots(candidate, wallMs);
-        if (getFreeSlots(service) <= reserve) return;
-        if (this.#isHeld(candidate, service)) return;
         waiting.add(candidate, {
           service,
           softwareVersion: this.#getRequiredVersion(candidate, service),
@@ -494,7 +506,7 @@
    * Whether a part of an item's prompt may not be tried now. The item stays owed and
    * waits until it may.
    */
-  #isHeld({ queued, item }: ItemCandidate, service: string): boolean {
+  #isHeld(queued: QueuedJob, item: JobItem, service: string): boolean {
     const parts = this.#queue.getPromptParts(queued, item, service);
     return this.#options.promptPartGuard.getRejectionMs(parts) > 0;
   }
