--- a/src/fleet/item_queue.ts
+++ b/src/fleet/item_queue.ts
@@ -8,9 +8,12 @@
 import { type RouteIndex, stripQuery } from "../policy/mod.ts";
 import type { JobItem, Route } from "../schema/mod.ts";
 import type { QueuedJob } from "../state/mod.ts";
-import type { CallerDialect } from "./dialects.ts";
+import type { IncomingHttpHeaders } from "../sys/http.ts";
 import { getItemKey } from "./run_recorder.ts";
 
+/** Returns the parts of a prompt that a request with these headers shares with others. */
+type ReadPrefix = (headers: IncomingHttpHeaders) => readonly string[];
+
 /** What is known of an item. */
 interface ItemFacts {
   readonly key: string;
@@ -27,12 +30,13 @@
 
 /** Queue of the items that wait in one process. */
 export class ItemQueue {
-  readonly #dialect: Pick<CallerDialect, "readRequestMetadata">;
+  readonly #readPrefix: ReadPrefix;
   readonly #facts = new WeakMap<JobItem, ItemFacts>();
   readonly #retryAfterMs = new Map<string, number>();
 
-  constructor(dialect: Pick<CallerDialect, "readRequestMetadata">) {
-    this.#dialect = dialect;
+  /** By default, no item shares parts of its prompt with others. */
+  constructor(readPrefix: ReadPrefix = () => []) {
+    this.#readPrefix = readPrefix;
   }
 
   /** Delays the next attempt of an item after a failed one. */
@@ -73,7 +77,9 @@
   /** Parts of an item's prompt that it shares with others. */
   getPrefix({ job }: QueuedJob, item: JobItem): readonly string[] {
     const facts = this.#getFacts(job.id, item);
-    facts.prefix ??= this.#readPrefix(item);
+    facts.prefix ??= this.#readPrefix(Object.fromEntries(
+      item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
+    ));
     return facts.prefix;
   }
 
@@ -92,13 +98,6 @@
     return facts.parts?.keys ?? [];
   }
 
-  #readPrefix(item: JobItem): readonly string[] {
-    const headers = Object.fromEntries(
-      item.headers.map(({ name, value }) => [name.toLowerCase(), value]),
-    );
-    return this.#dialect.readRequestMetadata(headers).prefix;
-  }
-
   #getFacts(job: string, item: JobItem): ItemFacts {
     const known = this.#facts.get(item);
     if (known !== undefined) return known;
--- a/src/fleet/item_runner.ts
+++ b/src/fleet/item_runner.ts
@@ -186,7 +186,9 @@
   constructor(options: ItemRunnerOptions) {
     this.#options = options;
     this.#progress = new ProgressTracker(options.context);
-    this.#queue = new ItemQueue(options.dialects.caller);
+    this.#queue = new ItemQueue((headers) =>
+      options.dialects.caller.readRequestMetadata(headers).prefix
+    );
     this.#recorder = new RunRecorder({
       record: options.record,
       canRecord: options.canStart,
--- a/src/test/item_runner_test.ts
+++ b/src/test/item_runner_test.ts
@@ -3,7 +3,6 @@
  * must not start an item again on state that lacks the outcome of its last run.
  */
 import { expect } from "chai";
-import { PlatformCallerDialect } from "../../platform/caller_dialect.ts";
 import { AttemptOutcomeHandler } from "../fleet/attempt_outcome_handler.ts";
 import { runItemAttempt } from "../fleet/item_attempt.ts";
 import { ItemProgress } from "../fleet/item_progress.ts";
@@ -322,7 +321,7 @@
         addOutcome: (_job, result) => results.push(result),
         addFailure: () => {},
       },
-      queue: new ItemQueue(new PlatformCallerDialect()),
+      queue: new ItemQueue(),
       pool: { recordFailure: () => {} },
       context: createProcessContext({ name: "test", clock: runner.clock }),
     });
